--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load generator and experiments: real instances before stand-ins."""
--- /dev/null
+++ b/sparline/__init__.py
@@ -0,0 +1,1 @@
+"""Sparline: a multi-region inference gateway of equal instances."""
--- /dev/null
+++ b/sparline/_ids.py
@@ -0,0 +1,16 @@
+"""Identifiers that must not be mixed up."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+Incarnation = NewType("Incarnation", str)
+BackendServerId = NewType("BackendServerId", str)
+RegionName = NewType("RegionName", str)
+ZoneName = NewType("ZoneName", str)
+OrganisationId = NewType("OrganisationId", str)
+RequestId = NewType("RequestId", str)
+RecordName = NewType("RecordName", str)
+Revision = NewType("Revision", int)
+
+# A model's or a service's name as requests give it.
+TargetName = NewType("TargetName", str)
--- /dev/null
+++ b/sparline/backends/__init__.py
@@ -0,0 +1,14 @@
+"""Exchanges with backend servers."""
+
+from sparline.backends._attempt import AttemptContext, attempt, cancel
+from sparline.backends._connection import BackendAddress, Exchange, ExchangeFault, call_json
+
+__all__ = [
+    "AttemptContext",
+    "BackendAddress",
+    "Exchange",
+    "ExchangeFault",
+    "attempt",
+    "call_json",
+    "cancel",
+]
--- /dev/null
+++ b/sparline/backends/_connection.py
@@ -0,0 +1,184 @@
+"""One HTTP exchange on one fresh connection; nothing is ever sent twice.
+
+The client of geventhttpclient sends idempotent requests again by itself when a
+connection breaks, so only its parser is used, on a connection opened here.
+"""
+
+import socket
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+from result import Err, Ok, Result
+
+from sparline._clock import now_ms
+
+READ_BYTES = 65_536
+READ_SLICE_S = 0.1
+
+
+class ExchangeFault(Enum):
+    """Name how an exchange ended before its answer was whole."""
+
+    NOT_CONNECTED = "not_connected"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, slots=True)
+class BackendAddress:
+    """Name where a backend server listens."""
+
+    ip: str  # IPv4 number
+    port: int  # TCP port
+
+
+class _Parser(HTTPResponse):
+    """Collect the body's parts as they arrive."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.parts: list[bytes] = []
+
+    def _on_body(self, buf: bytearray) -> None:
+        self.parts.append(bytes(buf))
+
+
+class Exchange:
+    """Send one request and read its answer; the first fault ends it."""
+
+    def __init__(self, deadline_at_ms: float, still_wanted: Callable[[], bool]) -> None:
+        """Bound the exchange by a deadline and by whoever waits for it."""
+        self.sent = False  # whether a byte may have left
+        self._deadline_at_ms = deadline_at_ms
+        self._still_wanted = still_wanted
+        self._socket: socket.socket | None = None
+        self._parser: _Parser | None = None
+
+    def connect(self, address: BackendAddress, timeout_ms: float) -> Result[None, ExchangeFault]:
+        """Open the connection; a fault here proves that nothing was sent."""
+        left_ms = min(timeout_ms, self._deadline_at_ms - now_ms())
+        if left_ms <= 0:
+            return Err(ExchangeFault.TIMED_OUT)
+        try:
+            self._socket = socket.create_connection((address.ip, address.port), left_ms / 1000)
+        except OSError:
+            return Err(ExchangeFault.NOT_CONNECTED)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Ok(None)
+
+    def send(
+        self, method: str, path: str, headers: dict[str, str], body: Iterable[bytes], length: int
+    ) -> Result[None, ExchangeFault]:
+        """Send the request once; a length below zero sends it in chunks."""
+        assert self._socket is not None and not self.sent, "an exchange sends once"
+        self._parser = _Parser(method)
+        framing = (
+            {"Content-Length": str(length)} if length >= 0 else {"Transfer-Encoding": "chunked"}
+        )
+        lines = [f"{method} {path} HTTP/1.1", "Host: backend-server", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in (headers | framing).items()]
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self.sent = True
+        try:
+            self._send_parts(head, body, chunked=length < 0)
+        except TimeoutError:
+            return Err(ExchangeFault.TIMED_OUT)
+        except OSError:
+            return Err(ExchangeFault.BROKEN)
+        return Ok(None)
+
+    def _send_parts(self, head: bytes, body: Iterable[bytes], chunked: bool) -> None:
+        pending = head
+        for part in body:
+            piece = b"%x\r\n%b\r\n" % (len(part), part) if chunked else part
+            self._send_all(pending + piece)
+            pending = b""
+        if chunked:
+            pending += b"0\r\n\r\n"
+        if pending:
+            self._send_all(pending)
+
+    def _send_all(self, data: bytes) -> None:
+        assert self._socket is not None
+        self._socket.settimeout(max(self._deadline_at_ms - now_ms(), 1) / 1000)
+        self._socket.sendall(data)
+
+    def read_head(self) -> Result[HTTPResponse, ExchangeFault]:
+        """Read up to the end of the answer's head."""
+        assert self._parser is not None
+        while not self._parser.headers_complete or self._parser.status_code < 200:
+            fault = self._read_some()
+            if fault:
+                return Err(fault)
+        return Ok(self._parser)
+
+    def read_body(self) -> Iterator[Result[bytes, ExchangeFault]]:
+        """Yield the parts of the body; an answer without a framed end ends in a fault."""
+        assert self._parser is not None
+        while True:
+            while self._parser.parts:
+                yield Ok(self._parser.parts.pop(0))
+            if self._parser.message_complete:
+                return
+            fault = self._read_some()
+            if fault:
+                yield Err(fault)
+                return
+
+    def _read_some(self) -> ExchangeFault | None:
+        assert self._socket is not None and self._parser is not None
+        self._socket.settimeout(READ_SLICE_S)
+        while True:
+            if now_ms() >= self._deadline_at_ms:
+                return ExchangeFault.TIMED_OUT
+            if not self._still_wanted():
+                return ExchangeFault.ABANDONED
+            try:
+                data = self._socket.recv(READ_BYTES)
+            except TimeoutError:
+                continue
+            except OSError:
+                return ExchangeFault.BROKEN
+            if not data:
+                return ExchangeFault.BROKEN
+            try:
+                self._parser.feed(data)
+            except HTTPParseError:
+                return ExchangeFault.BROKEN
+            return None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._socket is not None:
+            self._socket.close()
+
+
+def call_json(
+    address: BackendAddress,
+    method: str,
+    path: str,
+    body: bytes,
+    timeout_ms: float,
+    headers: dict[str, str] | None = None,
+) -> Result[tuple[int, bytes], ExchangeFault]:
+    """Make one small call and return its status and whole body."""
+    exchange = Exchange(now_ms() + timeout_ms, lambda: True)
+    try:
+        connected = exchange.connect(address, timeout_ms)
+        sent = connected.and_then(
+            lambda _: exchange.send(method, path, headers or {}, [body] if body else [], len(body))
+        )
+        head = sent.and_then(lambda _: exchange.read_head())
+        if head.is_err():
+            return Err(head.unwrap_err())
+        parts: list[bytes] = []
+        for part in exchange.read_body():
+            if part.is_err():
+                return Err(part.unwrap_err())
+            parts.append(part.unwrap())
+        return Ok((head.unwrap().status_code, b"".join(parts)))
+    finally:
+        exchange.close()
--- /dev/null
+++ b/sparline/dispatch/__init__.py
@@ -0,0 +1,7 @@
+"""Dispatch: places, attempts, retries and the one end of each request."""
+
+from sparline.dispatch._dispatcher import Dispatcher, DispatchParts
+from sparline.dispatch._retry_budget import RetryBudget
+from sparline.dispatch._waiting_room import WaitingRoom
+
+__all__ = ["DispatchParts", "Dispatcher", "RetryBudget", "WaitingRoom"]
--- /dev/null
+++ b/sparline/dispatch/_waiting_room.py
@@ -0,0 +1,88 @@
+"""Requests that wait here for room; what waits here has provably not run."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+
+from sparline._clock import now_ms
+from sparline.requests import Length, Request
+from sparline.routing import Reservation
+
+# A short question counts as if it had waited this much longer, so that long work
+# comes after it and yet does not starve.
+SHORT_HEAD_START_MS = 2_000.0
+PRIORITY_HEAD_START_MS = 500.0
+
+Placer = Callable[[Request, frozenset[str]], Reservation | None]
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """Hold one waiting request."""
+
+    request: Request  # what waits
+    excluded: frozenset[str]  # backend servers tried already
+    arrived_ms: float = field(default_factory=now_ms)  # when it began to wait
+    placed: Event = field(default_factory=Event)  # set once it has a place
+    reservation: Reservation | None = None  # its place
+
+    def urgency_ms(self) -> float:
+        """Return the time waited, with the head start of short and urgent requests."""
+        head_start = self.request.priority * PRIORITY_HEAD_START_MS
+        if self.request.length is Length.SHORT:
+            head_start += SHORT_HEAD_START_MS
+        return now_ms() - self.arrived_ms + head_start
+
+
+class WaitingRoom:
+    """Give room that appears to the most urgent request that fits it."""
+
+    def __init__(self, place: Placer) -> None:
+        """Ask `place` for a place; it returns None where there is no room."""
+        self._place = place
+        self._waiters: list[Waiter] = []
+
+    def enter(self, request: Request, excluded: frozenset[str]) -> Waiter:
+        """Begin to wait."""
+        waiter = Waiter(request, excluded)
+        self._waiters.append(waiter)
+        return waiter
+
+    def wait(self, waiter: Waiter, slice_ms: float) -> Reservation | None:
+        """Wait for a place for a short while."""
+        waiter.placed.wait(slice_ms / 1000)
+        if waiter.reservation is None:
+            self.pump()
+        return waiter.reservation
+
+    def leave(self, waiter: Waiter) -> None:
+        """Stop waiting, with or without a place."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def pump(self) -> None:
+        """Place whoever can be placed, the most urgent first."""
+        full: set[tuple[str, Length]] = set()
+        for waiter in sorted(self._waiters, key=Waiter.urgency_ms, reverse=True):
+            key = waiter.request.routing_key, waiter.request.length
+            if key in full:
+                continue
+            reservation = self._place(waiter.request, waiter.excluded)
+            if reservation is None:
+                full.add(key)
+                continue
+            waiter.reservation = reservation
+            self._waiters.remove(waiter)
+            waiter.placed.set()
+
+    def ahead_of(self, request: Request) -> int:
+        """Return how many requests for the same target go first."""
+        same = (one for one in self._waiters if one.request.routing_key == request.routing_key)
+        if request.length is Length.LONG:
+            return sum(1 for _ in same)
+        return sum(1 for one in same if one.request.length is Length.SHORT)
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiters)
--- /dev/null
+++ b/sparline/instance/__init__.py
@@ -0,0 +1,5 @@
+"""One instance of the system."""
+
+from sparline.instance._instance import Instance
+
+__all__ = ["Instance"]
--- /dev/null
+++ b/sparline/instance/_control.py
@@ -0,0 +1,206 @@
+"""Control traffic of one instance: heartbeats, loads, summaries, and what peers send."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+from sparline._clock import now_ms
+from sparline._ids import InstanceId
+from sparline._logging import log
+from sparline._metrics import Metrics
+from sparline.declarations import Catalog, RecordStore
+from sparline.instance._load_reader import LoadReader
+from sparline.instance._records_sync import RecordsSync
+from sparline.limits import LimitExchange
+from sparline.peers import Membership, Message, PeerLink, Receiver, Scope, next_hops, scope_of
+from sparline.routing import LoadTable, Reporter, SummaryTable, SummaryVerdict, summarise
+from sparline.schema._messages import (
+    Heartbeat,
+    LimitReport,
+    LimitShares,
+    Records,
+    RecordsPull,
+    ZoneLoad,
+    ZoneSummary,
+)
+from sparline.schema._settings import Timing
+
+if TYPE_CHECKING:
+    from sparline.platform import PlatformReader
+
+# Told in heartbeats by an instance that knows of no answer of the platform.
+NEVER = -1
+FOREVER_MS = 1e12
+# A gap between heartbeats of this many intervals means that the process was frozen.
+PAUSE_INTERVALS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class ControlParts:
+    """Hold what control traffic reads and writes."""
+
+    membership: Membership  # who lives
+    store: RecordStore  # records
+    loads: LoadTable  # load of this zone
+    summaries: SummaryTable  # load of other zones
+    sync: RecordsSync  # records between instances
+    load_reader: LoadReader  # which reports fall to this instance
+    metrics: Metrics  # counters
+    timing: Timing  # intervals
+    room_appeared: Callable[[], None]  # called when there may be room again
+
+
+class Control(Receiver):
+    """Send and take control messages."""
+
+    def __init__(self, parts: ControlParts) -> None:
+        """Start without a peer."""
+        self.catalog = Catalog()  # replaced when the files change
+        self.limit_exchange: LimitExchange | None = None  # set once it is made
+        self.reader: PlatformReader | None = None  # set once it is made
+        self._parts = parts
+        self._sequence = 0
+        self._summary_sequence = 0
+        self._next_summary_ms = 0.0
+        self._last_beat_ms = now_ms()
+        self._platform_heard: dict[InstanceId, float] = {}
+
+    def beat(self) -> None:
+        """Send heartbeats, loads to siblings, and a summary when one is due."""
+        self._notice_pause()
+        links = self._parts.membership.links()
+        heartbeat = self._heartbeat()
+        for link in links:
+            link.send(heartbeat)
+        self._send_load(links)
+        self._send_summary()
+
+    def _notice_pause(self) -> None:
+        """Drop what siblings told before a freeze: it is older than it seems."""
+        now = now_ms()
+        gap_ms = now - self._last_beat_ms
+        self._last_beat_ms = now
+        if gap_ms < PAUSE_INTERVALS * self._parts.timing.heartbeat_interval_ms:
+            return
+        log.warning("control: this process was paused for {} ms", int(gap_ms))
+        self._parts.metrics.pauses.inc()
+        for link in self._parts.membership.links():
+            self._parts.loads.forget_sibling(InstanceId(link.peer.instance_id))
+        self._next_summary_ms = now + 2 * self._parts.timing.heartbeat_interval_ms
+
+    def _heartbeat(self) -> Heartbeat:
+        age_ms = self.platform_age_ms()
+        return Heartbeat(
+            state=self._parts.membership.state,
+            uptime_ms=self._parts.membership.uptime_ms(),
+            complete_revision=self._parts.store.complete_revision,
+            digest=self._parts.store.digest,
+            platform_age_ms=NEVER if age_ms >= FOREVER_MS else int(age_ms),
+        )
+
+    def platform_age_ms(self) -> float:
+        """Return the time since the platform answered this instance or one it hears of."""
+        answers = list(self._platform_heard.values())
+        if self.reader is not None and self.reader.last_answer_ms is not None:
+            answers.append(self.reader.last_answer_ms)
+        return now_ms() - max(answers) if answers else FOREVER_MS
+
+    def _send_load(self, links: list[PeerLink]) -> None:
+        self._sequence += 1
+        load = self._parts.loads.own_load(self._sequence, self._parts.load_reader.read_here())
+        for link in links:
+            if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
+                link.send(load)
+
+    def _send_summary(self) -> None:
+        if now_ms() < self._next_summary_ms or not self._parts.membership.has_zone_duty("summary"):
+            return
+        self._next_summary_ms = now_ms() + self._parts.timing.summary_interval_ms
+        self._summary_sequence += 1
+        own = self._parts.membership.self_hello
+        reporter = Reporter(
+            InstanceId(own.instance_id), own.incarnation, own.region, own.availability_zone
+        )
+        members = self._parts.membership.zone_members()
+        summary = summarise(
+            reporter, self._summary_sequence, members, self._parts.loads, self.catalog
+        )
+        for link in next_hops(self._parts.membership, Scope.SELF, own_region_news=True):
+            link.send(summary)
+
+    def on_link(self, link: PeerLink) -> None:
+        """Greet a new peer with a heartbeat and what is known of other zones."""
+        link.send(self._heartbeat())
+        if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
+            for held in self._parts.summaries.fresh():
+                link.send(held.aged())
+
+    def on_lost(self, link: PeerLink) -> None:
+        """Drop what a lost peer told."""
+        peer_id = InstanceId(link.peer.instance_id)
+        log.info("peers: lost the link to {}", peer_id)
+        self._parts.loads.forget_sibling(peer_id)
+        self._platform_heard.pop(peer_id, None)
+
+    def on_message(self, link: PeerLink, message: Message) -> None:
+        """Take a message."""
+        self._take(message, link)
+
+    @singledispatchmethod
+    def _take(self, message: Any, link: PeerLink) -> None:
+        """Drop a connection that brings what does not belong on it."""
+        log.warning(
+            "control: {} sent a {} on a control link", link.peer.instance_id, type(message).__name__
+        )
+        link.close()
+
+    @_take.register
+    def _(self, message: Heartbeat, link: PeerLink) -> None:
+        if message.platform_age_ms != NEVER:
+            heard_ms = now_ms() - message.platform_age_ms
+            peer_id = InstanceId(link.peer.instance_id)
+            self._platform_heard[peer_id] = max(heard_ms, self._platform_heard.get(peer_id, 0.0))
+        self._parts.sync.compare(link, message)
+
+    @_take.register
+    def _(self, message: ZoneLoad, link: PeerLink) -> None:
+        if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
+            self._parts.loads.note_sibling(InstanceId(link.peer.instance_id), message)
+            self._parts.room_appeared()
+
+    @_take.register
+    def _(self, message: ZoneSummary, link: PeerLink) -> None:
+        own = self._parts.membership.self_hello
+        if message.availability_zone == own.availability_zone:
+            return
+        verdict = self._parts.summaries.offer(message)
+        if verdict is not SummaryVerdict.NEWER:
+            self._parts.metrics.stale_summaries.labels(verdict.value).inc()
+            return
+        held = self._parts.summaries.get(message.availability_zone)
+        came_from = scope_of(own, link.peer)
+        if held is not None:
+            for following in next_hops(
+                self._parts.membership, came_from, message.region == own.region
+            ):
+                if following is not link:
+                    following.send(held.aged())
+
+    @_take.register
+    def _(self, message: RecordsPull, link: PeerLink) -> None:
+        self._parts.sync.answer_pull(link, message)
+
+    @_take.register
+    def _(self, message: Records, link: PeerLink) -> None:
+        self._parts.sync.take(link, message)
+
+    @_take.register
+    def _(self, message: LimitReport, link: PeerLink) -> None:
+        if self.limit_exchange is not None:
+            self.limit_exchange.take_report(link, message)
+
+    @_take.register
+    def _(self, message: LimitShares, link: PeerLink) -> None:
+        if self.limit_exchange is not None:
+            self.limit_exchange.take_shares(message)
--- /dev/null
+++ b/sparline/limits/__init__.py
@@ -0,0 +1,8 @@
+"""Limits of organisations, shared between instances without shared state."""
+
+from sparline.limits._bucket import Bucket
+from sparline.limits._enforcer import LimitEnforcer
+from sparline.limits._exchange import LimitExchange
+from sparline.limits._owner import LimitOwner, View
+
+__all__ = ["Bucket", "LimitEnforcer", "LimitExchange", "LimitOwner", "View"]
--- /dev/null
+++ b/sparline/limits/_exchange.py
@@ -0,0 +1,92 @@
+"""Reports of demand to the owners of limits, and their answers."""
+
+from collections import defaultdict
+
+from sparline._ids import InstanceId, OrganisationId
+from sparline._metrics import Metrics
+from sparline.declarations import Catalog
+from sparline.limits._enforcer import LimitEnforcer
+from sparline.limits._owner import LimitOwner, View
+from sparline.peers import Membership, Mesh, PeerLink, first
+from sparline.schema._messages import Demand, LimitReport, LimitShares, Share
+
+
+class LimitExchange:
+    """Report this instance's demand, and answer the reports of others.
+
+    The owner of a limit is the instance that rendezvous hashing names among the live
+    instances of the organisation's home region. A report names only organisations
+    that are active here, so the cost follows the traffic of a node, not the fleet.
+    """
+
+    def __init__(
+        self,
+        enforcer: LimitEnforcer,
+        membership: Membership,
+        mesh: Mesh,
+        metrics: Metrics,
+        settle_ms: float,
+    ) -> None:
+        """Start as the owner of nothing."""
+        self.catalog = Catalog()  # replaced when the files change
+        self._enforcer = enforcer
+        self._membership = membership
+        self._mesh = mesh
+        self._metrics = metrics
+        self._owner = LimitOwner(settle_ms)
+
+    def report(self) -> None:
+        """Send demand to the owner of each active organisation's limit."""
+        self._enforcer.instances_in_fleet = max(len(self.catalog.instances), 1)
+        self._owner.drop(
+            {one for one in self._owner.owned() if self._owner_of(one) != self._membership.self_id}
+        )
+        by_owner: dict[InstanceId, list[Demand]] = defaultdict(list)
+        for demand in self._enforcer.demands():
+            owner = self._owner_of(OrganisationId(demand.organisation))
+            if owner is not None:
+                by_owner[owner].append(demand)
+        for owner, demands in by_owner.items():
+            self._report_to(owner, demands)
+
+    def _report_to(self, owner: InstanceId, demands: list[Demand]) -> None:
+        if owner == self._membership.self_id:
+            self.take_shares(LimitShares(self._answer(owner, demands)))
+            return
+        link = self._membership.link_of(owner) or self._mesh.want(owner)
+        if link is not None:
+            self._mesh.want(owner)
+            link.send(LimitReport(demands))
+
+    def _owner_of(self, organisation: OrganisationId) -> InstanceId | None:
+        declared = self.catalog.organisations.get(organisation)
+        if declared is None:
+            return None
+        return first(f"limit/{organisation}", self._membership.live_in_region(declared.home_region))
+
+    def take_report(self, link: PeerLink, report: LimitReport) -> None:
+        """Answer another instance's report."""
+        reporter = InstanceId(link.peer.instance_id)
+        link.send(LimitShares(self._answer(reporter, report.demands)))
+
+    def _answer(self, reporter: InstanceId, demands: list[Demand]) -> list[Share]:
+        shares = []
+        for demand in demands:
+            organisation = OrganisationId(demand.organisation)
+            declared = self.catalog.organisations.get(organisation)
+            if declared is None:
+                continue
+            whole = self._membership.sees_whole_region(declared.home_region)
+            view = View.WHOLE if whole else View.PARTIAL
+            self._owner.report(organisation, reporter, demand.demand_per_s, demand.held_per_s)
+            share = self._owner.share(organisation, reporter, declared.requests_per_s, view)
+            self._metrics.limit_grants.labels(view.value).inc()
+            shares.append(Share(organisation, round(share, 3)))
+        return shares
+
+    def take_shares(self, shares: LimitShares) -> None:
+        """Enforce the shares that an owner gave."""
+        for share in shares.shares:
+            declared = self.catalog.organisations.get(OrganisationId(share.organisation))
+            if declared is not None:
+                self._enforcer.note_share(declared, share.share_per_s)
--- /dev/null
+++ b/sparline/orders/_runner.py
@@ -0,0 +1,168 @@
+"""Orders to the engines of this zone: one owner at a time, one order at a time."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from result import Err, Ok
+
+from sparline._clock import now_ms
+from sparline._ids import BackendServerId, ZoneName
+from sparline._logging import log
+from sparline._metrics import Metrics
+from sparline.backends import BackendAddress, call_json
+from sparline.declarations import Catalog
+from sparline.orders._plan import Order, takes_warm_replica, wanted_orders, warm_elsewhere
+from sparline.peers import Membership
+from sparline.routing import BackendState, LoadTable, SummaryTable
+from sparline.schema._declarations import OrderCheck
+
+ORDER_TIMEOUT_MS = 120_000.0
+READ_TIMEOUT_MS = 1_000.0
+# A zone whose last warm replica must change waits this long per zone before it.
+STAGGER_MS = 30_000.0
+
+
+class OrderResult(Enum):
+    """Say what became of an order."""
+
+    DONE = "done"
+    STALE_FENCE = "stale_fence"
+    FAILED = "failed"
+    NOT_OWNER = "not_owner"
+    NOT_NEEDED = "not_needed"
+    HELD_BACK = "held_back"
+
+
+@dataclass(frozen=True, slots=True)
+class OrderHooks:
+    """Hold what orders ask of the instance."""
+
+    read_report: Callable[[BackendState], bool]  # read an engine's report now
+    takeover_ms: float  # wait before an unfenced engine is taken over
+
+
+class OrderRunner:
+    """Bring the engines of this zone to what the files say."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        loads: LoadTable,
+        summaries: SummaryTable,
+        hooks: OrderHooks,
+        metrics: Metrics,
+    ) -> None:
+        """Start without the duty."""
+        self.catalog = Catalog()  # replaced when the files change
+        self._membership = membership
+        self._loads = loads
+        self._summaries = summaries
+        self._hooks = hooks
+        self._metrics = metrics
+        self._owner_since_ms: float | None = None
+        self._last_tick_ms = now_ms()
+        self._blocked_since_ms: dict[Order, float] = {}
+
+    def tick(self) -> list[OrderResult]:
+        """Send what is due now; return what became of each order."""
+        self._note_duty()
+        results = []
+        for backend in self._loads.all():
+            for order in wanted_orders(backend, self.catalog):
+                result = self._consider(order, backend)
+                self._metrics.orders.labels(order.kind.value, result.value).inc()
+                results.append(result)
+                if result is not OrderResult.DONE:
+                    break
+        return results
+
+    def _note_duty(self) -> None:
+        # A pause of this process may have cost it the duty without its noticing.
+        paused = now_ms() - self._last_tick_ms > self._hooks.takeover_ms / 2
+        self._last_tick_ms = now_ms()
+        if not self._membership.has_zone_duty("orders"):
+            self._owner_since_ms = None
+        elif self._owner_since_ms is None or paused:
+            self._owner_since_ms = now_ms()
+
+    def _may_send(self, backend: BackendState) -> bool:
+        if self._owner_since_ms is None:
+            return False
+        detail = self.catalog.backend_details.get(BackendServerId(backend.member.id))
+        if detail is not None and detail.orders is OrderCheck.fenced:
+            return True
+        return now_ms() - self._owner_since_ms >= self._hooks.takeover_ms
+
+    def _consider(self, order: Order, backend: BackendState) -> OrderResult:
+        if not self._may_send(backend):
+            return OrderResult.NOT_OWNER
+        if takes_warm_replica(order) and not self._may_take_warm_replica(order):
+            return OrderResult.HELD_BACK
+        return self._send(order, backend)
+
+    def _may_take_warm_replica(self, order: Order) -> bool:
+        """Keep a warm replica: another engine here, or the zones change one after the other."""
+        if warm_elsewhere(order, self._loads.all()):
+            return True
+        since_ms = self._blocked_since_ms.setdefault(order, now_ms())
+        before = self._zones_before(order)
+        waiting = [zone for zone in before if not self._zone_has(zone, order)]
+        return not waiting or now_ms() - since_ms > STAGGER_MS * len(before)
+
+    def _zones_before(self, order: Order) -> list[ZoneName]:
+        own = self._membership.self_hello.availability_zone
+        zones = (ZoneName(held.summary.availability_zone) for held in self._summaries.fresh())
+        return [zone for zone in zones if zone < own and self._versions(zone, order)]
+
+    def _zone_has(self, zone: ZoneName, order: Order) -> bool:
+        return order.what.partition("@")[2] in self._versions(zone, order)
+
+    def _versions(self, zone: ZoneName, order: Order) -> list[str]:
+        held = self._summaries.get(zone)
+        targets = held.summary.targets if held else []
+        return next((one.versions for one in targets if one.target == order.target), [])
+
+    def _send(self, order: Order, backend: BackendState) -> OrderResult:
+        """Check duty, files and engine right before sending; read the engine again after."""
+        if not self._hooks.read_report(backend):
+            return OrderResult.FAILED
+        if order not in wanted_orders(backend, self.catalog):
+            return OrderResult.NOT_NEEDED
+        if not self._membership.has_zone_duty("orders") or not self._may_send(backend):
+            return OrderResult.NOT_OWNER
+        body = json.dumps(
+            {
+                "fence": order.fence,
+                "kind": order.kind.value,
+                "what": order.what,
+                "weights": order.weights,
+                "replaces": list(order.replaces),
+            }
+        ).encode()
+        log.info("orders: {} {} at {}", order.kind.value, order.what, order.backend_server)
+        address = BackendAddress(backend.member.ip, backend.member.port)
+        answer = call_json(address, "POST", "/orders", body, ORDER_TIMEOUT_MS)
+        self._last_tick_ms = now_ms()
+        self._hooks.read_report(backend)
+        match answer:
+            case Ok((200, _)):
+                self._blocked_since_ms.pop(order, None)
+                return OrderResult.DONE
+            case Ok((409, content)):
+                log.warning(
+                    "orders: {} has a newer fence: {}", order.backend_server, _fence(content)
+                )
+                return OrderResult.STALE_FENCE
+            case Ok(_) | Err(_):
+                return OrderResult.FAILED
+        return OrderResult.FAILED
+
+
+def _fence(content: bytes) -> object:
+    try:
+        return msgspec.json.decode(content).get("fence")
+    except (msgspec.DecodeError, AttributeError):
+        return "unreadable"
--- /dev/null
+++ b/sparline/peers/_mesh.py
@@ -0,0 +1,230 @@
+"""Links to peers: whom to dial, whom to accept."""
+
+import gevent
+from result import Err, Ok, Result
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+
+from sparline._clock import now_ms
+from sparline._ids import InstanceId
+from sparline._logging import log
+from sparline._metrics import Metrics
+from sparline.peers._codec import Message, decode, encode
+from sparline.peers._link import PeerLink
+from sparline.peers._membership import Membership
+from sparline.peers._rendezvous import ranked
+from sparline.schema._fleet import FleetMember, FleetState
+from sparline.schema._messages import Hello, LinkPurpose
+from sparline.schema._settings import Address
+
+HELLO_TIMEOUT_S = 2.0
+# Longest message: a record of a megabyte and its frame.
+MAX_MESSAGE_BYTES = 4_000_000
+# A link that was dialled for one purpose is kept for so long after its last use.
+WANTED_MS = 10_000.0
+
+
+class Receiver:
+    """Take what links bring; the instance provides the methods."""
+
+    def on_link(self, link: PeerLink) -> None:
+        """Note a new link."""
+
+    def on_lost(self, link: PeerLink) -> None:
+        """Note a link that ended."""
+
+    def on_message(self, link: PeerLink, message: Message) -> None:
+        """Take a message."""
+
+
+class Dialer:
+    """Open connections to peers, always from this instance's own address."""
+
+    def __init__(self, source_ip: str, timeout_ms: float) -> None:
+        """Bound the time that a connection may take."""
+        self.timeout_ms = timeout_ms  # longest wait for a connection
+        self._source_ip = source_ip
+
+    def dial(
+        self, address: Address, hello: Hello, expected: InstanceId | None
+    ) -> Result[tuple[Connection, Hello], str]:
+        """Open a connection to a peer; another instance at the address is refused."""
+        opened = self._connect(address)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        connection = opened.unwrap()
+        answer = _exchange_hello(connection, hello)
+        if answer.is_ok() and expected is not None and answer.unwrap().instance_id != expected:
+            answer = Err(f"expected instance {expected}, found {answer.unwrap().instance_id}")
+        if answer.is_err():
+            gevent.spawn(connection.close)
+            return Err(answer.unwrap_err())
+        return Ok((connection, answer.unwrap()))
+
+    def _connect(self, address: Address) -> Result[Connection, str]:
+        try:
+            return Ok(
+                connect(
+                    f"ws://{address.ip}:{address.port}",
+                    source_address=(self._source_ip, 0),
+                    open_timeout=self.timeout_ms / 1000,
+                    close_timeout=0.5,
+                    compression=None,
+                    ping_interval=None,
+                    max_size=MAX_MESSAGE_BYTES,
+                    proxy=None,
+                )
+            )
+        except (OSError, InvalidHandshake, TimeoutError, ConnectionClosed, EOFError) as error:
+            return Err(f"no connection: {error}")
+
+
+def _exchange_hello(connection: Connection, hello: Hello) -> Result[Hello, str]:
+    try:
+        connection.send(encode(hello))
+        return read_hello(connection)
+    except ConnectionClosed:
+        return Err("connection closed before hello")
+
+
+def read_hello(connection: Connection) -> Result[Hello, str]:
+    """Read the first message of a connection."""
+    try:
+        message = decode(connection.recv(timeout=HELLO_TIMEOUT_S))
+    except TimeoutError:
+        return Err("no hello in time")
+    except ConnectionClosed:
+        return Err("connection closed before hello")
+    match message:
+        case Ok(Hello() as hello):
+            return Ok(hello)
+        case Ok(other):
+            return Err(f"expected Hello, found {type(other).__name__}")
+        case Err(reason):
+            return Err(reason)
+
+
+class Mesh:
+    """Keep the links that this instance needs.
+
+    Inside a zone every pair is linked. To each other zone of the region one link
+    is dialled. One instance of a region dials each other region. So the number of
+    links grows with the zone and with regions per instance, not with the fleet.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        receiver: Receiver,
+        metrics: Metrics,
+        dialer: Dialer,
+        silence_ms: float,
+    ) -> None:
+        """Start with no link; a link that is silent for too long is lost."""
+        self._membership = membership
+        self._receiver = receiver
+        self._metrics = metrics
+        self._dialer = dialer
+        self._silence_ms = silence_ms
+        self._dialling: set[InstanceId] = set()
+        self._wanted: dict[InstanceId, float] = {}
+
+    def want(self, instance_id: InstanceId) -> PeerLink | None:
+        """Return a link to an instance; where there is none, one is dialled."""
+        self._wanted[instance_id] = now_ms() + WANTED_MS
+        return self._membership.link_of(instance_id)
+
+    def maintain(self) -> None:
+        """Dial what is missing and close what nobody needs."""
+        needed = self._needed()
+        for instance_id in needed:
+            if self._should_dial(instance_id):
+                gevent.spawn(self._dial, instance_id)
+        for link in self._membership.links():
+            if link.dialled and InstanceId(link.peer.instance_id) not in needed:
+                self._metrics.peer_events.labels("not_needed").inc()
+                link.close()
+
+    def _should_dial(self, instance_id: InstanceId) -> bool:
+        known = instance_id in self._dialling or self._membership.link_of(instance_id) is not None
+        return not known and self._membership.may_dial(instance_id)
+
+    def _needed(self) -> set[InstanceId]:
+        own = self._membership.self_hello
+        members = [
+            one
+            for one in self._membership.catalog.instances.values()
+            if one.id != own.instance_id and one.state is FleetState.live
+        ]
+        needed = {InstanceId(one.id) for one in members if self._dials_sibling(one)}
+        needed |= self._zone_contacts([one for one in members if one.region == own.region])
+        needed |= self._region_contacts([one for one in members if one.region != own.region])
+        now = now_ms()
+        self._wanted = {one: until for one, until in self._wanted.items() if until > now}
+        known = {one.id for one in members}
+        return needed | {one for one in self._wanted if one in known}
+
+    def _dials_sibling(self, member: FleetMember) -> bool:
+        own = self._membership.self_hello
+        return member.availability_zone == own.availability_zone and own.instance_id < member.id
+
+    def _zone_contacts(self, members: list[FleetMember]) -> set[InstanceId]:
+        own = self._membership.self_hello
+        zones = {one.availability_zone for one in members} - {own.availability_zone}
+        groups = ([one for one in members if one.availability_zone == zone] for zone in zones)
+        return {contact for group in groups if (contact := self._contact(group))}
+
+    def _region_contacts(self, members: list[FleetMember]) -> set[InstanceId]:
+        regions = {one.region for one in members}
+        mine = [one for one in regions if self._membership.has_region_duty(f"link/{one}")]
+        groups = ([one for one in members if one.region == region] for region in mine)
+        return {contact for group in groups if (contact := self._contact(group))}
+
+    def _contact(self, group: list[FleetMember]) -> InstanceId | None:
+        """Return the first instance of a group that may be reached."""
+        order = ranked(self._membership.self_id, [InstanceId(one.id) for one in group])
+        linked = [one for one in order if self._membership.reachable(one)]
+        due = [one for one in order if self._membership.may_dial(one)]
+        return next(iter([*linked, *due]), None)
+
+    def _dial(self, instance_id: InstanceId) -> None:
+        member = self._membership.catalog.instances.get(instance_id)
+        if member is None:
+            return
+        self._dialling.add(instance_id)
+        try:
+            address = Address(ip=member.ip, port=member.port)
+            hello = self._membership.self_hello
+            opened = self._dialer.dial(address, hello, instance_id)
+        finally:
+            self._dialling.discard(instance_id)
+        match opened:
+            case Err(reason):
+                self._metrics.peer_events.labels("dial_failed").inc()
+                self._membership.note_unreachable(instance_id)
+                log.debug("peers: no link to {}: {}", instance_id, reason)
+            case Ok((connection, peer)):
+                self.serve(connection, peer, dialled=True)
+
+    def accept(self, connection: Connection, peer: Hello) -> None:
+        """Serve a control connection that a peer opened, until it ends."""
+        connection.send(encode(self._membership.self_hello))
+        self.serve(connection, peer, dialled=False)
+
+    def serve(self, connection: Connection, peer: Hello, dialled: bool) -> None:
+        """Serve a control connection until it ends."""
+        assert peer.purpose is LinkPurpose.control, "relay connections have their own handler"
+        link = PeerLink(connection, peer, dialled, self._metrics)
+        self._membership.note_link(link)
+        self._metrics.peer_events.labels("opened").inc()
+        self._receiver.on_link(link)
+        link.run(self._receiver.on_message, self._silence_ms)
+        if self._membership.note_lost(link):
+            self._metrics.peer_events.labels("lost").inc()
+            self._receiver.on_lost(link)
+
+    def close(self) -> None:
+        """Close every link."""
+        for link in self._membership.links():
+            link.close()
--- /dev/null
+++ b/sparline/peers/_spread.py
@@ -0,0 +1,46 @@
+"""Spread of summaries and records: to whom a piece of news goes next."""
+
+from enum import Enum
+
+from sparline.peers._link import PeerLink
+from sparline.peers._membership import Membership
+from sparline.schema._messages import Hello
+
+
+class Scope(Enum):
+    """Name how far away a peer is."""
+
+    SELF = "self"
+    SIBLING = "sibling"
+    ZONE = "zone"
+    REGION = "region"
+
+
+def scope_of(own: Hello, peer: Hello) -> Scope:
+    """Return how far away a peer is."""
+    if peer.region != own.region:
+        return Scope.REGION
+    return Scope.SIBLING if peer.availability_zone == own.availability_zone else Scope.ZONE
+
+
+def next_hops(membership: Membership, came_from: Scope, own_region_news: bool) -> list[PeerLink]:
+    """Return the links that news goes to next, so that each instance gets it about once.
+
+    News from outside the zone goes to siblings. News made here or brought from another
+    region goes to the other zones. News of this region goes to the regions that this
+    instance dials, whoever brought it.
+    """
+    targets = {
+        Scope.SELF: {Scope.SIBLING, Scope.ZONE},
+        Scope.REGION: {Scope.SIBLING, Scope.ZONE},
+    }.get(came_from, set())
+    if came_from is Scope.ZONE:
+        targets = {Scope.SIBLING}
+    if own_region_news:
+        targets = targets | {Scope.REGION}
+    return [link for link in membership.links() if _goes_to(membership.self_hello, link, targets)]
+
+
+def _goes_to(own: Hello, link: PeerLink, targets: set[Scope]) -> bool:
+    scope = scope_of(own, link.peer)
+    return scope in targets and (scope is Scope.SIBLING or link.dialled)
--- /dev/null
+++ b/sparline/requests/__init__.py
@@ -0,0 +1,43 @@
+"""Requests, answers, outcomes, tickets."""
+
+from sparline.requests._body import UNKNOWN_LENGTH, RequestBody
+from sparline.requests._ledger import RequestLedger, Ticket, make_ticket, parse_ticket
+from sparline.requests._reasons import Reason
+from sparline.requests._types import (
+    COMPLETE,
+    Answer,
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    Length,
+    Origin,
+    Request,
+    TargetKind,
+    not_run,
+    unknown,
+)
+from sparline.schema._messages import Outcome
+
+__all__ = [
+    "COMPLETE",
+    "UNKNOWN_LENGTH",
+    "Answer",
+    "AnswerChunk",
+    "AnswerEnd",
+    "AnswerHead",
+    "AnswerPart",
+    "Length",
+    "Origin",
+    "Outcome",
+    "Reason",
+    "Request",
+    "RequestBody",
+    "RequestLedger",
+    "TargetKind",
+    "Ticket",
+    "make_ticket",
+    "not_run",
+    "parse_ticket",
+    "unknown",
+]
--- /dev/null
+++ b/sparline/requests/_reasons.py
@@ -0,0 +1,40 @@
+"""Reasons for refusals, retries and unknown outcomes; each has a counter."""
+
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Name why a request was refused, tried again or lost from sight."""
+
+    NONE = "none"
+    # Refused before any routing.
+    BAD_REQUEST = "bad_request"
+    NO_KEY = "no_key"
+    UNKNOWN_TARGET = "unknown_target"
+    RESIDENCY = "residency"
+    STARTING = "starting"
+    LEAVING = "leaving"
+    LIMIT = "limit"
+    DUPLICATE = "duplicate"
+    TICKET_ELSEWHERE = "ticket_elsewhere"
+    TICKET_EXPIRED = "ticket_expired"
+    # Refused by routing.
+    NO_BACKEND = "no_backend"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    OVERLOADED = "overloaded"
+    RETRY_BUDGET = "retry_budget"
+    ATTEMPTS_USED = "attempts_used"
+    # Why one attempt did not run.
+    CONNECT_FAILED = "connect_failed"
+    BACKEND_REFUSED = "backend_refused"
+    CANCELLED_UNSTARTED = "cancelled_unstarted"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_NO_ROOM = "peer_no_room"
+    PEER_NO_GRANT = "peer_no_grant"
+    # Why it is not known whether an attempt ran to its end.
+    BROKEN_BEFORE_ANSWER = "broken_before_answer"
+    BROKEN_IN_ANSWER = "broken_in_answer"
+    PEER_LOST = "peer_lost"
+    CALLER_GONE = "caller_gone"
+    BACKEND_FAILED = "backend_failed"
--- /dev/null
+++ b/sparline/routing/__init__.py
@@ -0,0 +1,61 @@
+"""Routing: what is known of load, and the choice of region, zone and backend server."""
+
+from sparline.routing._candidates import (
+    CandidateFinder,
+    Candidates,
+    LocalCandidate,
+    RemoteCandidate,
+    Verdict,
+    long_or_short,
+)
+from sparline.routing._load_table import BackendState, LoadTable, Reservation
+from sparline.routing._policy import (
+    Decision,
+    EstimatePolicy,
+    Policy,
+    Refuse,
+    RunHere,
+    SendAway,
+    WaitHere,
+    best_local,
+)
+from sparline.routing._prefixes import CHARS_PER_TOKEN, PrefixMap, prefix_keys
+from sparline.routing._spare_room import SpareRoom
+from sparline.routing._summaries import (
+    NO_BACKEND_WAIT_MS,
+    Reporter,
+    SummaryTable,
+    SummaryVerdict,
+    summarise,
+    wait_for_target,
+)
+
+__all__ = [
+    "CHARS_PER_TOKEN",
+    "NO_BACKEND_WAIT_MS",
+    "BackendState",
+    "CandidateFinder",
+    "Candidates",
+    "Decision",
+    "EstimatePolicy",
+    "LoadTable",
+    "LocalCandidate",
+    "Policy",
+    "PrefixMap",
+    "Refuse",
+    "RemoteCandidate",
+    "Reporter",
+    "Reservation",
+    "RunHere",
+    "SendAway",
+    "SpareRoom",
+    "SummaryTable",
+    "SummaryVerdict",
+    "Verdict",
+    "WaitHere",
+    "best_local",
+    "long_or_short",
+    "prefix_keys",
+    "summarise",
+    "wait_for_target",
+]
--- /dev/null
+++ b/sparline/routing/_candidates.py
@@ -0,0 +1,227 @@
+"""Candidates for a request: backend servers here and zones elsewhere, each with a verdict."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from sparline._ids import InstanceId, ZoneName
+from sparline.declarations import Catalog
+from sparline.requests import Length, Origin, Request
+from sparline.routing._estimate import LocalEstimate, estimate_local, speed_of
+from sparline.routing._load_table import LoadTable
+from sparline.routing._prefixes import PrefixMap
+from sparline.routing._spare_room import SpareRoom
+from sparline.routing._summaries import HeldSummary, SummaryTable
+from sparline.schema._declarations import Objective
+from sparline.schema._messages import InstanceState, TargetSummary
+
+# Delay between zones of one region, one way.
+ZONE_DELAY_MS = 0.5
+# Typical sizes on the wire, for prices.
+BYTES_PER_PROMPT_TOKEN = 4
+BYTES_PER_OUTPUT_TOKEN = 110
+MS_PER_HOUR = 3_600_000.0
+BYTES_PER_GB = 1_000_000_000.0
+
+
+class Verdict(StrEnum):
+    """Say why a candidate may be used or is passed over."""
+
+    USABLE = "usable"
+    NO_ROOM = "no_room"
+    EXCLUDED = "tried_already"
+    NOT_ALLOWED = "residency"
+    NO_TARGET = "target_not_held"
+    NO_SHARE = "share_of_room_used"
+    NO_INSTANCE = "no_reachable_instance"
+    RELAYED = "relayed_once_already"
+    MISSES_DEADLINE = "misses_deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class LocalCandidate:
+    """Hold one backend server of this zone."""
+
+    estimate: LocalEstimate  # waits and times
+    cost: float  # price of the request there
+    verdict: Verdict  # whether it may be used now
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteCandidate:
+    """Hold one other zone."""
+
+    region: str  # region of the zone
+    zone: ZoneName  # the zone
+    instance_id: InstanceId | None  # instance to send to, None where none is reachable
+    ttft_ms: float  # estimated time to the first token, with the way there and back
+    total_ms: float  # estimated time to the end
+    cost: float  # price of the request there, with its way
+    verdict: Verdict  # whether it may be used now
+
+
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """Hold all candidates of one request."""
+
+    local: tuple[LocalCandidate, ...]  # backend servers of this zone
+    remote: tuple[RemoteCandidate, ...]  # other zones
+    objective: Objective  # what the workload weighs most
+    ttft_target_ms: float  # wanted time to the first token
+
+
+class CandidateFinder:
+    """Find and judge the candidates of a request."""
+
+    def __init__(
+        self,
+        region: str,
+        zone: str,
+        loads: LoadTable,
+        summaries: SummaryTable,
+        prefixes: PrefixMap,
+        spare: SpareRoom,
+    ) -> None:
+        """Read from the tables of one instance."""
+        self.catalog = Catalog()  # replaced when the files change
+        self.reachable: Callable[[InstanceId], bool] = lambda _id: True  # first-hand knowledge
+        self.waiting_ahead: Callable[[Request], int] = lambda _request: 0  # requests in the queue
+        self._region = region
+        self._zone = zone
+        self._loads = loads
+        self._summaries = summaries
+        self._prefixes = prefixes
+        self._spare = spare
+
+    def find(self, request: Request, excluded: frozenset[str] = frozenset()) -> Candidates:
+        """Return every candidate; `excluded` holds backend servers and zones tried already."""
+        model = self.catalog.models.get(request.target)
+        service = self.catalog.services.get(request.target)
+        declared = model or service
+        return Candidates(
+            local=self._local(request, excluded),
+            remote=self._remote(request, excluded),
+            objective=declared.objective if declared else Objective.tail_latency,
+            ttft_target_ms=float(model.ttft_target_ms) if model else 1000.0,
+        )
+
+    def _local(self, request: Request, excluded: frozenset[str]) -> tuple[LocalCandidate, ...]:
+        service = self.catalog.services.get(request.target)
+        backends = self._loads.serving(request)
+        ahead = self.waiting_ahead(request) / max(len(backends), 1)
+        found = []
+        for backend in backends:
+            member = backend.member
+            cached = self._prefixes.cached_tokens(
+                request.prefix_keys, member.id, backend.incarnation
+            )
+            estimate = estimate_local(request, backend, service, cached)
+            slots = speed_of(backend, service).slots
+            verdict = Verdict.USABLE
+            if not estimate.has_room:
+                verdict = Verdict.NO_ROOM
+                estimate = _delayed(estimate, ahead * backend.service_ms / slots)
+            if member.id in excluded:
+                verdict = Verdict.EXCLUDED
+            elif self._region not in self.catalog.allowed_regions(request.residency_rule):
+                verdict = Verdict.NOT_ALLOWED
+            cost = self._engine_cost(self._region, estimate.total_ms, slots)
+            found.append(LocalCandidate(estimate, cost, verdict))
+        return tuple(found)
+
+    def _engine_cost(self, region: str, held_ms: float, slots: int) -> float:
+        return self.catalog.engine_price_per_hour(region) * held_ms / max(slots, 1) / MS_PER_HOUR
+
+    def _remote(self, request: Request, excluded: frozenset[str]) -> tuple[RemoteCandidate, ...]:
+        zones = (
+            held for held in self._summaries.fresh() if held.summary.availability_zone != self._zone
+        )
+        return tuple(self._remote_one(request, held, excluded) for held in zones)
+
+    def _remote_one(
+        self, request: Request, held: HeldSummary, excluded: frozenset[str]
+    ) -> RemoteCandidate:
+        summary = held.summary
+        target = next((one for one in summary.targets if one.target == request.routing_key), None)
+        ttft_ms, total_ms, cost = self._remote_figures(request, summary.region, target)
+        instance_id = self._instance_in(held)
+        return RemoteCandidate(
+            region=summary.region,
+            zone=ZoneName(summary.availability_zone),
+            instance_id=instance_id,
+            ttft_ms=ttft_ms,
+            total_ms=total_ms,
+            cost=cost,
+            verdict=self._remote_verdict(request, held, target, instance_id, excluded),
+        )
+
+    def _remote_figures(
+        self, request: Request, region: str, target: TargetSummary | None
+    ) -> tuple[float, float, float]:
+        if target is None:
+            return 0.0, 0.0, 0.0
+        delay_ms = self.catalog.link_delay_ms(self._region, region) + ZONE_DELAY_MS
+        # A request that may not be repeated waits for a grant before its content leaves.
+        ways = 2 if request.repeatable else 4
+        prefill_ms = request.prompt_tokens * target.ms_per_prompt_token
+        ttft_ms = ways * delay_ms + target.wait_ms + prefill_ms + target.token_interval_ms
+        total_ms = ttft_ms + request.output_tokens * target.token_interval_ms
+        sent = (
+            request.prompt_tokens * BYTES_PER_PROMPT_TOKEN
+            + request.output_tokens * BYTES_PER_OUTPUT_TOKEN
+        )
+        cost = self._engine_cost(region, total_ms - ways * delay_ms, target.slots)
+        cost += sent / BYTES_PER_GB * self.catalog.link_price_per_gb(self._region, region)
+        return ttft_ms, total_ms, cost
+
+    def _remote_verdict(
+        self,
+        request: Request,
+        held: HeldSummary,
+        target: TargetSummary | None,
+        instance_id: InstanceId | None,
+        excluded: frozenset[str],
+    ) -> Verdict:
+        summary = held.summary
+        if request.origin is Origin.RELAY:
+            return Verdict.RELAYED
+        if summary.region not in self.catalog.allowed_regions(request.residency_rule):
+            return Verdict.NOT_ALLOWED
+        if target is None:
+            return Verdict.NO_TARGET
+        if summary.availability_zone in excluded:
+            return Verdict.EXCLUDED
+        if instance_id is None:
+            return Verdict.NO_INSTANCE
+        senders = self._senders(summary.availability_zone)
+        if not self._spare.available(held, request.routing_key, target.room, senders):
+            return Verdict.NO_SHARE
+        return Verdict.USABLE
+
+    def _senders(self, zone: str) -> int:
+        """Return how many instances may use a zone's room."""
+        elsewhere = [
+            one for one in self.catalog.instances.values() if one.availability_zone != zone
+        ]
+        return max(len(elsewhere), 1)
+
+    def _instance_in(self, held: HeldSummary) -> InstanceId | None:
+        live = [
+            one.instance_id
+            for one in held.summary.members
+            if one.state is InstanceState.live
+            and one.instance_id in self.catalog.instances
+            and self.reachable(InstanceId(one.instance_id))
+        ]
+        # Summaries alternate, so that the members of a zone are used in turn.
+        return InstanceId(live[held.summary.sequence % len(live)]) if live else None
+
+
+def _delayed(estimate: LocalEstimate, wait_ms: float) -> LocalEstimate:
+    later = estimate.ttft_ms + wait_ms
+    return replace(estimate, ttft_ms=later, total_ms=estimate.total_ms + wait_ms)
+
+
+def long_or_short(prompt_tokens: int, short_prompt_tokens: int) -> Length:
+    """Return how much room a prompt takes."""
+    return Length.SHORT if prompt_tokens <= short_prompt_tokens else Length.LONG
--- /dev/null
+++ b/sparline/routing/_policy.py
@@ -0,0 +1,159 @@
+"""The choice between candidates: here, away, wait or refuse."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from sparline._hashing import hash64
+from sparline.requests import Reason, Request
+from sparline.routing._candidates import Candidates, LocalCandidate, RemoteCandidate, Verdict
+from sparline.schema._declarations import Objective
+
+# Sending away must beat home by this much, against swings of the estimates.
+AWAY_MARGIN_MS = 20.0
+AWAY_MARGIN_SHARE = 0.15
+# Where cost counts most, home is kept while it stays within this part of the deadline.
+COST_PATIENCE_SHARE = 0.25
+# A cached prefix is worth waiting for up to this part of what it saves.
+AFFINITY_SHARE = 0.5
+AFFINITY_SLACK_MS = 5.0
+RETRY_AFTER_LEAST_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunHere:
+    """Send to a backend server of this zone now."""
+
+    candidate: LocalCandidate  # where to
+
+
+@dataclass(frozen=True, slots=True)
+class SendAway:
+    """Relay to another zone now."""
+
+    candidate: RemoteCandidate  # where to
+
+
+@dataclass(frozen=True, slots=True)
+class WaitHere:
+    """Wait for room in this zone."""
+
+    ttft_ms: float  # estimated time to the first token, the wait included
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Give the request its final answer now."""
+
+    reason: Reason  # why it is not run
+    retry_after_ms: float  # when to come back
+
+
+Decision = RunHere | SendAway | WaitHere | Refuse
+
+
+class Policy(Protocol):
+    """Choose between the candidates of a request."""
+
+    def decide(self, request: Request, candidates: Candidates) -> Decision:
+        """Return what to do with a request of this zone's callers."""
+        ...
+
+    def takes_relayed(self, request: Request, candidates: Candidates, own_waiting: int) -> bool:
+        """Tell whether a request of another zone's caller is taken."""
+        ...
+
+
+class EstimatePolicy:
+    """Choose by estimated times, the workload's objective and margins."""
+
+    def decide(self, request: Request, candidates: Candidates) -> Decision:
+        """Return what to do with a request of this zone's callers."""
+        home = best_local(request, candidates)
+        waiting = _shortest_wait(candidates)
+        left_ms = request.left_ms()
+        home_ttft_ms = (
+            home.estimate.ttft_ms if home else waiting.estimate.ttft_ms if waiting else float("inf")
+        )
+        home_total_ms = (
+            home.estimate.total_ms
+            if home
+            else waiting.estimate.total_ms
+            if waiting
+            else float("inf")
+        )
+        away = self._best_away(request, candidates, home_ttft_ms, home_total_ms)
+        if away is not None:
+            return SendAway(away)
+        if home_total_ms > left_ms:
+            return _refuse(candidates, home_total_ms - left_ms)
+        if home is not None:
+            return RunHere(home)
+        return WaitHere(home_ttft_ms)
+
+    def _best_away(
+        self, request: Request, candidates: Candidates, home_ttft_ms: float, home_total_ms: float
+    ) -> RemoteCandidate | None:
+        left_ms = request.left_ms()
+        usable = [
+            one
+            for one in candidates.remote
+            if one.verdict is Verdict.USABLE and one.total_ms <= left_ms
+        ]
+        if not usable:
+            return None
+        if home_total_ms <= left_ms and not self._may_leave(candidates, home_ttft_ms, left_ms):
+            return None
+        needed_ms = home_ttft_ms - max(AWAY_MARGIN_MS, AWAY_MARGIN_SHARE * home_ttft_ms)
+        if home_total_ms > left_ms:
+            needed_ms = float("inf")
+        faster = [one for one in usable if one.ttft_ms < needed_ms]
+        if candidates.objective is Objective.cost:
+            return min(faster, key=lambda one: (one.cost, one.ttft_ms), default=None)
+        return min(faster, key=lambda one: one.ttft_ms, default=None)
+
+    def _may_leave(self, candidates: Candidates, home_ttft_ms: float, left_ms: float) -> bool:
+        if candidates.objective is Objective.tail_latency:
+            return True
+        return home_ttft_ms > max(candidates.ttft_target_ms, COST_PATIENCE_SHARE * left_ms)
+
+    def takes_relayed(self, request: Request, candidates: Candidates, own_waiting: int) -> bool:
+        """Take what leaves room for this zone's own callers."""
+        if own_waiting:
+            return False
+        home = best_local(request, candidates)
+        return home is not None and home.estimate.total_ms <= request.left_ms()
+
+
+def best_local(request: Request, candidates: Candidates) -> LocalCandidate | None:
+    """Return the backend server with room that is best; prompts with one start stay together."""
+    usable = [one for one in candidates.local if one.verdict is Verdict.USABLE]
+    if not usable:
+        return None
+    fastest = min(usable, key=lambda one: one.estimate.ttft_ms)
+    if not request.prefix_keys:
+        return fastest
+    saving_ms = max(one.estimate.saving_ms for one in usable)
+    bound_ms = fastest.estimate.ttft_ms + AFFINITY_SLACK_MS + AFFINITY_SHARE * saving_ms
+    near = [one for one in usable if one.estimate.ttft_ms <= bound_ms]
+    return max(near, key=lambda one: (one.estimate.saving_ms, _affinity(request, one)))
+
+
+def _affinity(request: Request, candidate: LocalCandidate) -> int:
+    """Return a score that all instances of the zone agree on."""
+    return hash64(f"{request.prefix_keys[0]}/{candidate.estimate.backend.member.id}")
+
+
+def _shortest_wait(candidates: Candidates) -> LocalCandidate | None:
+    full = [one for one in candidates.local if one.verdict is Verdict.NO_ROOM]
+    return min(full, key=lambda one: one.estimate.ttft_ms, default=None)
+
+
+def _refuse(candidates: Candidates, late_ms: float) -> Refuse:
+    if late_ms != float("inf"):
+        return Refuse(Reason.DEADLINE_UNREACHABLE, max(late_ms, RETRY_AFTER_LEAST_MS))
+    busy = [one for one in candidates.remote if one.verdict is Verdict.NO_SHARE]
+    if busy:
+        return Refuse(
+            Reason.OVERLOADED, max(min(one.ttft_ms for one in busy), RETRY_AFTER_LEAST_MS)
+        )
+    return Refuse(Reason.NO_BACKEND, 1000.0)
--- /dev/null
+++ b/sparline/routing/_spare_room.py
@@ -0,0 +1,77 @@
+"""Shares of other zones' spare room, so that many senders don't take it all at once."""
+
+import random
+from dataclasses import dataclass
+
+from sparline._clock import now_ms
+from sparline._ids import ZoneName
+from sparline.routing._summaries import HeldSummary
+
+# After a refusal a zone is left alone for so long, doubled at each refusal in a row.
+BACKOFF_FIRST_MS = 250.0
+BACKOFF_LONGEST_MS = 4_000.0
+# Room in a zone that has just come into sight is used bit by bit over so long.
+RAMP_MS = 5_000.0
+
+
+@dataclass(slots=True)
+class _Use:
+    """Hold what this instance did with one zone's room for one target."""
+
+    sequence: tuple[str, int] = ("", -1)  # summary that the limit belongs to
+    limit: int = 0  # requests that may be there at once on that summary
+    outstanding: int = 0  # requests from here that are there now
+    refusals: int = 0  # refusals in a row
+    closed_until_ms: float = 0.0  # no sending before then
+
+
+class SpareRoom:
+    """Give out this instance's share of the room that summaries tell of."""
+
+    def __init__(self, chance: random.Random) -> None:
+        """Start with no room used."""
+        self._chance = chance
+        self._uses: dict[tuple[ZoneName, str], _Use] = {}
+
+    def available(self, held: HeldSummary, target: str, room: int, senders: int) -> bool:
+        """Tell whether one more request may be sent to a zone."""
+        use = self._use(held, target, room, senders)
+        return use.outstanding < use.limit and now_ms() >= use.closed_until_ms
+
+    def take(self, zone: ZoneName, target: str) -> None:
+        """Use one place of the share."""
+        self._uses[zone, target].outstanding += 1
+
+    def give_back(self, zone: ZoneName, target: str) -> None:
+        """Return a place once its request has ended."""
+        use = self._uses[zone, target]
+        use.outstanding -= 1
+        assert use.outstanding >= 0, "a place was given back twice"
+
+    def refused(self, zone: ZoneName, target: str) -> None:
+        """Leave a zone alone that gave a request back."""
+        use = self._uses.setdefault((zone, target), _Use())
+        use.refusals += 1
+        pause_ms = min(BACKOFF_FIRST_MS * 2 ** (use.refusals - 1), BACKOFF_LONGEST_MS)
+        use.closed_until_ms = now_ms() + pause_ms * self._chance.uniform(0.75, 1.25)
+
+    def accepted(self, zone: ZoneName, target: str) -> None:
+        """End the count of refusals."""
+        self._uses.setdefault((zone, target), _Use()).refusals = 0
+
+    def _use(self, held: HeldSummary, target: str, room: int, senders: int) -> _Use:
+        summary = held.summary
+        zone = ZoneName(summary.availability_zone)
+        use = self._uses.setdefault((zone, target), _Use())
+        current = (f"{summary.reporter}/{summary.reporter_incarnation}", summary.sequence)
+        if use.sequence != current:
+            use.sequence = current
+            # The room told of is what is left beside the requests already there.
+            use.limit = use.outstanding + self._share(held, room, senders)
+        return use
+
+    def _share(self, held: HeldSummary, room: int, senders: int) -> int:
+        ramp = min((now_ms() - held.first_seen_ms) / RAMP_MS + 0.1, 1.0)
+        exact = room * ramp / max(senders, 1)
+        whole = int(exact)
+        return whole + (self._chance.random() < exact - whole)
--- /dev/null
+++ b/sparline/routing/_summaries.py
@@ -0,0 +1,194 @@
+"""Summaries of zones: made for others, and kept of others."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from sparline._clock import now_ms
+from sparline._ids import InstanceId, TargetName, ZoneName
+from sparline.declarations import Catalog
+from sparline.requests import Length, TargetKind
+from sparline.routing._estimate import slots_for, speed_of
+from sparline.routing._load_table import BackendState, LoadTable
+from sparline.schema._declarations import Service
+from sparline.schema._messages import InstanceState, MemberBrief, TargetSummary, ZoneSummary
+
+# A summary older than this says nothing any more.
+SUMMARY_TTL_MS = 15_000.0
+# Stands for the wait where nothing could run a request.
+NO_BACKEND_WAIT_MS = 10_000.0
+
+
+class SummaryVerdict(Enum):
+    """Say what became of a summary that arrived."""
+
+    NEWER = "newer"
+    OLD_SEQUENCE = "old_sequence"
+    OLD_AGE = "old_age"
+    OLD_MEMBERS = "old_members"
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSummary:
+    """Hold a summary and when its content was true."""
+
+    summary: ZoneSummary  # as received
+    made_at_ms: float  # by this process's clock, at the latest
+    first_seen_ms: float  # when the zone came into sight
+
+    def age_ms(self) -> float:
+        """Return how old the content is."""
+        return now_ms() - self.made_at_ms
+
+    def aged(self) -> ZoneSummary:
+        """Return the summary with its age up to now, to be passed on."""
+        one = self.summary
+        return ZoneSummary(
+            one.region,
+            one.availability_zone,
+            one.reporter,
+            one.reporter_incarnation,
+            one.sequence,
+            int(self.age_ms()),
+            one.members,
+            one.targets,
+        )
+
+
+class SummaryTable:
+    """Keep the newest summary of each other zone."""
+
+    def __init__(self) -> None:
+        """Start with no zone."""
+        self._held: dict[ZoneName, HeldSummary] = {}
+
+    def offer(self, summary: ZoneSummary) -> SummaryVerdict:
+        """Take a summary unless what is held is newer."""
+        zone = ZoneName(summary.availability_zone)
+        made_at_ms = now_ms() - summary.age_ms
+        held = self._held.get(zone)
+        if held is not None and held.age_ms() < SUMMARY_TTL_MS:
+            verdict = _compare(summary, held, made_at_ms)
+            if verdict is not SummaryVerdict.NEWER:
+                return verdict
+        elif summary.age_ms > SUMMARY_TTL_MS:
+            return SummaryVerdict.OLD_AGE
+        first_seen_ms = (
+            now_ms() if held is None or held.age_ms() > SUMMARY_TTL_MS else held.first_seen_ms
+        )
+        self._held[zone] = HeldSummary(summary, made_at_ms, first_seen_ms)
+        return SummaryVerdict.NEWER
+
+    def fresh(self) -> list[HeldSummary]:
+        """Return the summaries that still say something."""
+        return [held for held in self._held.values() if held.age_ms() < SUMMARY_TTL_MS]
+
+    def get(self, zone: ZoneName) -> HeldSummary | None:
+        """Return the summary of one zone if it still says something."""
+        held = self._held.get(zone)
+        return held if held and held.age_ms() < SUMMARY_TTL_MS else None
+
+
+def _compare(summary: ZoneSummary, held: HeldSummary, made_at_ms: float) -> SummaryVerdict:
+    before = held.summary
+    same_source = (summary.reporter, summary.reporter_incarnation) == (
+        before.reporter,
+        before.reporter_incarnation,
+    )
+    if same_source:
+        return (
+            SummaryVerdict.NEWER
+            if summary.sequence > before.sequence
+            else SummaryVerdict.OLD_SEQUENCE
+        )
+    # Another reporter must have heard of the last one's progress, or have lost it.
+    last = {(one.instance_id, one.incarnation): one.uptime_ms for one in before.members}
+    for member in summary.members:
+        if member.instance_id == before.reporter and member.uptime_ms < last.get(
+            (member.instance_id, member.incarnation), 0
+        ):
+            return SummaryVerdict.OLD_MEMBERS
+    return SummaryVerdict.NEWER if made_at_ms > held.made_at_ms else SummaryVerdict.OLD_AGE
+
+
+@dataclass(frozen=True, slots=True)
+class Reporter:
+    """Name the instance that sums up its zone."""
+
+    instance_id: InstanceId  # the reporter
+    incarnation: str  # and its incarnation
+    region: str  # region of the zone
+    zone: ZoneName  # zone that is summed up
+
+
+def summarise(
+    reporter: Reporter,
+    sequence: int,
+    members: list[MemberBrief],
+    table: LoadTable,
+    catalog: Catalog,
+) -> ZoneSummary:
+    """Sum up the zone for others."""
+    targets = [one for name in catalog.models for one in _model_targets(name, table, catalog)]
+    targets += [one for name in catalog.services for one in _service_targets(name, table, catalog)]
+    live = [one for one in members if one.state is not InstanceState.starting]
+    return ZoneSummary(
+        region=reporter.region,
+        availability_zone=reporter.zone,
+        reporter=reporter.instance_id,
+        reporter_incarnation=reporter.incarnation,
+        sequence=sequence,
+        age_ms=0,
+        members=live,
+        targets=targets,
+    )
+
+
+def _model_targets(name: TargetName, table: LoadTable, catalog: Catalog) -> list[TargetSummary]:
+    adapters = ["", *(adapter.name for adapter in catalog.models[name].adapters)]
+    found = []
+    for adapter in adapters:
+        backends = table.holders(TargetKind.ENGINE, name, adapter)
+        key = f"{name}+{adapter}" if adapter else name
+        if backends:
+            found.append(_sum_up(key, name, backends, catalog))
+    return found
+
+
+def _service_targets(name: TargetName, table: LoadTable, catalog: Catalog) -> list[TargetSummary]:
+    backends = table.holders(TargetKind.SERVICE, name)
+    return [_sum_up(name, name, backends, catalog)] if backends else []
+
+
+def wait_for_target(backends: list[BackendState], service: Service | None) -> float:
+    """Return the shortest wait before prefill, a long time where nothing takes work."""
+    waits = []
+    for backend in backends:
+        speed = speed_of(backend, service)
+        too_many = max(backend.in_flight - speed.slots + 1, 0)
+        waits.append(
+            too_many * backend.service_ms / speed.slots
+            + backend.waiting_tokens * speed.ms_per_prompt_token
+        )
+    return min(waits, default=NO_BACKEND_WAIT_MS)
+
+
+def _sum_up(
+    key: str, name: TargetName, backends: list[BackendState], catalog: Catalog
+) -> TargetSummary:
+    service = catalog.services.get(name)
+    working = [backend for backend in backends if backend.takes_work]
+    speeds = [speed_of(backend, service) for backend in working]
+    rooms = [
+        max(slots_for(Length.LONG, speed.slots) - backend.in_flight, 0)
+        for backend, speed in zip(working, speeds, strict=True)
+    ]
+    return TargetSummary(
+        target=key,
+        versions=sorted({version for backend in working for version in backend.versions(name)}),
+        room=sum(rooms),
+        slots=sum(speed.slots for speed in speeds),
+        wait_ms=int(wait_for_target(working, service) if working else 0),
+        ms_per_prompt_token=min((speed.ms_per_prompt_token for speed in speeds), default=0.0),
+        token_interval_ms=min((speed.token_interval_ms for speed in speeds), default=0.0),
+        service_ms=int(max((backend.service_ms for backend in working), default=0)),
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,18 @@
+"""Small stand-ins for the platform, model engines, plain services and the wide-area network."""
+
+from standins._engine import Engine, EngineShape
+from standins._faults import Faults
+from standins._plain_service import PlainService
+from standins._platform import Platform
+from standins._wide_area import Forward, Place, WideArea
+
+__all__ = [
+    "Engine",
+    "EngineShape",
+    "Faults",
+    "Forward",
+    "Place",
+    "PlainService",
+    "Platform",
+    "WideArea",
+]
