Check interfaces, records and settings in tables; mend the spread of summaries

Cause: the first fleet of three instances a zone saw only part of the other zones: a sibling's summary of its own zone was dropped before it reached the one instance that holds the link to another region. Two links between one pair were closed by both sides, and a link closed on purpose counted its peer as down for good.

Change: own-zone summaries are passed on to other regions; of two links both sides keep that of the smaller id; a link that was closed is told from one that was lost. Seed pulls have connections of their own. Pushed records are complete from where they say.

Conclusion: links must be judged by how they ended. geventhttpclient resends GET, PUT and DELETE three times by itself, POST and PATCH not: only its parser is used.

--- /dev/null
+++ b/codegen/__init__.py
@@ -0,0 +1,1 @@
+"""Generators; their output is committed."""
--- /dev/null
+++ b/sparline/backends/tests/test_connection.py
@@ -0,0 +1,105 @@
+"""An exchange sends once, whatever the backend server does; a cut answer is never whole."""
+
+import socket
+
+import gevent
+import pytest
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed
+
+from sparline._clock import now_ms
+from sparline.backends import BackendAddress, Exchange, ExchangeFault
+from sparline.backends.tests import raw_server as raw
+
+BROKEN = ExchangeFault.BROKEN
+FAULTS = [
+    # name, behaviour, fault
+    ("closed unanswered", raw.close, BROKEN),
+    ("reset", raw.reset, BROKEN),
+    ("half a head", raw.half_head, BROKEN),
+    ("half a body", raw.half_body, BROKEN),
+    ("no framing", raw.no_framing, BROKEN),
+    ("garbage", raw.garbage, BROKEN),
+    ("whole", raw.whole, None),
+]
+
+
+def run(
+    exchange: Exchange, address: BackendAddress, method: str
+) -> tuple[ExchangeFault | None, bytes]:
+    body = b"payload" if method != "GET" else b""
+    sent = exchange.connect(address, 500).and_then(
+        lambda _: exchange.send(method, "/x", {}, [body] if body else [], len(body))
+    )
+    head = sent.and_then(lambda _: exchange.read_head())
+    if head.is_err():
+        return head.unwrap_err(), b""
+    content = b""
+    for part in exchange.read_body():
+        if part.is_err():
+            return part.unwrap_err(), content
+        content += part.unwrap()
+    return None, content
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "PUT", "DELETE"])
+@pytest.mark.parametrize(("name", "behaviour", "fault"), FAULTS, ids=[row[0] for row in FAULTS])
+def test_request_goes_out_once(
+    name: str, behaviour: raw.Behaviour, fault: ExchangeFault | None, method: str
+) -> None:
+    with raw.RawServer(behaviour) as server:
+        exchange = Exchange(now_ms() + 2000, lambda: True)
+        seen, content = run(exchange, server.address, method)
+        exchange.close()
+        assert seen is fault
+        assert server.requests == 1
+        assert (content == b"good") is (fault is None)
+
+
+def test_refused_connection_proves_that_nothing_was_sent() -> None:
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        exchange = Exchange(now_ms() + 1000, lambda: True)
+        address = BackendAddress("127.0.0.1", closed.getsockname()[1])
+        assert exchange.connect(address, 500).unwrap_err() is ExchangeFault.NOT_CONNECTED
+        assert not exchange.sent
+
+
+WAITS = [
+    # name, deadline in ms, whether anybody still waits, fault
+    ("deadline", 150, True, ExchangeFault.TIMED_OUT),
+    ("caller gone", 5000, False, ExchangeFault.ABANDONED),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "deadline_ms", "wanted", "fault"), WAITS, ids=[row[0] for row in WAITS]
+)
+def test_wait_for_an_answer_ends(
+    name: str, deadline_ms: int, wanted: bool, fault: ExchangeFault
+) -> None:
+    with raw.RawServer(lambda _connection: gevent.sleep(3)) as server:
+        exchange = Exchange(now_ms() + deadline_ms, lambda: wanted)
+        assert run(exchange, server.address, "POST")[0] is fault
+        exchange.close()
+
+
+RESENDS = [
+    # method, whether the connection was used before, requests that arrive for one call
+    ("GET", False, 3), ("PUT", False, 3), ("DELETE", False, 3), ("POST", False, 1), ("PATCH", False, 1),
+    ("GET", True, 3), ("PUT", True, 3), ("POST", True, 1),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("method", "reused", "arrived"), RESENDS)
+def test_client_library_resends_by_itself(method: str, reused: bool, arrived: int) -> None:
+    """Keep the fact that rules the library's client out for calls to backend servers."""
+    with raw.RawServer(raw.close, keep_alive_first=reused) as server:
+        client = HTTPClient("127.0.0.1", server.address.port, concurrency=1)
+        if reused:
+            client.get("/warm").read()
+        before = server.requests
+        with pytest.raises(HTTPConnectionClosed):
+            client.request(method, "/x", body=b"payload" if method != "GET" else b"")
+        client.close()
+        assert server.requests - before == arrived
--- a/sparline/declarations/_strict_json.py
+++ b/sparline/declarations/_strict_json.py
@@ -56,12 +56,12 @@
     return Err(fault) if fault else Ok(tree)
 
 
-def convert(tree: Any, node: type[T], path: str = "$") -> Result[T, Refusal]:
+def convert(tree: Any, node: type[T]) -> Result[T, Refusal]:
     """Convert a parsed tree into a struct, or say what does not fit."""
     try:
         return Ok(msgspec.convert(tree, node, strict=True))
     except msgspec.ValidationError as error:
-        return Err(_explain(str(error), node, path))
+        return Err(_explain(str(error), tree, node))
 
 
 def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -97,34 +97,58 @@
 _UNKNOWN_FIELD = re.compile(r"Object contains unknown field `(?P<name>.*)`")
 _MISSING_FIELD = re.compile(r"Object missing required field `(?P<name>.*)`")
 _EXPECTED_GOT = re.compile(r"Expected (?P<expected>.*), got (?P<found>.*)")
+_BAD_ENUM = re.compile(r"Invalid enum value .*")
+_PATH_STEP = re.compile(r"\.(?P<field>[^.\[]+)|\[(?P<index>\d+)\]")
+LONGEST_SHOWN = 60
 
 
-def _explain(message: str, node: type, path: str) -> Refusal:
+def _explain(message: str, tree: Any, node: type) -> Refusal:
     what, _, where = message.partition(" - at `")
-    place = path + where.rstrip("`").removeprefix("$")
+    path = "$" + where.rstrip("`").removeprefix("$")
+    value, info = _at(path, tree, msgspec.inspect.type_info(node))
     if match := _UNKNOWN_FIELD.fullmatch(what):
         name = match["name"]
-        near = difflib.get_close_matches(name, _known_fields(node), n=1, cutoff=0.5)
+        near = difflib.get_close_matches(name, _fields_of(info), n=1, cutoff=0.5)
         hint = f"a known field (did you mean `{near[0]}`?)" if near else "a known field"
-        return Refusal(f"{place}.{name}", hint, f"the unknown field `{name}`")
+        return Refusal(f"{path}.{name}", hint, f"the unknown field `{name}`")
     if match := _MISSING_FIELD.fullmatch(what):
-        return Refusal(place, f"the field `{match['name']}`", "none")
+        return Refusal(path, f"the field `{match['name']}`", "none")
     if match := _EXPECTED_GOT.fullmatch(what):
-        return Refusal(place, match["expected"], match["found"])
-    return Refusal(place, what.removeprefix("Expected "), "something else")
-
-
-def _known_fields(node: type) -> list[str]:
-    fields: list[str] = []
-    pending = [msgspec.inspect.type_info(node)]
-    while pending:
-        info = pending.pop()
-        match info:
-            case msgspec.inspect.StructType():
-                fields.extend(field.name for field in info.fields)
-                pending.extend(field.type for field in info.fields)
-            case msgspec.inspect.ListType():
-                pending.append(info.item_type)
-            case msgspec.inspect.Metadata():
-                pending.append(info.type)
-    return fields
+        return Refusal(path, match["expected"], f"{match['found']} {_shown(value)}")
+    if _BAD_ENUM.fullmatch(what) and isinstance(info, msgspec.inspect.EnumType):
+        values = ", ".join(str(member.value) for member in info.cls)
+        return Refusal(path, f"one of {values}", _shown(value))
+    return Refusal(path, what.removeprefix("Expected "), _shown(value))
+
+
+def _shown(value: Any) -> str:
+    text = json.dumps(value, default=str)
+    return text if len(text) <= LONGEST_SHOWN else f"{text[:LONGEST_SHOWN]}..."
+
+
+def _at(path: str, tree: Any, info: Any) -> tuple[Any, Any]:
+    """Return the value and the type at a path, None for a part that is not there."""
+    for step in _PATH_STEP.finditer(path):
+        if step["field"] is not None:
+            tree = tree.get(step["field"]) if isinstance(tree, dict) else None
+            info = _field_type(info, step["field"])
+        else:
+            index = int(step["index"])
+            tree = tree[index] if isinstance(tree, list) and index < len(tree) else None
+            info = getattr(info, "item_type", None)
+        info = _plain(info)
+    return tree, info
+
+
+def _plain(info: Any) -> Any:
+    return info.type if isinstance(info, msgspec.inspect.Metadata) else info
+
+
+def _field_type(info: Any, name: str) -> Any:
+    fields = info.fields if isinstance(info, msgspec.inspect.StructType) else ()
+    return next((field.type for field in fields if field.encode_name == name), None)
+
+
+def _fields_of(info: Any) -> list[str]:
+    fields = info.fields if isinstance(info, msgspec.inspect.StructType) else ()
+    return [field.encode_name for field in fields]
--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -97,6 +97,7 @@
             complete_revision=self._parts.store.complete_revision,
             digest=self._parts.store.digest,
             platform_age_ms=NEVER if age_ms >= FOREVER_MS else int(age_ms),
+            platform_cut=self._parts.membership.platform_cut(),
         )
 
     def platform_age_ms(self) -> float:
@@ -172,20 +173,26 @@
     @_take.register
     def _(self, message: ZoneSummary, link: PeerLink) -> None:
         own = self._parts.membership.self_hello
+        came_from = scope_of(own, link.peer)
         if message.availability_zone == own.availability_zone:
+            # A sibling sums up this zone; this instance may be the one with the links to regions.
+            if came_from is Scope.SIBLING:
+                self._pass_on(message, link, came_from, message.region == own.region)
             return
         verdict = self._parts.summaries.offer(message)
         if verdict is not SummaryVerdict.NEWER:
             self._parts.metrics.stale_summaries.labels(verdict.value).inc()
             return
         held = self._parts.summaries.get(message.availability_zone)
-        came_from = scope_of(own, link.peer)
         if held is not None:
-            for following in next_hops(
-                self._parts.membership, came_from, message.region == own.region
-            ):
-                if following is not link:
-                    following.send(held.aged())
+            self._pass_on(held.aged(), link, came_from, message.region == own.region)
+
+    def _pass_on(
+        self, summary: ZoneSummary, link: PeerLink, came_from: Scope, own_region: bool
+    ) -> None:
+        for following in next_hops(self._parts.membership, came_from, own_region):
+            if following is not link:
+                following.send(summary)
 
     @_take.register
     def _(self, message: RecordsPull, link: PeerLink) -> None:
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -141,7 +141,7 @@
             self.settings.platform_urls, self.settings.instance_id, self.settings.availability_zone
         )
         reader_hooks = ReaderHooks(
-            has_duty=lambda: self.membership.has_region_duty("platform"),
+            has_duty=self.membership.has_platform_duty,
             freshness_ms=self.control.platform_age_ms,
             take=self.sync.take_from_platform,
         )
@@ -149,6 +149,7 @@
             client, self.store, reader_hooks, self.metrics, timing.platform_wait_ms, self._chance
         )
         self.control.reader = self.reader
+        self.membership.platform_cut = self.reader.is_cut
 
     def _make_servers(self) -> None:
         self.status_board = StatusBoard(
@@ -247,10 +248,13 @@
             self.metrics.peer_events.labels("bad_hello").inc()
             return
         peer = hello.unwrap()
-        if peer.purpose is LinkPurpose.relay:
-            self.relay_receiver.serve(connection, peer)
-        else:
-            self.mesh.accept(connection, peer)
+        match peer.purpose:
+            case LinkPurpose.relay:
+                self.relay_receiver.serve(connection, peer)
+            case LinkPurpose.records:
+                self.sync.serve(connection)
+            case LinkPurpose.control:
+                self.mesh.accept(connection, peer)
 
     def in_flight(self) -> int:
         """Return the requests that a planned stop must wait for."""
--- a/sparline/instance/_load_reader.py
+++ b/sparline/instance/_load_reader.py
@@ -15,7 +15,7 @@
 
 
 class _ReportNode(msgspec.Struct, frozen=True):
-    """Read a load report as backend servers send it; a plain service tells little."""
+    """Read a load report as engines send it."""
 
     draining: bool = False
     incarnation: str = ""
@@ -39,7 +39,12 @@
         """Return the backend servers whose reports fall to this instance."""
         zone = self._membership.self_hello.availability_zone
         live = self._membership.live_in_zone(zone) or [self._membership.self_id]
-        ids = (BackendServerId(backend.member.id) for backend in self._loads.all())
+        # Plain services tell no load; what is known of them is first-hand.
+        ids = (
+            BackendServerId(backend.member.id)
+            for backend in self._loads.all()
+            if backend.member.role is FleetRole.engine
+        )
         return [one for one in ids if first(f"load/{one}", live) == self._membership.self_id]
 
     def read_due(self) -> None:
@@ -62,14 +67,13 @@
             node = msgspec.json.decode(content, type=_ReportNode)
         except msgspec.DecodeError:
             return False
-        engine = backend.member.role is FleetRole.engine
         report = EngineReport(
             incarnation=node.incarnation or backend.member.incarnation,
             age_ms=0,
             slots=node.slots,
             running=node.running,
             waiting=node.waiting,
-            prefill_tokens_per_s=node.prefill_tokens_per_s if engine else 1.0,
+            prefill_tokens_per_s=node.prefill_tokens_per_s,
             token_interval_ms=node.token_interval_ms,
             loaded=node.loaded,
             draining=node.draining,
--- a/sparline/instance/_records_sync.py
+++ b/sparline/instance/_records_sync.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-from result import Err, Ok
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, ConnectionClosedOK
 from websockets.sync.connection import Connection
 
 from sparline._ids import InstanceId, RecordName, Revision
@@ -11,7 +10,14 @@
 from sparline._metrics import Metrics
 from sparline.declarations import Record, RecordStore, RecordVerdict
 from sparline.peers import Dialer, Membership, PeerLink, Scope, decode, encode, next_hops, scope_of
-from sparline.schema._messages import Heartbeat, Records, RecordsPull, WireRecord
+from sparline.schema._messages import (
+    Heartbeat,
+    Hello,
+    LinkPurpose,
+    Records,
+    RecordsPull,
+    WireRecord,
+)
 from sparline.schema._settings import Address
 
 # Content of one message; a single larger record goes alone.
@@ -42,13 +48,13 @@
         self._asked_for_all: set[str] = set()
         self._mismatches: dict[InstanceId, int] = {}
 
-    def take_from_platform(self, records: tuple[Record, ...]) -> None:
-        """Take what the platform answered and push it on."""
+    def take_from_platform(self, records: tuple[Record, ...], revision: Revision) -> None:
+        """Take what the platform answered, complete up to a revision, and push it on."""
         before = self._store.complete_revision
         news = self._offer(records, "platform")
+        self._store.complete_up_to(revision)
         if news:
-            complete = max(record.revision for record in records)
-            self._push(news, before, max(complete, before), Scope.SELF)
+            self._push(records, before, revision, Scope.SELF)
 
     def _offer(self, records: tuple[Record, ...], source: str) -> list[Record]:
         news = []
@@ -71,26 +77,28 @@
         return news
 
     def _push(
-        self, records: list[Record], since: Revision, complete: Revision, came_from: Scope
+        self, records: tuple[Record, ...], since: Revision, complete: Revision, came_from: Scope
     ) -> None:
+        """Push every record after a revision, not the new ones alone: a peer may lack the others."""
+        later = [record for record in records if record.revision > since]
         links = next_hops(self._membership, came_from, own_region_news=False)
-        for message in _messages(records, since, complete):
+        for message in _messages(later, since, complete):
             for link in links:
                 link.send(message)
 
     def take(self, link: PeerLink, message: Records) -> None:
         """Take records that a peer sent and push on what was new."""
-        records = tuple(
-            Record(RecordName(one.name), Revision(one.revision), one.body)
-            for one in message.records
-        )
-        before = self._store.complete_revision
+        since = max(self._store.complete_revision, Revision(message.since_revision))
+        records = _as_records(message)
         news = self._offer(records, "peer")
-        if message.since_revision <= self._store.complete_revision:
-            self._store.complete_up_to(Revision(message.complete_revision))
+        self._note_complete(message)
         if news:
             came_from = scope_of(self._membership.self_hello, link.peer)
-            self._push(news, before, Revision(message.complete_revision), came_from)
+            self._push(records, since, Revision(message.complete_revision), came_from)
+
+    def _note_complete(self, message: Records) -> None:
+        if message.since_revision <= self._store.complete_revision:
+            self._store.complete_up_to(Revision(message.complete_revision))
 
     def answer_pull(self, link: PeerLink, pull: RecordsPull) -> None:
         """Send what a peer is missing."""
@@ -134,42 +142,55 @@
         return any(self._pull_from(seed) for seed in seeds)
 
     def _pull_from(self, seed: Address) -> bool:
-        opened = self._dialer.dial(seed, self._membership.self_hello, None)
+        own = self._membership.self_hello
+        hello = Hello(
+            own.instance_id,
+            own.incarnation,
+            own.region,
+            own.availability_zone,
+            LinkPurpose.records,
+        )
+        opened = self._dialer.dial(seed, hello, None)
         if opened.is_err():
             return False
         connection, peer = opened.unwrap()
-        if peer.instance_id == self._membership.self_hello.instance_id:
-            connection.close()
-            return False
         try:
+            if peer.instance_id == own.instance_id:
+                return False
             connection.send(encode(RecordsPull(0)))
-            return self._read_pulled(connection, self._dialer.timeout_ms)
+            self._read_pulled(connection)
         except (OSError, ConnectionClosed, TimeoutError) as error:
             log.debug("records: seed {}:{} broke off: {}", seed.ip, seed.port, error)
-            return False
         finally:
             connection.close()
-
-    def _read_pulled(self, connection: Connection, timeout_ms: float) -> bool:
-        goal: int | None = None
-        while goal is None or self._store.complete_revision < goal:
-            match decode(connection.recv(timeout=timeout_ms / 1000)):
-                case Ok(Records() as message):
-                    records = tuple(
-                        Record(RecordName(one.name), Revision(one.revision), one.body)
-                        for one in message.records
-                    )
-                    self._offer(records, "seed")
-                    if message.since_revision <= self._store.complete_revision:
-                        self._store.complete_up_to(Revision(message.complete_revision))
-                    if goal is None and not message.records:
-                        return bool(self._store.in_force())
-                case Ok(Heartbeat() as beat):
-                    goal = beat.complete_revision
-                case Err(_):
-                    return False
         return bool(self._store.in_force())
 
+    def _read_pulled(self, connection: Connection) -> None:
+        """Read records until the peer has sent all and closes."""
+        while True:
+            try:
+                message = decode(connection.recv(timeout=self._dialer.timeout_ms / 1000))
+            except ConnectionClosedOK:
+                return
+            if not isinstance(message.ok(), Records):
+                return
+            self._offer(_as_records(message.unwrap()), "seed")
+            self._note_complete(message.unwrap())
+
+    def serve(self, connection: Connection) -> None:
+        """Answer one pull of an instance that starts."""
+        connection.send(encode(self._membership.self_hello))
+        message = decode(connection.recv(timeout=self._dialer.timeout_ms / 1000))
+        if isinstance(message.ok(), RecordsPull):
+            for part in self._answer(Revision(message.unwrap().since_revision)):
+                connection.send(encode(part))
+
+
+def _as_records(message: Records) -> tuple[Record, ...]:
+    return tuple(
+        Record(RecordName(one.name), Revision(one.revision), one.body) for one in message.records
+    )
+
 
 def _messages(records: list[Record], since: Revision, complete: Revision) -> list[Records]:
     """Split records into messages; each is complete up to its last record."""
--- a/sparline/peers/_link.py
+++ b/sparline/peers/_link.py
@@ -1,11 +1,12 @@
 """One control link to one peer: a task reads, a task writes."""
 
 from collections.abc import Callable
+from enum import Enum
 
 import gevent
 from gevent.queue import Empty, Full, Queue
 from result import Err, Ok
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, ConnectionClosedOK
 from websockets.sync.connection import Connection
 
 from sparline._clock import now_ms
@@ -18,6 +19,13 @@
 READ_SLICE_S = 0.5
 
 
+class LinkEnd(Enum):
+    """Say how a link ended."""
+
+    CLOSED = "closed"  # one side closed it on purpose; the peer lives
+    LOST = "lost"  # broken or silent; the peer may be gone
+
+
 class PeerLink:
     """Carry control messages to and from one incarnation of one peer."""
 
@@ -30,6 +38,7 @@
         self.heard_at_ms = now_ms()  # last message from the peer
         self.heartbeat: Heartbeat | None = None  # newest heartbeat of the peer
         self.closed = False
+        self._end = LinkEnd.CLOSED
         self._connection = connection
         self._metrics = metrics
         self._queue: Queue[Message] = Queue(MAX_QUEUED)
@@ -40,9 +49,10 @@
             self._queue.put_nowait(message)
         except Full:
             self._metrics.peer_events.labels("queue_full").inc()
+            self._end = LinkEnd.LOST
             self.close()
 
-    def run(self, receive: Callable[["PeerLink", Message], None], timeout_ms: float) -> None:
+    def run(self, receive: Callable[["PeerLink", Message], None], timeout_ms: float) -> LinkEnd:
         """Read until the link ends; silence longer than the timeout ends it too."""
         writer = gevent.spawn(self._write)
         try:
@@ -50,9 +60,12 @@
                 self._read_one(receive)
                 if now_ms() - self.heard_at_ms > timeout_ms:
                     self._metrics.peer_events.labels("silent").inc()
-                    return
+                    return LinkEnd.LOST
+            return self._end
+        except ConnectionClosedOK:
+            return LinkEnd.CLOSED
         except (ConnectionClosed, OSError):
-            return
+            return LinkEnd.LOST
         finally:
             self.close()
             writer.kill()
@@ -83,6 +96,7 @@
             try:
                 self._connection.send(data)
             except (ConnectionClosed, OSError):
+                self._end = LinkEnd.LOST
                 self.close()
                 return
             self._count(message, "out", len(data))
--- a/sparline/peers/_membership.py
+++ b/sparline/peers/_membership.py
@@ -6,7 +6,7 @@
 from sparline._clock import now_ms
 from sparline._ids import Incarnation, InstanceId, ZoneName
 from sparline.declarations import Catalog
-from sparline.peers._link import PeerLink
+from sparline.peers._link import LinkEnd, PeerLink
 from sparline.peers._rendezvous import first
 from sparline.routing import SummaryTable
 from sparline.schema._fleet import FleetMember, FleetState
@@ -35,7 +35,9 @@
         self.self_id = InstanceId(self_hello.instance_id)
         self.state = InstanceState.starting  # state of this instance
         self.uptime_ms: Callable[[], int] = lambda: 0
+        self.platform_cut: Callable[[], bool] = lambda: False  # whether reading it fails here
         self._summaries = summaries
+        self.contacts: set[InstanceId] = set()  # peers elsewhere that news goes to
         self._links: dict[InstanceId, PeerLink] = {}
         self._down: dict[InstanceId, _Down] = {}
 
@@ -49,20 +51,29 @@
         return [link for link in self._links.values() if not link.closed]
 
     def note_link(self, link: PeerLink) -> None:
-        """Take a new link; an older one to the same peer is closed."""
+        """Take a new link; of two to one incarnation both sides keep the same one."""
         peer_id = InstanceId(link.peer.instance_id)
-        old = self._links.get(peer_id)
-        self._links[peer_id] = link
         self._down.pop(peer_id, None)
-        if old is not None and old is not link:
-            old.close()
-
-    def note_lost(self, link: PeerLink) -> bool:
-        """Drop a link that ended; tell whether it was the current one."""
+        old = self.link_of(peer_id)
+        if old is None:
+            self._links[peer_id] = link
+            return
+        same_start = old.peer.incarnation == link.peer.incarnation
+        keeps_old = same_start and self._dialler_of(old) < self._dialler_of(link)
+        self._links[peer_id] = old if keeps_old else link
+        (link if keeps_old else old).close()
+
+    def _dialler_of(self, link: PeerLink) -> str:
+        return self.self_id if link.dialled else link.peer.instance_id
+
+    def note_ended(self, link: PeerLink, end: LinkEnd) -> bool:
+        """Drop a link that ended; tell whether its peer may be gone."""
         peer_id = InstanceId(link.peer.instance_id)
         if self._links.get(peer_id) is not link:
             return False
         del self._links[peer_id]
+        if end is LinkEnd.CLOSED:
+            return False
         self.note_unreachable(peer_id)
         return True
 
@@ -83,7 +94,7 @@
         link = self.link_of(instance_id)
         if link is not None:
             return _state_of(link) is not InstanceState.leaving
-        return instance_id not in self._down
+        return self.may_dial(instance_id)
 
     def is_live(self, member: FleetMember) -> bool:
         """Tell whether an instance lives and is not leaving."""
@@ -93,7 +104,7 @@
         link = self.link_of(instance_id)
         if link is not None:
             return _state_of(link) is not InstanceState.leaving
-        if instance_id in self._down or member.state is FleetState.leaving:
+        if self._is_down(member) or member.state is FleetState.leaving:
             return False
         held = self._summaries.get(ZoneName(member.availability_zone))
         if held is None:
@@ -101,6 +112,14 @@
         told = [one for one in held.summary.members if one.instance_id == member.id]
         return any(one.state is InstanceState.live for one in told)
 
+    def _is_down(self, member: FleetMember) -> bool:
+        """Tell whether an instance could not be reached; a sibling until it is reached again."""
+        down = self._down.get(InstanceId(member.id))
+        if down is None:
+            return False
+        sibling = member.availability_zone == self.self_hello.availability_zone
+        return sibling or now_ms() < down.until_ms
+
     def live_in_zone(self, zone: str) -> list[InstanceId]:
         """Return the live instances of a zone."""
         return self._live(lambda member: member.availability_zone == zone)
@@ -123,6 +142,31 @@
         live = self.live_in_region(self.self_hello.region)
         return first(duty, live or [self.self_id]) == self.self_id
 
+    def has_platform_duty(self) -> bool:
+        """Tell whether this instance reads the platform for its region.
+
+        Whoever lately failed to read it gives way; if all failed, the first tries on.
+        """
+        live = self.live_in_region(self.self_hello.region) or [self.self_id]
+        able = [one for one in live if not self._is_platform_cut(one)]
+        return first("platform", able or live) == self.self_id
+
+    def _is_platform_cut(self, instance_id: InstanceId) -> bool:
+        if instance_id == self.self_id:
+            return self.platform_cut()
+        link = self.link_of(instance_id)
+        if link is not None:
+            return link.heartbeat is not None and link.heartbeat.platform_cut
+        told = self._told_of(instance_id)
+        return told is not None and told.platform_cut
+
+    def _told_of(self, instance_id: InstanceId) -> MemberBrief | None:
+        """Return what the summary of its zone tells of an instance."""
+        member = self.catalog.instances.get(instance_id)
+        held = self._summaries.get(ZoneName(member.availability_zone)) if member else None
+        members = held.summary.members if held else []
+        return next((one for one in members if one.instance_id == instance_id), None)
+
     def sees_whole_region(self, region: str) -> bool:
         """Tell whether every instance that the list calls live can be seen."""
         listed = [
@@ -139,13 +183,21 @@
     def zone_members(self) -> list[MemberBrief]:
         """Return the instances of this zone with which a link stands, and this one."""
         own = self.self_hello
-        members = [MemberBrief(own.instance_id, own.incarnation, self.state, self.uptime_ms())]
+        members = [
+            MemberBrief(
+                own.instance_id, own.incarnation, self.state, self.uptime_ms(), self.platform_cut()
+            )
+        ]
         for link in self.links():
-            if link.peer.availability_zone == own.availability_zone and link.heartbeat:
-                beat = link.heartbeat
+            peer, beat = link.peer, link.heartbeat
+            if peer.availability_zone == own.availability_zone and beat is not None:
                 members.append(
                     MemberBrief(
-                        link.peer.instance_id, link.peer.incarnation, beat.state, beat.uptime_ms
+                        peer.instance_id,
+                        peer.incarnation,
+                        beat.state,
+                        beat.uptime_ms,
+                        beat.platform_cut,
                     )
                 )
         return members
@@ -157,11 +209,8 @@
         link = self.link_of(instance_id)
         if link is not None and link.heartbeat is not None:
             return Incarnation(link.peer.incarnation), link.heartbeat.uptime_ms
-        for held in self._summaries.fresh():
-            for one in held.summary.members:
-                if one.instance_id == instance_id:
-                    return Incarnation(one.incarnation), one.uptime_ms
-        return None
+        told = self._told_of(instance_id)
+        return (Incarnation(told.incarnation), told.uptime_ms) if told else None
 
 
 def _state_of(link: PeerLink) -> InstanceState:
--- a/sparline/peers/_mesh.py
+++ b/sparline/peers/_mesh.py
@@ -74,6 +74,8 @@
                     ping_interval=None,
                     max_size=MAX_MESSAGE_BYTES,
                     proxy=None,
+                    # The link outlives this call; whoever holds it closes it.
+                    legacy=True,
                 )
             )
         except (OSError, InvalidHandshake, TimeoutError, ConnectionClosed, EOFError) as error:
@@ -158,12 +160,13 @@
             if one.id != own.instance_id and one.state is FleetState.live
         ]
         needed = {InstanceId(one.id) for one in members if self._dials_sibling(one)}
-        needed |= self._zone_contacts([one for one in members if one.region == own.region])
-        needed |= self._region_contacts([one for one in members if one.region != own.region])
+        contacts = self._zone_contacts([one for one in members if one.region == own.region])
+        contacts |= self._region_contacts([one for one in members if one.region != own.region])
+        self._membership.contacts = contacts
         now = now_ms()
         self._wanted = {one: until for one, until in self._wanted.items() if until > now}
         known = {one.id for one in members}
-        return needed | {one for one in self._wanted if one in known}
+        return needed | contacts | {one for one in self._wanted if one in known}
 
     def _dials_sibling(self, member: FleetMember) -> bool:
         own = self._membership.self_hello
@@ -219,8 +222,8 @@
         self._membership.note_link(link)
         self._metrics.peer_events.labels("opened").inc()
         self._receiver.on_link(link)
-        link.run(self._receiver.on_message, self._silence_ms)
-        if self._membership.note_lost(link):
+        end = link.run(self._receiver.on_message, self._silence_ms)
+        if self._membership.note_ended(link, end):
             self._metrics.peer_events.labels("lost").inc()
             self._receiver.on_lost(link)
 
--- a/sparline/peers/_spread.py
+++ b/sparline/peers/_spread.py
@@ -27,8 +27,8 @@
     """Return the links that news goes to next, so that each instance gets it about once.
 
     News from outside the zone goes to siblings. News made here or brought from another
-    region goes to the other zones. News of this region goes to the regions that this
-    instance dials, whoever brought it.
+    region goes to the other zones. News of this region goes to the other regions that
+    this instance has a contact in, whoever brought it.
     """
     targets = {
         Scope.SELF: {Scope.SIBLING, Scope.ZONE},
@@ -38,9 +38,10 @@
         targets = {Scope.SIBLING}
     if own_region_news:
         targets = targets | {Scope.REGION}
-    return [link for link in membership.links() if _goes_to(membership.self_hello, link, targets)]
+    return [link for link in membership.links() if _goes_to(membership, link, targets)]
 
 
-def _goes_to(own: Hello, link: PeerLink, targets: set[Scope]) -> bool:
-    scope = scope_of(own, link.peer)
-    return scope in targets and (scope is Scope.SIBLING or link.dialled)
+def _goes_to(membership: Membership, link: PeerLink, targets: set[Scope]) -> bool:
+    scope = scope_of(membership.self_hello, link.peer)
+    is_contact = link.peer.instance_id in membership.contacts
+    return scope in targets and (scope is Scope.SIBLING or is_contact)
--- /dev/null
+++ b/sparline/peers/tests/test_spread.py
@@ -0,0 +1,80 @@
+"""News reaches every instance about once, whoever has the links to other zones and regions."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from benchmarks._shapes import ZoneShape
+from sparline.tests.local_fleet import LocalFleet
+
+ZONES = (
+    ZoneShape("zone-a", "north", 1, 0, 3),
+    ZoneShape("zone-b", "north", 1, 0, 2),
+    ZoneShape("zone-c", "south", 1, 0, 3),
+    ZoneShape("zone-d", "east", 1, 0, 1),
+)
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[LocalFleet]:
+    with LocalFleet(ZONES) as started:
+        yield started
+
+
+def count(fleet: LocalFleet, channel: str) -> int:
+    """Return how many messages arrived at all instances together."""
+    labels = {"channel": channel, "direction": "in"}
+    values = (
+        one.metrics.registry.get_sample_value("sparline_control_messages_total", labels)
+        for one in fleet.instances.values()
+    )
+    return int(sum(value or 0 for value in values))
+
+
+def test_every_instance_sees_every_other_zone(fleet: LocalFleet) -> None:
+    for instance in fleet.instances.values():
+        seen = {held.summary.availability_zone for held in instance.summaries.fresh()}
+        assert seen == {zone.name for zone in ZONES} - {instance.settings.availability_zone}
+
+
+def test_every_instance_counts_every_other_as_live(fleet: LocalFleet) -> None:
+    def all_live() -> bool:
+        return all(
+            one.membership.is_live(member)
+            for one in fleet.instances.values()
+            for member in one.membership.catalog.instances.values()
+        )
+
+    fleet.until(all_live, "everyone counts as live")
+
+
+def test_links_do_not_grow_with_the_fleet(fleet: LocalFleet) -> None:
+    zones, regions = len(ZONES), 3
+    for name, instance in fleet.instances.items():
+        siblings = (
+            sum(
+                1
+                for one in fleet.settings.values()
+                if one.availability_zone == instance.settings.availability_zone
+            )
+            - 1
+        )
+        assert len(instance.membership.contacts) <= (zones - 1) + (regions - 1), name
+        assert (
+            len([one for one in instance.membership.links() if one.dialled])
+            <= siblings + zones + regions
+        )
+
+
+def test_a_file_reaches_all_with_few_platform_calls(fleet: LocalFleet) -> None:
+    before = dict(fleet.platform.callers)
+    revision = fleet.platform.publish("services/news", '{"kind": "service", "name": "news"}')
+    fleet.until(
+        lambda: all(one.store.complete_revision >= revision for one in fleet.instances.values()),
+        "the file is everywhere",
+    )
+    readers = {
+        name for name, calls in fleet.platform.callers.items() if calls > before.get(name, 0)
+    }
+    assert len(readers) <= 3 + 1
+    assert len({one.store.digest for one in fleet.instances.values()}) == 1
--- /dev/null
+++ b/sparline/requests/tests/test_ledger.py
@@ -0,0 +1,96 @@
+"""Tickets bind a request to one incarnation, and an id runs at most once there."""
+
+import pytest
+
+from sparline._ids import Incarnation, InstanceId, OrganisationId, RequestId
+from sparline.requests import (
+    COMPLETE,
+    AnswerEnd,
+    Outcome,
+    Reason,
+    RequestBody,
+    RequestLedger,
+    Ticket,
+    make_ticket,
+    not_run,
+    parse_ticket,
+    unknown,
+)
+from sparline.requests._ledger import TICKET_TTL_MS
+
+ME, NOW = InstanceId("a-0"), Incarnation("now")
+ORG, ID = OrganisationId("o"), RequestId("r")
+
+TICKETS = [
+    # name, ticket, refusal
+    ("ours and fresh", Ticket(ME, NOW, 0, "n"), None),
+    ("another instance", Ticket(InstanceId("a-1"), NOW, 0, "n"), Reason.TICKET_ELSEWHERE),
+    ("an earlier incarnation", Ticket(ME, Incarnation("before"), 0, "n"), Reason.TICKET_ELSEWHERE),
+    ("from the future", Ticket(ME, NOW, 60_000, "n"), Reason.TICKET_EXPIRED),
+    ("too old", Ticket(ME, NOW, -TICKET_TTL_MS - 1, "n"), Reason.TICKET_EXPIRED),
+]
+
+
+@pytest.mark.parametrize(("name", "ticket", "reason"), TICKETS, ids=[row[0] for row in TICKETS])
+def test_ticket(name: str, ticket: Ticket, reason: Reason | None) -> None:
+    refusal = RequestLedger(ME, NOW).check_ticket(ticket)
+    assert (refusal.reason if refusal else None) is reason
+    # It may have run where it belongs, so it is never called not run.
+    assert refusal is None or refusal.outcome is Outcome.unknown
+
+
+REPEATS = [
+    # name, how the first try ended (None: it runs), answer to the second
+    ("first runs still", None, unknown(Reason.DUPLICATE)),
+    ("first was complete", COMPLETE, AnswerEnd(Outcome.complete, Reason.DUPLICATE)),
+    ("first is unknown", unknown(Reason.PEER_LOST), AnswerEnd(Outcome.unknown, Reason.DUPLICATE)),
+    ("first was not run", not_run(Reason.OVERLOADED), None),
+]
+
+
+@pytest.mark.parametrize(("name", "first", "second"), REPEATS, ids=[row[0] for row in REPEATS])
+def test_second_try(name: str, first: AnswerEnd | None, second: AnswerEnd | None) -> None:
+    ledger = RequestLedger(ME, NOW)
+    assert ledger.begin(ORG, ID) is None
+    if first:
+        ledger.end(ORG, ID, first)
+    assert ledger.earlier(ORG, ID) == second
+    assert ledger.begin(ORG, ID) == second
+    assert ledger.begin(OrganisationId("another"), ID) is None
+
+
+def test_request_can_not_end_twice() -> None:
+    ledger = RequestLedger(ME, NOW)
+    ledger.begin(ORG, ID)
+    ledger.end(ORG, ID, COMPLETE)
+    with pytest.raises(AssertionError, match="ended twice"):
+        ledger.end(ORG, ID, COMPLETE)
+
+
+@pytest.mark.parametrize("text", ["", "a", "a~b~c~d", "a~b~1~", "a~b~-1~n", "a~b~1~n~x"])
+def test_bad_ticket_is_refused(text: str) -> None:
+    assert parse_ticket(text).is_err()
+
+
+def test_ticket_survives_the_way_to_the_caller_and_back() -> None:
+    ticket = make_ticket(ME, NOW, 17)
+    assert parse_ticket(str(ticket)).unwrap() == ticket
+
+
+BODIES = [
+    # name, parts, whether it can be sent again
+    ("small", [b"a" * 1000] * 3, True),
+    ("large", [b"a" * 30_000] * 20, False),
+]
+
+
+@pytest.mark.parametrize(("name", "parts", "replayable"), BODIES, ids=[row[0] for row in BODIES])
+def test_body_is_given_again_only_while_it_is_kept(
+    name: str, parts: list[bytes], replayable: bool
+) -> None:
+    rest = iter(parts)
+    body = RequestBody(lambda _size: next(rest, b""), -1)
+    assert b"".join(body.parts()) == b"".join(parts)
+    assert body.replayable is replayable
+    if replayable:
+        assert b"".join(body.parts()) == b"".join(parts)
--- a/sparline/schema/_messages.py
+++ b/sparline/schema/_messages.py
@@ -28,6 +28,7 @@
 
     control = "control"
     relay = "relay"
+    records = "records"
 
 
 class Hello(WireMessage):
@@ -56,7 +57,13 @@
         int, Meta(description="Digest over the names, revisions and contents of the records held.")
     ]
     platform_age_ms: Annotated[
-        int, Meta(description="Time since the platform last answered the sender, -1 for never.")
+        int,
+        Meta(
+            description="Time since the platform last answered the sender or one it hears of, -1 for never."
+        ),
+    ]
+    platform_cut: Annotated[
+        bool, Meta(description="Whether the sender lately failed to read the platform.")
     ]
 
 
@@ -88,6 +95,7 @@
     incarnation: str
     state: InstanceState
     uptime_ms: int
+    platform_cut: bool
 
 
 class TargetSummary(WireNode):
--- /dev/null
+++ b/sparline/schema/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this package."""
--- /dev/null
+++ b/sparline/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole instances, and the fleet that they run in."""
--- a/standins/_plain_service.py
+++ b/standins/_plain_service.py
@@ -23,7 +23,6 @@
         self.ledger = Ledger()
         self.draining = False  # whether new work is refused
         routes = Routes()
-        routes.add("GET", "/load", self._load)
         routes.add("POST", "/control/faults", self._control_faults)
         routes.add("POST", "/control/drain", self._control_drain)
         routes.add("GET", "/control/ledger", self._control_ledger)
@@ -81,9 +80,6 @@
             )
         )
 
-    def _load(self, _environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        return answer_json(start_response, {"draining": self.draining})
-
     def _control_faults(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         self.faults.update(read_json(environ))
         return answer_json(start_response, {})
