Keep slots for each length, and compare routings under load

Change: part of each engine's slots is kept for either length; each instance may fill its own share without asking; the engine gets short questions with a higher priority; locate keeps callers in their region while anything there serves them. Experiments routing, overload, slow-link and region-loss against random, round-robin and home-only.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,9 +7,19 @@
 import argparse
 import sys
 
+from benchmarks._baselines import POLICIES
 from benchmarks._demo import demo
+from benchmarks._routing import overload, region_loss, routing, slow_link
+from benchmarks._serve import serve
 from benchmarks._shapes import SHAPES
 
+EXPERIMENTS = {
+    "routing": routing,
+    "overload": overload,
+    "region-loss": region_loss,
+    "slow-link": slow_link,
+}
+
 
 def main(arguments: list[str]) -> int:
     """Run the command that the arguments name."""
@@ -25,6 +35,19 @@
         help="whose fleet (default: carvalho)",
     )
     command.set_defaults(run=demo)
+    command = commands.add_parser("bench", help="one experiment; the last line is JSON with ratios")
+    command.add_argument("experiment", choices=sorted(EXPERIMENTS))
+    command.add_argument("--quick", action="store_true", help="under 50 s, with smaller samples")
+    command.add_argument(
+        "--users",
+        choices=sorted(SHAPES),
+        help="one user's fleet (default: both, with --quick carvalho's)",
+    )
+    command.set_defaults(run=lambda options: EXPERIMENTS[options.experiment](options))
+    command = commands.add_parser("serve", help="an instance with one of the compared routings")
+    command.add_argument("--policy", choices=sorted(POLICIES), required=True)
+    command.add_argument("--settings", required=True)
+    command.set_defaults(run=serve)
     options = parser.parse_args(arguments)
     return options.run(options)
 
--- a/sparline/backends/_attempt.py
+++ b/sparline/backends/_attempt.py
@@ -42,6 +42,7 @@
     address: BackendAddress  # where it listens
     connect_timeout_ms: float  # longest wait for the connection
     resume_from: int  # tokens that the caller already has
+    priority: int  # priority at the engine, higher goes first
 
 
 def attempt(request: Request, context: AttemptContext) -> Answer:
@@ -110,7 +111,7 @@
         "X-Request-Id": request.request_id,
         "X-Attempt": name,
         "X-Organisation": request.organisation,
-        "X-Priority": str(request.priority),
+        "X-Priority": str(context.priority),
         "X-Repeatable": "1" if request.repeatable else "0",
         "X-Deadline-Ms": str(int(request.left_ms())),
         "X-Resume-From": str(context.resume_from),
--- a/sparline/cli/_serve.py
+++ b/sparline/cli/_serve.py
@@ -11,25 +11,31 @@
 from sparline.cli._exit_codes import ExitCode
 from sparline.cli._settings import load_settings
 from sparline.instance import Instance
+from sparline.routing import EstimatePolicy, Policy
 
 
 def serve(options: argparse.Namespace) -> ExitCode:
     """Serve until a signal; SIGTERM drains first, a second one stops at once."""
-    loaded = load_settings(options.settings)
+    return serve_with(options.settings, EstimatePolicy())
+
+
+def serve_with(path: str, policy: Policy) -> ExitCode:
+    """Serve with a routing policy until a signal."""
+    loaded = load_settings(path)
     if loaded.is_err():
         print(loaded.unwrap_err(), file=sys.stderr)
         return ExitCode.REFUSED
     settings = loaded.unwrap()
     configure_logging(settings.log_level.value, settings.instance_id)
     stop_on_broken_invariants()
-    instance = Instance(settings)
+    instance = Instance(settings, policy)
     gevent.signal_handler(signal.SIGTERM, _leave, instance)
     gevent.signal_handler(signal.SIGINT, _leave, instance)
     try:
         instance.start()
     except OSError as error:
         print(
-            f"{options.settings}: expected free addresses under $.listen, found: {error}",
+            f"{path}: expected free addresses under $.listen, found: {error}",
             file=sys.stderr,
         )
         return ExitCode.REFUSED
--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -89,6 +89,7 @@
         self._budget = RetryBudget()
         self.waiting_room = WaitingRoom(self._place_here)
         parts.finder.waiting_ahead = self.waiting_room.ahead_of
+        parts.finder.waits = self.waiting_room.waits
 
     def run(self, request: Request, resume_from: int = 0) -> Answer:
         """Yield the answer; the last part is its one end."""
@@ -170,6 +171,7 @@
             address=BackendAddress(member.ip, member.port),
             connect_timeout_ms=self._parts.connect_timeout_ms,
             resume_from=progress.tokens_passed,
+            priority=self._parts.policy.engine_priority(request),
         )
         try:
             for part in attempt(request, context):
--- a/sparline/dispatch/_waiting_room.py
+++ b/sparline/dispatch/_waiting_room.py
@@ -9,9 +9,6 @@
 from sparline.requests import Length, Request
 from sparline.routing import Reservation
 
-# A short question counts as if it had waited this much longer, so that long work
-# comes after it and yet does not starve.
-SHORT_HEAD_START_MS = 2_000.0
 PRIORITY_HEAD_START_MS = 500.0
 
 Placer = Callable[[Request, frozenset[str]], Reservation | None]
@@ -27,12 +24,14 @@
     placed: Event = field(default_factory=Event)  # set once it has a place
     reservation: Reservation | None = None  # its place
 
-    def urgency_ms(self) -> float:
-        """Return the time waited, with the head start of short and urgent requests."""
-        head_start = self.request.priority * PRIORITY_HEAD_START_MS
-        if self.request.length is Length.SHORT:
-            head_start += SHORT_HEAD_START_MS
-        return now_ms() - self.arrived_ms + head_start
+    def urgency(self) -> tuple[bool, float]:
+        """Return what goes first: short questions, then time waited and priority.
+
+        Long work does not starve: a part of every engine's slots is kept for it.
+        """
+        waited_ms = now_ms() - self.arrived_ms
+        head_start_ms = self.request.priority * PRIORITY_HEAD_START_MS
+        return self.request.length is Length.SHORT, waited_ms + head_start_ms
 
 
 class WaitingRoom:
@@ -64,7 +63,7 @@
     def pump(self) -> None:
         """Place whoever can be placed, the most urgent first."""
         full: set[tuple[str, Length]] = set()
-        for waiter in sorted(self._waiters, key=Waiter.urgency_ms, reverse=True):
+        for waiter in sorted(self._waiters, key=Waiter.urgency, reverse=True):
             key = waiter.request.routing_key, waiter.request.length
             if key in full:
                 continue
@@ -83,6 +82,14 @@
             return sum(1 for _ in same)
         return sum(1 for one in same if one.request.length is Length.SHORT)
 
+    def waits(self, request: Request, length: Length) -> bool:
+        """Tell whether another request of a length waits for the same target."""
+        return any(
+            one.request.length is length and one.request.routing_key == request.routing_key
+            for one in self._waiters
+            if one.request is not request
+        )
+
     def __len__(self) -> int:
         """Return how many requests wait."""
         return len(self._waiters)
--- a/sparline/entry/_locate.py
+++ b/sparline/entry/_locate.py
@@ -11,6 +11,8 @@
 from sparline.schema._fleet import FleetMember
 
 ZONE_DELAY_MS = 1.0
+# Estimates that differ by less are equal.
+EQUAL_MS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +49,20 @@
         ]
         spread = {one: place for place, one in enumerate(ranked(caller, [one.id for one in live]))}
         advice = [self._advice(member, target) for member in live]
-        # Callers spread over instances that are equally good.
-        return sorted(advice, key=lambda one: (round(one.estimate_ms / 5), spread[one.instance_id]))
+        # Callers stay in their region while anything there could serve them: sending away is
+        # routing's choice. They spread over instances that are equally good.
+        return sorted(
+            advice,
+            key=lambda one: (
+                self._leaves_region(one),
+                round(one.estimate_ms / EQUAL_MS),
+                spread[one.instance_id],
+            ),
+        )
+
+    def _leaves_region(self, advice: Advice) -> bool:
+        served = advice.estimate_ms < NO_BACKEND_WAIT_MS
+        return not (served and advice.region == self._membership.self_hello.region)
 
     def _advice(self, member: FleetMember, target: TargetName | None) -> Advice:
         return Advice(
--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -69,6 +69,8 @@
     def beat(self) -> None:
         """Send heartbeats, loads to siblings, and a summary when one is due."""
         self._notice_pause()
+        zone = self._parts.membership.self_hello.availability_zone
+        self._parts.loads.sharers = max(len(self._parts.membership.live_in_zone(zone)), 1)
         links = self._parts.membership.links()
         heartbeat = self._heartbeat()
         for link in links:
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -31,7 +31,6 @@
 from sparline.requests import RequestLedger
 from sparline.routing import (
     CandidateFinder,
-    EstimatePolicy,
     LoadTable,
     Policy,
     PrefixMap,
@@ -52,7 +51,7 @@
 class Instance:
     """Serve callers, peers and operators at one place."""
 
-    def __init__(self, settings: Settings, policy: Policy | None = None) -> None:
+    def __init__(self, settings: Settings, policy: Policy) -> None:
         """Put the parts together; no port opens before `start`."""
         self.settings = settings
         self.incarnation = Incarnation(uuid.uuid4().hex[:12])
@@ -74,7 +73,7 @@
         self.ledger = RequestLedger(InstanceId(settings.instance_id), self.incarnation)
         self.membership.uptime_ms = self.ledger.uptime_ms
         self.dialer = Dialer(settings.listen.peers.ip, settings.timing.connect_timeout_ms)
-        self._make_routing(policy or EstimatePolicy())
+        self._make_routing(policy)
         self._make_control()
         self._make_servers()
 
--- a/sparline/routing/_candidates.py
+++ b/sparline/routing/_candidates.py
@@ -7,7 +7,7 @@
 from sparline._ids import InstanceId, ZoneName
 from sparline.declarations import Catalog
 from sparline.requests import Length, Origin, Request
-from sparline.routing._estimate import LocalEstimate, estimate_local, speed_of
+from sparline.routing._estimate import LocalEstimate, ZoneView, estimate_local, speed_of
 from sparline.routing._load_table import LoadTable
 from sparline.routing._prefixes import PrefixMap
 from sparline.routing._spare_room import SpareRoom
@@ -86,6 +86,7 @@
         self.catalog = Catalog()  # replaced when the files change
         self.reachable: Callable[[InstanceId], bool] = lambda _id: True  # first-hand knowledge
         self.waiting_ahead: Callable[[Request], int] = lambda _request: 0  # requests in the queue
+        self.waits: Callable[[Request, Length], bool] = lambda _request, _length: False
         self._region = region
         self._zone = zone
         self._loads = loads
@@ -108,6 +109,11 @@
     def _local(self, request: Request, excluded: frozenset[str]) -> tuple[LocalCandidate, ...]:
         service = self.catalog.services.get(request.target)
         backends = self._loads.serving(request)
+        zone = ZoneView(
+            self._loads.sharers,
+            short_waits=self.waits(request, Length.SHORT),
+            long_waits=self.waits(request, Length.LONG),
+        )
         ahead = self.waiting_ahead(request) / max(len(backends), 1)
         found = []
         for backend in backends:
@@ -115,7 +121,7 @@
             cached = self._prefixes.cached_tokens(
                 request.prefix_keys, member.id, backend.incarnation
             )
-            estimate = estimate_local(request, backend, service, cached)
+            estimate = estimate_local(request, backend, service, cached, zone)
             slots = speed_of(backend, service).slots
             verdict = Verdict.USABLE
             if not estimate.has_room:
--- a/sparline/routing/_estimate.py
+++ b/sparline/routing/_estimate.py
@@ -10,8 +10,9 @@
 DEFAULT_SLOTS = 1
 DEFAULT_PREFILL_TOKENS_PER_S = 1000.0
 DEFAULT_TOKEN_INTERVAL_MS = 50.0
-# Part of an engine's slots that long requests leave free.
-SHORT_RESERVE = 0.25
+# Part of an engine's slots that long requests leave to short ones, and short ones to
+# long ones that wait. So neither waits for all of the other.
+RESERVE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,15 @@
     token_interval_ms: float  # time between tokens
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneView:
+    """Hold what matters of the zone beside one backend server."""
+
+    sharers: int  # live instances of the zone, which share its backend servers
+    short_waits: bool  # whether a short request waits here
+    long_waits: bool  # whether a long request waits here
+
+
 @dataclass(frozen=True, slots=True)
 class LocalEstimate:
     """Hold what one backend server of this zone would give a request."""
@@ -48,15 +58,36 @@
     )
 
 
-def slots_for(length: Length, slots: int) -> int:
-    """Return how many slots requests of a length may fill."""
-    if length is Length.SHORT or slots < 2:
-        return slots
-    return slots - max(1, int(slots * SHORT_RESERVE))
+def reserve_of(slots: int) -> int:
+    """Return how many slots requests of one length leave to the other."""
+    return max(1, int(slots * RESERVE)) if slots > 1 else 0
+
+
+def has_room(request: Request, backend: BackendState, slots: int, zone: ZoneView) -> bool:
+    """Tell whether a request of its length may take a slot now.
+
+    What siblings told is old, so the sum alone would leave slots empty or fill them twice.
+    Each instance may always fill its own share with short questions; the engine lets them
+    pass long work. Long work goes where no short question waits, or into the slots kept
+    for it, so that it does not starve.
+    """
+    if request.kind is TargetKind.SERVICE:
+        return backend.in_flight < slots or backend.own_in_flight < max(slots // zone.sharers, 1)
+    reserve = reserve_of(slots)
+    if request.length is Length.LONG:
+        free = backend.in_flight < slots and backend.long_in_flight < slots - reserve
+        return (free and not zone.short_waits) or backend.long_in_flight < reserve
+    kept = max(reserve - backend.long_in_flight, 0) if zone.long_waits else 0
+    own_short = backend.own_in_flight - backend.own_long
+    return backend.in_flight < slots - kept or own_short < max((slots - kept) // zone.sharers, 1)
 
 
 def estimate_local(
-    request: Request, backend: BackendState, service: Service | None, cached_tokens: int
+    request: Request,
+    backend: BackendState,
+    service: Service | None,
+    cached_tokens: int,
+    zone: ZoneView,
 ) -> LocalEstimate:
     """Estimate one request at one backend server."""
     speed = speed_of(backend, service)
@@ -68,13 +99,10 @@
     if request.kind is TargetKind.SERVICE:
         prefill_ms = float(service.typical_call_ms) if service else 0.0
     ttft_ms = slot_wait_ms + prefill_ms + speed.token_interval_ms
-    room = in_flight < speed.slots
-    if request.length is Length.LONG:
-        room = room and backend.long_in_flight < slots_for(Length.LONG, speed.slots)
     return LocalEstimate(
         backend=backend,
         ttft_ms=ttft_ms,
         total_ms=ttft_ms + request.output_tokens * speed.token_interval_ms,
         saving_ms=min(cached_tokens, request.prompt_tokens) * speed.ms_per_prompt_token,
-        has_room=room,
+        has_room=has_room(request, backend, speed.slots, zone),
     )
--- a/sparline/routing/_load_table.py
+++ b/sparline/routing/_load_table.py
@@ -119,6 +119,7 @@
 
     def __init__(self, zone: str) -> None:
         """Start with no backend server."""
+        self.sharers = 1  # live instances of the zone
         self._zone = zone
         self._backends: dict[BackendServerId, BackendState] = {}
         self._sequences: dict[InstanceId, int] = {}
--- a/sparline/routing/_policy.py
+++ b/sparline/routing/_policy.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from sparline._hashing import hash64
-from sparline.requests import Reason, Request
+from sparline.requests import Length, Reason, Request
 from sparline.routing._candidates import Candidates, LocalCandidate, RemoteCandidate, Verdict
 from sparline.schema._declarations import Objective
 
@@ -17,6 +17,8 @@
 AFFINITY_SHARE = 0.5
 AFFINITY_SLACK_MS = 5.0
 RETRY_AFTER_LEAST_MS = 100.0
+# Above every priority that a caller may give.
+SHORT_PRIORITY = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,10 @@
         """Tell whether a request of another zone's caller is taken."""
         ...
 
+    def engine_priority(self, request: Request) -> int:
+        """Return the priority of a request at its engine."""
+        ...
+
 
 class EstimatePolicy:
     """Choose by estimated times, the workload's objective and margins."""
@@ -123,6 +129,10 @@
         home = best_local(request, candidates)
         return home is not None and home.estimate.total_ms <= request.left_ms()
 
+    def engine_priority(self, request: Request) -> int:
+        """Let short questions pass long work at the engine."""
+        return request.priority + (SHORT_PRIORITY if request.length is Length.SHORT else 0)
+
 
 def best_local(request: Request, candidates: Candidates) -> LocalCandidate | None:
     """Return the backend server with room that is best; prompts with one start stay together."""
--- a/sparline/routing/_summaries.py
+++ b/sparline/routing/_summaries.py
@@ -6,8 +6,8 @@
 from sparline._clock import now_ms
 from sparline._ids import InstanceId, TargetName, ZoneName
 from sparline.declarations import Catalog
-from sparline.requests import Length, TargetKind
-from sparline.routing._estimate import slots_for, speed_of
+from sparline.requests import TargetKind
+from sparline.routing._estimate import reserve_of, speed_of
 from sparline.routing._load_table import BackendState, LoadTable
 from sparline.schema._declarations import Service
 from sparline.schema._messages import InstanceState, MemberBrief, TargetSummary, ZoneSummary
@@ -179,7 +179,7 @@
     working = [backend for backend in backends if backend.takes_work]
     speeds = [speed_of(backend, service) for backend in working]
     rooms = [
-        max(slots_for(Length.LONG, speed.slots) - backend.in_flight, 0)
+        max(speed.slots - reserve_of(speed.slots) - backend.in_flight, 0)
         for backend, speed in zip(working, speeds, strict=True)
     ]
     return TargetSummary(
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -22,6 +22,7 @@
 from sparline._clock import now_ms
 from sparline.backends import BackendAddress, call_json
 from sparline.instance import Instance
+from sparline.routing import EstimatePolicy, Policy
 from sparline.schema._settings import Settings
 from standins import Engine, EngineShape, Faults, Forward, Place, PlainService, Platform, WideArea
 
@@ -192,11 +193,9 @@
         place = {"region": zone.region, "availability_zone": zone.name}
         self.platform.publish_member(member | place | {"incarnation": "-", "state": state})
 
-    def start_instance(
-        self, name: str, make: Callable[[Settings], Instance] = Instance
-    ) -> Instance:
+    def start_instance(self, name: str, policy: Policy | None = None) -> Instance:
         """Start one instance, or its replacement."""
-        instance = make(self.settings[name])
+        instance = Instance(self.settings[name], policy or EstimatePolicy())
         instance.start()
         self.instances[name] = instance
         return instance
