Sum up room by length, grow shares of it, and test every step at which a request can break

Cause: at offset peaks next to nothing was sent away: a zone told only of empty slots, each sender got a sixth of them, and queues of siblings were missing from the wait at home. An engine that had been away stayed left alone up to 8 s after it was back. A limit's owner could give a new instance nothing.

Change: waits and room are summed up for short and long requests apart; siblings tell what waits; shares grow with each accepted request and halve with each refusal; an engine that could not be reached takes work again with its next load report; every instance has a floor of a limit without asking, the rest follows demand.

--- a/benchmarks/_routing.py
+++ b/benchmarks/_routing.py
@@ -15,6 +15,8 @@
 from benchmarks._shapes import CARVALHO, SHAPES, Shape
 
 SEED = 11
+# Peaks are long beside the pause between summaries, as a day is; a quick run sees a part.
+PEAK_PERIOD_S = 20.0
 ALL_POLICIES = ("estimate", "round_robin", "random", "round_robin_priority", "home_only")
 QUICK_POLICIES = ALL_POLICIES[:3]
 # Load of an engine of these shapes that fills it: 4 slots, 20 ms a token, the mix below.
@@ -87,7 +89,9 @@
     seconds = 5.0 if options.quick else 20.0
     policies = QUICK_POLICIES if options.quick else ALL_POLICIES
     for shape in users_of(options):
-        rate = offset_peaks(load * capacity_per_region(shape), swing, seconds, len(shape.regions))
+        rate = offset_peaks(
+            load * capacity_per_region(shape), swing, PEAK_PERIOD_S, len(shape.regions)
+        )
         found = {}
         for policy in policies:
             found[policy], _ = run_plan(
--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -88,8 +88,7 @@
         self._parts = parts
         self._budget = RetryBudget()
         self.waiting_room = WaitingRoom(self._place_here)
-        parts.finder.waiting_ahead = self.waiting_room.ahead_of
-        parts.finder.waits = self.waiting_room.waits
+        parts.loads.own_waiting = self.waiting_room.counts
 
     def run(self, request: Request, resume_from: int = 0) -> Answer:
         """Yield the answer; the last part is its one end."""
@@ -107,7 +106,7 @@
         """Tell whether a request from another zone may run here now."""
         assert request.origin is Origin.RELAY, "only relayed requests are offered"
         candidates = self._parts.finder.find(request)
-        return self._parts.policy.takes_relayed(request, candidates, len(self.waiting_room))
+        return self._parts.policy.takes_relayed(request, candidates)
 
     def _try_once(self, request: Request, progress: _Progress) -> Parts:
         assert request.repeatable or not progress.may_have_run, (
@@ -194,7 +193,10 @@
     ) -> None:
         backend = reservation.backend
         if end.reason in _SERVER_FAULTS:
-            self._parts.loads.note_failure(backend)
+            if end.reason is Reason.CONNECT_FAILED:
+                self._parts.loads.note_unreachable(backend)
+            else:
+                self._parts.loads.note_failure(backend)
             progress.excluded.add(backend.member.id)
         elif end.outcome is Outcome.complete:
             self._parts.loads.note_success(backend)
--- a/sparline/dispatch/_waiting_room.py
+++ b/sparline/dispatch/_waiting_room.py
@@ -1,5 +1,6 @@
 """Requests that wait here for room; what waits here has provably not run."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -8,6 +9,7 @@
 from sparline._clock import now_ms
 from sparline.requests import Length, Request
 from sparline.routing import Reservation
+from sparline.schema._messages import WaitingCount
 
 PRIORITY_HEAD_START_MS = 500.0
 
@@ -75,20 +77,14 @@
             self._waiters.remove(waiter)
             waiter.placed.set()
 
-    def ahead_of(self, request: Request) -> int:
-        """Return how many requests for the same target go first."""
-        same = (one for one in self._waiters if one.request.routing_key == request.routing_key)
-        if request.length is Length.LONG:
-            return sum(1 for _ in same)
-        return sum(1 for one in same if one.request.length is Length.SHORT)
-
-    def waits(self, request: Request, length: Length) -> bool:
-        """Tell whether another request of a length waits for the same target."""
-        return any(
-            one.request.length is length and one.request.routing_key == request.routing_key
-            for one in self._waiters
-            if one.request is not request
-        )
+    def counts(self) -> list[WaitingCount]:
+        """Return how many requests wait, by target and length."""
+        lengths = Counter((one.request.routing_key, one.request.length) for one in self._waiters)
+        targets = sorted({target for target, _ in lengths})
+        return [
+            WaitingCount(one, lengths[one, Length.SHORT], lengths[one, Length.LONG])
+            for one in targets
+        ]
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/sparline/entry/_locate.py
+++ b/sparline/entry/_locate.py
@@ -5,7 +5,7 @@
 from sparline._ids import InstanceId, RegionName, TargetName, ZoneName
 from sparline.declarations import Catalog
 from sparline.peers import Membership, ranked
-from sparline.requests import TargetKind, make_ticket
+from sparline.requests import Length, TargetKind, make_ticket
 from sparline.routing import NO_BACKEND_WAIT_MS, LoadTable, SummaryTable, wait_for_target
 from sparline.schema._declarations import Organisation
 from sparline.schema._fleet import FleetMember
@@ -86,11 +86,14 @@
         if member.availability_zone == self._membership.self_hello.availability_zone:
             kind = TargetKind.SERVICE if target in self.catalog.services else TargetKind.ENGINE
             working = [one for one in self._loads.holders(kind, target) if one.takes_work]
-            return wait_for_target(working, self.catalog.services.get(target))
+            queue = self._loads.queue(target)
+            service = self.catalog.services.get(target)
+            return wait_for_target(working, service, queue, Length.SHORT)
         held = self._summaries.get(ZoneName(member.availability_zone))
         targets = held.summary.targets if held else []
         return next(
-            (float(one.wait_ms) for one in targets if one.target == target), NO_BACKEND_WAIT_MS
+            (float(one.short.wait_ms) for one in targets if one.target == target),
+            NO_BACKEND_WAIT_MS,
         )
 
     def ticket_for(self, advice: Advice) -> str | None:
--- a/sparline/instance/_load_reader.py
+++ b/sparline/instance/_load_reader.py
@@ -59,7 +59,7 @@
         match answer:
             case Ok((200, content)):
                 return self._take(backend, content)
-        self._loads.note_failure(backend)
+        self._loads.note_unreachable(backend)
         return False
 
     def _take(self, backend: BackendState, content: bytes) -> bool:
--- a/sparline/limits/_exchange.py
+++ b/sparline/limits/_exchange.py
@@ -6,7 +6,7 @@
 from sparline._metrics import Metrics
 from sparline.declarations import Catalog
 from sparline.limits._enforcer import LimitEnforcer
-from sparline.limits._owner import LimitOwner, View
+from sparline.limits._owner import LimitOwner, LimitTerms, View
 from sparline.peers import Membership, Mesh, PeerLink, first
 from sparline.schema._messages import Demand, LimitReport, LimitShares, Share
 
@@ -79,7 +79,8 @@
             whole = self._membership.sees_whole_region(declared.home_region)
             view = View.WHOLE if whole else View.PARTIAL
             self._owner.report(organisation, reporter, demand.demand_per_s, demand.held_per_s)
-            share = self._owner.share(organisation, reporter, declared.requests_per_s, view)
+            terms = LimitTerms(declared.requests_per_s, len(self.catalog.instances), view)
+            share = self._owner.share(organisation, reporter, terms)
             self._metrics.limit_grants.labels(view.value).inc()
             shares.append(Share(organisation, round(share, 3)))
         return shares
--- a/sparline/operations/_status.py
+++ b/sparline/operations/_status.py
@@ -115,7 +115,10 @@
                 "availability_zone": held.summary.availability_zone,
                 "region": held.summary.region,
                 "age_ms": int(held.age_ms()),
-                "room": {one.target: one.room for one in held.summary.targets},
+                "room": {
+                    one.target: {"short": one.short.room, "long": one.long.room}
+                    for one in held.summary.targets
+                },
             }
             for held in self._summaries.fresh()
         ]
--- a/sparline/relay/_sender.py
+++ b/sparline/relay/_sender.py
@@ -26,7 +26,7 @@
     not_run,
     unknown,
 )
-from sparline.routing import RemoteCandidate, SpareRoom
+from sparline.routing import RemoteCandidate, SpareRoom, room_key
 from sparline.schema._messages import (
     Hello,
     LinkPurpose,
@@ -67,19 +67,19 @@
         assert self.resident_region(request.residency_rule, candidate.region), (
             "region is not allowed"
         )
-        self._spare.take(candidate.zone, request.routing_key)
+        self._spare.take(candidate.zone, room_key(request))
         try:
             end = yield from self._relay(request, candidate, candidate.instance_id, resume_from)
             self._learn(candidate, request, end)
             yield end
         finally:
-            self._spare.give_back(candidate.zone, request.routing_key)
+            self._spare.give_back(candidate.zone, room_key(request))
 
     def _learn(self, candidate: RemoteCandidate, request: Request, end: AnswerEnd) -> None:
         if end.outcome is Outcome.complete:
-            self._spare.accepted(candidate.zone, request.routing_key)
+            self._spare.accepted(candidate.zone, room_key(request))
         elif end.reason is not Reason.CALLER_GONE:
-            self._spare.refused(candidate.zone, request.routing_key)
+            self._spare.refused(candidate.zone, room_key(request))
 
     def _relay(
         self, request: Request, candidate: RemoteCandidate, peer_id: InstanceId, resume_from: int
--- /dev/null
+++ b/sparline/relay/tests/test_sender.py
@@ -0,0 +1,227 @@
+"""What a sender says of a relayed request when its peer fails at any step."""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from websockets.sync.connection import Connection
+from websockets.sync.server import serve
+
+from benchmarks._fleet import PortPool
+from sparline._clock import now_ms
+from sparline._ids import InstanceId, OrganisationId, RegionName, RequestId, TargetName, ZoneName
+from sparline._metrics import Metrics
+from sparline.declarations import Catalog
+from sparline.peers import Dialer, Membership, decode, encode
+from sparline.relay import RelaySender
+from sparline.requests import (
+    AnswerChunk,
+    AnswerEnd,
+    Length,
+    Origin,
+    Request,
+    RequestBody,
+    TargetKind,
+)
+from sparline.routing import RemoteCandidate, SpareRoom, SummaryTable, Verdict, room_key
+from sparline.schema._fleet import FleetMember
+from sparline.schema._messages import (
+    Hello,
+    LinkPurpose,
+    Outcome,
+    RelayBody,
+    RelayChunk,
+    RelayEnd,
+    RelayGrant,
+    RelayHead,
+    RelayOffer,
+    RelayRefusal,
+)
+
+PEER = InstanceId("b-0")
+HELLO = Hello(PEER, "1", "south", "zone-b", LinkPurpose.relay)
+Step = Callable[[Connection, RelayOffer], None]
+
+
+def read(connection: Connection) -> object:
+    return decode(connection.recv()).unwrap()
+
+
+def hang_up(connection: Connection, _offer: RelayOffer) -> None:
+    connection.socket.close()
+
+
+def freeze(_connection: Connection, _offer: RelayOffer) -> None:
+    gevent.sleep(3)
+
+
+def refuse(connection: Connection, offer: RelayOffer) -> None:
+    connection.send(encode(RelayRefusal(offer.attempt, "peer_no_room", 5)))
+
+
+def grant(connection: Connection, offer: RelayOffer) -> None:
+    connection.send(encode(RelayGrant(offer.attempt, "1")))
+
+
+def take_body(connection: Connection, _offer: RelayOffer) -> None:
+    assert isinstance(read(connection), RelayBody)
+
+
+def head(connection: Connection, offer: RelayOffer) -> None:
+    connection.send(encode(RelayHead(offer.attempt, 200, "text/event-stream", -1)))
+
+
+def chunk(connection: Connection, offer: RelayOffer) -> None:
+    connection.send(encode(RelayChunk(offer.attempt, b"data: mine\n\n")))
+
+
+def crossed_chunk(connection: Connection, _offer: RelayOffer) -> None:
+    connection.send(encode(RelayChunk("another", b"data: not yours\n\n")))
+
+
+def garbage(connection: Connection, _offer: RelayOffer) -> None:
+    connection.send(b"\xff\xff")
+
+
+def complete(connection: Connection, offer: RelayOffer) -> None:
+    connection.send(encode(RelayEnd(offer.attempt, Outcome.complete, "none")))
+
+
+CASES = [
+    # name, the peer's steps after the offer, outcome if it may be repeated, and if it may not
+    ("hangs up at the offer", [hang_up], "unknown", "not_run"),
+    ("freezes at the offer", [freeze], "unknown", "not_run"),
+    ("refuses", [refuse], "not_run", "not_run"),
+    ("answers garbage", [garbage], "unknown", "not_run"),
+    ("answers for another", [crossed_chunk], "unknown", "not_run"),
+    ("hangs up after the grant", [grant, hang_up], "unknown", "unknown"),
+    ("freezes after the grant", [grant, freeze], "unknown", "unknown"),
+    ("hangs up after the content", [grant, take_body, hang_up], "unknown", "unknown"),
+    ("refuses after the content", [grant, take_body, refuse], "not_run", "not_run"),
+    ("hangs up in the answer", [grant, take_body, head, chunk, hang_up], "unknown", "unknown"),
+    ("crosses answers", [grant, take_body, head, chunk, crossed_chunk], "unknown", "unknown"),
+    ("garbage in the answer", [grant, take_body, head, garbage], "unknown", "unknown"),
+    ("answers whole", [grant, take_body, head, chunk, complete], "complete", "complete"),
+]
+
+
+class FakePeer:
+    """Follow a script for each offer."""
+
+    def __init__(self, steps: list[Step], hello: Hello = HELLO) -> None:
+        """Listen on a free port and greet with a name."""
+        self._hello = hello
+        self.port = PortPool().take()
+        self._steps = steps
+        self._server = serve(
+            self._handle, "127.0.0.1", self.port, compression=None, ping_interval=None
+        )
+        self._task = gevent.spawn(self._server.serve_forever)
+
+    def _handle(self, connection: Connection) -> None:
+        read(connection)
+        connection.send(encode(self._hello))
+        offer = read(connection)
+        assert isinstance(offer, RelayOffer)
+        for step in self._steps:
+            step(connection, offer)
+        gevent.sleep(0.2)
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.shutdown()
+        self._task.kill()
+
+
+def make_request(repeatable: bool, deadline_ms: float = 600) -> Request:
+    return Request(
+        request_id=RequestId("r"),
+        organisation=OrganisationId("o"),
+        residency_rule="anywhere",
+        target=TargetName("m"),
+        kind=TargetKind.ENGINE,
+        adapter="",
+        prompt_tokens=3,
+        output_tokens=3,
+        prefix_keys=(),
+        length=Length.SHORT,
+        deadline_at_ms=now_ms() + deadline_ms,
+        priority=5,
+        repeatable=repeatable,
+        method="POST",
+        path="/v1/completions",
+        content_type="application/json",
+        body=RequestBody.of(b"{}"),
+        origin=Origin.CALLER,
+        from_region=RegionName("north"),
+        still_wanted=lambda: True,
+    )
+
+
+@pytest.fixture
+def peer() -> Iterator[SimpleNamespace]:
+    holder = SimpleNamespace(fake=None)
+    yield holder
+    if holder.fake:
+        holder.fake.stop()
+
+
+def send(port: int, request: Request) -> list:
+    member = FleetMember(
+        id=PEER,
+        role="instance",
+        region="south",
+        availability_zone="zone-b",
+        ip="127.0.0.1",
+        port=port,
+        incarnation="-",
+        state="live",
+    )
+    membership = Membership(own_hello("a-0"), SummaryTable())
+    membership.catalog = Catalog(instances={PEER: member})
+    spare = SpareRoom(random.Random(1))
+    sender = RelaySender(membership, spare, Metrics(), Dialer("127.0.0.1", 300))
+    sender.resident_region = lambda _rule, _region: True
+    candidate = RemoteCandidate("south", ZoneName("zone-b"), PEER, 1.0, 1.0, 0.0, Verdict.USABLE)
+    spare.accepted(candidate.zone, room_key(request))
+    return list(sender.send(request, candidate, 0))
+
+
+def own_hello(name: str) -> Hello:
+    return Hello(name, "1", "north", "zone-a", LinkPurpose.control)
+
+
+@pytest.mark.parametrize("repeatable", [True, False], ids=["may be repeated", "may not"])
+@pytest.mark.parametrize(("name", "steps", "may", "may_not"), CASES, ids=[row[0] for row in CASES])
+def test_peer_fails_at_a_step(
+    peer: SimpleNamespace, name: str, steps: list[Step], may: str, may_not: str, repeatable: bool
+) -> None:
+    peer.fake = FakePeer(steps)
+    parts = send(peer.fake.port, make_request(repeatable))
+    end = parts[-1]
+    assert isinstance(end, AnswerEnd)
+    assert end.outcome.value == (may if repeatable else may_not), end
+    assert [part.data for part in parts if isinstance(part, AnswerChunk)] in (
+        [],
+        [b"data: mine\n\n"],
+    )
+
+
+def test_peer_that_nobody_listens_for_was_sent_nothing() -> None:
+    parts = send(PortPool().take(), make_request(repeatable=False))
+    assert [part.outcome for part in parts] == [Outcome.not_run]
+
+
+def test_another_instance_at_the_address_gets_nothing(peer: SimpleNamespace) -> None:
+    impostor = Hello("c-9", "1", "south", "zone-b", LinkPurpose.relay)
+    peer.fake = FakePeer([grant, take_body, complete], impostor)
+    parts = send(peer.fake.port, make_request(repeatable=False))
+    assert [part.outcome for part in parts] == [Outcome.not_run]
+
+
+def test_relayed_request_is_not_relayed_again() -> None:
+    with pytest.raises(AssertionError, match="relayed again"):
+        send(1, replace(make_request(repeatable=True), origin=Origin.RELAY))
--- a/sparline/routing/__init__.py
+++ b/sparline/routing/__init__.py
@@ -7,6 +7,8 @@
     RemoteCandidate,
     Verdict,
     long_or_short,
+    room_for,
+    room_key,
 )
 from sparline.routing._load_table import BackendState, LoadTable, Reservation
 from sparline.routing._policy import (
@@ -23,6 +25,7 @@
 from sparline.routing._spare_room import SpareRoom
 from sparline.routing._summaries import (
     NO_BACKEND_WAIT_MS,
+    ROOM_WAIT_MS,
     Reporter,
     SummaryTable,
     SummaryVerdict,
@@ -33,6 +36,7 @@
 __all__ = [
     "CHARS_PER_TOKEN",
     "NO_BACKEND_WAIT_MS",
+    "ROOM_WAIT_MS",
     "BackendState",
     "CandidateFinder",
     "Candidates",
@@ -56,6 +60,8 @@
     "best_local",
     "long_or_short",
     "prefix_keys",
+    "room_for",
+    "room_key",
     "summarise",
     "wait_for_target",
 ]
--- a/sparline/routing/_candidates.py
+++ b/sparline/routing/_candidates.py
@@ -1,19 +1,25 @@
 """Candidates for a request: backend servers here and zones elsewhere, each with a verdict."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import StrEnum
 
 from sparline._ids import InstanceId, ZoneName
 from sparline.declarations import Catalog
 from sparline.requests import Length, Origin, Request
-from sparline.routing._estimate import LocalEstimate, ZoneView, estimate_local, speed_of
+from sparline.routing._estimate import (
+    LocalEstimate,
+    ZoneView,
+    estimate_local,
+    queue_wait_ms,
+    speed_of,
+)
 from sparline.routing._load_table import LoadTable
 from sparline.routing._prefixes import PrefixMap
 from sparline.routing._spare_room import SpareRoom
 from sparline.routing._summaries import HeldSummary, SummaryTable
 from sparline.schema._declarations import Objective
-from sparline.schema._messages import InstanceState, TargetSummary
+from sparline.schema._messages import InstanceState, RoomSummary, TargetSummary
 
 # Delay between zones of one region, one way.
 ZONE_DELAY_MS = 0.5
@@ -85,8 +91,6 @@
         """Read from the tables of one instance."""
         self.catalog = Catalog()  # replaced when the files change
         self.reachable: Callable[[InstanceId], bool] = lambda _id: True  # first-hand knowledge
-        self.waiting_ahead: Callable[[Request], int] = lambda _request: 0  # requests in the queue
-        self.waits: Callable[[Request, Length], bool] = lambda _request, _length: False
         self._region = region
         self._zone = zone
         self._loads = loads
@@ -109,12 +113,9 @@
     def _local(self, request: Request, excluded: frozenset[str]) -> tuple[LocalCandidate, ...]:
         service = self.catalog.services.get(request.target)
         backends = self._loads.serving(request)
-        zone = ZoneView(
-            self._loads.sharers,
-            short_waits=self.waits(request, Length.SHORT),
-            long_waits=self.waits(request, Length.LONG),
-        )
-        ahead = self.waiting_ahead(request) / max(len(backends), 1)
+        queue = self._loads.queue(request.routing_key)
+        queue_ms = queue_wait_ms(queue, request.length, backends, service)
+        zone = ZoneView(self._loads.sharers, queue, queue_ms)
         found = []
         for backend in backends:
             member = backend.member
@@ -123,10 +124,7 @@
             )
             estimate = estimate_local(request, backend, service, cached, zone)
             slots = speed_of(backend, service).slots
-            verdict = Verdict.USABLE
-            if not estimate.has_room:
-                verdict = Verdict.NO_ROOM
-                estimate = _delayed(estimate, ahead * backend.service_ms / slots)
+            verdict = Verdict.USABLE if estimate.has_room else Verdict.NO_ROOM
             if member.id in excluded:
                 verdict = Verdict.EXCLUDED
             elif self._region not in self.catalog.allowed_regions(request.residency_rule):
@@ -170,7 +168,12 @@
         # A request that may not be repeated waits for a grant before its content leaves.
         ways = 2 if request.repeatable else 4
         prefill_ms = request.prompt_tokens * target.ms_per_prompt_token
-        ttft_ms = ways * delay_ms + target.wait_ms + prefill_ms + target.token_interval_ms
+        ttft_ms = (
+            ways * delay_ms
+            + room_for(request.length, target).wait_ms
+            + prefill_ms
+            + target.token_interval_ms
+        )
         total_ms = ttft_ms + request.output_tokens * target.token_interval_ms
         sent = (
             request.prompt_tokens * BYTES_PER_PROMPT_TOKEN
@@ -200,7 +203,9 @@
         if instance_id is None:
             return Verdict.NO_INSTANCE
         senders = self._senders(summary.availability_zone)
-        if not self._spare.available(held, request.routing_key, target.room, senders):
+        if not self._spare.available(
+            held, room_key(request), room_for(request.length, target).room, senders
+        ):
             return Verdict.NO_SHARE
         return Verdict.USABLE
 
@@ -223,9 +228,14 @@
         return InstanceId(live[held.summary.sequence % len(live)]) if live else None
 
 
-def _delayed(estimate: LocalEstimate, wait_ms: float) -> LocalEstimate:
-    later = estimate.ttft_ms + wait_ms
-    return replace(estimate, ttft_ms=later, total_ms=estimate.total_ms + wait_ms)
+def room_for(length: Length, target: TargetSummary) -> RoomSummary:
+    """Return the room that a zone has for requests of a length."""
+    return target.long if length is Length.LONG else target.short
+
+
+def room_key(request: Request) -> str:
+    """Return the name under which shares of room are counted."""
+    return f"{request.routing_key}/{request.length.value}"
 
 
 def long_or_short(prompt_tokens: int, short_prompt_tokens: int) -> Length:
--- a/sparline/routing/_estimate.py
+++ b/sparline/routing/_estimate.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from sparline.requests import Length, Request, TargetKind
-from sparline.routing._load_table import BackendState
+from sparline.routing._load_table import BackendState, Queue
 from sparline.schema._declarations import Service
 
 # Assumed of an engine until its first report.
@@ -29,8 +29,8 @@
     """Hold what matters of the zone beside one backend server."""
 
     sharers: int  # live instances of the zone, which share its backend servers
-    short_waits: bool  # whether a short request waits here
-    long_waits: bool  # whether a long request waits here
+    queue: Queue  # requests for the same target that wait in the zone
+    queue_ms: float  # estimated time until those that go first have a slot
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +38,7 @@
     """Hold what one backend server of this zone would give a request."""
 
     backend: BackendState  # the backend server
+    wait_ms: float  # estimated wait before prefill
     ttft_ms: float  # estimated time to the first token
     total_ms: float  # estimated time to the end of the answer
     saving_ms: float  # prefill time that a cached prefix saves
@@ -76,12 +77,32 @@
     reserve = reserve_of(slots)
     if request.length is Length.LONG:
         free = backend.in_flight < slots and backend.long_in_flight < slots - reserve
-        return (free and not zone.short_waits) or backend.long_in_flight < reserve
-    kept = max(reserve - backend.long_in_flight, 0) if zone.long_waits else 0
+        return (free and not zone.queue.short) or backend.long_in_flight < reserve
+    kept = max(reserve - backend.long_in_flight, 0) if zone.queue.long else 0
     own_short = backend.own_in_flight - backend.own_long
     return backend.in_flight < slots - kept or own_short < max((slots - kept) // zone.sharers, 1)
 
 
+def backend_wait_ms(backend: BackendState, speed: BackendSpeed) -> float:
+    """Return the wait for a slot and for the prompts before, at one backend server."""
+    too_many = max(backend.in_flight - speed.slots + 1, 0)
+    slot_wait_ms = too_many * backend.hold_ms / speed.slots
+    return slot_wait_ms + backend.waiting_tokens * speed.ms_per_prompt_token
+
+
+def queue_wait_ms(
+    queue: Queue, length: Length, backends: list[BackendState], service: Service | None
+) -> float:
+    """Return the time until those of a queue that go first have a slot."""
+    slots = sum(speed_of(backend, service).slots for backend in backends)
+    if not slots:
+        return 0.0
+    work_ms = queue.short * sum(one.short_hold_ms for one in backends) / len(backends)
+    if length is Length.LONG:
+        work_ms += queue.long * sum(one.long_hold_ms for one in backends) / len(backends)
+    return work_ms / slots
+
+
 def estimate_local(
     request: Request,
     backend: BackendState,
@@ -91,18 +112,18 @@
 ) -> LocalEstimate:
     """Estimate one request at one backend server."""
     speed = speed_of(backend, service)
-    in_flight = backend.in_flight
-    too_many = max(in_flight - speed.slots + 1, 0)
-    slot_wait_ms = too_many * backend.service_ms / speed.slots
+    room = has_room(request, backend, speed.slots, zone)
+    wait_ms = backend_wait_ms(backend, speed) + (0.0 if room else zone.queue_ms)
     fresh_tokens = max(request.prompt_tokens - cached_tokens, 1)
-    prefill_ms = (backend.waiting_tokens + fresh_tokens) * speed.ms_per_prompt_token
+    prefill_ms = fresh_tokens * speed.ms_per_prompt_token
     if request.kind is TargetKind.SERVICE:
         prefill_ms = float(service.typical_call_ms) if service else 0.0
-    ttft_ms = slot_wait_ms + prefill_ms + speed.token_interval_ms
+    ttft_ms = wait_ms + prefill_ms + speed.token_interval_ms
     return LocalEstimate(
         backend=backend,
+        wait_ms=wait_ms,
         ttft_ms=ttft_ms,
         total_ms=ttft_ms + request.output_tokens * speed.token_interval_ms,
         saving_ms=min(cached_tokens, request.prompt_tokens) * speed.ms_per_prompt_token,
-        has_room=has_room(request, backend, speed.slots, zone),
+        has_room=room,
     )
--- a/sparline/routing/_load_table.py
+++ b/sparline/routing/_load_table.py
@@ -1,6 +1,6 @@
 """Load of the backend servers of this zone, as seen first-hand and told by siblings."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from sparline._clock import now_ms
@@ -8,7 +8,7 @@
 from sparline.declarations import Catalog
 from sparline.requests import Length, Request, TargetKind
 from sparline.schema._fleet import FleetMember, FleetRole, FleetState
-from sparline.schema._messages import BackendLoad, EngineReport, ZoneLoad
+from sparline.schema._messages import BackendLoad, EngineReport, WaitingCount, ZoneLoad
 
 # A backend server that failed is left alone for so long, doubled at each failure.
 EJECT_FIRST_MS = 500.0
@@ -17,9 +17,18 @@
 SIBLING_LOAD_TTL_MS = 3_000.0
 # A report older than this is no proof that an engine still holds a model.
 REPORT_TTL_MS = 10_000.0
-SERVICE_TIME_WEIGHT = 0.2
-# Until engines tell their speed.
-DEFAULT_SERVICE_MS = 200.0
+HOLD_TIME_WEIGHT = 0.2
+# Until requests have shown it.
+DEFAULT_SHORT_HOLD_MS = 200.0
+DEFAULT_LONG_HOLD_MS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """Count the requests for one target that wait in the zone."""
+
+    short: int  # short ones, which go first
+    long: int  # long ones
 
 
 @dataclass(slots=True)
@@ -34,7 +43,9 @@
     own_long: int = 0  # how many of them are long
     failures: int = 0  # failures in a row
     ejected_until_ms: float = 0.0  # no new work before then
-    service_ms: float = DEFAULT_SERVICE_MS  # typical time that a request holds a slot
+    unreachable_at_ms: float = 0.0  # when it could not be reached, 0 once a report came after
+    short_hold_ms: float = DEFAULT_SHORT_HOLD_MS  # typical time that a short request holds a slot
+    long_hold_ms: float = DEFAULT_LONG_HOLD_MS  # typical time that a long request holds a slot
     siblings: dict[InstanceId, tuple[float, BackendLoad]] = field(default_factory=dict)
 
     def fresh_siblings(self) -> Iterable[BackendLoad]:
@@ -62,12 +73,23 @@
         """Return the long requests from all instances of the zone."""
         return self.own_long + sum(load.long_in_flight for load in self.fresh_siblings())
 
+    @property
+    def hold_ms(self) -> float:
+        """Return the typical time that the requests there hold their slots."""
+        total = self.in_flight
+        if not total:
+            return self.short_hold_ms
+        long = min(self.long_in_flight, total)
+        return (long * self.long_hold_ms + (total - long) * self.short_hold_ms) / total
+
     @property
     def takes_work(self) -> bool:
         """Tell whether new work may be sent."""
         draining = self.report is not None and self.report.draining
         leaving = self.member.state is FleetState.leaving
-        return not draining and not leaving and now_ms() >= self.ejected_until_ms
+        if draining or leaving or self.unreachable_at_ms:
+            return False
+        return now_ms() >= self.ejected_until_ms
 
     def holds(self, target: TargetName, adapter: str) -> bool:
         """Tell whether the engine holds a model, in any version, and the adapter."""
@@ -111,7 +133,10 @@
         backend.own_long -= self._request.length is Length.LONG
         assert backend.own_in_flight >= 0, "a place was given back twice"
         held_ms = now_ms() - self._began_ms
-        backend.service_ms += SERVICE_TIME_WEIGHT * (held_ms - backend.service_ms)
+        if self._request.length is Length.LONG:
+            backend.long_hold_ms += HOLD_TIME_WEIGHT * (held_ms - backend.long_hold_ms)
+        else:
+            backend.short_hold_ms += HOLD_TIME_WEIGHT * (held_ms - backend.short_hold_ms)
 
 
 class LoadTable:
@@ -120,6 +145,8 @@
     def __init__(self, zone: str) -> None:
         """Start with no backend server."""
         self.sharers = 1  # live instances of the zone
+        self.own_waiting: Callable[[], list[WaitingCount]] = list  # requests that wait here
+        self._waiting: dict[InstanceId, tuple[float, list[WaitingCount]]] = {}
         self._zone = zone
         self._backends: dict[BackendServerId, BackendState] = {}
         self._sequences: dict[InstanceId, int] = {}
@@ -173,6 +200,8 @@
             backend.ejected_until_ms = 0.0
         backend.report = report
         backend.report_at_ms = made_at_ms
+        if made_at_ms > backend.unreachable_at_ms:
+            backend.unreachable_at_ms = 0.0
 
     def note_sibling(self, instance_id: InstanceId, load: ZoneLoad) -> None:
         """Take what a sibling tells of its own load; an older message is left out."""
@@ -180,6 +209,7 @@
             return
         self._sequences[instance_id] = load.sequence
         heard_at_ms = now_ms()
+        self._waiting[instance_id] = (heard_at_ms, load.waiting)
         for one in load.backend_servers:
             backend = self._backends.get(BackendServerId(one.backend_server))
             if backend is None:
@@ -191,15 +221,31 @@
     def forget_sibling(self, instance_id: InstanceId) -> None:
         """Drop what a lost or restarted sibling told."""
         self._sequences.pop(instance_id, None)
+        self._waiting.pop(instance_id, None)
         for backend in self._backends.values():
             backend.siblings.pop(instance_id, None)
 
+    def queue(self, target: str) -> Queue:
+        """Return the requests for a target that wait at this instance and its siblings."""
+        horizon_ms = now_ms() - SIBLING_LOAD_TTL_MS
+        told = [counts for at_ms, counts in self._waiting.values() if at_ms > horizon_ms]
+        counts = [one for each in (self.own_waiting(), *told) for one in each]
+        mine = [one for one in counts if one.target == target]
+        return Queue(sum(one.short for one in mine), sum(one.long for one in mine))
+
     def note_failure(self, backend: BackendState) -> None:
         """Leave a failing backend server alone for a while, longer each time."""
         backend.failures += 1
         pause_ms = min(EJECT_FIRST_MS * 2 ** (backend.failures - 1), EJECT_LONGEST_MS)
         backend.ejected_until_ms = now_ms() + pause_ms
 
+    def note_unreachable(self, backend: BackendState) -> None:
+        """Leave an engine alone until it tells its load again, a plain service for a while."""
+        if backend.member.role is FleetRole.engine:
+            backend.unreachable_at_ms = now_ms()
+        else:
+            self.note_failure(backend)
+
     def note_success(self, backend: BackendState) -> None:
         """End the count of failures."""
         backend.failures = 0
@@ -219,7 +265,7 @@
             for backend in self._backends.values()
             if backend.own_in_flight or backend.member.id in reading
         ]
-        return ZoneLoad(sequence, loads)
+        return ZoneLoad(sequence, self.own_waiting(), loads)
 
 
 def _serves(backend: BackendState, kind: TargetKind, target: TargetName, adapter: str) -> bool:
--- a/sparline/routing/_policy.py
+++ b/sparline/routing/_policy.py
@@ -6,6 +6,7 @@
 from sparline._hashing import hash64
 from sparline.requests import Length, Reason, Request
 from sparline.routing._candidates import Candidates, LocalCandidate, RemoteCandidate, Verdict
+from sparline.routing._summaries import ROOM_WAIT_MS
 from sparline.schema._declarations import Objective
 
 # Sending away must beat home by this much, against swings of the estimates.
@@ -60,7 +61,7 @@
         """Return what to do with a request of this zone's callers."""
         ...
 
-    def takes_relayed(self, request: Request, candidates: Candidates, own_waiting: int) -> bool:
+    def takes_relayed(self, request: Request, candidates: Candidates) -> bool:
         """Tell whether a request of another zone's caller is taken."""
         ...
 
@@ -122,12 +123,12 @@
             return True
         return home_ttft_ms > max(candidates.ttft_target_ms, COST_PATIENCE_SHARE * left_ms)
 
-    def takes_relayed(self, request: Request, candidates: Candidates, own_waiting: int) -> bool:
-        """Take what leaves room for this zone's own callers."""
-        if own_waiting:
+    def takes_relayed(self, request: Request, candidates: Candidates) -> bool:
+        """Take what waits here no longer than this zone's callers may be asked to."""
+        home = best_local(request, candidates) or _shortest_wait(candidates)
+        if home is None or home.estimate.wait_ms > ROOM_WAIT_MS:
             return False
-        home = best_local(request, candidates)
-        return home is not None and home.estimate.total_ms <= request.left_ms()
+        return home.estimate.total_ms <= request.left_ms()
 
     def engine_priority(self, request: Request) -> int:
         """Let short questions pass long work at the engine."""
--- a/sparline/routing/_summaries.py
+++ b/sparline/routing/_summaries.py
@@ -6,16 +6,24 @@
 from sparline._clock import now_ms
 from sparline._ids import InstanceId, TargetName, ZoneName
 from sparline.declarations import Catalog
-from sparline.requests import TargetKind
-from sparline.routing._estimate import reserve_of, speed_of
-from sparline.routing._load_table import BackendState, LoadTable
+from sparline.requests import Length, TargetKind
+from sparline.routing._estimate import backend_wait_ms, queue_wait_ms, reserve_of, speed_of
+from sparline.routing._load_table import BackendState, LoadTable, Queue
 from sparline.schema._declarations import Service
-from sparline.schema._messages import InstanceState, MemberBrief, TargetSummary, ZoneSummary
+from sparline.schema._messages import (
+    InstanceState,
+    MemberBrief,
+    RoomSummary,
+    TargetSummary,
+    ZoneSummary,
+)
 
 # A summary older than this says nothing any more.
 SUMMARY_TTL_MS = 15_000.0
 # Stands for the wait where nothing could run a request.
 NO_BACKEND_WAIT_MS = 10_000.0
+# A zone takes requests of others while they wait there no longer than this.
+ROOM_WAIT_MS = 200.0
 
 
 class SummaryVerdict(Enum):
@@ -150,45 +158,57 @@
         backends = table.holders(TargetKind.ENGINE, name, adapter)
         key = f"{name}+{adapter}" if adapter else name
         if backends:
-            found.append(_sum_up(key, name, backends, catalog))
+            found.append(_sum_up(key, name, backends, table, catalog))
     return found
 
 
 def _service_targets(name: TargetName, table: LoadTable, catalog: Catalog) -> list[TargetSummary]:
     backends = table.holders(TargetKind.SERVICE, name)
-    return [_sum_up(name, name, backends, catalog)] if backends else []
+    return [_sum_up(name, name, backends, table, catalog)] if backends else []
 
 
-def wait_for_target(backends: list[BackendState], service: Service | None) -> float:
+def wait_for_target(
+    backends: list[BackendState], service: Service | None, queue: Queue, length: Length
+) -> float:
     """Return the shortest wait before prefill, a long time where nothing takes work."""
-    waits = []
-    for backend in backends:
-        speed = speed_of(backend, service)
-        too_many = max(backend.in_flight - speed.slots + 1, 0)
-        waits.append(
-            too_many * backend.service_ms / speed.slots
-            + backend.waiting_tokens * speed.ms_per_prompt_token
-        )
+    queue_ms = queue_wait_ms(queue, length, backends, service)
+    waits = [backend_wait_ms(one, speed_of(one, service)) + queue_ms for one in backends]
     return min(waits, default=NO_BACKEND_WAIT_MS)
 
 
 def _sum_up(
-    key: str, name: TargetName, backends: list[BackendState], catalog: Catalog
+    key: str, name: TargetName, backends: list[BackendState], table: LoadTable, catalog: Catalog
 ) -> TargetSummary:
     service = catalog.services.get(name)
     working = [backend for backend in backends if backend.takes_work]
     speeds = [speed_of(backend, service) for backend in working]
-    rooms = [
-        max(speed.slots - reserve_of(speed.slots) - backend.in_flight, 0)
-        for backend, speed in zip(working, speeds, strict=True)
-    ]
+    queue = table.queue(key)
     return TargetSummary(
         target=key,
         versions=sorted({version for backend in working for version in backend.versions(name)}),
-        room=sum(rooms),
         slots=sum(speed.slots for speed in speeds),
-        wait_ms=int(wait_for_target(working, service) if working else 0),
+        short=_room(working, service, queue, Length.SHORT),
+        long=_room(working, service, queue, Length.LONG),
         ms_per_prompt_token=min((speed.ms_per_prompt_token for speed in speeds), default=0.0),
         token_interval_ms=min((speed.token_interval_ms for speed in speeds), default=0.0),
-        service_ms=int(max((backend.service_ms for backend in working), default=0)),
     )
+
+
+def _room(
+    backends: list[BackendState], service: Service | None, queue: Queue, length: Length
+) -> RoomSummary:
+    """Return how many requests of others fit before the wait is too long for them."""
+    queue_ms = queue_wait_ms(queue, length, backends, service)
+    rooms = [_room_at(backend, service, queue_ms, length) for backend in backends]
+    wait_ms = wait_for_target(backends, service, queue, length)
+    return RoomSummary(room=int(sum(rooms)), wait_ms=int(wait_ms))
+
+
+def _room_at(
+    backend: BackendState, service: Service | None, queue_ms: float, length: Length
+) -> float:
+    speed = speed_of(backend, service)
+    free = max(speed.slots - reserve_of(speed.slots) - backend.in_flight, 0)
+    patience_ms = max(ROOM_WAIT_MS - backend_wait_ms(backend, speed) - queue_ms, 0)
+    hold_ms = backend.long_hold_ms if length is Length.LONG else backend.short_hold_ms
+    return (0 if queue_ms else free) + speed.slots * patience_ms / max(hold_ms, 1.0)
--- a/sparline/schema/_messages.py
+++ b/sparline/schema/_messages.py
@@ -86,6 +86,16 @@
     draining: Annotated[bool, Meta(description="Whether the backend server takes no more work.")]
 
 
+class WaitingCount(WireNode):
+    """
+    Count the requests for one target that wait at one instance.
+    """
+
+    target: str
+    short: int
+    long: int
+
+
 class MemberBrief(WireNode):
     """
     Name one live instance of a zone.
@@ -98,6 +108,15 @@
     platform_cut: bool
 
 
+class RoomSummary(WireNode):
+    """
+    Sum up the room that a zone has for requests of one length.
+    """
+
+    room: Annotated[int, Meta(description="Requests that the zone would take from others now.")]
+    wait_ms: Annotated[int, Meta(description="Estimated wait before prefill of one more request.")]
+
+
 class TargetSummary(WireNode):
     """
     Sum up the room that a zone has for one model or service.
@@ -105,12 +124,11 @@
 
     target: Annotated[str, Meta(description="Model, model+adapter, or service.")]
     versions: Annotated[list[str], Meta(description="Versions that are loaded.")]
-    room: Annotated[int, Meta(description="Requests that the zone would take from others now.")]
     slots: int
-    wait_ms: Annotated[int, Meta(description="Estimated wait before prefill of one more request.")]
+    short: RoomSummary
+    long: RoomSummary
     ms_per_prompt_token: float
     token_interval_ms: float
-    service_ms: Annotated[int, Meta(description="Typical time that a request holds its slot.")]
 
 
 class ZoneSummary(WireMessage):
@@ -307,6 +325,10 @@
     """
 
     sequence: int
+    waiting: Annotated[
+        list[WaitingCount],
+        Meta(description="Requests that wait at the sender, for the targets that have any."),
+    ]
     backend_servers: list[BackendLoad]
 
 
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -278,6 +278,9 @@
             standin.faults = Faults()
             standin.draining = False
         self.network.set_cuts([])
+        for instance in self.instances.values():
+            for state in instance.loads.all():
+                instance.loads.note_success(state)
         self.until(self._all_take_work, "all backend servers take work")
 
     def _all_take_work(self) -> bool:
