Measure control traffic at several sizes of the fleet

Cause: the size to design for needs slopes, and none was measured.

Change: scripts/bench control runs instances per zone, regions, zones per region, replicas, organisations, changes and requests at three or more sizes each, and fits lines; files of organisations hold twenty each; stand-ins of a zone may share a process.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 import sys
 
 from benchmarks._baselines import POLICIES
+from benchmarks._control import control
 from benchmarks._demo import demo
 from benchmarks._limits import limits
 from benchmarks._routing import overload, region_loss, routing, slow_link
@@ -21,6 +22,7 @@
     "region-loss": region_loss,
     "slow-link": slow_link,
     "limits": limits,
+    "control": control,
 }
 
 
--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -54,6 +54,7 @@
     zone: ZoneShape  # where it runs
     role: str  # engine or service
     address: BackendAddress  # where it listens
+    model: str  # model that an engine holds, empty for a service
 
 
 class PortPool:
@@ -82,11 +83,13 @@
         shape: Shape,
         runner: tuple[str, ...] = ("-m", "sparline", "serve"),
         organisations: list[OrganisationShape] | None = None,
+        packed: bool = False,
     ) -> None:
         """Plan the addresses; `start` starts the processes."""
         self.shape = shape
         self.organisations = organisations_of(shape) if organisations is None else organisations
         self._runner = runner
+        self._packed = packed  # whether a zone's backend servers share a process
         self._folder = tempfile.TemporaryDirectory(prefix="sparline-run-")
         self._ports = PortPool()
         self._processes: dict[str, subprocess.Popen] = {}
@@ -105,19 +108,23 @@
         return InstancePlace(f"{zone.name}-{number}", zone, ip, *ports)
 
     def _plan_backends(self, zone: ZoneShape) -> list[BackendPlace]:
-        roles = ["engine"] * zone.engines + ["service"] * zone.services
+        engines = [("engine", self.shape.model_of(number)) for number in range(zone.engines)]
+        roles = engines + [("service", "")] * zone.services
         return [
             BackendPlace(
-                f"{zone.name}-{role}-{number}", zone, role, BackendAddress(HOST, self._ports.take())
+                f"{zone.name}-{role}-{number}",
+                zone,
+                role,
+                BackendAddress(HOST, self._ports.take()),
+                model,
             )
-            for number, role in enumerate(roles)
+            for number, (role, model) in enumerate(roles)
         ]
 
     def start(self) -> None:
         """Start the stand-ins, publish the files and the list, start the instances."""
         self._start_platform()
-        for backend in self.backends:
-            self._start_standins(backend.name, [self._backend_config(backend)])
+        self._start_backends()
         self.publish_all()
         for place in self.instances:
             self.start_instance(place)
@@ -125,6 +132,16 @@
             lambda: all(self.is_live(place) for place in self.instances), "instances to go live"
         )
 
+    def _start_backends(self) -> None:
+        """Start each backend server as a process, or all of a zone as one."""
+        if not self._packed:
+            for backend in self.backends:
+                self._start_standins(backend.name, [self._backend_config(backend)])
+            return
+        for zone in self.shape.zones:
+            mine = [self._backend_config(one) for one in self.backends if one.zone is zone]
+            self._start_standins(f"{zone.name}-backends", mine)
+
     def _start_platform(self) -> None:
         self._start_standins(
             "platform", [{"role": "platform", "ip": self.platform.ip, "port": self.platform.port}]
@@ -173,8 +190,8 @@
             "cache_tokens": self.shape.cache_tokens,
         }
         loaded = [
-            f"{self.shape.model}@v1",
-            *(f"{self.shape.model}+{one}" for one in self.shape.adapters),
+            f"{backend.model}@v1",
+            *(f"{backend.model}+{one}" for one in self.shape.adapters),
         ]
         platform = [self.platform.ip, self.platform.port]
         return {"role": "engine", **address, "shape": shape, "loaded": loaded, "platform": platform}
@@ -198,7 +215,7 @@
 
     def publish_all(self) -> None:
         """Publish the files and the fleet list."""
-        engines = [one.name for one in self.backends if one.role == "engine"]
+        engines = {one.name: one.model for one in self.backends if one.role == "engine"}
         for name, document in files_of(self.shape, self.organisations, engines).items():
             self.publish(name, as_body(document))
         for place in self.instances:
--- a/benchmarks/_shapes.py
+++ b/benchmarks/_shapes.py
@@ -34,8 +34,18 @@
     cache_tokens: int = 20_000  # prefix cache of an engine
     adapters: tuple[str, ...] = ()  # adapters of the model
     limit_per_s: float = 1000.0  # limit of each organisation
+    more_models: int = 0  # models beside the first, held by some of the engines each
     timing: dict[str, int] = field(default_factory=dict)  # settings that differ from the defaults
 
+    @property
+    def models(self) -> list[str]:
+        """Return the names of all models."""
+        return [self.model, *(f"{self.model}-{number}" for number in range(self.more_models))]
+
+    def model_of(self, engine_number: int) -> str:
+        """Return the model that an engine of a zone holds."""
+        return self.models[engine_number % len(self.models)]
+
     @property
     def regions(self) -> list[str]:
         """Return the regions in order."""
@@ -98,30 +108,37 @@
     return found
 
 
+ORGANISATIONS_PER_FILE = 20
+
+
 def files_of(
-    shape: Shape, organisations: list[OrganisationShape], engines: list[str]
+    shape: Shape, organisations: list[OrganisationShape], engines: dict[str, str]
 ) -> dict[str, dict[str, Any]]:
-    """Return the files that operators would publish for a shape."""
-    return {
+    """Return the files that operators would publish; `engines` names the model of each."""
+    files = {
         "topology": _topology(shape),
-        f"models/{shape.model}": model_file(shape, "v1"),
         f"services/{shape.service}": {
             "kind": "service",
             "name": shape.service,
             "objective": shape.objective,
         },
-        "organisations/00": _organisations(shape, organisations),
         "backend-servers/00": {
             "kind": "backend_servers",
             "backend_servers": [
-                {"id": one, "orders": "fenced", "models": [shape.model]} for one in engines
+                {"id": one, "orders": "fenced", "models": [model]} for one, model in engines.items()
             ],
         },
     }
+    for model in shape.models:
+        files[f"models/{model}"] = model_file(shape, "v1") | {"name": model}
+    for begin in range(0, len(organisations), ORGANISATIONS_PER_FILE):
+        group = organisations[begin : begin + ORGANISATIONS_PER_FILE]
+        files[f"organisations/{begin // ORGANISATIONS_PER_FILE:03}"] = _organisations(shape, group)
+    return files
 
 
 def model_file(shape: Shape, version: str) -> dict[str, Any]:
-    """Return the model's file with a version in force."""
+    """Return the first model's file with a version in force."""
     return {
         "kind": "model",
         "name": shape.model,
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -162,7 +162,9 @@
 
     def publish_all(self) -> None:
         """Publish files and list."""
-        for name, document in files_of(self.shape, self.organisations, list(self.engines)).items():
+        for name, document in files_of(
+            self.shape, self.organisations, dict.fromkeys(self.engines, self.shape.model)
+        ).items():
             self.platform.publish(name, as_body(document))
         for name in self.settings:
             self.list_instance(name)
