Carry control messages in fewer frames, and look at the own region only

Cause: an idle instance spends 1.4% of a core before two instances a zone, 2.4% before eight; a profile spreads it over wake-ups of links, a connection a load poll, and one frame a message. Duties were computed over the whole fleet at each heartbeat.

Change: a frame carries all messages that wait; summaries travel on with the next heartbeat; links sleep until something comes; duties read the region's part of the list; load reports are read each second.

Measured: before (scripts/bench control, idle, 2, 4, 8 instances a zone): 1.40, 1.72, 2.37% of a core, 11.5, 27.7, 59.4 messages/s.

--- a/sparline/declarations/_catalog.py
+++ b/sparline/declarations/_catalog.py
@@ -33,6 +33,7 @@
     backend_details: dict[BackendServerId, BackendServer] = field(default_factory=dict)
     model_revisions: dict[TargetName, int] = field(default_factory=dict)
     placement_revisions: dict[BackendServerId, int] = field(default_factory=dict)
+    _by_region: dict[str, list[FleetMember]] = field(default_factory=dict)
     _residency: dict[str, frozenset[RegionName]] = field(default_factory=dict)
     _links: dict[frozenset[str], RegionLink] = field(default_factory=dict)
     _engine_prices: dict[str, float] = field(default_factory=dict)
@@ -42,6 +43,14 @@
         """Return the organisation that a bearer key belongs to."""
         return self._keys.get(hashlib.sha256(key.encode()).hexdigest())
 
+    def regions(self) -> list[str]:
+        """Return the regions that have instances."""
+        return list(self._by_region)
+
+    def instances_in_region(self, region: str) -> list[FleetMember]:
+        """Return the instances of a region, so that no duty looks at the whole fleet."""
+        return self._by_region.get(region, [])
+
     def allowed_regions(self, rule: str) -> frozenset[RegionName]:
         """Return the regions of a residency rule; a rule not in force allows none."""
         return self._residency.get(rule, frozenset())
@@ -94,6 +103,7 @@
 def _add_member(catalog: Catalog, member: FleetMember) -> None:
     if member.role is FleetRole.instance:
         catalog.instances[InstanceId(member.id)] = member
+        catalog._by_region.setdefault(member.region, []).append(member)
     else:
         catalog.backend_servers[BackendServerId(member.id)] = member
 
--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sparline._clock import now_ms
-from sparline._ids import InstanceId
+from sparline._ids import InstanceId, ZoneName
 from sparline._logging import log
 from sparline._metrics import Metrics
 from sparline.declarations import Catalog, RecordStore
@@ -14,7 +14,14 @@
 from sparline.instance._records_sync import RecordsSync
 from sparline.limits import LimitExchange
 from sparline.peers import Membership, Message, PeerLink, Receiver, Scope, next_hops, scope_of
-from sparline.routing import LoadTable, Reporter, SummaryTable, SummaryVerdict, summarise
+from sparline.routing import (
+    LoadTable,
+    Reporter,
+    SummaryTable,
+    SummaryVerdict,
+    aged,
+    summarise,
+)
 from sparline.schema._messages import (
     Heartbeat,
     LimitReport,
@@ -64,6 +71,7 @@
         self._summary_sequence = 0
         self._next_summary_ms = 0.0
         self._last_beat_ms = now_ms()
+        self._to_pass_on: dict[PeerLink, dict[ZoneName, tuple[float, ZoneSummary]]] = {}
         self._platform_heard: dict[InstanceId, float] = {}
 
     def beat(self) -> None:
@@ -76,6 +84,7 @@
         for link in links:
             link.send(heartbeat)
         self._send_load(links)
+        self._send_passed_on()
         self._send_summary()
 
     def _notice_pause(self) -> None:
@@ -137,7 +146,7 @@
         link.send(self._heartbeat())
         if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
             for held in self._parts.summaries.fresh():
-                link.send(held.aged())
+                link.send(aged(held.summary, now_ms() - held.received_ms))
 
     def on_lost(self, link: PeerLink) -> None:
         """Drop what a lost peer told."""
@@ -185,16 +194,23 @@
         if verdict is not SummaryVerdict.NEWER:
             self._parts.metrics.stale_summaries.labels(verdict.value).inc()
             return
-        held = self._parts.summaries.get(message.availability_zone)
-        if held is not None:
-            self._pass_on(held.aged(), link, came_from, message.region == own.region)
+        self._pass_on(message, link, came_from, message.region == own.region)
 
     def _pass_on(
         self, summary: ZoneSummary, link: PeerLink, came_from: Scope, own_region: bool
     ) -> None:
+        """Pass a summary on with the next heartbeat, so that many travel in one frame."""
+        received_ms = now_ms()
         for following in next_hops(self._parts.membership, came_from, own_region):
             if following is not link:
-                following.send(summary)
+                pending = self._to_pass_on.setdefault(following, {})
+                pending[ZoneName(summary.availability_zone)] = (received_ms, summary)
+
+    def _send_passed_on(self) -> None:
+        pending, self._to_pass_on = self._to_pass_on, {}
+        for link, summaries in pending.items():
+            for received_ms, summary in summaries.values():
+                link.send(aged(summary, now_ms() - received_ms))
 
     @_take.register
     def _(self, message: RecordsPull, link: PeerLink) -> None:
--- a/sparline/limits/_exchange.py
+++ b/sparline/limits/_exchange.py
@@ -49,7 +49,7 @@
 
     def report(self) -> None:
         """Send demand to the owner of each active organisation's limit."""
-        for region in {one.region for one in self.catalog.instances.values()}:
+        for region in self.catalog.regions():
             self._view(region)
         self._enforcer.instances_in_fleet = max(len(self.catalog.instances), 1)
         self._owner.drop(
--- a/sparline/orders/tests/test_orders.py
+++ b/sparline/orders/tests/test_orders.py
@@ -91,14 +91,16 @@
 def test_only_the_owner_sends(fleet: LocalFleet) -> None:
     publish_version(fleet, "v2")
     fleet.until(lambda: everyone_holds(fleet, "v2"), "all engines hold the new version")
-    done = {
-        name: one.metrics.registry.get_sample_value(
-            "sparline_orders_total", {"kind": "load", "result": "done"}
+    labels = {"kind": "load", "result": "done"}
+
+    def done() -> list[float]:
+        registries = (one.metrics.registry for one in fleet.instances.values())
+        return sorted(
+            one.get_sample_value("sparline_orders_total", labels) or 0 for one in registries
         )
-        or 0
-        for name, one in fleet.instances.items()
-    }
-    assert sorted(done.values()) == [0, 2]
+
+    fleet.until(lambda: sum(done()) >= 2, "both orders are counted")
+    assert done() == [0, 2]
 
 
 def test_new_owner_waits_before_unfenced_engines(fleet: LocalFleet) -> None:
--- a/sparline/peers/_codec.py
+++ b/sparline/peers/_codec.py
@@ -42,6 +42,8 @@
     | RelayEnd
 )
 
+_BAD_DATA = (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError)
+
 MESSAGE_TYPES = get_args(Message)
 
 
@@ -50,11 +52,26 @@
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
+def encode_frame(encoded: list[bytes]) -> bytes:
+    """Return one frame that carries several encoded messages."""
+    return cbor2.dumps(encoded)
+
+
+def decode_frame(data: bytes | str) -> Result[list[bytes], str]:
+    """Read the encoded messages of one frame."""
+    if isinstance(data, str):
+        return Err("expected a binary frame, found a text frame")
+    try:
+        return Ok(msgspec.convert(cbor2.loads(data), list[bytes], builtin_types=(bytes,)))
+    except _BAD_DATA as error:
+        return Err(f"expected a list of messages, found {len(data)} bytes: {error}")
+
+
 def decode(data: bytes | str) -> Result[Message, str]:
     """Read a message as received."""
     if isinstance(data, str):
         return Err("expected a binary frame, found a text frame")
     try:
         return Ok(msgspec.convert(cbor2.loads(data), Message, builtin_types=(bytes,)))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
+    except _BAD_DATA as error:
         return Err(f"expected a message of this version, found {len(data)} bytes: {error}")
--- a/sparline/peers/_link.py
+++ b/sparline/peers/_link.py
@@ -4,19 +4,17 @@
 from enum import Enum
 
 import gevent
-from gevent.queue import Empty, Full, Queue
-from result import Err, Ok
+from gevent.queue import Full, Queue
 from websockets.exceptions import ConnectionClosed, ConnectionClosedOK
 from websockets.sync.connection import Connection
 
 from sparline._clock import now_ms
 from sparline._metrics import Metrics
-from sparline.peers._codec import Message, decode, encode
+from sparline.peers._codec import Message, decode, decode_frame, encode, encode_frame
 from sparline.schema._messages import Heartbeat, Hello
 
 # Messages that may wait for a slow peer before its link is dropped.
 MAX_QUEUED = 500
-READ_SLICE_S = 0.5
 
 
 class LinkEnd(Enum):
@@ -49,57 +47,66 @@
             self._queue.put_nowait(message)
         except Full:
             self._metrics.peer_events.labels("queue_full").inc()
-            self._end = LinkEnd.LOST
-            self.close()
+            self._lose()
 
-    def run(self, receive: Callable[["PeerLink", Message], None], timeout_ms: float) -> LinkEnd:
-        """Read until the link ends; silence longer than the timeout ends it too."""
+    def run(self, receive: Callable[["PeerLink", Message], None]) -> LinkEnd:
+        """Read until the link ends."""
         writer = gevent.spawn(self._write)
         try:
             while not self.closed:
-                self._read_one(receive)
-                if now_ms() - self.heard_at_ms > timeout_ms:
-                    self._metrics.peer_events.labels("silent").inc()
-                    return LinkEnd.LOST
+                self._read_frame(receive)
             return self._end
         except ConnectionClosedOK:
-            return LinkEnd.CLOSED
+            return self._end if self.closed else LinkEnd.CLOSED
         except (ConnectionClosed, OSError):
-            return LinkEnd.LOST
+            return self._end if self.closed else LinkEnd.LOST
         finally:
             self.close()
             writer.kill()
 
-    def _read_one(self, receive: Callable[["PeerLink", Message], None]) -> None:
-        try:
-            data = self._connection.recv(timeout=READ_SLICE_S)
-        except TimeoutError:
+    def drop_if_silent(self, timeout_ms: float) -> None:
+        """Give up a peer that has said nothing for too long."""
+        if now_ms() - self.heard_at_ms > timeout_ms:
+            self._metrics.peer_events.labels("silent").inc()
+            self._lose()
+
+    def _read_frame(self, receive: Callable[["PeerLink", Message], None]) -> None:
+        frame = decode_frame(self._connection.recv())
+        if frame.is_err():
+            self._refuse_frame()
             return
-        match decode(data):
-            case Err(_):
-                self._metrics.peer_events.labels("bad_message").inc()
-                self.close()
-            case Ok(message):
-                self._count(message, "in", len(data))
-                self.heard_at_ms = now_ms()
-                if isinstance(message, Heartbeat):
-                    self.heartbeat = message
-                receive(self, message)
+        self.heard_at_ms = now_ms()
+        for data in frame.unwrap():
+            message = decode(data)
+            if message.is_err():
+                self._refuse_frame()
+                return
+            self._count(message.unwrap(), "in", len(data))
+            if isinstance(message.unwrap(), Heartbeat):
+                self.heartbeat = message.unwrap()
+            receive(self, message.unwrap())
+
+    def _refuse_frame(self) -> None:
+        self._metrics.peer_events.labels("bad_message").inc()
+        self._lose()
+
+    def _lose(self) -> None:
+        self._end = LinkEnd.LOST
+        self.close()
 
     def _write(self) -> None:
         while not self.closed:
+            messages = [self._queue.get()]
+            while not self._queue.empty():
+                messages.append(self._queue.get())
+            encoded = [encode(message) for message in messages]
             try:
-                message = self._queue.get(timeout=READ_SLICE_S)
-            except Empty:
-                continue
-            data = encode(message)
-            try:
-                self._connection.send(data)
+                self._connection.send(encode_frame(encoded))
             except (ConnectionClosed, OSError):
-                self._end = LinkEnd.LOST
-                self.close()
+                self._lose()
                 return
-            self._count(message, "out", len(data))
+            for message, data in zip(messages, encoded, strict=True):
+                self._count(message, "out", len(data))
 
     def _count(self, message: Message, direction: str, size: int) -> None:
         channel = type(message).__name__
--- a/sparline/peers/_membership.py
+++ b/sparline/peers/_membership.py
@@ -124,15 +124,17 @@
         return zone == self.self_hello.availability_zone
 
     def live_in_zone(self, zone: str) -> list[InstanceId]:
-        """Return the live instances of a zone."""
-        return self._live(lambda member: member.availability_zone == zone)
+        """Return the live instances of a zone of this instance's region."""
+        members = self.catalog.instances_in_region(self.self_hello.region)
+        return [
+            InstanceId(one.id)
+            for one in members
+            if one.availability_zone == zone and self.is_live(one)
+        ]
 
     def live_in_region(self, region: str) -> list[InstanceId]:
         """Return the live instances of a region."""
-        return self._live(lambda member: member.region == region)
-
-    def _live(self, wanted: Callable[[FleetMember], bool]) -> list[InstanceId]:
-        members = (one for one in self.catalog.instances.values() if wanted(one))
+        members = self.catalog.instances_in_region(region)
         return [InstanceId(one.id) for one in members if self.is_live(one)]
 
     def has_zone_duty(self, duty: str) -> bool:
@@ -172,11 +174,8 @@
 
     def sees_whole_region(self, region: str) -> bool:
         """Tell whether every instance that the list calls live can be seen."""
-        listed = [
-            one
-            for one in self.catalog.instances.values()
-            if one.region == region and one.state is FleetState.live
-        ]
+        members = self.catalog.instances_in_region(region)
+        listed = [one for one in members if one.state is FleetState.live]
         return all(self.is_live(one) or self._told_leaving(one) for one in listed)
 
     def _told_leaving(self, member: FleetMember) -> bool:
--- a/sparline/peers/_mesh.py
+++ b/sparline/peers/_mesh.py
@@ -13,7 +13,7 @@
 from sparline.peers._codec import Message, decode, encode
 from sparline.peers._link import PeerLink
 from sparline.peers._membership import Membership
-from sparline.peers._rendezvous import ranked
+from sparline.peers._rendezvous import first, ranked
 from sparline.schema._fleet import FleetMember, FleetState
 from sparline.schema._messages import Hello, LinkPurpose
 from sparline.schema._settings import Address
@@ -144,6 +144,7 @@
             if self._should_dial(instance_id):
                 gevent.spawn(self._dial, instance_id)
         for link in self._membership.links():
+            link.drop_if_silent(self._silence_ms)
             if link.dialled and InstanceId(link.peer.instance_id) not in needed:
                 self._metrics.peer_events.labels("not_needed").inc()
                 link.close()
@@ -154,19 +155,17 @@
 
     def _needed(self) -> set[InstanceId]:
         own = self._membership.self_hello
-        members = [
-            one
-            for one in self._membership.catalog.instances.values()
-            if one.id != own.instance_id and one.state is FleetState.live
-        ]
-        needed = {InstanceId(one.id) for one in members if self._dials_sibling(one)}
-        contacts = self._zone_contacts([one for one in members if one.region == own.region])
-        contacts |= self._region_contacts([one for one in members if one.region != own.region])
+        catalog = self._membership.catalog
+        near = [one for one in catalog.instances_in_region(own.region) if self._is_other(one)]
+        needed = {InstanceId(one.id) for one in near if self._dials_sibling(one)}
+        contacts = self._zone_contacts(near) | self._region_contacts()
         self._membership.contacts = contacts
         now = now_ms()
         self._wanted = {one: until for one, until in self._wanted.items() if until > now}
-        known = {one.id for one in members}
-        return needed | contacts | {one for one in self._wanted if one in known}
+        return needed | contacts | {one for one in self._wanted if one in catalog.instances}
+
+    def _is_other(self, member: FleetMember) -> bool:
+        return member.id != self._membership.self_id and member.state is FleetState.live
 
     def _dials_sibling(self, member: FleetMember) -> bool:
         own = self._membership.self_hello
@@ -178,10 +177,16 @@
         groups = ([one for one in members if one.availability_zone == zone] for zone in zones)
         return {contact for group in groups if (contact := self._contact(group))}
 
-    def _region_contacts(self, members: list[FleetMember]) -> set[InstanceId]:
-        regions = {one.region for one in members}
-        mine = [one for one in regions if self._membership.has_region_duty(f"link/{one}")]
-        groups = ([one for one in members if one.region == region] for region in mine)
+    def _region_contacts(self) -> set[InstanceId]:
+        own = self._membership.self_hello
+        catalog = self._membership.catalog
+        live = self._membership.live_in_region(own.region) or [self._membership.self_id]
+        regions = [one for one in catalog.regions() if one != own.region]
+        mine = [one for one in regions if first(f"link/{one}", live) == self._membership.self_id]
+        groups = [
+            [one for one in catalog.instances_in_region(region) if one.state is FleetState.live]
+            for region in mine
+        ]
         return {contact for group in groups if (contact := self._contact(group))}
 
     def _contact(self, group: list[FleetMember]) -> InstanceId | None:
@@ -222,7 +227,7 @@
         self._membership.note_link(link)
         self._metrics.peer_events.labels("opened").inc()
         self._receiver.on_link(link)
-        end = link.run(self._receiver.on_message, self._silence_ms)
+        end = link.run(self._receiver.on_message)
         if self._membership.note_ended(link, end):
             self._metrics.peer_events.labels("lost").inc()
             self._receiver.on_lost(link)
--- a/sparline/routing/__init__.py
+++ b/sparline/routing/__init__.py
@@ -29,6 +29,7 @@
     Reporter,
     SummaryTable,
     SummaryVerdict,
+    aged,
     summarise,
     wait_for_target,
 )
@@ -57,6 +58,7 @@
     "SummaryVerdict",
     "Verdict",
     "WaitHere",
+    "aged",
     "best_local",
     "long_or_short",
     "prefix_keys",
--- a/sparline/routing/_summaries.py
+++ b/sparline/routing/_summaries.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from sparline._clock import now_ms
 from sparline._ids import InstanceId, TargetName, ZoneName
 from sparline.declarations import Catalog
@@ -41,25 +43,17 @@
 
     summary: ZoneSummary  # as received
     made_at_ms: float  # by this process's clock, at the latest
+    received_ms: float  # when it came here
     first_seen_ms: float  # when the zone came into sight
 
     def age_ms(self) -> float:
         """Return how old the content is."""
         return now_ms() - self.made_at_ms
 
-    def aged(self) -> ZoneSummary:
-        """Return the summary with its age up to now, to be passed on."""
-        one = self.summary
-        return ZoneSummary(
-            one.region,
-            one.availability_zone,
-            one.reporter,
-            one.reporter_incarnation,
-            one.sequence,
-            int(self.age_ms()),
-            one.members,
-            one.targets,
-        )
+
+def aged(summary: ZoneSummary, by_ms: float) -> ZoneSummary:
+    """Return a summary that has grown older, to be passed on."""
+    return msgspec.structs.replace(summary, age_ms=int(summary.age_ms + by_ms))
 
 
 class SummaryTable:
@@ -83,7 +77,7 @@
         first_seen_ms = (
             now_ms() if held is None or held.age_ms() > SUMMARY_TTL_MS else held.first_seen_ms
         )
-        self._held[zone] = HeldSummary(summary, made_at_ms, first_seen_ms)
+        self._held[zone] = HeldSummary(summary, made_at_ms, now_ms(), first_seen_ms)
         return SummaryVerdict.NEWER
 
     def fresh(self) -> list[HeldSummary]:
--- a/sparline/schema/_settings.py
+++ b/sparline/schema/_settings.py
@@ -71,7 +71,7 @@
             ge=50,
             le=10000,
         ),
-    ] = 500
+    ] = 1000
     platform_wait_ms: Annotated[
         int, Meta(description="Time that one watch waits at the platform.", ge=100, le=60000)
     ] = 10000
