--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -31,6 +31,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 START_TIMEOUT_MS = 30_000.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,21 +60,26 @@
 
 
 class PortPool:
-    """Hand out free ports; each is asked of the system once."""
+    """Hand out ports that are free on every address of this machine.
 
-    def __init__(self) -> None:
-        """Start with no port handed out."""
-        self._given: set[int] = set()
+    They lie below the ports that the system gives to outgoing connections, which would
+    otherwise take one between its choice and its use.
+    """
+
+    _next = FIRST_PORT + os.getpid() * 61 % (LAST_PORT - FIRST_PORT)
 
     def take(self) -> int:
-        """Return a port that is free now."""
+        """Return a port that is free now and was not handed out before."""
         while True:
+            PortPool._next += 1
+            if PortPool._next > LAST_PORT:
+                PortPool._next = FIRST_PORT
             with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                port = probe.getsockname()[1]
-            if port not in self._given:
-                self._given.add(port)
-                return port
+                try:
+                    probe.bind(("", PortPool._next))
+                except OSError:
+                    continue
+            return PortPool._next
 
 
 class Fleet:
