--- /dev/null
+++ b/sparline/dispatch/tests/test_waiting_room.py
@@ -0,0 +1,66 @@
+"""Who waits goes in order of urgency, and long work does not starve."""
+
+from dataclasses import replace
+
+import pytest
+
+from sparline.dispatch import RetryBudget, WaitingRoom
+from sparline.relay.tests.test_sender import make_request
+from sparline.requests import Length, Request
+
+SHORT, LONG = Length.SHORT, Length.LONG
+
+ORDERS = [
+    # name, waiting as (length, priority), places, who gets them
+    ("first come", [(SHORT, 5), (SHORT, 5)], 1, [0]),
+    ("short before long", [(LONG, 5), (SHORT, 5)], 1, [1]),
+    ("priority", [(SHORT, 5), (SHORT, 9)], 1, [1]),
+    ("priority does not lift long over short", [(LONG, 9), (SHORT, 0)], 1, [1]),
+    ("all that fit", [(LONG, 5), (SHORT, 5), (SHORT, 5)], 3, [0, 1, 2]),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "waiting", "places", "placed"), ORDERS, ids=[row[0] for row in ORDERS]
+)
+def test_order(name: str, waiting: list, places: int, placed: list[int]) -> None:
+    left = [places]
+
+    def place(_request: Request, _excluded: frozenset) -> object | None:
+        if not left[0]:
+            return None
+        left[0] -= 1
+        return object()
+
+    room = WaitingRoom(place)
+    waiters = [
+        room.enter(replace(make_request(True), length=length, priority=priority), frozenset())
+        for length, priority in waiting
+    ]
+    room.pump()
+    assert [number for number, one in enumerate(waiters) if one.reservation] == placed
+    assert len(room) == len(waiting) - len(placed)
+
+
+def test_long_work_passes_short_questions_that_do_not_fit() -> None:
+    room = WaitingRoom(lambda request, _excluded: object() if request.length is LONG else None)
+    short = room.enter(replace(make_request(True), length=SHORT), frozenset())
+    long = room.enter(replace(make_request(True), length=LONG), frozenset())
+    room.pump()
+    assert long.reservation and not short.reservation
+
+
+def test_counts_tell_what_waits() -> None:
+    room = WaitingRoom(lambda *_: None)
+    for length in (SHORT, LONG, LONG):
+        room.enter(replace(make_request(True), length=length), frozenset())
+    assert [(one.target, one.short, one.long) for one in room.counts()] == [("m", 1, 2)]
+
+
+def test_retries_stay_a_small_part_of_all_requests() -> None:
+    budget = RetryBudget()
+    spent = 0
+    for _ in range(1000):
+        budget.earn()
+        spent += sum(budget.spend() for _ in range(3))
+    assert spent <= 0.2 * 1000 + 20
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -1,5 +1,6 @@
 """One instance: all parts put together, its tasks, its start and its planned stop."""
 
+import contextlib
 import random
 import uuid
 from collections.abc import Callable
@@ -7,6 +8,7 @@
 import gevent
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
+from websockets.exceptions import ConnectionClosed
 from websockets.sync.connection import Connection
 from websockets.sync.server import Server
 from websockets.sync.server import serve as serve_websockets
@@ -245,6 +247,10 @@
         self.metrics.waiting.set(len(self.dispatcher.waiting_room))
 
     def _serve_peer(self, connection: Connection) -> None:
+        with contextlib.suppress(ConnectionClosed, OSError):
+            self._serve_connection(connection)
+
+    def _serve_connection(self, connection: Connection) -> None:
         hello = read_hello(connection)
         if hello.is_err():
             self.metrics.peer_events.labels("bad_hello").inc()
--- /dev/null
+++ b/sparline/routing/tests/test_policy.py
@@ -0,0 +1,237 @@
+"""Decisions in tables: here, away, wait or refuse."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from sparline._ids import InstanceId, ZoneName
+from sparline.relay.tests.test_sender import make_request
+from sparline.requests import Length, Origin, Request
+from sparline.routing import (
+    BackendState,
+    Candidates,
+    EstimatePolicy,
+    LocalCandidate,
+    Refuse,
+    RemoteCandidate,
+    RunHere,
+    SendAway,
+    SpareRoom,
+    Verdict,
+    WaitHere,
+    best_local,
+    prefix_keys,
+)
+from sparline.routing._estimate import LocalEstimate, ZoneView, has_room
+from sparline.routing._load_table import Queue
+from sparline.routing._summaries import SummaryTable, SummaryVerdict
+from sparline.schema._declarations import Objective
+from sparline.schema._fleet import FleetMember
+from sparline.schema._messages import BackendLoad, InstanceState, MemberBrief, ZoneSummary
+
+USABLE, NO_ROOM, NO_SHARE = Verdict.USABLE, Verdict.NO_ROOM, Verdict.NO_SHARE
+TAIL, COST = Objective.tail_latency, Objective.cost
+
+
+def backend(name: str = "e") -> BackendState:
+    return BackendState(
+        FleetMember(
+            id=name,
+            role="engine",
+            region="north",
+            availability_zone="zone-a",
+            ip="127.0.0.1",
+            port=1,
+            incarnation="-",
+            state="live",
+        )
+    )
+
+
+def local(
+    wait_ms: float, verdict: Verdict = USABLE, name: str = "e", saving_ms: float = 0.0
+) -> LocalCandidate:
+    estimate = LocalEstimate(
+        backend(name), wait_ms, wait_ms + 20, wait_ms + 100, saving_ms, verdict is USABLE
+    )
+    return LocalCandidate(estimate, 1.0, verdict)
+
+
+def remote(
+    ttft_ms: float, verdict: Verdict = USABLE, zone: str = "zone-b", cost: float = 1.0
+) -> RemoteCandidate:
+    return RemoteCandidate(
+        "south", ZoneName(zone), InstanceId("b-0"), ttft_ms, ttft_ms + 80, cost, verdict
+    )
+
+
+DECISIONS = [
+    # name, here, away, objective, deadline in ms, decision
+    ("room here", [local(0)], [remote(5)], TAIL, 1000, RunHere),
+    ("short wait stays", [local(100, NO_ROOM)], [remote(40)], TAIL, 1000, WaitHere),
+    ("long wait leaves", [local(400, NO_ROOM)], [remote(40)], TAIL, 1000, SendAway),
+    ("long wait, away no better", [local(400, NO_ROOM)], [remote(390)], TAIL, 1000, WaitHere),
+    ("long wait, share used", [local(400, NO_ROOM)], [remote(40, NO_SHARE)], TAIL, 1000, WaitHere),
+    ("cost is patient", [local(400, NO_ROOM)], [remote(40)], COST, 4000, WaitHere),
+    ("cost has its limit", [local(1400, NO_ROOM)], [remote(40)], COST, 4000, SendAway),
+    ("out of reach here, in reach away", [local(950, NO_ROOM)], [remote(40)], COST, 1000, SendAway),
+    ("out of reach everywhere", [local(950, NO_ROOM)], [remote(950)], TAIL, 1000, Refuse),
+    ("nothing here", [], [remote(40)], COST, 1000, SendAway),
+    ("nothing anywhere", [], [], TAIL, 1000, Refuse),
+    ("only without a share", [], [remote(40, NO_SHARE)], TAIL, 1000, Refuse),
+    ("not allowed away", [local(400, NO_ROOM)], [remote(1, Verdict.NOT_ALLOWED)], TAIL, 1000, WaitHere),
+    ("relayed once already", [local(400, NO_ROOM)], [remote(1, Verdict.RELAYED)], TAIL, 1000, WaitHere),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("name", "here", "away", "objective", "deadline_ms", "wanted"),
+    DECISIONS,
+    ids=[row[0] for row in DECISIONS],
+)
+def test_decision(
+    name: str, here: list, away: list, objective: Objective, deadline_ms: float, wanted: type
+) -> None:
+    request = make_request(repeatable=True, deadline_ms=deadline_ms)
+    decision = EstimatePolicy().decide(
+        request, Candidates(tuple(here), tuple(away), objective, 310)
+    )
+    assert isinstance(decision, wanted), decision
+    assert not isinstance(decision, Refuse) or decision.retry_after_ms >= 100
+
+
+def test_cost_takes_the_cheaper_of_two() -> None:
+    away = (remote(40, zone="dear", cost=2.0), remote(60, zone="cheap", cost=1.0))
+    decision = EstimatePolicy().decide(make_request(True), Candidates((), away, COST, 310))
+    assert decision.candidate.zone == "cheap"
+
+
+TAKES = [
+    # name, here, whether a relayed request is taken
+    ("room", [local(0)], True),
+    ("short wait", [local(150, NO_ROOM)], True),
+    ("long wait", [local(250, NO_ROOM)], False),
+    ("nothing here", [], False),
+]
+
+
+@pytest.mark.parametrize(("name", "here", "taken"), TAKES, ids=[row[0] for row in TAKES])
+def test_receiving_side_has_the_last_word(name: str, here: list, taken: bool) -> None:
+    request = replace(make_request(True, 2000), origin=Origin.RELAY)
+    assert EstimatePolicy().takes_relayed(request, Candidates(tuple(here), (), TAIL, 310)) is taken
+
+
+AFFINITY = [
+    # name, candidates, chosen
+    ("cached one", [local(0, name="a"), local(10, name="b", saving_ms=100)], "b"),
+    ("cached one is too busy", [local(0, name="a"), local(200, name="b", saving_ms=100)], "a"),
+]
+
+
+@pytest.mark.parametrize(("name", "here", "chosen"), AFFINITY, ids=[row[0] for row in AFFINITY])
+def test_prompts_with_one_start_stay_together(name: str, here: list, chosen: str) -> None:
+    request = replace(make_request(True), prefix_keys=(1,))
+    best = best_local(request, Candidates(tuple(here), (), TAIL, 310))
+    assert best.estimate.backend.member.id == chosen
+
+
+ROOM = [
+    # name, length, in flight, of these long, siblings' in flight, queue, room of 4 slots for 2 sharers
+    ("empty", Length.SHORT, 0, 0, 0, Queue(0, 0), True),
+    ("full by others, own share free", Length.SHORT, 1, 0, 4, Queue(0, 0), True),
+    ("full by others, own share used", Length.SHORT, 2, 0, 4, Queue(0, 0), False),
+    ("last slot is kept for long ones that wait", Length.SHORT, 3, 0, 0, Queue(0, 1), False),
+    ("nothing is kept once a long one runs", Length.SHORT, 3, 1, 0, Queue(0, 1), True),
+    ("long one in an empty engine", Length.LONG, 0, 0, 0, Queue(0, 0), True),
+    ("long ones leave a slot", Length.LONG, 3, 3, 0, Queue(0, 0), False),
+    ("long one behind short ones", Length.LONG, 2, 1, 0, Queue(1, 0), False),
+    ("long one in the slot kept for it", Length.LONG, 3, 0, 0, Queue(1, 0), True),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("name", "length", "own", "own_long", "others", "queue", "room"),
+    ROOM,
+    ids=[row[0] for row in ROOM],
+)
+def test_room(
+    name: str, length: Length, own: int, own_long: int, others: int, queue: Queue, room: bool
+) -> None:
+    state = backend()
+    state.own_in_flight, state.own_long = own, own_long
+    state.siblings = {InstanceId("s"): (float("inf"), BackendLoad("e", others, 0, 0, None))}
+    request: Request = replace(make_request(True), length=length)
+    assert has_room(request, state, 4, ZoneView(2, queue, 0.0)) is room
+
+
+def summary(
+    reporter: str, sequence: int, age_ms: int, uptimes: dict[str, int], incarnation: str = "1"
+) -> ZoneSummary:
+    members = [
+        MemberBrief(
+            name, incarnation if name == reporter else "1", InstanceState.live, uptime, False
+        )
+        for name, uptime in uptimes.items()
+    ]
+    return ZoneSummary("south", "zone-b", reporter, incarnation, sequence, age_ms, members, [])
+
+
+SUMMARIES = [
+    # name, held, offered, verdict
+    ("next of the same", summary("b-0", 1, 0, {"b-0": 100}), summary("b-0", 2, 0, {"b-0": 200}), "newer"),
+    ("same again", summary("b-0", 2, 0, {"b-0": 200}), summary("b-0", 2, 50, {"b-0": 200}), "old_sequence"),
+    ("overtaken", summary("b-0", 2, 0, {"b-0": 200}), summary("b-0", 1, 0, {"b-0": 100}), "old_sequence"),
+    ("restarted", summary("b-0", 9, 500, {"b-0": 900}), summary("b-0", 1, 0, {"b-0": 1}, "2"), "newer"),
+    ("another, who heard the first go on", summary("b-0", 9, 900, {"b-0": 900, "b-1": 900}), summary("b-1", 1, 0, {"b-0": 1500, "b-1": 1500}), "newer"),
+    ("another, woken from a freeze", summary("b-0", 9, 900, {"b-0": 900, "b-1": 300}), summary("b-1", 5, 0, {"b-0": 300, "b-1": 1500}), "old_members"),
+    ("another, who lost the first", summary("b-0", 9, 900, {"b-0": 900, "b-1": 900}), summary("b-1", 1, 0, {"b-1": 2000}), "newer"),
+    ("another, but older", summary("b-0", 9, 0, {"b-0": 900}), summary("b-1", 1, 5000, {"b-1": 2000}), "old_age"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("name", "held", "offered", "verdict"), SUMMARIES, ids=[row[0] for row in SUMMARIES]
+)
+def test_state_from_before_does_not_come_back(
+    name: str, held: ZoneSummary, offered: ZoneSummary, verdict: str
+) -> None:
+    table = SummaryTable()
+    assert table.offer(held) is SummaryVerdict.NEWER
+    assert table.offer(offered).value == verdict
+
+
+def test_many_senders_do_not_take_one_room_at_once() -> None:
+    table = SummaryTable()
+    table.offer(summary("b-0", 1, 0, {"b-0": 1}))
+    held = table.fresh()[0]
+    object.__setattr__(held, "first_seen_ms", held.first_seen_ms - 60_000)
+    taken = 0
+    for number in range(200):
+        spare = SpareRoom(random.Random(number))
+        while spare.available(held, "m", 10, 200):
+            spare.take(ZoneName("zone-b"), "m")
+            taken += 1
+    # On average the room, not two hundred times the room.
+    assert 5 <= taken <= 40
+
+
+def test_refusals_end_the_growth_of_a_share() -> None:
+    table = SummaryTable()
+    table.offer(summary("b-0", 1, 0, {"b-0": 1}))
+    held = table.fresh()[0]
+    spare = SpareRoom(random.Random(1))
+    zone = ZoneName("zone-b")
+    spare.available(held, "m", 8, 1)
+    for _ in range(20):
+        spare.accepted(zone, "m")
+    grown = spare._uses[zone, "m"].limit
+    spare.refused(zone, "m")
+    assert spare._uses[zone, "m"].limit == grown / 2
+    assert not spare.available(held, "m", 8, 1)
+
+
+def test_prefix_keys_grow_with_the_prompt() -> None:
+    assert prefix_keys("o", "m", "x" * 100) == ()
+    assert len(prefix_keys("o", "m", "x" * 1024)) == 2
+    assert prefix_keys("o", "m", "x" * 1024)[0] == prefix_keys("o", "m", "x" * 300)[0]
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -1,6 +1,7 @@
 """A small fleet inside the test process: stand-ins and whole instances on loopback."""
 
 import random
+import socket
 import uuid
 from collections.abc import Callable
 from dataclasses import replace
@@ -8,6 +9,7 @@
 
 import gevent
 import msgspec
+from gevent.monkey import get_original
 
 from benchmarks._callers import Caller, Job, Report
 from benchmarks._fleet import PortPool
@@ -23,7 +25,7 @@
 from sparline.backends import BackendAddress, call_json
 from sparline.instance import Instance
 from sparline.routing import EstimatePolicy, Policy
-from sparline.schema._settings import Settings
+from sparline.schema._settings import Address, Settings
 from standins import Engine, EngineShape, Faults, Forward, Place, PlainService, Platform, WideArea
 
 HOST = "127.0.0.1"
@@ -99,6 +101,12 @@
             for number in range(zone.instances):
                 self._plan_instance(index, zone, number)
 
+    def _seeds_of(self, name: str) -> list[Address]:
+        others = [one for one in self.settings.values() if one.instance_id != name]
+        return [
+            Address(ip=one.listen.peers.ip, port=self._listed[one.instance_id]) for one in others
+        ]
+
     def _plan_instance(self, zone_index: int, zone: ZoneShape, number: int) -> None:
         name = f"{zone.name}-{number}"
         ip = f"127.9.{zone_index + 1}.{number + 1}"
@@ -112,10 +120,7 @@
             "availability_zone": zone.name,
             "listen": {one: {"ip": ip, "port": port} for one, port in ports.items()},
             "platform_urls": [self._platform_url],
-            "seed_peers": [
-                {"ip": one.listen.peers.ip, "port": self._listed[one.instance_id]}
-                for one in self.settings.values()
-            ][:2],
+            "seed_peers": [],
             "timing": self._timing,
         }
         self.settings[name] = msgspec.convert(document, Settings)
@@ -197,11 +202,20 @@
 
     def start_instance(self, name: str, policy: Policy | None = None) -> Instance:
         """Start one instance, or its replacement."""
-        instance = Instance(self.settings[name], policy or EstimatePolicy())
+        seeded = msgspec.structs.replace(self.settings[name], seed_peers=self._seeds_of(name))
+        instance = Instance(seeded, policy or EstimatePolicy())
         instance.start()
         self.instances[name] = instance
         return instance
 
+    def start_instance_again(self, name: str) -> Instance:
+        """Stop one instance and start its replacement."""
+        self.instances.pop(name).stop()
+        listen = self.settings[name].listen
+        for address in (listen.callers, listen.peers, listen.operators):
+            self.until(lambda one=address: _is_free(one), "the address is free again")
+        return self.start_instance(name)
+
     def caller(self, region: str, seed: int = 7) -> Caller:
         """Return a caller of a region."""
         entries = [
@@ -314,6 +328,19 @@
         self.stop()
 
 
+def _is_free(address: Address) -> bool:
+    # A patched socket is closed a moment later, and would hold the address itself.
+    plain_socket = get_original("socket", "socket")
+    with plain_socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((address.ip, address.port))
+            probe.listen()
+        except OSError:
+            return False
+    return True
+
+
 def new_id() -> str:
     """Return a fresh request id."""
     return uuid.uuid4().hex
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -34,6 +34,7 @@
         self.callers: Counter[str] = Counter()  # calls by reader
         self.outage = False  # whether all services are down
         self.cut_zones: set[str] = set()  # zones that can't reach the platform
+        self.cut_readers: set[str] = set()  # instances that can't reach it
         self.stale_at_revision: int | None = None  # what readers are held back to
         self.fleet_lag_ms = 0.0  # delay of the fleet list
         self._weights_per_s = weights_per_s
@@ -83,7 +84,9 @@
         return routes
 
     def _down_for(self, environ: Environ) -> bool:
-        return self.outage or query_of(environ).get("zone") in self.cut_zones
+        query = query_of(environ)
+        cut = query.get("zone") in self.cut_zones or query.get("reader") in self.cut_readers
+        return self.outage or cut
 
     def _get_records(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         query = query_of(environ)
