Spend less on control, and work out the size to design for from measured rows

Change: heartbeats to other zones go out with every second beat; what goes to many peers is encoded once; load reports keep their connections. The control experiment counts messages by channel and fits processor time to them; designs and memory at 340 instances follow.

--- a/benchmarks/_control.py
+++ b/benchmarks/_control.py
@@ -10,6 +10,8 @@
 import gevent
 import psutil
 
+from benchmarks._capacity import print_capacity
+from benchmarks._control_rows import NodeRow, Setting
 from benchmarks._fleet import Fleet, InstancePlace
 from benchmarks._load import Mix, run_load
 from benchmarks._shapes import (
@@ -31,40 +33,10 @@
 CHANGED_FILE = "organisations/000"
 
 
-@dataclass(frozen=True, slots=True)
-class Setting:
-    """Describe one size of the fleet."""
-
-    variable: str  # what grows
-    size: float  # how far
-    regions: int = 2  # regions, each with as many zones
-    zones_per_region: int = 1  # availability zones of a region
-    instances: int = 2  # instances of a zone
-    replicas: int = 2  # engines of a zone
-    organisations: int = 20  # organisations in the files
-    changes_per_s: float = 0.0  # files published
-    requests_per_s: float = 0.0  # requests of each region
-
-
-@dataclass(frozen=True, slots=True)
-class NodeRow:
-    """Hold the figures of the instances of one run, averages and the worst."""
-
-    setting: Setting  # what ran
-    cpu_percent: float  # of one core, average of the instances
-    cpu_percent_worst: float  # of the worst instance
-    rss_mb: float  # resident memory, average
-    bytes_per_s: float  # control in and out, average
-    bytes_per_s_worst: float  # of the worst instance
-    messages_per_s: float  # control in and out, average
-    by_channel: dict[str, float]  # bytes a second by channel, in and out, average
-    platform_calls_per_s: float  # of all instances together
-    in_force_ms: float  # time until the slowest instance had a change, -1 without changes
-
-
 SETTINGS = (
     *(Setting("instances per zone", size, instances=size) for size in (2, 4, 8)),
     *(Setting("regions", size, regions=size) for size in (2, 4, 8, 16)),
+    *(Setting("regions, 4 a zone", size, regions=size, instances=4) for size in (4, 8, 16)),
     *(Setting("zones per region", size, zones_per_region=size) for size in (1, 2, 4)),
     *(Setting("replicas per zone", size, replicas=size) for size in (2, 8, 24)),
     *(Setting("organisations", size, organisations=size) for size in (20, 1000, 5000)),
@@ -96,6 +68,8 @@
             f"slope by {variable}: "
             + ", ".join(f"{name} {value:.4g}" for name, value in slopes.items())
         )
+    if not options.quick:
+        print_capacity(rows)
     print(
         json.dumps(
             {
@@ -153,25 +127,31 @@
     cpu_s: float  # processor time
     rss_mb: float  # resident memory
     bytes: dict[str, float]  # control bytes by channel
-    messages: float  # control messages
+    messages: dict[str, float]  # control messages by channel
 
 
 def _sample(fleet: Fleet, place: InstancePlace) -> _Sample:
     process = psutil.Process(fleet.process(place.name).pid)
     times = process.cpu_times()
-    by_channel: dict[str, float] = defaultdict(float)
-    messages = 0.0
-    for line in fleet.metrics(place).splitlines():
-        value = float(line.rpartition(" ")[2]) if line and line[0] != "#" else 0.0
-        if line.startswith("sparline_control_bytes_total"):
-            by_channel[line.partition('channel="')[2].partition('"')[0]] += value
-        elif line.startswith("sparline_control_messages_total"):
-            messages += value
+    text = fleet.metrics(place)
     return _Sample(
-        times.user + times.system, process.memory_info().rss / MB, dict(by_channel), messages
+        cpu_s=times.user + times.system,
+        rss_mb=process.memory_info().rss / MB,
+        bytes=_by_channel(text, "sparline_control_bytes_total"),
+        messages=_by_channel(text, "sparline_control_messages_total"),
     )
 
 
+def _by_channel(metrics: str, name: str) -> dict[str, float]:
+    """Return a counter's sums by channel, in and out together."""
+    sums: dict[str, float] = defaultdict(float)
+    for line in metrics.splitlines():
+        if line.startswith(name):
+            channel = line.partition('channel="')[2].partition('"')[0]
+            sums[channel] += float(line.rpartition(" ")[2])
+    return dict(sums)
+
+
 def _platform_calls(fleet: Fleet) -> float:
     return float(sum(fleet.platform_calls()["readers"].values()))
 
@@ -213,18 +193,9 @@
     in_force_ms: float,
 ) -> NodeRow:
     cpu = [(after.cpu_s - before.cpu_s) / elapsed_s * 100 for before, after in samples]
-    totals = [
-        (sum(after.bytes.values()) - sum(before.bytes.values())) / elapsed_s
-        for before, after in samples
-    ]
-    channels = {channel for _, after in samples for channel in after.bytes}
-    by_channel = {
-        channel: statistics.fmean(
-            (after.bytes.get(channel, 0) - before.bytes.get(channel, 0)) / elapsed_s
-            for before, after in samples
-        )
-        for channel in sorted(channels)
-    }
+    sent = [_rates(before.bytes, after.bytes, elapsed_s) for before, after in samples]
+    counted = [_rates(before.messages, after.messages, elapsed_s) for before, after in samples]
+    totals = [sum(rates.values()) for rates in sent]
     return NodeRow(
         setting=setting,
         cpu_percent=statistics.fmean(cpu),
@@ -232,15 +203,23 @@
         rss_mb=statistics.fmean(after.rss_mb for _, after in samples),
         bytes_per_s=statistics.fmean(totals),
         bytes_per_s_worst=max(totals),
-        messages_per_s=statistics.fmean(
-            (after.messages - before.messages) / elapsed_s for before, after in samples
-        ),
-        by_channel=by_channel,
+        messages_per_s=statistics.fmean(sum(rates.values()) for rates in counted),
+        by_channel=_mean_rates(sent),
+        messages_by_channel=_mean_rates(counted),
         platform_calls_per_s=calls_per_s,
         in_force_ms=in_force_ms,
     )
 
 
+def _rates(before: dict[str, float], after: dict[str, float], elapsed_s: float) -> dict[str, float]:
+    return {name: (value - before.get(name, 0.0)) / elapsed_s for name, value in after.items()}
+
+
+def _mean_rates(rates: list[dict[str, float]]) -> dict[str, float]:
+    names = sorted({name for one in rates for name in one})
+    return {name: statistics.fmean(one.get(name, 0.0) for one in rates) for name in names}
+
+
 MEASURED = ("cpu_percent", "rss_mb", "bytes_per_s", "messages_per_s", "platform_calls_per_s")
 
 
@@ -284,4 +263,7 @@
             for name in (*MEASURED, "cpu_percent_worst", "bytes_per_s_worst", "in_force_ms")
         },
         "by_channel": {channel: round(value, 1) for channel, value in row.by_channel.items()},
+        "messages_by_channel": {
+            channel: round(value, 2) for channel, value in row.messages_by_channel.items()
+        },
     }
--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -13,7 +13,16 @@
 from sparline.instance._load_reader import LoadReader
 from sparline.instance._records_sync import RecordsSync
 from sparline.limits import LimitExchange
-from sparline.peers import Membership, Message, PeerLink, Receiver, Scope, next_hops, scope_of
+from sparline.peers import (
+    EncodedMessage,
+    Membership,
+    Message,
+    PeerLink,
+    Receiver,
+    Scope,
+    next_hops,
+    scope_of,
+)
 from sparline.routing import (
     LoadTable,
     Reporter,
@@ -41,6 +50,8 @@
 FOREVER_MS = 1e12
 # A gap between heartbeats of this many intervals means that the process was frozen.
 PAUSE_INTERVALS = 6
+# Links outside the zone get every so many heartbeats.
+FAR_EVERY = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +82,8 @@
         self._summary_sequence = 0
         self._next_summary_ms = 0.0
         self._last_beat_ms = now_ms()
-        self._to_pass_on: dict[PeerLink, dict[ZoneName, tuple[float, ZoneSummary]]] = {}
+        self._to_pass_on: dict[ZoneName, tuple[float, ZoneSummary, list[PeerLink]]] = {}
+        self._beats = 0
         self._platform_heard: dict[InstanceId, float] = {}
 
     def beat(self) -> None:
@@ -80,10 +92,15 @@
         zone = self._parts.membership.self_hello.availability_zone
         self._parts.loads.sharers = max(len(self._parts.membership.live_in_zone(zone)), 1)
         links = self._parts.membership.links()
-        heartbeat = self._heartbeat()
-        for link in links:
+        own = self._parts.membership.self_hello
+        siblings = [link for link in links if scope_of(own, link.peer) is Scope.SIBLING]
+        self._beats += 1
+        # Siblings need loads often; other links only have to show that they live.
+        due = links if self._beats % FAR_EVERY == 0 else siblings
+        heartbeat = EncodedMessage.of(self._heartbeat())
+        for link in due:
             link.send(heartbeat)
-        self._send_load(links)
+        self._send_load(siblings)
         self._send_passed_on()
         self._send_summary()
 
@@ -118,12 +135,12 @@
             answers.append(self.reader.last_answer_ms)
         return now_ms() - max(answers) if answers else FOREVER_MS
 
-    def _send_load(self, links: list[PeerLink]) -> None:
+    def _send_load(self, siblings: list[PeerLink]) -> None:
         self._sequence += 1
-        load = self._parts.loads.own_load(self._sequence, self._parts.load_reader.read_here())
-        for link in links:
-            if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
-                link.send(load)
+        read_here = self._parts.load_reader.read_here()
+        load = EncodedMessage.of(self._parts.loads.own_load(self._sequence, read_here))
+        for link in siblings:
+            link.send(load)
 
     def _send_summary(self) -> None:
         if now_ms() < self._next_summary_ms or not self._parts.membership.has_zone_duty("summary"):
@@ -135,9 +152,8 @@
             InstanceId(own.instance_id), own.incarnation, own.region, own.availability_zone
         )
         members = self._parts.membership.zone_members()
-        summary = summarise(
-            reporter, self._summary_sequence, members, self._parts.loads, self.catalog
-        )
+        made = summarise(reporter, self._summary_sequence, members, self._parts.loads, self.catalog)
+        summary = EncodedMessage.of(made)
         for link in next_hops(self._parts.membership, Scope.SELF, own_region_news=True):
             link.send(summary)
 
@@ -200,17 +216,18 @@
         self, summary: ZoneSummary, link: PeerLink, came_from: Scope, own_region: bool
     ) -> None:
         """Pass a summary on with the next heartbeat, so that many travel in one frame."""
-        received_ms = now_ms()
-        for following in next_hops(self._parts.membership, came_from, own_region):
-            if following is not link:
-                pending = self._to_pass_on.setdefault(following, {})
-                pending[ZoneName(summary.availability_zone)] = (received_ms, summary)
+        hops = next_hops(self._parts.membership, came_from, own_region)
+        following = [one for one in hops if one is not link]
+        if following:
+            zone = ZoneName(summary.availability_zone)
+            self._to_pass_on[zone] = (now_ms(), summary, following)
 
     def _send_passed_on(self) -> None:
         pending, self._to_pass_on = self._to_pass_on, {}
-        for link, summaries in pending.items():
-            for received_ms, summary in summaries.values():
-                link.send(aged(summary, now_ms() - received_ms))
+        for received_ms, summary, links in pending.values():
+            encoded = EncodedMessage.of(aged(summary, now_ms() - received_ms))
+            for link in links:
+                link.send(encoded)
 
     @_take.register
     def _(self, message: RecordsPull, link: PeerLink) -> None:
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -184,6 +184,7 @@
             holder.catalog = catalog
         self.control.catalog = catalog
         self.loads.refresh(catalog)
+        self.load_reader.forget_gone()
         self.status_board.note_records()
         self.metrics.peers.set(len(self.membership.links()))
 
--- a/sparline/instance/_load_reader.py
+++ b/sparline/instance/_load_reader.py
@@ -2,16 +2,16 @@
 
 import gevent
 import msgspec
-from result import Ok
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from sparline._ids import BackendServerId
-from sparline.backends import BackendAddress, call_json
 from sparline.peers import Membership, first
 from sparline.routing import BackendState, LoadTable
-from sparline.schema._fleet import FleetRole
+from sparline.schema._fleet import FleetMember, FleetRole
 from sparline.schema._messages import EngineReport
 
-READ_TIMEOUT_MS = 800.0
+READ_TIMEOUT_S = 0.8
 
 
 class _ReportNode(msgspec.Struct, frozen=True):
@@ -34,6 +34,7 @@
         """Read into one table."""
         self._membership = membership
         self._loads = loads
+        self._clients: dict[tuple[str, int], HTTPClient] = {}
 
     def read_here(self) -> list[BackendServerId]:
         """Return the backend servers whose reports fall to this instance."""
@@ -61,13 +62,34 @@
 
     def read(self, backend: BackendState) -> bool:
         """Read one report now; tell whether it came."""
-        address = BackendAddress(backend.member.ip, backend.member.port)
-        answer = call_json(address, "GET", "/load", b"", READ_TIMEOUT_MS)
-        match answer:
-            case Ok((200, content)):
-                return self._take(backend, content)
-        self._loads.note_unreachable(backend)
-        return False
+        try:
+            answer = self._client(backend.member).get("/load")
+            content = answer.read()
+        except (OSError, HTTPParseError):
+            self._loads.note_unreachable(backend)
+            return False
+        if answer.status_code != 200:
+            self._loads.note_unreachable(backend)
+            return False
+        return self._take(backend, bytes(content))
+
+    def _client(self, member: FleetMember) -> HTTPClient:
+        """Return a client whose connection stays open; a report may be asked for twice."""
+        address = member.ip, member.port
+        if address not in self._clients:
+            self._clients[address] = HTTPClient(
+                *address,
+                concurrency=2,
+                connection_timeout=READ_TIMEOUT_S,
+                network_timeout=READ_TIMEOUT_S,
+            )
+        return self._clients[address]
+
+    def forget_gone(self) -> None:
+        """Close the connections to engines that are not in the list any more."""
+        known = {(one.member.ip, one.member.port) for one in self._loads.all()}
+        for address in [one for one in self._clients if one not in known]:
+            self._clients.pop(address).close()
 
     def _take(self, backend: BackendState, content: bytes) -> bool:
         try:
--- a/sparline/peers/__init__.py
+++ b/sparline/peers/__init__.py
@@ -1,7 +1,7 @@
 """Peers: links between instances, membership, and how news spreads."""
 
 from sparline.peers._codec import MESSAGE_TYPES, Message, decode, encode
-from sparline.peers._link import PeerLink
+from sparline.peers._link import EncodedMessage, PeerLink
 from sparline.peers._membership import Membership
 from sparline.peers._mesh import MAX_MESSAGE_BYTES, Dialer, Mesh, Receiver, read_hello
 from sparline.peers._rendezvous import first, ranked
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Dialer",
+    "EncodedMessage",
     "MAX_MESSAGE_BYTES",
     "MESSAGE_TYPES",
     "Membership",
--- a/sparline/peers/_link.py
+++ b/sparline/peers/_link.py
@@ -1,6 +1,7 @@
 """One control link to one peer: a task reads, a task writes."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 import gevent
@@ -17,6 +18,19 @@
 MAX_QUEUED = 500
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedMessage:
+    """Hold a message that is encoded once and sent to many peers."""
+
+    channel: str  # name of the message's type
+    data: bytes  # as sent
+
+    @classmethod
+    def of(cls, message: Message) -> "EncodedMessage":
+        """Encode a message."""
+        return cls(type(message).__name__, encode(message))
+
+
 class LinkEnd(Enum):
     """Say how a link ended."""
 
@@ -39,12 +53,13 @@
         self._end = LinkEnd.CLOSED
         self._connection = connection
         self._metrics = metrics
-        self._queue: Queue[Message] = Queue(MAX_QUEUED)
+        self._queue: Queue[EncodedMessage] = Queue(MAX_QUEUED)
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message | EncodedMessage) -> None:
         """Queue a message; a peer that takes nothing loses its link."""
+        known = message if isinstance(message, EncodedMessage) else EncodedMessage.of(message)
         try:
-            self._queue.put_nowait(message)
+            self._queue.put_nowait(known)
         except Full:
             self._metrics.peer_events.labels("queue_full").inc()
             self._lose()
@@ -81,7 +96,7 @@
             if message.is_err():
                 self._refuse_frame()
                 return
-            self._count(message.unwrap(), "in", len(data))
+            self._count(type(message.unwrap()).__name__, "in", len(data))
             if isinstance(message.unwrap(), Heartbeat):
                 self.heartbeat = message.unwrap()
             receive(self, message.unwrap())
@@ -99,17 +114,15 @@
             messages = [self._queue.get()]
             while not self._queue.empty():
                 messages.append(self._queue.get())
-            encoded = [encode(message) for message in messages]
             try:
-                self._connection.send(encode_frame(encoded))
+                self._connection.send(encode_frame([message.data for message in messages]))
             except (ConnectionClosed, OSError):
                 self._lose()
                 return
-            for message, data in zip(messages, encoded, strict=True):
-                self._count(message, "out", len(data))
+            for message in messages:
+                self._count(message.channel, "out", len(message.data))
 
-    def _count(self, message: Message, direction: str, size: int) -> None:
-        channel = type(message).__name__
+    def _count(self, channel: str, direction: str, size: int) -> None:
         self._metrics.control_messages.labels(channel, direction).inc()
         self._metrics.control_bytes.labels(channel, direction).inc(size)
 
--- a/sparline/schema/_settings.py
+++ b/sparline/schema/_settings.py
@@ -60,7 +60,7 @@
     peer_timeout_ms: Annotated[
         int,
         Meta(description="Silence after which a peer counts as unreachable.", ge=200, le=60000),
-    ] = 2000
+    ] = 3000
     summary_interval_ms: Annotated[
         int, Meta(description="Pause between two summaries of a zone.", ge=100, le=60000)
     ] = 2000
