Prove that a request nobody waits for is not sent, and go through a peak

Cause: a request in the waiting room could be placed after its caller left; nothing showed that it is not sent. Goodput after a peak was not measured.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,7 +11,7 @@
 from benchmarks._control import control
 from benchmarks._demo import demo
 from benchmarks._limits import limits
-from benchmarks._routing import overload, region_loss, routing, slow_link
+from benchmarks._routing import overload, peak, region_loss, routing, slow_link
 from benchmarks._serve import serve
 from benchmarks._shapes import SHAPES
 from benchmarks._soak import soak
@@ -19,6 +19,7 @@
 EXPERIMENTS = {
     "routing": routing,
     "overload": overload,
+    "peak": peak,
     "region-loss": region_loss,
     "slow-link": slow_link,
     "limits": limits,
--- a/benchmarks/_routing.py
+++ b/benchmarks/_routing.py
@@ -198,6 +198,33 @@
     return finish("region-loss", [row], ratio, goals)
 
 
+def peak(options: argparse.Namespace) -> int:
+    """Go through a peak far above what engines carry, and compare goodput before and after."""
+    phase_s = 6.0 if options.quick else 12.0
+    shape = replace(SHAPES[options.users or CARVALHO.user], **SLOW_ENGINE)
+    full = capacity_per_region(shape)
+
+    def rate(_region: int, at_s: float) -> float:
+        return full * (2.0 if phase_s <= at_s < 2 * phase_s else 0.6)
+
+    # Callers come back at once and often, as in a storm.
+    mix = Mix(tries=6)
+    row, reports = run_plan(Plan("estimate", shape, rate, 3 * phase_s, mix), f"{shape.user} peak")
+    began_ms = min(report.began_ms for report in reports)
+    goodput = _goodput_by_second(reports, began_ms, 3 * phase_s, shape)
+    before = _mean(goodput[1 : int(phase_s)])
+    during = _mean(goodput[int(phase_s) : int(2 * phase_s)])
+    after = _mean(goodput[int(2 * phase_s) + 2 : int(3 * phase_s)])
+    print("goodput by second of arrival:", " ".join(f"{value:.0f}" for value in goodput))
+    ratio = {"after_to_before": _ratio(after, before), "during_to_before": _ratio(during, before)}
+    goals = {"goodput after the peak at least 90% of before": after >= 0.9 * before}
+    return finish("peak", [row], ratio, goals)
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / max(len(values), 1)
+
+
 def _goodput_by_second(
     reports: list[Report], began_ms: float, seconds: float, shape: Shape
 ) -> list[float]:
--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -98,7 +98,11 @@
             end = yield from self._try_once(request, progress)
             stop = self._reason_to_stop(request, progress, end)
             if stop is not None:
-                yield _final_end(progress, end, stop)
+                final = _final_end(progress, end, stop)
+                assert final.outcome is not Outcome.not_run or not progress.may_have_run, (
+                    f"request {request.request_id} would be called not run"
+                )
+                yield final
                 return
             self._parts.metrics.retries.labels(end.reason).inc()
 
--- a/sparline/tests/test_invariants.py
+++ b/sparline/tests/test_invariants.py
@@ -26,6 +26,7 @@
 
 Broken = list[str]
 ONE_AWAY = (ZoneShape("zone-a", "north", 1, 1, 1), ZoneShape("zone-b", "south", 1, 1, 1))
+ONE_ENGINE = (ZoneShape("zone-a", "north", 1, 0, 1),)
 TWO_INSTANCES = (ZoneShape("zone-a", "north", 2, 1, 2),)
 
 
@@ -168,6 +169,23 @@
         )
 
 
+def woken_late_sends_nothing() -> Broken:
+    """A request waits for room while its caller goes away; then there is room."""
+    with LocalFleet(ONE_ENGINE) as fleet:
+        engine = fleet.engines["zone-a-engine-0"]
+        instance = fleet.instances["zone-a-0"]
+        backend = instance.loads.all()[0]
+        backend.own_in_flight += engine.shape.slots
+        task = gevent.spawn(fleet.ask, fleet.question("north"))
+        fleet.until(lambda: len(instance.dispatcher.waiting_room) == 1, "the request waits")
+        task.kill()
+        gevent.sleep(0.05)
+        backend.own_in_flight -= engine.shape.slots
+        instance.dispatcher.waiting_room.pump()
+        fleet.until(lambda: instance.in_flight() == 0, "the request is over")
+        return ["a request that nobody waits for was sent"] if engine.ledger.runs else []
+
+
 def leaving_gets_no_work() -> Broken:
     """The list says that an engine leaves; it would still take work."""
     with LocalFleet() as fleet:
@@ -325,6 +343,7 @@
     Proof("told not run", told_not_run_was_not_run, lambda patch: patch.setattr(_attempt, "unknown", not_run)),
     Proof("at most once", runs_at_most_once, _always_again),
     Proof("one ticket, one run", ticket_runs_once, lambda patch: patch.setattr(RequestLedger, "check_ticket", lambda *_: None)),
+    Proof("woken late sends nothing", woken_late_sends_nothing, lambda patch: patch.setattr("sparline.entry._headers.connection_lost", lambda _connection: False)),
     Proof("leaving gets no work", leaving_gets_no_work, _always_takes),
     Proof("planned stop", planned_stop_cuts_nothing, lambda patch: patch.setattr(Instance, "drain", lambda _self: None)),
     Proof("never back", configuration_never_goes_back, _newest_arrival_wins),
