--- a/sparline/entry/tests/test_callers_interface.py
+++ b/sparline/entry/tests/test_callers_interface.py
@@ -2,11 +2,13 @@
 
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 
 import gevent
 import pytest
 
 from sparline.entry import _headers
+from sparline.instance import Instance
 from sparline.schema._messages import InstanceState
 from sparline.tests.local_fleet import TWO_REGIONS, LocalFleet, new_id
 
@@ -202,6 +204,23 @@
     assert "secret" not in text and "key-of" not in text
 
 
+def test_large_prompt_is_relayed_whole(fleet: LocalFleet) -> None:
+    fleet.engines["zone-a-engine-0"].draining = True
+    away = fleet.engines["zone-b-engine-0"]
+    away.shape = replace(away.shape, prefill_tokens_per_s=10_000_000.0)
+    home = fleet.instances["zone-a-0"]
+    fleet.until(lambda: not home.loads.get("zone-a-engine-0").takes_work, "home takes no work")
+    fleet.until(lambda: _ms_per_prompt_token(home) < 0.001, "the fast engine is known")
+    report = fleet.ask(fleet.question("north", prompt="x" * 2_500_000, deadline_ms=60_000))
+    assert (report.outcome, report.faults) == ("complete", [])
+    assert away.ledger.runs[-1].prompt_tokens == 625_000
+
+
+def _ms_per_prompt_token(instance: Instance) -> float:
+    targets = [one for held in instance.summaries.fresh() for one in held.summary.targets]
+    return min((one.ms_per_prompt_token for one in targets if one.target == "model-a"), default=1.0)
+
+
 def test_prefix_hashes_of_two_organisations_differ() -> None:
     prompt = "x" * 300
     assert _headers.prefix_keys("a", "m", prompt) != _headers.prefix_keys("b", "m", prompt)
--- a/sparline/peers/_membership.py
+++ b/sparline/peers/_membership.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sparline._backoff import doubled_ms
 from sparline._clock import now_ms
 from sparline._ids import Incarnation, InstanceId, ZoneName
 from sparline.declarations import Catalog
@@ -82,7 +83,7 @@
         """Leave an instance alone for a while, longer each time."""
         down = self._down.get(instance_id)
         failures = down.failures + 1 if down else 1
-        pause_ms = min(DOWN_FIRST_MS * 2 ** (failures - 1), DOWN_LONGEST_MS)
+        pause_ms = doubled_ms(DOWN_FIRST_MS, DOWN_LONGEST_MS, failures)
         self._down[instance_id] = _Down(failures, now_ms() + pause_ms)
 
     def may_dial(self, instance_id: InstanceId) -> bool:
--- a/sparline/relay/_receiver.py
+++ b/sparline/relay/_receiver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+import msgspec
 from result import Err, Ok, Result
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.connection import Connection
@@ -25,7 +26,7 @@
     RequestBody,
     TargetKind,
 )
-from sparline.routing import long_or_short
+from sparline.routing import long_or_short, prefix_keys
 from sparline.schema._messages import (
     Hello,
     InstanceState,
@@ -41,6 +42,12 @@
 BODY_TIMEOUT_S = 5.0
 
 
+class _Prompt(msgspec.Struct):
+    """Read the prompt of a completion, nothing else of it."""
+
+    prompt: str = ""
+
+
 class RelayReceiver:
     """Run what peers relay, on backend servers of this zone only."""
 
@@ -115,7 +122,7 @@
             adapter=offer.adapter,
             prompt_tokens=offer.prompt_tokens,
             output_tokens=offer.output_tokens,
-            prefix_keys=(),
+            prefix_keys=_prefix_keys(offer, body) if model else (),
             length=long_or_short(offer.prompt_tokens, model.short_prompt_tokens if model else 0),
             deadline_at_ms=deadline_at_ms,
             priority=offer.priority,
@@ -141,6 +148,15 @@
 _PENDING = RelayBody("", "", "", "", 0, b"", False)
 
 
+def _prefix_keys(offer: RelayOffer, body: RelayBody) -> tuple[int, ...]:
+    """Hash the start of a prompt here, where it has come; no hash travels."""
+    try:
+        prompt = msgspec.json.decode(body.body, type=_Prompt).prompt
+    except msgspec.DecodeError:
+        return ()
+    return prefix_keys(offer.organisation, offer.target, prompt)
+
+
 def _body_of(connection: Connection, first: RelayBody) -> RequestBody:
     if not first.more:
         return RequestBody.of(first.body)
--- a/sparline/requests/_body.py
+++ b/sparline/requests/_body.py
@@ -4,6 +4,8 @@
 
 PART_BYTES = 32_768
 KEPT_BYTES = 262_144
+# No part is larger, so that each fits a frame between instances.
+LARGEST_PART_BYTES = 1_000_000
 
 # Length of a body that its sender has not told.
 UNKNOWN_LENGTH = -1
@@ -25,7 +27,8 @@
     def of(cls, content: bytes) -> "RequestBody":
         """Return a body whose content is known and kept."""
         body = cls(lambda _size: b"", len(content))
-        body._kept = [content] if content else []
+        begins = range(0, len(content), LARGEST_PART_BYTES)
+        body._kept = [content[begin : begin + LARGEST_PART_BYTES] for begin in begins]
         body._kept_bytes = len(content)
         body._ended = True
         return body
--- a/sparline/requests/tests/test_ledger.py
+++ b/sparline/requests/tests/test_ledger.py
@@ -94,3 +94,10 @@
     assert body.replayable is replayable
     if replayable:
         assert b"".join(body.parts()) == b"".join(parts)
+
+
+def test_parts_of_a_known_body_fit_a_frame() -> None:
+    content = b"x" * 3_500_000
+    parts = list(RequestBody.of(content).parts())
+    assert b"".join(parts) == content
+    assert max(len(part) for part in parts) <= 1_000_000
--- a/sparline/routing/_load_table.py
+++ b/sparline/routing/_load_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from sparline._backoff import doubled_ms
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, InstanceId, TargetName
 from sparline.declarations import Catalog
@@ -236,7 +237,7 @@
     def note_failure(self, backend: BackendState) -> None:
         """Leave a failing backend server alone for a while, longer each time."""
         backend.failures += 1
-        pause_ms = min(EJECT_FIRST_MS * 2 ** (backend.failures - 1), EJECT_LONGEST_MS)
+        pause_ms = doubled_ms(EJECT_FIRST_MS, EJECT_LONGEST_MS, backend.failures)
         backend.ejected_until_ms = now_ms() + pause_ms
 
     def note_unreachable(self, backend: BackendState) -> None:
--- a/sparline/routing/_spare_room.py
+++ b/sparline/routing/_spare_room.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from sparline._backoff import doubled_ms
 from sparline._clock import now_ms
 from sparline._ids import ZoneName
 from sparline.routing._summaries import HeldSummary
@@ -60,7 +61,7 @@
         use = self._uses.setdefault((zone, target), _Use())
         use.refusals += 1
         use.limit /= 2
-        pause_ms = min(BACKOFF_FIRST_MS * 2 ** (use.refusals - 1), BACKOFF_LONGEST_MS)
+        pause_ms = doubled_ms(BACKOFF_FIRST_MS, BACKOFF_LONGEST_MS, use.refusals)
         use.closed_until_ms = now_ms() + pause_ms * self._chance.uniform(0.75, 1.25)
 
     def accepted(self, zone: ZoneName, target: str) -> None:
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -67,7 +67,7 @@
         self._timing = FAST | (timing or {})
         self._ports = PortPool()
         self.platform = Platform(HOST, self._ports.take(), weights_per_s=50)
-        self._platform_url = f"http://{HOST}:{self.platform._server.address[1]}"
+        self._platform_url = "http://{}:{}".format(*self.platform.address)
         self.engines: dict[str, Engine] = {}
         self.services: dict[str, PlainService] = {}
         self.instances: dict[str, Instance] = {}
@@ -85,7 +85,7 @@
                     f"{self.shape.model}@v1",
                     *(f"{self.shape.model}+{one}" for one in self.shape.adapters),
                 ]
-                platform = (HOST, self.platform._server.address[1])
+                platform = self.platform.address
                 self.engines[name] = Engine(HOST, port, platform, self.engine_shape, loaded)
                 self._backend_ports[name] = (port, zone, "engine")
             for number in range(zone.services):
--- a/sparline/tests/test_process_fleet.py
+++ b/sparline/tests/test_process_fleet.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -16,6 +17,7 @@
 from benchmarks._callers import Job
 from benchmarks._demo import callers_by_region
 from benchmarks._fleet import ROOT, Fleet
+from benchmarks._measures import sample
 from benchmarks._shapes import CARVALHO, as_body, model_file
 from benchmarks._verdicts import collect_runs, judge
 from sparline.cli import ExitCode
@@ -152,6 +154,24 @@
     assert (result["lost"], result["doubled"], result["wrong_tokens"]) == (0, 0, 0)
 
 
+def test_instance_that_was_frozen_sends_nothing_that_its_caller_gave_up(fleet: Fleet) -> None:
+    place = fleet.instances[7]
+    fleet.await_true(lambda: fleet.is_live(place), "the instance")
+    request_id = "given-up-while-frozen"
+    body = json.dumps({"model": CARVALHO.model, "prompt": "x", "max_tokens": 3}).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-of-org-beja-1\r\n"
+        f"Sparline-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode()
+    fleet.signal(place.name, signal.SIGSTOP)
+    with socket.create_connection((place.ip, place.callers_port), 2) as caller:
+        caller.sendall(head + body)
+    fleet.signal(place.name, signal.SIGCONT)
+    refused = 'sparline_refusals_total{reason="caller_gone"}'
+    fleet.await_true(lambda: sample(fleet.metrics(place), refused) > 0, "the request is dropped")
+    assert [run for run in collect_runs(fleet) if run.request_id == request_id] == []
+
+
 def test_built_file_starts(tmp_path: Path) -> None:
     subprocess.run([str(ROOT / "scripts" / "build")], check=True, capture_output=True, timeout=120)
     built = ROOT / "dist" / "sparline"
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -37,6 +37,7 @@
         self.cut_readers: set[str] = set()  # instances that can't reach it
         self.stale_at_revision: int | None = None  # what readers are held back to
         self.fleet_lag_ms = 0.0  # delay of the fleet list
+        self.address = (ip, port)  # where it listens
         self._weights_per_s = weights_per_s
         self._weights_free_at_ms = 0.0
         self._changed = Event()
--- a/standins/_wide_area.py
+++ b/standins/_wide_area.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
@@ -73,7 +73,7 @@
         """Cut pairs of zones or regions off from each other; all others are whole."""
         self._cuts = {frozenset(pair) for pair in cuts}
 
-    def _handler(self, forward: Forward):  # noqa: ANN202
+    def _handler(self, forward: Forward) -> Callable[[socket.socket, tuple[str, int]], None]:
         def handle(connection: socket.socket, source: tuple[str, int]) -> None:
             here = self._place(source[0])
             there = self._place(forward.target_ip)
