Tell every peer at once that an instance leaves

Cause: found by reading: since heartbeats to other zones go out with every fourth beat, a planned stop of 300 ms could end before other regions heard of it; they took the closed link for one that was not needed any more and kept the instance as live.

Change: a stop announces its state on every link.

Measured: the test with regular heartbeats to other regions off fails without the change and passes with it. Conclusion: what is sent less often must be looked at for what it carried.

--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -104,6 +104,12 @@
         self._send_passed_on()
         self._send_summary()
 
+    def announce(self) -> None:
+        """Tell every peer at once what state this instance is in."""
+        heartbeat = EncodedMessage.of(self._heartbeat())
+        for link in self._parts.membership.links():
+            link.send(heartbeat)
+
     def _notice_pause(self) -> None:
         """Drop what siblings told before a freeze: it is older than it seems."""
         now = now_ms()
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -273,7 +273,7 @@
         """Take nothing new, tell everybody, and wait until nothing is in flight."""
         log.info("instance: leaving with {} requests in flight", self.in_flight())
         self.membership.state = InstanceState.leaving
-        self.control.beat()
+        self.control.announce()
         began_ms = now_ms()
         while now_ms() - began_ms < self.settings.timing.drain_limit_ms:
             if not self.in_flight() and now_ms() - began_ms >= LEAVING_NOTICE_MS:
--- a/sparline/peers/tests/test_spread.py
+++ b/sparline/peers/tests/test_spread.py
@@ -5,7 +5,8 @@
 import pytest
 
 from benchmarks._shapes import ZoneShape
-from sparline.tests.local_fleet import LocalFleet
+from sparline.instance import _control
+from sparline.tests.local_fleet import TWO_REGIONS, LocalFleet
 
 ZONES = (
     ZoneShape("zone-a", "north", 1, 0, 3),
@@ -78,3 +79,15 @@
     }
     assert len(readers) <= 3 + 1
     assert len({one.store.digest for one in fleet.instances.values()}) == 1
+
+
+def test_leaving_is_told_to_other_regions_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    with LocalFleet(TWO_REGIONS) as fleet:
+        far = fleet.instances["zone-a-0"].membership
+        member = far.catalog.instances["zone-b-0"]
+        fleet.until(lambda: far.link_of("zone-b-0") is not None, "the regions are linked")
+        # No regular heartbeat goes to another region from here on.
+        monkeypatch.setattr(_control, "FAR_EVERY", 10**9)
+        fleet.instances["zone-b-0"].drain()
+        assert far.link_of("zone-b-0") is not None
+        assert not far.is_live(member)
