Name the module that reads callers' requests for what it holds

Cause: _headers.py reads headers, bodies and organisations. Change: _caller_request.py; a gauge is set in one place. Measured: the entry's tests and the fuzzing pass as before. Conclusion: nothing changes for callers.

--- a/sparline/entry/_app.py
+++ b/sparline/entry/_app.py
@@ -18,7 +18,7 @@
     answer_event_stream,
     answer_plain,
 )
-from sparline.entry._headers import (
+from sparline.entry._caller_request import (
     CallerRequest,
     Marks,
     Rejected,
--- a/sparline/entry/tests/test_callers_interface.py
+++ b/sparline/entry/tests/test_callers_interface.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from sparline.entry import _headers
+from sparline.entry import _caller_request
 from sparline.instance import Instance
 from sparline.schema._messages import InstanceState
 from sparline.tests.local_fleet import TWO_REGIONS, LocalFleet, new_id
@@ -223,4 +223,6 @@
 
 def test_prefix_hashes_of_two_organisations_differ() -> None:
     prompt = "x" * 300
-    assert _headers.prefix_keys("a", "m", prompt) != _headers.prefix_keys("b", "m", prompt)
+    assert _caller_request.prefix_keys("a", "m", prompt) != _caller_request.prefix_keys(
+        "b", "m", prompt
+    )
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -186,7 +186,6 @@
         self.loads.refresh(catalog)
         self.load_reader.forget_gone()
         self.status_board.note_records()
-        self.metrics.peers.set(len(self.membership.links()))
 
     def start(self) -> None:
         """Open the ports, read the first configuration, and go live."""
--- a/sparline/tests/test_fuzz.py
+++ b/sparline/tests/test_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from sparline.declarations import accept_file
-from sparline.entry._headers import _parse_completion
+from sparline.entry._caller_request import _parse_completion
 from sparline.peers import MESSAGE_TYPES, decode, encode
 from sparline.peers._codec import decode_frame, encode_frame
 from sparline.requests import parse_ticket
--- a/sparline/tests/test_invariants.py
+++ b/sparline/tests/test_invariants.py
@@ -343,7 +343,7 @@
     Proof("told not run", told_not_run_was_not_run, lambda patch: patch.setattr(_attempt, "unknown", not_run)),
     Proof("at most once", runs_at_most_once, _always_again),
     Proof("one ticket, one run", ticket_runs_once, lambda patch: patch.setattr(RequestLedger, "check_ticket", lambda *_: None)),
-    Proof("woken late sends nothing", woken_late_sends_nothing, lambda patch: patch.setattr("sparline.entry._headers.connection_lost", lambda _connection: False)),
+    Proof("woken late sends nothing", woken_late_sends_nothing, lambda patch: patch.setattr("sparline.entry._caller_request.connection_lost", lambda _connection: False)),
     Proof("leaving gets no work", leaving_gets_no_work, _always_takes),
     Proof("planned stop", planned_stop_cuts_nothing, lambda patch: patch.setattr(Instance, "drain", lambda _self: None)),
     Proof("never back", configuration_never_goes_back, _newest_arrival_wins),
