--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -27,7 +27,7 @@
 FAR_HEARTBEATS_PER_S = 0.5
 SUMMARIES_PER_S = 1 / 3
 POLLS_PER_S = 1.0
-REPORTS_PER_S = 0.5
+REPORTS_PER_S = 1.0
 
 FEATURES = ("Heartbeat", "ZoneLoad", "ZoneSummary", "polls", "Records")
 
--- a/sparline/schema/_settings.py
+++ b/sparline/schema/_settings.py
@@ -82,7 +82,7 @@
             ge=100,
             le=60000,
         ),
-    ] = 2000
+    ] = 1000
     order_interval_ms: Annotated[
         int,
         Meta(
