Drop what nothing calls, and let one piece serve both tests

Cause: read over the whole change: a duty and a count that nothing used, a documented reason that was never given, one job written out twice, one watcher written twice.

Change: they are gone or shared; a request's last try keeps its own reason, as before. The tests keep what they assert: never fewer than one warm replica.

Conclusion: behaviour is as it was.

--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -107,23 +107,16 @@
         number = chance.randrange(PROMPT_SETS)
         start = f"log {number} of {organisation.name}: "
         prompt = (start + "sandy clay with gravel; " * 1000)[: mix.long_prompt_tokens * 4]
-        return Job(
-            organisation,
-            "long",
-            shape.model,
-            prompt,
-            mix.long_tokens,
-            repeatable=repeatable,
-            deadline_ms=mix.deadline_ms,
-            tries=mix.tries,
-        )
-    prompt = f"box {chance.randrange(10**6)} of {organisation.name}: which lithology?"
+        kind, output_tokens = "long", mix.long_tokens
+    else:
+        prompt = f"box {chance.randrange(10**6)} of {organisation.name}: which lithology?"
+        kind, output_tokens = "short", mix.short_tokens
     return Job(
         organisation,
-        "short",
+        kind,
         shape.model,
         prompt,
-        mix.short_tokens,
+        output_tokens,
         repeatable=repeatable,
         deadline_ms=mix.deadline_ms,
         tries=mix.tries,
--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -63,7 +63,6 @@
     attempts: int = 0  # attempts begun
     may_have_run: bool = False  # whether an attempt ended without proof
     head_passed: bool = False  # whether the caller has the answer's head
-    chunks_passed: int = 0  # parts of the answer that the caller has
     excluded: set[str] = field(default_factory=set)  # backend servers and zones that failed
 
 
@@ -263,6 +262,5 @@
             return
         progress.head_passed = True
     else:
-        progress.chunks_passed += 1
         progress.tokens_passed += request.kind is TargetKind.ENGINE
     yield part
--- a/sparline/orders/tests/test_orders.py
+++ b/sparline/orders/tests/test_orders.py
@@ -39,20 +39,18 @@
     return all(f"model-a@{version}" in one.loaded for one in fleet.engines.values())
 
 
+def watch_warm(fleet: LocalFleet, coldest: list[int]) -> None:
+    """Note the fewest engines that held the model in any version at one time."""
+    while True:
+        held = (one.loaded for one in fleet.engines.values())
+        warm = sum(any(what.startswith("model-a@") for what in loaded) for loaded in held)
+        coldest[0] = min(coldest[0], warm)
+        gevent.sleep(0.002)
+
+
 def test_version_change_keeps_a_warm_replica(fleet: LocalFleet) -> None:
-    coldest = [2]
-
-    def watch() -> None:
-        while True:
-            warm = sum(
-                1
-                for one in fleet.engines.values()
-                if any(what.startswith("model-a@") for what in one.loaded)
-            )
-            coldest[0] = min(coldest[0], warm)
-            gevent.sleep(0.002)
-
-    watcher = gevent.spawn(watch)
+    coldest = [len(fleet.engines)]
+    watcher = gevent.spawn(watch_warm, fleet, coldest)
     publish_version(fleet, "v2")
     fleet.until(lambda: everyone_holds(fleet, "v2"), "all engines hold the new version")
     watcher.kill()
@@ -126,23 +124,12 @@
 
 def test_zones_with_one_engine_change_one_after_the_other() -> None:
     with LocalFleet(TWO_ZONES) as fleet:
-        cold = [0]
-
-        def watch() -> None:
-            while True:
-                warm = sum(
-                    1
-                    for one in fleet.engines.values()
-                    if any(what.startswith("model-a@") for what in one.loaded)
-                )
-                cold[0] += warm == 0
-                gevent.sleep(0.002)
-
-        watcher = gevent.spawn(watch)
+        coldest = [len(fleet.engines)]
+        watcher = gevent.spawn(watch_warm, fleet, coldest)
         publish_version(fleet, "v2")
         fleet.until(lambda: everyone_holds(fleet, "v2"), "all engines hold the new version")
         watcher.kill()
-        assert cold[0] == 0
+        assert coldest[0] >= 1
 
 
 def test_weight_store_paces_loads() -> None:
--- a/sparline/peers/_membership.py
+++ b/sparline/peers/_membership.py
@@ -143,11 +143,6 @@
         live = self.live_in_zone(self.self_hello.availability_zone)
         return first(duty, live or [self.self_id]) == self.self_id
 
-    def has_region_duty(self, duty: str) -> bool:
-        """Tell whether this instance has a duty of its region."""
-        live = self.live_in_region(self.self_hello.region)
-        return first(duty, live or [self.self_id]) == self.self_id
-
     def has_platform_duty(self) -> bool:
         """Tell whether this instance reads the platform for its region.
 
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -24,7 +24,6 @@
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
     RETRY_BUDGET = "retry_budget"
-    ATTEMPTS_USED = "attempts_used"
     # Why one attempt did not run.
     CONNECT_FAILED = "connect_failed"
     BACKEND_REFUSED = "backend_refused"
