Forget a broken event before a stream is resumed

Ruled out: relayed pieces (the instance between passes whole events only) and a server that ignores the last event id (both runs' ids rise without a gap).

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -175,6 +175,7 @@
         try:
             head = self._head(terms)
             self._progress.sends += 1
+            self._progress.cutter.begin_attempt()
             self._sent_at_ms = now_ms()
             connection.send(head, self._request.body)
             answer = self._wait(lambda: connection.read_head(self._belongs))
--- a/sparline/forwarding/_events.py
+++ b/sparline/forwarding/_events.py
@@ -15,6 +15,10 @@
         self.events = 0  # whole events so far
         self._pending = b""
 
+    def begin_attempt(self) -> None:
+        """Drop a broken event of the run before; the next run sends it again."""
+        self._pending = b""
+
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that are whole now."""
         self._pending += data
