Read peers' own refusals, and lead callers to the homes of most routes

A peer's own answer carries no id of the request, so the instance that had relayed took it for another request's and waited on until the deadline (found by the first test of relayed refusals: 504 where 503 was due). Change: each protocol says which answers belong to a request; a peer's time-out stays a time-out; regions are ranked by how many of the host's routes may run there.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -111,6 +111,10 @@
         self._send(near[:64], self._message(own.region, 0))
         self._send(far[:64], self._message("", 0))
 
+    def close(self) -> None:
+        """Close the port."""
+        self._socket.close()
+
     def _peers(self) -> tuple[list[str], list[str], list[str]]:
         """Return the addresses of siblings, of far peers and of silent members."""
         near: list[str] = []
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -7,9 +7,8 @@
 from sparline.forwarding._wire import (
     AnswerKind,
     AnswerMeaning,
-    BackendWire,
-    PeerWire,
     SendTerms,
+    Wire,
 )
 
 __all__ = [
@@ -18,15 +17,14 @@
     "AttemptEnd",
     "AttemptResult",
     "AttemptTools",
-    "BackendWire",
     "EventCutter",
     "Forwarder",
     "ForwarderParts",
-    "PeerWire",
     "Progress",
     "RequestEnd",
     "RetryRule",
     "RetryWindow",
     "SendTerms",
+    "Wire",
     "may_move",
 ]
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -10,7 +10,7 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline.forwarding._events import EventCutter
-from sparline.forwarding._wire import AnswerKind, AnswerMeaning, BackendWire, PeerWire, SendTerms
+from sparline.forwarding._wire import AnswerKind, AnswerMeaning, SendTerms, Wire
 from sparline.http import (
     BackendConnection,
     CallerConnection,
@@ -78,8 +78,8 @@
     """Hold what attempts work with."""
 
     pool: ConnectionPool  # kept connections
-    backend_wire: BackendWire  # protocol of backend servers
-    peer_wire: PeerWire  # protocol between instances
+    backend_wire: Wire  # protocol of backend servers
+    peer_wire: Wire  # protocol between instances
     peer_port: int  # where instances take relayed requests
     health: HealthTable  # first-hand knowledge of servers
     pace: PaceTable  # usual times
@@ -192,18 +192,19 @@
                 connection.close()
 
     def _head(self, terms: SendTerms) -> bytes:
-        wire = self._tools.backend_wire if self._placement.peer is None else self._tools.peer_wire
-        return wire.send_head(self._request, terms)
+        return self._wire().send_head(self._request, terms)
+
+    def _wire(self) -> Wire:
+        return self._tools.backend_wire if self._placement.peer is None else self._tools.peer_wire
 
     def _belongs(self, answer: HttpAnswer) -> bool:
-        return self._tools.backend_wire.belongs(self._request.request_id, answer)
+        return self._wire().belongs(self._request.request_id, answer)
 
     def _meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         self._tools.health.note_heard(self._server_id)
         if self._placement.peer is not None:
             self._tools.note_peer(self._placement.peer.note.ip, True)
-            return self._tools.peer_wire.meaning(answer)
-        return self._tools.backend_wire.meaning(answer)
+        return self._wire().meaning(answer)
 
     def _wait(self, read: Callable[[], Read]) -> Read:
         """Read on as long as the server may still be at work."""
@@ -245,7 +246,11 @@
                 self._tools.health.note_full(self._server_id)
                 reason = Reason.PEER_NO_ROOM if far else Reason.BACKEND_REFUSED
                 return AttemptEnd(AttemptResult.NOT_RUN, reason, meaning.retry_after_ms)
-        return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.PEER_LOST)
+            case AnswerKind.TIMED_OUT:
+                return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
+        if not far:
+            self._note_failure("unsigned")
+        return AttemptEnd(AttemptResult.MAY_HAVE_RUN, self._broken_reason())
 
     def _pass_on(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         is_stream = self._request.route.kind is RequestKind.STREAM
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -190,7 +190,9 @@
         if self._progress.began:
             return self._cut(reason)
         ran = self._progress.may_have_run
-        status = 502 if ran else 503
+        status = 503
+        if ran:
+            status = 504 if reason is Reason.DEADLINE_PASSED else 502
         return self._answer_own(status, reason, ran, retry_after_ms)
 
     def end_late(self) -> RequestEnd:
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -15,7 +15,8 @@
     RESULT = "result"  # the backend server's answer, to be passed on
     NOT_RUN = "not_run"  # proof that the request did not run
     MISDIRECTED = "misdirected"  # another server has the address; did not run
-    UNKNOWN = "unknown"  # a peer could not finish it, and it may have run
+    UNKNOWN = "unknown"  # it could not be finished, and may have run
+    TIMED_OUT = "timed_out"  # a peer's time for it was over, and it may have run
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,11 +37,11 @@
     sends_left: int  # backend servers on which a peer may run it
 
 
-class BackendWire(Protocol):
-    """Speak to backend servers."""
+class Wire(Protocol):
+    """Speak to backend servers, or to other instances."""
 
     def send_head(self, request: RoutedRequest, terms: SendTerms) -> bytes:
-        """Return the head of a request to a backend server."""
+        """Return the head of a request."""
         ...
 
     def belongs(self, request_id: RequestId, answer: HttpAnswer) -> bool:
@@ -50,15 +51,3 @@
     def meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         """Return what an answer means."""
         ...
-
-
-class PeerWire(Protocol):
-    """Speak to other instances."""
-
-    def send_head(self, request: RoutedRequest, terms: SendTerms) -> bytes:
-        """Return the head of a relayed request."""
-        ...
-
-    def meaning(self, answer: HttpAnswer) -> AnswerMeaning:
-        """Return what a peer's answer means."""
-        ...
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -48,17 +48,17 @@
         return found
 
     def _elsewhere(self, question: DirectoryQuestion, region: RegionName) -> list[str]:
-        """Return instances of regions that may run the caller's requests, else of any."""
-        others = [one for one in self._fleet.zones.values() if one != region]
-        homes = [one for one in others if self._is_home(question.host, one)]
-        for regions in (homes, others):
-            found = [ip for one in dict.fromkeys(regions) for ip in self._in_region(one)]
-            if found:
-                return found
-        return []
+        """Return instances of the regions that may run most of the caller's routes."""
+        found: dict[RegionName, list[str]] = {}
+        for other in dict.fromkeys(self._fleet.zones.values()):
+            if other != region and (addresses := self._in_region(other)):
+                found[other] = addresses
+        allowed = {one: self._routes_allowed(question.host, one) for one in found}
+        most = max(allowed.values(), default=0)
+        return [ip for one, of in found.items() if allowed[one] == most for ip in of]
 
-    def _is_home(self, host: str, region: RegionName) -> bool:
-        """Tell whether all routes of a host may run in a region."""
+    def _routes_allowed(self, host: str, region: RegionName) -> int:
+        """Count the routes of a host that may run in a region."""
         configuration = self._fleet.configuration
         routes = configuration.by_host.get(host, ()) if configuration else ()
-        return all(route.allows(region) for route in routes)
+        return sum(route.allows(region) for route in routes)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
 from sparline._clock import now_ms
@@ -115,6 +116,8 @@
         self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
         self._stopped = Event()
         self._servers: list[StreamServer] = []
+        self._apps: list[WSGIServer] = []
+        self._tasks: list[gevent.Greenlet] = []
 
     def _make_placement(self, region: RegionName) -> None:
         self.loads = LoadTable(region, self.members.load_of)
@@ -173,9 +176,8 @@
         self._serve_app(listen.readiness, make_readiness_app(self.is_ready))
         self._serve_app(listen.directory, make_directory_app(self.directory.find))
         self._serve_app(listen.metrics, self._metrics_app)
-        for task in (self.gossip.read, self.gossip.run, self.reader.run, self.sync.run):
-            gevent.spawn(task)
-        gevent.spawn(self._upkeep)
+        work = (self.gossip.read, self.gossip.run, self.reader.run, self.sync.run, self._upkeep)
+        self._tasks += [gevent.spawn(task) for task in work]
 
     def _listen(self, address: str, handle: Callable) -> None:
         server = StreamServer(split_address(address), handle, backlog=BACKLOG)
@@ -186,6 +188,7 @@
         ip, port = split_address(address)
         server = make_server(ip, port, app)
         server.start()
+        self._apps.append(server)
 
     def _metrics_app(self, _environ: Environ, start_response: StartResponse) -> list[bytes]:
         self.metrics.in_flight.set(self.service.in_flight)
@@ -261,3 +264,12 @@
     def wait(self) -> None:
         """Wait until the instance has stopped."""
         self._stopped.wait()
+
+    def stop(self) -> None:
+        """Stop at once, as a lost process would."""
+        gevent.killall(self._tasks, block=False)
+        for server in (*self._servers, *self._apps):
+            server.stop(timeout=0)
+        self.service.close_all()
+        self.gossip.close()
+        self._stopped.set()
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -197,6 +197,11 @@
             if caller.is_resting():
                 caller.close()
 
+    def close_all(self) -> None:
+        """Close every connection, whatever is under way."""
+        for caller in list(self._open):
+            caller.close()
+
 
 def choose_service(route: Route, request_id: RequestId) -> ServiceName:
     """Return the service that takes a request, by its share."""
--- /dev/null
+++ b/sparline/gateway/tests/test_directory.py
@@ -0,0 +1,48 @@
+import pytest
+
+from sparline._ids import RegionName, ZoneName
+from sparline.fleet import FleetState, Members, UnknownItem
+from sparline.gateway._directory import Directory
+from sparline.platform import DirectoryQuestion
+from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
+from sparline.tests.routed import make_route, make_rules
+
+ZONES = {ZoneName(f"{one}-1"): RegionName(one) for one in ("north", "south", "west")}
+NORTH, SOUTH, WEST = (RegionName(one) for one in ("north", "south", "west"))
+
+
+def note(ip: str, region: str, phase: MemberPhase = MemberPhase.live) -> MemberNote:
+    return MemberNote(ip, ip, 1, 1, phase, region, f"{region}-1")
+
+
+# Routes of one host: any region; two homes; a home of its own.
+HOMES = (frozenset(), frozenset((NORTH, SOUTH)), frozenset((NORTH,)))
+N1, N2 = note("n1", "north"), note("n2", "north")
+S1, W1 = note("s1", "south"), note("w1", "west")
+LEAVING = note("n1", "north", MemberPhase.leaving)
+
+ROWS = [
+    ("own region", [N1, N2, S1, W1], "north", {"n1:80", "n2:80"}),
+    ("another region", [N1, S1, W1], "south", {"s1:80"}),
+    ("none near: the region with most homes", [S1, W1], "north", {"s1:80"}),
+    ("only leaving ones near", [LEAVING, S1, W1], "north", {"s1:80"}),
+    ("only one that is no home", [W1], "north", {"w1:80"}),
+    ("unknown region", [N1, S1], "", {"own:80"}),
+]
+
+
+@pytest.mark.parametrize(
+    ("others", "region", "named"), [row[1:] for row in ROWS], ids=[row[0] for row in ROWS]
+)
+def test_instances_are_named_by_region_and_homes(others, region, named):
+    members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "east", "east-1"))
+    for other in others:
+        members.take(Gossip(other, 0, True, False, [], [], False))
+    fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
+    routes = [
+        make_route(path_prefix=f"/{place}/", home_regions=of) for place, of in enumerate(HOMES)
+    ]
+    fleet.configuration = make_rules(*routes)
+    directory = Directory(members, fleet, 80)
+    question = DirectoryQuestion("host.example", RegionName(region), ZoneName(""))
+    assert set(directory.find(question)) == named
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -136,13 +136,21 @@
         ]
         return _head(request, own)
 
+    def belongs(self, request_id: RequestId, answer: HttpAnswer) -> bool:
+        """Tell whether an answer is to this request; a peer's own carry no id."""
+        if answer.header(names.RELAY_OUTCOME) is not None:
+            return True
+        return answer.header(names.REQUEST_ID) == request_id.encode("latin-1")
+
     def meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         """Return what a peer's answer means."""
         outcome = answer.header(names.RELAY_OUTCOME)
         if outcome is None:
             return AnswerMeaning(AnswerKind.RESULT)
-        kind = AnswerKind.NOT_RUN if outcome == b"not-run" else AnswerKind.UNKNOWN
-        return AnswerMeaning(kind, _retry_after_ms(answer))
+        if outcome == b"not-run":
+            return AnswerMeaning(AnswerKind.NOT_RUN, _retry_after_ms(answer))
+        late = answer.status == 504
+        return AnswerMeaning(AnswerKind.TIMED_OUT if late else AnswerKind.UNKNOWN)
 
 
 def _deadline_and_resume(request: RoutedRequest, terms: SendTerms) -> Headers:
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -2,8 +2,10 @@
 
 from standins._engine import Engine, EngineShape
 from standins._faults import Faults
+from standins._key_store import KeyStore, StoreMode
 from standins._plain_service import PlainService
 from standins._platform import Platform
+from standins._sealed_server import SealedFaults, SealedRun, SealedServer
 from standins._wide_area import Forward, Place, WideArea
 
 __all__ = [
@@ -11,8 +13,13 @@
     "EngineShape",
     "Faults",
     "Forward",
+    "KeyStore",
     "Place",
     "PlainService",
     "Platform",
+    "SealedFaults",
+    "SealedRun",
+    "SealedServer",
+    "StoreMode",
     "WideArea",
 ]
--- /dev/null
+++ b/standins/_sealed_server.py
@@ -0,0 +1,177 @@
+"""Stand-in for the users' backend servers: engines with streams, and plain services."""
+
+import socket
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.server import StreamServer
+from gevent.socket import socket as GeventSocket
+
+from sparline.http import HttpRequest, RequestParser
+
+READ_BYTES = 65_536
+# Closing with this set resets the connection instead of ending it.
+RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+
+
+@dataclass(slots=True)
+class SealedFaults:
+    """Hold the faults that are switched on; zero, empty and False are off."""
+
+    refuse: bool = False  # answer 503 with proof that nothing ran
+    fail: bool = False  # run, then answer 500
+    close_after_run: bool = False  # run, then close without an answer
+    hang: bool = False  # run, and never answer
+    break_within_event: int = 0  # cut the stream within this event
+    stop_after_event: int = 0  # fall silent after this event
+    surplus_answer: bytes = b""  # bytes sent before the answer
+    garbage: bytes = b""  # bytes sent after the whole answer
+    unframed: bool = False  # end the body with the connection
+    without_seal: bool = False  # leave the signature out
+    early: bool = False  # answer before a long body is in
+    remaining: int = -1  # requests that the faults still apply to, -1 for all
+
+
+@dataclass(slots=True)
+class SealedRun:
+    """Hold one run of one request."""
+
+    request_id: str  # as it arrived
+    headers: dict[str, str]  # names in lower case
+    body: bytes  # as it arrived
+    target: str  # path and query as they arrived
+    finished: bool = False  # whether the run came to its end
+    abandoned: bool = False  # whether the connection closed before the end
+
+
+@dataclass(slots=True)
+class SealedServer:
+    """Answer requests with a signature and note each run."""
+
+    ip: str
+    port: int
+    server_id: str  # this incarnation
+    events: int = 0  # events of a stream, 0 for a plain service
+    work_ms: float = 5.0  # time to the answer, and between events
+    faults: SealedFaults = field(default_factory=SealedFaults)
+    runs: list[SealedRun] = field(default_factory=list)
+    connections: int = 0  # connections that were opened
+    _server: StreamServer | None = None
+
+    def start(self) -> None:
+        """Open the port."""
+        self._server = StreamServer((self.ip, self.port), self._serve)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
+    def _serve(self, connection: GeventSocket, _address: object) -> None:
+        self.connections += 1
+        parser = RequestParser()
+        try:
+            while True:
+                while not parser.requests or not self._is_in(parser.requests[0]):
+                    data = connection.recv(READ_BYTES)
+                    if not data:
+                        return
+                    parser.feed(data)
+                if not self._answer(connection, parser.requests.pop(0)):
+                    return
+        except OSError:
+            return
+        finally:
+            connection.close()
+
+    def _is_in(self, request: HttpRequest) -> bool:
+        return request.complete or (self.faults.early and request.head_done)
+
+    def _take_faults(self) -> SealedFaults:
+        if self.faults.remaining == 0:
+            return SealedFaults()
+        if self.faults.remaining > 0:
+            self.faults.remaining -= 1
+        return self.faults
+
+    def _answer(self, connection: GeventSocket, request: HttpRequest) -> bool:
+        """Answer one request; tell whether the connection goes on."""
+        faults = self._take_faults()
+        expected = (request.header(b"expected-instance") or b"").decode()
+        if expected != self.server_id:
+            connection.sendall(self._head(421, request, [("Instance-Id", self.server_id)], 0))
+            return True
+        if faults.refuse or faults.early:
+            connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
+            return True
+        run = self._start_run(request)
+        gevent.sleep(self.work_ms / 1000)
+        if faults.close_after_run:
+            return False
+        if faults.hang:
+            run.abandoned = connection.recv(1) == b""
+            return False
+        if faults.surplus_answer:
+            connection.sendall(faults.surplus_answer)
+        if self.events and not faults.fail:
+            return self._stream(connection, request, run, faults)
+        run.finished = True
+        status = 500 if faults.fail else 200
+        body = f"{run.request_id} {run.target} {len(run.body)}".encode()
+        length = None if faults.unframed else len(body)
+        connection.sendall(self._head(status, request, [], length, faults) + body + faults.garbage)
+        return not faults.unframed
+
+    def _start_run(self, request: HttpRequest) -> SealedRun:
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        run = SealedRun(
+            headers.get("attempt-id", ""), headers, bytes(request.body), request.target.decode()
+        )
+        self.runs.append(run)
+        return run
+
+    def _stream(
+        self, connection: GeventSocket, request: HttpRequest, run: SealedRun, faults: SealedFaults
+    ) -> bool:
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        connection.sendall(self._head(200, request, [("Content-Type", "text/event-stream")], -1))
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
+            if number == faults.break_within_event:
+                connection.sendall(b"%x\r\n%b\r\n" % (len(event) - 4, event[:-4]))
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                return False
+            try:
+                connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+            except OSError:
+                run.abandoned = True
+                raise
+            if number == faults.stop_after_event:
+                run.abandoned = connection.recv(1) == b""
+                return False
+            gevent.sleep(self.work_ms / 1000)
+        connection.sendall(b"0\r\n\r\n")
+        run.finished = True
+        return True
+
+    def _head(
+        self,
+        status: int,
+        request: HttpRequest,
+        headers: list[tuple[str, str]],
+        length: int | None,
+        faults: SealedFaults | None = None,
+    ) -> bytes:
+        """Return a head; a length below zero means chunks, None the end of the connection."""
+        lines = [f"HTTP/1.1 {status} Status"]
+        request_id = (request.header(b"attempt-id") or b"").decode()
+        lines.append(f"Attempt-Id: {request_id}")
+        if not (faults and faults.without_seal) and status in (200, 500):
+            lines.append(f"Response-Seal: seal-of-{self.server_id}")
+        lines += [f"{name}: {value}" for name, value in headers]
+        if length is not None:
+            lines.append(
+                f"Content-Length: {length}" if length >= 0 else "Transfer-Encoding: chunked"
+            )
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
