Shorten a planned stop, and name instances that just begin to leave before far ones

Change: answers of the directory hold for 1 s instead of 2, so three times that is over within half of the grace period, and a stop takes new requests for that half only; instances that began to leave less than 2 s ago go before those that may not run all of the host's routes.

--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -34,6 +34,7 @@
 
     note: MemberNote  # what it says of itself
     heard_at_ms: float  # when its heartbeat last moved
+    phase_at_ms: float  # when it was first heard in its phase
     met: bool = False  # whether it has spoken to this instance itself
     store_revision: int = 0  # revision of the store that it holds
     store_reached: bool = False  # whether the store answered it lately
@@ -89,8 +90,10 @@
     def _update(self, note: MemberNote) -> Member:
         member = self._others.get(note.ip)
         if member is None or member.note.incarnation != note.incarnation:
-            member = Member(note, now_ms())
+            member = Member(note, now_ms(), now_ms())
             self._others[note.ip] = member
+        if member.note.phase is not note.phase:
+            member.phase_at_ms = now_ms()
         member.note = note
         member.heard_at_ms = now_ms()
         return member
@@ -110,6 +113,18 @@
             and (region is None or one.note.region == region)
         ]
 
+    def leaving(self, region: RegionName, for_less_than_ms: float) -> list[Member]:
+        """Return the others of a region that have only just begun to leave."""
+        now = now_ms()
+        return [
+            one
+            for one in self._others.values()
+            if one.heard_at_ms >= now - SILENT_MS
+            and one.note.phase is MemberPhase.leaving
+            and one.phase_at_ms >= now - for_less_than_ms
+            and one.note.region == region
+        ]
+
     def sharers(self, region: RegionName | None = None) -> list[str]:
         """Return the addresses of all instances, this one too, that a bound is shared among."""
         since = now_ms() - SHARES_FOR_MS
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -12,6 +12,9 @@
 MOST_NAMED = 64
 # A new process that has heard of nobody waits this long (ms) before it names itself alone.
 ALONE_AFTER_MS = 1_500.0
+# An instance that began to leave less than this long ago (ms) still takes what callers send
+# while they hold on to an answer; it goes before instances that may not run their requests.
+JUST_LEAVING_MS = 2_000.0
 
 
 class Directory:
@@ -30,9 +33,7 @@
         if not any(True for _ in self._members.others()) and self._is_new():
             return []
         region = question.region or RegionName(self._members.own.region)
-        found = self._in_region(region)
-        if not found:
-            found = self._elsewhere(question, region)
+        found = self._in_region(region) or self._elsewhere(question, region)
         if len(found) > MOST_NAMED:
             found = self._chance.sample(found, MOST_NAMED)
         return [f"{ip}:{self._port}" for ip in found]
@@ -55,8 +56,17 @@
                 found[other] = addresses
         allowed = {one: self._routes_allowed(question.host, one) for one in found}
         most = max(allowed.values(), default=0)
+        if most < self._routes(question.host):
+            leaving = self._members.leaving(region, JUST_LEAVING_MS)
+            if leaving:
+                return [one.note.ip for one in leaving]
         return [ip for one, of in found.items() if allowed[one] == most for ip in of]
 
+    def _routes(self, host: str) -> int:
+        """Count the routes of a host."""
+        configuration = self._fleet.configuration
+        return len(configuration.by_host.get(host, ())) if configuration else 0
+
     def _routes_allowed(self, host: str, region: RegionName) -> int:
         """Count the routes of a host that may run in a region."""
         configuration = self._fleet.configuration
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -9,7 +9,7 @@
 # A planned stop, in parts of the grace period: until then new requests are still taken,
 # because callers hold on to an older answer of the directory for up to three times its
 # time; then what is under way goes on until just before the end.
-TAKES_NEW_UNTIL = 0.78
+TAKES_NEW_UNTIL = 0.5
 ENDS_AT = 0.95
 # A token of an answer takes at most about this long where other prompts are read beside it
 # (ms): 4.2 to 5.1 a step, and a step of reading between each two (measured: 120 tokens in
--- a/sparline/platform/_directory.py
+++ b/sparline/platform/_directory.py
@@ -9,7 +9,7 @@
 
 # Callers are told to ask again after this long (s): short, so that an instance that leaves
 # is unknown to them before its grace period ends.
-TTL_S = 2
+TTL_S = 1
 
 
 @dataclass(frozen=True, slots=True)
