Tell peers which engine has read a long start, and give relayed requests back in time

Ruled out: the learned pace (expected and measured agree where nothing was assumed). Change: failures count above 0.25 only; reads of long starts go with the gossip, an owner is taken to have read them only after a restart; a region that expects more than half of the wanted time gives a relayed request back, which is no repeat at a server.

--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -22,6 +22,7 @@
     "MemberNote",
     "BackendLoadNote",
     "StoreItemNote",
+    "PromptReadNote",
 )
 
 
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -14,7 +14,13 @@
 from sparline._ids import RegionName
 from sparline._logging import log
 from sparline.fleet._members import LoadOf, Member, Members
-from sparline.schema._gossip import BackendLoadNote, Gossip, MemberNote, MemberPhase
+from sparline.schema._gossip import (
+    BackendLoadNote,
+    Gossip,
+    MemberNote,
+    MemberPhase,
+    PromptReadNote,
+)
 
 # A round each so often (ms): loads of siblings are then about as old as a prompt's prefill.
 ROUND_MS = 250.0
@@ -37,6 +43,8 @@
 class GossipSources:
     """Hold what a datagram tells beside the members."""
 
+    recent_reads: Callable[[], list[PromptReadNote]]  # long starts that engines have read
+    take_reads: Callable[[list[PromptReadNote]], None]  # what to do with a peer's
     own_loads: Callable[[], dict[str, LoadOf]]  # load that this instance puts on each server
     region_loads: Callable[[], dict[str, LoadOf]]  # load of this whole region
     store_revision: Callable[[], int]  # revision of the store held here
@@ -77,6 +85,7 @@
 
     def _take(self, gossip: Gossip) -> None:
         is_new = self._members.take(gossip)
+        self._sources.take_reads(gossip.reads)
         if is_new:
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
         if gossip.wants_members or is_new:
@@ -155,6 +164,7 @@
                 for name, one in loads.items()
                 if one.running
             ],
+            reads=self._sources.recent_reads(),
             members=self._hearsay(hearsay),
             wants_members=wants_members,
         )
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -159,7 +159,7 @@
             return end.reason
         if self._request.left_ms() < LEAST_LEFT_MS:
             return Reason.DEADLINE_PASSED
-        reached_a_server = end.reason is not Reason.CONNECT_FAILED
+        reached_a_server = end.reason not in (Reason.CONNECT_FAILED, Reason.PEER_NO_ROOM)
         if reached_a_server and not self._parts.retries.spend(self._request.service):
             return Reason.RETRY_BUDGET
         return None
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -105,6 +105,8 @@
             [split_address(seed)[0] for seed in settings.seeds],
             self.members,
             GossipSources(
+                self.cache.recent_reads,
+                self.cache.take_reads,
                 self.loads.own_here,
                 self.loads.whole_region,
                 lambda: self.copy.revision,
@@ -122,7 +124,7 @@
     def _make_placement(self, region: RegionName) -> None:
         self.loads = LoadTable(region, self.members.load_of)
         self.health = HealthTable()
-        self.cache = PromptCache()
+        self.cache = PromptCache(owners_have_read=not self.settings.first_start)
         self.pace = PaceTable()
         tables = PlacementTables(
             fleet=self.fleet,
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -12,13 +12,10 @@
 from sparline.placement._health import HealthTable
 from sparline.placement._loads import LoadTable
 from sparline.placement._pace import PaceTable
-from sparline.placement._prompt_cache import PromptCache, owner_of
+from sparline.placement._prompt_cache import FLEET_WIDE_TOKENS, PromptCache, owner_of
 from sparline.requests import Origin, Reason, RoutedRequest
 from sparline.routes import Service
 
-# Shared starts at least this long are read by one engine of the whole fleet (tokens): the way
-# there and back costs less than reading them again, at any measured pace (30 to 100 tokens/ms).
-FLEET_WIDE_TOKENS = 4_000
 # Credit lost by a token that is read again, against what a token of prompt earns; from the
 # users' prices (0.72 per 1,000) and the worth of their kinds of request (about 2 per 1,000).
 REREAD_LOSS = 0.36
@@ -33,6 +30,9 @@
 FAR_LOSS = 0.01
 # Loss for a failure, against the credit of a request.
 FAILURE_LOSS = 1.5
+# A share of failures up to this says nothing of a server: some kinds of request fail 14% of
+# the time wherever they run, and a share of the last ten swings.
+FAILURE_USUAL = 0.25
 # Engines are filled up to this part of their memory.
 MEMORY_FILL = 0.9
 MEMORY_LOSS = 1.0
@@ -41,6 +41,12 @@
 # A request whose estimated time is above this many times the wanted one is refused: it would
 # earn next to nothing and delay all behind it.
 REFUSE_ABOVE = 1.25
+# A relayed request is refused above this many times the wanted time: its first instance may
+# know a better place, and this region's load better than anyone is known here.
+REFUSE_RELAYED_ABOVE = 0.5
+# Instances that place a start at the same moment, before any has told, agree on its owner:
+# the advantage that it has then.
+OWNER_GAIN = 0.05
 # Servers whose loss differs by less are equal; chance then spreads instances over them.
 EQUAL_LOSS = 0.004
 RETRY_AFTER_LEAST_MS = 150.0
@@ -119,7 +125,7 @@
             for server in servers
             if (
                 placement := self._judge(
-                    request, service, server, cached.get(server.id, 0), most_cached
+                    request, service, server, cached.get(server.id, 0), most_cached, owner
                 )
             )
         ]
@@ -165,12 +171,11 @@
         prompt = request.prompt
         if prompt is None:
             return {}
-        return {
-            one.id: prompt.shared_tokens
-            if one.id == owner
-            else self._tables.cache.cached_tokens(prompt, one.id)
-            for one in servers
-        }
+        cache = self._tables.cache
+        cached = {one.id: cache.cached_tokens(prompt, one.id) for one in servers}
+        if owner is not None and cache.owner_has_read(prompt):
+            cached[owner] = prompt.shared_tokens
+        return cached
 
     def _judge(
         self,
@@ -179,6 +184,7 @@
         server: BackendServer,
         cached: int,
         most_cached: int,
+        owner: BackendServerId | None,
     ) -> Placement | None:
         peer, way_ms = None, 0.0
         if server.region != self._region:
@@ -191,9 +197,11 @@
         unread = max(request.prompt.tokens - cached, 0) if request.prompt else 0
         expected_ms = way_ms + self._time_there_ms(request, service, server, load, unread)
         loss = (expected_ms / request.route.target_latency_ms) ** 2
-        loss += FAILURE_LOSS * self._tables.health.failing(server.id)
+        loss += FAILURE_LOSS * max(self._tables.health.failing(server.id) - FAILURE_USUAL, 0.0)
         if peer is not None:
             loss += FAR_LOSS
+        if server.id == owner:
+            loss -= OWNER_GAIN
         if request.prompt is not None:
             loss += self._prompt_loss(request, service, load, unread, most_cached - cached)
         usable = self._tables.health.usable(server.id)
@@ -243,7 +251,9 @@
 
     def _refusal(self, request: RoutedRequest, best: Placement, candidates: int) -> Refusal | None:
         """Refuse what would come too late, early enough for a second try to pay."""
-        most_ms = min(REFUSE_ABOVE * request.route.target_latency_ms, request.left_ms())
+        relayed = request.origin is Origin.RELAY
+        targets = REFUSE_RELAYED_ABOVE if relayed else REFUSE_ABOVE
+        most_ms = min(targets * request.route.target_latency_ms, request.left_ms())
         if best.expected_ms <= most_ms or not best.load.running:
             return None
         late_ms = best.expected_ms - request.route.target_latency_ms
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -88,4 +88,10 @@
     grace_s: Annotated[
         float, Meta(description="Time between SIGTERM and the end of the process.", gt=0.0)
     ]
+    first_start: Annotated[
+        bool,
+        Meta(
+            description="Whether the whole system starts for the first time, so that no engine has read anything."
+        ),
+    ]
     log_level: Annotated[LogLevel, Meta(description="Lines of this level and above are written.")]
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -53,6 +53,15 @@
     ]
 
 
+class PromptReadNote(WireNode):
+    """
+    Tell that a backend server has read a long start of a prompt.
+    """
+
+    start: Annotated[int, Meta(description="Hash of the name of the start.")]
+    backend_server: str
+
+
 class Gossip(WireMessage):
     """
     Tell a peer about the sender, its load and some others.
@@ -68,6 +77,7 @@
         Meta(description="Whether the loads are of the sender's region, not of the sender alone."),
     ]
     loads: list[BackendLoadNote]
+    reads: Annotated[list[PromptReadNote], Meta(description="What the sender has lately let read.")]
     members: list[MemberNote]
     wants_members: Annotated[
         bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -157,6 +157,7 @@
             store="{}:{}".format(*self.store.address),
             retries=RetrySettings(ratio=0.2, slack=60, window_s=10),
             grace_s=4.0,
+            first_start=True,
             log_level=LogLevel.ERROR,
         )
         gateway = Gateway(settings)
