Refuse what would come late, and trace a request through logs

Change: refused above the wanted time, or above their own credit. sparline trace and sparline gateway on the command line; a late end says that the request may have run; the log names the age of what others told of a region's load.

--- a/sparline/cli/_main.py
+++ b/sparline/cli/_main.py
@@ -4,8 +4,10 @@
 
 from sparline.cli._call import KEY_VARIABLE, call, locate
 from sparline.cli._check import check
+from sparline.cli._gateway import gateway
 from sparline.cli._serve import serve
 from sparline.cli._status import explain, status
+from sparline.cli._trace import trace
 
 EXIT_CODES = """exit codes:
   0  done
@@ -36,6 +38,8 @@
     _add_explain(commands)
     _add_locate(commands)
     _add_call(commands)
+    _add_gateway(commands)
+    _add_trace(commands)
     return parser
 
 
@@ -146,3 +150,23 @@
     _add_where(command)
     _add_json(command)
     command.set_defaults(run=call)
+
+
+def _add_gateway(commands: Commands) -> None:
+    command = _add(
+        commands,
+        "gateway",
+        "run one instance on the users' platform until SIGTERM, which drains it",
+    )
+    command.add_argument("--settings", metavar="FILE", help="JSON settings of this instance")
+    command.add_argument("--check", action="store_true", help="check the settings and stop")
+    command.set_defaults(run=gateway)
+
+
+def _add_trace(commands: Commands) -> None:
+    command = _add(commands, "trace", "print one request's way from logs of instances, in order")
+    command.add_argument("id", metavar="REQUEST_ID", help="id that the caller sent")
+    command.add_argument(
+        "logs", nargs="*", metavar="LOG", help="log files; standard input without any"
+    )
+    command.set_defaults(run=trace)
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -151,6 +151,11 @@
         loads = [one.loads[backend_server] for one in heard if backend_server in one.loads]
         return sum_loads(loads)
 
+    def load_age_ms(self, region: RegionName) -> float | None:
+        """Return how old the newest told load of a region is, None where nothing is known."""
+        heard = [one.loads_at_ms for one in self._others.values() if one.note.region == region]
+        return now_ms() - max(heard) if heard else None
+
     def forget_old(self) -> None:
         """Forget members that have been silent for very long."""
         since = now_ms() - FORGET_MS
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -210,15 +210,14 @@
     ) -> RequestEnd:
         headers = self._parts.refusal_headers(ran, retry_after_ms)
         self._caller.answer(status, headers, b"")
-        return self._ended(status, reason)
+        return self._ended(status, reason, ran)
 
     def _cut(self, reason: Reason) -> RequestEnd:
         """End the connection without the framed end, so that the answer shows as cut."""
         self._caller.closing = True
         return self._ended(0, reason)
 
-    def _ended(self, status: int, reason: Reason) -> RequestEnd:
-        ran = self._progress.may_have_run
+    def _ended(self, status: int, reason: Reason, ran: bool = True) -> RequestEnd:
         return RequestEnd(status, reason, ran, self.placement, self._progress)
 
 
--- a/sparline/gateway/__main__.py
+++ b/sparline/gateway/__main__.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from sparline.gateway._run import run
+from sparline.gateway import run, settings_path
 
 if __name__ == "__main__":
-    sys.exit(run())
+    sys.exit(run(settings_path()))
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -135,6 +135,7 @@
             pace=self.pace,
             peers=self.peers.usable,
             round_trip_ms=self.peers.round_trip_ms,
+            load_age_ms=self.members.load_age_ms,
         )
         self.chooser = Chooser(region, tables, random.Random())
         retries = self.settings.retries
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -91,5 +91,6 @@
         "loss": round(place.loss, 3),
         "running": place.load.running,
         "waiting_tokens": place.load.unread_tokens,
+        "load_age_ms": None if place.load_age_ms is None else round(place.load_age_ms),
         "doubt": place.doubt.name,
     }
--- a/sparline/gateway/_run.py
+++ b/sparline/gateway/_run.py
@@ -24,9 +24,13 @@
 EXIT_REFUSED = 1
 
 
-def run(path: str | None = None) -> int:
+def settings_path() -> str:
+    """Return where the platform has put the settings."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+
+
+def run(path: str) -> int:
     """Serve until SIGTERM; return the exit code."""
-    path = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
     match load_settings(path):
         case Err(reason):
             print_refusal(reason)
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -42,12 +42,12 @@
 MEMORY_LOSS = 1.0
 # Time of an exchange beside all waiting (ms).
 EXCHANGE_MS = 8.0
-# A request whose estimated time is above this many times the wanted one is refused: it would
+# A request whose estimated time is above this part of the wanted one is refused: it would
 # earn next to nothing and delay all behind it.
-REFUSE_ABOVE = 1.25
-# A request that would cost more than this many times its own credit is refused: it is late
+REFUSE_ABOVE = 1.0
+# A request that would cost more than this part of its own credit is refused: it is late
 # itself, or makes others late.
-REFUSE_LOSS = 1.5
+REFUSE_LOSS = 1.0
 # A relayed request is refused above this many times the wanted time: its first instance may
 # know a better place, and this region's load better than anyone is known here.
 REFUSE_RELAYED_ABOVE = 0.5
@@ -79,6 +79,7 @@
     unread_tokens: int  # prompt tokens that are probably not cached there
     loss: float  # what decided, against the credit of the request
     load: LoadOf  # load of the server when this was decided
+    load_age_ms: float | None  # how old what others told of it was, None where they told nothing
     doubt: Doubt  # how far it is trusted
 
 
@@ -103,6 +104,7 @@
     pace: PaceTable  # times of services
     peers: Callable[[RegionName], list[Member]]  # live instances of a region
     round_trip_ms: Callable[[RegionName], float]  # time to a region and back
+    load_age_ms: Callable[[RegionName], float | None]  # age of what others told of a region
 
 
 class Chooser:
@@ -213,7 +215,8 @@
             loss += self._prompt_loss(request, service, load, unread, most_cached - cached)
         usable = self._tables.health.usable(server.id)
         doubt = Doubt.NONE if usable else Doubt.PASSED_OVER
-        return Placement(server, peer, expected_ms, unread, loss, load, doubt)
+        age_ms = self._tables.load_age_ms(server.region)
+        return Placement(server, peer, expected_ms, unread, loss, load, age_ms, doubt)
 
     def _time_there_ms(
         self,
