--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -20,6 +20,7 @@
     "Demand",
     "Share",
     "MemberNote",
+    "MemberBeat",
     "BackendLoadNote",
     "StoreItemNote",
     "PromptReadNote",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import gevent
 import msgspec
@@ -26,19 +27,23 @@
 ROUND_MS = 250.0
 # Peers of the own region told in a round (count); more siblings than that take turns, so
 # that an instance sends the same number of datagrams in a fleet of any size.
-SIBLINGS_A_ROUND = 6
+SIBLINGS_A_ROUND = 4
 # Peers of other regions told in a round (count): bytes between regions are priced.
 FAR_PEERS_A_ROUND = 1
 # Every so many rounds a seed or a silent member is tried, so that cuts heal (rounds).
 PROBE_ROUNDS = 4
-# Other members named in each datagram (count).
-HEARSAY = 3
+# Heartbeats of others passed on in each datagram (count): at 20 datagrams a second that come
+# in, each of 300 instances is heard of each 1.7 s.
+MOST_BEATS = 8
 # Members named to one who asks for all (count): what fits into a datagram of 1,400 bytes.
 MOST_MEMBERS = 16
 # Largest datagram that is read (bytes).
 READ_BYTES = 65_536
 
 
+Note = TypeVar("Note")
+
+
 @dataclass(frozen=True, slots=True)
 class GossipSources:
     """Hold what a datagram tells beside the members."""
@@ -90,6 +95,9 @@
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
         if gossip.wants_members or is_new:
             self._send([gossip.sender.ip], self._message(gossip.sender.region, MOST_MEMBERS))
+        if self._members.strangers:
+            # Whoever is asked directly answers with its name and place.
+            self._send(self._members.strangers[:1], self._message("", 0, wants_members=True))
 
     def run(self) -> None:
         """Send a round after the other for as long as the process lives."""
@@ -105,10 +113,10 @@
         near, far, silent = self._peers()
         near_turn = self._take_turns(near, SIBLINGS_A_ROUND)
         if near_turn:
-            self._send(near_turn, self._message(own.region, HEARSAY))
+            self._send(near_turn, self._message(own.region, 0))
         far_turn = self._take_turns(far, FAR_PEERS_A_ROUND)
         if far_turn:
-            self._send(far_turn, self._message("", HEARSAY))
+            self._send(far_turn, self._message("", 0))
         if self._round % PROBE_ROUNDS == 1:
             self._probe(near + far, silent)
 
@@ -151,7 +159,7 @@
         elif strangers or silent:
             self._send([self._chance.choice(strangers + silent)], self._message("", 0, True))
 
-    def _message(self, to_region: str, hearsay: int, wants_members: bool = False) -> Gossip:
+    def _message(self, to_region: str, members: int, wants_members: bool = False) -> Gossip:
         near = to_region == self._members.own.region
         loads = self._sources.own_loads() if near else self._sources.region_loads()
         return Gossip(
@@ -165,13 +173,18 @@
                 if one.running
             ],
             reads=self._sources.recent_reads(),
-            members=self._hearsay(hearsay),
+            beats=self._some(self._members.heard_lately(), MOST_BEATS),
+            members=self._some(self._known_notes(), members) if members else [],
             wants_members=wants_members,
         )
 
-    def _hearsay(self, most: int) -> list[MemberNote]:
-        notes = [one.note for one in self._members.others() if not _is_silent(one)]
-        return notes if len(notes) <= most else self._chance.sample(notes, most)
+    def _known_notes(self) -> list[MemberNote]:
+        return [one.note for one in self._members.others() if not _is_silent(one)]
+
+    def _some(self, all_of_them: list[Note], most: int) -> list[Note]:
+        if len(all_of_them) <= most:
+            return all_of_them
+        return self._chance.sample(all_of_them, most)
 
     def _send(self, peers: list[str], message: Gossip) -> None:
         data = pack(message)
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -3,13 +3,26 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import msgspec
+
 from sparline._clock import now_ms
 from sparline._ids import RegionName
-from sparline.schema._gossip import BackendLoadNote, Gossip, MemberNote, MemberPhase
+from sparline.schema._gossip import (
+    BackendLoadNote,
+    Gossip,
+    MemberBeat,
+    MemberNote,
+    MemberPhase,
+)
 
 # A member whose heartbeat stood still this long gets no work and is not named to callers;
 # a dozen gossip intervals, so that a lost datagram or two change nothing.
 SILENT_MS = 3_000.0
+# A member of another region may be silent for longer where the fleet is large (ms for each
+# instance known): each datagram passes on some heartbeats, whatever the number of instances.
+FAR_SILENT_MS = 20.0
+# A heartbeat is passed on while it is this fresh (ms): several rounds.
+PASS_ON_MS = 1_500.0
 # A member that was silent this long still counts where a bound is shared out: it may be
 # alive behind a cut and use its part.
 SHARES_FOR_MS = 20_000.0
@@ -54,6 +67,7 @@
     def __init__(self, own: MemberNote) -> None:
         """Start alone."""
         self.own = own
+        self.strangers: list[str] = []  # addresses in the last datagram that nothing is known of
         self._others: dict[str, Member] = {}
 
     def take(self, gossip: Gossip) -> bool:
@@ -74,8 +88,31 @@
         member.whole_region = gossip.whole_region
         for other in gossip.members:
             self._take_hearsay(other)
+        self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
         return is_new
 
+    def _take_beat(self, beat: MemberBeat) -> bool:
+        """Take in a heartbeat that was passed on; tell whether its instance is known."""
+        if beat.ip == self.own.ip:
+            return True
+        known = self._others.get(beat.ip)
+        if known is None or beat.incarnation > known.note.incarnation:
+            return False
+        if beat.incarnation == known.note.incarnation and beat.counter > known.note.counter:
+            self._update(
+                msgspec.structs.replace(known.note, counter=beat.counter, phase=beat.phase)
+            )
+        return True
+
+    def heard_lately(self) -> list[MemberBeat]:
+        """Return the heartbeats that are fresh enough to be passed on."""
+        since = now_ms() - PASS_ON_MS
+        return [
+            MemberBeat(one.note.ip, one.note.incarnation, one.note.counter, one.note.phase)
+            for one in self._others.values()
+            if one.heard_at_ms >= since
+        ]
+
     def _take_hearsay(self, note: MemberNote) -> None:
         if note.ip == self.own.ip:
             return
@@ -104,11 +141,13 @@
 
     def live(self, region: RegionName | None = None) -> list[Member]:
         """Return the others that take work, of one region or of all."""
-        since = now_ms() - SILENT_MS
+        now = now_ms()
+        far_ms = max(SILENT_MS, FAR_SILENT_MS * len(self._others))
         return [
             one
             for one in self._others.values()
-            if one.heard_at_ms >= since
+            if now - one.heard_at_ms
+            <= (SILENT_MS if one.note.region == self.own.region else far_ms)
             and one.note.phase is MemberPhase.live
             and (region is None or one.note.region == region)
         ]
--- /dev/null
+++ b/sparline/fleet/tests/test_store.py
@@ -0,0 +1,244 @@
+import pytest
+from result import Err, Ok
+
+from sparline.fleet import (
+    BackendServerItem,
+    BadItem,
+    ConfigurationItem,
+    EvacuationItem,
+    FleetState,
+    StoreAnswer,
+    StoreChange,
+    StoreCopyTable,
+    StoreFault,
+    StoreFaultKind,
+    StoreReader,
+    UnknownItem,
+    _fleet_state,
+    _store_reader,
+)
+from sparline.tests.routed import make_route, make_rules, make_server
+
+A1, A3, B2 = StoreChange("a", 1, b"1"), StoreChange("a", 3, b"3"), StoreChange("b", 2, b"2")
+A_GONE = StoreChange("a", 4, None)
+
+ORDERS = [
+    ("in order", [([A1], 1), ([B2, A3], 3)], {"a": b"3", "b": b"2"}, 3),
+    ("the other way round", [([A3], 3), ([B2, A1], 2)], {"a": b"3", "b": b"2"}, 3),
+    ("twice", [([A1, B2], 2), ([A1, B2], 2)], {"a": b"1", "b": b"2"}, 2),
+    ("deleted", [([A1, B2], 2), ([A_GONE], 4)], {"b": b"2"}, 4),
+    ("deleted before it is heard of", [([A_GONE], 4), ([A1], 1)], {}, 4),
+]
+
+
+def copy_of(state: dict[str, bytes]) -> StoreCopyTable:
+    def note(change: StoreChange) -> None:
+        state.pop(change.key, None)
+        if change.value is not None:
+            state[change.key] = change.value
+
+    return StoreCopyTable(note)
+
+
+@pytest.mark.parametrize(
+    ("steps", "held", "revision"), [row[1:] for row in ORDERS], ids=[row[0] for row in ORDERS]
+)
+def test_all_orders_of_changes_end_alike(steps, held, revision):
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    for changes, up_to in steps:
+        copy.apply(changes, up_to)
+    assert (state, copy.revision) == (held, revision)
+
+
+def test_a_whole_list_deletes_what_it_lacks_but_never_goes_back():
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    copy.apply([A1, B2], 2)
+    copy.replace([A3], 3)
+    assert state == {"a": b"3"}
+    copy.replace([A1, B2], 2)
+    assert state == {"a": b"3"}
+
+
+@pytest.mark.parametrize("since", [0, 1, 2, 3, 4])
+def test_a_peer_that_takes_a_copy_holds_the_same(since):
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    steps = [([A1], 1), ([B2], 2), ([A3], 3), ([A_GONE], 4)]
+    for changes, up_to in steps:
+        copy.apply(changes, up_to)
+    theirs: dict[str, bytes] = {}
+    peer = copy_of(theirs)
+    for changes, up_to in steps[:since]:
+        peer.apply(changes, up_to)
+    peer.take_copy(copy.since(peer.revision))
+    assert theirs == state == {"b": b"2"}
+    assert peer.revision == 4
+
+
+def test_a_copy_of_what_changed_before_the_first_read_is_whole():
+    copy = copy_of({})
+    copy.replace([B2], 9)
+    assert copy.since(5).whole
+    assert not copy.since(9).whole
+
+
+ZONES = {"north-1": "north"}
+SERVER = make_server("s1")
+ITEMS = {
+    b"new": ConfigurationItem(make_rules(version=5)),
+    b"old": ConfigurationItem(make_rules(make_route(path_prefix="/old/"), version=3)),
+    b"bad": BadItem("wrong"),
+    b"server": BackendServerItem(SERVER),
+    b"zone": EvacuationItem(SERVER.zone),
+    b"other": UnknownItem(),
+}
+
+
+class Disturbed:
+    """Tell how long ago the store failed."""
+
+    ago_ms = 1e9
+
+    def __call__(self) -> float:
+        return self.ago_ms
+
+
+@pytest.fixture
+def state():
+    bad: list[int] = []
+    one = FleetState(lambda change: ITEMS[change.value], lambda: bad.append(1), Disturbed(), ZONES)
+    one.bad = bad
+    return one
+
+
+def put(state: FleetState, *values: bytes | None, key: str = "k") -> None:
+    for revision, value in enumerate(values, 1):
+        state.take(StoreChange(key, revision, value))
+
+
+CONFIGURATIONS = [
+    ("first", [b"new"], 5),
+    ("an older one after", [b"new", b"old"], 5),
+    ("a newer one after", [b"old", b"new"], 5),
+    ("a bad one after", [b"new", b"bad"], 5),
+    ("deleted", [b"new", None], 5),
+    ("unknown item", [b"new", b"other"], 5),
+]
+
+
+@pytest.mark.parametrize(
+    ("values", "version"),
+    [row[1:] for row in CONFIGURATIONS],
+    ids=[row[0] for row in CONFIGURATIONS],
+)
+def test_the_newest_configuration_stays_in_force(state, values, version):
+    put(state, *values)
+    assert state.configuration.version == version
+
+
+def test_an_evacuation_holds_until_it_is_taken_back(state):
+    put(state, b"zone")
+    assert state.evacuated == {SERVER.zone}
+    put(state, None)
+    assert state.evacuated == set()
+
+
+LAPSES = [
+    # milliseconds since the store failed, store away, known after the grace
+    ("a calm store", 1e9, False, False, False),
+    ("a store just back, not back in time", 100.0, False, True, False),
+    ("a store still away", 100.0, True, True, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("ago_ms", "away", "at_once", "after"),
+    [row[1:] for row in LAPSES],
+    ids=[row[0] for row in LAPSES],
+)
+def test_an_entry_that_lapsed_is_kept_for_its_grace(
+    state, monkeypatch, ago_ms, away, at_once, after
+):
+    clock = [0.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: clock[0])
+    put(state, b"server", key="servers/s1")
+    state._disturbed_ago_ms.ago_ms = ago_ms
+    state.take(StoreChange("servers/s1", 9, None))
+    assert (SERVER.id in state.servers) is at_once
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(away)
+    assert (SERVER.id in state.servers) is after
+
+
+def test_an_entry_that_comes_back_within_its_grace_stays(state, monkeypatch):
+    clock = [0.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: clock[0])
+    put(state, b"server", key="servers/s1")
+    state._disturbed_ago_ms.ago_ms = 0.0
+    state.take(StoreChange("servers/s1", 9, None))
+    state.take(StoreChange("servers/s1", 10, b"server"))
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(False)
+    assert SERVER.id in state.servers
+
+
+class ScriptedStore:
+    """Answer calls of the store from a list."""
+
+    def __init__(self, *answers: object) -> None:
+        self.answers = list(answers)
+        self.calls: list[str] = []
+
+    def _next(self, call: str):
+        self.calls.append(call)
+        return self.answers.pop(0)
+
+    def read_all(self, timeout_ms: float):
+        return self._next("read")
+
+    def watch(self, after: int, wait_ms: int, timeout_ms: float):
+        return self._next(f"watch {after}")
+
+    def interrupt(self) -> None:
+        self.calls.append("interrupt")
+
+
+def fault(kind: StoreFaultKind) -> Err:
+    return Err(StoreFault(kind, "text"))
+
+
+READS = [
+    ("read, then watch", [Ok(StoreAnswer([A1], 1)), Ok(StoreAnswer([B2], 2))], ["read", "watch 1"]),
+    ("a read that fails is made again", [fault(StoreFaultKind.REFUSED), Ok(StoreAnswer([], 1))], ["read", "read"]),
+    ("a watch that fails goes on where it was", [Ok(StoreAnswer([A1], 1)), fault(StoreFaultKind.SILENT), Ok(StoreAnswer([], 1))], ["read", "watch 1", "watch 1"]),
+    ("a forgotten history is read anew", [Ok(StoreAnswer([A1], 1)), fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([], 7)), Ok(StoreAnswer([], 8))], ["read", "watch 1", "read", "watch 7"]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("answers", "calls"), [row[1:] for row in READS], ids=[row[0] for row in READS]
+)
+def test_the_store_is_followed(monkeypatch, answers, calls):
+    store = ScriptedStore(*answers)
+    monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: 0)
+    with pytest.raises(IndexError):
+        reader.run()
+    assert store.calls[: len(calls)] == calls
+
+
+def test_a_watch_that_stays_behind_peers_is_ended(monkeypatch):
+    clock = [10_000.0]
+    monkeypatch.setattr(_store_reader, "now_ms", lambda: clock[0])
+    store = ScriptedStore()
+    newest = [5]
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: newest[0])
+    assert not reader.check_behind()
+    clock[0] += _store_reader.BEHIND_MS + 1
+    assert reader.check_behind()
+    assert store.calls == ["interrupt"]
+    newest[0] = 0
+    clock[0] += _store_reader.BEHIND_MS + 1
+    assert not reader.check_behind()
--- /dev/null
+++ b/sparline/placement/tests/test_choice.py
@@ -0,0 +1,207 @@
+import random
+
+import pytest
+
+from sparline._clock import now_ms
+from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline.fleet import BackendServer, FleetState, LoadOf, Member, UnknownItem
+from sparline.placement import (
+    Chooser,
+    ColdShares,
+    HealthTable,
+    LoadTable,
+    PaceTable,
+    Placement,
+    PlacementTables,
+    PromptCache,
+    Refusal,
+    owner_of,
+)
+from sparline.requests import Origin, Prompt, PromptStart
+from sparline.routes import RequestKind, ServiceShare
+from sparline.schema._gossip import MemberNote, MemberPhase, PromptReadNote
+from sparline.tests.routed import PLAIN, make_request, make_route, make_rules, make_server
+
+NORTH, SOUTH = RegionName("north"), RegionName("south")
+ZONES = {ZoneName("north-1"): NORTH, ZoneName("south-1"): SOUTH}
+N1, N2, S1 = make_server("n1"), make_server("n2"), make_server("s1", "south")
+LONG = Prompt(17_000, 120, (PromptStart("/long", 13_000),))
+SHORT = Prompt(400, 50, ())
+BUSY = LoadOf(running=6, held_tokens=60_000, unread_tokens=40_000)
+FULL = LoadOf(running=64, held_tokens=30_000)
+
+
+class World:
+    """Hold the tables of one instance in the north."""
+
+    def __init__(self, *servers: BackendServer, far_peers: bool = True) -> None:
+        self.loads: dict[str, LoadOf] = {}
+        self.fleet = FleetState(lambda _c: UnknownItem(), lambda: None, lambda: 1e9, ZONES)
+        self.fleet.configuration = make_rules()
+        for server in servers:
+            self.fleet.servers[server.id] = server
+            self.fleet.by_service.setdefault(server.service, []).append(server)
+        self.health = HealthTable()
+        self.cache = PromptCache(owners_have_read=False)
+        note = MemberNote("p", "p", 1, 1, MemberPhase.live, SOUTH, "south-1")
+        peers = [Member(note, now_ms(), now_ms())] if far_peers else []
+        self.tables = PlacementTables(
+            fleet=self.fleet,
+            loads=LoadTable(NORTH, lambda one, _region: self.loads.get(one, LoadOf())),
+            health=self.health,
+            cold=ColdShares("own", lambda: ["own"]),
+            cache=self.cache,
+            pace=PaceTable(),
+            peers=lambda _region: peers,
+            round_trip_ms=lambda _region: 110.0,
+            load_age_ms=lambda _region: 100.0,
+        )
+        self.chooser = Chooser(NORTH, self.tables, random.Random(1))
+
+    def choose(self, request, excluded=()) -> str:
+        place = self.chooser.choose(request, frozenset(BackendServerId(one) for one in excluded))
+        if isinstance(place, Refusal):
+            return f"refused: {place.reason.value}"
+        assert isinstance(place, Placement)
+        assert (place.peer is not None) == (place.server.region != NORTH)
+        return place.server.id
+
+
+def fail_often(world: World) -> None:
+    for _ in range(20):
+        world.health.note_failure(N1.id, "failed")
+
+
+def fail_as_usual(world: World) -> None:
+    for number in range(70):
+        if number % 7 == 0:
+            world.health.note_failure(N1.id, "failed")
+        else:
+            world.health.note_success(N1.id)
+
+
+def set_load(**loads: LoadOf):
+    return lambda world: world.loads.update(loads)
+
+
+def read_long_at(server: BackendServer):
+    def told(world: World) -> None:
+        other = PromptCache(owners_have_read=False)
+        other.note(LONG, server.id, 300_000)
+        world.cache.take_reads(other.recent_reads())
+
+    return told
+
+
+SOUTH_ONLY = make_route(home_regions=frozenset((SOUTH,)))
+RELAYED = {"origin": Origin.RELAY}
+LEAVING = make_server("n1", leaving=True)
+COLD = make_server("n1", cold_until_ms=now_ms() + 1e9)
+
+CHOICES = [
+    ("the own region", (N1, S1), None, make_request(), "n1"),
+    ("the only one, elsewhere", (S1,), None, make_request(), "s1"),
+    ("elsewhere without an instance there", (S1,), "no peers", make_request(), "refused: no_backend"),
+    ("nobody", (), None, make_request(), "refused: no_backend"),
+    ("a home elsewhere", (N1, S1), None, make_request(SOUTH_ONLY), "s1"),
+    ("a home elsewhere, none there", (N1,), None, make_request(SOUTH_ONLY), "refused: no_backend"),
+    ("a relayed request stays", (S1,), None, make_request(**RELAYED), "refused: no_backend"),
+    ("a leaving one is passed over", (LEAVING, S1), None, make_request(), "s1"),
+    ("tried already", (N1, N2), None, make_request(), "n2", ("n1",)),
+    ("the less loaded one", (N1, N2), set_load(n1=BUSY), make_request(), "n2"),
+    ("elsewhere where home is loaded", (N1, S1), set_load(n1=BUSY), make_request(), "s1"),
+    ("refused where all are loaded", (N1, S1), set_load(n1=BUSY, s1=BUSY), make_request(), "refused: deadline_unreachable"),
+    ("a full engine", (N1, S1), set_load(n1=FULL), make_request(), "s1"),
+    ("one that fails", (N1, N2), fail_often, make_request(), "n2"),
+    ("one that fails, but there is no other", (N1,), fail_often, make_request(), "n1"),
+    ("failures that are usual", (N1, S1), fail_as_usual, make_request(), "n1"),
+    ("a long start where it was read", (N1, N2, S1), read_long_at(S1), make_request(prompt=LONG), "s1"),
+    ("a long start whose engine is loaded", (N1, S1), lambda w: (read_long_at(S1)(w), w.loads.update(s1=BUSY)), make_request(prompt=LONG), "n1"),
+    ("a short one beside a long one that waits", (N1, N2), set_load(n1=LoadOf(1, 17_000, 17_000)), make_request(prompt=SHORT), "n2"),
+    ("a relayed one is given back sooner", (N1,), set_load(n1=LoadOf(3, 30_000, 22_000)), make_request(**RELAYED), "refused: deadline_unreachable"),
+    ("where a caller's own is taken", (N1,), set_load(n1=LoadOf(3, 30_000, 22_000)), make_request(), "n1"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("row", CHOICES, ids=[row[0] for row in CHOICES])
+def test_the_place_that_loses_least(row):
+    _, servers, prepare, request, chosen, *excluded = row
+    world = World(*servers, far_peers=prepare != "no peers")
+    if callable(prepare):
+        prepare(world)
+    assert world.choose(request, *excluded) == chosen
+
+
+def test_an_evacuated_zone_gets_nothing():
+    world = World(N1, S1)
+    world.fleet.evacuated = {N1.zone}
+    assert world.choose(make_request()) == "s1"
+
+
+def test_a_cold_server_gets_its_rate_and_the_rest_goes_elsewhere():
+    world = World(COLD, S1)
+    request = make_request()
+    places = []
+    for _ in range(3):
+        place = world.chooser.choose(request, frozenset())
+        world.chooser.note_sent(request, place)
+        places.append(place.server.id)
+    assert places == ["n1", "s1", "s1"]
+
+
+def test_a_plain_request_avoids_a_full_service():
+    route = make_route(
+        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), target_latency_ms=400.0
+    )
+    near = make_server("p1", service=PLAIN, slots=2)
+    far = make_server("p2", "south", service=PLAIN, slots=2)
+    world = World(near, far)
+    assert world.choose(make_request(route, prompt=None)) == "p1"
+    world.loads["p1"] = LoadOf(running=9)
+    assert world.choose(make_request(route, prompt=None)) == "p2"
+
+
+def test_all_instances_agree_on_the_owner_of_a_start():
+    engines = [BackendServerId(f"e{number}") for number in range(6)]
+    prompts = [Prompt(9_000, 1, (PromptStart(f"/{number}", 8_000),)) for number in range(300)]
+    owners = [owner_of(prompt, engines) for prompt in prompts]
+    assert owners == [owner_of(prompt, engines[::-1]) for prompt in prompts]
+    assert all(20 < owners.count(engine) < 90 for engine in engines)
+    without = [owner_of(prompt, engines[1:]) for prompt in prompts]
+    moved = [a for a, b in zip(owners, without, strict=True) if a != b]
+    assert set(moved) == {engines[0]}
+
+
+CACHES = [
+    # owners have read, told of, owner taken to have read
+    (False, False, False),
+    (True, False, True),
+    (True, True, False),
+    (False, True, False),
+]
+
+
+@pytest.mark.parametrize(("assumed", "told", "taken"), CACHES)
+def test_owners_are_taken_to_have_read_only_where_nobody_told(assumed, told, taken):
+    cache = PromptCache(owners_have_read=assumed)
+    other = PromptCache(owners_have_read=False)
+    other.note(LONG, N1.id, 300_000)
+    if told:
+        cache.take_reads(other.recent_reads())
+    assert cache.owner_has_read(LONG) is taken
+    assert cache.cached_tokens(LONG, N1.id) == (13_000 if told else 0)
+
+
+def test_the_oldest_starts_give_way():
+    cache = PromptCache(owners_have_read=False)
+    prompts = [Prompt(3_000, 1, (PromptStart(f"/{number}", 2_000),)) for number in range(10)]
+    for prompt in prompts:
+        cache.note(prompt, N1.id, 20_000)
+    assert [cache.cached_tokens(one, N1.id) for one in prompts] == [0] * 5 + [2_000] * 5
+
+
+def test_reads_that_are_remembered_are_bounded(monkeypatch):
+    monkeypatch.setattr("sparline.placement._prompt_cache.MOST_HEARD", 3)
+    cache = PromptCache(owners_have_read=True)
+    cache.take_reads([PromptReadNote(number, "n1") for number in range(10)])
+    assert len(cache._heard) == len(cache._heard_starts) == 3
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -40,6 +40,17 @@
     availability_zone: str
 
 
+class MemberBeat(WireNode):
+    """
+    Pass on the newest heartbeat of one instance.
+    """
+
+    ip: str
+    incarnation: int
+    counter: int
+    phase: MemberPhase
+
+
 class BackendLoadNote(WireNode):
     """
     Tell the load that one instance, or all of its region, puts on one backend server.
@@ -78,7 +89,10 @@
     ]
     loads: list[BackendLoadNote]
     reads: Annotated[list[PromptReadNote], Meta(description="What the sender has lately let read.")]
-    members: list[MemberNote]
+    beats: Annotated[
+        list[MemberBeat], Meta(description="Heartbeats of others that the sender has heard lately.")
+    ]
+    members: Annotated[list[MemberNote], Meta(description="Other instances, for one who asked.")]
     wants_members: Annotated[
         bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
     ]
