--- a/sparline/fleet/_backend_servers.py
+++ b/sparline/fleet/_backend_servers.py
@@ -20,7 +20,6 @@
     slots: int  # requests that it works on at once
     leaving: bool  # whether it takes nothing new
     cold_until_ms: float  # until when it bears few requests, on this process's clock
-    gone_at_ms: float | None = None  # end that it announced, None where it did not
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -166,7 +166,6 @@
             sender=self._members.own,
             store_revision=self._sources.store_revision(),
             store_reached=self._sources.store_reached(),
-            whole_region=not near,
             loads=[
                 BackendLoadNote(name, one.running, one.held_tokens, one.unread_tokens)
                 for name, one in loads.items()
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -53,7 +53,6 @@
     store_reached: bool = False  # whether the store answered it lately
     loads: dict[str, LoadOf] = field(default_factory=dict)  # by backend server
     loads_at_ms: float = 0.0  # when they arrived
-    whole_region: bool = False  # whether the loads are of its whole region
 
     @property
     def region(self) -> RegionName:
@@ -85,7 +84,6 @@
         member.store_reached = gossip.store_reached
         member.loads = {one.backend_server: _load_of(one) for one in gossip.loads}
         member.loads_at_ms = now_ms()
-        member.whole_region = gossip.whole_region
         for other in gossip.members:
             self._take_hearsay(other)
         self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -23,7 +23,7 @@
 
 
 def gossip(sender: MemberNote, **changes) -> Gossip:
-    plain = Gossip(sender, 1, True, False, [], [], [], [], False)
+    plain = Gossip(sender, 1, True, [], [], [], [], False)
     return msgspec.structs.replace(plain, **changes)
 
 
@@ -102,8 +102,8 @@
 def test_loads_of_siblings_add_up_and_those_of_a_far_region_do_not(members):
     members.take(gossip(note("a"), loads=loads(2)))
     members.take(gossip(note("b"), loads=loads(3)))
-    members.take(gossip(note("s1", "south"), loads=loads(7), whole_region=True))
-    members.take(gossip(note("s2", "south"), loads=loads(7), whole_region=True))
+    members.take(gossip(note("s1", "south"), loads=loads(7)))
+    members.take(gossip(note("s2", "south"), loads=loads(7)))
     assert members.load_of(ENGINE, NORTH) == LoadOf(5, 500, 50)
     assert members.load_of(ENGINE, SOUTH) == LoadOf(7, 700, 70)
 
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -34,8 +34,9 @@
         if reached:
             self._pass_over_until_ms.pop(ip, None)
             return
+        if self._pass_over_until_ms.get(ip, 0.0) <= now_ms():
+            log.bind(peer=ip, for_ms=PASS_OVER_MS).info("peer_passed_over")
         self._pass_over_until_ms[ip] = now_ms() + PASS_OVER_MS
-        log.bind(peer=ip, for_ms=PASS_OVER_MS).info("peer_passed_over")
 
     def round_trip_ms(self, region: RegionName) -> float:
         """Return the time to a region and back."""
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -43,7 +43,7 @@
 def test_instances_are_named_by_region_and_homes(others, region, named):
     members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "east", "east-1"))
     for other in others:
-        members.take(Gossip(other, 0, True, False, [], [], [], [], False))
+        members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
         make_route(path_prefix=f"/{place}/", home_regions=of) for place, of in enumerate(HOMES)
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from sparline._clock import now_ms
 from sparline._ids import BackendServerId, RegionName
 from sparline.fleet import BackendServer, FleetState, LoadOf, Member
 from sparline.placement._cold_shares import ColdShares
@@ -287,10 +286,6 @@
                 request.prompt, placement.server.id, service.engine.cache_tokens
             )
 
-    def cold_ms(self, server: BackendServer) -> float:
-        """Return how long a server stays cold."""
-        return max(server.cold_until_ms - now_ms(), 0.0)
-
 
 def _late_share(prefill_pauses: float) -> float:
     """Return the share of streams that miss their pause after prefill of so many pauses."""
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -85,7 +85,6 @@
     state: str
     slots: int = 1
     cold_remaining_ms: float = 0.0  # time until the server has warmed up
-    time_left_ms: float | None = None  # until the end, where it was given short notice
 
 
 class ItemReader:
@@ -130,7 +129,6 @@
             slots=node.slots,
             leaving=node.state != "ready",
             cold_until_ms=now_ms() + node.cold_remaining_ms,
-            gone_at_ms=None if node.time_left_ms is None else now_ms() + node.time_left_ms,
         )
         return BackendServerItem(server)
 
--- /dev/null
+++ b/sparline/platform/tests/test_requests.py
@@ -0,0 +1,130 @@
+import pytest
+
+from sparline._ids import BackendServerId, RequestId
+from sparline.forwarding import AnswerKind, SendTerms
+from sparline.http import HttpAnswer, HttpRequest
+from sparline.platform import InstanceWire, ServerWire, read_marks
+from sparline.requests import Prompt, PromptStart
+from sparline.tests.routed import make_request, make_route
+
+
+def http(**headers: str) -> HttpRequest:
+    fields = {"attempt-id": "r1", "host": "Host.Example:80"} | {
+        name.replace("_", "-"): value for name, value in headers.items()
+    }
+    pairs = [(name.encode(), value.encode()) for name, value in fields.items() if value]
+    return HttpRequest(b"POST", b"/a/b?c=/d", pairs)
+
+
+PARTS = "5c1e:800,91bd:410,e440:250"
+MARKS = [
+    ("plain", {}, "path", "/a/b"),
+    ("host without port, in lower case", {}, "host", "host.example"),
+    ("no deadline", {}, "deadline_ms", None),
+    ("deadline", {"deadline_milliseconds": "2500"}, "deadline_ms", 2500.0),
+    ("no prompt", {"prompt_prefix": PARTS}, "prompt", None),
+    (
+        "the last part is the request's own",
+        {"token_counts": "1460,80", "prompt_prefix": PARTS},
+        "prompt",
+        Prompt(1460, 80, (PromptStart("/5c1e", 800), PromptStart("/5c1e/91bd", 410))),
+    ),
+    ("blanks between parts", {"token_counts": "9, 8", "prompt_prefix": "a:1 , b:2"}, "prompt", Prompt(9, 8, (PromptStart("/a", 1),))),
+    ("last event", {"last_event_id": "7"}, "resume_after", 7),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("headers", "name", "value"), [row[1:] for row in MARKS], ids=[row[0] for row in MARKS]
+)
+def test_marks_are_read(headers, name, value):
+    assert getattr(read_marks(http(**headers)).unwrap(), name) == value
+
+
+WRONG = [
+    ({"attempt_id": ""}, "Attempt-Id"),
+    ({"host": ""}, "Host"),
+    ({"deadline_milliseconds": "soon"}, "Deadline-Milliseconds"),
+    ({"token_counts": "7"}, "Token-Counts"),
+    ({"token_counts": "7,8", "prompt_prefix": "a,b:2"}, "Prompt-Prefix"),
+]
+
+
+@pytest.mark.parametrize(("headers", "place"), WRONG)
+def test_marks_that_are_wrong_are_told_with_their_header(headers, place):
+    assert read_marks(http(**headers)).unwrap_err().startswith(place)
+
+
+ANSWERS = [
+    # status, headers, meaning from a server, belongs to r1 from a server
+    (200, {"attempt-id": "r1", "response-seal": "s"}, AnswerKind.RESULT, True),
+    (200, {"attempt-id": "r1"}, AnswerKind.UNKNOWN, True),
+    (200, {"attempt-id": "r0", "response-seal": "s"}, AnswerKind.RESULT, False),
+    (500, {"attempt-id": "r1", "response-seal": "s"}, AnswerKind.RESULT, True),
+    (503, {"attempt-id": "r1", "not-executed": "1"}, AnswerKind.NOT_RUN, True),
+    (503, {"not-executed": "1"}, AnswerKind.NOT_RUN, True),
+    (503, {"attempt-id": "r0", "not-executed": "1"}, AnswerKind.NOT_RUN, False),
+    (421, {"instance-id": "other"}, AnswerKind.MISDIRECTED, True),
+    (500, {}, AnswerKind.RESULT, False),
+]
+
+
+def answer(status: int, headers: dict[str, str]) -> HttpAnswer:
+    pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+    return HttpAnswer(status, pairs)
+
+
+@pytest.mark.parametrize(("status", "headers", "kind", "belongs"), ANSWERS)
+def test_what_a_servers_answer_means(status, headers, kind, belongs):
+    wire = ServerWire()
+    assert wire.meaning(answer(status, headers)).kind is kind
+    assert wire.belongs(RequestId("r1"), answer(status, headers)) is belongs
+
+
+PEERS = [
+    (200, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
+    (500, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
+    (503, {"sparline-outcome": "not-run", "retry-after": "0.250"}, AnswerKind.NOT_RUN, True),
+    (502, {"sparline-outcome": "unknown"}, AnswerKind.UNKNOWN, True),
+    (504, {"sparline-outcome": "unknown"}, AnswerKind.TIMED_OUT, True),
+    (200, {"attempt-id": "r0"}, AnswerKind.RESULT, False),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "kind", "belongs"), PEERS)
+def test_what_a_peers_answer_means(status, headers, kind, belongs):
+    wire = InstanceWire()
+    assert wire.meaning(answer(status, headers)).kind is kind
+    assert wire.belongs(RequestId("r1"), answer(status, headers)) is belongs
+
+
+RETRY_AFTER = [("0.25", 250.0), ("2", 2000.0), ("Wed, 02 Dec 2026 14:00:00 GMT", 0.0), ("-1", 0.0)]
+
+
+@pytest.mark.parametrize(("text", "expected_ms"), RETRY_AFTER)
+def test_when_to_come_back(text, expected_ms):
+    refused = answer(503, {"not-executed": "1", "retry-after": text})
+    assert ServerWire().meaning(refused).retry_after_ms == expected_ms
+
+
+SENDS = [
+    ("resumed", make_route(), 7, True),
+    ("not resumed", make_route(), None, False),
+    ("may not be resumed", make_route(resumable=False), 7, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("route", "resume_after", "told"), [row[1:] for row in SENDS], ids=[row[0] for row in SENDS]
+)
+def test_the_head_of_a_send(route, resume_after, told):
+    request = make_request(route, body=b"abc")
+    terms = SendTerms(BackendServerId("s1"), 1234.6, resume_after, 1)
+    for wire in (ServerWire(), InstanceWire()):
+        head = wire.send_head(request, terms)
+        assert head.startswith(b"POST /a/1 HTTP/1.1\r\nhost: host.example\r\n")
+        assert b"\r\ndeadline-milliseconds: 1234\r\n" in head
+        assert b"\r\ncontent-length: 3\r\n" in head
+        assert (b"\r\nlast-event-id: 7\r\n" in head) is told
+    assert b"\r\nexpected-instance: s1\r\n" in ServerWire().send_head(request, terms)
+    assert b"\r\nsparline-service: engines\r\n" in InstanceWire().send_head(request, terms)
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -83,11 +83,12 @@
     store_reached: Annotated[
         bool, Meta(description="Whether the store answered the sender lately.")
     ]
-    whole_region: Annotated[
-        bool,
-        Meta(description="Whether the loads are of the sender's region, not of the sender alone."),
+    loads: Annotated[
+        list[BackendLoadNote],
+        Meta(
+            description="Of the sender alone towards its own region, of its whole region towards others."
+        ),
     ]
-    loads: list[BackendLoadNote]
     reads: Annotated[list[PromptReadNote], Meta(description="What the sender has lately let read.")]
     beats: Annotated[
         list[MemberBeat], Meta(description="Heartbeats of others that the sender has heard lately.")
