--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -69,6 +69,8 @@
     may_have_run: bool = False  # whether any of them may have run
     began: bool = False  # whether the caller has the head of an answer
     first_at_ms: float | None = None  # when the first event or answer arrived
+    heard_at_ms: float | None = None  # when the newest event arrived
+    longest_pause_ms: float = 0.0  # longest time between two events
     failed_answer: tuple[HttpAnswer, bytes] | None = None  # a server's failure, kept to pass on
     excluded: set[str] = field(default_factory=set)  # backend servers that were tried
 
@@ -305,7 +307,7 @@
             self._tools.health.note_heard(self._server_id)
             whole = self._progress.cutter.feed(piece)
             if whole:
-                self._note_first_event()
+                self._note_event()
                 self._begin(answer)
                 self._caller.send(whole)
         self._begin(answer)
@@ -316,8 +318,13 @@
             self._tools.pace.note_answer(self._request.service, now_ms() - self._sent_at_ms)
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
-    def _note_first_event(self) -> None:
+    def _note_event(self) -> None:
         self._reservation.note_first_event()
+        now = now_ms()
+        if self._progress.heard_at_ms is not None:
+            pause_ms = now - self._progress.heard_at_ms
+            self._progress.longest_pause_ms = max(self._progress.longest_pause_ms, pause_ms)
+        self._progress.heard_at_ms = now
         if self._progress.first_at_ms is not None:
             return
         self._progress.first_at_ms = now_ms()
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -74,6 +74,7 @@
             sends=end.progress.sends,
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
+            pause_ms=round(end.progress.longest_pause_ms),
             **(_place_fields(end.placement) if end.placement else {}),
         ).info("request_ended")
 
