Soak gateway processes under faults from outside, judged by callers and servers

Cause: the present soak drives the product's own interface only; nothing ran the gateway as processes under kills, freezes, stops, reloads, cuts of the store and of backend servers.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
 from benchmarks._baselines import POLICIES
 from benchmarks._control import control
 from benchmarks._demo import demo
+from benchmarks._gateway_soak import gateway_soak
 from benchmarks._limits import limits
 from benchmarks._routing import overload, peak, region_loss, routing, slow_link
 from benchmarks._serve import serve
@@ -55,6 +56,12 @@
     command.add_argument("--seconds", type=float, default=30.0)
     command.add_argument("--users", choices=sorted(SHAPES), default="carvalho")
     command.set_defaults(run=soak)
+    command = commands.add_parser(
+        "gateway-soak", help="gateway processes under faults, judged by callers and servers"
+    )
+    command.add_argument("--seed", type=int, required=True)
+    command.add_argument("--seconds", type=float, default=20.0)
+    command.set_defaults(run=gateway_soak)
     command = commands.add_parser("serve", help="an instance with one of the compared routings")
     command.add_argument("--policy", choices=sorted(POLICIES), required=True)
     command.add_argument("--settings", required=True)
--- /dev/null
+++ b/benchmarks/_gateway_fleet.py
@@ -0,0 +1,201 @@
+"""Gateways as processes on loopback, before stand-ins of the users' store and servers."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from benchmarks._fleet import ROOT, PortPool
+from benchmarks._loopback_proxy import LoopbackProxy
+from sparline._clock import now_ms
+from sparline.schema._gateway import GatewaySettings, ListenPorts, LogLevel, RetrySettings
+from sparline.tests.routed_fleet import REGIONS, Caller, configuration
+from standins import KeyStore, SealedServer
+
+START_TIMEOUT_MS = 60_000.0
+GRACE_S = 8.0
+PLACES = ("north-1", "north-1", "south-1", "south-1")
+# Availability zone, service and events of each backend server.
+SERVERS = {
+    "pn1": ("north-1", "plain", 0),
+    "pn2": ("north-1", "plain", 0),
+    "ps1": ("south-1", "plain", 0),
+    "en1": ("north-1", "engines", 6),
+    "en2": ("north-1", "engines", 6),
+    "es1": ("south-1", "engines", 6),
+}
+
+
+@dataclass(slots=True)
+class GatewayProcess:
+    """Hold one instance and what lies before its store."""
+
+    name: str
+    zone: str
+    ip: str
+    settings_path: Path
+    store_proxy: LoopbackProxy
+    log_path: Path
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process; its log is appended to the instance's file."""
+        environment = os.environ | {"SPARLINE_NODE_FILE": str(self.settings_path)}
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "sparline.gateway"],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process lives."""
+        if self.is_running():
+            self.process.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+
+@dataclass(slots=True)
+class GatewayFleet:
+    """Start and stop everything."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="sparline-")))
+    store: KeyStore = field(init=False)
+    servers: dict[str, SealedServer] = field(default_factory=dict)
+    proxies: dict[str, LoopbackProxy] = field(default_factory=dict)
+    gateways: dict[str, GatewayProcess] = field(default_factory=dict)
+    _ports: PortPool = field(default_factory=PortPool)
+    _listen: list[int] = field(default_factory=list)
+
+    def __enter__(self) -> "GatewayFleet":
+        """Start all and wait until every instance is ready."""
+        self.store = KeyStore("127.0.0.1", self._ports.take())
+        self.store.start()
+        for name, (_, _, events) in SERVERS.items():
+            server = SealedServer("127.0.0.1", self._ports.take(), name, events=events)
+            server.start()
+            proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), (server.ip, server.port))
+            proxy.start()
+            self.servers[name], self.proxies[name] = server, proxy
+            self.list_server(name)
+        self.store.put("op/config", configuration(1))
+        self._listen = [self._ports.take() for _ in range(6)]
+        for number, zone in enumerate(PLACES):
+            self._add_gateway(f"g{number}", f"127.0.2.{number + 1}", zone)
+        try:
+            self.until_ready()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """Stop all."""
+        self.stop()
+
+    def list_server(self, name: str, **changes: object) -> None:
+        """Write the entry of a backend server."""
+        zone, service, _ = SERVERS[name]
+        ip, port = self.proxies[name].address
+        entry = {
+            "service": service,
+            "address": f"{ip}:{port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+        self.store.put(f"servers/{name}", entry | changes)
+
+    def _add_gateway(self, name: str, ip: str, zone: str) -> None:
+        proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), self.store.address)
+        proxy.start()
+        callers, readiness, directory, gossip, relay, metrics = self._listen
+        settings = GatewaySettings(
+            name=name,
+            ip=ip,
+            region=REGIONS[zone],
+            availability_zone=zone,
+            zone_regions=REGIONS,
+            listen=ListenPorts(
+                callers=f"{ip}:{callers}",
+                readiness=f"{ip}:{readiness}",
+                directory=f"{ip}:{directory}",
+                gossip=f"{ip}:{gossip}",
+                relay=f"{ip}:{relay}",
+                metrics=f"{ip}:{metrics}",
+            ),
+            seeds=[f"127.0.2.1:{gossip}", f"127.0.2.3:{gossip}"],
+            store="{}:{}".format(*proxy.address),
+            retries=RetrySettings(ratio=0.2, slack=60, window_s=10),
+            grace_s=GRACE_S,
+            first_start=True,
+            log_level=LogLevel.INFO,
+        )
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        log_path = self.folder / f"{name}.log"
+        gateway = GatewayProcess(name, zone, ip, path, proxy, log_path)
+        gateway.start()
+        self.gateways[name] = gateway
+
+    def caller(self, name: str) -> Caller:
+        """Connect to an instance as a caller; `OSError` where that fails."""
+        return Caller((self.gateways[name].ip, self._listen[0]))
+
+    def is_ready(self, name: str) -> bool:
+        """Ask an instance whether it takes requests."""
+        gateway = self.gateways[name]
+        if not gateway.is_running():
+            return False
+        try:
+            caller = Caller((gateway.ip, self._listen[1]))
+        except OSError:
+            return False
+        try:
+            caller.socket.settimeout(2)
+            caller.send_raw("GET", "/v1/readiness", {"Host": "x"}, b"")
+            return caller.read().status == 200
+        except OSError:
+            return False
+        finally:
+            caller.close()
+
+    def until_ready(self) -> float:
+        """Wait until all instances are ready; return how long it took in milliseconds."""
+        began_ms = now_ms()
+        while not all(self.is_ready(name) for name in self.gateways):
+            assert now_ms() - began_ms < START_TIMEOUT_MS, f"not ready; logs in {self.folder}"
+            gevent.sleep(0.1)
+        return now_ms() - began_ms
+
+    def stop(self) -> None:
+        """Kill what was started and close all ports."""
+        for gateway in self.gateways.values():
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait()
+            gateway.store_proxy.stop()
+        for one in (*self.proxies.values(), *self.servers.values(), self.store):
+            one.stop()
+
+    def rewrite_settings(self, name: str, log_level: str) -> None:
+        """Change an instance's settings file."""
+        path = self.gateways[name].settings_path
+        document = json.loads(path.read_text()) | {"log_level": log_level}
+        path.write_text(json.dumps(document))
--- /dev/null
+++ b/benchmarks/_gateway_soak.py
@@ -0,0 +1,264 @@
+"""A randomised run of gateway processes under faults, judged by callers and servers."""
+
+import argparse
+import json
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.pool import Pool
+
+from benchmarks._gateway_fleet import SERVERS, GatewayFleet
+from benchmarks._loopback_proxy import LoopbackProxy
+from sparline._clock import now_ms
+from sparline.tests.routed_fleet import Got, configuration
+from standins import SealedFaults, StoreMode
+
+REQUESTS_PER_S = 20.0
+# Longest pause between two faults (s).
+PAUSE_S = 1.5
+# Longest time that a fault holds (s).
+HOLD_S = 3.0
+# Callers give up after this (s).
+CALLER_TIMEOUT_S = 12.0
+# After the last fault all must be well within this (s); the users allow 12 to 15.
+RECOVERY_S = 15.0
+TARGETS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x", "/home/x")
+ONCE = ("/unsafe/x", "/once/x")
+PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "aa:100,bb:50,cc:250"}
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold one request and what its caller got."""
+
+    request_id: str
+    target: str
+    got: Got | None = None  # None where no connection came up or it broke before the head
+
+
+@dataclass(slots=True)
+class SoakRun:
+    """Drive requests and faults, and judge."""
+
+    fleet: GatewayFleet
+    chance: random.Random
+    records: list[Record] = field(default_factory=list)
+    faults: Counter = field(default_factory=Counter)
+    version: int = 1
+    _callers: Pool = field(default_factory=lambda: Pool(200))
+
+    def drive(self, seconds: float) -> None:
+        """Send requests while faults come and go."""
+        end_ms = now_ms() + seconds * 1000
+        faults = gevent.spawn(self._trouble, end_ms)
+        while now_ms() < end_ms:
+            self._send_one()
+            gevent.sleep(self.chance.expovariate(REQUESTS_PER_S))
+        faults.join()
+        self._callers.join()
+
+    def _send_one(self) -> None:
+        record = Record(f"r{len(self.records)}", self.chance.choice(TARGETS))
+        self.records.append(record)
+        self._callers.spawn(self._ask, record, self.chance.choice(sorted(self.fleet.gateways)))
+
+    def _ask(self, record: Record, at: str) -> None:
+        caller = None
+        try:
+            with gevent.Timeout(CALLER_TIMEOUT_S, False):
+                caller = self.fleet.caller(at)
+                more = PROMPT if record.target in ("/stream/x", "/once/x") else {}
+                caller.send(record.target, record.request_id, b"abc", **more)
+                record.got = caller.read()
+        except OSError:
+            # The instance is down: nothing was promised.
+            return
+        finally:
+            if caller is not None:
+                caller.close()
+
+    def _trouble(self, end_ms: float) -> None:
+        kinds: list[Callable[[], None]] = [
+            self._kill, self._freeze, self._leave, self._change_settings, self._break_server,
+            self._break_way, self._break_store_way, self._break_store, self._drain_server,
+            self._configure, self._forget, self._evacuate,
+        ]  # fmt: skip
+        pending = Pool(20)
+        while now_ms() < end_ms:
+            kind = self.chance.choice(kinds)
+            self.faults[kind.__name__.strip("_")] += 1
+            pending.spawn(kind)
+            gevent.sleep(self.chance.uniform(0.1, PAUSE_S))
+        pending.join()
+
+    def _hold(self) -> None:
+        gevent.sleep(self.chance.uniform(0.3, HOLD_S))
+
+    def _gateway(self):
+        return self.fleet.gateways[self.chance.choice(sorted(self.fleet.gateways))]
+
+    def _kill(self) -> None:
+        gateway = self._gateway()
+        if gateway.is_running():
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            self._restart(gateway)
+
+    def _restart(self, gateway) -> None:
+        process = gateway.process
+        process.wait()
+        gevent.sleep(self.chance.uniform(0.1, 1.0))
+        if gateway.process is process:
+            gateway.start()
+
+    def _freeze(self) -> None:
+        gateway = self._gateway()
+        gateway.signal(signal.SIGSTOP)
+        self._hold()
+        gateway.signal(signal.SIGCONT)
+
+    def _leave(self) -> None:
+        gateway = self._gateway()
+        if gateway.is_running():
+            gateway.signal(signal.SIGTERM)
+            self._restart(gateway)
+
+    def _change_settings(self) -> None:
+        gateway = self._gateway()
+        self.fleet.rewrite_settings(gateway.name, self.chance.choice(("INFO", "WARNING")))
+        gateway.signal(signal.SIGHUP)
+
+    def _break_server(self) -> None:
+        server = self.fleet.servers[self.chance.choice(sorted(SERVERS))]
+        name = self.chance.choice(
+            ("refuse", "fail", "close_after_run", "hang", "unframed", "without_seal", "early")
+        )
+        changes = {name: True} | {"break_within_event": self.chance.choice((0, 2, 4))}
+        server.faults = SealedFaults(**changes)
+        self._hold()
+        server.faults = SealedFaults()
+
+    def _break_way(self) -> None:
+        self._break(self.fleet.proxies[self.chance.choice(sorted(SERVERS))])
+
+    def _break_store_way(self) -> None:
+        self._break(self._gateway().store_proxy)
+
+    def _break(self, proxy: LoopbackProxy) -> None:
+        name = self.chance.choice(("refuse", "silent_to", "silent_from", "delay_ms"))
+        setattr(proxy.faults, name, 200.0 if name == "delay_ms" else True)
+        if name == "refuse":
+            proxy.reset_all()
+        self._hold()
+        setattr(proxy.faults, name, 0.0 if name == "delay_ms" else False)
+
+    def _break_store(self) -> None:
+        self.fleet.store.mode = self.chance.choice(list(StoreMode))
+        self._hold()
+        self.fleet.store.mode = StoreMode.OK
+
+    def _drain_server(self) -> None:
+        name = self.chance.choice(sorted(SERVERS))
+        self.fleet.list_server(name, state="draining")
+        self._hold()
+        self.fleet.list_server(name)
+
+    def _configure(self) -> None:
+        self.version += self.chance.randint(1, 3)
+        self.fleet.store.put("op/config", configuration(self.version))
+
+    def _forget(self) -> None:
+        self.fleet.store.forget_history()
+
+    def _evacuate(self) -> None:
+        self.fleet.store.put("op/evacuate/north-1", {})
+        self._hold()
+        self.fleet.store.delete("op/evacuate/north-1")
+
+    def recover(self) -> list[str]:
+        """Wait until all is well again; return what is not."""
+        broken = []
+        took_ms = self.fleet.until_ready()
+        if took_ms > RECOVERY_S * 1000:
+            broken.append(f"ready only after {took_ms:.0f} ms")
+        began_ms = now_ms()
+        for at in sorted(self.fleet.gateways):
+            for target in TARGETS:
+                while (status := self._probe(at, target)) != 200:
+                    if now_ms() - began_ms > RECOVERY_S * 1000:
+                        broken.append(f"{at} answers {target} with {status} after the faults")
+                        break
+                    gevent.sleep(0.3)
+        return broken
+
+    def _probe(self, at: str, target: str) -> int:
+        record = Record(f"r{len(self.records)}", target)
+        self.records.append(record)
+        self._ask(record, at)
+        return record.got.status if record.got else 0
+
+    def judge(self) -> list[str]:
+        """Return every promise that was broken."""
+        runs: dict[str, list[str]] = {}
+        for name, server in self.fleet.servers.items():
+            for run in server.runs:
+                runs.setdefault(run.request_id, []).append(name)
+        return [
+            text
+            for record in self.records
+            for text in _broken(record, runs.get(record.request_id, []))
+        ]
+
+
+def _broken(record: Record, ran_at: list[str]) -> list[str]:
+    broken = []
+    got = record.got
+    if record.target in ONCE and len(ran_at) > 1:
+        broken.append(f"{record.request_id} {record.target} ran at {ran_at}")
+    if record.target == "/home/x" and any(SERVERS[one][0] != "south-1" for one in ran_at):
+        broken.append(f"{record.request_id} ran outside its home at {ran_at}")
+    if got is None or not got.status:
+        return broken
+    if got.status in (429, 503) and ran_at:
+        broken.append(f"{record.request_id} was called not run and ran at {ran_at}")
+    if got.status == 200 and got.whole and got.body != _expected(record):
+        broken.append(f"{record.request_id} got {got.body!r}")
+    if got.status == 200 and not _expected(record).startswith(got.body):
+        broken.append(f"{record.request_id} got a wrong part: {got.body!r}")
+    if got.status == 200 and "response-seal" not in got.headers:
+        broken.append(f"{record.request_id} got a success without its signature")
+    return broken
+
+
+def _expected(record: Record) -> bytes:
+    if record.target in ("/stream/x", "/once/x"):
+        events = range(1, SERVERS["en1"][2] + 1)
+        return b"".join(
+            f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode() for number in events
+        )
+    return f"{record.request_id} {record.target} 3".encode()
+
+
+def gateway_soak(options: argparse.Namespace) -> int:
+    """Run one seed and return an exit code."""
+    with GatewayFleet() as fleet:
+        run = SoakRun(fleet, random.Random(options.seed))
+        run.drive(options.seconds)
+        broken = run.recover() + run.judge()
+        statuses = Counter(one.got.status if one.got else 0 for one in run.records)
+        result = {
+            "seed": options.seed,
+            "requests": len(run.records),
+            "statuses": dict(sorted(statuses.items())),
+            "faults": sum(run.faults.values()),
+            "broken": broken[:20],
+        }
+        if broken:
+            print(f"logs in {fleet.folder}: {dict(run.faults)}", file=sys.stderr)
+    print(json.dumps(result))
+    return 1 if broken else 0
--- /dev/null
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -0,0 +1,52 @@
+import json
+
+import pytest
+
+from benchmarks.__main__ import main
+from benchmarks._gateway_soak import Record, _broken
+from sparline.tests.routed_fleet import Got
+
+SEAL = {"response-seal": "s"}
+WHOLE = b"".join(f"id: {number}\ndata: r1-{number}\n\n".encode() for number in range(1, 7))
+PLAIN = b"r1 /unsafe/x 3"
+
+JUDGED = [
+    # target, answer, runs, what the judge must say
+    ("/unsafe/x", Got(200, SEAL, PLAIN, True), ["pn1"], ""),
+    ("/unsafe/x", None, ["pn1"], ""),
+    ("/unsafe/x", Got(502, {}, b"", True), ["pn1"], ""),
+    ("/unsafe/x", Got(502, {}, b"", True), ["pn1", "pn2"], "ran at"),
+    ("/once/x", None, ["en1", "es1"], "ran at"),
+    ("/safe/x", Got(200, SEAL, b"r1 /safe/x 3", True), ["pn1", "pn2"], ""),
+    ("/unsafe/x", Got(503, {}, b"", True), [], ""),
+    ("/unsafe/x", Got(503, {}, b"", True), ["pn1"], "called not run"),
+    ("/unsafe/x", Got(200, SEAL, b"r2 /unsafe/x 3", True), ["pn1"], "got"),
+    ("/unsafe/x", Got(200, {}, PLAIN, True), ["pn1"], "signature"),
+    ("/stream/x", Got(200, SEAL, WHOLE, True), ["en1", "es1"], ""),
+    ("/stream/x", Got(200, SEAL, WHOLE[:40], False), ["en1"], ""),
+    ("/stream/x", Got(200, SEAL, WHOLE[:40], True), ["en1"], "got"),
+    ("/stream/x", Got(200, SEAL, WHOLE[20:40], False), ["en1"], "wrong part"),
+    ("/home/x", Got(200, SEAL, b"r1 /home/x 3", True), ["ps1"], ""),
+    ("/home/x", Got(200, SEAL, b"r1 /home/x 3", True), ["pn1"], "outside its home"),
+]
+
+
+@pytest.mark.parametrize(("target", "got", "ran_at", "said"), JUDGED)
+def test_the_judge_sees_what_is_broken(target, got, ran_at, said):
+    broken = _broken(Record("r1", target, got), ran_at)
+    assert bool(broken) is bool(said)
+    assert said in " ".join(broken)
+
+
+# Seeds of the run in CI, and each seed that ever failed with a line on its cause.
+SEEDS = [
+    (11, 8.0),
+]
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS)
+def test_a_run_under_faults_breaks_no_promise(capsys, seed, seconds):
+    code = main(["gateway-soak", "--seed", str(seed), "--seconds", str(seconds)])
+    result = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert result["broken"] == []
+    assert code == 0
