--- a/benchmarks/_demo.py
+++ b/benchmarks/_demo.py
@@ -10,6 +10,7 @@
 
 from benchmarks._callers import Caller, Job, Report
 from benchmarks._fleet import Fleet
+from benchmarks._gateway_demo import gateway_demo
 from benchmarks._shapes import SHAPES, OrganisationShape, Shape
 from benchmarks._verdicts import collect_runs, judge, percentiles, sent_away_share, ttfts
 from sparline._clock import now_ms
@@ -42,8 +43,11 @@
         "versions_in_force": len(versions),
     }
     _print_table(reports, result)
+    _say("starting 4 instances on the users' platform; one is killed midway")
+    result |= gateway_demo(SEED)
     print(json.dumps(result))
-    return 1 if any(result[name] for name in MUST_BE_ZERO) else 0
+    broken = any(result[name] for name in MUST_BE_ZERO) or result["gateway_broken"]
+    return 1 if broken else 0
 
 
 def _say(text: str) -> None:
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -57,12 +57,17 @@
         end_ms = now_ms() + seconds * 1000
         faults = gevent.spawn(self._trouble, end_ms)
         while now_ms() < end_ms:
-            self._send_one()
+            self.send_one()
             gevent.sleep(self.chance.expovariate(REQUESTS_PER_S))
         faults.join()
+        self.join()
+
+    def join(self) -> None:
+        """Wait for all callers."""
         self._callers.join()
 
-    def _send_one(self) -> None:
+    def send_one(self) -> None:
+        """Send a request of some kind to some instance."""
         record = Record(f"r{len(self.records)}", self.chance.choice(TARGETS))
         self.records.append(record)
         self._callers.spawn(self._ask, record, self.chance.choice(sorted(self.fleet.gateways)))
