--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -62,6 +62,13 @@
         if self.is_running():
             self.process.send_signal(number)
 
+    def state(self) -> str:
+        """Return the process's state, or the code with which it ended."""
+        if not self.is_running():
+            return f"ended with {self.process.returncode if self.process else None}"
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        return next(line for line in status.splitlines() if line.startswith("State"))
+
     def is_running(self) -> bool:
         """Tell whether the process lives."""
         return self.process is not None and self.process.poll() is None
@@ -179,10 +186,16 @@
         """Wait until all instances are ready; return how long it took in milliseconds."""
         began_ms = now_ms()
         while not all(self.is_ready(name) for name in self.gateways):
-            assert now_ms() - began_ms < START_TIMEOUT_MS, f"not ready; logs in {self.folder}"
+            assert now_ms() - began_ms < START_TIMEOUT_MS, (
+                f"not ready: {self.states()}; logs in {self.folder}"
+            )
             gevent.sleep(0.1)
         return now_ms() - began_ms
 
+    def states(self) -> dict[str, str]:
+        """Return what has become of each process."""
+        return {name: one.state() for name, one in self.gateways.items()}
+
     def stop(self) -> None:
         """Kill what was started and close all ports."""
         for gateway in self.gateways.values():
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -63,6 +63,8 @@
 
 # Connections that may wait to be accepted (count): a wave of callers at once.
 BACKLOG = 1_024
+# A starting instance looks so often whether it has a configuration (ms): callers wait.
+STARTING_STEP_MS = 10.0
 # Housekeeping comes round so often (ms).
 UPKEEP_MS = 500.0
 # A planned stop looks so often whether all is done (ms).
@@ -179,7 +181,14 @@
         self._serve_app(listen.readiness, make_readiness_app(self.is_ready))
         self._serve_app(listen.directory, make_directory_app(self.directory.find))
         self._serve_app(listen.metrics, self._metrics_app)
-        work = (self.gossip.read, self.gossip.run, self.reader.run, self.sync.run, self._upkeep)
+        work = (
+            self._go_live,
+            self.gossip.read,
+            self.gossip.run,
+            self.reader.run,
+            self.sync.run,
+            self._upkeep,
+        )
         self._tasks += [gevent.spawn(task) for task in work]
 
     def _listen(self, address: str, handle: Callable) -> None:
@@ -214,12 +223,17 @@
         """Tell whether callers should come here."""
         return self.members.own.phase is MemberPhase.live
 
+    def _go_live(self) -> None:
+        """Take requests as soon as there is a configuration."""
+        while self.fleet.configuration is None:
+            gevent.sleep(STARTING_STEP_MS / 1000)
+        self.fleet.started = True
+        if self.members.own.phase is MemberPhase.starting:
+            self.gossip.announce(MemberPhase.live)
+            log.bind(version=self.fleet.configuration.version).info("instance_live")
+
     def _upkeep(self) -> None:
         while True:
-            if self.members.own.phase is MemberPhase.starting and self.fleet.configuration:
-                self.fleet.started = True
-                self.gossip.announce(MemberPhase.live)
-                log.bind(version=self.fleet.configuration.version).info("instance_live")
             self.fleet.remove_lapsed(self._store_away())
             known = set(self.fleet.servers)
             self.health.forget_all_but(known)
