Survive a reload during the start

A first mend, ignoring the signal at the top of the package's own __main__, came too late: python -m of a package imports the package first, all of it, and so the standard library was patched after it as well. Change: a module of its own starts the program, ignores the signal and patches before any other import; what changed between load and first look is compared by value.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -50,7 +50,7 @@
         environment = os.environ | {"SPARLINE_NODE_FILE": str(self.settings_path)}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "sparline.gateway"],
+                [sys.executable, "-m", "sparline.gateway_process"],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
--- a/sparline/cli/_gateway.py
+++ b/sparline/cli/_gateway.py
@@ -1,6 +1,7 @@
 """`sparline gateway`: run one instance on the users' platform, or check its settings."""
 
 import argparse
+import signal
 import sys
 
 from sparline.cli._exit_codes import ExitCode
@@ -8,6 +9,8 @@
 
 def gateway(options: argparse.Namespace) -> ExitCode:
     """Serve until SIGTERM, or only check the settings."""
+    # Settings that change during the start are read by it; the signal must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Only this command needs these parts; the others start without them.
     from sparline.gateway import load_settings, run, settings_path
 
--- a/sparline/gateway/_run.py
+++ b/sparline/gateway/_run.py
@@ -69,7 +69,8 @@
     def __init__(self, path: str, gateway: Gateway) -> None:
         self._path = path
         self._gateway = gateway
-        self._content = self._read()
+        # What was loaded may have changed since: the first look compares settings.
+        self._content: bytes | None = None
 
     def _read(self) -> bytes | None:
         try:
@@ -92,5 +93,7 @@
             case Err(reason):
                 log.bind(text=reason).error("settings_refused")
             case Ok(settings):
+                if settings == self._gateway.settings:
+                    return
                 waiting = self._gateway.reload(settings)
                 log.bind(need_restart=waiting).info("settings_reloaded")
--- /dev/null
+++ b/sparline/gateway/tests/test_process.py
@@ -0,0 +1,33 @@
+"""The process from outside: signals while it starts, settings that it refuses."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[3]
+# How the two ways to start the program are called.
+COMMANDS = [["sparline.gateway_process"], ["sparline", "gateway"]]
+
+
+@pytest.mark.parametrize("command", COMMANDS, ids=["module", "command line"])
+def test_a_reload_while_it_starts_does_not_end_it(tmp_path, command):
+    # A pipe as settings file: the process waits in its start until this test writes.
+    settings = tmp_path / "settings.json"
+    os.mkfifo(settings)
+    process = subprocess.Popen(
+        [sys.executable, "-m", *command],
+        cwd=ROOT,
+        env=os.environ | {"SPARLINE_NODE_FILE": str(settings)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    with settings.open("w") as pipe:
+        process.send_signal(signal.SIGHUP)
+        pipe.write("{")
+    _, said = process.communicate(timeout=60)
+    assert process.returncode == 1
+    assert str(settings) in said
