--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -36,6 +36,7 @@
     reason: Reason  # why it is not a whole answer of a backend server
     ran: bool  # whether it may have run
     placement: Placement | None  # last place
+    refusal: Refusal | None  # why there was no (further) place, None where there was one
     progress: Progress  # what the attempts left
 
 
@@ -77,7 +78,7 @@
             return run.end_late()
         except CallerGone:
             caller.closing = True
-            return RequestEnd(0, Reason.CALLER_GONE, True, run.placement, progress)
+            return RequestEnd(0, Reason.CALLER_GONE, True, run.placement, run.refusal, progress)
         finally:
             caller.unwatch()
 
@@ -100,11 +101,13 @@
         self._not_run = 0
         self._progress = progress
         self.placement: Placement | None = None
+        self.refusal: Refusal | None = None
 
     def to_end(self) -> RequestEnd:
         while True:
             place = self._parts.chooser.choose(self._request, self._excluded())
             if isinstance(place, Refusal):
+                self.refusal = place
                 return self._end_unplaced(place)
             self.placement = place
             end = self._attempt(place)
@@ -218,7 +221,7 @@
         return self._ended(0, reason)
 
     def _ended(self, status: int, reason: Reason, ran: bool = True) -> RequestEnd:
-        return RequestEnd(status, reason, ran, self.placement, self._progress)
+        return RequestEnd(status, reason, ran, self.placement, self.refusal, self._progress)
 
 
 def may_move(request: RoutedRequest, progress: Progress) -> bool:
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -5,7 +5,7 @@
 from sparline.forwarding import AttemptEnd, RequestEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.placement import Placement
+from sparline.placement import Placement, Refusal
 from sparline.requests import Reason, RoutedRequest
 
 # Lines a second for answered requests and for all others, an instance; above them lines are
@@ -76,6 +76,7 @@
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
             **(_place_fields(end.placement) if end.placement else {}),
+            **(_refusal_fields(end.refusal) if end.refusal else {}),
         ).info("request_ended")
 
     def left_out(self) -> int:
@@ -83,6 +84,17 @@
         return self._answered.left_out + self._other.left_out
 
 
+def _refusal_fields(refusal: Refusal) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "candidates": refusal.candidates,
+        "retry_after_ms": round(refusal.retry_after_ms),
+    }
+    if refusal.best is not None:
+        best = _place_fields(refusal.best)
+        fields |= {f"best_{name}": value for name, value in best.items()}
+    return fields
+
+
 def _place_fields(place: Placement) -> dict[str, object]:
     return {
         "backend_server": place.server.id,
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -89,6 +89,7 @@
     reason: Reason  # why
     retry_after_ms: float  # when to come back
     candidates: int  # backend servers that were looked at
+    best: Placement | None = None  # place that would have lost least, None without any
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,7 +273,7 @@
             return None
         late_ms = best.expected_ms - request.route.target_latency_ms
         wait_ms = min(max(late_ms, RETRY_AFTER_LEAST_MS), RETRY_AFTER_MOST_MS)
-        return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates)
+        return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates, best)
 
     def note_sent(self, request: RoutedRequest, placement: Placement) -> None:
         """Note that a request goes to its place."""
--- a/sparline/tests/routed.py
+++ b/sparline/tests/routed.py
@@ -20,6 +20,8 @@
     make_configuration,
 )
 
+FAR_MS = 1e9
+
 ENGINES = ServiceName("engines")
 PLAIN = ServiceName("plain")
 
@@ -56,7 +58,8 @@
         "body": b"",
         "prompt": Prompt(400, 50, ()),
         "resume_after": None,
-        "deadline_at_ms": now_ms() + route.timeout_ms,
+        # So far away that it does not matter when a test runs.
+        "deadline_at_ms": now_ms() + FAR_MS,
         "origin": Origin.CALLER,
     }
     return RoutedRequest(**(values | changes))
