--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -188,6 +188,16 @@
         loads = [one.loads[backend_server] for one in heard if backend_server in one.loads]
         return sum_loads(loads)
 
+    def loads_of_siblings(self) -> dict[str, LoadOf]:
+        """Return what the other instances of this region put on each backend server."""
+        since = now_ms() - LOAD_MS
+        found: dict[str, list[LoadOf]] = {}
+        for one in self._others.values():
+            if one.note.region == self.own.region and one.loads_at_ms >= since:
+                for backend_server, load in one.loads.items():
+                    found.setdefault(backend_server, []).append(load)
+        return {backend_server: sum_loads(loads) for backend_server, loads in found.items()}
+
     def load_age_ms(self, region: RegionName) -> float | None:
         """Return how old the newest told load of a region is, None where nothing is known."""
         heard = [one.loads_at_ms for one in self._others.values() if one.note.region == region]
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -118,3 +118,10 @@
     members.take(gossip(note("a"), loads=loads(2)))
     members.take(gossip(note("a", incarnation=6, counter=1)))
     assert members.load_of(ENGINE, NORTH) == LoadOf()
+
+
+def test_the_loads_of_siblings_are_summed_by_server(members):
+    members.take(gossip(note("a"), loads=loads(2)))
+    members.take(gossip(note("b"), loads=loads(3)))
+    members.take(gossip(note("s1", "south"), loads=loads(7)))
+    assert members.loads_of_siblings() == {"e1": LoadOf(5, 500, 50)}
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -110,7 +110,7 @@
                 self.cache.recent_reads,
                 self.cache.take_reads,
                 self.loads.own_here,
-                self.loads.whole_region,
+                lambda: self.loads.whole_region(self.members.loads_of_siblings()),
                 lambda: self.copy.revision,
                 self.reader.reached,
             ),
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -96,11 +96,14 @@
             if load.region == self._region
         }
 
-    def whole_region(self) -> dict[str, LoadOf]:
+    def whole_region(self, of_siblings: dict[str, LoadOf]) -> dict[str, LoadOf]:
         """Return what all instances of this region have at each backend server there."""
+        own = self.own_here()
         return {
-            server_id: sum_loads((own, self._others(BackendServerId(server_id), self._region)))
-            for server_id, own in self.own_here().items()
+            server_id: sum_loads(
+                (own.get(server_id, LoadOf()), of_siblings.get(server_id, LoadOf()))
+            )
+            for server_id in {**own, **of_siblings}
         }
 
     def forget_old(self) -> None:
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -120,3 +120,10 @@
     loads.reserve(server, 100, 40)
     assert loads.of(server) == LoadOf(3, 300, 40)
     assert loads.own_here() == {}
+
+
+def test_a_region_tells_all_its_load_not_only_that_of_the_servers_it_uses_itself():
+    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf())
+    loads.reserve(make_server("s1"), 100, 40)
+    siblings = {"s1": LoadOf(1, 10, 5), "s2": LoadOf(2, 20, 6)}
+    assert loads.whole_region(siblings) == {"s1": LoadOf(2, 110, 45), "s2": LoadOf(2, 20, 6)}
