Keep wire names in the adapter and the stand-ins, and one copy of settings, entries and metrics

Cause: our types had two field names of the wire; the soak and the test fleet each wrote entries, settings and requests of the users' dialect; two classes made metrics alike. Change: renamed, and one piece for each: standins/_publisher.py, standins/_routed_caller.py, benchmarks/_gateway_settings.py, sparline/_metrics_registry.py.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -13,11 +13,10 @@
 import msgspec
 
 from benchmarks._fleet import ROOT, PortPool
+from benchmarks._gateway_settings import gateway_settings
 from benchmarks._loopback_proxy import LoopbackProxy
 from sparline._clock import now_ms
-from sparline.schema._gateway import GatewaySettings, ListenPorts, LogLevel, RetrySettings
-from sparline.tests.routed_fleet import REGIONS, Caller, configuration
-from standins import KeyStore, SealedServer
+from standins import Caller, KeyStore, SealedServer, list_server, publish
 
 START_TIMEOUT_MS = 60_000.0
 GRACE_S = 8.0
@@ -97,7 +96,7 @@
             proxy.start()
             self.servers[name], self.proxies[name] = server, proxy
             self.list_server(name)
-        self.store.put("op/config", configuration(1))
+        publish(self.store, 1)
         self._listen = [self._ports.take() for _ in range(6)]
         for number, zone in enumerate(PLACES):
             self._add_gateway(f"g{number}", f"127.0.2.{number + 1}", zone)
@@ -115,44 +114,13 @@
     def list_server(self, name: str, **changes: object) -> None:
         """Write the entry of a backend server."""
         zone, service, _ = SERVERS[name]
-        ip, port = self.proxies[name].address
-        entry = {
-            "service": service,
-            "address": f"{ip}:{port}",
-            "zone": zone,
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "sequence": 1,
-        }
-        self.store.put(f"servers/{name}", entry | changes)
+        list_server(self.store, name, self.proxies[name].address, service, zone, **changes)
 
     def _add_gateway(self, name: str, ip: str, zone: str) -> None:
         proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), self.store.address)
         proxy.start()
-        callers, readiness, directory, gossip, relay, metrics = self._listen
-        settings = GatewaySettings(
-            name=name,
-            ip=ip,
-            region=REGIONS[zone],
-            availability_zone=zone,
-            zone_regions=REGIONS,
-            listen=ListenPorts(
-                callers=f"{ip}:{callers}",
-                readiness=f"{ip}:{readiness}",
-                directory=f"{ip}:{directory}",
-                gossip=f"{ip}:{gossip}",
-                relay=f"{ip}:{relay}",
-                metrics=f"{ip}:{metrics}",
-            ),
-            seeds=[f"127.0.2.1:{gossip}", f"127.0.2.3:{gossip}"],
-            store="{}:{}".format(*proxy.address),
-            retries=RetrySettings(ratio=0.2, slack=60, window_s=10),
-            grace_s=GRACE_S,
-            first_start=True,
-            log_level=LogLevel.INFO,
-        )
+        seeds = ["127.0.2.1", "127.0.2.3"]
+        settings = gateway_settings(name, ip, zone, self._listen, seeds, proxy.address, GRACE_S)
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
         log_path = self.folder / f"{name}.log"
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -15,8 +15,7 @@
 from benchmarks._gateway_fleet import SERVERS, GatewayFleet
 from benchmarks._loopback_proxy import LoopbackProxy
 from sparline._clock import now_ms
-from sparline.tests.routed_fleet import Got, configuration
-from standins import SealedFaults, StoreMode
+from standins import PROMPT, SEAL, Got, SealedFaults, StoreMode, evacuate, publish, take_back
 
 REQUESTS_PER_S = 20.0
 # Longest pause between two faults (s).
@@ -29,7 +28,6 @@
 RECOVERY_S = 15.0
 TARGETS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x", "/home/x")
 ONCE = ("/unsafe/x", "/once/x")
-PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "aa:100,bb:50,cc:250"}
 
 
 @dataclass(slots=True)
@@ -175,15 +173,15 @@
 
     def _configure(self) -> None:
         self.version += self.chance.randint(1, 3)
-        self.fleet.store.put("op/config", configuration(self.version))
+        publish(self.fleet.store, self.version)
 
     def _forget(self) -> None:
         self.fleet.store.forget_history()
 
     def _evacuate(self) -> None:
-        self.fleet.store.put("op/evacuate/north-1", {})
+        evacuate(self.fleet.store, "north-1")
         self._hold()
-        self.fleet.store.delete("op/evacuate/north-1")
+        take_back(self.fleet.store, "north-1")
 
     def recover(self) -> list[str]:
         """Wait until all is well again; return what is not."""
@@ -235,7 +233,7 @@
         broken.append(f"{record.request_id} got {got.body!r}")
     if got.status == 200 and not _expected(record).startswith(got.body):
         broken.append(f"{record.request_id} got a wrong part: {got.body!r}")
-    if got.status == 200 and "response-seal" not in got.headers:
+    if got.status == 200 and SEAL not in got.headers:
         broken.append(f"{record.request_id} got a success without its signature")
     return broken
 
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -4,7 +4,7 @@
 
 from benchmarks.__main__ import main
 from benchmarks._gateway_soak import Record, _broken
-from sparline.tests.routed_fleet import Got
+from standins import Got
 
 SEAL = {"response-seal": "s"}
 WHOLE = b"".join(f"id: {number}\ndata: r1-{number}\n\n".encode() for number in range(1, 7))
--- a/sparline/_metrics.py
+++ b/sparline/_metrics.py
@@ -1,16 +1,18 @@
 """Counters and gauges of one instance."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import Histogram
+
+from sparline._metrics_registry import MetricsRegistry
 
 TTFT_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.31, 0.5, 1, 2, 5, 10, 30)
 
 
-class Metrics:
+class Metrics(MetricsRegistry):
     """Hold all metrics of one instance; labels never carry a key or a prompt."""
 
     def __init__(self) -> None:
         """Register every metric in a registry of its own."""
-        self.registry = CollectorRegistry()
+        super().__init__()
         self.requests = self._counter("requests", "Requests by outcome.", ("kind", "outcome"))
         self.refusals = self._counter("refusals", "Requests refused as not run.", ("reason",))
         self.unknowns = self._counter("unknowns", "Requests of unknown outcome.", ("reason",))
@@ -56,13 +58,3 @@
             registry=self.registry,
             buckets=TTFT_BUCKETS_S,
         )
-
-    def render(self) -> bytes:
-        """Return all metrics as Prometheus reads them."""
-        return generate_latest(self.registry)
-
-    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        return Counter(f"sparline_{name}", text, labels, registry=self.registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"sparline_{name}", text, registry=self.registry)
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -1,17 +1,19 @@
 """Counters, gauges and histograms of an instance on the users' platform."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import Histogram
+
+from sparline._metrics_registry import MetricsRegistry
 
 # Seconds; the users' objectives lie between 0.35 and 1.3.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.0, 1.3, 2, 4, 8)
 
 
-class GatewayMetrics:
+class GatewayMetrics(MetricsRegistry):
     """Hold all metrics of one instance; labels carry no ids and no prompts."""
 
     def __init__(self) -> None:
         """Register every metric in a registry of its own."""
-        self.registry = CollectorRegistry()
+        super().__init__()
         self.requests = self._counter("requests", "Requests by end.", ("origin", "status"))
         self.refusals = self._counter("refusals", "Requests answered here.", ("reason",))
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
@@ -28,16 +30,6 @@
         self.first_s = self._histogram("first_seconds", "Time to the first event or answer.")
         self.total_s = self._histogram("total_seconds", "Time to the end of the answer.")
 
-    def render(self) -> bytes:
-        """Return all metrics as Prometheus reads them."""
-        return generate_latest(self.registry)
-
-    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
-        return Counter(f"sparline_{name}", text, labels, registry=self.registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"sparline_{name}", text, registry=self.registry)
-
     def _histogram(self, name: str, text: str) -> Histogram:
         return Histogram(
             f"sparline_{name}",
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -46,7 +46,7 @@
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_prefix=f"/{place}/", home_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_start=f"/{place}/", home_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80)
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -8,8 +8,8 @@
 import msgspec
 import pytest
 
-from sparline.tests.routed_fleet import RoutedFleet, configuration
-from standins import SealedFaults, StoreMode
+from sparline.tests.routed_fleet import RoutedFleet
+from standins import SealedFaults, StoreMode, configuration
 
 TWO = ("north-1", "south-1")
 
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -2,11 +2,10 @@
 
 import pytest
 
-from sparline.tests.routed_fleet import HOST, RoutedFleet
-from standins import SealedFaults
+from sparline.tests.routed_fleet import RoutedFleet
+from standins import HOST, PROMPT, SealedFaults
 
 EVENTS = 6
-PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "aa:100,bb:50,cc:250"}
 
 
 def stream_of(request_id: str) -> bytes:
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -205,7 +205,7 @@
         load = self._tables.loads.of(server)
         unread = max(request.prompt.tokens - cached, 0) if request.prompt else 0
         expected_ms = way_ms + self._time_there_ms(request, service, server, load, unread)
-        loss = (expected_ms / request.route.target_latency_ms) ** 2
+        loss = (expected_ms / request.route.wanted_latency_ms) ** 2
         loss += FAILURE_LOSS * max(self._tables.health.failing(server.id) - FAILURE_USUAL, 0.0)
         if peer is not None:
             loss += FAR_LOSS
@@ -267,11 +267,11 @@
         """Refuse what would come too late, early enough for a second try to pay."""
         relayed = request.origin is Origin.RELAY
         targets = REFUSE_RELAYED_ABOVE if relayed else REFUSE_ABOVE
-        most_ms = min(targets * request.route.target_latency_ms, request.left_ms())
+        most_ms = min(targets * request.route.wanted_latency_ms, request.left_ms())
         in_time = best.expected_ms <= most_ms and best.loss <= REFUSE_LOSS
         if in_time or not best.load.running:
             return None
-        late_ms = best.expected_ms - request.route.target_latency_ms
+        late_ms = best.expected_ms - request.route.wanted_latency_ms
         wait_ms = min(max(late_ms, RETRY_AFTER_LEAST_MS), RETRY_AFTER_MOST_MS)
         return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates, best)
 
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -151,7 +151,7 @@
 
 def test_a_plain_request_avoids_a_full_service():
     route = make_route(
-        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), target_latency_ms=400.0
+        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), wanted_latency_ms=400.0
     )
     near = make_server("p1", service=PLAIN, slots=2)
     far = make_server("p2", "south", service=PLAIN, slots=2)
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -162,10 +162,10 @@
     return Route(
         name=RouteName(node.name),
         host=node.host.lower(),
-        path_prefix=node.path_prefix,
+        path_start=node.path_prefix,
         kind=kind,
         timeout_ms=node.timeout_ms,
-        target_latency_ms=node.target_latency_ms,
+        wanted_latency_ms=node.target_latency_ms,
         pause_target_ms=node.gap_target_ms,
         priority=node.priority,
         shares=tuple(ServiceShare(ServiceName(one.service), one.weight) for one in split),
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -14,7 +14,7 @@
     UnknownItem,
 )
 from sparline.platform import ItemReader
-from sparline.tests.routed_fleet import configuration
+from standins import configuration
 
 READ = ItemReader({ZoneName("north-1"): RegionName("north")})
 ENTRY = {
@@ -73,7 +73,7 @@
     route = held.find("host.example", "/a/c")
     assert [(share.service, share.weight) for share in route.shares] == [("x", 9), ("y", 1)]
     assert route.allows(RegionName("north")) and not route.allows(RegionName("south"))
-    assert held.find("host.example", "/a/b/c").path_prefix == "/a/b/"
+    assert held.find("host.example", "/a/b/c").path_start == "/a/b/"
     assert held.find("host.example", "/b/") is None
     assert held.find("other.example", "/a/c") is None
 
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -33,10 +33,10 @@
 
     name: RouteName  # the operators' name
     host: str  # host in lower case, without port
-    path_prefix: str  # begins and ends with a slash
+    path_start: str  # begins and ends with a slash
     kind: RequestKind  # whether requests may run again
     timeout_ms: float  # longest time that a request may be held
-    target_latency_ms: float  # wanted time to the answer, or to a stream's first event
+    wanted_latency_ms: float  # wanted time to the answer, or to a stream's first event
     pause_target_ms: float  # wanted longest pause between a stream's events, 0 for none
     priority: int  # 0 is the most urgent
     shares: tuple[ServiceShare, ...]  # services that take the requests
@@ -99,7 +99,7 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix of the path is longest."""
         for route in self.by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.path_start):
                 return route
         return None
 
@@ -112,7 +112,7 @@
 ) -> Configuration:
     """Index routes by host."""
     by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda one: -len(one.path_prefix)):
+    for route in sorted(routes, key=lambda one: -len(one.path_start)):
         by_host.setdefault(route.host, []).append(route)
     frozen = {host: tuple(found) for host, found in by_host.items()}
     return Configuration(version, routes, services, limits, frozen)
--- /dev/null
+++ b/standins/_publisher.py
@@ -0,0 +1,82 @@
+"""What operators and backend servers write to the users' store."""
+
+from typing import Any
+
+from standins._key_store import KeyStore
+from standins._routed_caller import HOST
+
+ROUTES: dict[str, dict[str, Any]] = {
+    "/stream/": {"kind": "streaming", "allow_resume": True, "max_attempts": 2},
+    "/once/": {"kind": "streaming", "allow_resume": False, "max_attempts": 1},
+    "/safe/": {"kind": "safe", "service": "plain", "max_attempts": 2},
+    "/unsafe/": {"kind": "unsafe", "service": "plain", "max_attempts": 1},
+    "/home/": {"kind": "safe", "service": "plain", "home_regions": ["south"]},
+}
+
+
+def configuration(version: int, routes: dict[str, dict[str, Any]] | None = None) -> dict[str, Any]:
+    """Return a configuration in the users' format."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r{place}",
+                "host": HOST,
+                "path_prefix": prefix,
+                "timeout_ms": 8_000,
+                "target_latency_ms": 2_000,
+                "gap_target_ms": 1_000,
+                "priority": 1,
+                "service": "engines",
+                **changes,
+            }
+            for place, (prefix, changes) in enumerate((routes or ROUTES).items())
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "cold_start_s": 0.0,
+                "cold_per_s": 0.0,
+                "engine": {"slots": 8, "kv_cache_tokens": 300_000},
+            },
+            {"name": "plain", "cold_start_s": 0.0, "cold_per_s": 0.0},
+        ],
+        "limits": {
+            "max_header_bytes": 4_096,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 5_000,
+        },
+    }
+
+
+def publish(store: KeyStore, version: int) -> int:
+    """Put a version into force; return the store's revision."""
+    return store.put("op/config", configuration(version))
+
+
+def list_server(
+    store: KeyStore, name: str, address: tuple[str, int], service: str, zone: str, **changes: Any
+) -> int:
+    """Write the entry of a backend server."""
+    entry = {
+        "service": service,
+        "address": f"{address[0]}:{address[1]}",
+        "zone": zone,
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    }
+    return store.put(f"servers/{name}", entry | changes)
+
+
+def evacuate(store: KeyStore, zone: str) -> int:
+    """Ask that a zone's servers get nothing."""
+    return store.put(f"op/evacuate/{zone}", {})
+
+
+def take_back(store: KeyStore, zone: str) -> int:
+    """Take an evacuation back."""
+    return store.delete(f"op/evacuate/{zone}")
--- /dev/null
+++ b/standins/_routed_caller.py
@@ -0,0 +1,64 @@
+"""A caller in the users' dialect, for tests and soaks."""
+
+import socket
+from dataclasses import dataclass
+
+from sparline.http import AnswerParser, HttpAnswer
+
+HOST = "host.example"
+# Headers of a request to an engine.
+PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "aa:100,bb:50,cc:250"}
+SEAL = "response-seal"
+
+
+@dataclass(frozen=True, slots=True)
+class Got:
+    """Hold what a caller got."""
+
+    status: int  # 0 where the connection ended without a head
+    headers: dict[str, str]  # names in lower case
+    body: bytes  # as far as it arrived
+    whole: bool  # whether the framed end arrived
+
+
+class Caller:
+    """Send requests on one connection."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.socket = socket.create_connection(address, 20)
+
+    def send(self, target: str, request_id: str, body: bytes = b"", **headers: str) -> None:
+        """Send one request with a length."""
+        method = "POST" if body else "GET"
+        fields = {"Host": HOST, "Attempt-Id": request_id, "Content-Length": str(len(body))}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        self.send_raw(method, target, fields, body)
+
+    def send_raw(self, method: str, target: str, fields: dict[str, str], body: bytes) -> None:
+        """Send one request as it is written."""
+        lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {of}" for name, of in fields.items())]
+        self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def read(self) -> Got:
+        """Read one answer to its end."""
+        parser = AnswerParser()
+        while not parser.answers or not parser.answers[0].complete:
+            try:
+                data = self.socket.recv(65_536)
+            except OSError:
+                data = b""
+            if not data:
+                return _got(parser.answers[0] if parser.answers else None, False)
+            parser.feed(data)
+        return _got(parser.answers[0], True)
+
+    def close(self) -> None:
+        """Leave."""
+        self.socket.close()
+
+
+def _got(answer: HttpAnswer | None, whole: bool) -> Got:
+    if answer is None or not answer.head_done:
+        return Got(0, {}, b"", False)
+    headers = {name.decode(): value.decode() for name, value in answer.headers}
+    return Got(answer.status, headers, answer.take(), whole)
