Ask all seeds while young, so that a fleet that starts at once finds itself

Ruled out: configuration, servers, store (all known and in force before the refusals). Change: all seeds in each of the first 20 rounds.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -32,6 +32,9 @@
 FAR_PEERS_A_ROUND = 1
 # Every so many rounds a seed or a silent member is tried, so that cuts heal (rounds).
 PROBE_ROUNDS = 4
+# A new instance asks all seeds in each of its first rounds (count): after a loss of power the
+# seeds start at the same time, and the first datagrams find nobody.
+FIRST_ROUNDS = 20
 # Heartbeats of others passed on in each datagram (count): at 20 datagrams a second that come
 # in, each of 300 instances is heard of each 1.7 s.
 MOST_BEATS = 8
@@ -117,8 +120,7 @@
         far_turn = self._take_turns(far, FAR_PEERS_A_ROUND)
         if far_turn:
             self._send(far_turn, self._message("", 0))
-        if self._round % PROBE_ROUNDS == 1:
-            self._probe(near + far, silent)
+        self._probe(near + far, silent)
 
     def announce(self, phase: MemberPhase) -> None:
         """Change this instance's phase and tell every sibling at once, the others by turns."""
@@ -152,12 +154,14 @@
         return [peers[(start + step) % len(peers)] for step in range(most)]
 
     def _probe(self, known: list[str], silent: list[str]) -> None:
+        """Ask for members: all seeds at first, later now and then one that is missing."""
         own = self._members.own.ip
         strangers = [ip for ip in self.seeds if ip != own and ip not in known]
-        if not known:
+        if self._round <= FIRST_ROUNDS:
             self._send(strangers, self._message("", 0, wants_members=True))
-        elif strangers or silent:
-            self._send([self._chance.choice(strangers + silent)], self._message("", 0, True))
+        elif self._round % PROBE_ROUNDS == 1 and (strangers or silent):
+            chosen = [self._chance.choice(strangers + silent)] if known else strangers
+            self._send(chosen, self._message("", 0, wants_members=True))
 
     def _message(self, to_region: str, members: int, wants_members: bool = False) -> Gossip:
         near = to_region == self._members.own.region
--- /dev/null
+++ b/sparline/fleet/tests/test_gossip.py
@@ -0,0 +1,51 @@
+import pytest
+
+from sparline.fleet import GossipPort, GossipSources, Members
+from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
+
+SOURCES = GossipSources(
+    recent_reads=list,
+    take_reads=lambda _reads: None,
+    own_loads=dict,
+    region_loads=dict,
+    store_revision=lambda: 1,
+    store_reached=lambda: True,
+)
+SEEDS = ["127.0.3.1", "127.0.3.2", "127.0.3.3"]
+SIBLING = MemberNote("127.0.3.9", "s", 1, 1, MemberPhase.live, "north", "north-1")
+
+
+@pytest.fixture
+def port(monkeypatch):
+    own = MemberNote("127.0.3.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
+    one = GossipPort(0, SEEDS, Members(own), SOURCES)
+    one.sent = []
+    monkeypatch.setattr(one, "_send", lambda peers, message: one.sent.append((peers, message)))
+    yield one
+    one.close()
+
+
+def asked(port: GossipPort) -> set[str]:
+    return {ip for peers, message in port.sent if message.wants_members for ip in peers}
+
+
+@pytest.mark.parametrize("knows_a_sibling", [False, True])
+def test_a_young_instance_asks_every_seed_in_every_round(port, knows_a_sibling):
+    if knows_a_sibling:
+        port._members.take(Gossip(SIBLING, 1, True, [], [], [], [], False))
+    for _ in range(3):
+        port.sent.clear()
+        port.round()
+        assert asked(port) == {"127.0.3.2", "127.0.3.3"}
+
+
+def test_an_old_instance_asks_for_what_is_missing_now_and_then(port):
+    port._members.take(Gossip(SIBLING, 1, True, [], [], [], [], False))
+    for _ in range(40):
+        port.round()
+    port.sent.clear()
+    for _ in range(8):
+        port.round()
+    asking = [peers for peers, message in port.sent if message.wants_members]
+    assert len(asking) == 2
+    assert all(len(peers) == 1 for peers in asking)
