Take no caller's header for an invariant, and no endless number or event

Cause, found by reading: a prompt told for a route to a plain service failed an assertion, which ends the process; a number of 5,000 digits ended the connection without an answer; an event without an end was held without bound. Change: only engines are judged by prompts; numbers have at most 15 digits, others get 400; an event may hold a megabyte.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -35,6 +35,8 @@
 PLAIN_PATIENCE = 8.0
 # Plain answers up to this size are read whole before anything is passed on (bytes).
 MOST_WHOLE_BYTES = 1_048_576
+# An event that is not whole by then is none (bytes); the users' events hold some hundred.
+MOST_EVENT_BYTES = 1_048_576
 # Answers from here on say that the backend server failed.
 SERVER_ERRORS_FROM = 500
 
@@ -306,6 +308,8 @@
         while (piece := self._wait(lambda: connection.read_piece(answer))) is not None:
             self._tools.health.note_heard(self._server_id)
             whole = self._progress.cutter.feed(piece)
+            if self._progress.cutter.pending_bytes() > MOST_EVENT_BYTES:
+                raise ConnectionBroken(f"expected events of at most {MOST_EVENT_BYTES} bytes")
             if whole:
                 self._note_event()
                 self._begin(answer)
--- a/sparline/forwarding/_events.py
+++ b/sparline/forwarding/_events.py
@@ -32,6 +32,10 @@
             self.last_id = int(ids[-1])
         return whole
 
+    def pending_bytes(self) -> int:
+        """Return how much of an event that is not whole is held."""
+        return len(self._pending)
+
     def rest(self) -> bytes:
         """Return bytes behind the last whole event, for an answer that ended properly."""
         rest, self._pending = self._pending, b""
--- a/sparline/forwarding/tests/test_events.py
+++ b/sparline/forwarding/tests/test_events.py
@@ -36,3 +36,9 @@
     cutter = EventCutter(None)
     assert cutter.feed(ONE + b"data: end") == ONE
     assert cutter.rest() == b"data: end"
+
+
+def test_what_is_held_of_an_event_is_told():
+    cutter = EventCutter(None)
+    cutter.feed(ONE + b"x" * 500)
+    assert cutter.pending_bytes() == 500
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -39,6 +39,30 @@
     ("token counts that are none", "/stream/x", {"Token_Counts": "many"}, 400, None, 0),
     ("a body over the limit", "/unsafe/x", {"body": b"x" * 100_001}, 413, None, 0),
     ("headers over the limit", "/safe/x", {"X-Long": "x" * 5_000}, 431, None, 0),
+    (
+        "a prompt for a plain service",
+        "/unsafe/x",
+        {"Token_Counts": "400,50"},
+        200,
+        b"r1 /unsafe/x 0",
+        1,
+    ),
+    (
+        "a number of 5,000 digits",
+        "/safe/x",
+        {"Deadline_Milliseconds": "9" * 2_000, "Token_Counts": "9" * 1_000 + ",1"},
+        400,
+        None,
+        0,
+    ),
+    (
+        "a last event that is none",
+        "/stream/x",
+        {"Last_Event_Id": "x", "body": b"abc", **PROMPT},
+        200,
+        stream_of("r1"),
+        1,
+    ),
     ("a prompt without parts", "/stream/x", {"Token_Counts": "4,5"}, 200, stream_of("r1"), 1),
 ]
 
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -13,7 +13,7 @@
 from sparline.placement._pace import PaceTable
 from sparline.placement._prompt_cache import FLEET_WIDE_TOKENS, PromptCache, owner_of
 from sparline.requests import Origin, Reason, RoutedRequest
-from sparline.routes import Service
+from sparline.routes import EngineFigures, Service
 
 # Credit lost by a token that is read again, against what a token of prompt earns; from the
 # users' prices (0.72 per 1,000) and the worth of their kinds of request (about 2 per 1,000).
@@ -31,12 +31,13 @@
 OWN_DELAY_LOSS = 0.5
 # What a request to another region loses beside its time (bytes between regions, another hop).
 FAR_LOSS = 0.01
-# Loss for a failure, against the credit of a request.
+# Loss for a sure failure, against the credit of a request.
 FAILURE_LOSS = 1.5
 # A share of failures up to this says nothing of a server: some kinds of request fail 14% of
 # the time wherever they run, and a share of the last ten swings.
 FAILURE_USUAL = 0.25
-# Engines are filled up to this part of their memory.
+# Engines are filled up to this part of their memory; beyond it, and beyond their slots, a
+# request waits or makes another wait, and loses this.
 MEMORY_FILL = 0.9
 MEMORY_LOSS = 1.0
 # Time of an exchange beside all waiting (ms).
@@ -53,10 +54,12 @@
 # Instances that place a start at the same moment, before any has told, agree on its owner:
 # the advantage that it has then.
 OWNER_GAIN = 0.05
-# Servers whose loss differs by less are equal; chance then spreads instances over them.
-EQUAL_LOSS = 0.004
+# When a refused caller is told to come back, by how late it would have been (ms): callers heed
+# up to a third of the time they have left.
 RETRY_AFTER_LEAST_MS = 150.0
 RETRY_AFTER_MOST_MS = 1_500.0
+# Servers whose loss differs by less are equal; chance then spreads instances over them.
+EQUAL_LOSS = 0.004
 # Told to callers where nothing can run the request now.
 RETRY_AFTER_NONE_MS = 500.0
 
@@ -211,8 +214,9 @@
             loss += FAR_LOSS
         if server.id == owner:
             loss -= OWNER_GAIN
-        if request.prompt is not None:
-            loss += self._prompt_loss(request, service, load, unread, most_cached - cached)
+        if request.prompt is not None and service.engine is not None:
+            reread = most_cached - cached
+            loss += self._prompt_loss(request, service.engine, load, unread, reread)
         usable = self._tables.health.usable(server.id)
         doubt = Doubt.NONE if usable else Doubt.PASSED_OVER
         age_ms = self._tables.load_age_ms(server.region)
@@ -237,22 +241,22 @@
         return EXCHANGE_MS + queue_ms + (load.unread_tokens + unread) * token_ms
 
     def _prompt_loss(
-        self, request: RoutedRequest, service: Service, load: LoadOf, unread: int, reread: int
+        self, request: RoutedRequest, engine: EngineFigures, load: LoadOf, unread: int, reread: int
     ) -> float:
         prompt = request.prompt
-        assert prompt is not None and service.engine is not None
+        assert prompt is not None, "only requests with a prompt are judged by it"
         earned = max(prompt.tokens + OUTPUT_WEIGHT * prompt.most_output_tokens, 1)
         loss = REREAD_LOSS * max(reread, 0) / earned
         pause_ms = request.route.pause_target_ms
         if pause_ms:
-            token_ms = self._tables.pace.token_ms(service.name)
+            token_ms = self._tables.pace.token_ms(request.service)
             before = _late_share(load.unread_tokens * token_ms / pause_ms)
             after = _late_share((load.unread_tokens + unread) * token_ms / pause_ms)
             loss += load.running * (after - before) * USUAL_CREDIT / earned
             loss += OWN_DELAY_LOSS * after
-        if load.held_tokens + prompt.held_tokens > MEMORY_FILL * service.engine.cache_tokens:
+        if load.held_tokens + prompt.held_tokens > MEMORY_FILL * engine.cache_tokens:
             loss += MEMORY_LOSS
-        if load.running >= service.engine.slots:
+        if load.running >= engine.slots:
             loss += MEMORY_LOSS
         return loss
 
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -11,6 +11,8 @@
 from sparline.requests import Prompt, PromptStart, RoutedRequest
 
 MOST_PRIORITY = 9
+# Longer numbers are none: no time, length or id of an event has as many digits.
+MOST_DIGITS = 15
 MS_PER_S = 1000.0
 
 
@@ -35,13 +37,13 @@
     host = request.header(b"host") or b""
     if not host:
         return Err("Host: expected a host, found none")
-    deadline = _whole(request.header(names.DEADLINE))
-    if deadline is not None and deadline < 0:
+    told = request.header(names.DEADLINE)
+    deadline = _whole(told) if told is not None else None
+    if told is not None and deadline is None:
         return Err("Deadline-Milliseconds: expected a whole number")
     prompt = _prompt(request)
     if prompt.is_err():
         return Err(prompt.unwrap_err())
-    last_event = _whole(request.header(names.LAST_EVENT))
     return Ok(
         RequestMarks(
             request_id=RequestId(request_id.decode("latin-1")),
@@ -49,17 +51,16 @@
             path=request.target.decode("latin-1").partition("?")[0],
             deadline_ms=None if deadline is None else float(deadline),
             prompt=prompt.unwrap(),
-            resume_after=last_event,
+            resume_after=_whole(request.header(names.LAST_EVENT) or b""),
             relay_service=(request.header(names.RELAY_SERVICE) or b"").decode("latin-1"),
         )
     )
 
 
-def _whole(text: bytes | None) -> int | None:
-    """Return a whole number, None without one, -1 for something else."""
-    if text is None:
-        return None
-    return int(text) if text.isdigit() else -1
+def _whole(text: bytes) -> int | None:
+    """Return a whole number, None for anything else."""
+    text = text.strip()
+    return int(text) if text.isdigit() and len(text) <= MOST_DIGITS else None
 
 
 def _prompt(request: HttpRequest) -> Result[Prompt | None, str]:
@@ -67,19 +68,21 @@
     if counts is None:
         return Ok(None)
     first, _, second = counts.partition(b",")
-    if not first.strip().isdigit() or not second.strip().isdigit():
-        return Err(f"Token-Counts: expected two whole numbers, found {counts!r}")
+    tokens, most_output_tokens = _whole(first), _whole(second)
+    if tokens is None or most_output_tokens is None:
+        return Err(f"Token-Counts: expected two whole numbers, found {counts[:40]!r}")
     starts: list[PromptStart] = []
     key = ""
     parts = [part for part in (request.header(names.PROMPT_PARTS) or b"").split(b",") if part]
     # The last part is the request's own, or its session's.
     for part in parts[:-1]:
-        name, _, tokens = part.strip().rpartition(b":")
-        if not tokens.isdigit():
-            return Err(f"Prompt-Prefix: expected ID:TOKENS, found {part!r}")
+        name, _, length = part.strip().rpartition(b":")
+        own_tokens = _whole(length)
+        if own_tokens is None:
+            return Err(f"Prompt-Prefix: expected ID:TOKENS, found {part[:40]!r}")
         key = f"{key}/{name.decode('latin-1')}"
-        starts.append(PromptStart(key, int(tokens)))
-    return Ok(Prompt(int(first), int(second), tuple(starts)))
+        starts.append(PromptStart(key, own_tokens))
+    return Ok(Prompt(tokens, most_output_tokens, tuple(starts)))
 
 
 def headers_to_pass(request: HttpRequest) -> Headers:
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -31,6 +31,7 @@
     ),
     ("blanks between parts", {"token_counts": "9, 8", "prompt_prefix": "a:1 , b:2"}, "prompt", Prompt(9, 8, (PromptStart("/a", 1),))),
     ("last event", {"last_event_id": "7"}, "resume_after", 7),
+    ("last event that is none", {"last_event_id": "x"}, "resume_after", None),
 ]  # fmt: skip
 
 
@@ -46,6 +47,9 @@
     ({"host": ""}, "Host"),
     ({"deadline_milliseconds": "soon"}, "Deadline-Milliseconds"),
     ({"token_counts": "7"}, "Token-Counts"),
+    ({"token_counts": "9" * 5_000 + ",1"}, "Token-Counts"),
+    ({"deadline_milliseconds": "9" * 5_000}, "Deadline-Milliseconds"),
+    ({"token_counts": "7,8", "prompt_prefix": "a:" + "9" * 5_000 + ",b:2"}, "Prompt-Prefix"),
     ({"token_counts": "7,8", "prompt_prefix": "a,b:2"}, "Prompt-Prefix"),
 ]
 
