Probe ports of the test fleets with a plain socket

Red each time with sparline/entry before gateway/tests/test_requests.py, green with either alone. Ruled out: another process (no socket shown on the port), two runs at once, load (red at rest too). Change: the pool probes with the unpatched class, as LocalFleet's own check does.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 from typing import Any
 
 import gevent
+from gevent.monkey import get_original
 from result import Ok
 
 from benchmarks._shapes import (
@@ -74,7 +74,8 @@
             PortPool._next += 1
             if PortPool._next > LAST_PORT:
                 PortPool._next = FIRST_PORT
-            with socket.socket() as probe:
+            # A patched socket may be closed a moment later, and would hold the port itself.
+            with get_original("socket", "socket")() as probe:
                 try:
                     probe.bind(("", PortPool._next))
                 except OSError:
