Turn no request away for its own length

A prompt whose own reading takes most of the wanted time was above the bound of refusals at every place as soon as anything ran there. Change: a long prompt (reading over 0.55 of the wanted time) is refused by the wait before it and a loss of 2.5; the other bounds go back to 1.25 of the wanted time and 1.5 of the credit. Two rows; the first was red before.

--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -42,12 +42,16 @@
 MEMORY_LOSS = 1.0
 # Time of an exchange beside all waiting (ms).
 EXCHANGE_MS = 8.0
-# A request whose estimated time is above this part of the wanted one is refused: it would
+# A request whose estimated time is above this many times the wanted one is refused: it would
 # earn next to nothing and delay all behind it.
-REFUSE_ABOVE = 1.0
-# A request that would cost more than this part of its own credit is refused: it is late
+REFUSE_ABOVE = 1.25
+# A request that would cost more than this many times its own credit is refused: it is late
 # itself, or makes others late.
-REFUSE_LOSS = 1.0
+REFUSE_LOSS = 1.5
+# A prompt whose own reading takes more than this part of the wanted time is long: no place could
+# answer it as quickly as a usual one, and the longest tenth is to be served like the others.
+LONG_READING = 0.55
+REFUSE_LONG_LOSS = 2.5
 # A relayed request is refused above this many times the wanted time: its first instance may
 # know a better place, and this region's load better than anyone is known here.
 REFUSE_RELAYED_ABOVE = 0.5
@@ -78,6 +82,7 @@
     server: BackendServer  # where to
     peer: Member | None  # instance in the server's region, None for this region
     expected_ms: float  # estimated time to the first event or answer
+    reading_ms: float  # part of it in which its own prompt is read
     unread_tokens: int  # prompt tokens that are probably not cached there
     loss: float  # what decided, against the credit of the request
     load: LoadOf  # load of the server when this was decided
@@ -208,6 +213,7 @@
         load = self._tables.loads.of(server)
         unread = max(request.prompt.tokens - cached, 0) if request.prompt else 0
         expected_ms = way_ms + self._time_there_ms(request, service, server, load, unread)
+        reading_ms = unread * self._tables.pace.token_ms(service.name)
         loss = (expected_ms / request.route.wanted_latency_ms) ** 2
         loss += FAILURE_LOSS * max(self._tables.health.failing(server.id) - FAILURE_USUAL, 0.0)
         if peer is not None:
@@ -220,7 +226,7 @@
         usable = self._tables.health.usable(server.id)
         doubt = Doubt.NONE if usable else Doubt.PASSED_OVER
         age_ms = self._tables.load_age_ms(server.region)
-        return Placement(server, peer, expected_ms, unread, loss, load, age_ms, doubt)
+        return Placement(server, peer, expected_ms, reading_ms, unread, loss, load, age_ms, doubt)
 
     def _time_there_ms(
         self,
@@ -271,9 +277,14 @@
         """Refuse what would come too late, early enough for a second try to pay."""
         relayed = request.origin is Origin.RELAY
         targets = REFUSE_RELAYED_ABOVE if relayed else REFUSE_ABOVE
-        most_ms = min(targets * request.route.wanted_latency_ms, request.left_ms())
-        in_time = best.expected_ms <= most_ms and best.loss <= REFUSE_LOSS
-        if in_time or not best.load.running:
+        wanted_ms = request.route.wanted_latency_ms
+        if best.reading_ms > LONG_READING * wanted_ms:
+            # Its length is no reason to turn it away, only the wait before it is.
+            in_time = best.expected_ms - best.reading_ms <= targets * wanted_ms
+            in_time = in_time and best.loss <= REFUSE_LONG_LOSS
+        else:
+            in_time = best.expected_ms <= targets * wanted_ms and best.loss <= REFUSE_LOSS
+        if not best.load.running or (in_time and best.expected_ms <= request.left_ms()):
             return None
         late_ms = best.expected_ms - request.route.wanted_latency_ms
         wait_ms = min(max(late_ms, RETRY_AFTER_LEAST_MS), RETRY_AFTER_MOST_MS)
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -26,6 +26,7 @@
 ZONES = {ZoneName("north-1"): NORTH, ZoneName("south-1"): SOUTH}
 N1, N2, S1 = make_server("n1"), make_server("n2"), make_server("s1", "south")
 LONG = Prompt(17_000, 120, (PromptStart("/long", 13_000),))
+VERY_LONG = Prompt(45_000, 300, ())
 SHORT = Prompt(400, 50, ())
 BUSY = LoadOf(running=6, held_tokens=60_000, unread_tokens=40_000)
 FULL = LoadOf(running=64, held_tokens=30_000)
@@ -118,6 +119,8 @@
     ("a long start where it was read", (N1, N2, S1), read_long_at(S1), make_request(prompt=LONG), "s1"),
     ("a long start whose engine is loaded", (N1, S1), lambda w: (read_long_at(S1)(w), w.loads.update(s1=BUSY)), make_request(prompt=LONG), "n1"),
     ("a short one beside a long one that waits", (N1, N2), set_load(n1=LoadOf(1, 17_000, 17_000)), make_request(prompt=SHORT), "n2"),
+    ("a very long prompt beside other work", (N1,), set_load(n1=LoadOf(10, 100_000, 0)), make_request(prompt=VERY_LONG), "n1"),
+    ("a very long prompt that would wait long", (N1,), set_load(n1=BUSY), make_request(prompt=VERY_LONG), "refused: deadline_unreachable"),
     ("a relayed one is given back sooner", (N1,), set_load(n1=LoadOf(3, 30_000, 22_000)), make_request(**RELAYED), "refused: deadline_unreachable"),
     ("where a caller's own is taken", (N1,), set_load(n1=LoadOf(3, 30_000, 22_000)), make_request(), "n1"),
 ]  # fmt: skip
