Send nothing to an address that another server has, and count what a peer's server turned away

All engines of a region had new incarnations while its entries were old; each relayed request was turned away by two of them (421), and the instance that had relayed tried again for free, because a peer's 'not run' was taken for 'not sent anywhere'. A server found to be another's was still used for want of a better one. Ruled out: the shares of the budget (nine instances, 0.7 of ratio and slack each kept). Change: a misdirected server is no candidate for 5 s; a peer tells 'not-sent' apart from 'not-run', and only the former costs no repeat. Two rows, red before.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -248,8 +248,13 @@
                 return AttemptEnd(AttemptResult.NOT_RUN, Reason.MISDIRECTED)
             case AnswerKind.NOT_RUN:
                 self._tools.health.note_full(self._server_id)
-                reason = Reason.PEER_NO_ROOM if far else Reason.BACKEND_REFUSED
+                reason = Reason.PEER_NOT_RUN if far else Reason.BACKEND_REFUSED
                 return AttemptEnd(AttemptResult.NOT_RUN, reason, meaning.retry_after_ms)
+            case AnswerKind.NOT_SENT:
+                self._tools.health.note_full(self._server_id)
+                return AttemptEnd(
+                    AttemptResult.NOT_RUN, Reason.PEER_NO_ROOM, meaning.retry_after_ms
+                )
             case AnswerKind.TIMED_OUT:
                 return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         if not far:
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -49,7 +49,8 @@
     retries: RetryWindow  # budget for repeats
     tools: AttemptTools  # connections and protocols
     note_retry: Callable[[RoutedRequest, Placement, AttemptEnd], None]  # counters and log
-    refusal_headers: Callable[[bool, float], Headers]  # for own answers: ran, retry after
+    # For own answers: whether it ran, when to come back (ms), whether it was sent anywhere.
+    refusal_headers: Callable[[bool, float, bool], Headers]
 
 
 class Forwarder:
@@ -211,7 +212,7 @@
     def _answer_own(
         self, status: int, reason: Reason, ran: bool, retry_after_ms: float
     ) -> RequestEnd:
-        headers = self._parts.refusal_headers(ran, retry_after_ms)
+        headers = self._parts.refusal_headers(ran, retry_after_ms, self._progress.sends > 0)
         self._caller.answer(status, headers, b"")
         return self._ended(status, reason, ran)
 
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -14,6 +14,7 @@
 
     RESULT = "result"  # the backend server's answer, to be passed on
     NOT_RUN = "not_run"  # proof that the request did not run
+    NOT_SENT = "not_sent"  # a peer sent it to no backend server
     MISDIRECTED = "misdirected"  # another server has the address; did not run
     UNKNOWN = "unknown"  # it could not be finished, and may have run
     TIMED_OUT = "timed_out"  # a peer's time for it was over, and it may have run
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -159,6 +159,8 @@
         for server in fleet.by_service.get(request.service, ()):
             if server.leaving or server.zone in fleet.evacuated or server.id in excluded:
                 continue
+            if self._tables.health.is_elsewhere(server.id):
+                continue
             if not request.route.allows(server.region):
                 continue
             if request.origin is Origin.RELAY and server.region != self._region:
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -36,6 +36,7 @@
 
     failing: float = 0.0  # share of failures, the last ones weigh most
     pass_over_until_ms: float = 0.0  # until when it is used only for want of another
+    elsewhere_until_ms: float = 0.0  # until when another server is taken to have its address
     pass_over_ms: float = 0.0  # how long it was passed over the last time
     pace: float = 1.0  # measured time against the expected one
     pace_at_ms: float = 0.0  # when the pace was last measured
@@ -99,7 +100,7 @@
 
     def note_misdirected(self, server_id: BackendServerId) -> None:
         """Note that another server has the address."""
-        self._of(server_id).pass_over_until_ms = now_ms() + MISDIRECTED_MS
+        self._of(server_id).elsewhere_until_ms = now_ms() + MISDIRECTED_MS
         log.bind(backend_server=server_id, for_ms=MISDIRECTED_MS).info("server_misdirected")
 
     def _pass_over(self, server_id: BackendServerId, witness: _Witness, why: str) -> None:
@@ -140,11 +141,18 @@
             return False
         return now_ms() - max(witness.heard_at_ms, witness.waiting_since_ms) > DARK_MS
 
+    def is_elsewhere(self, server_id: BackendServerId) -> bool:
+        """Tell whether another server has the address, so that each send would be turned away."""
+        witness = self._witnesses.get(server_id)
+        return witness is not None and now_ms() < witness.elsewhere_until_ms
+
     def usable(self, server_id: BackendServerId) -> bool:
         """Tell whether nothing speaks against a server."""
         witness = self._witnesses.get(server_id)
         if witness is None:
             return True
+        if self.is_elsewhere(server_id):
+            return False
         return now_ms() >= witness.pass_over_until_ms and not self.is_dark(server_id)
 
     def forget_all_but(self, known: set[BackendServerId]) -> None:
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -115,6 +115,7 @@
     ("a full engine", (N1, S1), set_load(n1=FULL), make_request(), "s1"),
     ("one that fails", (N1, N2), fail_often, make_request(), "n2"),
     ("one that fails, but there is no other", (N1,), fail_often, make_request(), "n1"),
+    ("one whose address another has, and there is no other", (N1,), lambda w: w.health.note_misdirected(N1.id), make_request(), "refused: no_backend"),
     ("failures that are usual", (N1, S1), fail_as_usual, make_request(), "n1"),
     ("a long start where it was read", (N1, N2, S1), read_long_at(S1), make_request(prompt=LONG), "s1"),
     ("a long start whose engine is loaded", (N1, S1), lambda w: (read_long_at(S1)(w), w.loads.update(s1=BUSY)), make_request(prompt=LONG), "n1"),
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -152,6 +152,8 @@
             return AnswerMeaning(AnswerKind.RESULT)
         if outcome == b"not-run":
             return AnswerMeaning(AnswerKind.NOT_RUN, _retry_after_ms(answer))
+        if outcome == b"not-sent":
+            return AnswerMeaning(AnswerKind.NOT_SENT, _retry_after_ms(answer))
         late = answer.status == 504
         return AnswerMeaning(AnswerKind.TIMED_OUT if late else AnswerKind.UNKNOWN)
 
@@ -183,14 +185,14 @@
         return 0.0
 
 
-def refusal_headers(ran: bool, retry_after_ms: float) -> Headers:
-    """Return the headers of an answer of our own to a caller."""
+def refusal_headers(ran: bool, retry_after_ms: float, sent: bool = False) -> Headers:
+    """Return the headers of an answer of our own to a caller, who need not know of sends."""
     if ran:
         return []
     return [(names.RETRY_AFTER, b"%.3f" % (retry_after_ms / MS_PER_S))]
 
 
-def relayed_refusal_headers(ran: bool, retry_after_ms: float) -> Headers:
+def relayed_refusal_headers(ran: bool, retry_after_ms: float, sent: bool = False) -> Headers:
     """Return the headers of an answer of our own to the instance that relayed."""
-    outcome = b"unknown" if ran else b"not-run"
+    outcome = b"unknown" if ran else b"not-run" if sent else b"not-sent"
     return [(names.RELAY_OUTCOME, outcome), *refusal_headers(ran, retry_after_ms)]
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -89,6 +89,7 @@
     (200, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
     (500, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
     (503, {"sparline-outcome": "not-run", "retry-after": "0.250"}, AnswerKind.NOT_RUN, True),
+    (503, {"sparline-outcome": "not-sent"}, AnswerKind.NOT_SENT, True),
     (502, {"sparline-outcome": "unknown"}, AnswerKind.UNKNOWN, True),
     (504, {"sparline-outcome": "unknown"}, AnswerKind.TIMED_OUT, True),
     (200, {"attempt-id": "r0"}, AnswerKind.RESULT, False),
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -33,6 +33,7 @@
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_NO_ROOM = "peer_no_room"
     PEER_NO_GRANT = "peer_no_grant"
+    PEER_NOT_RUN = "peer_not_run"
     MISDIRECTED = "misdirected"
     # Why it is not known whether an attempt ran to its end.
     BROKEN_BEFORE_ANSWER = "broken_before_answer"
