Call a route's homes by our own word, and read whole bodies in one place

Cause: one field of our types had the wire's name, and two clients each read a body to its end by a loop of their own. Change: Route.homes, BackendConnection.read_body; no behaviour changed.

--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -72,10 +72,7 @@
             target = STORE_COPY_TARGET + b"%d" % self._copy.revision
             connection.send(b"GET " + target + b" HTTP/1.1\r\nhost: peer\r\n\r\n", b"")
             answer = connection.read_head(lambda _answer: True)
-            body = bytearray()
-            while (piece := connection.read_piece(answer)) is not None:
-                body += piece
-            return bytes(body)
+            return connection.read_body(answer)
         finally:
             connection.close()
 
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -45,9 +45,7 @@
     for other in others:
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
-    routes = [
-        make_route(path_start=f"/{place}/", home_regions=of) for place, of in enumerate(HOMES)
-    ]
+    routes = [make_route(path_start=f"/{place}/", homes=of) for place, of in enumerate(HOMES)]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80)
     question = DirectoryQuestion("host.example", RegionName(region), ZoneName(""))
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -128,6 +128,13 @@
                 self._finish(answer)
                 return None
 
+    def read_body(self, answer: HttpAnswer) -> bytes:
+        """Return the whole body."""
+        body = bytearray()
+        while (piece := self.read_piece(answer)) is not None:
+            body += piece
+        return bytes(body)
+
     def skip_body(self, answer: HttpAnswer) -> None:
         """Read the body and drop it."""
         while self.read_piece(answer) is not None:
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -94,7 +94,7 @@
     return told
 
 
-SOUTH_ONLY = make_route(home_regions=frozenset((SOUTH,)))
+SOUTH_ONLY = make_route(homes=frozenset((SOUTH,)))
 RELAYED = {"origin": Origin.RELAY}
 LEAVING = make_server("n1", leaving=True)
 COLD = make_server("n1", cold_until_ms=now_ms() + 1e9)
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -171,7 +171,7 @@
         shares=tuple(ServiceShare(ServiceName(one.service), one.weight) for one in split),
         max_backends=node.max_attempts,
         resumable=node.allow_resume,
-        home_regions=frozenset(RegionName(one) for one in node.home_regions or ()),
+        homes=frozenset(RegionName(one) for one in node.home_regions or ()),
     )
 
 
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -101,10 +101,7 @@
         host = f"{self._address[0]}:{self._address[1]}"
         connection.send(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), b"")
         answer = connection.read_head(lambda _answer: True)
-        body = bytearray()
-        while (piece := connection.read_piece(answer)) is not None:
-            body += piece
-        return _status(answer, bytes(body))
+        return _status(answer, connection.read_body(answer))
 
     def _drop(self) -> None:
         if self._connection is not None:
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -42,11 +42,11 @@
     shares: tuple[ServiceShare, ...]  # services that take the requests
     max_backends: int  # backend servers on which one request may run
     resumable: bool  # whether a stream may go on at another backend server
-    home_regions: frozenset[RegionName]  # regions that may run it, empty for all
+    homes: frozenset[RegionName]  # regions that may run it, empty for all
 
     def allows(self, region: RegionName) -> bool:
         """Tell whether requests may run in a region."""
-        return not self.home_regions or region in self.home_regions
+        return not self.homes or region in self.homes
 
     @property
     def repeatable(self) -> bool:
--- a/sparline/tests/routed.py
+++ b/sparline/tests/routed.py
@@ -40,7 +40,7 @@
         "shares": (ServiceShare(ENGINES, 1.0),),
         "max_backends": 2,
         "resumable": True,
-        "home_regions": frozenset(),
+        "homes": frozenset(),
     }
     return Route(**(values | changes))
 
