End the reading of gossip with its port

Cause: GossipPort.read took every OSError for the echo of an earlier datagram and read on. After close() each read failed at once and without a switch of greenlets, so the process span for ever where the reading greenlet ran before its kill. Seen as a hang of tests/test_fleet.py: 3 of 12 runs. Ruled out: the lock of scripts/environment, and the new tests themselves (the stack of a hanging run, twice, showed the loop in read). Change: the port remembers that it was closed; reading ends then. Test: test_gossip.py::test_reading_ends_with_its_port, which failed before. Conclusion: a planned stop was at risk too; the reader of a closed port must end by itself.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -73,12 +73,13 @@
         self._round = 0
         self._turn = 0
         self._chance = random.Random()
+        self._closed = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((members.own.ip, port))
 
     def read(self) -> None:
-        """Read datagrams for as long as the process lives."""
-        while True:
+        """Read datagrams until the port is closed."""
+        while not self._closed:
             try:
                 data, sender = self._socket.recvfrom(READ_BYTES)
             except OSError as error:
@@ -131,7 +132,8 @@
         self._send(far[:64], self._message("", 0))
 
     def close(self) -> None:
-        """Close the port."""
+        """Close the port, which ends reading."""
+        self._closed = True
         self._socket.close()
 
     def _peers(self) -> tuple[list[str], list[str], list[str]]:
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -1,6 +1,7 @@
+import gevent
 import pytest
 
-from sparline.fleet import GossipPort, GossipSources, Members
+from sparline.fleet import GossipPort, GossipSources, Members, _gossip
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 
 SOURCES = GossipSources(
@@ -49,3 +50,20 @@
     asking = [peers for peers, message in port.sent if message.wants_members]
     assert len(asking) == 2
     assert all(len(peers) == 1 for peers in asking)
+
+
+def test_reading_ends_with_its_port(monkeypatch):
+    own = MemberNote("127.0.0.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
+    port = GossipPort(0, [], Members(own), SOURCES)
+    faults: list[int] = []
+    monkeypatch.setattr(_gossip.log, "debug", lambda *_args: note_fault(faults))
+    reading = gevent.spawn(port.read)
+    gevent.sleep(0)
+    port.close()
+    reading.join(timeout=20)
+    assert reading.successful()
+
+
+def note_fault(faults: list[int]) -> None:
+    faults.append(1)
+    assert len(faults) < 100, "expected the end of reading, found one fault after the other"
