Blame a peer only where it could not be reached or broke before its answer

Cause: a backend server's own 5xx, a lost answer or a broken stream that came through a peer passed the peer over for 1.5 s, though the peer had answered as it should; with several such answers all peers of a region were passed over at once. Ruled out: keeping the blame and shortening it: the peer is sound, and its region loses its ways. Change: failures, silence and answers that are cut short count against the backend server, also where it is reached by way of a peer, and successes for it; a peer is passed over when it cannot be reached or breaks before the head of an answer. Test: test_fleet.py::test_a_peer_is_not_blamed_for_its_backend_servers (failed before on 'the server fails') and ::test_a_peer_that_is_lost_is_passed_over.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -116,6 +116,7 @@
         self._caller = caller
         self._progress = progress
         self._sent_at_ms = 0.0
+        self._answer_began = False
         self._server_id = placement.server.id
 
     def run(self, terms: SendTerms) -> AttemptEnd:
@@ -128,10 +129,10 @@
         try:
             return self._exchange(connection, terms)
         except ConnectionBroken:
-            self._note_failure("broken")
+            self._note_broken()
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, self._broken_reason())
         except _ServerSilent:
-            self._note_failure("silent")
+            self._tools.health.note_failure(self._server_id, "silent")
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_SILENT)
         finally:
             self._tools.health.note_done(self._server_id)
@@ -168,11 +169,12 @@
         else:
             self._tools.health.note_unreachable(self._server_id)
 
-    def _note_failure(self, why: str) -> None:
-        if self._placement.peer is not None:
+    def _note_broken(self) -> None:
+        """Blame a peer only where it gave no answer: it cuts one short when its server does."""
+        if self._placement.peer is not None and not self._answer_began:
             self._tools.note_peer(self._placement.peer.note.ip, False)
         else:
-            self._tools.health.note_failure(self._server_id, why)
+            self._tools.health.note_failure(self._server_id, "broken")
 
     def _exchange(self, connection: BackendConnection, terms: SendTerms) -> AttemptEnd:
         answered = False
@@ -205,6 +207,7 @@
         return self._wire().belongs(self._request.request_id, answer)
 
     def _meaning(self, answer: HttpAnswer) -> AnswerMeaning:
+        self._answer_began = True
         self._tools.health.note_heard(self._server_id)
         if self._placement.peer is not None:
             self._tools.note_peer(self._placement.peer.note.ip, True)
@@ -257,8 +260,7 @@
                 )
             case AnswerKind.TIMED_OUT:
                 return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
-        if not far:
-            self._note_failure("unsigned")
+        self._tools.health.note_failure(self._server_id, "unknown" if far else "unsigned")
         return AttemptEnd(AttemptResult.MAY_HAVE_RUN, self._broken_reason())
 
     def _pass_on(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
@@ -276,7 +278,7 @@
                 return self._pass_long(connection, answer, bytes(body))
         took_ms = now_ms() - self._sent_at_ms
         if answer.status >= SERVER_ERRORS_FROM:
-            self._note_failure("failed")
+            self._tools.health.note_failure(self._server_id, "failed")
             self._progress.failed_answer = (answer, bytes(body))
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(took_ms)
@@ -296,9 +298,9 @@
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
     def _note_plain_success(self, took_ms: float) -> None:
+        self._tools.health.note_success(self._server_id)
         if self._placement.peer is not None:
             return
-        self._tools.health.note_success(self._server_id)
         usual_ms = self._tools.pace.answer_ms(self._request.service)
         self._tools.health.note_pace(self._server_id, took_ms, usual_ms)
         self._tools.pace.note_answer(self._request.service, took_ms)
@@ -322,8 +324,8 @@
         self._begin(answer)
         self._caller.send(self._progress.cutter.rest())
         self._caller.finish()
+        self._tools.health.note_success(self._server_id)
         if self._placement.peer is None:
-            self._tools.health.note_success(self._server_id)
             self._tools.pace.note_answer(self._request.service, now_ms() - self._sent_at_ms)
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -71,6 +71,44 @@
     assert "sparline-outcome" not in got.headers
 
 
+BLAMED = [
+    ("the server fails", {"fail": True}, "/unsafe/x", ["g1"]),
+    ("the server loses the answer", {"close_after_run": True}, "/unsafe/x", ["g1"]),
+    ("the server breaks its stream off", {"break_within_event": 2}, "/once/x", ["g1"]),
+    ("the server refuses", {"refuse": True}, "/unsafe/x", ["g1"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("faults", "target", "usable"),
+    [row[1:] for row in BLAMED],
+    ids=[row[0] for row in BLAMED],
+)
+def test_a_peer_is_not_blamed_for_its_backend_servers(fleet, faults, target, usable):
+    fleet.store.put("op/evacuate/north-1", {})
+    g0 = fleet.gateways["g0"]
+    fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
+    for server in fleet.servers.values():
+        server.faults = SealedFaults(**faults)
+    fleet.ask(target, body=b"abc", Token_Counts="400,50")
+    assert fleet.runs() == ([] if "refuse" in faults else ["r1"])
+    assert [one.note.name for one in g0.peers.usable("south")] == usable
+
+
+def test_a_peer_that_is_lost_is_passed_over(fleet):
+    fleet.store.put("op/evacuate/north-1", {})
+    g0 = fleet.gateways["g0"]
+    fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
+    fleet.servers["ps"].faults = SealedFaults(hang=True)
+    caller = fleet.caller("g0")
+    caller.send("/unsafe/x", "r1", b"abc")
+    fleet.until(lambda: fleet.runs() == ["r1"], "the request runs")
+    fleet.gateways.pop("g1").stop()
+    assert caller.read().status == 502
+    assert g0.peers.usable("south") == []
+    caller.close()
+
+
 def test_a_caller_who_leaves_ends_a_relayed_run(fleet):
     fleet.servers["es"].faults = SealedFaults(hang=True)
     caller = fleet.caller("g0")
