Fetch long prompt starts inside a region, and tell siblings at once what engines read

A long reading is told to all siblings when it begins and when it ends. The owner of a start is preferred only while nobody is known to keep it. Tests: test_choice.py (fetches, told), test_members.py (news), test_gossip.py, platform tests.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -18,6 +18,7 @@
 from sparline.schema._gossip import (
     BackendLoadNote,
     Gossip,
+    LoadNews,
     MemberNote,
     MemberPhase,
     PromptReadNote,
@@ -40,6 +41,8 @@
 MOST_BEATS = 8
 # Members named to one who asks for all (count): what fits into a datagram of 1,400 bytes.
 MOST_MEMBERS = 16
+# Peers told of one thing at once (count): all of the users' largest region of today, 23.
+MOST_TOLD_AT_ONCE = 64
 # Largest datagram that is read (bytes).
 READ_BYTES = 65_536
 
@@ -86,9 +89,11 @@
                 # An earlier datagram met a closed port; that says nothing about this socket.
                 log.debug("gossip: {}", error)
                 continue
-            match unpack(data, Gossip):
+            match unpack(data, Gossip | LoadNews):
                 case Err(reason):
                     log.warning("gossip: datagram from {} refused: {}", sender[0], reason)
+                case Ok(LoadNews() as news):
+                    self._members.take_news(news)
                 case Ok(gossip):
                     self._take(gossip)
 
@@ -128,8 +133,15 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, phase=phase, counter=own.counter + 1)
         near, far, _ = self._peers()
-        self._send(near[:64], self._message(own.region, 0))
-        self._send(far[:64], self._message("", 0))
+        self._send(near[:MOST_TOLD_AT_ONCE], self._message(own.region, 0))
+        self._send(far[:MOST_TOLD_AT_ONCE], self._message("", 0))
+
+    def tell_load(self, backend_server: str, load: LoadOf) -> None:
+        """Tell the siblings at once what this instance has at a backend server."""
+        note = BackendLoadNote(backend_server, load.running, load.held_tokens, load.unread_tokens)
+        own = self._members.own
+        siblings = [one.note.ip for one in self._members.live(RegionName(own.region))]
+        self._send(siblings[:MOST_TOLD_AT_ONCE], LoadNews(own.ip, own.incarnation, note))
 
     def close(self) -> None:
         """Close the port, which ends reading."""
@@ -191,7 +203,7 @@
             return all_of_them
         return self._chance.sample(all_of_them, most)
 
-    def _send(self, peers: list[str], message: Gossip) -> None:
+    def _send(self, peers: list[str], message: Gossip | LoadNews) -> None:
         data = pack(message)
         for ip in peers:
             try:
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -10,6 +10,7 @@
 from sparline.schema._gossip import (
     BackendLoadNote,
     Gossip,
+    LoadNews,
     MemberBeat,
     MemberNote,
     MemberPhase,
@@ -89,6 +90,13 @@
         self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
         return is_new
 
+    def take_news(self, news: LoadNews) -> None:
+        """Take in what a sibling has just put on a backend server."""
+        known = self._others.get(news.ip)
+        if known is None or known.note.incarnation != news.incarnation:
+            return
+        known.loads[news.load.backend_server] = _load_of(news.load)
+
     def _take_beat(self, beat: MemberBeat) -> bool:
         """Take in a heartbeat that was passed on; tell whether its instance is known."""
         if beat.ip == self.own.ip:
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -1,8 +1,8 @@
 import gevent
 import pytest
 
-from sparline.fleet import GossipPort, GossipSources, Members, _gossip
-from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
+from sparline.fleet import GossipPort, GossipSources, LoadOf, Members, _gossip
+from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberNote, MemberPhase
 
 SOURCES = GossipSources(
     recent_reads=list,
@@ -52,6 +52,15 @@
     assert all(len(peers) == 1 for peers in asking)
 
 
+def test_a_load_is_told_to_siblings_at_once(port):
+    port._members.take(Gossip(SIBLING, 1, True, [], [], [], [], False))
+    far = MemberNote("127.0.4.1", "f", 1, 1, MemberPhase.live, "south", "south-1")
+    port._members.take(Gossip(far, 1, True, [], [], [], [], False))
+    port.tell_load("e1", LoadOf(2, 300, 40))
+    news = LoadNews("127.0.3.1", 1, BackendLoadNote("e1", 2, 300, 40))
+    assert port.sent == [([SIBLING.ip], news)]
+
+
 def test_reading_ends_with_its_port(monkeypatch):
     own = MemberNote("127.0.0.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
     port = GossipPort(0, [], Members(own), SOURCES)
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -6,6 +6,7 @@
 from sparline.schema._gossip import (
     BackendLoadNote,
     Gossip,
+    LoadNews,
     MemberBeat,
     MemberNote,
     MemberPhase,
@@ -108,6 +109,22 @@
     assert members.load_of(ENGINE, SOUTH) == LoadOf(7, 700, 70)
 
 
+NEWS = [
+    ("of the sibling's life that is known", "a", 5, LoadOf(9, 900, 90)),
+    ("of a former life", "a", 4, LoadOf(2, 200, 20)),
+    ("of nobody that is known", "b", 5, LoadOf(2, 200, 20)),
+]
+
+
+@pytest.mark.parametrize(
+    ("sender", "incarnation", "held"), [row[1:] for row in NEWS], ids=[row[0] for row in NEWS]
+)
+def test_news_replace_what_a_sibling_told_of_one_server(members, sender, incarnation, held):
+    members.take(gossip(note("a"), loads=loads(2)))
+    members.take_news(LoadNews(sender, incarnation, BackendLoadNote("e1", 9, 900, 90)))
+    assert members.load_of(ENGINE, NORTH) == held
+
+
 def test_old_loads_say_nothing(members, clock):
     members.take(gossip(note("a"), loads=loads(2)))
     clock.now += _members.LOAD_MS + 1
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -342,7 +342,7 @@
         if self._placement.peer is not None:
             return
         took_ms = now_ms() - self._sent_at_ms
-        if self._placement.load.unread_tokens == 0:
+        if self._placement.load.unread_tokens == 0 and self._placement.source is None:
             self._tools.pace.note_prompt(
                 self._request.service, self._placement.unread_tokens, took_ms
             )
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -135,6 +135,7 @@
             left_ms=request.left_ms(),
             resume_after=self._progress.cutter.last_id,
             sends_left=self._sends_left,
+            source=place.source.address if place.source else None,
         )
         attempt = Attempt(
             self._parts.tools, request, place, reservation, self._caller, self._progress
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from sparline._ids import BackendServerId, RequestId
-from sparline.http import HttpAnswer
+from sparline.http import Address, HttpAnswer
 from sparline.requests import RoutedRequest
 
 
@@ -36,6 +36,7 @@
     left_ms: float  # time that is left
     resume_after: int | None  # last event that the caller has
     sends_left: int  # backend servers on which a peer may run it
+    source: Address | None = None  # engine that passes the prompt's start on, None for none
 
 
 class Wire(Protocol):
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -124,7 +124,11 @@
         self._tasks: list[gevent.Greenlet] = []
 
     def _make_placement(self, region: RegionName) -> None:
-        self.loads = LoadTable(region, self.members.load_of)
+        self.loads = LoadTable(
+            region,
+            self.members.load_of,
+            lambda server_id, load: self.gossip.tell_load(server_id, load),
+        )
         self.health = HealthTable()
         self.cache = PromptCache(owners_have_read=not self.settings.first_start)
         self.pace = PaceTable()
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -101,6 +101,7 @@
         "peer": place.peer.note.name if place.peer else None,
         "expected_ms": round(place.expected_ms),
         "unread_tokens": place.unread_tokens,
+        "source": place.source.id if place.source else None,
         "loss": round(place.loss, 3),
         "running": place.load.running,
         "waiting_tokens": place.load.unread_tokens,
--- /dev/null
+++ b/sparline/placement/_kept_prompt.py
@@ -0,0 +1,73 @@
+"""Which engines keep a prompt's shared start, and which of them can pass it on."""
+
+from dataclasses import dataclass, field
+
+from sparline._ids import BackendServerId, RegionName
+from sparline.fleet import BackendServer
+from sparline.placement._health import HealthTable
+from sparline.placement._prompt_cache import FLEET_WIDE_TOKENS, PromptCache, owner_of
+from sparline.requests import Prompt
+
+# Shorter starts are read again rather than fetched (tokens): reading so many takes 16 to 20 ms
+# at the users' engines, as long as a fetch takes to set up and to wait its turn.
+FETCH_LEAST_TOKENS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class KeptPrompt:
+    """Hold where the shared start of one prompt is kept."""
+
+    tokens: dict[BackendServerId, int] = field(default_factory=dict)  # kept by each engine
+    reader: BackendServerId | None = None  # engine that is to read it, None where one has
+    sources: dict[RegionName, BackendServer] = field(default_factory=dict)  # keeps most there
+    fleet_wide: bool = False  # whether one engine of the whole fleet is to read it
+
+    @property
+    def most(self) -> int:
+        """Return the tokens that the engine with most of them keeps."""
+        return max(self.tokens.values(), default=0)
+
+    def at(self, server: BackendServer) -> int:
+        """Return the tokens that an engine keeps."""
+        return self.tokens.get(server.id, 0)
+
+    def source_for(self, server: BackendServer) -> BackendServer | None:
+        """Return the engine from which another of its region should fetch the start."""
+        source = self.sources.get(server.region)
+        if source is None or self.at(source) - self.at(server) < FETCH_LEAST_TOKENS:
+            return None
+        return source
+
+
+def find_kept(
+    prompt: Prompt | None,
+    servers: list[BackendServer],
+    own_region: RegionName,
+    cache: PromptCache,
+    health: HealthTable,
+) -> KeptPrompt:
+    """Return where a prompt's start is kept among the engines that may run it."""
+    if prompt is None:
+        return KeptPrompt()
+    sound = [one for one in servers if health.usable(one.id)]
+    owner = _owner(prompt, sound or servers, own_region)
+    tokens = {one.id: cache.cached_tokens(prompt, one.id) for one in servers}
+    if owner is not None and cache.owner_has_read(prompt):
+        tokens[owner] = prompt.shared_tokens
+    sources: dict[RegionName, BackendServer] = {}
+    for server in sound:
+        held = sources.get(server.region)
+        if held is None or tokens[server.id] > tokens[held.id]:
+            sources[server.region] = server
+    is_read = max(tokens.values(), default=0) >= prompt.shared_tokens
+    fleet_wide = prompt.shared_tokens >= FLEET_WIDE_TOKENS
+    return KeptPrompt(tokens, None if is_read else owner, sources, fleet_wide)
+
+
+def _owner(
+    prompt: Prompt, servers: list[BackendServer], own_region: RegionName
+) -> BackendServerId | None:
+    """Return the engine that is to keep the prompt's start."""
+    near = [one for one in servers if one.region == own_region]
+    pool = servers if prompt.shared_tokens >= FLEET_WIDE_TOKENS or not near else near
+    return owner_of(prompt, [one.id for one in pool])
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -8,9 +8,13 @@
 from sparline.fleet import BackendServer, LoadOf, sum_loads
 
 OtherLoads = Callable[[BackendServerId, RegionName], LoadOf]
+TellLoad = Callable[[BackendServerId, LoadOf], None]
 
 # A server's place is kept this long after its last request (ms), for its learned pace.
 REMEMBER_MS = 120_000.0
+# Reading at least so many tokens is told to the siblings at once (tokens): it takes 30 ms and
+# more at the users' engines, a tenth of what delays other streams; the rest is told by turns.
+TELL_TOKENS = 1_500
 
 
 @dataclass(slots=True)
@@ -27,9 +31,16 @@
 class Reservation:
     """Count one request at its backend server until it ends."""
 
-    def __init__(self, load: OwnLoad, held_tokens: int, unread_tokens: int) -> None:
-        """Count it."""
+    def __init__(
+        self,
+        load: OwnLoad,
+        held_tokens: int,
+        unread_tokens: int,
+        on_change: Callable[[int], None],
+    ) -> None:
+        """Count it; `on_change` is told how many tokens have come or gone."""
         self._load = load
+        self._on_change = on_change
         self._held_tokens = held_tokens
         self._unread_tokens = unread_tokens
         self._released = False
@@ -37,11 +48,13 @@
         load.held_tokens += held_tokens
         load.unread_tokens += unread_tokens
         load.used_at_ms = now_ms()
+        on_change(unread_tokens)
 
     def note_first_event(self) -> None:
         """Count the prompt as read."""
-        self._load.unread_tokens -= self._unread_tokens
-        self._unread_tokens = 0
+        read, self._unread_tokens = self._unread_tokens, 0
+        self._load.unread_tokens -= read
+        self._on_change(read)
 
     def release(self) -> None:
         """Count the request as ended; further calls change nothing."""
@@ -57,8 +70,9 @@
 class LoadTable:
     """Hold the load of every backend server that this instance knows of."""
 
-    def __init__(self, region: RegionName, others: OtherLoads) -> None:
+    def __init__(self, region: RegionName, others: OtherLoads, tell: TellLoad) -> None:
         """Start without load; `others` tells what the other instances put on a server."""
+        self._tell = tell
         self._own: dict[BackendServerId, OwnLoad] = {}
         self._region = region
         self._others = others
@@ -68,7 +82,14 @@
         load = self._own.get(server.id)
         if load is None:
             load = self._own[server.id] = OwnLoad(region=server.region)
-        return Reservation(load, held_tokens, unread_tokens)
+        return Reservation(
+            load, held_tokens, unread_tokens, lambda tokens: self._changed(server, tokens)
+        )
+
+    def _changed(self, server: BackendServer, tokens: int) -> None:
+        """Tell the siblings of a long prompt that is to be read, or has been."""
+        if tokens >= TELL_TOKENS and server.region == self._region:
+            self._tell(server.id, self.own(server.id))
 
     def of(self, server: BackendServer) -> LoadOf:
         """Return the load of a backend server."""
--- /dev/null
+++ b/sparline/placement/_placement.py
@@ -0,0 +1,40 @@
+"""Where a request goes and why, or why it goes nowhere."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from sparline.fleet import BackendServer, LoadOf, Member
+from sparline.requests import Reason
+
+
+class Doubt(Enum):
+    """Rank candidates by how far they can be trusted; lower goes first."""
+
+    NONE = 0  # nothing speaks against it
+    PASSED_OVER = 1  # failed or fell silent lately
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Send the request to a backend server, by way of a peer where it is elsewhere."""
+
+    server: BackendServer  # where to
+    peer: Member | None  # instance in the server's region, None for this region
+    expected_ms: float  # estimated time to the first event or answer
+    reading_ms: float  # part of it in which its own prompt is read
+    unread_tokens: int  # prompt tokens that have to be read there
+    source: BackendServer | None  # engine of its region that passes what it keeps on to it
+    loss: float  # what decided, against the credit of the request
+    load: LoadOf  # load of the server when this was decided
+    load_age_ms: float | None  # how old what others told of it was, None where they told nothing
+    doubt: Doubt  # how far it is trusted
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Run the request nowhere."""
+
+    reason: Reason  # why
+    retry_after_ms: float  # when to come back
+    candidates: int  # backend servers that were looked at
+    best: Placement | None = None  # place that would have lost least, None without any
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -18,9 +19,9 @@
     owner_of,
 )
 from sparline.requests import Origin, Prompt, PromptStart
-from sparline.routes import RequestKind, ServiceShare
+from sparline.routes import EngineFigures, RequestKind, ServiceShare
 from sparline.schema._gossip import MemberNote, MemberPhase, PromptReadNote
-from sparline.tests.routed import PLAIN, make_request, make_route, make_rules, make_server
+from sparline.tests.routed import ENGINES, PLAIN, make_request, make_route, make_rules, make_server
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
 ZONES = {ZoneName("north-1"): NORTH, ZoneName("south-1"): SOUTH}
@@ -37,6 +38,7 @@
 
     def __init__(self, *servers: BackendServer, far_peers: bool = True) -> None:
         self.loads: dict[str, LoadOf] = {}
+        self.told: list[tuple[str, int]] = []
         self.fleet = FleetState(lambda _c: UnknownItem(), lambda: None, lambda: 1e9, ZONES)
         self.fleet.configuration = make_rules()
         for server in servers:
@@ -48,7 +50,9 @@
         peers = [Member(note, now_ms(), now_ms())] if far_peers else []
         self.tables = PlacementTables(
             fleet=self.fleet,
-            loads=LoadTable(NORTH, lambda one, _region: self.loads.get(one, LoadOf())),
+            loads=LoadTable(
+                NORTH, lambda one, _region: self.loads.get(one, LoadOf()), self._note_told
+            ),
             health=self.health,
             cold=ColdShares("own", lambda: ["own"]),
             cache=self.cache,
@@ -59,6 +63,9 @@
         )
         self.chooser = Chooser(NORTH, self.tables, random.Random(1))
 
+    def _note_told(self, server_id: str, load: LoadOf) -> None:
+        self.told.append((server_id, load.unread_tokens))
+
     def choose(self, request, excluded=()) -> str:
         place = self.chooser.choose(request, frozenset(BackendServerId(one) for one in excluded))
         if isinstance(place, Refusal):
@@ -136,6 +143,58 @@
     assert world.choose(request, *excluded) == chosen
 
 
+FETCHING = EngineFigures(64, 300_000, token_bytes=163_840, link_mbit_per_s=550_000.0, fetches=True)
+FETCHES = [
+    # name, engines, kept at, loads, (server, source, tokens to read)
+    ("from a loaded one", (N1, N2), N1, {"n1": BUSY}, ("n2", "n1", 4_000)),
+    ("not where the keeper is free", (N1, N2), N1, {}, ("n1", None, 4_000)),
+    ("not from another region", (N1, S1), S1, {"s1": BUSY}, ("n1", None, 17_000)),
+    ("not from one that fails", (N1, N2), N1, "failing", ("n2", None, 17_000)),
+]
+
+
+@pytest.mark.parametrize("row", FETCHES, ids=[row[0] for row in FETCHES])
+def test_a_long_start_is_fetched(row):
+    _, servers, keeper, loads, expected = row
+    world = World(*servers)
+    services = world.fleet.configuration.services
+    services[ENGINES] = dataclasses.replace(services[ENGINES], engine=FETCHING)
+    read_long_at(keeper)(world)
+    if loads == "failing":
+        fail_often(world)
+    else:
+        world.loads.update(loads)
+    place = world.chooser.choose(make_request(prompt=LONG), frozenset())
+    source = place.source.id if place.source else None
+    assert (place.server.id, source, place.unread_tokens) == expected
+
+
+def test_engines_that_fetch_nothing_are_not_told_to():
+    world = World(N1, N2)
+    read_long_at(N1)(world)
+    world.loads["n1"] = BUSY
+    place = world.chooser.choose(make_request(prompt=LONG), frozenset())
+    assert (place.server.id, place.source, place.unread_tokens) == ("n2", None, 17_000)
+
+
+TOLD = [
+    ("a long prompt, begun and read", N1, 9_000, [("n1", 9_000), ("n1", 0)]),
+    ("a short prompt", N1, 400, []),
+    ("a long prompt of another region", S1, 9_000, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("server", "unread", "told"), [row[1:] for row in TOLD], ids=[row[0] for row in TOLD]
+)
+def test_siblings_are_told_of_long_prompts_at_once(server, unread, told):
+    world = World(N1, S1)
+    reservation = world.tables.loads.reserve(server, 10_000, unread)
+    reservation.note_first_event()
+    reservation.release()
+    assert world.told == told
+
+
 def test_an_evacuated_zone_gets_nothing():
     world = World(N1, S1)
     world.fleet.evacuated = {N1.zone}
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -103,7 +103,9 @@
 
 
 def test_a_request_counts_until_it_ends():
-    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf(1, 10, 5))
+    loads = LoadTable(
+        RegionName("north"), lambda _one, _region: LoadOf(1, 10, 5), lambda _one, _load: None
+    )
     server = make_server("s1")
     reservation = loads.reserve(server, 100, 40)
     assert loads.of(server) == LoadOf(2, 110, 45)
@@ -115,7 +117,9 @@
 
 
 def test_what_goes_to_another_region_is_part_of_what_that_region_tells():
-    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf(3, 300, 5))
+    loads = LoadTable(
+        RegionName("north"), lambda _one, _region: LoadOf(3, 300, 5), lambda _one, _load: None
+    )
     server = make_server("s1", "south")
     loads.reserve(server, 100, 40)
     assert loads.of(server) == LoadOf(3, 300, 40)
@@ -123,7 +127,7 @@
 
 
 def test_a_region_tells_all_its_load_not_only_that_of_the_servers_it_uses_itself():
-    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf())
+    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf(), lambda _one, _load: None)
     loads.reserve(make_server("s1"), 100, 40)
     siblings = {"s1": LoadOf(1, 10, 5), "s2": LoadOf(2, 20, 6)}
     assert loads.whole_region(siblings) == {"s1": LoadOf(2, 110, 45), "s2": LoadOf(2, 20, 6)}
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -55,6 +55,9 @@
 class _EngineNode(msgspec.Struct):
     slots: int
     kv_cache_tokens: int
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0  # megabits a second
+    moves: bool = False  # whether memory moves between engines; orders are none of ours
 
 
 class _ServiceNode(msgspec.Struct):
@@ -176,10 +179,19 @@
 
 
 def _service(node: _ServiceNode) -> Service:
-    engine = node.engine
     return Service(
         name=ServiceName(node.name),
         cold_start_ms=node.cold_start_s * MS_PER_S,
         cold_requests_per_s=node.cold_per_s,
-        engine=EngineFigures(engine.slots, engine.kv_cache_tokens) if engine else None,
+        engine=_engine(node.engine) if node.engine else None,
+    )
+
+
+def _engine(node: _EngineNode) -> EngineFigures:
+    return EngineFigures(
+        slots=node.slots,
+        cache_tokens=node.kv_cache_tokens,
+        token_bytes=node.kv_token_bytes,
+        link_mbit_per_s=node.link_mbps,
+        fetches=node.moves,
     )
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -6,6 +6,7 @@
 EXPECTED_SERVER = b"expected-instance"  # the one backend server that may run it; "instance"
 # there is a backend server's incarnation, never an instance of ours
 EXPECTED_VERSION = b"expected-version"  # version of weights that must be loaded
+FETCH_FROM = b"kv-fetch"  # engine that keeps more of the prompt's start
 PRIORITY = b"request-priority"  # 0 goes first
 TOKEN_COUNTS = b"token-counts"  # tokens of the prompt, and the most of the answer
 PROMPT_PARTS = b"prompt-prefix"  # all parts of the prompt, its own last one too, not a prefix
@@ -19,7 +20,7 @@
         b"pin-milliseconds",
         b"cache-backup",
         b"kv-from",
-        b"kv-fetch",
+        FETCH_FROM,
     )
 )
 
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -105,6 +105,8 @@
             (names.EXPECTED_SERVER, terms.server_id.encode("latin-1")),
             *_deadline_and_resume(request, terms),
         ]
+        if terms.source is not None:
+            own.append((names.FETCH_FROM, b"%b:%d" % (terms.source[0].encode(), terms.source[1])))
         if request.prompt is not None:
             own.append((names.PRIORITY, b"%d" % min(request.route.priority, MOST_PRIORITY)))
         return _head(request, own)
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -14,6 +14,7 @@
     UnknownItem,
 )
 from sparline.platform import ItemReader
+from sparline.routes import EngineFigures, ServiceName
 from standins import configuration
 
 READ = ItemReader({ZoneName("north-1"): RegionName("north")})
@@ -95,3 +96,11 @@
 def test_a_cold_server_is_cold_for_what_it_tells():
     server = item("servers/i-1", ENTRY | {"cold_remaining_ms": 60_000}).server
     assert 50_000 < server.cold_until_ms - now_ms() <= 60_000
+
+
+def test_an_engines_figures_are_read():
+    found = item("op/config", configuration(3))
+    engine = found.configuration.services[ServiceName("engines")].engine
+    assert engine == EngineFigures(8, 300_000, 163_840, 550_000.0, True)
+    # 163,840 bytes a token over 550 Gbit/s: 2.4 microseconds a token.
+    assert round(engine.fetch_ms(13_000), 1) == 31.0
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -133,3 +133,14 @@
         assert (b"\r\nlast-event-id: 7\r\n" in head) is told
     assert b"\r\nexpected-instance: s1\r\n" in ServerWire().send_head(request, terms)
     assert b"\r\nsparline-service: engines\r\n" in InstanceWire().send_head(request, terms)
+
+
+SOURCES = [(None, b""), (("10.1.0.7", 80), b"\r\nkv-fetch: 10.1.0.7:80\r\n")]
+
+
+@pytest.mark.parametrize(("source", "line"), SOURCES)
+def test_a_server_is_told_where_a_start_is_kept(source, line):
+    terms = SendTerms(BackendServerId("s1"), 1_000.0, None, 1, source)
+    head = ServerWire().send_head(make_request(make_route()), terms)
+    assert line in head
+    assert (b"kv-fetch" in head) is (source is not None)
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -8,6 +8,10 @@
 
 ServiceName = NewType("ServiceName", str)
 RouteName = NewType("RouteName", str)
+# A megabit a second is a thousand bits a millisecond.
+KBIT_A_MBIT = 1_000
+BITS_A_BYTE = 8
+
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 
 
@@ -60,6 +64,15 @@
 
     slots: int  # requests that run at once
     cache_tokens: int  # memory for running requests and kept prompt parts
+    token_bytes: int = 0  # memory of one token, as it is moved between engines
+    link_mbit_per_s: float = 0.0  # what an engine's link to another carries
+    fetches: bool = False  # whether an engine takes a kept start from another of its region
+
+    def fetch_ms(self, tokens: int) -> float:
+        """Return the time to move the memory of so many tokens between two engines."""
+        if not self.link_mbit_per_s:
+            return 0.0
+        return tokens * self.token_bytes * BITS_A_BYTE / (self.link_mbit_per_s * KBIT_A_MBIT)
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -99,6 +99,18 @@
     ]
 
 
+class LoadNews(WireMessage):
+    """
+    Tell the instances of a region at once that the sender lets a backend server read a long prompt, or that this is over.
+    """
+
+    ip: str
+    incarnation: Annotated[int, Meta(description="Start of the sender's process.")]
+    load: Annotated[
+        BackendLoadNote, Meta(description="All that the sender puts on the backend server.")
+    ]
+
+
 class StoreItemNote(WireNode):
     """
     Copy one item of the store.
@@ -125,4 +137,5 @@
     """
 
     gossip: Gossip
+    load_news: LoadNews
     store_copy: StoreCopy
