Estimate readings and caches as they are, and weigh bytes by what they cost

Cause: (1) a reading behind a long start takes up to twice as long a token: 8,447 tokens behind 39,900 were expected in 157 ms and took 462, and 49 streams were late behind them. (2) a start counted as kept for 120 s, but busy engines fill their memory in some 13 s: readings of 1,771 and 2,477 tokens expected took 577 and 1,335 ms. (3) bytes to other zones and regions cost 2 to 6 in 100 of a request's credit and were weighed with 1 or nothing. (4) calls of the store grew with the fleet. Ruled out: collisions of long prompts alone (73 of 518 late streams met one reading only). Change: a reading is counted as tokens at a prompt's start; a start counts as kept until 0.6 of its engine's memory has been filled since; zones and regions have a loss; callers are sent to their own zone while two instances live there; the wait after a store's answer grows with the fleet, except within 6 s after a fault; watches wait between 4 and 10 s.

--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -13,12 +13,20 @@
 from sparline._logging import log
 from sparline.fleet._store_copy import StoreChange, StoreCopyTable
 
-# A watch waits this long (ms): six calls a minute, while a dead one is noticed by what
-# peers hold long before.
+# A watch waits this long at the most (ms), and by chance at least this part of it. A change ends
+# the watches of all instances at once, and an outage makes all that follow dead: the first that
+# runs out finds the store back, and the others follow what it then holds.
 WATCH_WAIT_MS = 10_000
+WATCH_LEAST_PART = 0.4
 # After an answer the next watch waits this long (ms): changes that come together cost one call
 # of each instance, and a change is in force this much later, of the 3,000 that are allowed.
-GATHER_MS = 400.0
+GATHER_LEAST_MS = 400.0
+# The wait grows with the fleet (ms for each instance), so that all together call the store at
+# most 70 times a second, up to a bound that leaves half of what is allowed.
+GATHER_MS_AN_INSTANCE = 14.0
+GATHER_MOST_MS = 1_500.0
+# For this long after a fault the wait is the least (ms): entries that lapsed come back then.
+SETTLING_MS = 6_000.0
 # A read of everything may take this long (ms); the store answers in milliseconds, and a
 # slow one in some hundreds.
 READ_TIMEOUT_MS = 4_000
@@ -28,7 +36,8 @@
 # meet the same outage, and the store counts refused calls too.
 PAUSE_FIRST_MS = 150.0
 PAUSE_LONGEST_MS = 1_000.0
-# A peer's copy that is newer for this long shows that the own watch is dead (ms).
+# A peer's copy that is newer for this long beyond the wait after an answer shows that the own
+# watch is dead (ms).
 BEHIND_MS = 700.0
 # After an answer, the store counts as reached for this long beyond a watch (ms).
 REACHED_MS = WATCH_WAIT_MS + WATCH_SLACK_MS
@@ -85,6 +94,7 @@
         copy: StoreCopyTable,
         on_call: Callable[[str, str], None],
         newest_peer_revision: Callable[[], int],
+        instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Start without having read; `on_call` counts calls by kind and result."""
         self.answered_at_ms = 0.0  # when the store last answered, 0 for never
@@ -93,6 +103,7 @@
         self._copy = copy
         self._on_call = on_call
         self._newest_peer_revision = newest_peer_revision
+        self._instances = instances
         self._must_read = True
         self._failures = 0
         self._behind_since_ms: float | None = None
@@ -110,7 +121,7 @@
                 answer = self._client.read_all(READ_TIMEOUT_MS)
                 self._take(answer, "read", self._copy.replace)
             else:
-                wait_ms = WATCH_WAIT_MS
+                wait_ms = round(self._chance.uniform(WATCH_LEAST_PART, 1.0) * WATCH_WAIT_MS)
                 answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
                 self._take(answer, "watch", self._copy.apply)
 
@@ -127,11 +138,17 @@
                 self._must_read = False
                 apply(news.changes, news.revision)
                 if news.changes:
-                    gevent.sleep(GATHER_MS / 1000)
+                    gevent.sleep(self._gather_ms() / 1000)
             case Err(fault):
                 self._on_call(call, fault.kind.value)
                 self._note_fault(call, fault)
 
+    def _gather_ms(self) -> float:
+        if now_ms() - self.disturbed_at_ms < SETTLING_MS:
+            return GATHER_LEAST_MS
+        wanted_ms = GATHER_MS_AN_INSTANCE * self._instances()
+        return min(max(wanted_ms, GATHER_LEAST_MS), GATHER_MOST_MS)
+
     def _note_answer(self) -> None:
         if self._failures or not self.answered_at_ms:
             log.bind(failures=self._failures, revision=self._copy.revision).info("store_reached")
@@ -157,7 +174,7 @@
             return False
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms()
-        if now_ms() - self._behind_since_ms < BEHIND_MS:
+        if now_ms() - self._behind_since_ms < BEHIND_MS + self._gather_ms():
             return False
         self._behind_since_ms = None
         log.bind(revision=self._copy.revision, peers=self._newest_peer_revision()).info(
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -344,6 +344,6 @@
         took_ms = now_ms() - self._sent_at_ms
         if self._placement.load.unread_tokens == 0 and self._placement.source is None:
             self._tools.pace.note_prompt(
-                self._request.service, self._placement.unread_tokens, took_ms
+                self._request.service, self._placement.effort_tokens, took_ms
             )
         self._tools.health.note_pace(self._server_id, took_ms, self._placement.expected_ms)
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -128,7 +128,7 @@
             f"request {request.request_id} may not be repeated and may have run"
         )
         held = request.prompt.held_tokens if request.prompt else 0
-        reservation = self._parts.loads.reserve(place.server, held, place.unread_tokens)
+        reservation = self._parts.loads.reserve(place.server, held, place.effort_tokens)
         self._parts.chooser.note_sent(request, place)
         terms = SendTerms(
             server_id=place.server.id,
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -3,13 +3,16 @@
 import random
 
 from sparline._clock import now_ms
-from sparline._ids import RegionName
+from sparline._ids import RegionName, ZoneName
 from sparline.fleet import FleetState, Members
 from sparline.platform import DirectoryQuestion
 from sparline.schema._gossip import MemberPhase
 
 # Most instances named in one answer (count); callers take no more.
 MOST_NAMED = 64
+# Callers are sent to their own availability zone while so many instances there take work (count):
+# bytes between zones are priced, and one alone would not bear the loss of another.
+ZONE_LEAST = 2
 # A new process that has heard of nobody waits this long (ms) before it names itself alone.
 ALONE_AFTER_MS = 1_500.0
 # An instance that began to leave less than this long ago (ms) still takes what callers send
@@ -33,7 +36,7 @@
         if not any(True for _ in self._members.others()) and self._is_new():
             return []
         region = question.region or RegionName(self._members.own.region)
-        found = self._in_region(region) or self._elsewhere(question, region)
+        found = self._in_zone(question.zone, region) or self._elsewhere(question, region)
         if len(found) > MOST_NAMED:
             found = self._chance.sample(found, MOST_NAMED)
         return [f"{ip}:{self._port}" for ip in found]
@@ -41,6 +44,15 @@
     def _is_new(self) -> bool:
         return now_ms() - self._started_ms < ALONE_AFTER_MS
 
+    def _in_zone(self, zone: ZoneName, region: RegionName) -> list[str]:
+        """Return the instances of a caller's zone, those of its region where they are few."""
+        in_region = self._in_region(region)
+        own = self._members.own
+        zones = {one.note.ip: one.note.availability_zone for one in self._members.live(region)}
+        zones[own.ip] = own.availability_zone
+        in_zone = [ip for ip in in_region if zones[ip] == zone]
+        return in_zone if len(in_zone) >= ZONE_LEAST else in_region
+
     def _in_region(self, region: RegionName) -> list[str]:
         found = [one.note.ip for one in self._members.live(region)]
         own = self._members.own
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -44,6 +44,7 @@
     ColdShares,
     HealthTable,
     LoadTable,
+    OwnPlace,
     PaceTable,
     PlacementTables,
     PromptCache,
@@ -94,6 +95,7 @@
             self.copy,
             lambda call, result: self.metrics.store_calls.labels(call, result).inc(),
             self._newest_peer_revision,
+            lambda: len(self.members.sharers()),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
         self.peers = PeerTable(self.members)
@@ -130,7 +132,10 @@
             lambda server_id, load: self.gossip.tell_load(server_id, load),
         )
         self.health = HealthTable()
-        self.cache = PromptCache(owners_have_read=not self.settings.first_start)
+        self.cache = PromptCache(
+            owners_have_read=not self.settings.first_start,
+            sharing=lambda: len(self.members.live(region)) + 1,
+        )
         self.pace = PaceTable()
         tables = PlacementTables(
             fleet=self.fleet,
@@ -143,7 +148,8 @@
             round_trip_ms=self.peers.round_trip_ms,
             load_age_ms=self.members.load_age_ms,
         )
-        self.chooser = Chooser(region, tables, random.Random())
+        place = OwnPlace(region, ZoneName(self.settings.availability_zone))
+        self.chooser = Chooser(place, tables, random.Random())
         retries = self.settings.retries
         rule = RetryRule(retries.ratio, retries.slack, retries.window_s * 1000)
         self.retries = RetryWindow(rule, lambda: len(self.members.sharers()))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -1,12 +1,13 @@
 """One line and the counters for each decision about a request."""
 
 from sparline._clock import now_ms
+from sparline._hashing import hash64
 from sparline._logging import log
 from sparline.forwarding import AttemptEnd, RequestEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.placement import Placement, Refusal
-from sparline.requests import Reason, RoutedRequest
+from sparline.requests import Prompt, Reason, RoutedRequest
 
 # Lines a second for answered requests and for all others, an instance; above them lines are
 # left out and counted. A line costs about 60 microseconds.
@@ -75,6 +76,7 @@
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
+            **(_prompt_fields(request.prompt) if request.prompt else {}),
             **(_place_fields(end.placement) if end.placement else {}),
             **(_refusal_fields(end.refusal) if end.refusal else {}),
         ).info("request_ended")
@@ -84,6 +86,15 @@
         return self._answered.left_out + self._other.left_out
 
 
+def _prompt_fields(prompt: Prompt) -> dict[str, object]:
+    return {
+        "prompt_tokens": prompt.tokens,
+        "shared_tokens": prompt.shared_tokens,
+        # Equal for prompts that share their longest start; the parts' names are the callers'.
+        "start": f"{hash64(prompt.shared_starts[-1].key):016x}" if prompt.shared_starts else None,
+    }
+
+
 def _refusal_fields(refusal: Refusal) -> dict[str, object]:
     fields: dict[str, object] = {
         "candidates": refusal.candidates,
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -5,7 +5,7 @@
 from sparline.placement._health import HealthTable
 from sparline.placement._loads import LoadTable, Reservation
 from sparline.placement._pace import PaceTable
-from sparline.placement._place_judge import PlacementTables
+from sparline.placement._place_judge import OwnPlace, PlacementTables
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, owner_of
 
@@ -16,6 +16,7 @@
     "HealthTable",
     "LoadTable",
     "PaceTable",
+    "OwnPlace",
     "Placement",
     "PlacementTables",
     "PromptCache",
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -2,10 +2,10 @@
 
 import random
 
-from sparline._ids import BackendServerId, RegionName
+from sparline._ids import BackendServerId
 from sparline.fleet import BackendServer
 from sparline.placement._kept_prompt import find_kept
-from sparline.placement._place_judge import PlaceJudge, PlacementTables
+from sparline.placement._place_judge import OwnPlace, PlaceJudge, PlacementTables
 from sparline.placement._placement import Placement, Refusal
 from sparline.requests import Origin, Reason, RoutedRequest
 from sparline.routes import Service
@@ -19,7 +19,6 @@
 # A prompt whose own reading takes more than this part of the wanted time is long: no place could
 # answer it as quickly as a usual one, and the longest tenth is to be served like the others.
 LONG_READING = 0.55
-REFUSE_LONG_LOSS = 2.5
 # A relayed request is refused above this many times the wanted time: its first instance may
 # know a better place, and this region's load better than anyone is known here.
 REFUSE_RELAYED_ABOVE = 0.5
@@ -36,12 +35,12 @@
 class Chooser:
     """Choose a place for each request."""
 
-    def __init__(self, region: RegionName, tables: PlacementTables, chance: random.Random) -> None:
-        """Choose for callers of one region."""
-        self._region = region
+    def __init__(self, place: OwnPlace, tables: PlacementTables, chance: random.Random) -> None:
+        """Choose for callers of an instance that stands at a place."""
+        self._region = place.region
         self._tables = tables
         self._chance = chance
-        self._judge = PlaceJudge(region, tables, chance)
+        self._judge = PlaceJudge(place, tables, chance)
 
     def choose(
         self, request: RoutedRequest, excluded: frozenset[BackendServerId]
@@ -98,7 +97,8 @@
         if best.reading_ms > LONG_READING * wanted_ms:
             # Its length is no reason to turn it away, only the wait before it is.
             in_time = best.expected_ms - best.reading_ms <= targets * wanted_ms
-            in_time = in_time and best.loss <= REFUSE_LONG_LOSS
+            own_loss = (best.reading_ms / wanted_ms) ** 2
+            in_time = in_time and best.loss - own_loss <= REFUSE_LOSS
         else:
             in_time = best.expected_ms <= targets * wanted_ms and best.loss <= REFUSE_LOSS
         if not best.load.running or (in_time and best.expected_ms <= request.left_ms()):
--- a/sparline/placement/_placement.py
+++ b/sparline/placement/_placement.py
@@ -23,6 +23,7 @@
     expected_ms: float  # estimated time to the first event or answer
     reading_ms: float  # part of it in which its own prompt is read
     unread_tokens: int  # prompt tokens that have to be read there
+    effort_tokens: int  # the reading, as tokens at a prompt's start that take as long
     source: BackendServer | None  # engine of its region that passes what it keeps on to it
     loss: float  # what decided, against the credit of the request
     load: LoadOf  # load of the server when this was decided
--- a/sparline/placement/_prompt_cache.py
+++ b/sparline/placement/_prompt_cache.py
@@ -1,6 +1,8 @@
 """Which prompt parts each engine probably keeps, from what was sent there by anyone."""
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from sparline._clock import now_ms
 from sparline._hashing import hash64
@@ -17,26 +19,46 @@
 TELL_MS = 2_500.0
 # Most reads told in one datagram (count), so that it stays below 1,400 bytes.
 MOST_TOLD = 16
-# Reads heard from peers that are remembered (count), and for how long (ms): engines give long
-# starts up when they are not asked for.
+# Reads heard from peers that are remembered (count), and for how long (ms) at engines of other
+# regions, of whose other work nothing is known here.
 MOST_HEARD = 20_000
 HEARD_MS = 120_000.0
+# Engines give up what was not asked for longest. A start counts as kept until this part of an
+# engine's memory has been filled by other prompts since its last use; the rest holds running ones.
+FILLED_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class _Use:
+    """Hold when a start was last used at an engine."""
+
+    at_ms: float  # on this process's clock
+    filled: int  # tokens that this instance had let the engine take in by then
 
 
 class PromptCache:
     """Remember which starts of prompts each engine has read; the oldest give way."""
 
-    def __init__(self, owners_have_read: bool) -> None:
-        """`owners_have_read` says whether starts that nobody told of were read before."""
+    def __init__(self, owners_have_read: bool, sharing: Callable[[], int] = lambda: 1) -> None:
+        """`owners_have_read` says whether starts that nobody told of were read before.
+
+        `sharing` tells how many instances send to the same engines as this one.
+        """
+        self._sharing = sharing
+        self._filled: dict[BackendServerId, int] = {}
+        self._memory: dict[BackendServerId, int] = {}
         self._owners_have_read = owners_have_read
         self._kept: dict[BackendServerId, OrderedDict[str, int]] = {}
         self._tokens: dict[BackendServerId, int] = {}
         self._news: deque[tuple[float, PromptReadNote]] = deque()
-        self._heard: OrderedDict[tuple[int, str], float] = OrderedDict()
+        self._heard: OrderedDict[tuple[int, str], _Use] = OrderedDict()
         self._heard_starts: dict[int, int] = {}
 
     def note(self, prompt: Prompt, server_id: BackendServerId, cache_tokens: int) -> None:
-        """Note that an engine reads the shared start of a prompt."""
+        """Note that an engine takes a prompt in, its shared start too."""
+        taken = prompt.held_tokens - prompt.shared_tokens
+        self._filled[server_id] = self._filled.get(server_id, 0) + taken
+        self._memory[server_id] = cache_tokens
         kept = self._kept.setdefault(server_id, OrderedDict())
         total = self._tokens.get(server_id, 0)
         for start in prompt.shared_starts:
@@ -66,7 +88,7 @@
             key = (note.start, note.backend_server)
             if key not in self._heard:
                 self._heard_starts[note.start] = self._heard_starts.get(note.start, 0) + 1
-            self._heard[key] = now_ms()
+            self._heard[key] = _Use(now_ms(), self._filled.get(note.backend_server, 0))
             self._heard.move_to_end(key)
         while len(self._heard) > MOST_HEARD:
             self._forget_oldest()
@@ -80,9 +102,8 @@
     def cached_tokens(self, prompt: Prompt, server_id: BackendServerId) -> int:
         """Return how much of a prompt an engine probably keeps."""
         if prompt.shared_tokens >= FLEET_WIDE_TOKENS:
-            heard_ms = self._heard.get((_hash(prompt), server_id), 0.0)
-            if heard_ms > now_ms() - HEARD_MS:
-                return prompt.shared_tokens
+            use = self._heard.get((_hash(prompt), server_id))
+            return prompt.shared_tokens if use and self._is_kept(use, server_id) else 0
         kept = self._kept.get(server_id)
         found = 0
         if kept is None:
@@ -93,6 +114,14 @@
             found += start.own_tokens
         return found
 
+    def _is_kept(self, use: _Use, server_id: BackendServerId) -> bool:
+        """Tell whether an engine still keeps what was used then, as far as can be told."""
+        if use.at_ms <= now_ms() - HEARD_MS:
+            return False
+        filled = (self._filled.get(server_id, 0) - use.filled) * max(self._sharing(), 1)
+        memory = self._memory.get(server_id)
+        return memory is None or filled < FILLED_SHARE * memory
+
     def owner_has_read(self, prompt: Prompt) -> bool:
         """Tell whether the owner of a start is taken to keep it though nobody told of it."""
         if prompt.shared_tokens < FLEET_WIDE_TOKENS:
@@ -104,6 +133,8 @@
         for server_id in [one for one in self._kept if one not in known]:
             del self._kept[server_id]
             self._tokens.pop(server_id, None)
+        self._filled = {one: tokens for one, tokens in self._filled.items() if one in known}
+        self._memory = {one: tokens for one, tokens in self._memory.items() if one in known}
 
 
 def _hash(prompt: Prompt) -> int:
