Work out once for a request what the best keeper of its start keeps

Cause: KeptPrompt.most was worked out again for each server that is judged, so the choice grew with the square of the servers.

--- a/sparline/placement/_kept_prompt.py
+++ b/sparline/placement/_kept_prompt.py
@@ -21,11 +21,7 @@
     reader: BackendServerId | None = None  # engine that is to read it, None where one has
     sources: dict[RegionName, BackendServer] = field(default_factory=dict)  # keeps most there
     fleet_wide: bool = False  # whether one engine of the whole fleet is to read it
-
-    @property
-    def most(self) -> int:
-        """Return the tokens that the engine with most of them keeps."""
-        return max(self.tokens.values(), default=0)
+    most: int = 0  # tokens that the engine with most of them keeps
 
     def at(self, server: BackendServer) -> int:
         """Return the tokens that an engine keeps."""
@@ -61,9 +57,10 @@
         held = sources.get(server.region)
         if held is None or tokens[server.id] > tokens[held.id]:
             sources[server.region] = server
-    is_read = max(tokens.values(), default=0) >= prompt.shared_tokens
+    most = max(tokens.values(), default=0)
+    is_read = most >= prompt.shared_tokens
     fleet_wide = prompt.shared_tokens >= FLEET_WIDE_TOKENS
-    return KeptPrompt(tokens, None if is_read else owner, sources, fleet_wide)
+    return KeptPrompt(tokens, None if is_read else owner, sources, fleet_wide, most)
 
 
 def _owner(
