Refuse no stream that has begun

Ruled out: the planned stops (no instance was leaving), deadline and route timeout (1.8 s of 5 s).

Change: a request whose caller has a part of the answer, or that goes on behind an event, is given the best place there is, whatever the load.

Test first: two of three rows fail before the change.

Conclusion: a late rest is worth more than a cut stream.

--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -106,7 +106,9 @@
 
     def to_end(self) -> RequestEnd:
         while True:
-            place = self._parts.chooser.choose(self._request, self._excluded())
+            place = self._parts.chooser.choose(
+                self._request, self._excluded(), self._progress.began
+            )
             if isinstance(place, Refusal):
                 self.refusal = place
                 return self._end_unplaced(place)
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -43,9 +43,15 @@
         self._judge = PlaceJudge(place, tables, chance)
 
     def choose(
-        self, request: RoutedRequest, excluded: frozenset[BackendServerId]
+        self,
+        request: RoutedRequest,
+        excluded: frozenset[BackendServerId],
+        has_begun: bool = False,
     ) -> Placement | Refusal:
-        """Return the place that loses least; `excluded` were tried already."""
+        """Return the place that loses least.
+
+        `excluded` were tried already; `has_begun` says that the caller has a part of the answer.
+        """
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
             return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, 0)
@@ -59,6 +65,9 @@
         if not placements:
             return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, len(servers))
         best = self._best(placements)
+        if has_begun or request.resume_after is not None:
+            # A late rest is worth more to the caller than a stream that is cut off.
+            return best
         return self._refusal(request, best, len(servers)) or best
 
     def _servers(
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -146,6 +146,21 @@
 ]  # fmt: skip
 
 
+STREAMS = [
+    ("that has not begun", make_request(), False, Refusal),
+    ("that has begun", make_request(), True, Placement),
+    ("that goes on behind an event", make_request(resume_after=3), False, Placement),
+]
+
+
+@pytest.mark.parametrize("row", STREAMS, ids=[row[0] for row in STREAMS])
+def test_no_stream_that_has_begun_is_refused_for_load(row):
+    _, request, has_begun, kind = row
+    world = World(N1)
+    world.loads["n1"] = LoadOf(running=64, held_tokens=200_000, unread_tokens=200_000)
+    assert isinstance(world.chooser.choose(request, frozenset(), has_begun), kind)
+
+
 @pytest.mark.parametrize("row", CHOICES, ids=[row[0] for row in CHOICES])
 def test_the_place_that_loses_least(row):
     _, servers, prepare, request, chosen, *excluded = row
