Relay to instances that leave where none of a region is live

Ruled out: the store and the configuration (no line of theirs beside the refusals).

Change: PeerTable names the leaving ones for that time, where no live one can be reached.

Test first: two of eight rows fail without it.

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -31,7 +31,7 @@
     may_move,
 )
 from sparline.gateway._directory import Directory
-from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._leave_plan import TAKES_NEW_UNTIL, LeavePlan
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._request_log import RequestLog
@@ -103,7 +103,7 @@
             lambda: len(self.members.sharers()),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
-        self.peers = PeerTable(self.members)
+        self.peers = PeerTable(self.members, TAKES_NEW_UNTIL * settings.grace_s * 1000)
         self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
         self._make_placement(region)
         self.service = Service(self.fleet, self.copy, self.request_log, self.pace)
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -5,8 +5,8 @@
 from sparline._logging import log
 from sparline.fleet import Member, Members
 
-# Before the first measurement, the way to another region and back takes this long (ms; the
-# users' regions lie 55 ms apart).
+# Before the first measurement, the way to another region and back takes this long (ms): the
+# first request that goes there has to be placed.
 FIRST_ROUND_TRIP_MS = 112.0
 # Weight of one more measurement.
 WEIGHT = 0.2
@@ -17,17 +17,25 @@
 class PeerTable:
     """Name the peers that may be relayed to."""
 
-    def __init__(self, members: Members) -> None:
-        """Start with no experience."""
+    def __init__(self, members: Members, takes_new_ms: float) -> None:
+        """Start with no experience; a leaving instance takes new requests for `takes_new_ms`."""
         self._members = members
+        self._takes_new_ms = takes_new_ms
         self._pass_over_until_ms: dict[str, float] = {}
         self._round_trip_ms: dict[RegionName, float] = {}
 
     def usable(self, region: RegionName) -> list[Member]:
-        """Return the live instances of a region that were not out of reach lately."""
+        """Return the instances of a region that were not out of reach lately.
+
+        Where none is live, those that leave but still take requests: nobody else reaches the
+        backend servers there.
+        """
+        live = self._reachable(self._members.live(region))
+        return live or self._reachable(self._members.leaving(region, self._takes_new_ms))
+
+    def _reachable(self, members: list[Member]) -> list[Member]:
         now = now_ms()
-        live = self._members.live(region)
-        return [one for one in live if self._pass_over_until_ms.get(one.note.ip, 0.0) <= now]
+        return [one for one in members if self._pass_over_until_ms.get(one.note.ip, 0.0) <= now]
 
     def note(self, ip: str, reached: bool) -> None:
         """Note whether a peer answered."""
--- /dev/null
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -0,0 +1,51 @@
+import pytest
+
+from sparline._ids import RegionName
+from sparline.fleet import Members
+from sparline.gateway._peer_table import PASS_OVER_MS, PeerTable
+from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
+
+NORTH, SOUTH = RegionName("north"), RegionName("south")
+TAKES_NEW_MS = 4_000.0
+
+
+def note(ip: str, phase: MemberPhase, region: RegionName = SOUTH) -> MemberNote:
+    return MemberNote(ip, ip, 1, 1, phase, region, f"{region}-1")
+
+
+LIVE_1, LIVE_2 = (note(ip, MemberPhase.live) for ip in ("s1", "s2"))
+LEAVING_1, LEAVING_2 = (note(ip, MemberPhase.leaving) for ip in ("s1", "s2"))
+
+# Instances of the south that were heard, addresses that could not be reached, how long ago (ms);
+# whom a request may be relayed to.
+ROWS = [
+    ("all that live", [LIVE_1, LIVE_2], (), 0, {"s1", "s2"}),
+    ("not those that leave, beside a live one", [LIVE_1, LEAVING_2], (), 0, {"s1"}),
+    ("those that leave, where none is live", [LEAVING_1, LEAVING_2], (), 0, {"s1", "s2"}),
+    ("not those that take nothing new any more", [LEAVING_1], (), 4_100, set()),
+    ("not one out of reach", [LIVE_1, LIVE_2], ("s1",), 0, {"s2"}),
+    ("one that leaves, where the live one is out of reach", [LIVE_1, LEAVING_2], ("s1",), 0, {"s2"}),
+    ("one that was out of reach long ago", [LIVE_1], ("s1",), PASS_OVER_MS + 1, {"s1"}),
+    ("nobody", [], (), 0, set()),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("row", ROWS, ids=[row[0] for row in ROWS])
+def test_whom_a_request_may_be_relayed_to(monkeypatch, row):
+    _, heard, missed, ago_ms, usable = row
+    at = [1_000.0]
+    for module in ("sparline.gateway._peer_table", "sparline.fleet._members"):
+        monkeypatch.setattr(f"{module}.now_ms", lambda: at[0])
+    members = Members(note("n1", MemberPhase.live, NORTH))
+    for one in heard:
+        members.take(Gossip(one, 1, True, [], [], [], [], False))
+    peers = PeerTable(members, TAKES_NEW_MS)
+    for ip in missed:
+        peers.note(ip, False)
+    at[0] += ago_ms
+    if ago_ms > TAKES_NEW_MS:
+        # Its heartbeat is heard on while it leaves.
+        for one in heard:
+            beat = MemberNote(one.ip, one.name, 1, 2, one.phase, one.region, one.availability_zone)
+            members.take(Gossip(beat, 1, True, [], [], [], [], False))
+    assert {one.note.ip for one in peers.usable(SOUTH)} == usable
