Work out once for a choice what is alike for all its candidates

Ruled out: the fit itself (once a request, not once a candidate).

Change: the pace of a service is kept until it learns; credit and the usual share of failures are worked out once; readings shorter than an eighth of a pause look nothing up.

--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -5,6 +5,7 @@
 
 from sparline._ids import BackendServerId
 from sparline.fleet import BackendServer
+from sparline.placement._credit import credit_of
 from sparline.placement._kept_prompt import find_kept
 from sparline.placement._place_judge import CommonFacts, OwnPlace, PlaceJudge, PlacementTables
 from sparline.placement._placement import Placement, Refusal
@@ -59,10 +60,7 @@
         servers = self._servers(request, service, excluded)
         if not servers:
             return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, 0)
-        tables = self._tables
-        kept = find_kept(request.prompt, servers, self._region, tables.cache, tables.health)
-        failing = median_low(tables.health.failing(one.id) for one in servers)
-        common = CommonFacts(kept, failing)
+        common = self._common(request, servers)
         judged = [self._judge.judge(request, service, server, common) for server in servers]
         placements = [one for one in judged if one is not None]
         if not placements:
@@ -73,6 +71,16 @@
             return best
         return self._refusal(request, best, len(servers)) or best
 
+    def _common(self, request: RoutedRequest, servers: list[BackendServer]) -> CommonFacts:
+        tables = self._tables
+        prompt = request.prompt
+        return CommonFacts(
+            kept=find_kept(prompt, servers, self._region, tables.cache, tables.health),
+            usual_failing=median_low(tables.health.failing(one.id) for one in servers),
+            credit=credit_of(prompt) if prompt else 0,
+            usual_credit=tables.credit.usual(request.service, prompt) if prompt else 0.0,
+        )
+
     def _servers(
         self, request: RoutedRequest, service: Service, excluded: frozenset[BackendServerId]
     ) -> list[BackendServer]:
--- a/sparline/placement/_pace.py
+++ b/sparline/placement/_pace.py
@@ -36,6 +36,8 @@
 # Behind so many tokens reading takes twice as long, at the least (tokens): short prompts with a
 # hidden wait else look like long ones that are read slowly.
 LEAST_TWICE_BEHIND = 12_000
+# A million pairs takes at least this long (ms): engines that hide it have no bound to divide by.
+LEAST_MPAIR_MS = 1e-6
 # Bounds of what may be learned for 1,000 tokens (ms): 5 to 1,000 tokens a millisecond.
 LEAST_KTOKEN_MS = 1.0
 MOST_KTOKEN_MS = 200.0
@@ -79,6 +81,19 @@
     token_ms: float  # time to read a token at a prompt's start
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePace:
+    """Hold how quickly the usual engine of a service reads."""
+
+    engine: EnginePace  # its times
+    twice_behind_tokens: float  # behind so many tokens, reading takes twice as long
+
+    def effort_tokens(self, unread_tokens: int, kept_tokens: int) -> int:
+        """Return a reading as the number of tokens at a prompt's start that takes as long."""
+        before = kept_tokens + unread_tokens / 2
+        return round(unread_tokens * (1 + before / self.twice_behind_tokens))
+
+
 @dataclass(slots=True)
 class _EngineFactor:
     """Hold how much longer one engine takes than its service."""
@@ -101,22 +116,26 @@
     def __init__(self) -> None:
         """Start with the first guesses."""
         self._services: dict[ServiceName, Fit] = {}
+        self._paces: dict[ServiceName, ServicePace] = {}
         self._engines: dict[BackendServerId, _EngineFactor] = {}
         self._answer_ms: dict[ServiceName, float] = {}
         self._outputs: dict[ServiceName, _OutputPace] = {}
 
-    def effort_tokens(self, service: ServiceName, unread_tokens: int, kept_tokens: int) -> int:
-        """Return a reading as the number of tokens at a prompt's start that takes as long."""
-        _, ktoken_ms, mpair_ms = self._service(service).weights
-        pairs = FirstEvent(0, unread_tokens, kept_tokens).pairs
-        twice_behind = KTOKEN * _bounded(ktoken_ms) / max(mpair_ms, 1e-9)
-        return unread_tokens + round(pairs / max(twice_behind, LEAST_TWICE_BEHIND))
+    def service(self, service: ServiceName) -> ServicePace:
+        """Return how quickly the usual engine of a service reads."""
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = self._paces[service] = _service_pace(self._fit(service))
+        return pace
 
     def engine(self, service: ServiceName, server_id: BackendServerId) -> EnginePace:
         """Return how quickly an engine reads; without measurements, like its service."""
-        base_ms, ktoken_ms, _ = self._service(service).weights
+        usual = self.service(service).engine
+        held = self._engines.get(server_id)
+        if held is None:
+            return usual
         factor = math.exp(self._log_factor(server_id))
-        return EnginePace(max(base_ms, 0.0) * factor, _bounded(ktoken_ms) * factor / KTOKEN)
+        return EnginePace(usual.base_ms * factor, usual.token_ms * factor)
 
     def _log_factor(self, server_id: BackendServerId) -> float:
         held = self._engines.get(server_id)
@@ -128,7 +147,8 @@
         self, service: ServiceName, server_id: BackendServerId, reading: FirstEvent, took_ms: float
     ) -> None:
         """Learn from the time to a first event, which the reading and a step or more take."""
-        effort = self.effort_tokens(service, reading.unread_tokens, reading.kept_tokens)
+        usual = self.service(service)
+        effort = usual.effort_tokens(reading.unread_tokens, reading.kept_tokens)
         pace = self.engine(service, server_id)
         likely_ms = max(pace.base_ms + (reading.before_tokens + effort) * pace.token_ms, 1.0)
         ratio = min(max(took_ms / likely_ms, 1 / MOST_FACTOR), MOST_FACTOR)
@@ -144,14 +164,12 @@
         self, service: ServiceName, reading: FirstEvent, effort: int, took_ms: float
     ) -> None:
         """Learn what a service's usual engine takes."""
-        fit = self._service(service)
-        base_ms, ktoken_ms, _ = fit.weights
-        ktokens = (reading.before_tokens + reading.unread_tokens) / KTOKEN
-        likely_ms = (
-            max(base_ms, 1.0) + _bounded(ktoken_ms) * (reading.before_tokens + effort) / KTOKEN
-        )
-        measured_ms = min(took_ms, MOST_SERVICE_FACTOR * likely_ms)
-        fit.note((1.0, ktokens, reading.pairs / MPAIR), measured_ms)
+        usual = self.service(service).engine
+        tokens = reading.before_tokens + reading.unread_tokens
+        likely_ms = usual.base_ms + (reading.before_tokens + effort) * usual.token_ms
+        measured_ms = min(took_ms, MOST_SERVICE_FACTOR * max(likely_ms, 1.0))
+        self._fit(service).note((1.0, tokens / KTOKEN, reading.pairs / MPAIR), measured_ms)
+        self._paces.pop(service, None)
 
     def answer_ms(self, service: ServiceName) -> float:
         """Return the usual time of a whole answer, without waiting."""
@@ -187,12 +205,18 @@
         """Forget engines that are gone."""
         self._engines = {one: kept for one, kept in self._engines.items() if one in known}
 
-    def _service(self, service: ServiceName) -> Fit:
+    def _fit(self, service: ServiceName) -> Fit:
         fit = self._services.get(service)
         if fit is None:
             fit = self._services[service] = Fit(FIRST_GUESS, GUESS_TRUST, KEEP)
         return fit
 
 
-def _bounded(ktoken_ms: float) -> float:
-    return min(max(ktoken_ms, LEAST_KTOKEN_MS), MOST_KTOKEN_MS)
+def _service_pace(fit: Fit) -> ServicePace:
+    base_ms, ktoken_ms, mpair_ms = fit.weights
+    ktoken_ms = min(max(ktoken_ms, LEAST_KTOKEN_MS), MOST_KTOKEN_MS)
+    twice_behind = MPAIR / KTOKEN * ktoken_ms / max(mpair_ms, LEAST_MPAIR_MS)
+    return ServicePace(
+        EnginePace(max(base_ms, 0.0), ktoken_ms / KTOKEN),
+        max(twice_behind, LEAST_TWICE_BEHIND),
+    )
--- a/sparline/placement/_pauses.py
+++ b/sparline/placement/_pauses.py
@@ -95,6 +95,9 @@
 
     def late_share(self, service: ServiceName, wanted_ms: float, reading_ms: float) -> float:
         """Return the share of running streams that a reading makes late, 0 to 1."""
+        if reading_ms <= STEP / 2 * wanted_ms:
+            # Shares count from those of the shortest readings.
+            return 0.0
         pause = self._of(service, wanted_ms)
         if pause.shares is None:
             pause.shares = _shares(pause, wanted_ms)
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -7,7 +7,7 @@
 from sparline._ids import RegionName, ZoneName
 from sparline.fleet import BackendServer, FleetState, LoadOf, Member
 from sparline.placement._cold_shares import ColdShares
-from sparline.placement._credit import CreditTable, credit_of
+from sparline.placement._credit import CreditTable
 from sparline.placement._health import HealthTable
 from sparline.placement._kept_prompt import KeptPrompt
 from sparline.placement._loads import LoadTable
@@ -81,6 +81,8 @@
 
     kept: KeptPrompt  # where the start of its prompt is kept
     usual_failing: float  # share of failures at the middle one of them
+    credit: int  # what the request earns, in tokens of prompt
+    usual_credit: float  # what the usual request of its service earns
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +127,7 @@
         load = self._tables.loads.of(server)
         work = self._work(request, service, server, kept)
         pace = self._tables.pace.engine(service.name, server.id)
-        expected_ms = way_ms + self._time_there_ms(request, service, server, load, work)
+        expected_ms = way_ms + self._time_there_ms(request, service, server, load, work, pace)
         reading_ms = work.effort_tokens * pace.token_ms
         loss = (expected_ms / request.route.wanted_latency_ms) ** 2
         failing = self._tables.health.failing(server.id) - common.usual_failing
@@ -137,7 +139,7 @@
         if server.id == kept.reader:
             loss -= FLEET_OWNER_GAIN if kept.fleet_wide else OWNER_GAIN
         if request.prompt is not None and service.engine is not None:
-            loss += self._prompt_loss(request, service.engine, load, work, pace)
+            loss += self._prompt_loss(request, service.engine, load, work, pace, common)
         usable = self._tables.health.usable(server.id)
         return Placement(
             server=server,
@@ -167,10 +169,10 @@
         if source is not None:
             fetched = kept.at(source) - kept.at(server)
             unread = max(unread - fetched, 0)
-        pace = self._tables.pace
+        usual = self._tables.pace.service(service.name)
         return _Work(
             unread_tokens=unread,
-            effort_tokens=pace.effort_tokens(service.name, unread, request.prompt.tokens - unread),
+            effort_tokens=usual.effort_tokens(unread, request.prompt.tokens - unread),
             fetched_tokens=fetched,
             source=source,
             reread_tokens=max(kept.most - kept.at(server) - fetched, 0),
@@ -183,6 +185,7 @@
         server: BackendServer,
         load: LoadOf,
         work: _Work,
+        pace: EnginePace,
     ) -> float:
         """Return the time to the answer or to the first event, at the server."""
         usual_ms = self._tables.pace.answer_ms(service.name)
@@ -190,7 +193,6 @@
             work_ms = usual_ms * self._tables.health.pace(server.id)
             queued = max(load.running + 1 - server.slots, 0)
             return EXCHANGE_MS + work_ms * (1 + queued / max(server.slots, 1))
-        pace = self._tables.pace.engine(service.name, server.id)
         queued = max(load.running + 1 - service.engine.slots, 0)
         queue_ms = queued / service.engine.slots * usual_ms
         fetch_ms = FETCH_TURNS * service.engine.fetch_ms(work.fetched_tokens)
@@ -204,11 +206,12 @@
         load: LoadOf,
         work: _Work,
         pace: EnginePace,
+        common: CommonFacts,
     ) -> float:
         """Return what is lost by reading again, by delaying streams, and for want of room."""
         prompt = request.prompt
         assert prompt is not None, "only requests with a prompt are judged by it"
-        credit = credit_of(prompt)
+        credit = common.credit
         fetched_mb = work.fetched_tokens * engine.token_bytes / BYTES_A_MB
         loss = (REREAD_LOSS * work.reread_tokens + FETCH_MB_LOSS * fetched_mb) / credit
         pause_ms = request.route.pause_target_ms
@@ -218,8 +221,7 @@
             after_ms = before_ms + work.effort_tokens * pace.token_ms
             after = late(request.service, pause_ms, after_ms)
             added = after - late(request.service, pause_ms, before_ms)
-            usual = self._tables.credit.usual(request.service, prompt)
-            loss += load.running * added * usual / credit
+            loss += load.running * added * common.usual_credit / credit
             loss += OWN_DELAY_LOSS * after
         if load.held_tokens + prompt.held_tokens > MEMORY_FILL * engine.cache_tokens:
             loss += MEMORY_LOSS
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -325,7 +325,7 @@
 @pytest.mark.parametrize(("unread", "kept", "effort"), EFFORTS)
 def test_reading_takes_longer_behind_a_long_start(unread, kept, effort):
     # By the first guess: 20 ms for 1,000 tokens, 0.5 ms for a million of pairs.
-    assert PaceTable().effort_tokens(ENGINES, unread, kept) == effort
+    assert PaceTable().service(ENGINES).effort_tokens(unread, kept) == effort
 
 
 def test_reads_that_are_remembered_are_bounded(monkeypatch):
--- a/sparline/placement/tests/test_observed.py
+++ b/sparline/placement/tests/test_observed.py
@@ -1,5 +1,6 @@
 """What is learned from requests: times of engines, pauses beside readings, usual credit."""
 
+import json
 import random
 
 import pytest
@@ -95,8 +96,8 @@
         unread, kept = chance.choice(((2_000, 0), (2_000, 12_000), (12_000, 0), (6_000, 9_000)))
         # 50 tokens a millisecond, and no more behind others.
         pace.note_first_event(ENGINES, N1.id, FirstEvent(0, unread, kept), 20 + unread / 50)
-    assert pace.effort_tokens(ENGINES, 10_000, 20_000) < 11_500
-    assert PaceTable().effort_tokens(ENGINES, 10_000, 20_000) > 16_000
+    assert pace.service(ENGINES).effort_tokens(10_000, 20_000) < 11_500
+    assert PaceTable().service(ENGINES).effort_tokens(10_000, 20_000) > 16_000
 
 
 def test_the_longest_usual_time_of_an_answers_token_is_learned():
@@ -283,3 +284,14 @@
     stream.watch.note_event()
     assert stream.pace.engine(ENGINES, N1.id) == PaceTable().engine(ENGINES, N1.id)
     assert stream.loads.own(N1.id).unread_tokens == 0
+
+
+def test_what_was_learned_can_be_logged():
+    pace, pauses = PaceTable(), PauseTable()
+    pace.note_first_event(ENGINES, N1.id, FirstEvent(0, 2_000, 0), 60.0)
+    pauses.note_covered(ENGINES, PAUSE_MS, 120.0)
+    logged = json.loads(json.dumps([pace.learned(), pauses.learned()]))
+    assert len(logged[0][ENGINES]) == 3
+    quiet_ms, deviation_ms, most_ms, *shares = logged[1]["engines/400"]
+    assert (quiet_ms, deviation_ms, most_ms) == (60, 60, 116)
+    assert shares == sorted(shares)
