--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -16,6 +16,7 @@
     Chooser,
     ColdShares,
     CreditTable,
+    DemandTable,
     HealthTable,
     LoadTable,
     OwnPlace,
@@ -160,9 +161,12 @@
             pace=pace,
             pauses=pauses,
             credit=CreditTable(),
+            demand=DemandTable(),
+            sharing=lambda: INSTANCES_A_REGION,
             peers=self._peers,
             round_trip_ms=lambda other: 2 * world.way_ms(region, other),
             load_age_ms=self.members.load_age_ms,
+            is_doubted_there=self.members.is_doubted,
         )
         chance = random.Random(f"{world.draw.seed}/{ip}")
         self._chooser = make(OwnPlace(RegionName(region), ZoneName(zone)), tables, chance)
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -58,6 +58,7 @@
     take_reads: Callable[[list[PromptReadNote]], None]  # what to do with a peer's
     own_loads: Callable[[], dict[str, LoadOf]]  # load that this instance puts on each server
     region_loads: Callable[[], dict[str, LoadOf]]  # load of this whole region
+    doubted: Callable[[], list[str]]  # backend servers of this region that failed lately
     store_revision: Callable[[], int]  # revision of the store held here
     store_reached: Callable[[], bool]  # whether the store answered lately
 
@@ -193,6 +194,7 @@
             beats=self._some(self._members.heard_lately(), MOST_BEATS),
             members=self._some(self._known_notes(), members) if members else [],
             wants_members=wants_members,
+            doubted=[] if near else self._sources.doubted(),
         )
 
     def _known_notes(self) -> list[MemberNote]:
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -54,6 +54,7 @@
     store_reached: bool = False  # whether the store answered it lately
     loads: dict[str, LoadOf] = field(default_factory=dict)  # by backend server
     loads_at_ms: float = 0.0  # when they arrived
+    doubted: frozenset[str] = frozenset()  # backend servers that failed it lately
 
     @property
     def region(self) -> RegionName:
@@ -85,6 +86,7 @@
         member.store_reached = gossip.store_reached
         member.loads = {one.backend_server: _load_of(one) for one in gossip.loads}
         member.loads_at_ms = now_ms()
+        member.doubted = frozenset(gossip.doubted)
         for other in gossip.members:
             self._take_hearsay(other)
         self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
@@ -206,6 +208,15 @@
                     found.setdefault(backend_server, []).append(load)
         return {backend_server: sum_loads(loads) for backend_server, loads in found.items()}
 
+    def is_doubted(self, backend_server: str, region: RegionName) -> bool:
+        """Tell whether an instance of a server's region told that it failed lately."""
+        since = now_ms() - LOAD_MS
+        return any(
+            backend_server in one.doubted
+            for one in self._others.values()
+            if one.note.region == region and one.loads_at_ms >= since
+        )
+
     def load_age_ms(self, region: RegionName) -> float | None:
         """Return how old the newest told load of a region is, None where nothing is known."""
         heard = [one.loads_at_ms for one in self._others.values() if one.note.region == region]
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -9,6 +9,7 @@
     take_reads=lambda _reads: None,
     own_loads=dict,
     region_loads=dict,
+    doubted=list,
     store_revision=lambda: 1,
     store_reached=lambda: True,
 )
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -131,6 +131,28 @@
     assert members.load_of(ENGINE, NORTH) == LoadOf()
 
 
+DOUBTS = [
+    # who tells what, milliseconds later, doubted
+    ("nobody", [gossip(note("s1", "south"))], 0, False),
+    ("one of two", [gossip(note("s1", "south"), doubted=["e1"]), gossip(note("s2", "south"))], 0, True),
+    ("one of another region", [gossip(note("w1", "west"), doubted=["e1"])], 0, False),
+    ("one that trusts it again", [gossip(note("s1", "south"), doubted=["e1"]), gossip(note("s1", "south", counter=11))], 0, False),
+    ("one, long ago", [gossip(note("s1", "south"), doubted=["e1"])], 4_001, False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("datagrams", "later_ms", "doubted"),
+    [row[1:] for row in DOUBTS],
+    ids=[row[0] for row in DOUBTS],
+)
+def test_a_server_is_doubted_where_its_region_says_so(members, clock, datagrams, later_ms, doubted):
+    for datagram in datagrams:
+        members.take(datagram)
+    clock.now += later_ms
+    assert members.is_doubted(ENGINE, SOUTH) is doubted
+
+
 def test_a_restarted_member_has_no_load_of_its_former_life(members):
     members.take(gossip(note("a"), loads=loads(2)))
     members.take(gossip(note("a", incarnation=6, counter=1)))
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -260,7 +260,7 @@
 
     def _pass_stream(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         while (piece := self._wait(lambda: connection.read_piece(answer))) is not None:
-            self._tools.health.note_heard(self._server_id)
+            self._tools.health.note_event(self._server_id)
             whole = self._progress.cutter.feed(piece)
             if self._progress.cutter.pending_bytes() > MOST_EVENT_BYTES:
                 raise ConnectionBroken(f"expected events of at most {MOST_EVENT_BYTES} bytes")
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -1,5 +1,6 @@
 """The way of one request: place it, send it, try again where that is harmless, end it."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 from sparline.forwarding._attempt import Attempt
 from sparline.forwarding._attempt_types import AttemptEnd, AttemptResult, AttemptTools, Progress
 from sparline.forwarding._events import EventCutter
+from sparline.forwarding._resume_wait import resumes_later
 from sparline.forwarding._retry_window import RetryWindow
 from sparline.forwarding._wire import SendTerms
 from sparline.http import CallerConnection, CallerGone, Headers, end_to_end
@@ -21,6 +23,9 @@
 # Less than this is left: nothing useful can be done any more (ms).
 LEAST_LEFT_MS = 10.0
 RETRY_AFTER_DEFAULT_MS = 300.0
+# A stream that waits for a less busy engine looks for one so often (ms), within a factor.
+RESUME_STEP_MS = 40.0
+RESUME_SPREAD = (0.5, 1.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +45,7 @@
     """Hold what a forwarder works with."""
 
     chooser: Chooser  # where requests go
+    chance: random.Random  # spreads what waits
     loads: LoadTable  # counts of requests at servers
     retries: RetryWindow  # budget for repeats
     tools: AttemptTools  # connections and protocols
@@ -107,6 +113,9 @@
             if isinstance(place, Refusal):
                 self.refusal = place
                 return self._end_unplaced(place)
+            if resumes_later(self._request, self._progress, place):
+                gevent.sleep(RESUME_STEP_MS * self._parts.chance.uniform(*RESUME_SPREAD) / 1000)
+                continue
             self.placement = place
             end = self._attempt(place)
             if end.result is AttemptResult.DELIVERED:
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -43,6 +43,7 @@
     Chooser,
     ColdShares,
     CreditTable,
+    DemandTable,
     HealthTable,
     LoadTable,
     OwnPlace,
@@ -118,6 +119,7 @@
                 self.cache.take_reads,
                 self.loads.own_here,
                 lambda: self.loads.whole_region(self.members.loads_of_siblings()),
+                self._doubted_here,
                 lambda: self.copy.revision,
                 self.reader.reached,
             ),
@@ -152,9 +154,12 @@
             pace=self.pace,
             pauses=self.pauses,
             credit=CreditTable(),
+            demand=DemandTable(),
+            sharing=lambda: len(self.members.live(region)) + 1,
             peers=self.peers.usable,
             round_trip_ms=self.peers.round_trip_ms,
             load_age_ms=self.members.load_age_ms,
+            is_doubted_there=self.members.is_doubted,
         )
         place = OwnPlace(region, ZoneName(self.settings.availability_zone))
         self.chooser = Chooser(place, tables, random.Random())
@@ -178,6 +183,7 @@
         return Forwarder(
             ForwarderParts(
                 chooser=self.chooser,
+                chance=random.Random(),
                 loads=self.loads,
                 retries=self.retries,
                 tools=tools,
@@ -186,6 +192,14 @@
             )
         )
 
+    def _doubted_here(self) -> list[str]:
+        region = self.members.own.region
+        return [
+            server.id
+            for server in self.fleet.servers.values()
+            if server.region == region and self.health.is_doubted(server.id)
+        ]
+
     def _disturbed_ago_ms(self) -> float:
         return now_ms() - self.reader.disturbed_at_ms
 
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -19,7 +19,7 @@
     HttpRequest,
     ReadLimits,
 )
-from sparline.placement import PaceTable
+from sparline.placement import PaceTable, unserved_wait_ms
 from sparline.platform import (
     RequestMarks,
     headers_to_pass,
@@ -30,8 +30,11 @@
 from sparline.requests import Origin, Reason, RoutedRequest
 from sparline.routes import DEFAULT_LIMITS, Route, ServiceName
 
-# Callers of an instance that has no configuration yet are told to come back so soon (ms).
-NO_CONFIGURATION_RETRY_MS = 500.0
+# A caller of an instance that has no configuration yet and names no deadline is taken to have so
+# much time (ms).
+UNNAMED_DEADLINE_MS = 3_000.0
+# The first instance of a relayed request that has no route here is to try elsewhere (ms).
+NO_ROUTE_RETRY_MS = 500.0
 # Callers of an instance that is about to end go elsewhere at once (ms).
 LEAVING_RETRY_MS = 50.0
 # Kept connections of peers rest at most this long (ms).
@@ -135,14 +138,13 @@
         configuration = self._fleet.configuration
         request_id = marks.request_id
         if configuration is None:
-            self._refuse(
-                caller, request_id, origin, Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_MS
-            )
+            wait_ms = unserved_wait_ms(marks.deadline_ms or UNNAMED_DEADLINE_MS)
+            self._refuse(caller, request_id, origin, Reason.NO_CONFIGURATION, wait_ms)
             return None
         route = configuration.find(marks.host, marks.path)
         if route is None and origin is Origin.RELAY:
             # The first instance may hold another version; it decides what to answer.
-            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_CONFIGURATION_RETRY_MS)
+            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_MS)
             return None
         if route is None:
             text = f"expected a route for host {marks.host} and path {marks.path}"
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -1,8 +1,9 @@
 """Placement: loads, health, caches and the choice of a backend server."""
 
-from sparline.placement._choice import Chooser
+from sparline.placement._choice import Chooser, unserved_wait_ms
 from sparline.placement._cold_shares import ColdShares
 from sparline.placement._credit import CreditTable
+from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
 from sparline.placement._loads import LoadTable, Reservation
 from sparline.placement._pace import PaceTable
@@ -16,6 +17,7 @@
     "Chooser",
     "ColdShares",
     "CreditTable",
+    "DemandTable",
     "Doubt",
     "HealthTable",
     "LoadTable",
@@ -30,4 +32,5 @@
     "StreamWatch",
     "WatchTables",
     "owner_of",
+    "unserved_wait_ms",
 ]
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -30,8 +30,17 @@
 RETRY_AFTER_MOST_MS = 1_500.0
 # Servers whose loss differs by less are equal; chance then spreads instances over them.
 EQUAL_LOSS = 0.004
-# Told to callers where nothing can run the request now.
-RETRY_AFTER_NONE_MS = 500.0
+# Where nothing can run a request, callers are told to come back after this part of the time that
+# they have left, the longest that they heed, but within these bounds (ms): such a state lasts for
+# seconds, and a caller that comes back into it has used its last try up.
+WAIT_SHARE = 1 / 3
+WAIT_LEAST_MS = 500.0
+WAIT_MOST_MS = 5_000.0
+
+
+def unserved_wait_ms(left_ms: float) -> float:
+    """Return when a caller with so much time left is to come back where nothing can serve it."""
+    return min(max(WAIT_SHARE * left_ms, WAIT_LEAST_MS), WAIT_MOST_MS)
 
 
 class Chooser:
@@ -56,15 +65,17 @@
         """
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
-            return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, 0)
+            return Refusal(Reason.NO_BACKEND, unserved_wait_ms(request.left_ms()), 0)
         servers = self._servers(request, service, excluded)
         if not servers:
-            return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, 0)
+            return Refusal(Reason.NO_BACKEND, unserved_wait_ms(request.left_ms()), 0)
+        if request.prompt is not None and request.origin is Origin.CALLER and not excluded:
+            self._tables.demand.note(request, request.prompt)
         common = self._common(request, servers)
         judged = [self._judge.judge(request, service, server, common) for server in servers]
         placements = [one for one in judged if one is not None]
         if not placements:
-            return Refusal(Reason.NO_BACKEND, RETRY_AFTER_NONE_MS, len(servers))
+            return Refusal(Reason.NO_BACKEND, unserved_wait_ms(request.left_ms()), len(servers))
         best = self._best(placements)
         if has_begun or request.resume_after is not None:
             # A late rest is worth more to the caller than a stream that is cut off.
@@ -79,8 +90,20 @@
             usual_failing=median_low(tables.health.failing(one.id) for one in servers),
             credit=credit_of(prompt) if prompt else 0,
             usual_credit=tables.credit.usual(request.service, prompt) if prompt else 0.0,
+            demand=self._demand(request, servers),
         )
 
+    def _demand(self, request: RoutedRequest, servers: list[BackendServer]) -> float:
+        """Return what comes to each engine here, against the worth of the request."""
+        if request.prompt is None:
+            return 0.0
+        tables = self._tables
+        sound = [one for one in servers if tables.health.usable(one.id)]
+        here = [one for one in sound if one.region == self._region] or sound
+        rate = tables.demand.rate(request.service, request.route.priority)
+        worth = tables.demand.worth(request, request.prompt)
+        return rate * tables.sharing() / max(len(here), 1) / worth
+
     def _servers(
         self, request: RoutedRequest, service: Service, excluded: frozenset[BackendServerId]
     ) -> list[BackendServer]:
@@ -132,6 +155,7 @@
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
             return
+        self._tables.health.note_placed(placement.server.id)
         if placement.peer is None:
             self._tables.cold.note_sent(placement.server, service.cold_requests_per_s)
         if request.prompt is not None and service.engine is not None:
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -36,6 +36,8 @@
 
     failing: float = 0.0  # share of failures, the last ones weigh most
     pass_over_until_ms: float = 0.0  # until when it is used only for want of another
+    on_trial: bool = False  # whether one request tries it after that
+    full_until_ms: float = 0.0  # until when it is taken to have no room
     elsewhere_until_ms: float = 0.0  # until when another server is taken to have its address
     pass_over_ms: float = 0.0  # how long it was passed over the last time
     pace: float = 1.0  # measured time against the expected one
@@ -74,11 +76,27 @@
         """Note that a server sent something."""
         self._of(server_id).heard_at_ms = now_ms()
 
+    def note_event(self, server_id: BackendServerId) -> None:
+        """Note a part of a good answer: the server is back if it was passed over."""
+        witness = self._of(server_id)
+        witness.heard_at_ms = now_ms()
+        if witness.failing <= FAILING_SHARE:
+            witness.pass_over_ms = 0.0
+            witness.pass_over_until_ms = 0.0
+
+    def note_placed(self, server_id: BackendServerId) -> None:
+        """Note that a request is about to go out; one that was passed over gets no second yet."""
+        witness = self._of(server_id)
+        if witness.pass_over_ms:
+            witness.on_trial = True
+            witness.pass_over_until_ms = now_ms() + witness.pass_over_ms
+
     def note_success(self, server_id: BackendServerId) -> None:
         """Note a whole answer."""
         witness = self._of(server_id)
         witness.failing *= 1 - FAILURE_WEIGHT
         witness.pass_over_ms = 0.0
+        witness.pass_over_until_ms = 0.0
 
     def note_failure(self, server_id: BackendServerId, why: str) -> None:
         """Note an answer that failed, broke off or never came."""
@@ -96,7 +114,7 @@
     def note_full(self, server_id: BackendServerId) -> None:
         """Note a refusal for want of room."""
         witness = self._of(server_id)
-        witness.pass_over_until_ms = max(witness.pass_over_until_ms, now_ms() + FULL_MS)
+        witness.full_until_ms = now_ms() + FULL_MS
 
     def note_misdirected(self, server_id: BackendServerId) -> None:
         """Note that another server has the address."""
@@ -104,9 +122,13 @@
         log.bind(backend_server=server_id, for_ms=MISDIRECTED_MS).info("server_misdirected")
 
     def _pass_over(self, server_id: BackendServerId, witness: _Witness, why: str) -> None:
+        if now_ms() < witness.pass_over_until_ms and not witness.on_trial:
+            # All streams of an engine that ends break at once: that is one failure in a row.
+            return
         longer_ms = min(witness.pass_over_ms * 2, PASS_OVER_LONGEST_MS)
         witness.pass_over_ms = max(longer_ms, PASS_OVER_FIRST_MS)
         witness.pass_over_until_ms = now_ms() + witness.pass_over_ms
+        witness.on_trial = False
         log.bind(
             backend_server=server_id,
             why=why,
@@ -153,7 +175,14 @@
             return True
         if self.is_elsewhere(server_id):
             return False
-        return now_ms() >= witness.pass_over_until_ms and not self.is_dark(server_id)
+        return now_ms() >= witness.full_until_ms and not self.is_doubted(server_id)
+
+    def is_doubted(self, server_id: BackendServerId) -> bool:
+        """Tell whether a server failed or fell silent lately."""
+        witness = self._witnesses.get(server_id)
+        if witness is None:
+            return False
+        return now_ms() < witness.pass_over_until_ms or self.is_dark(server_id)
 
     def forget_all_but(self, known: set[BackendServerId]) -> None:
         """Forget servers that are gone."""
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sparline._ids import RegionName, ZoneName
+from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline.fleet import BackendServer, FleetState, LoadOf, Member
 from sparline.placement._cold_shares import ColdShares
 from sparline.placement._credit import CreditTable
+from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
 from sparline.placement._kept_prompt import KeptPrompt
 from sparline.placement._loads import LoadTable
@@ -42,6 +43,10 @@
 MEMORY_LOSS = 1.0
 # Time of an exchange beside all waiting (ms).
 EXCHANGE_MS = 8.0
+# A reading delays all that comes until its engine is idle again: with half of its time taken
+# and a loss by the square of the time, each unit of worth that comes loses so many times the
+# reading against the wanted time, by the square of the queue before it.
+DISPLACED = 2.0
 # Instances that place a start at the same moment, before any has told, agree on its owner:
 # the advantage that it has then.
 OWNER_GAIN = 0.05
@@ -62,9 +67,13 @@
     pace: PaceTable  # times of services and engines
     pauses: PauseTable  # which readings make pauses too long
     credit: CreditTable  # what requests usually earn
+    demand: DemandTable  # what callers ask for lately
+    sharing: Callable[[], int]  # instances whose callers share this region's engines
     peers: Callable[[RegionName], list[Member]]  # live instances of a region
     round_trip_ms: Callable[[RegionName], float]  # time to a region and back
     load_age_ms: Callable[[RegionName], float | None]  # age of what others told of a region
+    # Whether instances of a server's region told that it failed lately.
+    is_doubted_there: Callable[[BackendServerId, RegionName], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +92,7 @@
     usual_failing: float  # share of failures at the middle one of them
     credit: int  # what the request earns, in tokens of prompt
     usual_credit: float  # what the usual request of its service earns
+    demand: float  # worth that comes each ms to an engine, against that of the request
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +150,13 @@
             loss -= FLEET_OWNER_GAIN if kept.fleet_wide else OWNER_GAIN
         if request.prompt is not None and service.engine is not None:
             loss += self._prompt_loss(request, service.engine, load, work, pace, common)
+            before_ms = load.unread_tokens * pace.token_ms
+            queue = (before_ms / request.route.wanted_latency_ms) ** 2
+            loss += DISPLACED * common.demand * reading_ms * queue
         usable = self._tables.health.usable(server.id)
+        if peer is not None:
+            # An engine that is down has no load and looks best from afar.
+            usable = usable and not self._tables.is_doubted_there(server.id, server.region)
         return Placement(
             server=server,
             peer=peer,
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -10,6 +10,7 @@
     Chooser,
     ColdShares,
     CreditTable,
+    DemandTable,
     HealthTable,
     LoadTable,
     OwnPlace,
@@ -44,6 +45,7 @@
 
     def __init__(self, *servers: BackendServer, far_peers: bool = True) -> None:
         self.loads: dict[str, LoadOf] = {}
+        self.doubted_there: set[str] = set()
         self.told: list[tuple[str, int]] = []
         self.fleet = FleetState(lambda _c: UnknownItem(), lambda: None, lambda: 1e9, ZONES)
         self.fleet.configuration = make_rules()
@@ -67,9 +69,12 @@
             pace=PaceTable(),
             pauses=PauseTable(),
             credit=credit,
+            demand=DemandTable(),
+            sharing=lambda: 1,
             peers=lambda _region: peers,
             round_trip_ms=lambda _region: 110.0,
             load_age_ms=lambda _region: 100.0,
+            is_doubted_there=lambda one, _region: one in self.doubted_there,
         )
         self.chooser = Chooser(PLACE, self.tables, random.Random(1))
 
@@ -148,6 +153,63 @@
 ]  # fmt: skip
 
 
+def test_a_server_that_its_own_region_doubts_is_passed_over():
+    world = World(N1, S1, make_server("s2", "south"))
+    world.loads.update(n1=BUSY, s2=LoadOf(2, 4_000, 3_000))
+    assert world.choose(make_request()) == "s1"
+    world.doubted_there = {"s1"}
+    assert world.choose(make_request()) == "s2"
+
+
+URGENT, PATIENT = make_route(priority=0), make_route(priority=2)
+# An engine reads for 240 ms before it comes to a new prompt.
+QUEUE = LoadOf(4, 30_000, 12_000)
+DEMANDS = [
+    # what came in the last second, what is asked for, chosen
+    ("nothing", [], make_request(PATIENT, prompt=LONG), "n1"),
+    ("as much as an engine reads", [(URGENT, SHORT)] * 5, make_request(PATIENT, prompt=LONG), "n1"),
+    ("more than it reads", [(URGENT, SHORT)] * 300, make_request(PATIENT, prompt=LONG), "refused: deadline_unreachable"),
+    ("more than it reads, and a short one", [(URGENT, SHORT)] * 300, make_request(URGENT, prompt=SHORT), "n1"),
+    ("much that is less urgent", [(PATIENT, SHORT)] * 300, make_request(URGENT, prompt=LONG), "n1"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("row", DEMANDS, ids=[row[0] for row in DEMANDS])
+def test_a_reading_is_priced_by_what_it_delays(row):
+    _, came, request, chosen = row
+    world = World(N1)
+    world.loads["n1"] = QUEUE
+    for route, prompt in came:
+        world.tables.demand.note(make_request(route, prompt=prompt), prompt)
+    assert world.choose(request) == chosen
+
+
+def test_demand_is_shared_by_the_engines_elsewhere_where_none_is_sound_here():
+    world = World(N1, *(make_server(f"s{number}", "south") for number in range(30)))
+    world.health.note_unreachable(N1.id)
+    world.loads.update({f"s{number}": QUEUE for number in range(30)})
+    for _ in range(300):
+        world.tables.demand.note(make_request(PATIENT, prompt=SHORT), SHORT)
+    assert world.choose(make_request(PATIENT)).startswith("s")
+
+
+WAITS = [
+    # time that the caller has, told to come back after (ms)
+    (600.0, 500.0),
+    (3_000.0, 1_000.0),
+    (12_000.0, 4_000.0),
+    (600_000.0, 5_000.0),
+]
+
+
+@pytest.mark.parametrize(("left_ms", "wait_ms"), WAITS)
+def test_where_nothing_runs_callers_come_back_as_late_as_helps(left_ms, wait_ms):
+    world = World()
+    refusal = world.chooser.choose(make_request(deadline_at_ms=now_ms() + left_ms + 1), frozenset())
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after_ms == pytest.approx(wait_ms, rel=0.05)
+
+
 STREAMS = [
     ("that has not begun", make_request(), False, Refusal),
     ("that has begun", make_request(), True, Placement),
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -37,6 +37,7 @@
     ("some failures", fail(3), 0, True),
     ("nothing but failures", fail(10), 0, False),
     ("nothing but failures, later", fail(10), 5_000, True),
+    ("all streams of an engine that ends, a little later", fail(50), 600, True),
     ("not reached", lambda health: health.note_unreachable(S1), 0, False),
     ("not reached, later", lambda health: health.note_unreachable(S1), 600, True),
     ("full", lambda health: health.note_full(S1), 100, False),
@@ -66,6 +67,49 @@
     assert health.usable(S1)
 
 
+def place(health: HealthTable) -> None:
+    health.note_placed(S1)
+
+
+def fail_to_reach(health: HealthTable) -> None:
+    health.note_unreachable(S1)
+
+
+def hear(health: HealthTable) -> None:
+    health.note_event(S1)
+
+
+TRIALS = [
+    # after it was passed over: what happens, milliseconds later, usable
+    ("nothing yet", [], 0, True),
+    ("one request tries it", [place], 0, False),
+    ("one request tries it and hears of it", [place, hear], 0, True),
+    ("one request tries it in vain: twice as long", [place, fail_to_reach], 900, False),
+    ("one request tries it in vain, later", [place, fail_to_reach], 1_100, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("steps", "later_ms", "usable"), [row[1:] for row in TRIALS], ids=[row[0] for row in TRIALS]
+)
+def test_a_server_that_was_passed_over_is_tried_by_one_request(clock, steps, later_ms, usable):
+    health = HealthTable()
+    health.note_unreachable(S1)
+    clock.now += _health.PASS_OVER_FIRST_MS
+    for step in steps:
+        step(health)
+    clock.now += later_ms
+    assert health.usable(S1) is usable
+
+
+def test_a_server_without_room_is_not_told_as_failing(clock):
+    health = HealthTable()
+    health.note_full(S1)
+    assert (health.usable(S1), health.is_doubted(S1)) == (False, False)
+    health.note_unreachable(S1)
+    assert health.is_doubted(S1)
+
+
 def test_a_learned_pace_fades(clock):
     health = HealthTable()
     for _ in range(30):
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from sparline.schema._nodes import WireMessage, WireNode
 
@@ -97,6 +97,12 @@
     wants_members: Annotated[
         bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
     ]
+    doubted: Annotated[
+        list[str],
+        Meta(
+            description="Backend servers of the sender's region that failed it or fell silent lately."
+        ),
+    ] = field(default_factory=list)
 
 
 class LoadNews(WireMessage):
