Count starts that an engine had to read as filling its memory, and tell streams' ends in `decide`

`scripts/bench decide` never told a stream's end, so answers counted as 45 ms there. Ruled out: fetches (12 of 95 requests); the queue before the request (cold ones are expected well, 535 against 770 ms, 473 against 505 on slow Delta). Change: what an engine takes in is the prompt without what it kept; `decide` notes ends, with a test.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -309,6 +309,7 @@
 
         def ended() -> None:
             reservation.release()
+            watch.note_end()
             end()
 
         after = self._world.time.after
--- a/benchmarks/tests/test_decide.py
+++ b/benchmarks/tests/test_decide.py
@@ -12,6 +12,7 @@
 )
 from benchmarks._decide_engine import Job, ModelEngine
 from benchmarks._decide_world import play
+from sparline.placement import PaceTable
 
 KIND = EngineKind(
     tokens_per_ms=10.0,
@@ -109,3 +110,13 @@
         world = play(draw, arrivals, policy)
         earned = sum(view.credit() for view in world.views)
         assert 0 < earned <= bound * 1.000_001
+
+
+def test_the_ends_of_streams_are_told(monkeypatch):
+    told: list[float] = []
+    monkeypatch.setattr(PaceTable, "note_answer", lambda _self, _service, took: told.append(took))
+    draw = draw_deployment(2)
+    world = play(draw, draw_arrivals(draw)[:150], POLICIES["ours"])
+    near = [view for view in world.views if view.whole]
+    assert 0 < len(told) <= len(near)
+    assert min(told) > 0
--- a/sparline/placement/_prompt_cache.py
+++ b/sparline/placement/_prompt_cache.py
@@ -61,7 +61,7 @@
 
     def note(self, prompt: Prompt, server_id: BackendServerId, cache_tokens: int) -> None:
         """Note that an engine takes a prompt in, its shared start too."""
-        taken = prompt.held_tokens - prompt.shared_tokens
+        taken = prompt.held_tokens - self.cached_tokens(prompt, server_id)
         self._filled[server_id] = self._filled.get(server_id, 0) + taken
         self._memory[server_id] = cache_tokens
         kept = self._kept.setdefault(server_id, OrderedDict())
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -365,6 +365,18 @@
 ]
 
 
+def test_a_start_that_is_read_fills_the_memory_and_one_that_is_kept_does_not():
+    cache = PromptCache(owners_have_read=False)
+    other = Prompt(8_000, 0, (PromptStart("/other", 7_000),))
+    cache.note(LONG, N1.id, 40_000)
+    cache.note(other, N1.id, 40_000)
+    for _ in range(11):
+        cache.note(other, N1.id, 40_000)
+    assert cache.cached_tokens(LONG, N1.id) == 13_000
+    cache.note(Prompt(8_000, 0, (PromptStart("/third", 7_000),)), N1.id, 40_000)
+    assert cache.cached_tokens(LONG, N1.id) == 0
+
+
 @pytest.mark.parametrize(
     ("taken", "sharing", "kept"), [row[1:] for row in FILLED], ids=[row[0] for row in FILLED]
 )
