Look a doubted server up at once, and ask each server's health once a choice

Cause: whether a region doubts a server was looked for among all members, for each server of each choice: on the grown Delta 45 servers times 60 members. Ruled out: the price of readings and the trial of failed servers (no place in the profile of the choice); health, asked twice for each server, was 0.6 of 4.4 s there. Change: doubts are held by server; what is sound is found once for a choice and handed on. Behaviour as before but for one thing: a doubt counts from when it was told last, and goes when its teller takes it back.

--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -54,7 +54,6 @@
     store_reached: bool = False  # whether the store answered it lately
     loads: dict[str, LoadOf] = field(default_factory=dict)  # by backend server
     loads_at_ms: float = 0.0  # when they arrived
-    doubted: frozenset[str] = frozenset()  # backend servers that failed it lately
 
     @property
     def region(self) -> RegionName:
@@ -70,6 +69,7 @@
         self.own = own
         self.strangers: list[str] = []  # addresses in the last datagram that nothing is known of
         self._others: dict[str, Member] = {}
+        self._doubts: dict[str, dict[str, float]] = {}  # by server: who doubts it, told when
 
     def take(self, gossip: Gossip) -> bool:
         """Take in a datagram; tell whether its sender was unknown."""
@@ -86,7 +86,7 @@
         member.store_reached = gossip.store_reached
         member.loads = {one.backend_server: _load_of(one) for one in gossip.loads}
         member.loads_at_ms = now_ms()
-        member.doubted = frozenset(gossip.doubted)
+        self._take_doubts(note.ip, gossip.doubted)
         for other in gossip.members:
             self._take_hearsay(other)
         self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
@@ -208,14 +208,20 @@
                     found.setdefault(backend_server, []).append(load)
         return {backend_server: sum_loads(loads) for backend_server, loads in found.items()}
 
-    def is_doubted(self, backend_server: str, region: RegionName) -> bool:
+    def _take_doubts(self, ip: str, doubted: list[str]) -> None:
+        """Replace what an instance told of servers of its region that failed it lately."""
+        for backend_server, doubters in list(self._doubts.items()):
+            if doubters.pop(ip, None) is not None and not doubters:
+                del self._doubts[backend_server]
+        for backend_server in doubted:
+            self._doubts.setdefault(backend_server, {})[ip] = now_ms()
+
+    def is_doubted(self, backend_server: str) -> bool:
         """Tell whether an instance of a server's region told that it failed lately."""
-        since = now_ms() - LOAD_MS
-        return any(
-            backend_server in one.doubted
-            for one in self._others.values()
-            if one.note.region == region and one.loads_at_ms >= since
-        )
+        doubters = self._doubts.get(backend_server)
+        if doubters is None:
+            return False
+        return max(doubters.values()) >= now_ms() - LOAD_MS
 
     def load_age_ms(self, region: RegionName) -> float | None:
         """Return how old the newest told load of a region is, None where nothing is known."""
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -85,20 +85,21 @@
     def _common(self, request: RoutedRequest, servers: list[BackendServer]) -> CommonFacts:
         tables = self._tables
         prompt = request.prompt
+        sound = [one for one in servers if tables.health.usable(one.id)]
         return CommonFacts(
-            kept=find_kept(prompt, servers, self._region, tables.cache, tables.health),
+            sound=frozenset(one.id for one in sound),
+            kept=find_kept(prompt, servers, sound, self._region, tables.cache),
             usual_failing=median_low(tables.health.failing(one.id) for one in servers),
             credit=credit_of(prompt) if prompt else 0,
             usual_credit=tables.credit.usual(request.service, prompt) if prompt else 0.0,
-            demand=self._demand(request, servers),
+            demand=self._demand(request, sound),
         )
 
-    def _demand(self, request: RoutedRequest, servers: list[BackendServer]) -> float:
+    def _demand(self, request: RoutedRequest, sound: list[BackendServer]) -> float:
         """Return what comes to each engine here, against the worth of the request."""
         if request.prompt is None:
             return 0.0
         tables = self._tables
-        sound = [one for one in servers if tables.health.usable(one.id)]
         here = [one for one in sound if one.region == self._region] or sound
         rate = tables.demand.rate(request.service, request.route.priority)
         worth = tables.demand.worth(request, request.prompt)
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -159,9 +159,7 @@
     def is_dark(self, server_id: BackendServerId) -> bool:
         """Tell whether a server with work under way has sent nothing for too long."""
         witness = self._witnesses.get(server_id)
-        if witness is None or not witness.waiting:
-            return False
-        return now_ms() - max(witness.heard_at_ms, witness.waiting_since_ms) > DARK_MS
+        return witness is not None and _is_dark(witness, now_ms())
 
     def is_elsewhere(self, server_id: BackendServerId) -> bool:
         """Tell whether another server has the address, so that each send would be turned away."""
@@ -173,17 +171,26 @@
         witness = self._witnesses.get(server_id)
         if witness is None:
             return True
-        if self.is_elsewhere(server_id):
+        now = now_ms()
+        if now < witness.elsewhere_until_ms or now < witness.full_until_ms:
             return False
-        return now_ms() >= witness.full_until_ms and not self.is_doubted(server_id)
+        return not _is_doubted(witness, now)
 
     def is_doubted(self, server_id: BackendServerId) -> bool:
         """Tell whether a server failed or fell silent lately."""
         witness = self._witnesses.get(server_id)
-        if witness is None:
-            return False
-        return now_ms() < witness.pass_over_until_ms or self.is_dark(server_id)
+        return witness is not None and _is_doubted(witness, now_ms())
 
     def forget_all_but(self, known: set[BackendServerId]) -> None:
         """Forget servers that are gone."""
         self._witnesses = {one: kept for one, kept in self._witnesses.items() if one in known}
+
+
+def _is_doubted(witness: _Witness, now: float) -> bool:
+    return now < witness.pass_over_until_ms or _is_dark(witness, now)
+
+
+def _is_dark(witness: _Witness, now: float) -> bool:
+    if not witness.waiting:
+        return False
+    return now - max(witness.heard_at_ms, witness.waiting_since_ms) > DARK_MS
--- a/sparline/placement/_kept_prompt.py
+++ b/sparline/placement/_kept_prompt.py
@@ -4,7 +4,6 @@
 
 from sparline._ids import BackendServerId, RegionName
 from sparline.fleet import BackendServer
-from sparline.placement._health import HealthTable
 from sparline.placement._prompt_cache import FLEET_WIDE_TOKENS, PromptCache, owner_of
 from sparline.requests import Prompt
 
@@ -38,14 +37,16 @@
 def find_kept(
     prompt: Prompt | None,
     servers: list[BackendServer],
+    sound: list[BackendServer],
     own_region: RegionName,
     cache: PromptCache,
-    health: HealthTable,
 ) -> KeptPrompt:
-    """Return where a prompt's start is kept among the engines that may run it."""
+    """Return where a prompt's start is kept among the engines that may run it.
+
+    Only sound ones are to read it or pass it on.
+    """
     if prompt is None:
         return KeptPrompt()
-    sound = [one for one in servers if health.usable(one.id)]
     owner = _owner(prompt, sound or servers, own_region)
     tokens = {one.id: cache.cached_tokens(prompt, one.id) for one in servers}
     if owner is not None and cache.owner_has_read(prompt):
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -73,7 +73,7 @@
     round_trip_ms: Callable[[RegionName], float]  # time to a region and back
     load_age_ms: Callable[[RegionName], float | None]  # age of what others told of a region
     # Whether instances of a server's region told that it failed lately.
-    is_doubted_there: Callable[[BackendServerId, RegionName], bool]
+    is_doubted_there: Callable[[BackendServerId], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +88,7 @@
 class CommonFacts:
     """Hold what is alike for all candidates of one request."""
 
+    sound: frozenset[BackendServerId]  # those that nothing speaks against
     kept: KeptPrompt  # where the start of its prompt is kept
     usual_failing: float  # share of failures at the middle one of them
     credit: int  # what the request earns, in tokens of prompt
@@ -153,10 +154,10 @@
             before_ms = load.unread_tokens * pace.token_ms
             queue = (before_ms / request.route.wanted_latency_ms) ** 2
             loss += DISPLACED * common.demand * reading_ms * queue
-        usable = self._tables.health.usable(server.id)
+        usable = server.id in common.sound
         if peer is not None:
             # An engine that is down has no load and looks best from afar.
-            usable = usable and not self._tables.is_doubted_there(server.id, server.region)
+            usable = usable and not self._tables.is_doubted_there(server.id)
         return Placement(
             server=server,
             peer=peer,
