--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -21,9 +21,9 @@
 # A prompt whose own reading takes more than this part of the wanted time is long: no place could
 # answer it as quickly as a usual one, and the longest tenth is to be served like the others.
 LONG_READING = 0.55
-# A relayed request is refused above this many times the wanted time: its first instance may
-# know a better place, and this region's load better than anyone is known here.
-REFUSE_RELAYED_ABOVE = 0.5
+# A relayed request is refused above this many times the wanted time: the way takes the rest, and
+# its first instance may know a better place.
+REFUSE_RELAYED_ABOVE = 1.0
 # When a refused caller is told to come back, by how late it would have been (ms): callers heed
 # up to a third of the time they have left.
 RETRY_AFTER_LEAST_MS = 150.0
