Log and count each send to a cold server, with what its rate is shared out among

Cause: neither log nor metrics told what an instance knew of its siblings when it sent to a cold server, so that three explanations of a flooded one could not be told apart, and of the moment after a start no figure stood anywhere. Change: a line `cold_server_used` (time left, instances that share, pause), the counter sparline_cold_sends_total and the gauge sparline_region_sharers. No choice is changed.

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -149,7 +149,11 @@
             fleet=self.fleet,
             loads=self.loads,
             health=self.health,
-            cold=ColdShares(self.settings.ip, lambda: self.members.sharers(region)),
+            cold=ColdShares(
+                self.settings.ip,
+                lambda: self.members.sharers(region),
+                self.request_log.note_cold_use,
+            ),
             cache=self.cache,
             pace=self.pace,
             pauses=self.pauses,
@@ -238,6 +242,8 @@
     def _metrics_app(self, _environ: Environ, start_response: StartResponse) -> list[bytes]:
         self.metrics.in_flight.set(self.service.in_flight)
         self.metrics.members.set(len(self.members.live()))
+        own_region = RegionName(self.settings.region)
+        self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
         self.metrics.store_revision.set(self.copy.revision)
         self.metrics.lines_left_out.set(self.request_log.left_out())
         configuration = self.fleet.configuration
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -18,6 +18,7 @@
         self.refusals = self._counter("refusals", "Requests answered here.", ("reason",))
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
         self.sends = self._counter("sends", "Sends by place.", ("place",))
+        self.cold_sends = self._counter("cold_sends", "Sends to cold backend servers.", ())
         self.store_calls = self._counter("store_calls", "Calls of the store.", ("call", "result"))
         self.bad_items = self._counter("bad_items", "Items of the store not understood.", ())
         self.store_copies = self._counter("store_copies", "Copies of the store.", ("result",))
@@ -25,6 +26,9 @@
         self.lines_left_out = self._gauge("log_lines_left_out", "Log lines not written.")
         self.in_flight = self._gauge("in_flight", "Requests in flight here.")
         self.members = self._gauge("members", "Other instances that are live.")
+        self.region_sharers = self._gauge(
+            "region_sharers", "Instances of this region that bounds are shared out among."
+        )
         self.store_revision = self._gauge("store_revision", "Revision of the store held here.")
         self.configuration_version = self._gauge("configuration_version", "Version in force.")
         self.first_s = self._histogram("first_seconds", "Time to the first event or answer.")
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -6,7 +6,7 @@
 from sparline.forwarding import AttemptEnd, RequestEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.placement import Placement, Refusal
+from sparline.placement import ColdUse, Placement, Refusal
 from sparline.requests import Prompt, Reason, RoutedRequest
 
 # Lines a second for answered requests and for all others, an instance; above them lines are
@@ -36,6 +36,17 @@
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
 
+    def note_cold_use(self, use: ColdUse) -> None:
+        """Note that a request goes to a cold server, whose rate is shared out."""
+        self._metrics.cold_sends.inc()
+        if self._other.take():
+            log.bind(
+                backend_server=use.server_id,
+                cold_ms=round(use.cold_ms),
+                sharers=use.sharers,
+                pause_ms=round(use.pause_ms),
+            ).info("cold_server_used")
+
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
         """Note a request that was answered before it was routed."""
         self._metrics.refusals.labels(reason.value).inc()
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -1,7 +1,7 @@
 """Placement: loads, health, caches and the choice of a backend server."""
 
 from sparline.placement._choice import Chooser, unserved_wait_ms
-from sparline.placement._cold_shares import ColdShares
+from sparline.placement._cold_shares import ColdShares, ColdUse
 from sparline.placement._credit import CreditTable
 from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
@@ -16,6 +16,7 @@
 __all__ = [
     "Chooser",
     "ColdShares",
+    "ColdUse",
     "CreditTable",
     "DemandTable",
     "Doubt",
--- a/sparline/placement/_cold_shares.py
+++ b/sparline/placement/_cold_shares.py
@@ -1,6 +1,7 @@
 """How many requests a cold backend server gets from this instance."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from sparline._clock import now_ms
 from sparline._hashing import hash64
@@ -16,13 +17,26 @@
 Sharers = Callable[[], list[str]]
 
 
+@dataclass(frozen=True, slots=True)
+class ColdUse:
+    """Tell that a cold server gets a request, and what that was decided by."""
+
+    server_id: BackendServerId  # the server
+    cold_ms: float  # how much longer it is taken to be cold
+    sharers: int  # instances that its rate is shared out among, as far as this one knows
+    pause_ms: float  # until this instance sends it the next one
+
+
 class ColdShares:
     """Give each cold server its rate, shared out without a word between instances."""
 
-    def __init__(self, own_ip: str, sharers: Sharers) -> None:
-        """`sharers` names the instances of this region, silent ones too."""
+    def __init__(
+        self, own_ip: str, sharers: Sharers, on_use: Callable[[ColdUse], None] = lambda _use: None
+    ) -> None:
+        """`sharers` names the instances of this region, silent ones too; `on_use` is told of each send."""
         self._own_ip = own_ip
         self._sharers = sharers
+        self._on_use = on_use
         self._next_at_ms: dict[BackendServerId, float] = {}
 
     def may_use(self, server: BackendServer, rate_per_s: float) -> bool:
@@ -36,9 +50,10 @@
         if rate_per_s <= 0 or now_ms() >= server.cold_until_ms:
             self._next_at_ms.pop(server.id, None)
             return
-        sharing = min(len(self._sharers()), MOST_SHARING)
-        pause_ms = 1000 * sharing / (rate_per_s * RATE_USED)
+        sharers = len(self._sharers())
+        pause_ms = 1000 * min(sharers, MOST_SHARING) / (rate_per_s * RATE_USED)
         self._next_at_ms[server.id] = now_ms() + pause_ms
+        self._on_use(ColdUse(server.id, server.cold_until_ms - now_ms(), sharers, pause_ms))
 
     def _has_share(self, server_id: BackendServerId) -> bool:
         """Tell whether this instance is one of those that share the server."""
