Share a cold server's rate only among instances that have been the same for 1.5 s

Cause: instances share a cold server's rate without a word, each by the siblings that it knows, and what is not known counted as not there. After the loss of all instances each comes back knowing nobody: the first takes the whole rate (pause 294 ms), those that know up to three take part whatever the server is, and each wave of starts names new owners while the old ones have only just sent. Class: a bound for the whole fleet worked out from a view that may be incomplete, or differ between instances. Change: no share while those who share have changed in the last 1.5 s, and none for 20 s for one who has heard of nobody (the time for which a silent one counts). A restart is no change for the others, its address counted all along. The first word from another region starts the time as well, or an instance whose seed is late would share alone.

--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -27,6 +27,10 @@
 # A member that was silent this long still counts where a bound is shared out: it may be
 # alive behind a cut and use its part.
 SHARES_FOR_MS = 20_000.0
+# Those that share a bound have to be the same for this long before it is used (ms): the second in
+# which the bound holds, and twice the time in which a change reached all siblings (measured with 26
+# in a region), so that the old and the new holders of a share don't use it in the same second.
+SETTLED_MS = 1_500.0
 # After this long in silence a member is forgotten.
 FORGET_MS = 600_000.0
 # Loads older than this say nothing any more.
@@ -49,6 +53,7 @@
     note: MemberNote  # what it says of itself
     heard_at_ms: float  # when its heartbeat last moved
     phase_at_ms: float  # when it was first heard in its phase
+    since_ms: float = 0.0  # since when it counts where a bound is shared out
     met: bool = False  # whether it has spoken to this instance itself
     store_revision: int = 0  # revision of the store that it holds
     store_reached: bool = False  # whether the store answered it lately
@@ -68,6 +73,7 @@
         """Start alone."""
         self.own = own
         self.strangers: list[str] = []  # addresses in the last datagram that nothing is known of
+        self._alone_until_ms = now_ms()  # when another was first heard, its own start before that
         self._others: dict[str, Member] = {}
         self._doubts: dict[str, dict[str, float]] = {}  # by server: who doubts it, told when
 
@@ -133,15 +139,21 @@
             self._update(note)
 
     def _update(self, note: MemberNote) -> Member:
-        member = self._others.get(note.ip)
-        if member is None or member.note.incarnation != note.incarnation:
-            member = Member(note, now_ms(), now_ms())
-            self._others[note.ip] = member
-        if member.note.phase is not note.phase:
-            member.phase_at_ms = now_ms()
-        member.note = note
-        member.heard_at_ms = now_ms()
-        return member
+        now = now_ms()
+        if not self._others:
+            self._alone_until_ms = now
+        known = self._others.get(note.ip)
+        # A restart changes nothing for those who share with it: its address counted all along.
+        counted = known is not None and known.heard_at_ms >= now - SHARES_FOR_MS
+        since_ms = known.since_ms if known is not None and counted else now
+        if known is None or known.note.incarnation != note.incarnation:
+            known = self._others[note.ip] = Member(note, now, now)
+        if known.note.phase is not note.phase:
+            known.phase_at_ms = now
+        known.note = note
+        known.heard_at_ms = now
+        known.since_ms = since_ms
+        return known
 
     def others(self) -> Iterator[Member]:
         """Yield every other instance that is known, silent ones too."""
@@ -184,6 +196,24 @@
             found.append(self.own.ip)
         return found
 
+    def are_sharers_settled(self, region: RegionName | None = None) -> bool:
+        """Tell whether those that share a bound have been the same for so long that all agree.
+
+        What nobody has told yet is not known to be absent: an instance that has heard of no other
+        waits until one that was there before it would no longer count.
+        """
+        now = now_ms()
+        if not self._others:
+            return now - self._alone_until_ms >= SHARES_FOR_MS
+        changed_at_ms = self._alone_until_ms
+        for one in self._others.values():
+            if region is None or one.note.region == region:
+                silent_at_ms = one.heard_at_ms + SHARES_FOR_MS
+                changed_at_ms = max(
+                    changed_at_ms, one.since_ms if now < silent_at_ms else silent_at_ms
+                )
+        return now - changed_at_ms >= SETTLED_MS
+
     def load_of(self, backend_server: str, region: RegionName) -> LoadOf:
         """Return what the other instances put on a backend server, as far as they told."""
         since = now_ms() - LOAD_MS
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -152,6 +152,7 @@
             cold=ColdShares(
                 self.settings.ip,
                 lambda: self.members.sharers(region),
+                lambda: self.members.are_sharers_settled(region),
                 self.request_log.note_cold_use,
             ),
             cache=self.cache,
@@ -244,6 +245,7 @@
         self.metrics.members.set(len(self.members.live()))
         own_region = RegionName(self.settings.region)
         self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
+        self.metrics.region_settled.set(self.members.are_sharers_settled(own_region))
         self.metrics.store_revision.set(self.copy.revision)
         self.metrics.lines_left_out.set(self.request_log.left_out())
         configuration = self.fleet.configuration
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -29,6 +29,9 @@
         self.region_sharers = self._gauge(
             "region_sharers", "Instances of this region that bounds are shared out among."
         )
+        self.region_settled = self._gauge(
+            "region_settled", "Whether those have been the same for long enough to share."
+        )
         self.store_revision = self._gauge("store_revision", "Revision of the store held here.")
         self.configuration_version = self._gauge("configuration_version", "Version in force.")
         self.first_s = self._histogram("first_seconds", "Time to the first event or answer.")
--- a/sparline/placement/_cold_shares.py
+++ b/sparline/placement/_cold_shares.py
@@ -15,6 +15,7 @@
 RATE_USED = 0.85
 
 Sharers = Callable[[], list[str]]
+IsSettled = Callable[[], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +32,20 @@
     """Give each cold server its rate, shared out without a word between instances."""
 
     def __init__(
-        self, own_ip: str, sharers: Sharers, on_use: Callable[[ColdUse], None] = lambda _use: None
+        self,
+        own_ip: str,
+        sharers: Sharers,
+        is_settled: IsSettled = lambda: True,
+        on_use: Callable[[ColdUse], None] = lambda _use: None,
     ) -> None:
-        """`sharers` names the instances of this region, silent ones too; `on_use` is told of each send."""
+        """Share with the instances of this region.
+
+        `sharers` names them, silent ones too; `is_settled` tells whether these are likely to be
+        all of them; `on_use` is told of each send.
+        """
         self._own_ip = own_ip
         self._sharers = sharers
+        self._is_settled = is_settled
         self._on_use = on_use
         self._next_at_ms: dict[BackendServerId, float] = {}
 
@@ -43,7 +53,10 @@
         """Tell whether this instance may send a cold server one more request now."""
         if rate_per_s <= 0 or now_ms() >= server.cold_until_ms:
             return True
-        return self._has_share(server.id) and now_ms() >= self._next_at_ms.get(server.id, 0.0)
+        if now_ms() < self._next_at_ms.get(server.id, 0.0):
+            return False
+        # Instances that start together know nobody yet, and each would take the whole rate.
+        return self._is_settled() and self._has_share(server.id)
 
     def note_sent(self, server: BackendServer, rate_per_s: float) -> None:
         """Count a request that goes to a server; spaces out those to a cold one."""
--- a/sparline/placement/tests/test_cold_shares.py
+++ b/sparline/placement/tests/test_cold_shares.py
@@ -15,12 +15,13 @@
 """
 
 import random
+from collections.abc import Iterable
 
 import pytest
 from loguru import logger
 
 from sparline.fleet import _gossip
-from sparline.placement.tests.fake_fleet import STEP_MS, FakeFleet
+from sparline.tests.fake_fleet import STEP_MS, FakeFleet
 from sparline.tests.routed import make_server
 
 RATE_PER_S = 4.0
@@ -29,6 +30,13 @@
 SECOND_MS = 1_000.0
 
 
+def start(fleet: FakeFleet, region: int, numbers: Iterable[int], over_s: float) -> None:
+    """Let instances of a region start at moments drawn from a time."""
+    for number in numbers:
+        after_ms = fleet.chance.uniform(0, over_s * 1000)
+        fleet.start(f"10.{region}.0.{number}", str(region), after_ms)
+
+
 def run(fleet: FakeFleet, seconds: float) -> list[float]:
     """Let every instance of the first region send whenever it may; return when they sent."""
     server = make_server("s1", "1", cold_until_ms=fleet.now_ms + 1e9)
@@ -60,6 +68,8 @@
     ("a region alone", 26, 0, 0.3),
     ("few in each region", 3, 2, 0.3),
     ("as fast as each processor allows", 26, 2, 1.0),
+    ("slowly", 26, 2, 2.5),
+    ("one in each region", 1, 2, 0.3),
 ]
 
 
@@ -70,10 +80,64 @@
     fleet, instances, others, over_s
 ):
     for region in range(1, others + 2):
-        for number in range(1, instances + 1):
-            after_ms = fleet.chance.uniform(0, over_s * 1000)
-            fleet.start(f"10.{region}.0.{number}", str(region), after_ms)
+        start(fleet, region, range(1, instances + 1), over_s)
     sent = run(fleet, seconds=6)
     assert most_in_a_second(sent) <= BEARS_IN_A_SECOND
     # It is used all the same, once the instances know each other.
     assert len(sent) >= RATE_PER_S * 2
+
+
+def restart(count: int):
+    def change(fleet: FakeFleet) -> None:
+        for number in range(1, count + 1):
+            fleet.lose(f"10.1.0.{number}")
+        start(fleet, 1, range(1, count + 1), over_s=1.0)
+
+    return change
+
+
+def join(fleet: FakeFleet) -> None:
+    start(fleet, 1, range(30, 45), over_s=0.5)
+
+
+def lose_every_other(fleet: FakeFleet) -> None:
+    for number in range(2, 27, 2):
+        fleet.lose(f"10.1.0.{number}")
+
+
+CHANGES = [
+    ("nothing", lambda _fleet: None),
+    ("four restart", restart(4)),
+    ("most restart", restart(20)),
+    ("all restart", restart(26)),
+    ("others join", join),
+    ("half are lost", lose_every_other),
+]
+
+
+@pytest.mark.parametrize("change", [row[1] for row in CHANGES], ids=[row[0] for row in CHANGES])
+def test_a_change_of_those_who_share_keeps_to_a_cold_servers_rate(fleet, change):
+    start(fleet, 1, range(1, 27), over_s=0.3)
+    sent = run(fleet, seconds=4)
+    change(fleet)
+    sent += run(fleet, seconds=4)
+    assert most_in_a_second(sent) <= BEARS_IN_A_SECOND
+
+
+def test_who_has_heard_only_of_other_regions_does_not_share_alone(fleet):
+    # Nobody finds a sibling until the seed of the own region starts; the seeds elsewhere, which
+    # know none of them, answer first.
+    for region in (1, 2, 3):
+        start(fleet, region, range(2, 14), over_s=0.3)
+    start(fleet, 2, [1], over_s=0.0)
+    assert run(fleet, seconds=2) == []
+    start(fleet, 1, [1], over_s=0.0)
+    sent = run(fleet, seconds=5)
+    assert most_in_a_second(sent) <= BEARS_IN_A_SECOND
+    assert len(sent) >= RATE_PER_S
+
+
+def test_who_has_heard_of_nobody_shares_alone_in_the_end(fleet):
+    start(fleet, 1, [2], over_s=0.0)
+    assert run(fleet, seconds=19) == []
+    assert len(run(fleet, seconds=4)) >= RATE_PER_S * 2
--- a/sparline/placement/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -88,7 +88,9 @@
         members = Members(note)
         gossip = GossipPort(PORT, self.seeds, members, SOURCES)
         gossip._chance = random.Random(self.chance.random())
-        cold = ColdShares(ip, lambda: members.sharers(region))
+        cold = ColdShares(
+            ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
+        )
         self.instances[ip] = FakeInstance(members, gossip, cold, region, self.now_ms)
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
