Show in a test that instances which start together overspend the retry budget

Cause: the same as of the flooded cold server, found by looking for other bounds that are divided by the instances known. One that has just started takes the whole slack for itself. The test: 78 instances start within a second, 12 requests wait at each and fail at once: 486 repeats, 385 allowed. At 6 requests a second and instance instead of a backlog the budget held (tried first): it takes a backlog.

--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -10,6 +10,7 @@
 from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline.fleet import GossipPort, GossipSources, LoadOf, Members, _gossip, _members
+from sparline.forwarding import RetryRule, RetryWindow, _retry_window
 from sparline.placement import ColdShares, _cold_shares
 from sparline.schema._gossip import Gossip, LoadNews, MemberNote, MemberPhase
 
@@ -17,6 +18,8 @@
 NEAR_MS = 1.0
 FAR_MS = 55.0
 PORT = 7660
+# Repeats beyond a fifth of the requests that the whole fleet may send in ten seconds.
+RETRY_RULE = RetryRule(ratio=0.2, slack=198, window_ms=10_000)
 SOURCES = GossipSources(
     recent_reads=list,
     take_reads=lambda _reads: None,
@@ -30,11 +33,12 @@
 
 @dataclass(slots=True)
 class FakeInstance:
-    """Run one instance's gossip and its shares of cold servers."""
+    """Run one instance's gossip and its shares of what is bounded for all."""
 
     members: Members
     gossip: GossipPort
     cold: ColdShares
+    retries: RetryWindow
     region: RegionName
     next_round_ms: float
 
@@ -55,7 +59,7 @@
 
     def install(self, monkeypatch) -> None:
         """Put this fleet's clock and network in the place of the real ones."""
-        for module in (_gossip, _members, _cold_shares):
+        for module in (_gossip, _members, _cold_shares, _retry_window):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
         monkeypatch.setattr(_gossip.socket, "socket", lambda *_kind: _FakeSocket(self))
@@ -91,7 +95,8 @@
         cold = ColdShares(
             ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
         )
-        self.instances[ip] = FakeInstance(members, gossip, cold, region, self.now_ms)
+        retries = RetryWindow(RETRY_RULE, lambda: len(members.sharers()))
+        self.instances[ip] = FakeInstance(members, gossip, cold, retries, region, self.now_ms)
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
         """Carry a datagram."""
