Give no more than the first repeat from the slack while the others may be unknown

Cause: the slack of the retry budget is divided by the instances that one knows, and one that has just started knows none: the same cause as of the flooded cold server. Looked at for the same cause and left: the pause of the store's watch (no rule, bounded by its own least), the owner of a prompt's start and the demand of a region (estimates, nothing breaks), the directory (it waits 1.5 s before it names itself alone).

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -170,7 +170,9 @@
         self.chooser = Chooser(place, tables, random.Random())
         retries = self.settings.retries
         rule = RetryRule(retries.ratio, retries.slack, retries.window_s * 1000)
-        self.retries = RetryWindow(rule, lambda: len(self.members.sharers()))
+        self.retries = RetryWindow(
+            rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
+        )
 
     def _forwarder(self, headers: Callable) -> Forwarder:
         tools = AttemptTools(
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -95,7 +95,9 @@
         cold = ColdShares(
             ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
         )
-        retries = RetryWindow(RETRY_RULE, lambda: len(members.sharers()))
+        retries = RetryWindow(
+            RETRY_RULE, lambda: len(members.sharers()), members.are_sharers_settled
+        )
         self.instances[ip] = FakeInstance(members, gossip, cold, retries, region, self.now_ms)
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
