--- a/sparline/forwarding/tests/test_retry_window.py
+++ b/sparline/forwarding/tests/test_retry_window.py
@@ -1,9 +1,7 @@
 import random
 
 import pytest
-from loguru import logger
 
-from sparline.fleet import _gossip
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
 from sparline.routes import ServiceName
 from sparline.tests.fake_fleet import RETRY_RULE, STEP_MS, FakeFleet
@@ -54,7 +52,6 @@
     """
     fleet = FakeFleet(random.Random(1), seeds=[f"10.{region}.0.1" for region in (1, 2, 3)])
     fleet.install(monkeypatch)
-    logger.disable(_gossip.__name__)
     for region in (1, 2, 3):
         for number in range(1, 27):
             after_ms = fleet.chance.uniform(0, 1_000)
@@ -69,7 +66,6 @@
                 requests += 1
                 one.retries.note_request(ONE)
                 repeats += one.retries.spend(ONE)
-    logger.enable(_gossip.__name__)
     assert repeats <= RETRY_RULE.ratio * requests + RETRY_RULE.slack
     # A repeat here and there is allowed from the start.
     assert repeats >= len(fleet.instances)
--- a/sparline/placement/tests/test_cold_shares.py
+++ b/sparline/placement/tests/test_cold_shares.py
@@ -18,9 +18,7 @@
 from collections.abc import Iterable
 
 import pytest
-from loguru import logger
 
-from sparline.fleet import _gossip
 from sparline.tests.fake_fleet import STEP_MS, FakeFleet
 from sparline.tests.routed import make_server
 
@@ -58,9 +56,7 @@
 def fleet(monkeypatch):
     one = FakeFleet(random.Random(1), seeds=[f"10.{region}.0.1" for region in (1, 2, 3)])
     one.install(monkeypatch)
-    logger.disable(_gossip.__name__)
-    yield one
-    logger.enable(_gossip.__name__)
+    return one
 
 
 ALL_START = [
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -56,10 +56,11 @@
     _number: count = field(default_factory=count)
 
     def install(self, monkeypatch) -> None:
-        """Put this fleet's clock and network in the place of the real ones."""
+        """Put this fleet's clock and network in the place of the real ones, and log nothing."""
         for module in (_gossip, _members, _cold_shares, _retry_window):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
+        monkeypatch.setattr(_gossip, "log", _SilentLog())
         monkeypatch.setattr(_gossip.socket, "socket", lambda *_kind: _FakeSocket(self))
 
     def start(self, ip: str, region: str, after_ms: float = 0.0) -> None:
@@ -126,6 +127,16 @@
         self._fleet.send(self._ip, address[0], data)
 
 
+class _SilentLog:
+    """Take thousands of lines that no test looks at."""
+
+    def bind(self, **_fields: object) -> "_SilentLog":
+        return self
+
+    def info(self, *_text: object) -> None:
+        """Write nothing."""
+
+
 def region_of(ip: str) -> str:
     """Return the region that an address says."""
     return ip.split(".")[1]
