--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -268,3 +268,21 @@
     fleet.until(lambda: resolve(fleet, "g0", "south") == ["127.0.1.1"], "no longer named")
     fleet.add_gateway("g1", settings.ip, "south-1")
     fleet.until(lambda: resolve(fleet, "g0", "south") == [settings.ip], "named again")
+
+
+@pytest.mark.parametrize(("settled", "status", "sends"), [(False, 503, 0), (True, 200, 1)])
+def test_a_cold_server_is_used_once_those_who_share_it_are_settled(settled, status, sends):
+    rules = configuration(2)
+    for service in rules["services"]:
+        service["cold_per_s"] = 5.0
+    with RoutedFleet() as one:
+        one.add_server("pn")
+        one.ready()
+        one.list_server("pn", "plain", cold_remaining_ms=3_600_000)
+        revision = one.store.put("op/config", rules)
+        gateway = one.gateways["g0"]
+        one.until(lambda: gateway.copy.revision == revision, "the rules and the entry are held")
+        gateway.members.are_sharers_settled = lambda _region=None: settled
+        assert one.ask("/unsafe/x").status == status
+        assert len(one.runs()) == sends
+        assert f"sparline_cold_sends_total {sends}.0" in gateway.metrics.render().decode()
