Hold the cold server's rate in seeded runs of restarts, cuts, losses and newcomers

The rows of the test name the changes that were thought of; this run draws twelve of them, overlapping, over some 13 s: 1, 4 or all instances restart, up to half are cut off, up to 0.3 of the datagrams are lost, one joins.

--- a/sparline/placement/tests/test_cold_shares.py
+++ b/sparline/placement/tests/test_cold_shares.py
@@ -120,6 +120,39 @@
     assert most_in_a_second(sent) <= BEARS_IN_A_SECOND
 
 
+def restart_some(fleet: FakeFleet) -> None:
+    alive = sorted(fleet.instances)
+    count = min(fleet.chance.choice([1, 4, 1_000]), len(alive))
+    for ip in fleet.chance.sample(alive, count):
+        fleet.lose(ip)
+        fleet.start(ip, "1", fleet.chance.uniform(100, 2_500))
+
+
+def lose_datagrams(fleet: FakeFleet) -> None:
+    fleet.lossy = fleet.chance.choice([0.0, 0.0, 0.1, 0.3])
+
+
+def cut_some_off(fleet: FakeFleet) -> None:
+    alive = sorted(fleet.instances)
+    fleet.far_side = frozenset(fleet.chance.sample(alive, fleet.chance.randint(0, len(alive) // 2)))
+
+
+def join_one(fleet: FakeFleet) -> None:
+    start(fleet, 1, [100 + len(fleet.instances)], over_s=0.1)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_rate_is_kept_to_whatever_happens(fleet, seed):
+    fleet.chance.seed(seed)
+    start(fleet, 1, range(1, 21), over_s=1.0)
+    sent = run(fleet, seconds=4)
+    for _ in range(12):
+        change = fleet.chance.choice([restart_some, lose_datagrams, cut_some_off, join_one])
+        change(fleet)
+        sent += run(fleet, seconds=fleet.chance.uniform(0.2, 2.0))
+    assert most_in_a_second(sent) <= BEARS_IN_A_SECOND
+
+
 def test_the_rate_is_kept_to_where_datagrams_are_lost(fleet):
     fleet.lossy = 0.3
     start(fleet, 1, range(1, 27), over_s=0.3)
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -49,6 +49,7 @@
     chance: random.Random
     seeds: list[str]
     lossy: float = 0.0  # share of datagrams that are lost
+    far_side: frozenset[str] = frozenset()  # addresses that are cut off from all others
     now_ms: float = 1_000_000.0
     instances: dict[str, FakeInstance] = field(default_factory=dict)
     _starts: list[tuple[float, str, RegionName]] = field(default_factory=list)
@@ -106,7 +107,8 @@
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
         """Carry a datagram."""
-        if self.chance.random() < self.lossy:
+        is_cut = (sender in self.far_side) != (receiver in self.far_side)
+        if is_cut or self.chance.random() < self.lossy:
             return
         near = region_of(sender) == region_of(receiver)
         at_ms = self.now_ms + (NEAR_MS if near else FAR_MS) * self.chance.uniform(0.8, 1.5)
