Show in a test that a leaving instance's directory sends callers out of their homes

Cause shown by the test: the directory looks for instances that have just begun to leave among the others only, so the last one of a region, asked itself, names instances of other regions from the first moment on, 2 s earlier than the others do.

--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -54,6 +54,20 @@
     assert set(directory.find(question)) == named
 
 
+def test_an_instance_that_has_just_begun_to_leave_names_itself_before_one_that_is_no_home():
+    # Both instances of a region leave one after the other; a caller that asks the second one about
+    # its own region was sent to an instance that may not run its requests.
+    members = Members(note("own", "north", MemberPhase.leaving))
+    for other in (LEAVING, W1):
+        members.take(Gossip(other, 0, True, [], [], [], [], False))
+    members._others["n1"].phase_at_ms -= 10_000
+    fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
+    routes = [make_route(path_start=f"/{place}/", homes=of) for place, of in enumerate(HOMES)]
+    fleet.configuration = make_rules(*routes)
+    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    assert Directory(members, fleet, 80).find(question) == ["own:80"]
+
+
 N3, N4 = note("n3", "north", zone="2"), note("n4", "north", zone="2")
 ZONE_ROWS = [
     ("enough in the caller's zone", [N1, N2, N3, N4], {"n3:80", "n4:80"}),
