Let the directory of an instance that has just begun to leave name itself

Cause: it looked for instances that have just begun to leave among the others only. Where the last instance of a region leaves, callers that ask it for their own region were sent out of their homes for the whole stop, not only after the first 2 s. Change: it counts itself for the same 2 s. Left: after those 2 s callers are led elsewhere as before, though the instance takes requests for another 2 s; with longer than that, callers who hold on to an answer would come when it takes nothing any more.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -138,6 +138,7 @@
         """Change this instance's phase and tell every sibling at once, the others by turns."""
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, phase=phase, counter=own.counter + 1)
+        self._members.own_phase_at_ms = now_ms()
         near, far, _ = self._peers()
         self._send(near[:MOST_TOLD_AT_ONCE], self._message(own.region, 0))
         self._send(far[:MOST_TOLD_AT_ONCE], self._message("", 0))
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -73,6 +73,7 @@
     def __init__(self, own: MemberNote) -> None:
         """Start alone."""
         self.own = own
+        self.own_phase_at_ms = now_ms()  # when this instance came into its phase
         self.strangers: list[str] = []  # addresses in the last datagram that nothing is known of
         self.new_siblings: list[str] = []  # addresses that the last datagram named first
         self._alone_until_ms = now_ms()  # when another was first heard, its own start before that
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -69,11 +69,20 @@
         allowed = {one: self._routes_allowed(question.host, one) for one in found}
         most = max(allowed.values(), default=0)
         if most < self._routes(question.host):
-            leaving = self._members.leaving(region, JUST_LEAVING_MS)
-            if leaving:
-                return [one.note.ip for one in leaving]
+            just_leaving = self._just_leaving(region)
+            if just_leaving:
+                return just_leaving
         return [ip for one, of in found.items() if allowed[one] == most for ip in of]
 
+    def _just_leaving(self, region: RegionName) -> list[str]:
+        """Return the instances of a region that have only just begun to leave, this one too."""
+        found = [one.note.ip for one in self._members.leaving(region, JUST_LEAVING_MS)]
+        own = self._members.own
+        is_young = now_ms() - self._members.own_phase_at_ms <= JUST_LEAVING_MS
+        if own.region == region and own.phase is MemberPhase.leaving and is_young:
+            found.append(own.ip)
+        return found
+
     def _routes(self, host: str) -> int:
         """Count the routes of a host."""
         configuration = self._fleet.configuration
