Keep an instance that leaves at work, and named, while its region has no live one

Ruled out: that none there takes requests. Those that leave take them for half of the grace period, and could for longer: what can't be ended in time is turned away by its own length. Change: where no other instance of its region is live, one that leaves takes requests until 0.85 of its grace period (0.5 before), and the directory names it for up to 2 s less (4.8 s with a grace of 8 s; 2 s before). Relays to it count on the same time. Tests, red on the code before: test_directory.py 'leaves for longer goes before one that is no home', test_leave_plan.py 'after the usual last moment'.

--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -15,19 +15,33 @@
 ZONE_LEAST = 2
 # A new process that has heard of nobody waits this long (ms) before it names itself alone.
 ALONE_AFTER_MS = 1_500.0
+# Callers hold on to an answer for up to so long (ms): whoever is named still has to take requests then.
+HELD_MS = 2_000.0
+# An instance that leaves is named for so long at the most (ms), however long its stop may take: those
+# whose stops overlap are back in 5 s.
+LAST_NAMED_MS = 5_000.0
 # An instance that began to leave less than this long ago (ms) still takes what callers send
-# while they hold on to an answer; it goes before instances that may not run their requests.
+# while they hold on to an answer. Where a region has no live one, these go before instances that
+# may not run all of a caller's requests, and after them those that leave for longer.
 JUST_LEAVING_MS = 2_000.0
 
 
 class Directory:
     """Name instances near the caller; those of other regions only where there are none."""
 
-    def __init__(self, members: Members, fleet: FleetState, callers_port: int) -> None:
-        """Name instances by the port at which all of them listen for callers."""
+    def __init__(
+        self, members: Members, fleet: FleetState, callers_port: int, needed_until_ms: float
+    ) -> None:
+        """Name instances by the port at which all of them listen for callers.
+
+        An instance that leaves takes requests for `needed_until_ms` where no other of its region
+        does.
+        """
         self._members = members
         self._fleet = fleet
         self._port = callers_port
+        last_named_ms = min(needed_until_ms - HELD_MS, LAST_NAMED_MS)
+        self._leaving_stages_ms = (JUST_LEAVING_MS, max(last_named_ms, JUST_LEAVING_MS))
         self._chance = random.Random()
         self._started_ms = now_ms()
 
@@ -69,16 +83,16 @@
         allowed = {one: self._routes_allowed(question.host, one) for one in found}
         most = max(allowed.values(), default=0)
         if most < self._routes(question.host):
-            just_leaving = self._just_leaving(region)
-            if just_leaving:
-                return just_leaving
+            for stage_ms in self._leaving_stages_ms:
+                if leaving := self._leaving(region, stage_ms):
+                    return leaving
         return [ip for one, of in found.items() if allowed[one] == most for ip in of]
 
-    def _just_leaving(self, region: RegionName) -> list[str]:
-        """Return the instances of a region that have only just begun to leave, this one too."""
-        found = [one.note.ip for one in self._members.leaving(region, JUST_LEAVING_MS)]
+    def _leaving(self, region: RegionName, for_less_than_ms: float) -> list[str]:
+        """Return the instances of a region that began to leave so lately, this one too."""
+        found = [one.note.ip for one in self._members.leaving(region, for_less_than_ms)]
         own = self._members.own
-        is_young = now_ms() - self._members.own_phase_at_ms <= JUST_LEAVING_MS
+        is_young = now_ms() - self._members.own_phase_at_ms <= for_less_than_ms
         if own.region == region and own.phase is MemberPhase.leaving and is_young:
             found.append(own.ip)
         return found
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -31,7 +31,7 @@
     may_move,
 )
 from sparline.gateway._directory import Directory
-from sparline.gateway._leave_plan import TAKES_NEW_UNTIL, LeavePlan
+from sparline.gateway._leave_plan import NEEDED_UNTIL, LeavePlan
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._request_log import RequestLog
@@ -104,7 +104,8 @@
             lambda: len(self.members.sharers()),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
-        self.peers = PeerTable(self.members, TAKES_NEW_UNTIL * settings.grace_s * 1000)
+        needed_until_ms = NEEDED_UNTIL * settings.grace_s * 1000
+        self.peers = PeerTable(self.members, needed_until_ms)
         self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
         self._make_placement(region)
         self.service = Service(self.fleet, self.copy, self.request_log, self.pace)
@@ -125,7 +126,7 @@
             ),
         )
         callers_port = split_address(settings.listen.callers)[1]
-        self.directory = Directory(self.members, self.fleet, callers_port)
+        self.directory = Directory(self.members, self.fleet, callers_port, needed_until_ms)
         self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
         self._stopped = Event()
         self._servers: list[StreamServer] = []
@@ -313,11 +314,12 @@
         """Stop as planned: take leave, serve what comes late, end what is under way."""
         if self.service.leave_plan is not None:
             return
-        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000)
+        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
         log.bind(in_flight=self.service.in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
-        gevent.sleep((plan.takes_until_ms() - now_ms()) / 1000)
+        while (left_ms := plan.takes_until_ms() - now_ms()) > 0:
+            gevent.sleep(min(left_ms, STOP_STEP_MS) / 1000)
         for server in self._servers:
             server.stop_accepting()
         while self.service.in_flight and now_ms() < plan.ends_at_ms():
@@ -326,6 +328,10 @@
         log.bind(in_flight=self.service.in_flight).info("instance_stopped")
         self._stopped.set()
 
+    def _is_last(self) -> bool:
+        """Tell whether no other instance of the region is live."""
+        return not self.members.live(RegionName(self.settings.region))
+
     def wait(self) -> None:
         """Wait until the instance has stopped."""
         self._stopped.wait()
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -1,5 +1,6 @@
 """What an instance that leaves still takes, by the time that is left to it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -11,6 +12,10 @@
 # time; then what is under way goes on until just before the end.
 TAKES_NEW_UNTIL = 0.5
 ENDS_AT = 0.95
+# An instance takes new requests until this part of it where no other of its region does: three
+# planned stops that overlap leave a region without a live instance for up to 5 s (seen in plays),
+# and whoever is sent to another region may not run what is bound to its home.
+NEEDED_UNTIL = 0.85
 # The wait for the first event is taken for this many wanted times.
 FIRST_TARGETS = 1.0
 
@@ -21,10 +26,13 @@
 
     began_ms: float  # start of the stop, on this process's clock
     grace_ms: float  # time until the process is killed
+    # Whether no other instance of the region takes requests.
+    is_needed: Callable[[], bool] = lambda: False
 
     def takes_until_ms(self) -> float:
-        """Return when nothing new is begun any more."""
-        return self.began_ms + self.grace_ms * TAKES_NEW_UNTIL
+        """Return when nothing new is begun any more, as far as is known now."""
+        part = NEEDED_UNTIL if self.is_needed() else TAKES_NEW_UNTIL
+        return self.began_ms + self.grace_ms * part
 
     def ends_at_ms(self) -> float:
         """Return when the process ends, whatever is under way."""
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -49,7 +49,7 @@
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [make_route(path_start=f"/{place}/", homes=of) for place, of in enumerate(HOMES)]
     fleet.configuration = make_rules(*routes)
-    directory = Directory(members, fleet, 80)
+    directory = Directory(members, fleet, 80, 6_000.0)
     question = DirectoryQuestion("host.example", RegionName(region), ZoneName(""))
     assert set(directory.find(question)) == named
 
@@ -65,7 +65,7 @@
     routes = [make_route(path_start=f"/{place}/", homes=of) for place, of in enumerate(HOMES)]
     fleet.configuration = make_rules(*routes)
     question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
-    assert Directory(members, fleet, 80).find(question) == ["own:80"]
+    assert Directory(members, fleet, 80, 6_000.0).find(question) == ["own:80"]
 
 
 N3, N4 = note("n3", "north", zone="2"), note("n4", "north", zone="2")
@@ -85,4 +85,26 @@
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     question = DirectoryQuestion("host.example", NORTH, ZoneName("north-2"))
-    assert set(Directory(members, fleet, 80).find(question)) == named
+    assert set(Directory(members, fleet, 80, 6_000.0).find(question)) == named
+
+
+def test_an_instance_that_leaves_for_longer_goes_before_one_that_is_no_home(monkeypatch):
+    # Overlapping planned stops leave a region without a live instance; those that leave still take
+    # requests, and callers were sent to another region that may not run them.
+    at = [1_000.0]
+    for module in ("sparline.gateway._directory", "sparline.fleet._members"):
+        monkeypatch.setattr(f"{module}.now_ms", lambda: at[0])
+    members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "west", "west-1"))
+    members.take(Gossip(LEAVING, 0, True, [], [], [], [], False))
+    fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
+    routes = [make_route(path_start=f"/{place}/", homes=of) for place, of in enumerate(HOMES)]
+    fleet.configuration = make_rules(*routes)
+    directory = Directory(members, fleet, 80, 6_000.0)
+    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    named = {}
+    for ago_ms in (1_900, 3_900, 4_100):
+        at[0] = 1_000.0 + ago_ms
+        beat = MemberNote("n1", "n1", 1, ago_ms, MemberPhase.leaving, "north", "north-1")
+        members.take(Gossip(beat, 0, True, [], [], [], [], False))
+        named[ago_ms] = directory.find(question)
+    assert named == {1_900: ["n1:80"], 3_900: ["n1:80"], 4_100: ["own:80"]}
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -35,3 +35,23 @@
     plan = LeavePlan(0.0, GRACE_MS)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
     assert plan.takes(route, prompt, token_ms) is taken
+
+
+NEEDED_ROWS = [
+    ("a plain one after the usual last moment", PLAIN, None, 6_700, True),
+    ("a plain one after the last moment of all", PLAIN, None, 6_900, False),
+    ("a long answer that would not end in time", STREAM, Prompt(17_000, 120, ()), 5_000, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("route", "prompt", "at_ms", "taken"),
+    [row[1:] for row in NEEDED_ROWS],
+    ids=[row[0] for row in NEEDED_ROWS],
+)
+def test_the_last_instance_of_a_region_takes_requests_for_longer(
+    monkeypatch, route, prompt, at_ms, taken
+):
+    plan = LeavePlan(0.0, GRACE_MS, lambda: True)
+    monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
+    assert plan.takes(route, prompt, 15.0) is taken
