Begin anew with a backend server that starts again under its id, and take no entry of another writer

Cause: the users' page now lets a replica start again under its id (field born); all tables are kept by that id, so kept prompts, loads, pace, health, doubts and siblings' words of before its start went on to count. Any state but 'ready' counted as leaving, and fields of another type were taken where they fitted. Change: the adapter names each start by id and born, so that every table begins anew with it and a word of before counts for nothing; only Expected-Instance carries the id alone. One key of the store holds one start, the newest born; its connections are closed and its streams broken. An entry with an unknown state, no service, no slots, a born that is no whole number, or no IP and port names no server; one log line a key until it can be read.

--- a/sparline/fleet/_backend_servers.py
+++ b/sparline/fleet/_backend_servers.py
@@ -12,7 +12,7 @@
 class BackendServer:
     """Describe one incarnation of one backend server."""
 
-    id: BackendServerId  # new at each start
+    id: BackendServerId  # new at each start, also where its entry keeps its key
     service: ServiceName  # what it serves
     address: Address  # where it listens
     zone: ZoneName  # where it stands
@@ -20,6 +20,7 @@
     slots: int  # requests that it works on at once
     leaving: bool  # whether it takes nothing new
     cold_until_ms: float  # until when it bears few requests, on this process's clock
+    born_ms: int = 0  # its start, ms of its own time of day; orders starts under one key, 0 unknown
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -25,6 +25,8 @@
 DISTURBED_MS = 6_000.0
 # A server that was known so lately is not new when its entry comes back (ms).
 KNOWN_FOR_MS = 120_000.0
+# Keys whose items can't be read are remembered up to here (count); more are logged each time.
+MOST_BAD_KEYS = 1_000
 
 ReadItem = Callable[[StoreChange], StoreItem]
 
@@ -38,8 +40,13 @@
         on_bad_item: Callable[[], None],
         disturbed_ago_ms: Callable[[], float],
         zones: dict[ZoneName, RegionName],
+        on_restart: Callable[[BackendServer], None] = lambda _server: None,
     ) -> None:
-        """Start with nothing; `disturbed_ago_ms` tells how long ago the store last failed."""
+        """Start with nothing.
+
+        `disturbed_ago_ms` tells how long ago the store last failed; `on_restart` is told of each
+        start that is over because another one has its key.
+        """
         self.configuration: Configuration | None = None  # newest version, None before the first
         self.servers: dict[BackendServerId, BackendServer] = {}  # all that are not gone
         self.evacuated: set[ZoneName] = set()  # zones whose servers get nothing
@@ -49,6 +56,8 @@
         self._read_item = read_item
         self._on_bad_item = on_bad_item
         self._disturbed_ago_ms = disturbed_ago_ms
+        self._on_restart = on_restart
+        self._bad_keys: set[str] = set()
         self._lapsed: dict[BackendServerId, float] = {}
         self._known: dict[BackendServerId, float] = {}
         self._evacuations: dict[str, ZoneName] = {}
@@ -63,21 +72,20 @@
             case ConfigurationItem(configuration):
                 self._take_configuration(configuration, change.revision)
             case BackendServerItem(server):
-                self._server_keys[change.key] = server.id
-                self._take_server(server, change.revision)
+                self._bad_keys.discard(change.key)
+                self._take_entry(change.key, server, change.revision)
             case EvacuationItem(zone):
                 self._evacuations[change.key] = zone
                 self._note_evacuated(change.revision)
             case BadItem(text):
-                self._on_bad_item()
-                log.bind(key=change.key, revision=change.revision, text=text).warning("bad_item")
+                self._take_bad(change, text)
 
     def _take_deleted(self, change: StoreChange) -> None:
         if change.key in self._evacuations:
             del self._evacuations[change.key]
             self._note_evacuated(change.revision)
-        server_id = self._server_keys.pop(change.key, None)
-        if server_id is None or server_id not in self.servers:
+        server_id = self._server_keys.get(change.key)
+        if server_id is None:
             return
         disturbed = self._disturbed_ago_ms() < DISTURBED_MS
         if disturbed and not self.servers[server_id].leaving:
@@ -86,6 +94,33 @@
             return
         self._remove(server_id, "entry_gone")
 
+    def _take_bad(self, change: StoreChange, text: str) -> None:
+        """Hold nothing by an item that can't be read; told once until it can be read again."""
+        self._on_bad_item()
+        server_id = self._server_keys.get(change.key)
+        if server_id is not None:
+            self._remove(server_id, "entry_unreadable")
+        if change.key in self._bad_keys:
+            return
+        if len(self._bad_keys) < MOST_BAD_KEYS:
+            self._bad_keys.add(change.key)
+        log.bind(key=change.key, revision=change.revision, text=text).warning("bad_item")
+
+    def _take_entry(self, key: str, server: BackendServer, revision: int) -> None:
+        """Take in the entry of a server, whose earlier start under the same key is over."""
+        held_id = self._server_keys.get(key)
+        held = self.servers.get(held_id) if held_id is not None else None
+        if held is not None and held.id != server.id:
+            if held.born_ms > server.born_ms:
+                log.bind(backend_server=server.id, held=held.id, revision=revision).info(
+                    "entry_of_earlier_start"
+                )
+                return
+            self._remove(held.id, "started_again")
+            self._on_restart(held)
+        self._server_keys[key] = server.id
+        self._take_server(server, revision)
+
     def _take_configuration(self, configuration: Configuration, revision: int) -> None:
         held = self.configuration
         if held is not None and held.version >= configuration.version:
@@ -128,6 +163,8 @@
     def _remove(self, server_id: BackendServerId, why: str) -> None:
         self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
+        for key in [key for key, of in self._server_keys.items() if of == server_id]:
+            del self._server_keys[key]
         self._index()
         log.bind(backend_server=server_id, why=why).info("server_gone")
 
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -91,6 +91,8 @@
     b"old": ConfigurationItem(make_rules(make_route(path_start="/old/"), version=3)),
     b"bad": BadItem("wrong"),
     b"server": BackendServerItem(SERVER),
+    b"start 1": BackendServerItem(make_server("s1@1", born_ms=1)),
+    b"start 2": BackendServerItem(make_server("s1@2", born_ms=2)),
     b"zone": EvacuationItem(SERVER.zone),
     b"other": UnknownItem(),
 }
@@ -284,3 +286,39 @@
     with pytest.raises(IndexError):
         reader.run()
     assert waits == [wait_ms]
+
+
+STARTS = [
+    ("one after the other", [b"start 1", b"start 2"], {"s1@2"}, ["s1@1"]),
+    ("an entry of before its start", [b"start 2", b"start 1"], {"s1@2"}, []),
+    ("an entry of before it told its start", [b"start 2", b"server"], {"s1@2"}, []),
+    ("the same start again", [b"start 1", b"start 1"], {"s1@1"}, []),
+    ("gone and back anew", [b"start 1", None, b"start 2"], {"s1@2"}, []),
+    ("an entry that can't be read", [b"start 1", b"bad"], set(), []),
+    ("readable again", [b"start 1", b"bad", b"start 1"], {"s1@1"}, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("values", "held", "over"), [row[1:] for row in STARTS], ids=[row[0] for row in STARTS]
+)
+def test_a_key_names_the_newest_start_of_its_server(values, held, over):
+    restarted: list[str] = []
+    one = FleetState(
+        lambda change: ITEMS[change.value],
+        lambda: None,
+        Disturbed(),
+        ZONES,
+        lambda server: restarted.append(server.id),
+    )
+    put(one, *values, key="servers/s1")
+    assert set(one.servers) == held
+    assert restarted == over
+
+
+def test_a_start_that_comes_while_an_earlier_one_has_lapsed_replaces_it(state):
+    put(state, b"start 1", key="servers/s1")
+    state._disturbed_ago_ms.ago_ms = 0.0
+    state.take(StoreChange("servers/s1", 2, None))
+    state.take(StoreChange("servers/s1", 3, b"start 2"))
+    assert set(state.servers) == {"s1@2"}
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -174,7 +174,9 @@
                 self._look(now_ms() - began_ms)
 
     def _look(self, waited_ms: float) -> None:
-        """Give a silent server up where the request can go elsewhere."""
+        """Give a silent server up where the request can go elsewhere, and one that is no more."""
+        if self._placement.peer is None and self._tools.has_ended(self._server_id):
+            raise ConnectionBroken("the server has started anew and holds nothing of this request")
         if not self._request.route.repeatable:
             return
         if not self._tools.may_move(self._request, self._progress):
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from sparline._ids import RegionName
+from sparline._ids import BackendServerId, RegionName
 from sparline.forwarding._events import EventCutter
 from sparline.forwarding._wire import Wire
 from sparline.http import ConnectionPool, HttpAnswer
@@ -59,3 +59,4 @@
     may_move: Callable[[RoutedRequest, Progress], bool]  # whether another try is possible
     note_peer: Callable[[str, bool], None]  # whether a peer could be reached
     note_round_trip: Callable[[RegionName, float], None]  # time that a connection took to open
+    has_ended: Callable[[BackendServerId], bool]  # whether that start of a server is over
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 
 import gevent
@@ -10,10 +11,11 @@
 from gevent.server import StreamServer
 
 from sparline._clock import now_ms
-from sparline._ids import RegionName, ZoneName
+from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
 from sparline.fleet import (
+    BackendServer,
     FleetState,
     GossipPort,
     GossipSources,
@@ -76,6 +78,8 @@
 LEARNED_MS = 10_000.0
 # A planned stop looks so often whether all is done (ms).
 STOP_STEP_MS = 50.0
+# Starts of servers that are over are remembered up to here (count): requests there end in seconds.
+MOST_ENDED_STARTS = 4_096
 
 
 class Gateway:
@@ -93,8 +97,13 @@
             make_note(settings.ip, settings.name, region, settings.availability_zone, started_ms)
         )
         self.fleet = FleetState(
-            ItemReader(zones), self.metrics.bad_items.inc, self._disturbed_ago_ms, zones
+            ItemReader(zones),
+            self.metrics.bad_items.inc,
+            self._disturbed_ago_ms,
+            zones,
+            self._note_restarted,
         )
+        self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
         self.copy = StoreCopyTable(self.fleet.take)
         self.reader = StoreReader(
             StoreHttpClient(split_address(settings.store)),
@@ -187,6 +196,7 @@
             may_move=may_move,
             note_peer=self.peers.note,
             note_round_trip=self.peers.note_round_trip,
+            has_ended=self._ended_starts.__contains__,
         )
         return Forwarder(
             ForwarderParts(
@@ -208,6 +218,13 @@
             if server.region == region and self.health.is_doubted(server.id)
         ]
 
+    def _note_restarted(self, server: BackendServer) -> None:
+        """Give up what connects this instance with a server that has started anew."""
+        self._pool.forget(server.address)
+        self._ended_starts[server.id] = None
+        if len(self._ended_starts) > MOST_ENDED_STARTS:
+            self._ended_starts.popitem(last=False)
+
     def _disturbed_ago_ms(self) -> float:
         return now_ms() - self.reader.disturbed_at_ms
 
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -251,3 +251,23 @@
         assert got.status == 503
         assert float(got.headers["retry-after"]) > 0
         assert not fleet.gateways["g0"].is_ready()
+
+
+def test_a_server_that_starts_anew_under_its_id_breaks_the_streams_that_it_had():
+    # The old process holds the connection open without a word, as one behind a cut does.
+    with RoutedFleet() as fleet:
+        engine = fleet.add_server("e1", "engines", events=EVENTS)
+        engine.faults = SealedFaults(stop_after_event=2, remaining=1)
+        fleet.list_server("e1", "engines", born=1_000)
+        fleet.ready()
+        caller = fleet.caller()
+        caller.send("/once/x", "r1", body=b"abc", **PROMPT)
+        gateway = fleet.gateways["g0"]
+        fleet.until(lambda: engine.runs, "the stream has begun")
+        revision = fleet.list_server("e1", "engines", born=2_000)
+        fleet.until(lambda: gateway.copy.revision == revision, "the second start is held")
+        with gevent.Timeout(PATIENCE_MS / 1000):
+            fleet.until(lambda: engine.runs[0].abandoned, "the first start's stream is given up")
+        assert set(gateway.fleet.servers) == {"e1@7d0"}
+        assert fleet.ask("/once/x", "r2", body=b"abc", **PROMPT).body == stream_of("r2")
+        assert fleet.runs() == ["r1", "r2"]
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -1,9 +1,12 @@
 """Items of the users' store, read into our types."""
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._ids import RegionName, ZoneName
 from sparline.fleet import (
     BackendServer,
     BackendServerItem,
@@ -15,6 +18,7 @@
     UnknownItem,
 )
 from sparline.platform import _names as names
+from sparline.platform._incarnations import incarnation_id
 from sparline.routes import (
     CallerLimits,
     ConfigurationVersion,
@@ -29,6 +33,9 @@
 )
 
 MS_PER_S = 1000.0
+# What is found in an entry is told with this many characters at the most.
+MOST_TOLD_CHARS = 80
+MOST_PORT = 65_535
 
 
 class _SplitNode(msgspec.Struct):
@@ -82,12 +89,13 @@
 
 
 class _ServerNode(msgspec.Struct):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
-    state: str
-    slots: int = 1
-    cold_remaining_ms: float = 0.0  # time until the server has warmed up
+    state: Literal["ready", "draining"]
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # until it has warmed up
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0  # Unix ms of its start, 0 where it does not tell
 
 
 class ItemReader:
@@ -102,7 +110,7 @@
         assert change.value is not None, "deleted items have nothing to read"
         try:
             return self._read(change.key, change.value)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             return BadItem(f"{change.key}: {error}")
 
     def _read(self, key: str, value: bytes) -> StoreItem:
@@ -111,31 +119,47 @@
         if key.startswith(names.EVACUATION_PREFIX):
             return EvacuationItem(ZoneName(key.removeprefix(names.EVACUATION_PREFIX)))
         if key.startswith(names.SERVER_PREFIX):
-            server_id = BackendServerId(key.removeprefix(names.SERVER_PREFIX))
-            return self._server(server_id, msgspec.json.decode(value, type=_ServerNode))
+            listed_id = key.removeprefix(names.SERVER_PREFIX)
+            return self._server(listed_id, msgspec.json.decode(value, type=_ServerNode))
         return UnknownItem()
 
-    def _server(self, server_id: BackendServerId, node: _ServerNode) -> StoreItem:
+    def _server(self, listed_id: str, node: _ServerNode) -> StoreItem:
         zone = ZoneName(node.zone)
         region = self._zones.get(zone)
         if region is None:
-            return BadItem(f"zone: expected one of {sorted(self._zones)}, found {node.zone!r}")
-        ip, _, port = node.address.rpartition(":")
-        if not port.isdigit():
-            return BadItem(f"address: expected IP:PORT, found {node.address!r}")
+            found = node.zone[:MOST_TOLD_CHARS]
+            return BadItem(f"zone: expected one of {sorted(self._zones)}, found {found!r}")
+        address = _address(node.address)
+        if address is None:
+            found = node.address[:MOST_TOLD_CHARS]
+            return BadItem(f"address: expected IP:PORT, found {found!r}")
         server = BackendServer(
-            id=server_id,
+            id=incarnation_id(listed_id, node.born),
             service=ServiceName(node.service),
-            address=(ip, int(port)),
+            address=address,
             zone=zone,
             region=region,
             slots=node.slots,
             leaving=node.state != "ready",
             cold_until_ms=now_ms() + node.cold_remaining_ms,
+            born_ms=node.born,
         )
         return BackendServerItem(server)
 
 
+def _address(text: str) -> tuple[str, int] | None:
+    """Return the parts of IP:PORT, None for anything else."""
+    ip, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MOST_PORT):
+        return None
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        # No number of an address: `None` says so.
+        return None
+    return ip, int(port)
+
+
 def _configuration(node: _ConfigurationNode) -> StoreItem:
     kinds = {
         "safe": RequestKind.SAFE,
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -8,6 +8,7 @@
 from sparline.forwarding import AnswerKind, AnswerMeaning, SendTerms
 from sparline.http import Headers, HttpAnswer, HttpRequest, end_to_end
 from sparline.platform import _names as names
+from sparline.platform._incarnations import listed_id
 from sparline.requests import Prompt, PromptStart, RoutedRequest
 
 MOST_PRIORITY = 9
@@ -102,7 +103,7 @@
     def send_head(self, request: RoutedRequest, terms: SendTerms) -> bytes:
         """Return the head of a request to a backend server."""
         own = [
-            (names.EXPECTED_SERVER, terms.server_id.encode("latin-1")),
+            (names.EXPECTED_SERVER, listed_id(terms.server_id).encode("latin-1")),
             *_deadline_and_resume(request, terms),
         ]
         if terms.source is not None:
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -2,6 +2,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sparline._clock import now_ms
 from sparline._ids import RegionName, ZoneName
@@ -14,6 +16,7 @@
     UnknownItem,
 )
 from sparline.platform import ItemReader
+from sparline.platform._incarnations import listed_id
 from sparline.routes import EngineFigures, ServiceName
 from standins import configuration
 
@@ -47,6 +50,20 @@
     ("servers/i-1", ENTRY | {"zone": "nowhere"}, BadItem),
     ("servers/i-1", ENTRY | {"address": "10.0.0.1"}, BadItem),
     ("servers/i-1", {}, BadItem),
+    ("servers/i-1", ENTRY | {"state": "parked"}, BadItem),
+    ("servers/i-1", ENTRY | {"service": ""}, BadItem),
+    ("servers/i-1", ENTRY | {"service": 7}, BadItem),
+    ("servers/i-1", ENTRY | {"slots": 0}, BadItem),
+    ("servers/i-1", ENTRY | {"slots": "6"}, BadItem),
+    ("servers/i-1", ENTRY | {"cold_remaining_ms": -1}, BadItem),
+    ("servers/i-1", ENTRY | {"address": "front:80"}, BadItem),
+    ("servers/i-1", ENTRY | {"address": "10.0.0.1:99999"}, BadItem),
+    ("servers/i-1", ENTRY | {"born": 1_764_700_000_000}, BackendServerItem),
+    ("servers/i-1", ENTRY | {"born": 1.5}, BadItem),
+    ("servers/i-1", ENTRY | {"born": "1764700000000"}, BadItem),
+    ("servers/i-1", ENTRY | {"born": True}, BadItem),
+    ("servers/i-1", ENTRY | {"born": None}, BadItem),
+    ("servers/i-1", b"[" * 100_000, BadItem),
     ("somebody/else", b"\xff", UnknownItem),
 ]
 
@@ -104,3 +121,43 @@
     assert engine == EngineFigures(8, 300_000, 163_840, 550_000.0, True)
     # 163,840 bytes a token over 550 Gbit/s: 2.4 microseconds a token.
     assert round(engine.fetch_ms(13_000), 1) == 31.0
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=200),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=6,
+)
+MOST_TOLD_BYTES = 1_000
+
+
+def is_a_usable_server(read: Any) -> bool:
+    server = read.server
+    whole = isinstance(server.born_ms, int) and isinstance(server.slots, int)
+    return (
+        whole and server.slots >= 1 and server.region == "north" and 0 < server.address[1] < 65_536
+    )
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.sampled_from(sorted(ENTRY) + ["born"]), JSON)
+def test_an_entry_of_another_writer_names_a_usable_server_or_none(name, value):
+    read = item("servers/i-1", ENTRY | {name: value})
+    if isinstance(read, BadItem):
+        assert len(read.text) < MOST_TOLD_BYTES
+    else:
+        assert is_a_usable_server(read)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=400) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_any_bytes_of_another_writer_are_read_or_told_as_bad(value):
+    read = item("servers/i-1", value)
+    assert isinstance(read, BadItem) and len(read.text) < MOST_TOLD_BYTES
+
+
+def test_each_start_under_one_key_has_a_name_of_its_own():
+    starts = [item("servers/i-1", ENTRY | {"born": born}).server for born in (5_000, 5_001)]
+    assert [one.born_ms for one in starts] == [5_000, 5_001]
+    assert starts[0].id != starts[1].id
+    assert {listed_id(one.id) for one in starts} == {"i-1"}
