--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -17,6 +17,7 @@
 from benchmarks._serve import serve
 from benchmarks._shapes import SHAPES
 from benchmarks._soak import soak
+from benchmarks._views import views
 
 EXPERIMENTS = {
     "routing": routing,
@@ -27,6 +28,7 @@
     "limits": limits,
     "control": control,
     "decide": decide,
+    "views": views,
 }
 
 
@@ -55,6 +57,7 @@
     command.add_argument(
         "--unseen", action="store_true", help="decide: the half of the draws kept for the end"
     )
+    command.add_argument("--seed", type=int, default=1, help="views: of the random load")
     command.set_defaults(run=lambda options: EXPERIMENTS[options.experiment](options))
     command = commands.add_parser("soak", help="a randomised run under faults, judged by ledgers")
     command.add_argument("--seed", type=int, required=True)
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -11,7 +11,18 @@
 from benchmarks._decide_draws import INSTANCES_A_REGION, Arrival, Draw, KindDraw
 from benchmarks._decide_engine import Job, ModelEngine
 from sparline._ids import BackendServerId, RegionName, RequestId, ZoneName
-from sparline.fleet import BackendServer, FleetState, Member, Members, UnknownItem, make_note
+from sparline.fleet import (
+    BackendServer,
+    FleetState,
+    LoadExchange,
+    LoadOf,
+    LoadSources,
+    Member,
+    Members,
+    Outgoing,
+    UnknownItem,
+    make_note,
+)
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -42,7 +53,7 @@
     ServiceShare,
     make_configuration,
 )
-from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberPhase
+from sparline.schema._gossip import Gossip, LoadNews, MemberPhase
 
 ENGINES = ServiceName("engines")
 IN_REGION_MS = 0.3
@@ -148,7 +159,11 @@
         zone = f"{region}-1"
         self.members = Members(make_note(ip, ip, RegionName(region), zone, 1))
         self._set_phase()
-        self.loads = LoadTable(RegionName(region), self.members.load_of, self._tell)
+        here = [one.id for one in world.servers if one.region == region]
+        self.exchange = LoadExchange(
+            self.members, LoadSources(lambda: self.loads.own_here(), list, lambda: here)
+        )
+        self.loads = LoadTable(RegionName(region), self.exchange.board.load, self._note_load)
         self._cache = PromptCache(owners_have_read=False, sharing=lambda: INSTANCES_A_REGION)
         pace, pauses = PaceTable(), PauseTable()
         self._watch_tables = WatchTables(pace, pauses, self.loads)
@@ -165,8 +180,8 @@
             sharing=lambda: INSTANCES_A_REGION,
             peers=self._peers,
             round_trip_ms=lambda other: 2 * world.way_ms(region, other),
-            load_age_ms=self.members.load_age_ms,
-            is_doubted_there=self.members.is_doubted,
+            load_age_ms=self.exchange.board.age_ms,
+            is_doubted_there=self.exchange.board.is_doubted,
         )
         chance = random.Random(f"{world.draw.seed}/{ip}")
         self._chooser = make(OwnPlace(RegionName(region), ZoneName(zone)), tables, chance)
@@ -178,12 +193,19 @@
     def _peers(self, region: RegionName) -> list[Member]:
         return self.members.live(region)
 
-    def _tell(self, server_id: str, load: object) -> None:
-        own = self.members.own
-        note = BackendLoadNote(server_id, load.running, load.held_tokens, load.unread_tokens)
-        news = LoadNews(own.ip, own.incarnation, note)
-        for sibling in self._siblings():
-            self._world.time.after(IN_REGION_MS, lambda to=sibling: to.members.take_news(news))
+    def _note_load(self, server: BackendServer, change: LoadOf) -> None:
+        is_near = server.region == self.region
+        self._tell(self.exchange.note_change(server.id, change, is_near))
+
+    def _tell(self, outgoing: list[Outgoing]) -> None:
+        """Send to siblings what is to be told of loads at once."""
+        siblings = {one.members.own.ip: one.exchange for one in self._siblings()}
+        for one in outgoing:
+            for ip in one.peers:
+                take = siblings[ip].take_shares
+                if isinstance(one.message, LoadNews):
+                    take = siblings[ip].take_news
+                self._world.time.after(IN_REGION_MS, lambda take=take, told=one.message: take(told))
 
     def _siblings(self) -> list["Node"]:
         return [one for one in self._world.nodes[self.region] if one is not self]
@@ -192,23 +214,19 @@
         """Tell siblings and one instance elsewhere, then again after a while."""
         own = self.members.own
         self.members.own = msgspec.structs.replace(own, counter=own.counter + 1)
+        self._tell(self.exchange.round())
         for sibling in self._siblings():
-            self._send(sibling, self.loads.own_here())
+            self._send(sibling)
         far = [
             one for name, some in self._world.nodes.items() if name != self.region for one in some
         ]
         if far:
             self._turn += 1
-            whole = self.loads.whole_region(self.members.loads_of_siblings())
-            self._send(far[self._turn % len(far)], whole)
+            self._send(far[self._turn % len(far)])
         self._world.time.after(ROUND_MS, self.gossip)
 
-    def _send(self, to: "Node", loads: dict) -> None:
-        notes = [
-            BackendLoadNote(name, one.running, one.held_tokens, one.unread_tokens)
-            for name, one in loads.items()
-            if one.running
-        ]
+    def _send(self, to: "Node") -> None:
+        notes = self.exchange.readings_for(to.region == self.region)
         reads = self._cache.recent_reads()
         message = Gossip(self.members.own, 1, True, notes, reads, [], [], False)
         self._world.time.after(
@@ -217,6 +235,7 @@
 
     def _take(self, message: Gossip) -> None:
         self.members.take(message)
+        self.exchange.take_readings(message.loads)
         self._cache.take_reads(message.reads)
 
     def serve(self, view: CallerView) -> None:
--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -22,6 +22,8 @@
     "MemberNote",
     "MemberBeat",
     "BackendLoadNote",
+    "LoadShareNote",
+    "LoadReadingNote",
     "StoreItemNote",
     "PromptReadNote",
 )
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -11,7 +11,10 @@
 )
 from sparline.fleet._fleet_state import FleetState
 from sparline.fleet._gossip import GossipPort, GossipSources, make_note
-from sparline.fleet._members import LoadOf, Member, Members, sum_loads
+from sparline.fleet._load_board import LoadBoard, LoadReading
+from sparline.fleet._load_exchange import LoadExchange, LoadSources, Outgoing
+from sparline.fleet._loads import LoadOf, sum_loads
+from sparline.fleet._members import Member, Members
 from sparline.fleet._store_copy import StoreChange, StoreCopyTable
 from sparline.fleet._store_reader import (
     StoreAnswer,
@@ -30,9 +33,14 @@
     "FleetState",
     "GossipPort",
     "GossipSources",
+    "LoadBoard",
+    "LoadExchange",
     "LoadOf",
+    "LoadReading",
+    "LoadSources",
     "Member",
     "Members",
+    "Outgoing",
     "StoreAnswer",
     "StoreChange",
     "StoreClient",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -1,7 +1,7 @@
 """Datagrams between instances: heartbeats, loads and hearsay, at a rate that is bounded."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -12,13 +12,16 @@
 
 from sparline._cbor import pack, unpack
 from sparline._clock import now_ms
+from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline._logging import log
-from sparline.fleet._members import LoadOf, Member, Members
+from sparline.fleet._load_exchange import LoadExchange, Outgoing
+from sparline.fleet._members import Member, Members
 from sparline.schema._gossip import (
-    BackendLoadNote,
     Gossip,
     LoadNews,
+    LoadShares,
+    MemberBeat,
     MemberNote,
     MemberPhase,
     PromptReadNote,
@@ -29,8 +32,10 @@
 # Peers of the own region told in a round (count); more siblings than that take turns, so
 # that an instance sends the same number of datagrams in a fleet of any size.
 SIBLINGS_A_ROUND = 4
-# Peers of other regions told in a round (count): bytes between regions are priced.
-FAR_PEERS_A_ROUND = 1
+# Instances of each region that speak to others (count): bytes between regions are priced, and were
+# 1,328 KB/s with 195 instances that all did (counted on a network in memory). Two, so that one that
+# ends is not missed.
+TELLERS = 2
 # Every so many rounds a seed or a silent member is tried, so that cuts heal (rounds).
 PROBE_ROUNDS = 4
 # A new instance asks all seeds in each of its first rounds (count): after a loss of power the
@@ -38,7 +43,9 @@
 FIRST_ROUNDS = 20
 # Heartbeats of others passed on in each datagram (count): at 20 datagrams a second that come
 # in, each of 300 instances is heard of each 1.7 s.
-MOST_BEATS = 8
+MOST_BEATS = 14
+# Heartbeats of the own region passed on to another one in a datagram (count).
+MOST_FAR_BEATS = 12
 # Members named to one who asks for all (count): what fits into a datagram of 1,400 bytes.
 MOST_MEMBERS = 16
 # Peers told of one thing at once (count): a region of more instances than any designed for.
@@ -56,9 +63,6 @@
 
     recent_reads: Callable[[], list[PromptReadNote]]  # long starts that engines have read
     take_reads: Callable[[list[PromptReadNote]], None]  # what to do with a peer's
-    own_loads: Callable[[], dict[str, LoadOf]]  # load that this instance puts on each server
-    region_loads: Callable[[], dict[str, LoadOf]]  # load of this whole region
-    doubted: Callable[[], list[str]]  # backend servers of this region that failed lately
     store_revision: Callable[[], int]  # revision of the store held here
     store_reached: Callable[[], bool]  # whether the store answered lately
 
@@ -67,12 +71,18 @@
     """Send and read datagrams."""
 
     def __init__(
-        self, port: int, seeds: list[str], members: Members, sources: GossipSources
+        self,
+        port: int,
+        seeds: list[str],
+        members: Members,
+        loads: LoadExchange,
+        sources: GossipSources,
     ) -> None:
         """Name the port, alike on all instances, and the addresses to start from."""
         self.seeds = seeds
         self._port = port
         self._members = members
+        self._loads = loads
         self._sources = sources
         self._round = 0
         self._turn = 0
@@ -90,29 +100,46 @@
                 # An earlier datagram met a closed port; that says nothing about this socket.
                 log.debug("gossip: {}", error)
                 continue
-            match unpack(data, Gossip | LoadNews):
+            match unpack(data, Gossip | LoadShares | LoadNews):
                 case Err(reason):
                     log.warning("gossip: datagram from {} refused: {}", sender[0], reason)
-                case Ok(LoadNews() as news):
-                    self._members.take_news(news)
-                case Ok(gossip):
-                    self._take(gossip)
+                case Ok(message):
+                    self.take(message)
+
+    def take(self, message: Gossip | LoadShares | LoadNews) -> None:
+        """Take in a datagram."""
+        match message:
+            case LoadNews():
+                self._loads.take_news(message)
+            case LoadShares():
+                self._loads.take_shares(message)
+            case Gossip():
+                self._take(message)
 
     def _take(self, gossip: Gossip) -> None:
         is_new = self._members.take(gossip)
         self._sources.take_reads(gossip.reads)
+        self._loads.take_readings(gossip.loads)
+        self._answer(gossip, is_new)
+
+    def _answer(self, gossip: Gossip, is_new: bool) -> None:
         if is_new:
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
-        if gossip.wants_members or is_new:
-            self._send([gossip.sender.ip], self._message(gossip.sender.region, MOST_MEMBERS))
+        near = gossip.sender.region == self._members.own.region
+        if gossip.wants_members or (is_new and near):
+            # One of another region hears of this instance from those that speak for this one.
+            self._send([gossip.sender.ip], self._message(near, self._sample(MOST_MEMBERS)))
+        elif gossip.wanted:
+            described = self._members.described(gossip.wanted[:MOST_MEMBERS])
+            self._send([gossip.sender.ip], self._message(near, described))
         if self._members.new_siblings:
             # By turns alone a new instance is unknown to some for a second or two, and they share
             # bounds without it.
-            near = self._message(self._members.own.region, 0)
-            self._send(self._members.new_siblings, near)
+            self._send(self._members.new_siblings, self._message(True))
         if self._members.strangers:
-            # Whoever is asked directly answers with its name and place.
-            self._send(self._members.strangers[:1], self._message("", 0, wants_members=True))
+            # Who passed their heartbeats on knows their names and places.
+            wanted = self._members.strangers[:MOST_MEMBERS]
+            self._send([gossip.sender.ip], self._message(near, wanted=wanted))
 
     def run(self) -> None:
         """Send a round after the other for as long as the process lives."""
@@ -126,13 +153,33 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
         near, far, silent = self._peers()
+        for one in self._loads.round():
+            self._send(one.peers, one.message)
         near_turn = self._take_turns(near, SIBLINGS_A_ROUND)
         if near_turn:
-            self._send(near_turn, self._message(own.region, 0))
-        far_turn = self._take_turns(far, FAR_PEERS_A_ROUND)
-        if far_turn:
-            self._send(far_turn, self._message("", 0))
-        self._probe(near + far, silent)
+            self._send(near_turn, self._message(True))
+        is_teller = self._is_teller()
+        if is_teller:
+            self._tell_far()
+        self._probe(near + far, silent, is_teller)
+
+    def _is_teller(self) -> bool:
+        """Tell whether this instance is one of those that speak for their region."""
+        own = self._members.own
+        siblings = [one.note.ip for one in self._members.live(RegionName(own.region))]
+        order = sorted([*siblings, own.ip], key=lambda ip: hash64(f"teller/{ip}"), reverse=True)
+        return own.ip in order[:TELLERS]
+
+    def _tell_far(self) -> None:
+        """Tell one instance of one other region, the regions by turns."""
+        own_region = self._members.own.region
+        by_region: dict[str, list[str]] = {}
+        for one in self._members.live():
+            if one.note.region != own_region:
+                by_region.setdefault(one.note.region, []).append(one.note.ip)
+        if by_region:
+            region = sorted(by_region)[self._round % len(by_region)]
+            self._send([self._chance.choice(by_region[region])], self._message(False))
 
     def announce(self, phase: MemberPhase) -> None:
         """Change this instance's phase and tell every sibling at once, the others by turns."""
@@ -143,25 +190,29 @@
         self._send(near[:MOST_TOLD_AT_ONCE], self._message(own.region, 0))
         self._send(far[:MOST_TOLD_AT_ONCE], self._message("", 0))
 
-    def tell_load(self, backend_server: str, load: LoadOf) -> None:
-        """Tell the siblings at once what this instance has at a backend server."""
-        note = BackendLoadNote(backend_server, load.running, load.held_tokens, load.unread_tokens)
-        own = self._members.own
-        siblings = [one.note.ip for one in self._members.live(RegionName(own.region))]
-        self._send(siblings[:MOST_TOLD_AT_ONCE], LoadNews(own.ip, own.incarnation, note))
+    def tell(self, outgoing: Iterable[Outgoing]) -> None:
+        """Send what is to be told of loads at once."""
+        for one in outgoing:
+            peers = one.peers
+            if len(peers) > MOST_TOLD_AT_ONCE:
+                peers = self._chance.sample(peers, MOST_TOLD_AT_ONCE)
+            self._send(peers, one.message)
 
     def close(self) -> None:
         """Close the port, which ends reading."""
         self._closed = True
         self._socket.close()
 
-    def _peers(self) -> tuple[list[str], list[str], list[str]]:
-        """Return the addresses of siblings, of far peers and of silent members."""
+    def _peers(self) -> tuple[list[str], list[str], list[Member]]:
+        """Return the addresses of siblings and of far peers, and the silent members."""
         near: list[str] = []
         far: list[str] = []
-        silent: list[str] = []
+        silent: list[Member] = []
         for member in self._members.others():
-            (silent if _is_silent(member) else self._side(member, near, far)).append(member.note.ip)
+            if _is_silent(member):
+                silent.append(member)
+            else:
+                self._side(member, near, far).append(member.note.ip)
         return sorted(near), sorted(far), silent
 
     def _side(self, member: Member, near: list[str], far: list[str]) -> list[str]:
@@ -174,44 +225,67 @@
         start = (self._round * most + hash(self._members.own.ip)) % len(peers)
         return [peers[(start + step) % len(peers)] for step in range(most)]
 
-    def _probe(self, known: list[str], silent: list[str]) -> None:
+    def _probe(self, known: list[str], silent: list[Member], is_teller: bool) -> None:
         """Ask for members: all seeds at first, later now and then one that is missing."""
-        own = self._members.own.ip
-        strangers = [ip for ip in self.seeds if ip != own and ip not in known]
+        own = self._members.own
+        strangers = [ip for ip in self.seeds if ip != own.ip and ip not in known]
         if self._round <= FIRST_ROUNDS:
-            self._send(strangers, self._message("", 0, wants_members=True))
-        elif self._round % PROBE_ROUNDS == 1 and (strangers or silent):
-            chosen = [self._chance.choice(strangers + silent)] if known else strangers
-            self._send(chosen, self._message("", 0, wants_members=True))
-
-    def _message(self, to_region: str, members: int, wants_members: bool = False) -> Gossip:
-        near = to_region == self._members.own.region
-        loads = self._sources.own_loads() if near else self._sources.region_loads()
+            self._send(strangers, self._message(False, wants_members=True))
+        elif self._round % PROBE_ROUNDS == 1:
+            missing = self._missing(silent, is_teller)
+            silent_ips = {one.note.ip for one in silent}
+            missing += [ip for ip in strangers if ip not in silent_ips]
+            if missing:
+                chosen = [self._chance.choice(missing)] if known else strangers
+                self._send(chosen, self._message(False, wants_members=True))
+
+    def _missing(self, silent: list[Member], is_teller: bool) -> list[str]:
+        """Return the silent siblings and, to one that speaks for them, those of lost regions."""
+        own_region = self._members.own.region
+        reached = {one.note.region for one in self._members.live()}
+        return [
+            one.note.ip
+            for one in silent
+            if one.note.region == own_region or (is_teller and one.note.region not in reached)
+        ]
+
+    def _message(
+        self,
+        near: bool,
+        members: list[MemberNote] | None = None,
+        wants_members: bool = False,
+        wanted: list[str] | None = None,
+    ) -> Gossip:
+        """Return a datagram for a peer of the own region, or of another."""
         return Gossip(
             sender=self._members.own,
             store_revision=self._sources.store_revision(),
             store_reached=self._sources.store_reached(),
-            loads=[
-                BackendLoadNote(name, one.running, one.held_tokens, one.unread_tokens)
-                for name, one in loads.items()
-                if one.running
-            ],
+            loads=self._loads.readings_for(near),
             reads=self._sources.recent_reads(),
-            beats=self._some(self._members.heard_lately(), MOST_BEATS),
-            members=self._some(self._known_notes(), members) if members else [],
+            beats=self._beats(near),
+            members=members or [],
             wants_members=wants_members,
-            doubted=[] if near else self._sources.doubted(),
+            wanted=wanted or [],
         )
 
-    def _known_notes(self) -> list[MemberNote]:
-        return [one.note for one in self._members.others() if not _is_silent(one)]
+    def _beats(self, near: bool) -> list[MemberBeat]:
+        if near:
+            return self._some(self._members.heard_lately(), MOST_BEATS)
+        here = self._members.heard_lately(RegionName(self._members.own.region))
+        return self._some(here, MOST_FAR_BEATS)
+
+    def _sample(self, most: int) -> list[MemberNote]:
+        """Return some of the members that are not silent."""
+        known = [one.note for one in self._members.others() if not _is_silent(one)]
+        return self._some(known, most)
 
     def _some(self, all_of_them: list[Note], most: int) -> list[Note]:
         if len(all_of_them) <= most:
             return all_of_them
         return self._chance.sample(all_of_them, most)
 
-    def _send(self, peers: list[str], message: Gossip | LoadNews) -> None:
+    def _send(self, peers: list[str], message: Gossip | LoadShares | LoadNews) -> None:
         data = pack(message)
         for ip in peers:
             try:
--- /dev/null
+++ b/sparline/fleet/_load_board.py
@@ -0,0 +1,108 @@
+"""What this instance knows of the load of backend servers: the newest reading, and changes since."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from sparline._clock import now_ms
+from sparline._ids import BackendServerId
+from sparline.fleet._loads import LoadOf
+
+# Readings and changes older than this say nothing any more (ms).
+LOAD_MS = 4_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReading:
+    """Hold what all instances of a region together put on one backend server."""
+
+    at_ms: float  # when it was added up, on this process's clock
+    covers_until_ms: float  # changes of this instance until then are part of it
+    load: LoadOf  # the sum
+    is_doubted: bool  # whether the server failed any of them lately
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """Hold one change of a server's load that this instance knows of by itself."""
+
+    at_ms: float  # when
+    load: LoadOf  # what came, below zero for what went
+
+
+class LoadBoard:
+    """Keep one reading of each backend server, whoever told it, and what has changed since."""
+
+    def __init__(self) -> None:
+        """Start without knowing anything."""
+        self._readings: dict[BackendServerId, LoadReading] = {}
+        self._changes: dict[BackendServerId, deque[_Change]] = {}
+
+    def note_change(self, server_id: BackendServerId, change: LoadOf) -> None:
+        """Note what this instance, or a sibling that told at once, puts on a server now."""
+        now = now_ms()
+        changes = self._changes.setdefault(server_id, deque())
+        changes.append(_Change(now, change))
+        self._trim(server_id, now)
+
+    def take(self, server_id: BackendServerId, reading: LoadReading) -> bool:
+        """Take a reading in; tell whether it is newer than the one that was held."""
+        held = self._readings.get(server_id)
+        if held is not None and held.at_ms >= reading.at_ms:
+            return False
+        self._readings[server_id] = reading
+        self._trim(server_id, now_ms())
+        return True
+
+    def _trim(self, server_id: BackendServerId, now: float) -> None:
+        changes = self._changes.get(server_id)
+        if changes is None:
+            return
+        held = self._readings.get(server_id)
+        since = max(now - LOAD_MS, held.covers_until_ms if held is not None else 0.0)
+        while changes and changes[0].at_ms <= since:
+            changes.popleft()
+        if not changes:
+            del self._changes[server_id]
+
+    def reading(self, server_id: BackendServerId) -> LoadReading | None:
+        """Return the newest reading of a server, None where it is too old to tell anything."""
+        held = self._readings.get(server_id)
+        return held if held is not None and held.at_ms >= now_ms() - LOAD_MS else None
+
+    def load(self, server_id: BackendServerId) -> LoadOf | None:
+        """Return the load of a server as far as it is known, None without a reading."""
+        reading = self.reading(server_id)
+        if reading is None:
+            return None
+        running = reading.load.running
+        held_tokens = reading.load.held_tokens
+        unread_tokens = reading.load.unread_tokens
+        for change in self._changes.get(server_id, ()):
+            running += change.load.running
+            held_tokens += change.load.held_tokens
+            unread_tokens += change.load.unread_tokens
+        return LoadOf(max(running, 0), max(held_tokens, 0), max(unread_tokens, 0))
+
+    def age_ms(self, server_id: BackendServerId) -> float | None:
+        """Return how old what is known of a server is, None where nothing is."""
+        reading = self.reading(server_id)
+        return None if reading is None else now_ms() - reading.at_ms
+
+    def is_doubted(self, server_id: BackendServerId) -> bool:
+        """Tell whether an instance of a server's region told that it failed lately."""
+        reading = self.reading(server_id)
+        return reading is not None and reading.is_doubted
+
+    def newer_than(self, age_ms: float) -> list[tuple[BackendServerId, LoadReading]]:
+        """Return the readings that are no older, newest first."""
+        since = now_ms() - age_ms
+        found = [(one, held) for one, held in self._readings.items() if held.at_ms >= since]
+        found.sort(key=lambda pair: pair[1].at_ms, reverse=True)
+        return found
+
+    def forget_old(self) -> None:
+        """Forget what says nothing any more."""
+        since = now_ms() - LOAD_MS
+        self._readings = {one: held for one, held in self._readings.items() if held.at_ms >= since}
+        for server_id in list(self._changes):
+            self._trim(server_id, now_ms())
--- /dev/null
+++ b/sparline/fleet/_load_exchange.py
@@ -0,0 +1,193 @@
+"""How instances tell each other of load: shares to whoever adds them up, readings to everyone.
+
+An instance tells its share of a backend server to one instance of the region, which adds all
+shares up and tells the sum as a reading with its age; whoever holds a newer reading passes it on.
+So what an instance knows is as old in a region of 70 instances as in one of 5, and what it is told
+grows with the servers of the region, not with them times the instances.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sparline._clock import now_ms
+from sparline._ids import BackendServerId, RegionName
+from sparline.fleet._load_board import LoadBoard, LoadReading
+from sparline.fleet._load_shares import Aggregators, ShareTable
+from sparline.fleet._loads import LoadOf, read_load, sum_loads, write_load
+from sparline.fleet._members import Members
+from sparline.schema._gossip import LoadNews, LoadReadingNote, LoadShareNote, LoadShares
+
+# A change of so many unread tokens is told to the aggregator at once, as one of the running
+# requests is (tokens): at 50 tokens a millisecond they take 4 ms.
+SHARE_TOKENS = 200
+# Reading at least so many tokens is told to all siblings at once (tokens): at 50 tokens a
+# millisecond it takes 30 ms, a tenth of what delays other streams; the rest is told in readings.
+NEWS_TOKENS = 1_500
+# Every so many rounds all shares are told again (rounds): a datagram may have been lost.
+SHARES_AGAIN_ROUNDS = 4
+# One that has only just become the aggregator of a server leaves what others know of it alone for
+# this long (ms), until it was told every share.
+NEW_AGGREGATOR_MS = 1_300.0
+# A reading this old shows that the first aggregator is silent, and the second stands in (ms).
+STANDS_IN_MS = 1_000.0
+# Readings are passed on while they are this fresh (ms): what is older has reached everyone.
+PASS_ON_MS = 1_000.0
+# Readings told in a datagram (count), the newest first: of the own region to siblings, of other
+# regions to siblings, and of the own region to other regions. A datagram stays below 1,400 bytes.
+MOST_NEAR_READINGS = 16
+MOST_PASSED_FAR_READINGS = 5
+MOST_FAR_READINGS = 36
+# What an instance changed this long before a reading was added up may not be part of it yet (ms):
+# the way to the aggregator, inside a region and from another one.
+NEAR_WAY_MS = 3.0
+FAR_WAY_MS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSources:
+    """Hold where this instance's own part comes from."""
+
+    own_loads: Callable[[], dict[BackendServerId, LoadOf]]  # what it has at its region's servers
+    doubted: Callable[[], list[BackendServerId]]  # those of its region that failed it lately
+    region_servers: Callable[[], list[BackendServerId]]  # all of its region
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """Hold a datagram to send."""
+
+    peers: list[str]  # addresses
+    message: LoadShares | LoadNews  # what it tells
+
+
+class LoadExchange:
+    """Decide what is told of loads, and keep what others tell; sends nothing itself."""
+
+    def __init__(self, members: Members, sources: LoadSources) -> None:
+        """Exchange with the members of a fleet."""
+        self.board = LoadBoard()
+        self._members = members
+        self._sources = sources
+        self._shares = ShareTable()
+        self._aggregators = Aggregators()
+        self._sequence = 0
+        self._round = 0
+        self._since_ms: dict[BackendServerId, float] = {}  # when it became the aggregator
+
+    def note_change(
+        self, server_id: BackendServerId, change: LoadOf, is_near: bool
+    ) -> list[Outgoing]:
+        """Note what this instance has put on a server; return whom to tell at once."""
+        self.board.note_change(server_id, change)
+        if not is_near:
+            # The instance there that takes the request tells of it.
+            return []
+        outgoing = []
+        if change.running or abs(change.unread_tokens) >= SHARE_TOKENS:
+            outgoing += self._shares_to(self._first(server_id), [server_id])
+        if abs(change.unread_tokens) >= NEWS_TOKENS:
+            siblings = [one.note.ip for one in self._siblings()]
+            outgoing.append(Outgoing(siblings, LoadNews(write_load(server_id, change))))
+        return outgoing
+
+    def _siblings(self) -> list:
+        return self._members.live(RegionName(self._members.own.region))
+
+    def _first(self, server_id: BackendServerId) -> str:
+        named = self._aggregators.of(server_id, 2)
+        return named[0] if named else self._members.own.ip
+
+    def _shares_to(self, ip: str, servers: list[BackendServerId]) -> list[Outgoing]:
+        own = self._members.own
+        if ip == own.ip or not servers:
+            return []
+        self._sequence += 1
+        loads = self._sources.own_loads()
+        doubted = set(self._sources.doubted())
+        notes = [
+            LoadShareNote(write_load(one, loads.get(one, LoadOf())), one in doubted)
+            for one in servers
+        ]
+        return [Outgoing([ip], LoadShares(own.ip, own.incarnation, self._sequence, notes))]
+
+    def round(self) -> list[Outgoing]:
+        """Add up what this instance is the aggregator of; return the shares to tell again."""
+        self._round += 1
+        own_ip = self._members.own.ip
+        siblings = [one.note.ip for one in self._siblings()]
+        self._aggregators.use(tuple(sorted([*siblings, own_ip])))
+        self._add_up()
+        if self._round % SHARES_AGAIN_ROUNDS:
+            return []
+        self._shares.forget_old()
+        self.board.forget_old()
+        by_peer: dict[str, list[BackendServerId]] = {}
+        for server_id in {**self._sources.own_loads(), **dict.fromkeys(self._sources.doubted())}:
+            for ip in self._aggregators.of(server_id, 2):
+                by_peer.setdefault(ip, []).append(server_id)
+        return [one for ip, some in by_peer.items() for one in self._shares_to(ip, some)]
+
+    def _add_up(self) -> None:
+        now = now_ms()
+        own_ip = self._members.own.ip
+        loads = self._sources.own_loads()
+        doubted = set(self._sources.doubted())
+        mine: dict[BackendServerId, float] = {}
+        for server_id in self._sources.region_servers():
+            named = self._aggregators.of(server_id, 2)
+            if own_ip not in named:
+                continue
+            mine[server_id] = self._since_ms.get(server_id, now)
+            if not self._tells(server_id, named[0] == own_ip, now - mine[server_id]):
+                continue
+            others = self._shares.sum(server_id)
+            load = sum_loads((loads.get(server_id, LoadOf()), others.load))
+            is_doubted = others.is_doubted or server_id in doubted
+            self.board.take(server_id, LoadReading(now, now, load, is_doubted))
+        self._since_ms = mine
+
+    def _tells(self, server_id: BackendServerId, is_first: bool, for_ms: float) -> bool:
+        """Tell whether this instance is to tell its sum of a server."""
+        age_ms = self.board.age_ms(server_id)
+        if age_ms is None:
+            return True
+        if for_ms < NEW_AGGREGATOR_MS:
+            return False
+        return is_first or age_ms >= STANDS_IN_MS
+
+    def readings_for(self, is_near: bool) -> list[LoadReadingNote]:
+        """Return what to tell a peer of the own region, or of another."""
+        here = set(self._sources.region_servers())
+        fresh = self.board.newer_than(PASS_ON_MS)
+        near = [pair for pair in fresh if pair[0] in here]
+        if not is_near:
+            return _notes(near[:MOST_FAR_READINGS])
+        far = [pair for pair in fresh if pair[0] not in here]
+        return _notes(near[:MOST_NEAR_READINGS] + far[:MOST_PASSED_FAR_READINGS])
+
+    def take_readings(self, notes: list[LoadReadingNote]) -> None:
+        """Take in what a peer told; the newest reading of each server stays."""
+        now = now_ms()
+        here = set(self._sources.region_servers()) if notes else set()
+        for note in notes:
+            server_id = BackendServerId(note.load.backend_server)
+            way_ms = NEAR_WAY_MS if server_id in here else FAR_WAY_MS
+            at_ms = now - max(note.age_ms, 0)
+            reading = LoadReading(at_ms, at_ms - way_ms, read_load(note.load), note.doubted)
+            self.board.take(server_id, reading)
+
+    def take_shares(self, told: LoadShares) -> None:
+        """Take in what a sibling has at servers that this instance adds up."""
+        self._shares.take(told)
+
+    def take_news(self, news: LoadNews) -> None:
+        """Take in what a sibling has just put on a server."""
+        self.board.note_change(BackendServerId(news.change.backend_server), read_load(news.change))
+
+
+def _notes(readings: list[tuple[BackendServerId, LoadReading]]) -> list[LoadReadingNote]:
+    now = now_ms()
+    return [
+        LoadReadingNote(round(now - one.at_ms), write_load(server_id, one.load), one.is_doubted)
+        for server_id, one in readings
+    ]
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -1,27 +1,21 @@
 """What this instance knows of the others: who lives, where, and with which load."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
 from sparline._clock import now_ms
+from sparline._hashing import hash64
 from sparline._ids import RegionName
-from sparline.schema._gossip import (
-    BackendLoadNote,
-    Gossip,
-    LoadNews,
-    MemberBeat,
-    MemberNote,
-    MemberPhase,
-)
+from sparline.schema._gossip import Gossip, MemberBeat, MemberNote, MemberPhase
 
 # A member whose heartbeat stood still this long gets no work and is not named to callers;
 # a dozen gossip intervals, so that a lost datagram or two change nothing.
 SILENT_MS = 3_000.0
 # A member of another region may be silent for longer where the fleet is large (ms for each
 # instance known): each datagram passes on some heartbeats, whatever the number of instances.
-FAR_SILENT_MS = 20.0
+FAR_SILENT_MS = 25.0
 # A heartbeat is passed on while it is this fresh (ms): several rounds.
 PASS_ON_MS = 1_500.0
 # A member that was silent this long still counts where a bound is shared out: it may be
@@ -34,17 +28,9 @@
 SETTLED_MS = 1_500.0
 # After this long in silence a member is forgotten.
 FORGET_MS = 600_000.0
-# Loads older than this say nothing any more.
-LOAD_MS = 4_000.0
-
-
-@dataclass(frozen=True, slots=True)
-class LoadOf:
-    """Hold the load on one backend server."""
-
-    running: int = 0  # requests there that have not ended
-    held_tokens: int = 0  # memory that they take
-    unread_tokens: int = 0  # prompt tokens of requests without a first event
+# What a member said of the store longer ago than this says nothing any more (ms): the siblings of a
+# region of 71 take turns of 4.4 s, and those of other regions speak to few.
+STORE_WORD_MS = 8_000.0
 
 
 @dataclass(slots=True)
@@ -58,8 +44,7 @@
     met: bool = False  # whether it has spoken to this instance itself
     store_revision: int = 0  # revision of the store that it holds
     store_reached: bool = False  # whether the store answered it lately
-    loads: dict[str, LoadOf] = field(default_factory=dict)  # by backend server
-    loads_at_ms: float = 0.0  # when they arrived
+    told_at_ms: float = 0.0  # when it last told so itself
 
     @property
     def region(self) -> RegionName:
@@ -74,11 +59,12 @@
         """Start alone."""
         self.own = own
         self.own_phase_at_ms = now_ms()  # when this instance came into its phase
-        self.strangers: list[str] = []  # addresses in the last datagram that nothing is known of
+        self.strangers: list[int] = []  # keys in the last datagram that nothing is known of
         self.new_siblings: list[str] = []  # addresses that the last datagram named first
         self._alone_until_ms = now_ms()  # when another was first heard, its own start before that
         self._others: dict[str, Member] = {}
-        self._doubts: dict[str, dict[str, float]] = {}  # by server: who doubts it, told when
+        self._by_key: dict[int, str] = {}  # addresses by key
+        self._own_key = member_key(own.ip)
 
     def take(self, gossip: Gossip) -> bool:
         """Take in a datagram; tell whether its sender was unknown."""
@@ -93,40 +79,33 @@
         member.met = True
         member.store_revision = gossip.store_revision
         member.store_reached = gossip.store_reached
-        member.loads = {one.backend_server: _load_of(one) for one in gossip.loads}
-        member.loads_at_ms = now_ms()
-        self._take_doubts(note.ip, gossip.doubted)
+        member.told_at_ms = now_ms()
         self.new_siblings = [one.ip for one in gossip.members if self._take_hearsay(one)]
-        self.strangers = [beat.ip for beat in gossip.beats if not self._take_beat(beat)]
+        self.strangers = [beat.key for beat in gossip.beats if not self._take_beat(beat)]
         return is_new
 
-    def take_news(self, news: LoadNews) -> None:
-        """Take in what a sibling has just put on a backend server."""
-        known = self._others.get(news.ip)
-        if known is None or known.note.incarnation != news.incarnation:
-            return
-        known.loads[news.load.backend_server] = _load_of(news.load)
-
     def _take_beat(self, beat: MemberBeat) -> bool:
         """Take in a heartbeat that was passed on; tell whether its instance is known."""
-        if beat.ip == self.own.ip:
+        if beat.key == self._own_key:
             return True
-        known = self._others.get(beat.ip)
-        if known is None or beat.incarnation > known.note.incarnation:
+        known = self._others.get(self._by_key.get(beat.key, ""))
+        if known is None or beat.start != _start_of(known.note):
             return False
-        if beat.incarnation == known.note.incarnation and beat.counter > known.note.counter:
+        if beat.counter > known.note.counter:
             self._update(
                 msgspec.structs.replace(known.note, counter=beat.counter, phase=beat.phase)
             )
         return True
 
-    def heard_lately(self) -> list[MemberBeat]:
-        """Return the heartbeats that are fresh enough to be passed on."""
+    def heard_lately(self, region: RegionName | None = None) -> list[MemberBeat]:
+        """Return the heartbeats, of one region or of all, that are fresh enough to be passed on."""
         since = now_ms() - PASS_ON_MS
         return [
-            MemberBeat(one.note.ip, one.note.incarnation, one.note.counter, one.note.phase)
+            MemberBeat(
+                member_key(one.note.ip), _start_of(one.note), one.note.counter, one.note.phase
+            )
             for one in self._others.values()
-            if one.heard_at_ms >= since
+            if one.heard_at_ms >= since and (region is None or one.note.region == region)
         ]
 
     def _take_hearsay(self, note: MemberNote) -> bool:
@@ -152,6 +131,7 @@
         since_ms = known.since_ms if known is not None and counted else now
         if known is None or known.note.incarnation != note.incarnation:
             known = self._others[note.ip] = Member(note, now, now)
+            self._by_key[member_key(note.ip)] = note.ip
         if known.note.phase is not note.phase:
             known.phase_at_ms = now
         known.note = note
@@ -159,6 +139,11 @@
         known.since_ms = since_ms
         return known
 
+    def described(self, keys: Iterable[int]) -> list[MemberNote]:
+        """Return what is known of the members that are asked for."""
+        known = [self._others.get(self._by_key.get(key, "")) for key in keys]
+        return [one.note for one in known if one is not None]
+
     def others(self) -> Iterator[Member]:
         """Yield every other instance that is known, silent ones too."""
         return iter(self._others.values())
@@ -218,70 +203,28 @@
                 )
         return now - changed_at_ms >= SETTLED_MS
 
-    def load_of(self, backend_server: str, region: RegionName) -> LoadOf:
-        """Return what the other instances put on a backend server, as far as they told."""
-        since = now_ms() - LOAD_MS
-        heard = [
-            one
-            for one in self._others.values()
-            if one.note.region == region and one.loads_at_ms >= since
-        ]
-        if region != self.own.region:
-            # Each tells the sum of its region: the newest counts, not the total of all.
-            heard = [max(heard, key=lambda one: one.loads_at_ms)] if heard else []
-        loads = [one.loads[backend_server] for one in heard if backend_server in one.loads]
-        return sum_loads(loads)
-
-    def loads_of_siblings(self) -> dict[str, LoadOf]:
-        """Return what the other instances of this region put on each backend server."""
-        since = now_ms() - LOAD_MS
-        found: dict[str, list[LoadOf]] = {}
-        for one in self._others.values():
-            if one.note.region == self.own.region and one.loads_at_ms >= since:
-                for backend_server, load in one.loads.items():
-                    found.setdefault(backend_server, []).append(load)
-        return {backend_server: sum_loads(loads) for backend_server, loads in found.items()}
-
-    def _take_doubts(self, ip: str, doubted: list[str]) -> None:
-        """Replace what an instance told of servers of its region that failed it lately."""
-        for backend_server, doubters in list(self._doubts.items()):
-            if doubters.pop(ip, None) is not None and not doubters:
-                del self._doubts[backend_server]
-        for backend_server in doubted:
-            self._doubts.setdefault(backend_server, {})[ip] = now_ms()
-
-    def is_doubted(self, backend_server: str) -> bool:
-        """Tell whether an instance of a server's region told that it failed lately."""
-        doubters = self._doubts.get(backend_server)
-        if doubters is None:
-            return False
-        return max(doubters.values()) >= now_ms() - LOAD_MS
-
-    def load_age_ms(self, region: RegionName) -> float | None:
-        """Return how old the newest told load of a region is, None where nothing is known."""
-        heard = [one.loads_at_ms for one in self._others.values() if one.note.region == region]
-        return now_ms() - max(heard) if heard else None
+    def is_store_reached(self) -> bool:
+        """Tell whether the store answered any live member lately, as far as they told."""
+        since = now_ms() - STORE_WORD_MS
+        return any(one.store_reached and one.told_at_ms >= since for one in self.live())
 
     def forget_old(self) -> None:
         """Forget members that have been silent for very long."""
         since = now_ms() - FORGET_MS
         self._others = {ip: one for ip, one in self._others.items() if one.heard_at_ms >= since}
+        self._by_key = {key: ip for key, ip in self._by_key.items() if ip in self._others}
+
+
+def member_key(ip: str) -> int:
+    """Return the short name of an instance in heartbeats that are passed on."""
+    return hash64(ip) & 0xFFFF_FFFF
 
 
-def sum_loads(loads: Iterable[LoadOf]) -> LoadOf:
-    """Add loads up."""
-    running = held = unread = 0
-    for one in loads:
-        running += one.running
-        held += one.held_tokens
-        unread += one.unread_tokens
-    return LoadOf(running, held, unread)
+def _start_of(note: MemberNote) -> int:
+    """Return the short name of an instance's start."""
+    return note.incarnation & 0xFFFF
 
 
 def _is_older(note: MemberNote, known: MemberNote) -> bool:
     """Tell whether a datagram of the same incarnation was overtaken on the way."""
     return note.incarnation == known.incarnation and note.counter < known.counter
-
-
-def _load_of(note: BackendLoadNote) -> LoadOf:
-    return LoadOf(note.running, note.held_tokens, note.unread_tokens)
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -3,19 +3,25 @@
 import gevent
 import pytest
 
-from sparline.fleet import GossipPort, GossipSources, LoadOf, Members, _gossip
+from sparline.fleet import (
+    GossipPort,
+    GossipSources,
+    LoadExchange,
+    LoadOf,
+    LoadSources,
+    Members,
+    _gossip,
+)
 from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberNote, MemberPhase
 from sparline.tests.fake_fleet import FakeFleet
 
 SOURCES = GossipSources(
     recent_reads=list,
     take_reads=lambda _reads: None,
-    own_loads=dict,
-    region_loads=dict,
-    doubted=list,
     store_revision=lambda: 1,
     store_reached=lambda: True,
 )
+LOADS = LoadSources(own_loads=dict, doubted=list, region_servers=list)
 SEEDS = ["127.0.3.1", "127.0.3.2", "127.0.3.3"]
 SIBLING = MemberNote("127.0.3.9", "s", 1, 1, MemberPhase.live, "north", "north-1")
 
@@ -23,7 +29,8 @@
 @pytest.fixture
 def port(monkeypatch):
     own = MemberNote("127.0.3.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
-    one = GossipPort(0, SEEDS, Members(own), SOURCES)
+    members = Members(own)
+    one = GossipPort(0, SEEDS, members, LoadExchange(members, LOADS), SOURCES)
     one.sent = []
     monkeypatch.setattr(one, "_send", lambda peers, message: one.sent.append((peers, message)))
     yield one
@@ -60,8 +67,8 @@
     port._members.take(Gossip(SIBLING, 1, True, [], [], [], [], False))
     far = MemberNote("127.0.4.1", "f", 1, 1, MemberPhase.live, "south", "south-1")
     port._members.take(Gossip(far, 1, True, [], [], [], [], False))
-    port.tell_load("e1", LoadOf(2, 300, 40))
-    news = LoadNews("127.0.3.1", 1, BackendLoadNote("e1", 2, 300, 40))
+    port.tell(port._loads.note_change("e1", LoadOf(0, 0, 4_000), True))
+    news = LoadNews(BackendLoadNote("e1", 0, 0, 4_000))
     assert port.sent == [([SIBLING.ip], news)]
 
 
@@ -81,7 +88,8 @@
 
 def test_reading_ends_with_its_port(monkeypatch):
     own = MemberNote("127.0.0.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
-    port = GossipPort(0, [], Members(own), SOURCES)
+    members = Members(own)
+    port = GossipPort(0, [], members, LoadExchange(members, LOADS), SOURCES)
     faults: list[int] = []
     monkeypatch.setattr(_gossip.log, "debug", lambda *_args: note_fault(faults))
     reading = gevent.spawn(port.read)
--- /dev/null
+++ b/sparline/fleet/tests/test_load_exchange.py
@@ -0,0 +1,258 @@
+import msgspec
+import pytest
+
+from sparline.fleet import (
+    LoadExchange,
+    LoadOf,
+    LoadReading,
+    LoadSources,
+    Members,
+    _load_board,
+    _load_exchange,
+    _load_shares,
+    _members,
+)
+from sparline.fleet._loads import write_load
+from sparline.schema._gossip import (
+    Gossip,
+    LoadNews,
+    LoadReadingNote,
+    LoadShareNote,
+    LoadShares,
+    MemberNote,
+    MemberPhase,
+)
+
+OWN, SIBLINGS = "own", ("a", "b", "c")
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 1_000_000.0
+
+    for module in (_load_board, _load_exchange, _load_shares, _members):
+        monkeypatch.setattr(module, "now_ms", lambda: Clock.now)
+    return Clock
+
+
+class Exchange:
+    """Hold one instance's exchange, with three siblings and one instance elsewhere."""
+
+    def __init__(self) -> None:
+        self.own_loads: dict[str, LoadOf] = {}
+        self.doubted: list[str] = []
+        self.members = Members(MemberNote(OWN, OWN, 1, 1, MemberPhase.live, "north", "north-1"))
+        for ip in SIBLINGS:
+            self.hear(ip)
+        self.hear("f", "south")
+        servers = [f"e{number}" for number in range(40)]
+        self.loads = LoadExchange(
+            self.members, LoadSources(lambda: self.own_loads, lambda: self.doubted, lambda: servers)
+        )
+        self.loads.round()
+        named = {one: self.loads._aggregators.of(one, 2) for one in servers}
+        self.mine = next(one for one, ips in named.items() if ips[0] == OWN)
+        self.second = next(one for one, ips in named.items() if ips[1] == OWN)
+        self.others = next(one for one, ips in named.items() if OWN not in ips)
+        self.others_first = named[self.others][0]
+
+    def hear(self, ip: str, region: str = "north") -> None:
+        known = {one.note.ip: one.note.counter for one in self.members.others()}
+        note = MemberNote(ip, ip, 1, known.get(ip, 0) + 1, MemberPhase.live, region, f"{region}-1")
+        self.members.take(Gossip(note, 1, True, [], [], [], [], False))
+
+    def pass_ms(self, clock, time_ms: float) -> None:
+        for _ in range(round(time_ms / 250)):
+            clock.now += 250
+            for ip in SIBLINGS:
+                self.hear(ip)
+            self.loads.round()
+
+    def told(self, server: str) -> LoadOf | None:
+        return self.loads.board.load(server)
+
+
+@pytest.fixture
+def one(clock):
+    return Exchange()
+
+
+def shares(server: str, load: LoadOf, ip: str = "a", sequence: int = 1, incarnation: int = 1):
+    note = LoadShareNote(write_load(server, load), False)
+    return LoadShares(ip, incarnation, sequence, [note])
+
+
+LONG, SHORT = LoadOf(1, 10_000, 9_000), LoadOf(1, 400, 300)
+TOLD_AT_ONCE = [
+    # change, near, shares told to the aggregator, news told to all siblings
+    ("a long prompt", LONG, True, 1, 1),
+    ("a long prompt that was read", LoadOf(0, 0, -9_000), True, 1, 1),
+    ("a short prompt", SHORT, True, 1, 0),
+    ("a short prompt that was read", LoadOf(0, 0, -150), True, 0, 0),
+    ("an end", LoadOf(-1, -400, 0), True, 1, 0),
+    ("a long prompt of another region", LONG, False, 0, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("change", "near", "to_aggregator", "to_all"),
+    [row[1:] for row in TOLD_AT_ONCE],
+    ids=[row[0] for row in TOLD_AT_ONCE],
+)
+def test_what_is_told_at_once(one, change, near, to_aggregator, to_all):
+    sent = one.loads.note_change(one.others, change, near)
+    told_shares = [each for each in sent if isinstance(each.message, LoadShares)]
+    news = [each for each in sent if isinstance(each.message, LoadNews)]
+    assert [each.peers for each in told_shares] == [[one.others_first]] * to_aggregator
+    assert [set(each.peers) for each in news] == [set(SIBLINGS)] * to_all
+
+
+SUMS = [
+    ("of two", [("a", 1, LoadOf(2, 200, 20)), ("b", 1, LoadOf(3, 300, 30))], LoadOf(6, 510, 55)),
+    ("told anew", [("a", 1, LoadOf(2, 200, 20)), ("a", 2, LoadOf(1, 100, 10))], LoadOf(2, 110, 15)),
+    ("overtaken", [("a", 2, LoadOf(2, 200, 20)), ("a", 1, LoadOf(9, 900, 90))], LoadOf(3, 210, 25)),
+    ("ended", [("a", 1, LoadOf(2, 200, 20)), ("a", 2, LoadOf())], LoadOf(1, 10, 5)),
+]
+
+
+@pytest.mark.parametrize(("told", "total"), [row[1:] for row in SUMS], ids=[row[0] for row in SUMS])
+def test_an_aggregator_adds_up_the_newest_shares_and_its_own(one, clock, told, total):
+    one.own_loads[one.mine] = LoadOf(1, 10, 5)
+    for ip, sequence, load in told:
+        one.loads.take_shares(shares(one.mine, load, ip, sequence))
+    one.pass_ms(clock, 1_500)
+    for ip, sequence, load in told:
+        one.loads.take_shares(shares(one.mine, load, ip, sequence))
+    one.pass_ms(clock, 250)
+    assert one.told(one.mine) == total
+
+
+def test_a_restarted_siblings_numbers_begin_anew(one, clock):
+    one.loads.take_shares(shares(one.mine, LoadOf(9, 900, 90), sequence=50))
+    one.loads.take_shares(shares(one.mine, LoadOf(1, 100, 10), sequence=1, incarnation=2))
+    assert one.loads._shares.sum(one.mine).load == LoadOf(1, 100, 10)
+
+
+def test_a_share_that_is_not_told_again_is_over(one, clock):
+    one.loads.take_shares(shares(one.mine, LoadOf(2, 200, 20)))
+    clock.now += _load_shares.SHARE_MS + 1
+    assert one.loads._shares.sum(one.mine).load == LoadOf()
+
+
+READ = LoadOf(5, 500, 50)
+
+
+def read(
+    one: Exchange, server: str, age_ms: int, load: LoadOf = READ, doubted: bool = False
+) -> None:
+    one.loads.take_readings([LoadReadingNote(age_ms, write_load(server, load), doubted)])
+
+
+def test_the_newest_reading_stays_whoever_tells_it(one):
+    read(one, one.others, 300)
+    read(one, one.others, 800, LoadOf(9, 900, 90))
+    assert one.told(one.others) == READ
+    read(one, one.others, 100, LoadOf(4, 400, 40))
+    assert one.told(one.others) == LoadOf(4, 400, 40)
+
+
+def test_what_changed_since_a_reading_is_added_to_it(one, clock):
+    one.loads.note_change(one.others, LoadOf(1, 100, 10), True)
+    clock.now += 500
+    read(one, one.others, 200)
+    assert one.told(one.others) == READ
+    one.loads.take_news(LoadNews(write_load(one.others, LoadOf(1, 0, 2_000))))
+    one.loads.note_change(one.others, LoadOf(-1, -100, 0), True)
+    assert one.told(one.others) == LoadOf(5, 400, 2_050)
+    read(one, one.others, 100)
+    assert one.told(one.others) == LoadOf(5, 400, 2_050)
+    clock.now += 50
+    read(one, one.others, 0)
+    assert one.told(one.others) == READ
+
+
+AGES = [(3_900, READ), (4_100, None)]
+
+
+@pytest.mark.parametrize(("age_ms", "told"), AGES)
+def test_an_old_reading_tells_nothing(one, clock, age_ms, told):
+    read(one, one.others, 0)
+    clock.now += age_ms
+    assert one.told(one.others) == told
+
+
+DOUBTS = [
+    ("not doubted", False, 0, False),
+    ("doubted", True, 0, True),
+    ("long ago", True, 4_100, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("doubted", "later_ms", "is_doubted"),
+    [row[1:] for row in DOUBTS],
+    ids=[row[0] for row in DOUBTS],
+)
+def test_a_server_is_doubted_where_its_region_says_so(one, clock, doubted, later_ms, is_doubted):
+    read(one, one.others, 0, doubted=doubted)
+    clock.now += later_ms
+    assert one.loads.board.is_doubted(one.others) is is_doubted
+
+
+def test_one_siblings_doubt_is_part_of_the_reading_until_it_trusts_again(one, clock):
+    doubting = shares(one.mine, LoadOf())
+    doubting = msgspec.structs.replace(
+        doubting, shares=[msgspec.structs.replace(doubting.shares[0], doubted=True)]
+    )
+    one.pass_ms(clock, 1_500)
+    one.loads.take_shares(doubting)
+    one.pass_ms(clock, 250)
+    assert one.loads.board.is_doubted(one.mine)
+    one.loads.take_shares(shares(one.mine, LoadOf(), sequence=2))
+    one.pass_ms(clock, 250)
+    assert not one.loads.board.is_doubted(one.mine)
+
+
+def test_one_that_has_just_become_the_aggregator_leaves_what_is_known_alone(clock):
+    one = Exchange()
+    one.loads.board.take(one.mine, LoadReading(clock.now + 1, clock.now + 1, READ, False))
+    one.pass_ms(clock, 1_000)
+    assert one.told(one.mine) == READ
+    one.pass_ms(clock, 500)
+    assert one.told(one.mine) == LoadOf()
+
+
+def test_the_second_aggregator_stands_in_for_a_silent_first(one, clock):
+    one.loads.take_shares(shares(one.second, LoadOf(2, 200, 20)))
+    clock.now += 1
+    read(one, one.second, 0)
+    one.pass_ms(clock, 750)
+    assert one.told(one.second) == READ
+    one.loads.take_shares(shares(one.second, LoadOf(2, 200, 20), sequence=2))
+    one.pass_ms(clock, 750)
+    assert one.told(one.second) == LoadOf(2, 200, 20)
+
+
+def test_shares_and_doubts_are_told_again_to_both_aggregators(one, clock):
+    one.own_loads[one.others] = SHORT
+    one.doubted.append(one.mine)
+    told: dict[str, set[str]] = {}
+    for _ in range(_load_exchange.SHARES_AGAIN_ROUNDS):
+        for each in one.loads.round():
+            names = {note.load.backend_server for note in each.message.shares}
+            told.setdefault(each.peers[0], set()).update(names)
+    expected = set(one.loads._aggregators.of(one.others, 2))
+    assert {ip for ip, names in told.items() if one.others in names} == expected
+    assert sum(one.mine in names for names in told.values()) == 1
+
+
+def test_another_region_is_told_of_the_own_one_alone(one, clock):
+    read(one, one.others, 0)
+    read(one, "far", 0)
+    names = {
+        near: {note.load.backend_server for note in one.loads.readings_for(near)}
+        for near in (True, False)
+    }
+    assert "far" in names[True] and "far" not in names[False]
+    assert one.others in names[False]
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -19,6 +19,9 @@
     FleetState,
     GossipPort,
     GossipSources,
+    LoadExchange,
+    LoadOf,
+    LoadSources,
     Members,
     StoreCopyTable,
     StoreReader,
@@ -124,12 +127,10 @@
             gossip_port,
             [split_address(seed)[0] for seed in settings.seeds],
             self.members,
+            self.load_exchange,
             GossipSources(
                 self.cache.recent_reads,
                 self.cache.take_reads,
-                self.loads.own_here,
-                lambda: self.loads.whole_region(self.members.loads_of_siblings()),
-                self._doubted_here,
                 lambda: self.copy.revision,
                 self.reader.reached,
             ),
@@ -143,11 +144,16 @@
         self._tasks: list[gevent.Greenlet] = []
 
     def _make_placement(self, region: RegionName) -> None:
-        self.loads = LoadTable(
-            region,
-            self.members.load_of,
-            lambda server_id, load: self.gossip.tell_load(server_id, load),
+        self.load_exchange = LoadExchange(
+            self.members,
+            LoadSources(
+                lambda: self.loads.own_here(),
+                self._doubted_here,
+                lambda: [one.id for one in self.fleet.servers.values() if one.region == region],
+            ),
         )
+        board = self.load_exchange.board
+        self.loads = LoadTable(region, board.load, self._note_load)
         self.health = HealthTable()
         self.cache = PromptCache(
             owners_have_read=not self.settings.first_start,
@@ -173,8 +179,8 @@
             sharing=lambda: len(self.members.live(region)) + 1,
             peers=self.peers.usable,
             round_trip_ms=self.peers.round_trip_ms,
-            load_age_ms=self.members.load_age_ms,
-            is_doubted_there=self.members.is_doubted,
+            load_age_ms=board.age_ms,
+            is_doubted_there=board.is_doubted,
         )
         place = OwnPlace(region, ZoneName(self.settings.availability_zone))
         self.chooser = Chooser(place, tables, random.Random())
@@ -210,6 +216,10 @@
             )
         )
 
+    def _note_load(self, server: BackendServer, change: LoadOf) -> None:
+        is_near = server.region == self.members.own.region
+        self.gossip.tell(self.load_exchange.note_change(server.id, change, is_near))
+
     def _doubted_here(self) -> list[str]:
         region = self.members.own.region
         return [
@@ -313,7 +323,7 @@
         """Tell whether the store answers no instance that is known."""
         if self.reader.reached():
             return False
-        return not any(one.store_reached for one in self.members.live())
+        return not self.members.is_store_reached()
 
     def reload(self, settings: GatewaySettings) -> list[str]:
         """Take over changed settings; return the names of those that need a restart."""
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -1,20 +1,17 @@
-"""Load of backend servers: own requests first-hand, the other instances' by gossip."""
+"""Load of backend servers: own requests first-hand, all others' as the region tells."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, RegionName
-from sparline.fleet import BackendServer, LoadOf, sum_loads
+from sparline.fleet import BackendServer, LoadOf
 
-OtherLoads = Callable[[BackendServerId, RegionName], LoadOf]
-TellLoad = Callable[[BackendServerId, LoadOf], None]
+ToldLoad = Callable[[BackendServerId], LoadOf | None]
+NoteChange = Callable[[BackendServer, LoadOf], None]
 
 # A server's place is kept this long after its last request (ms), for its learned pace.
 REMEMBER_MS = 120_000.0
-# Reading at least so many tokens is told to the siblings at once (tokens): at 50 tokens a
-# millisecond it takes 30 ms, a tenth of what delays other streams; the rest is told by turns.
-TELL_TOKENS = 1_500
 
 
 @dataclass(slots=True)
@@ -45,9 +42,9 @@
         load: OwnLoad,
         held_tokens: int,
         unread_tokens: int,
-        on_change: Callable[[int], None],
+        on_change: Callable[[LoadOf], None],
     ) -> None:
-        """Count it; `on_change` is told how many tokens have come or gone."""
+        """Count it; `on_change` is told what has come or, below zero, gone."""
         self._load = load
         self._on_change = on_change
         self._held_tokens = held_tokens
@@ -57,34 +54,41 @@
         load.held_tokens += held_tokens
         load.unread_tokens += unread_tokens
         load.used_at_ms = now_ms()
-        on_change(unread_tokens)
+        on_change(LoadOf(1, held_tokens, unread_tokens))
 
     def note_first_event(self) -> None:
         """Count the prompt as read."""
         read, self._unread_tokens = self._unread_tokens, 0
-        self._load.unread_tokens -= read
-        self._on_change(read)
+        if read:
+            self._load.unread_tokens -= read
+            self._on_change(LoadOf(0, 0, -read))
 
     def release(self) -> None:
         """Count the request as ended; further calls change nothing."""
         if self._released:
             return
         self._released = True
-        self.note_first_event()
+        unread, self._unread_tokens = self._unread_tokens, 0
         self._load.running -= 1
         self._load.held_tokens -= self._held_tokens
+        self._load.unread_tokens -= unread
+        self._on_change(LoadOf(-1, -self._held_tokens, -unread))
         assert self._load.running >= 0, "a request was released twice"
 
 
 class LoadTable:
     """Hold the load of every backend server that this instance knows of."""
 
-    def __init__(self, region: RegionName, others: OtherLoads, tell: TellLoad) -> None:
-        """Start without load; `others` tells what the other instances put on a server."""
-        self._tell = tell
+    def __init__(self, region: RegionName, told: ToldLoad, note_change: NoteChange) -> None:
+        """Start without load.
+
+        `told` returns what all instances have at a server, this one too, as far as is known;
+        `note_change` takes each change of this instance's part.
+        """
+        self._note_change = note_change
         self._own: dict[BackendServerId, OwnLoad] = {}
         self._region = region
-        self._others = others
+        self._told = told
         self._readings: dict[BackendServerId, Reading] = {}
 
     def reserve(self, server: BackendServer, held_tokens: int, unread_tokens: int) -> Reservation:
@@ -93,7 +97,7 @@
         if load is None:
             load = self._own[server.id] = OwnLoad(region=server.region)
         reservation = Reservation(
-            load, held_tokens, unread_tokens, lambda tokens: self._changed(server, tokens)
+            load, held_tokens, unread_tokens, lambda change: self._note_change(server, change)
         )
         if unread_tokens:
             before_tokens = self.of(server).unread_tokens - unread_tokens
@@ -104,22 +108,16 @@
         """Return the reading that this instance last let a backend server begin."""
         return self._readings.get(server_id)
 
-    def _changed(self, server: BackendServer, tokens: int) -> None:
-        """Tell the siblings of a long prompt that is to be read, or has been."""
-        if tokens >= TELL_TOKENS and server.region == self._region:
-            self._tell(server.id, self.own(server.id))
-
     def of(self, server: BackendServer) -> LoadOf:
         """Return the load of a backend server."""
         own = self.own(server.id)
-        others = self._others(server.id, server.region)
-        if server.region == self._region:
-            return sum_loads((own, others))
-        # What goes to another region is part of what that region tells.
+        told = self._told(server.id)
+        if told is None:
+            return own
         return LoadOf(
-            max(own.running, others.running),
-            max(own.held_tokens, others.held_tokens),
-            max(own.unread_tokens, others.unread_tokens),
+            max(own.running, told.running),
+            max(own.held_tokens, told.held_tokens),
+            max(own.unread_tokens, told.unread_tokens),
         )
 
     def own(self, server_id: BackendServerId) -> LoadOf:
@@ -135,16 +133,6 @@
             if load.region == self._region
         }
 
-    def whole_region(self, of_siblings: dict[str, LoadOf]) -> dict[str, LoadOf]:
-        """Return what all instances of this region have at each backend server there."""
-        own = self.own_here()
-        return {
-            server_id: sum_loads(
-                (own.get(server_id, LoadOf()), of_siblings.get(server_id, LoadOf()))
-            )
-            for server_id in {**own, **of_siblings}
-        }
-
     def forget_old(self) -> None:
         """Forget servers that have long had nothing."""
         since = now_ms() - REMEMBER_MS
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -72,7 +72,7 @@
     sharing: Callable[[], int]  # instances whose callers share this region's engines
     peers: Callable[[RegionName], list[Member]]  # live instances of a region
     round_trip_ms: Callable[[RegionName], float]  # time to a region and back
-    load_age_ms: Callable[[RegionName], float | None]  # age of what others told of a region
+    load_age_ms: Callable[[BackendServerId], float | None]  # age of what is known of its load
     # Whether instances of a server's region told that it failed lately.
     is_doubted_there: Callable[[BackendServerId], bool]
 
@@ -155,7 +155,7 @@
             source=work.source,
             loss=loss,
             load=load,
-            load_age_ms=self._tables.load_age_ms(server.region),
+            load_age_ms=self._tables.load_age_ms(server.id),
             doubt=self._doubt(server, common),
             waits=service.engine is not None and load.running >= service.engine.slots,
         )
--- a/sparline/placement/_placement.py
+++ b/sparline/placement/_placement.py
@@ -27,7 +27,7 @@
     source: BackendServer | None  # engine of its region that passes what it keeps on to it
     loss: float  # what decided, against the credit of the request
     load: LoadOf  # load of the server when this was decided
-    load_age_ms: float | None  # how old what others told of it was, None where they told nothing
+    load_age_ms: float | None  # how old that was, None where nobody told
     doubt: Doubt  # how far it is trusted
     waits: bool = False  # whether it waits there for one of the slots
 
--- a/sparline/placement/_prompt_cache.py
+++ b/sparline/placement/_prompt_cache.py
@@ -1,5 +1,6 @@
 """Which prompt parts each engine probably keeps, from what was sent there by anyone."""
 
+import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,8 +18,11 @@
 KEPT_SHARE = 0.5
 # A read is told to peers for this long (ms): every one of a small fleet's turns comes within it.
 TELL_MS = 2_500.0
-# Most reads told in one datagram (count), so that it stays below 1,400 bytes.
-MOST_TOLD = 16
+# Most reads told in one datagram (count), by chance, so that it stays below 1,400 bytes.
+MOST_TOLD = 10
+# A use of a start that is known to be kept is told again after this long (ms): what it tells is how
+# long it will be kept, which is counted in minutes.
+TELL_AGAIN_MS = 5_000.0
 # Reads heard from peers that are remembered (count), and for how long (ms) at engines of other
 # regions, of whose other work nothing is known here.
 MOST_HEARD = 20_000
@@ -56,6 +60,7 @@
         self._kept: dict[BackendServerId, OrderedDict[str, int]] = {}
         self._tokens: dict[BackendServerId, int] = {}
         self._news: deque[tuple[float, PromptReadNote]] = deque()
+        self._chance = random.Random()
         self._heard: OrderedDict[tuple[int, str], _Use] = OrderedDict()
         self._heard_starts: dict[int, int] = {}
 
@@ -76,25 +81,34 @@
             total -= tokens
         self._tokens[server_id] = total
         if prompt.shared_tokens >= FLEET_WIDE_TOKENS:
-            note = PromptReadNote(_hash(prompt), server_id)
-            self._news.append((now_ms(), note))
-            self.take_reads([note])
+            self._take_read(PromptReadNote(_hash(prompt), server_id))
 
     def recent_reads(self) -> list[PromptReadNote]:
-        """Return the reads to tell peers, the newest ones where there are many."""
+        """Return the reads to tell peers, some of them where there are many."""
         since = now_ms() - TELL_MS
         while self._news and self._news[0][0] < since:
             self._news.popleft()
-        return [note for _, note in list(self._news)[-MOST_TOLD:]]
+        notes = [note for _, note in self._news]
+        return notes if len(notes) <= MOST_TOLD else self._chance.sample(notes, MOST_TOLD)
 
     def take_reads(self, notes: list[PromptReadNote]) -> None:
-        """Take in what a peer told."""
+        """Take in what a peer told; what goes round is taken once."""
+        since = now_ms() - TELL_MS
         for note in notes:
-            key = (note.start, note.backend_server)
-            if key not in self._heard:
-                self._heard_starts[note.start] = self._heard_starts.get(note.start, 0) + 1
-            self._heard[key] = self._used_now(self._heard.get(key), note.backend_server)
-            self._heard.move_to_end(key)
+            known = self._heard.get((note.start, note.backend_server))
+            if known is None or known.at_ms <= since:
+                self._take_read(note)
+
+    def _take_read(self, note: PromptReadNote) -> None:
+        """Note that an engine keeps a start, and tell it on where that is news."""
+        key = (note.start, note.backend_server)
+        known = self._heard.get(key)
+        if known is None:
+            self._heard_starts[note.start] = self._heard_starts.get(note.start, 0) + 1
+        if known is None or known.at_ms < now_ms() - TELL_AGAIN_MS:
+            self._news.append((now_ms(), note))
+        self._heard[key] = self._used_now(known, note.backend_server)
+        self._heard.move_to_end(key)
         while len(self._heard) > MOST_HEARD:
             self._forget_oldest()
 
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -46,7 +46,6 @@
     def __init__(self, *servers: BackendServer, far_peers: bool = True) -> None:
         self.loads: dict[str, LoadOf] = {}
         self.doubted_there: set[str] = set()
-        self.told: list[tuple[str, int]] = []
         self.fleet = FleetState(lambda _c: UnknownItem(), lambda: None, lambda: 1e9, ZONES)
         self.fleet.configuration = make_rules()
         for server in servers:
@@ -60,9 +59,7 @@
         peers = [Member(note, now_ms(), now_ms())] if far_peers else []
         self.tables = PlacementTables(
             fleet=self.fleet,
-            loads=LoadTable(
-                NORTH, lambda one, _region: self.loads.get(one, LoadOf()), self._note_told
-            ),
+            loads=LoadTable(NORTH, self.loads.get, lambda _one, _change: None),
             health=self.health,
             cold=ColdShares("own", lambda: ["own"]),
             cache=self.cache,
@@ -73,14 +70,11 @@
             sharing=lambda: 1,
             peers=lambda _region: peers,
             round_trip_ms=lambda _region: 110.0,
-            load_age_ms=lambda _region: 100.0,
+            load_age_ms=lambda _one: 100.0,
             is_doubted_there=lambda one: one in self.doubted_there,
         )
         self.chooser = Chooser(PLACE, self.tables, random.Random(1))
 
-    def _note_told(self, server_id: str, load: LoadOf) -> None:
-        self.told.append((server_id, load.unread_tokens))
-
     def choose(self, request, excluded=()) -> str:
         place = self.chooser.choose(request, frozenset(BackendServerId(one) for one in excluded))
         if isinstance(place, Refusal):
@@ -275,24 +269,6 @@
     assert (place.server.id, place.source, place.unread_tokens) == ("n2", None, 17_000)
 
 
-TOLD = [
-    ("a long prompt, begun and read", N1, 9_000, [("n1", 9_000), ("n1", 0)]),
-    ("a short prompt", N1, 400, []),
-    ("a long prompt of another region", S1, 9_000, []),
-]
-
-
-@pytest.mark.parametrize(
-    ("server", "unread", "told"), [row[1:] for row in TOLD], ids=[row[0] for row in TOLD]
-)
-def test_siblings_are_told_of_long_prompts_at_once(server, unread, told):
-    world = World(N1, S1)
-    reservation = world.tables.loads.reserve(server, 10_000, unread)
-    reservation.note_first_event()
-    reservation.release()
-    assert world.told == told
-
-
 def test_an_evacuated_zone_gets_nothing():
     world = World(N1, S1)
     world.fleet.evacuated = {N1.zone}
--- a/sparline/placement/tests/test_observed.py
+++ b/sparline/placement/tests/test_observed.py
@@ -205,7 +205,7 @@
     """Hold a stream at n1, and the tables that it teaches."""
 
     def __init__(self, **changes) -> None:
-        self.loads = LoadTable(NORTH, lambda _one, _region: LoadOf(), lambda _one, _load: None)
+        self.loads = LoadTable(NORTH, lambda _one: None, lambda _one, _load: None)
         self.pauses = PauseTable()
         self.pace = PaceTable()
         reservation = self.loads.reserve(N1, 450, 400)
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -147,31 +147,33 @@
 
 
 def test_a_request_counts_until_it_ends():
+    changes: list[LoadOf] = []
     loads = LoadTable(
-        RegionName("north"), lambda _one, _region: LoadOf(1, 10, 5), lambda _one, _load: None
+        RegionName("north"), lambda _one: None, lambda _one, load: changes.append(load)
     )
     server = make_server("s1")
     reservation = loads.reserve(server, 100, 40)
-    assert loads.of(server) == LoadOf(2, 110, 45)
+    assert loads.of(server) == LoadOf(1, 100, 40)
     reservation.note_first_event()
-    assert loads.of(server) == LoadOf(2, 110, 5)
+    assert loads.of(server) == LoadOf(1, 100, 0)
     reservation.release()
     reservation.release()
-    assert loads.of(server) == LoadOf(1, 10, 5)
+    assert loads.of(server) == LoadOf()
+    assert changes == [LoadOf(1, 100, 40), LoadOf(0, 0, -40), LoadOf(-1, -100, 0)]
 
 
-def test_what_goes_to_another_region_is_part_of_what_that_region_tells():
-    loads = LoadTable(
-        RegionName("north"), lambda _one, _region: LoadOf(3, 300, 5), lambda _one, _load: None
-    )
-    server = make_server("s1", "south")
-    loads.reserve(server, 100, 40)
-    assert loads.of(server) == LoadOf(3, 300, 40)
-    assert loads.own_here() == {}
+TOLD = [
+    ("more than its own", LoadOf(3, 300, 5), LoadOf(3, 300, 40)),
+    ("less than its own, not yet told", LoadOf(), LoadOf(1, 100, 40)),
+    ("nothing", None, LoadOf(1, 100, 40)),
+]
 
 
-def test_a_region_tells_all_its_load_not_only_that_of_the_servers_it_uses_itself():
-    loads = LoadTable(RegionName("north"), lambda _one, _region: LoadOf(), lambda _one, _load: None)
-    loads.reserve(make_server("s1"), 100, 40)
-    siblings = {"s1": LoadOf(1, 10, 5), "s2": LoadOf(2, 20, 6)}
-    assert loads.whole_region(siblings) == {"s1": LoadOf(2, 110, 45), "s2": LoadOf(2, 20, 6)}
+@pytest.mark.parametrize(("told", "load"), [row[1:] for row in TOLD], ids=[row[0] for row in TOLD])
+@pytest.mark.parametrize("region", ["north", "south"])
+def test_a_server_has_what_is_told_of_it_and_its_own_at_least(told, load, region):
+    loads = LoadTable(RegionName("north"), lambda _one: told, lambda _one, _load: None)
+    server = make_server("s1", region)
+    loads.reserve(server, 100, 40)
+    assert loads.of(server) == load
+    assert set(loads.own_here()) == ({"s1"} if region == "north" else set())
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -45,15 +45,15 @@
     Pass on the newest heartbeat of one instance.
     """
 
-    ip: str
-    incarnation: int
+    key: Annotated[int, Meta(description="Hash of its address, 32 bits.")]
+    start: Annotated[int, Meta(description="Last 16 bits of its incarnation.")]
     counter: int
     phase: MemberPhase
 
 
 class BackendLoadNote(WireNode):
     """
-    Tell the load that one instance, or all of its region, puts on one backend server.
+    Tell the load that one instance puts on one backend server, or how that has changed.
     """
 
     backend_server: str
@@ -64,6 +64,29 @@
     ]
 
 
+class LoadShareNote(WireNode):
+    """
+    Tell all that one instance puts on one backend server of its region.
+    """
+
+    load: BackendLoadNote
+    doubted: Annotated[
+        bool, Meta(description="Whether it failed the sender or fell silent lately.")
+    ]
+
+
+class LoadReadingNote(WireNode):
+    """
+    Tell the load that all instances of its region put on one backend server.
+    """
+
+    age_ms: Annotated[int, Meta(description="How long ago it was added up, milliseconds.")]
+    load: BackendLoadNote
+    doubted: Annotated[
+        bool, Meta(description="Whether it failed any of them or fell silent lately.")
+    ]
+
+
 class PromptReadNote(WireNode):
     """
     Tell that a backend server has read a long start of a prompt.
@@ -84,12 +107,15 @@
         bool, Meta(description="Whether the store answered the sender lately.")
     ]
     loads: Annotated[
-        list[BackendLoadNote],
+        list[LoadReadingNote],
         Meta(
-            description="Of the sender alone towards its own region, of its whole region towards others."
+            description="The newest that the sender holds, those of its own region alone towards others."
         ),
     ]
-    reads: Annotated[list[PromptReadNote], Meta(description="What the sender has lately let read.")]
+    reads: Annotated[
+        list[PromptReadNote],
+        Meta(description="What engines have lately read, as far as it was news to the sender."),
+    ]
     beats: Annotated[
         list[MemberBeat], Meta(description="Heartbeats of others that the sender has heard lately.")
     ]
@@ -97,23 +123,32 @@
     wants_members: Annotated[
         bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
     ]
-    doubted: Annotated[
-        list[str],
-        Meta(
-            description="Backend servers of the sender's region that failed it or fell silent lately."
-        ),
+    wanted: Annotated[
+        list[int],
+        Meta(description="Keys of instances that the sender asks the receiver to describe."),
     ] = field(default_factory=list)
 
 
-class LoadNews(WireMessage):
+class LoadShares(WireMessage):
     """
-    Tell the instances of a region at once that the sender lets a backend server read a long prompt, or that this is over.
+    Tell the instance that adds up a backend server's load what the sender puts on it.
     """
 
     ip: str
     incarnation: Annotated[int, Meta(description="Start of the sender's process.")]
-    load: Annotated[
-        BackendLoadNote, Meta(description="All that the sender puts on the backend server.")
+    sequence: Annotated[
+        int, Meta(description="Number of the datagram; an overtaken one counts for nothing.")
+    ]
+    shares: list[LoadShareNote]
+
+
+class LoadNews(WireMessage):
+    """
+    Tell the instances of a region at once that the sender lets a backend server read a long prompt, or that this is over.
+    """
+
+    change: Annotated[
+        BackendLoadNote, Meta(description="What has come, below zero for what has gone.")
     ]
 
 
@@ -143,5 +178,6 @@
     """
 
     gossip: Gossip
+    load_shares: LoadShares
     load_news: LoadNews
     store_copy: StoreCopy
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -8,10 +8,23 @@
 from sparline._cbor import unpack
 from sparline._hashing import hash64
 from sparline._ids import RegionName
-from sparline.fleet import GossipPort, GossipSources, LoadOf, Members, _gossip, _members
+from sparline.fleet import (
+    GossipPort,
+    GossipSources,
+    LoadExchange,
+    LoadOf,
+    LoadSources,
+    Members,
+    _gossip,
+    _load_board,
+    _load_exchange,
+    _load_shares,
+    _members,
+    sum_loads,
+)
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
 from sparline.placement import ColdShares, _cold_shares
-from sparline.schema._gossip import Gossip, LoadNews, MemberNote, MemberPhase
+from sparline.schema._gossip import Gossip, LoadNews, LoadShares, MemberNote, MemberPhase
 
 STEP_MS = 5.0
 NEAR_MS = 1.0
@@ -22,9 +35,6 @@
 SOURCES = GossipSources(
     recent_reads=list,
     take_reads=lambda _reads: None,
-    own_loads=dict[str, LoadOf],
-    region_loads=dict[str, LoadOf],
-    doubted=list,
     store_revision=lambda: 1,
     store_reached=lambda: True,
 )
@@ -36,6 +46,8 @@
 
     members: Members
     gossip: GossipPort
+    loads: LoadExchange
+    own_loads: dict[str, LoadOf]  # what it has at each server of its region
     cold: ColdShares
     retries: RetryWindow
     region: RegionName
@@ -52,13 +64,22 @@
     far_side: frozenset[str] = frozenset()  # addresses that are cut off from all others
     now_ms: float = 1_000_000.0
     instances: dict[str, FakeInstance] = field(default_factory=dict)
+    servers: dict[str, list[str]] = field(default_factory=dict)  # by region
     _starts: list[tuple[float, str, RegionName]] = field(default_factory=list)
     _queue: list[tuple[float, int, str, bytes]] = field(default_factory=list)
     _number: count = field(default_factory=count)
 
     def install(self, monkeypatch) -> None:
         """Put this fleet's clock and network in the place of the real ones, and log nothing."""
-        for module in (_gossip, _members, _cold_shares, _retry_window):
+        for module in (
+            _gossip,
+            _members,
+            _load_board,
+            _load_exchange,
+            _load_shares,
+            _cold_shares,
+            _retry_window,
+        ):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
         monkeypatch.setattr(_gossip, "log", _SilentLog())
@@ -72,6 +93,15 @@
         """End an instance without a word."""
         del self.instances[ip]
 
+    def change_load(self, ip: str, server_id: str, change: LoadOf) -> None:
+        """Let an instance put something on a server of its region, or take it back."""
+        one = self.instances[ip]
+        held = one.own_loads.get(server_id, LoadOf())
+        one.own_loads[server_id] = sum_loads((held, change))
+        if one.own_loads[server_id] == LoadOf():
+            del one.own_loads[server_id]
+        one.gossip.tell(one.loads.note_change(server_id, change, True))
+
     def step(self) -> None:
         """Let `STEP_MS` pass."""
         self.now_ms += STEP_MS
@@ -95,7 +125,12 @@
     def _begin(self, ip: str, region: RegionName) -> None:
         note = MemberNote(ip, ip, int(self.now_ms), 0, MemberPhase.live, region, f"{region}-1")
         members = Members(note)
-        gossip = GossipPort(PORT, self.seeds, members, SOURCES)
+        own_loads: dict[str, LoadOf] = {}
+        loads = LoadExchange(
+            members,
+            LoadSources(lambda: own_loads, list, lambda: self.servers.get(region, [])),
+        )
+        gossip = GossipPort(PORT, self.seeds, members, loads, SOURCES)
         gossip._chance = random.Random(self.chance.random())
         cold = ColdShares(
             ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
@@ -103,7 +138,9 @@
         retries = RetryWindow(
             RETRY_RULE, lambda: len(members.sharers()), members.are_sharers_settled
         )
-        self.instances[ip] = FakeInstance(members, gossip, cold, retries, region, self.now_ms)
+        self.instances[ip] = FakeInstance(
+            members, gossip, loads, own_loads, cold, retries, region, self.now_ms
+        )
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
         """Carry a datagram."""
@@ -145,8 +182,4 @@
 
 
 def _deliver(receiver: FakeInstance, data: bytes) -> None:
-    message = unpack(data, Gossip | LoadNews).unwrap()
-    if isinstance(message, Gossip):
-        receiver.gossip._take(message)
-    else:
-        receiver.members.take_news(message)
+    receiver.gossip.take(unpack(data, Gossip | LoadShares | LoadNews).unwrap())
