Let three instances of an availability zone watch the store, and the others follow their copies

Change: three a zone, chosen by hash among those heard of in the last 1.5 s and not turned away, watch; the others take copies from peers (as an instance cut off from the store did already) and ask the store itself each 20 to 40 s. A copy tells how long ago the store failed its giver, so that entries which lapsed in an outage keep their grace with those who never saw it. Where a watching one is turned away, all others watch until they hear of each other. Ruled out: longer watches alone; a change would still be a call of each instance. Tests: test_store_watchers.py, rows of test_store.py, and a fleet of five in one zone (test_fleet.py).

--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -23,8 +23,10 @@
     StoreFaultKind,
     StoreReader,
 )
+from sparline.fleet._store_watchers import WATCHERS_A_ZONE, watches_store
 
 __all__ = [
+    "WATCHERS_A_ZONE",
     "BackendServer",
     "BackendServerItem",
     "BadItem",
@@ -52,4 +54,5 @@
     "UnknownItem",
     "make_note",
     "sum_loads",
+    "watches_store",
 ]
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -21,10 +21,15 @@
 # After an answer the next watch waits this long (ms): changes that come together cost one call
 # of each instance, and a change is in force this much later, of the 3,000 that are allowed.
 GATHER_LEAST_MS = 400.0
-# The wait grows with the fleet (ms for each instance), so that all together call the store at
+# The wait grows with those that watch (ms for each), so that all together call the store at
 # most 70 times a second, up to a bound that leaves half of what is allowed.
-GATHER_MS_AN_INSTANCE = 14.0
+GATHER_MS_A_WATCHER = 14.0
 GATHER_MOST_MS = 1_500.0
+# One that does not watch looks so often whether it is to (ms), and asks the store itself now and then
+# (ms, spread by chance): should all that watch be turned away, it finds out.
+FOLLOW_STEP_MS = 250.0
+ASK_LEAST_MS = 20_000.0
+ASK_MOST_MS = 40_000.0
 # For this long after a fault the wait is the least (ms): entries that lapsed come back then.
 SETTLING_MS = 6_000.0
 # A read of everything may take this long (ms); the store answers in milliseconds, and a
@@ -94,16 +99,22 @@
         copy: StoreCopyTable,
         on_call: Callable[[str, str], None],
         newest_peer_revision: Callable[[], int],
-        instances: Callable[[], int] = lambda: 1,
+        watchers: Callable[[], int] = lambda: 1,
+        watches: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Start without having read; `on_call` counts calls by kind and result."""
+        """Start without having read.
+
+        `on_call` counts calls by kind and result; `watchers` tells how many instances watch the
+        store, `watches` whether this one does.
+        """
         self.answered_at_ms = 0.0  # when the store last answered, 0 for never
         self.disturbed_at_ms = 0.0  # when a call last failed, 0 for never
         self._client = client
         self._copy = copy
         self._on_call = on_call
         self._newest_peer_revision = newest_peer_revision
-        self._instances = instances
+        self._watchers = watchers
+        self._watches = watches
         self._must_read = True
         self._failures = 0
         self._behind_since_ms: float | None = None
@@ -114,16 +125,37 @@
         fresh = now_ms() - self.answered_at_ms < REACHED_MS
         return self.answered_at_ms > self.disturbed_at_ms and fresh
 
+    def needs_peers(self) -> bool:
+        """Tell whether news of the store come from peers, not from the store itself."""
+        return not self.reached() or not self._watches()
+
     def run(self) -> None:
         """Follow the store for as long as the process lives."""
         while True:
             if self._must_read:
                 answer = self._client.read_all(READ_TIMEOUT_MS)
                 self._take(answer, "read", self._copy.replace)
+            elif self._watches():
+                self._watch(round(self._chance.uniform(WATCH_LEAST_PART, 1.0) * WATCH_WAIT_MS))
             else:
-                wait_ms = round(self._chance.uniform(WATCH_LEAST_PART, 1.0) * WATCH_WAIT_MS)
-                answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
-                self._take(answer, "watch", self._copy.apply)
+                self._follow()
+
+    def _watch(self, wait_ms: int) -> None:
+        answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
+        self._take(answer, "watch", self._copy.apply)
+
+    def _follow(self) -> None:
+        """Leave the store to those that watch it, until this instance is one of them."""
+        ask_at_ms = now_ms() + self._chance.uniform(ASK_LEAST_MS, ASK_MOST_MS)
+        while not self._watches():
+            if now_ms() >= ask_at_ms:
+                self._watch(0)
+                return
+            gevent.sleep(FOLLOW_STEP_MS / 1000)
+
+    def note_peers_fault(self, ago_ms: float) -> None:
+        """Note that the store failed an instance whose copy was taken."""
+        self.disturbed_at_ms = max(self.disturbed_at_ms, now_ms() - ago_ms)
 
     def _take(
         self,
@@ -146,7 +178,7 @@
     def _gather_ms(self) -> float:
         if now_ms() - self.disturbed_at_ms < SETTLING_MS:
             return GATHER_LEAST_MS
-        wanted_ms = GATHER_MS_AN_INSTANCE * self._instances()
+        wanted_ms = GATHER_MS_A_WATCHER * self._watchers()
         return min(max(wanted_ms, GATHER_LEAST_MS), GATHER_MOST_MS)
 
     def _note_answer(self) -> None:
@@ -169,7 +201,7 @@
 
     def check_behind(self) -> bool:
         """End a watch that brings nothing while peers hold news; tell whether this is so."""
-        if self._newest_peer_revision() <= self._copy.revision:
+        if not self._watches() or self._newest_peer_revision() <= self._copy.revision:
             self._behind_since_ms = None
             return False
         if self._behind_since_ms is None:
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -322,3 +322,57 @@
     state.take(StoreChange("servers/s1", 2, None))
     state.take(StoreChange("servers/s1", 3, b"start 2"))
     assert set(state.servers) == {"s1@2"}
+
+
+class Step:
+    """Let a number of steps pass, then end the loop."""
+
+    def __init__(self, clock: list[float], count: int) -> None:
+        self._clock = clock
+        self._count = count
+
+    def __call__(self, time_s: float) -> None:
+        self._clock[0] += time_s * 1000
+        self._count -= 1
+        if not self._count:
+            raise StopIteration
+
+
+FOLLOWING = [
+    ("asks now and then", lambda _now: False, 500, ["read", "watch 1", "watch 1", "watch 1"]),
+    ("watches once it is to", lambda now: now > 1_500.0, 500, ["read", "watch 1"]),
+    ("asks nothing for a while", lambda _now: False, 70, ["read"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("watches", "steps", "calls"), [row[1:] for row in FOLLOWING], ids=[row[0] for row in FOLLOWING]
+)
+def test_one_that_does_not_watch_leaves_the_store_alone(monkeypatch, watches, steps, calls):
+    clock = [1_000.0]
+    monkeypatch.setattr(_store_reader, "now_ms", lambda: clock[0])
+    monkeypatch.setattr(_store_reader.gevent, "sleep", Step(clock, steps))
+    store = ScriptedStore(Ok(StoreAnswer([], 1)), *[Ok(StoreAnswer([], 1))] * (len(calls) - 1))
+    reader = StoreReader(
+        store,
+        copy_of({}),
+        lambda _call, _result: None,
+        lambda: 0,
+        watches=lambda: watches(clock[0]),
+    )
+    with pytest.raises((StopIteration, IndexError)):
+        reader.run()
+    assert store.calls[: len(calls)] == calls
+    assert len(store.calls) <= len(calls) + 1
+
+
+def test_a_fault_that_a_peer_met_keeps_what_lapsed(state, monkeypatch):
+    clock = [100_000.0]
+    for module in (_fleet_state, _store_reader):
+        monkeypatch.setattr(module, "now_ms", lambda: clock[0])
+    reader = StoreReader(ScriptedStore(), copy_of({}), lambda _call, _result: None, lambda: 0)
+    state._disturbed_ago_ms = lambda: clock[0] - reader.disturbed_at_ms
+    put(state, b"server", key="servers/s1")
+    reader.note_peers_fault(1_000.0)
+    state.take(StoreChange("servers/s1", 9, None))
+    assert SERVER.id in state.servers
--- /dev/null
+++ b/sparline/fleet/tests/test_store_watchers.py
@@ -0,0 +1,84 @@
+import pytest
+
+from sparline.fleet import WATCHERS_A_ZONE, Members, _members, _store_watchers, watches_store
+from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
+
+SIZE = 12
+
+
+class Zone:
+    """Hold what each instance of a zone knows of the others."""
+
+    def __init__(self, clock) -> None:
+        self._clock = clock
+        self.ips = [f"10.0.0.{number}" for number in range(SIZE)]
+        self.members = {ip: Members(note(ip)) for ip in self.ips}
+        self.counter = 1
+        self.hear(self.ips)
+
+    def hear(self, speaking: list[str], reached: dict[str, bool] | None = None) -> None:
+        self.counter += 1
+        for ip in speaking:
+            told = Gossip(
+                note(ip, self.counter), 1, (reached or {}).get(ip, True), [], [], [], [], False
+            )
+            for members in self.members.values():
+                members.take(told)
+
+    def watching(self) -> set[str]:
+        return {ip for ip, members in self.members.items() if watches_store(members)}
+
+
+def note(ip: str, counter: int = 1, zone: str = "north-1") -> MemberNote:
+    return MemberNote(ip, ip, 1, counter, MemberPhase.live, "north", zone)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 1_000_000.0
+
+    for module in (_members, _store_watchers):
+        monkeypatch.setattr(module, "now_ms", lambda: Clock.now)
+    return Clock
+
+
+@pytest.fixture
+def zone(clock):
+    return Zone(clock)
+
+
+def test_some_of_a_zone_watch_the_store_and_all_agree_on_them(zone):
+    assert len(zone.watching()) == WATCHERS_A_ZONE
+
+
+def test_those_of_another_zone_stand_for_themselves(zone):
+    for members in zone.members.values():
+        for number in range(SIZE):
+            other = note(f"10.1.0.{number}", zone="north-2")
+            members.take(Gossip(other, 1, True, [], [], [], [], False))
+    assert len(zone.watching()) == WATCHERS_A_ZONE
+
+
+def test_a_lost_one_is_replaced_before_it_counts_as_silent(zone, clock):
+    lost = zone.watching()
+    others = [ip for ip in zone.ips if ip not in lost]
+    clock.now += _store_watchers.WATCHER_SILENT_MS + 1
+    zone.hear(others)
+    watching = {ip for ip in others if watches_store(zone.members[ip])}
+    assert len(watching) == WATCHERS_A_ZONE
+
+
+def test_all_others_take_the_place_of_one_that_the_store_turns_away(zone):
+    watching = zone.watching()
+    turned_away = min(watching)
+    # Those that do not watch have nothing of their own to say of the store.
+    zone.hear(zone.ips, {ip: ip in watching and ip != turned_away for ip in zone.ips})
+    assert zone.watching() == set(zone.ips)
+    # Once they hear of each other, enough of them go on.
+    zone.hear(zone.ips, {ip: ip != turned_away for ip in zone.ips})
+    assert len(zone.watching() - {turned_away}) == WATCHERS_A_ZONE
+
+
+def test_one_that_knows_nobody_watches():
+    assert watches_store(Members(note("10.0.0.1")))
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
 from sparline.fleet import (
+    WATCHERS_A_ZONE,
     BackendServer,
     FleetState,
     GossipPort,
@@ -26,6 +27,7 @@
     StoreCopyTable,
     StoreReader,
     make_note,
+    watches_store,
 )
 from sparline.forwarding import (
     AttemptTools,
@@ -113,14 +115,17 @@
             self.copy,
             lambda call, result: self.metrics.store_calls.labels(call, result).inc(),
             self._newest_peer_revision,
-            lambda: len(self.members.sharers()),
+            lambda: WATCHERS_A_ZONE * len(zones),
+            lambda: watches_store(self.members),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
         needed_until_ms = NEEDED_UNTIL * settings.grace_s * 1000
         self.peers = PeerTable(self.members, needed_until_ms)
         self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
         self._make_placement(region)
-        self.service = Service(self.fleet, self.copy, self.request_log, self.pace)
+        self.service = Service(
+            self.fleet, self.copy, self.request_log, self.pace, self._store_fault_ago_ms
+        )
         self.service.use(self._forwarder(refusal_headers), self._forwarder(relayed_refusal_headers))
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
@@ -235,6 +240,10 @@
         if len(self._ended_starts) > MOST_ENDED_STARTS:
             self._ended_starts.popitem(last=False)
 
+    def _store_fault_ago_ms(self) -> float | None:
+        at_ms = self.reader.disturbed_at_ms
+        return now_ms() - at_ms if at_ms else None
+
     def _disturbed_ago_ms(self) -> float:
         return now_ms() - self.reader.disturbed_at_ms
 
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -1,7 +1,9 @@
 """Serve connections of callers and of peers that relay."""
 
 import socket
+from collections.abc import Callable
 
+import msgspec
 from gevent.socket import socket as GeventSocket
 
 from sparline._cbor import pack
@@ -58,14 +60,16 @@
         copy: StoreCopyTable,
         request_log: RequestLog,
         pace: PaceTable,
+        disturbed_ago_ms: Callable[[], float | None],
     ) -> None:
-        """Serve from what is in force."""
+        """Serve from what is in force; `disturbed_ago_ms` tells how long ago the store failed."""
         self.in_flight = 0  # requests that are being answered
         self.leave_plan: LeavePlan | None = None  # once this instance leaves
         self._fleet = fleet
         self._copy = copy
         self._log = request_log
         self._pace = pace
+        self._disturbed_ago_ms = disturbed_ago_ms
         self._open: set[CallerConnection] = set()
 
     def use(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
@@ -206,7 +210,12 @@
             text = f"expected a revision, found {after!r}"
             self._reject(caller, "", 400, Reason.BAD_REQUEST, text)
             return
-        content = pack(self._copy.since(int(after)))
+        ago_ms = self._disturbed_ago_ms()
+        copy = msgspec.structs.replace(
+            self._copy.since(int(after)),
+            disturbed_ago_ms=None if ago_ms is None else round(ago_ms),
+        )
+        content = pack(copy)
         caller.answer(200, [(b"Content-Type", b"application/cbor")], content)
 
     def close_idle(self) -> None:
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -1,4 +1,4 @@
-"""Copies of the store from peers, for an instance that the store does not answer."""
+"""Copies of the store from peers, for an instance that does not watch it or gets no answer."""
 
 import random
 
@@ -20,7 +20,7 @@
 
 
 class StoreSync:
-    """Follow peers whose copy is newer while the store is out of reach."""
+    """Follow peers whose copy is newer, unless the store itself answers."""
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
         while True:
             gevent.sleep(COMPARE_MS / 1000)
             behind = self._reader.check_behind()
-            if behind or not self._reader.reached():
+            if behind or self._reader.needs_peers():
                 self._pull()
 
     def _pull(self) -> None:
@@ -81,6 +81,9 @@
             case Err(reason):
                 self._note(peer, "bad_answer", reason)
             case Ok(copy):
+                if copy.disturbed_ago_ms is not None:
+                    # Before the items: what lapsed while the store was away is not gone yet.
+                    self._reader.note_peers_fault(copy.disturbed_ago_ms)
                 self._copy.take_copy(copy)
                 self._note(peer, "taken", f"revision {copy.revision}")
 
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from sparline.fleet import watches_store
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import SealedFaults, StoreMode, configuration
 
@@ -286,3 +287,23 @@
         assert one.ask("/unsafe/x").status == status
         assert len(one.runs()) == sends
         assert f"sparline_cold_sends_total {sends}.0" in gateway.metrics.render().decode()
+
+
+def test_three_of_a_zone_watch_the_store_and_the_others_follow_them():
+    with RoutedFleet(places=("north-1",) * 5) as one:
+        one.ready()
+        one.until(
+            lambda: sum(watches_store(each.members) for each in one.gateways.values()) == 3,
+            "three watch the store",
+        )
+        one.ready(2)
+        one.store.calls.clear()
+        one.until(lambda: len(watch_calls(one)) >= 3, "those that watch have called again")
+        one.ready(3)
+        versions = {each.fleet.configuration.version for each in one.gateways.values()}
+        assert versions == {3}
+        assert len(watch_calls(one)) <= 6
+
+
+def watch_calls(fleet: RoutedFleet) -> list[str]:
+    return [call for call in fleet.store.calls if "kv-watch" in call]
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import Meta, field
+from msgspec import UNSET, Meta, field
 
 from sparline.schema._nodes import WireMessage, WireNode
 
@@ -170,6 +170,15 @@
     revision: Annotated[int, Meta(description="Revision up to which the copy is complete.")]
     whole: Annotated[bool, Meta(description="Whether items that are not named do not exist.")]
     items: list[StoreItemNote]
+    disturbed_ago_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="How long ago the store last failed whoever gives the copy, milliseconds; null for never."
+            ),
+        ]
+        | None
+    ) = UNSET
 
 
 class GossipSchema(WireMessage):
