Put admission and the time to come back into a room of their own, behaviour unchanged

Purpose: what is decided at the worst load is to be read, tested and replayed apart from input and output. sparline/decisions holds why a request is turned away and when its caller is to come back, from typed facts, each with the load pattern that it answers; the log line of a refusal now says why (late, costly, over the deadline). Waiting, placing, repeats, cold rate and resumed streams still stand where they were.

--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -110,6 +110,7 @@
     fields: dict[str, object] = {
         "candidates": refusal.candidates,
         "retry_after_ms": round(refusal.retry_after_ms),
+        "why": refusal.why.value if refusal.why else None,
     }
     if refusal.best is not None:
         best = _place_fields(refusal.best)
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -10,6 +10,7 @@
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline._ids import RequestId
+from sparline.decisions import unserved_wait_ms
 from sparline.fleet import FleetState, StoreCopyTable
 from sparline.forwarding import Forwarder
 from sparline.gateway._leave_plan import LeavePlan
@@ -21,7 +22,7 @@
     HttpRequest,
     ReadLimits,
 )
-from sparline.placement import PaceTable, unserved_wait_ms
+from sparline.placement import PaceTable
 from sparline.platform import (
     RequestMarks,
     headers_to_pass,
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -1,6 +1,6 @@
 """Placement: loads, health, caches and the choice of a backend server."""
 
-from sparline.placement._choice import Chooser, unserved_wait_ms
+from sparline.placement._choice import Chooser
 from sparline.placement._cold_shares import ColdShares, ColdUse
 from sparline.placement._credit import CreditTable
 from sparline.placement._demand import DemandTable
@@ -33,5 +33,4 @@
     "StreamWatch",
     "WatchTables",
     "owner_of",
-    "unserved_wait_ms",
 ]
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -4,6 +4,13 @@
 from statistics import median_low
 
 from sparline._ids import BackendServerId
+from sparline.decisions import (
+    AdmissionFacts,
+    ReturnFacts,
+    return_after_ms,
+    unserved_wait_ms,
+    why_refused,
+)
 from sparline.fleet import BackendServer
 from sparline.placement._credit import credit_of
 from sparline.placement._kept_prompt import find_kept
@@ -12,35 +19,8 @@
 from sparline.requests import Origin, Reason, RoutedRequest
 from sparline.routes import Service
 
-# A request whose estimated time is above this many times the wanted one is refused: it would
-# earn next to nothing and delay all behind it.
-REFUSE_ABOVE = 1.25
-# A request that would cost more than this many times its own credit is refused: it is late
-# itself, or makes others late.
-REFUSE_LOSS = 1.5
-# A prompt whose own reading takes more than this part of the wanted time is long: no place could
-# answer it as quickly as a usual one, and the longest tenth is to be served like the others.
-LONG_READING = 0.55
-# A relayed request is refused above this many times the wanted time: the way takes the rest, and
-# its first instance may know a better place.
-REFUSE_RELAYED_ABOVE = 1.0
-# When a refused caller is told to come back, by how late it would have been (ms): callers heed
-# up to a third of the time they have left.
-RETRY_AFTER_LEAST_MS = 150.0
-RETRY_AFTER_MOST_MS = 1_500.0
 # Servers whose loss differs by less are equal; chance then spreads instances over them.
 EQUAL_LOSS = 0.004
-# Where nothing can run a request, callers are told to come back after this part of the time that
-# they have left, the longest that they heed, but within these bounds (ms): such a state lasts for
-# seconds, and a caller that comes back into it has used its last try up.
-WAIT_SHARE = 1 / 3
-WAIT_LEAST_MS = 500.0
-WAIT_MOST_MS = 5_000.0
-
-
-def unserved_wait_ms(left_ms: float) -> float:
-    """Return when a caller with so much time left is to come back where nothing can serve it."""
-    return min(max(WAIT_SHARE * left_ms, WAIT_LEAST_MS), WAIT_MOST_MS)
 
 
 class Chooser:
@@ -134,22 +114,24 @@
         return self._chance.choice(near)
 
     def _refusal(self, request: RoutedRequest, best: Placement, candidates: int) -> Refusal | None:
-        """Refuse what would come too late, early enough for a second try to pay."""
-        relayed = request.origin is Origin.RELAY
-        targets = REFUSE_RELAYED_ABOVE if relayed else REFUSE_ABOVE
-        wanted_ms = request.route.wanted_latency_ms
-        if best.reading_ms > LONG_READING * wanted_ms:
-            # Its length is no reason to turn it away, only the wait before it is.
-            in_time = best.expected_ms - best.reading_ms <= targets * wanted_ms
-            own_loss = (best.reading_ms / wanted_ms) ** 2
-            in_time = in_time and best.loss - own_loss <= REFUSE_LOSS
-        else:
-            in_time = best.expected_ms <= targets * wanted_ms and best.loss <= REFUSE_LOSS
-        if not best.load.running or (in_time and best.expected_ms <= request.left_ms()):
+        """Refuse what would come too late or cost others too much."""
+        why = why_refused(
+            AdmissionFacts(
+                wanted_ms=request.route.wanted_latency_ms,
+                left_ms=request.left_ms(),
+                expected_ms=best.expected_ms,
+                reading_ms=best.reading_ms,
+                loss=best.loss,
+                is_idle=not best.load.running,
+                is_relayed=request.origin is Origin.RELAY,
+            )
+        )
+        if why is None:
             return None
-        late_ms = best.expected_ms - request.route.wanted_latency_ms
-        wait_ms = min(max(late_ms, RETRY_AFTER_LEAST_MS), RETRY_AFTER_MOST_MS)
-        return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates, best)
+        wait_ms = return_after_ms(
+            ReturnFacts(request.route.wanted_latency_ms, best.expected_ms, request.left_ms())
+        )
+        return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates, best, why)
 
     def note_sent(self, request: RoutedRequest, placement: Placement) -> None:
         """Note that a request goes to its place."""
--- a/sparline/placement/_placement.py
+++ b/sparline/placement/_placement.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from sparline.decisions import RefusedFor
 from sparline.fleet import BackendServer, LoadOf, Member
 from sparline.requests import Reason
 
@@ -40,3 +41,4 @@
     retry_after_ms: float  # when to come back
     candidates: int  # backend servers that were looked at
     best: Placement | None = None  # place that would have lost least, None without any
+    why: RefusedFor | None = None  # what spoke against that place
