Tell reads with their age, each use anew, and shares to both who may add them up

A use of a start that was known for under 5 s was not told again, so peers took it for filled out of the engine's memory. And a second aggregator heard of shares each second only, as old as that once the first was killed. Change: a read carries its age; every use is told again while it is under 2.5 s old, the newest use counts, and so nothing goes round for ever. Shares go to both aggregators at once; the second stands in after 0.6 s.

--- a/sparline/fleet/_load_exchange.py
+++ b/sparline/fleet/_load_exchange.py
@@ -1,12 +1,13 @@
 """How instances tell each other of load: shares to whoever adds them up, readings to everyone.
 
 An instance tells its share of a backend server to one instance of the region, which adds all
-shares up and tells the sum as a reading with its age; whoever holds a newer reading passes it on.
+shares up and tells the sum as a reading with its age, and to a second, which stands in for a silent
+first; whoever holds a newer reading passes it on.
 So what an instance knows is as old in a region of 70 instances as in one of 5, and what it is told
 grows with the servers of the region, not with them times the instances.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -29,7 +30,7 @@
 # this long (ms), until it was told every share.
 NEW_AGGREGATOR_MS = 1_300.0
 # A reading this old shows that the first aggregator is silent, and the second stands in (ms).
-STANDS_IN_MS = 1_000.0
+STANDS_IN_MS = 600.0
 # Readings are passed on while they are this fresh (ms): what is older has reached everyone.
 PASS_ON_MS = 1_000.0
 # Readings told in a datagram (count), the newest first: of the own region to siblings, of other
@@ -84,7 +85,7 @@
             return []
         outgoing = []
         if change.running or abs(change.unread_tokens) >= SHARE_TOKENS:
-            outgoing += self._shares_to(self._first(server_id), [server_id])
+            outgoing += self._shares_to(self._aggregators.of(server_id, 2), [server_id])
         if abs(change.unread_tokens) >= NEWS_TOKENS:
             siblings = [one.note.ip for one in self._siblings()]
             outgoing.append(Outgoing(siblings, LoadNews(write_load(server_id, change))))
@@ -93,13 +94,10 @@
     def _siblings(self) -> list:
         return self._members.live(RegionName(self._members.own.region))
 
-    def _first(self, server_id: BackendServerId) -> str:
-        named = self._aggregators.of(server_id, 2)
-        return named[0] if named else self._members.own.ip
-
-    def _shares_to(self, ip: str, servers: list[BackendServerId]) -> list[Outgoing]:
+    def _shares_to(self, ips: Iterable[str], servers: list[BackendServerId]) -> list[Outgoing]:
         own = self._members.own
-        if ip == own.ip or not servers:
+        peers = [ip for ip in ips if ip != own.ip]
+        if not peers or not servers:
             return []
         self._sequence += 1
         loads = self._sources.own_loads()
@@ -108,7 +106,7 @@
             LoadShareNote(write_load(one, loads.get(one, LoadOf())), one in doubted)
             for one in servers
         ]
-        return [Outgoing([ip], LoadShares(own.ip, own.incarnation, self._sequence, notes))]
+        return [Outgoing(peers, LoadShares(own.ip, own.incarnation, self._sequence, notes))]
 
     def round(self) -> list[Outgoing]:
         """Add up what this instance is the aggregator of; return the shares to tell again."""
@@ -125,7 +123,7 @@
         for server_id in {**self._sources.own_loads(), **dict.fromkeys(self._sources.doubted())}:
             for ip in self._aggregators.of(server_id, 2):
                 by_peer.setdefault(ip, []).append(server_id)
-        return [one for ip, some in by_peer.items() for one in self._shares_to(ip, some)]
+        return [one for ip, some in by_peer.items() for one in self._shares_to([ip], some)]
 
     def _add_up(self) -> None:
         now = now_ms()
--- a/sparline/placement/_prompt_cache.py
+++ b/sparline/placement/_prompt_cache.py
@@ -1,7 +1,7 @@
 """Which prompt parts each engine probably keeps, from what was sent there by anyone."""
 
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,9 +20,9 @@
 TELL_MS = 2_500.0
 # Most reads told in one datagram (count), by chance, so that it stays below 1,400 bytes.
 MOST_TOLD = 10
-# A use of a start that is known to be kept is told again after this long (ms): what it tells is how
-# long it will be kept, which is counted in minutes.
-TELL_AGAIN_MS = 5_000.0
+# Two uses of a start that are closer than this are one (ms): what goes round by several ways comes with
+# ages that differ a little.
+SAME_USE_MS = 100.0
 # Reads heard from peers that are remembered (count), and for how long (ms) at engines of other
 # regions, of whose other work nothing is known here.
 MOST_HEARD = 20_000
@@ -59,7 +59,7 @@
         self._owners_have_read = owners_have_read
         self._kept: dict[BackendServerId, OrderedDict[str, int]] = {}
         self._tokens: dict[BackendServerId, int] = {}
-        self._news: deque[tuple[float, PromptReadNote]] = deque()
+        self._news: dict[tuple[int, str], float] = {}
         self._chance = random.Random()
         self._heard: OrderedDict[tuple[int, str], _Use] = OrderedDict()
         self._heard_starts: dict[int, int] = {}
@@ -81,33 +81,33 @@
             total -= tokens
         self._tokens[server_id] = total
         if prompt.shared_tokens >= FLEET_WIDE_TOKENS:
-            self._take_read(PromptReadNote(_hash(prompt), server_id))
+            self._take_read((_hash(prompt), server_id), now_ms())
 
     def recent_reads(self) -> list[PromptReadNote]:
         """Return the reads to tell peers, some of them where there are many."""
-        since = now_ms() - TELL_MS
-        while self._news and self._news[0][0] < since:
-            self._news.popleft()
-        notes = [note for _, note in self._news]
-        return notes if len(notes) <= MOST_TOLD else self._chance.sample(notes, MOST_TOLD)
+        now = now_ms()
+        since = now - TELL_MS
+        self._news = {key: at_ms for key, at_ms in self._news.items() if at_ms >= since}
+        keys = list(self._news)
+        if len(keys) > MOST_TOLD:
+            keys = self._chance.sample(keys, MOST_TOLD)
+        return [PromptReadNote(round(now - self._news[key]), *key) for key in keys]
 
     def take_reads(self, notes: list[PromptReadNote]) -> None:
-        """Take in what a peer told; what goes round is taken once."""
-        since = now_ms() - TELL_MS
+        """Take in what a peer told; the newest use of each start at each engine counts."""
+        now = now_ms()
         for note in notes:
-            known = self._heard.get((note.start, note.backend_server))
-            if known is None or known.at_ms <= since:
-                self._take_read(note)
+            self._take_read((note.start, note.backend_server), now - max(note.age_ms, 0))
 
-    def _take_read(self, note: PromptReadNote) -> None:
-        """Note that an engine keeps a start, and tell it on where that is news."""
-        key = (note.start, note.backend_server)
+    def _take_read(self, key: tuple[int, str], at_ms: float) -> None:
+        """Note that an engine used a start then; what is news is told on."""
         known = self._heard.get(key)
+        if known is not None and at_ms < known.at_ms + SAME_USE_MS:
+            return
         if known is None:
-            self._heard_starts[note.start] = self._heard_starts.get(note.start, 0) + 1
-        if known is None or known.at_ms < now_ms() - TELL_AGAIN_MS:
-            self._news.append((now_ms(), note))
-        self._heard[key] = self._used_now(known, note.backend_server)
+            self._heard_starts[key[0]] = self._heard_starts.get(key[0], 0) + 1
+        self._news[key] = at_ms
+        self._heard[key] = self._used(known, key[1], at_ms)
         self._heard.move_to_end(key)
         while len(self._heard) > MOST_HEARD:
             self._forget_oldest()
@@ -133,11 +133,10 @@
             found += start.own_tokens
         return found
 
-    def _used_now(self, before: _Use | None, server_id: BackendServerId) -> _Use:
-        now = now_ms()
+    def _used(self, before: _Use | None, server_id: BackendServerId, at_ms: float) -> _Use:
         kept = before is not None and self._is_kept(before, server_id)
-        since_ms = before.since_ms if before is not None and kept else now
-        return _Use(since_ms, now, self._filled.get(server_id, 0))
+        since_ms = before.since_ms if before is not None and kept else at_ms
+        return _Use(since_ms, at_ms, self._filled.get(server_id, 0))
 
     def can_pass_on(self, prompt: Prompt, server_id: BackendServerId) -> bool:
         """Tell whether an engine has read a start and not just begun to."""
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -92,6 +92,7 @@
     Tell that a backend server has read a long start of a prompt.
     """
 
+    age_ms: Annotated[int, Meta(description="How long ago, milliseconds.")]
     start: Annotated[int, Meta(description="Hash of the name of the start.")]
     backend_server: str
 
