Greet each start of a sibling once, and ask for an unknown instance once a round

Cause: where a region starts at once, every greeting was answered and the answer answered again, with 16 members in each, and an unknown instance was asked for in every datagram that named it. Change: a greeting and its answer are one datagram each way; members are named to those who ask, the asker's region first; what is under way is not asked for again for 250 ms.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -48,6 +48,8 @@
 MOST_FAR_BEATS = 12
 # Members named to one who asks for all (count): what fits into a datagram of 1,400 bytes.
 MOST_MEMBERS = 16
+# An unknown instance is asked for again after this long (ms): a round.
+ASK_AGAIN_MS = 250.0
 # Peers told of one thing at once (count): a region of more instances than any designed for.
 MOST_TOLD_AT_ONCE = 64
 # Largest datagram that is read (bytes).
@@ -87,6 +89,8 @@
         self._round = 0
         self._turn = 0
         self._chance = random.Random()
+        self._greeted: dict[str, int] = {}  # starts of siblings that were spoken to, by address
+        self._asked_at_ms: dict[int, float] = {}  # unknown instances that were asked for
         self._closed = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((members.own.ip, port))
@@ -126,21 +130,41 @@
         if is_new:
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
         near = gossip.sender.region == self._members.own.region
-        if gossip.wants_members or (is_new and near):
+        if gossip.wants_members:
+            self._send([gossip.sender.ip], self._message(near, self._sample(gossip.sender.region)))
+        elif is_new and near:
             # One of another region hears of this instance from those that speak for this one.
-            self._send([gossip.sender.ip], self._message(near, self._sample(MOST_MEMBERS)))
+            self._greet([gossip.sender.ip])
         elif gossip.wanted:
             described = self._members.described(gossip.wanted[:MOST_MEMBERS])
             self._send([gossip.sender.ip], self._message(near, described))
         if self._members.new_siblings:
             # By turns alone a new instance is unknown to some for a second or two, and they share
             # bounds without it.
-            self._send(self._members.new_siblings, self._message(True))
-        if self._members.strangers:
+            self._greet(self._members.new_siblings)
+        wanted = self._not_asked_for(self._members.strangers)
+        if wanted:
             # Who passed their heartbeats on knows their names and places.
-            wanted = self._members.strangers[:MOST_MEMBERS]
             self._send([gossip.sender.ip], self._message(near, wanted=wanted))
 
+    def _greet(self, siblings: list[str]) -> None:
+        """Speak once to each start of a sibling that has not heard of this instance itself."""
+        starts = {one.note.ip: one.note.incarnation for one in self._members.others()}
+        new = [ip for ip in siblings if self._greeted.get(ip) != starts.get(ip)]
+        self._greeted.update({ip: starts[ip] for ip in new if ip in starts})
+        if new:
+            self._send(new, self._message(True))
+
+    def _not_asked_for(self, keys: list[int]) -> list[int]:
+        """Return the unknown instances whose description is not under way already."""
+        now = now_ms()
+        self._asked_at_ms = {
+            key: at_ms for key, at_ms in self._asked_at_ms.items() if now - at_ms < ASK_AGAIN_MS
+        }
+        wanted = [key for key in keys if key not in self._asked_at_ms][:MOST_MEMBERS]
+        self._asked_at_ms.update(dict.fromkeys(wanted, now))
+        return wanted
+
     def run(self) -> None:
         """Send a round after the other for as long as the process lives."""
         while True:
@@ -275,10 +299,12 @@
         here = self._members.heard_lately(RegionName(self._members.own.region))
         return self._some(here, MOST_FAR_BEATS)
 
-    def _sample(self, most: int) -> list[MemberNote]:
-        """Return some of the members that are not silent."""
+    def _sample(self, region: str) -> list[MemberNote]:
+        """Return some of the members that are not silent, those of a region first."""
         known = [one.note for one in self._members.others() if not _is_silent(one)]
-        return self._some(known, most)
+        there = self._some([one for one in known if one.region == region], MOST_MEMBERS)
+        elsewhere = [one for one in known if one.region != region]
+        return there + self._some(elsewhere, MOST_MEMBERS - len(there))
 
     def _some(self, all_of_them: list[Note], most: int) -> list[Note]:
         if len(all_of_them) <= most:
