--- a/benchmarks/_views.py
+++ b/benchmarks/_views.py
@@ -15,7 +15,7 @@
 from unittest.mock import patch
 
 from sparline.fleet import LoadOf
-from sparline.tests.fake_fleet import STEP_MS, FakeFleet, region_of
+from sparline.tests.fake_fleet import STEP_MS, FakeFleet, region_of, zone_of
 
 # Instances of a region, its servers: a small site, the larger ones of today, and beyond.
 SIZES = ((3, 4), (26, 14), (71, 28), (170, 60))
@@ -45,6 +45,7 @@
     far_bytes_per_s: float  # between regions, of all instances
     far_datagram_bytes: float  # mean size of these
     near_datagram_bytes: float  # mean size inside regions
+    zone_bytes_per_s: float  # between availability zones of a region, of all instances
     an_instance_bytes_per_s: float  # in and out of one instance
     an_instance_datagrams_per_s: float  # in and out of one instance
 
@@ -156,10 +157,13 @@
     fleet.install(patches)
     near: list[int] = []
     far: list[int] = []
+    across: list[int] = []
     carry = fleet.send
 
     def count(_fleet: FakeFleet, sender: str, receiver: str, data: bytes) -> None:
         (near if region_of(sender) == region_of(receiver) else far).append(len(data))
+        if region_of(sender) == region_of(receiver) and zone_of(sender) != zone_of(receiver):
+            across.append(len(data))
         carry(sender, receiver, data)
 
     patches.setattr(FakeFleet, "send", count)
@@ -170,6 +174,7 @@
             if step * STEP_MS == SETTLE_MS:
                 near.clear()
                 far.clear()
+                across.clear()
             fleet.step()
             traffic.step()
     finally:
@@ -179,6 +184,7 @@
         far_bytes_per_s=sum(far) / 3,
         far_datagram_bytes=sum(far) / max(len(far), 1),
         near_datagram_bytes=sum(near) / max(len(near), 1),
+        zone_bytes_per_s=sum(across) / 3,
         an_instance_bytes_per_s=2 * (sum(near) + sum(far)) / 3 / instances,
         an_instance_datagrams_per_s=2 * (len(near) + len(far)) / 3 / instances,
     )
@@ -198,11 +204,14 @@
                 f"{one.age_ms:5.0f} {one.look_ms:.3f}",
                 flush=True,
             )
-    print("instances: KB/s between regions, B a datagram far and near, KB/s and datagrams/s each")
+    print(
+        "instances: KB/s between regions and zones, B a datagram far and near, KB/s and datagrams/s each"
+    )
     for sizes in FLEETS[:count]:
         cost = measure_cost(sizes, options.seed)
         print(
-            f"{3 * sizes[0]:4}: {cost.far_bytes_per_s / 1000:7.0f} {cost.far_datagram_bytes:5.0f} "
+            f"{3 * sizes[0]:4}: {cost.far_bytes_per_s / 1000:7.0f} {cost.zone_bytes_per_s / 1000:7.0f} "
+            f"{cost.far_datagram_bytes:5.0f} "
             f"{cost.near_datagram_bytes:5.0f} {cost.an_instance_bytes_per_s / 1000:6.1f} "
             f"{cost.an_instance_datagrams_per_s:6.1f}",
             flush=True,
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -32,6 +32,9 @@
 # Peers of the own region told in a round (count); more siblings than that take turns, so
 # that an instance sends the same number of datagrams in a fleet of any size.
 SIBLINGS_A_ROUND = 4
+# Of these, those of other availability zones where the region has more (count): bytes between zones
+# are priced, and one in four carries the news across.
+OTHER_ZONES_A_ROUND = 1
 # Instances of each region that speak to others (count): bytes between regions are priced, and were
 # 1,328 KB/s with 195 instances that all did (counted on a network in memory). Two, so that one that
 # ends is not missed.
@@ -179,13 +182,13 @@
         near, far, silent = self._peers()
         for one in self._loads.round():
             self._send(one.peers, one.message)
-        near_turn = self._take_turns(near, SIBLINGS_A_ROUND)
+        near_turn = self._near_turn(near)
         if near_turn:
             self._send(near_turn, self._message(True))
         is_teller = self._is_teller()
         if is_teller:
             self._tell_far()
-        self._probe(near + far, silent, is_teller)
+        self._probe(_ips(near + far), silent, is_teller)
 
     def _is_teller(self) -> bool:
         """Tell whether this instance is one of those that speak for their region."""
@@ -227,20 +230,31 @@
         self._closed = True
         self._socket.close()
 
-    def _peers(self) -> tuple[list[str], list[str], list[Member]]:
-        """Return the addresses of siblings and of far peers, and the silent members."""
-        near: list[str] = []
-        far: list[str] = []
+    def _peers(self) -> tuple[list[Member], list[Member], list[Member]]:
+        """Return the siblings, the far peers, and the silent members."""
+        near: list[Member] = []
+        far: list[Member] = []
         silent: list[Member] = []
         for member in self._members.others():
             if _is_silent(member):
                 silent.append(member)
+            elif member.note.region == self._members.own.region:
+                near.append(member)
             else:
-                self._side(member, near, far).append(member.note.ip)
-        return sorted(near), sorted(far), silent
-
-    def _side(self, member: Member, near: list[str], far: list[str]) -> list[str]:
-        return near if member.note.region == self._members.own.region else far
+                far.append(member)
+        return near, far, silent
+
+    def _near_turn(self, near: list[Member]) -> list[str]:
+        """Return the siblings to tell in this round, most of them of the own zone."""
+        if len(near) <= SIBLINGS_A_ROUND:
+            return _ips(near)
+        zone = self._members.own.availability_zone
+        here = _ips(one for one in near if one.note.availability_zone == zone)
+        elsewhere = _ips(one for one in near if one.note.availability_zone != zone)
+        across = max(OTHER_ZONES_A_ROUND, SIBLINGS_A_ROUND - len(here)) if elsewhere else 0
+        return self._take_turns(here, SIBLINGS_A_ROUND - across) + self._take_turns(
+            elsewhere, across
+        )
 
     def _take_turns(self, peers: list[str], most: int) -> list[str]:
         if len(peers) <= most:
@@ -320,6 +334,10 @@
                 log.debug("gossip: to {}: {}", ip, error)
 
 
+def _ips(members: Iterable[Member]) -> list[str]:
+    return sorted(one.note.ip for one in members)
+
+
 def _is_silent(member: Member) -> bool:
     """Tell whether a member is tried only now and then."""
     return now_ms() - member.heard_at_ms > 6_000.0
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -123,7 +123,7 @@
             self.step()
 
     def _begin(self, ip: str, region: RegionName) -> None:
-        note = MemberNote(ip, ip, int(self.now_ms), 0, MemberPhase.live, region, f"{region}-1")
+        note = MemberNote(ip, ip, int(self.now_ms), 0, MemberPhase.live, region, zone_of(ip))
         members = Members(note)
         own_loads: dict[str, LoadOf] = {}
         loads = LoadExchange(
@@ -181,5 +181,10 @@
     return ip.split(".")[1]
 
 
+def zone_of(ip: str) -> str:
+    """Return the availability zone of an address, one of two in each region."""
+    return f"{region_of(ip)}-{int(ip.rpartition('.')[2]) % 2}"
+
+
 def _deliver(receiver: FakeInstance, data: bytes) -> None:
     receiver.gossip.take(unpack(data, Gossip | LoadShares | LoadNews).unwrap())
