Tell a phase to siblings and one instance of each other region, and test it

Change: all siblings up to 64, chosen by chance beyond, and one instance of each other region, whose heartbeats carry the phase on.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -197,33 +197,35 @@
         order = sorted([*siblings, own.ip], key=lambda ip: hash64(f"teller/{ip}"), reverse=True)
         return own.ip in order[:TELLERS]
 
-    def _tell_far(self) -> None:
-        """Tell one instance of one other region, the regions by turns."""
-        own_region = self._members.own.region
+    def _far_by_region(self) -> list[list[str]]:
+        """Return the live instances of each other region, the regions in order of their names."""
         by_region: dict[str, list[str]] = {}
         for one in self._members.live():
-            if one.note.region != own_region:
+            if one.note.region != self._members.own.region:
                 by_region.setdefault(one.note.region, []).append(one.note.ip)
-        if by_region:
-            region = sorted(by_region)[self._round % len(by_region)]
-            self._send([self._chance.choice(by_region[region])], self._message(False))
+        return [by_region[region] for region in sorted(by_region)]
+
+    def _tell_far(self) -> None:
+        """Tell one instance of one other region, the regions by turns."""
+        regions = self._far_by_region()
+        if regions:
+            ips = regions[self._round % len(regions)]
+            self._send([self._chance.choice(ips)], self._message(False))
 
     def announce(self, phase: MemberPhase) -> None:
-        """Change this instance's phase and tell every sibling at once, the others by turns."""
+        """Change this instance's phase; tell siblings, and one instance of each other region."""
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, phase=phase, counter=own.counter + 1)
         self._members.own_phase_at_ms = now_ms()
-        near, far, _ = self._peers()
-        self._send(near[:MOST_TOLD_AT_ONCE], self._message(own.region, 0))
-        self._send(far[:MOST_TOLD_AT_ONCE], self._message("", 0))
+        near, _, _ = self._peers()
+        self._send(self._some(_ips(near), MOST_TOLD_AT_ONCE), self._message(True))
+        far = [self._chance.choice(ips) for ips in self._far_by_region()]
+        self._send(far, self._message(False))
 
     def tell(self, outgoing: Iterable[Outgoing]) -> None:
         """Send what is to be told of loads at once."""
         for one in outgoing:
-            peers = one.peers
-            if len(peers) > MOST_TOLD_AT_ONCE:
-                peers = self._chance.sample(peers, MOST_TOLD_AT_ONCE)
-            self._send(peers, one.message)
+            self._send(self._some(one.peers, MOST_TOLD_AT_ONCE), one.message)
 
     def close(self) -> None:
         """Close the port, which ends reading."""
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -63,6 +63,23 @@
     assert all(len(peers) == 1 for peers in asking)
 
 
+def test_a_phase_is_told_to_every_sibling_and_to_one_of_each_other_region(port):
+    near = [f"127.0.3.{number}" for number in range(10, 20)]
+    for ip in near:
+        port._members.take(Gossip(member(ip, "north"), 1, True, [], [], [], [], False))
+    for ip, region in (("127.0.4.1", "south"), ("127.0.4.2", "south"), ("127.0.5.1", "west")):
+        port._members.take(Gossip(member(ip, region), 1, True, [], [], [], [], False))
+    port.announce(MemberPhase.leaving)
+    told = [ip for peers, _ in port.sent for ip in peers]
+    assert set(near) < set(told)
+    assert sorted(ip[:7] for ip in set(told) - set(near)) == ["127.0.4", "127.0.5"]
+    assert {message.sender.phase for _, message in port.sent} == {MemberPhase.leaving}
+
+
+def member(ip: str, region: str) -> MemberNote:
+    return MemberNote(ip, ip, 1, 1, MemberPhase.live, region, f"{region}-1")
+
+
 def test_a_load_is_told_to_siblings_at_once(port):
     port._members.take(Gossip(SIBLING, 1, True, [], [], [], [], False))
     far = MemberNote("127.0.4.1", "f", 1, 1, MemberPhase.live, "south", "south-1")
