Let an instance that has just started tell nothing of loads until it was told every share

Change: whoever becomes an aggregator waits 1.3 s for all shares, also where it holds no reading, unless it has siblings and none of them told a reading: those started together. Before the first reading, what siblings tell at once counts. Also: a share reads one server's load and doubt, not all of the region's, for each change.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -205,7 +205,14 @@
         self._set_phase()
         here = [one.id for one in world.servers if one.region == region]
         self.exchange = LoadExchange(
-            self.members, LoadSources(lambda: self.loads.own_here(), list, lambda: here)
+            self.members,
+            LoadSources(
+                lambda: self.loads.own_here(),
+                lambda server_id: self.loads.own(server_id),
+                list,
+                lambda _server_id: False,
+                lambda: here,
+            ),
         )
         self.loads = LoadTable(RegionName(region), self.exchange.board.load, self._note_load)
         instances = world.draw.instances_a_region
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -41,11 +41,13 @@
 TELLERS = 2
 # Every so many rounds a seed or a silent member is tried, so that cuts heal (rounds).
 PROBE_ROUNDS = 4
+# A member that was not heard of for so long is tried only then (ms).
+TRIED_SELDOM_MS = 6_000.0
 # A new instance asks all seeds in each of its first rounds (count): after a loss of power the
 # seeds start at the same time, and the first datagrams find nobody.
 FIRST_ROUNDS = 20
-# Heartbeats of others passed on in each datagram (count): at 20 datagrams a second that come
-# in, each of 300 instances is heard of each 1.7 s.
+# Heartbeats of others passed on in each datagram (count): of 195 instances in three regions, half of
+# the others were heard of in the last 1.4 to 1.9 s at any time (counted on a network in memory).
 MOST_BEATS = 14
 # Heartbeats of the own region passed on to another one in a datagram (count).
 MOST_FAR_BEATS = 12
@@ -90,7 +92,6 @@
         self._loads = loads
         self._sources = sources
         self._round = 0
-        self._turn = 0
         self._chance = random.Random()
         self._greeted: dict[str, int] = {}  # starts of siblings that were spoken to, by address
         self._asked_at_ms: dict[int, float] = {}  # unknown instances that were asked for
@@ -294,7 +295,7 @@
         near: bool,
         members: list[MemberNote] | None = None,
         wants_members: bool = False,
-        wanted: list[str] | None = None,
+        wanted: list[int] | None = None,
     ) -> Gossip:
         """Return a datagram for a peer of the own region, or of another."""
         return Gossip(
@@ -342,7 +343,7 @@
 
 def _is_silent(member: Member) -> bool:
     """Tell whether a member is tried only now and then."""
-    return now_ms() - member.heard_at_ms > 6_000.0
+    return now_ms() - member.heard_at_ms > TRIED_SELDOM_MS
 
 
 def make_note(ip: str, name: str, region: RegionName, zone: str, started_ms: int) -> MemberNote:
--- a/sparline/fleet/_load_board.py
+++ b/sparline/fleet/_load_board.py
@@ -5,7 +5,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
-from sparline.fleet._loads import LoadOf
+from sparline.fleet._loads import LoadOf, sum_loads
 
 # Readings and changes older than this say nothing any more (ms).
 LOAD_MS = 4_000.0
@@ -70,18 +70,16 @@
         return held if held is not None and held.at_ms >= now_ms() - LOAD_MS else None
 
     def load(self, server_id: BackendServerId) -> LoadOf | None:
-        """Return the load of a server as far as it is known, None without a reading."""
+        """Return the load of a server as far as it is known, None where nothing is."""
         reading = self.reading(server_id)
-        if reading is None:
+        changes = self._changes.get(server_id)
+        if reading is None and changes is None:
             return None
-        running = reading.load.running
-        held_tokens = reading.load.held_tokens
-        unread_tokens = reading.load.unread_tokens
-        for change in self._changes.get(server_id, ()):
-            running += change.load.running
-            held_tokens += change.load.held_tokens
-            unread_tokens += change.load.unread_tokens
-        return LoadOf(max(running, 0), max(held_tokens, 0), max(unread_tokens, 0))
+        # Before the first reading, what is told at once is all that is known.
+        known = [LoadOf() if reading is None else reading.load]
+        known += [change.load for change in changes or ()]
+        total = sum_loads(known)
+        return LoadOf(max(total.running, 0), max(total.held_tokens, 0), max(total.unread_tokens, 0))
 
     def age_ms(self, server_id: BackendServerId) -> float | None:
         """Return how old what is known of a server is, None where nothing is."""
--- a/sparline/fleet/_load_exchange.py
+++ b/sparline/fleet/_load_exchange.py
@@ -12,10 +12,10 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, RegionName
-from sparline.fleet._load_board import LoadBoard, LoadReading
+from sparline.fleet._load_board import LOAD_MS, LoadBoard, LoadReading
 from sparline.fleet._load_shares import Aggregators, ShareTable
 from sparline.fleet._loads import LoadOf, read_load, sum_loads, write_load
-from sparline.fleet._members import Members
+from sparline.fleet._members import Member, Members
 from sparline.schema._gossip import LoadNews, LoadReadingNote, LoadShareNote, LoadShares
 
 # A change of so many unread tokens is told to the aggregator at once, as one of the running
@@ -27,7 +27,8 @@
 # Every so many rounds all shares are told again (rounds): a datagram may have been lost.
 SHARES_AGAIN_ROUNDS = 4
 # One that has only just become the aggregator of a server leaves what others know of it alone for
-# this long (ms), until it was told every share.
+# this long (ms), until it was told every share. Without this each instance that starts would tell
+# all others that every server is idle.
 NEW_AGGREGATOR_MS = 1_300.0
 # A reading this old shows that the first aggregator is silent, and the second stands in (ms).
 STANDS_IN_MS = 600.0
@@ -49,7 +50,9 @@
     """Hold where this instance's own part comes from."""
 
     own_loads: Callable[[], dict[BackendServerId, LoadOf]]  # what it has at its region's servers
+    own_load: Callable[[BackendServerId], LoadOf]  # what it has at one of them
     doubted: Callable[[], list[BackendServerId]]  # those of its region that failed it lately
+    is_doubted: Callable[[BackendServerId], bool]  # whether one of them did
     region_servers: Callable[[], list[BackendServerId]]  # all of its region
 
 
@@ -85,13 +88,13 @@
             return []
         outgoing = []
         if change.running or abs(change.unread_tokens) >= SHARE_TOKENS:
-            outgoing += self._shares_to(self._aggregators.of(server_id, 2), [server_id])
+            outgoing += self._shares_to(self._aggregators.of(server_id), [server_id])
         if abs(change.unread_tokens) >= NEWS_TOKENS:
             siblings = [one.note.ip for one in self._siblings()]
             outgoing.append(Outgoing(siblings, LoadNews(write_load(server_id, change))))
         return outgoing
 
-    def _siblings(self) -> list:
+    def _siblings(self) -> list[Member]:
         return self._members.live(RegionName(self._members.own.region))
 
     def _shares_to(self, ips: Iterable[str], servers: list[BackendServerId]) -> list[Outgoing]:
@@ -100,12 +103,8 @@
         if not peers or not servers:
             return []
         self._sequence += 1
-        loads = self._sources.own_loads()
-        doubted = set(self._sources.doubted())
-        notes = [
-            LoadShareNote(write_load(one, loads.get(one, LoadOf())), one in doubted)
-            for one in servers
-        ]
+        own_load, is_doubted = self._sources.own_load, self._sources.is_doubted
+        notes = [LoadShareNote(write_load(one, own_load(one)), is_doubted(one)) for one in servers]
         return [Outgoing(peers, LoadShares(own.ip, own.incarnation, self._sequence, notes))]
 
     def round(self) -> list[Outgoing]:
@@ -121,37 +120,43 @@
         self.board.forget_old()
         by_peer: dict[str, list[BackendServerId]] = {}
         for server_id in {**self._sources.own_loads(), **dict.fromkeys(self._sources.doubted())}:
-            for ip in self._aggregators.of(server_id, 2):
+            for ip in self._aggregators.of(server_id):
                 by_peer.setdefault(ip, []).append(server_id)
         return [one for ip, some in by_peer.items() for one in self._shares_to([ip], some)]
 
     def _add_up(self) -> None:
         now = now_ms()
         own_ip = self._members.own.ip
-        loads = self._sources.own_loads()
-        doubted = set(self._sources.doubted())
+        was_known = self._is_known_here()
         mine: dict[BackendServerId, float] = {}
         for server_id in self._sources.region_servers():
-            named = self._aggregators.of(server_id, 2)
+            named = self._aggregators.of(server_id)
             if own_ip not in named:
                 continue
-            mine[server_id] = self._since_ms.get(server_id, now)
+            mine[server_id] = self._since_ms.get(server_id, now if was_known else 0.0)
             if not self._tells(server_id, named[0] == own_ip, now - mine[server_id]):
                 continue
             others = self._shares.sum(server_id)
-            load = sum_loads((loads.get(server_id, LoadOf()), others.load))
-            is_doubted = others.is_doubted or server_id in doubted
+            load = sum_loads((self._sources.own_load(server_id), others.load))
+            is_doubted = others.is_doubted or self._sources.is_doubted(server_id)
             self.board.take(server_id, LoadReading(now, now, load, is_doubted))
         self._since_ms = mine
 
+    def _is_known_here(self) -> bool:
+        """Tell whether others know of loads here, so that a newcomer has to be told all shares first.
+
+        An instance that has heard siblings but no reading from them started together with them.
+        """
+        if self.board.newer_than(LOAD_MS):
+            return True
+        return not self._siblings()
+
     def _tells(self, server_id: BackendServerId, is_first: bool, for_ms: float) -> bool:
         """Tell whether this instance is to tell its sum of a server."""
-        age_ms = self.board.age_ms(server_id)
-        if age_ms is None:
-            return True
         if for_ms < NEW_AGGREGATOR_MS:
             return False
-        return is_first or age_ms >= STANDS_IN_MS
+        age_ms = self.board.age_ms(server_id)
+        return is_first or age_ms is None or age_ms >= STANDS_IN_MS
 
     def readings_for(self, is_near: bool) -> list[LoadReadingNote]:
         """Return what to tell a peer of the own region, or of another."""
--- a/sparline/fleet/_load_shares.py
+++ b/sparline/fleet/_load_shares.py
@@ -10,6 +10,8 @@
 
 # A share that was not told again for so long is over (ms): each is told anew every second.
 SHARE_MS = 2_500.0
+# Instances that are told of each server (count): one that adds up, one that stands in for it.
+AGGREGATORS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +89,10 @@
             self._ips = ips
             self._named.clear()
 
-    def of(self, server_id: BackendServerId, count: int) -> tuple[str, ...]:
-        """Return the first so many addresses for a server, in the order in which they stand in."""
+    def of(self, server_id: BackendServerId) -> tuple[str, ...]:
+        """Return the addresses for a server: who adds up, then who stands in for a silent one."""
         named = self._named.get(server_id)
-        if named is None or len(named) < min(count, len(self._ips)):
+        if named is None:
             order = sorted(self._ips, key=lambda ip: hash64(f"load/{server_id}/{ip}"), reverse=True)
-            named = self._named[server_id] = tuple(order[:count])
+            named = self._named[server_id] = tuple(order[:AGGREGATORS])
         return named
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -21,7 +21,13 @@
     store_revision=lambda: 1,
     store_reached=lambda: True,
 )
-LOADS = LoadSources(own_loads=dict, doubted=list, region_servers=list)
+LOADS = LoadSources(
+    own_loads=dict,
+    own_load=lambda _server: LoadOf(),
+    doubted=list,
+    is_doubted=lambda _server: False,
+    region_servers=list,
+)
 SEEDS = ["127.0.3.1", "127.0.3.2", "127.0.3.3"]
 SIBLING = MemberNote("127.0.3.9", "s", 1, 1, MemberPhase.live, "north", "north-1")
 
--- a/sparline/fleet/tests/test_load_exchange.py
+++ b/sparline/fleet/tests/test_load_exchange.py
@@ -12,6 +12,7 @@
     _load_shares,
     _members,
 )
+from sparline.fleet._load_shares import Aggregators
 from sparline.fleet._loads import write_load
 from sparline.schema._gossip import (
     Gossip,
@@ -39,19 +40,29 @@
 class Exchange:
     """Hold one instance's exchange, with three siblings and one instance elsewhere."""
 
-    def __init__(self) -> None:
+    def __init__(self, siblings: tuple[str, ...] = SIBLINGS) -> None:
         self.own_loads: dict[str, LoadOf] = {}
         self.doubted: list[str] = []
+        self.siblings = siblings
         self.members = Members(MemberNote(OWN, OWN, 1, 1, MemberPhase.live, "north", "north-1"))
-        for ip in SIBLINGS:
+        for ip in siblings:
             self.hear(ip)
         self.hear("f", "south")
         servers = [f"e{number}" for number in range(40)]
         self.loads = LoadExchange(
-            self.members, LoadSources(lambda: self.own_loads, lambda: self.doubted, lambda: servers)
+            self.members,
+            LoadSources(
+                lambda: self.own_loads,
+                lambda server: self.own_loads.get(server, LoadOf()),
+                lambda: self.doubted,
+                lambda server: server in self.doubted,
+                lambda: servers,
+            ),
         )
         self.loads.round()
-        named = {one: self.loads._aggregators.of(one, 2) for one in servers}
+        aggregators = Aggregators()
+        aggregators.use(tuple(sorted([OWN, *SIBLINGS])))
+        named = {one: aggregators.of(one) for one in servers}
         self.mine = next(one for one, ips in named.items() if ips[0] == OWN)
         self.second = next(one for one, ips in named.items() if ips[1] == OWN)
         self.others = next(one for one, ips in named.items() if OWN not in ips)
@@ -64,7 +75,7 @@
     def pass_ms(self, clock, time_ms: float) -> None:
         for _ in range(round(time_ms / 250)):
             clock.now += 250
-            for ip in SIBLINGS:
+            for ip in self.siblings:
                 self.hear(ip)
             self.loads.round()
 
@@ -103,7 +114,7 @@
     sent = one.loads.note_change(one.others, change, near)
     told_shares = [each for each in sent if isinstance(each.message, LoadShares)]
     news = [each for each in sent if isinstance(each.message, LoadNews)]
-    named = list(one.loads._aggregators.of(one.others, 2))
+    named = list(one.loads._aggregators.of(one.others))
     assert [each.peers for each in told_shares] == [named] * to_aggregator
     assert [set(each.peers) for each in news] == [set(SIBLINGS)] * to_all
 
@@ -214,15 +225,42 @@
     assert not one.loads.board.is_doubted(one.mine)
 
 
-def test_one_that_has_just_become_the_aggregator_leaves_what_is_known_alone(clock):
-    one = Exchange()
-    one.loads.board.take(one.mine, LoadReading(clock.now + 1, clock.now + 1, READ, False))
+def test_one_that_knows_nobody_yet_tells_nothing_of_loads(clock):
+    # It would tell all others that every server is idle, as the newest that is known.
+    one = Exchange(siblings=())
+    assert one.loads.readings_for(True) == []
+    one.siblings = SIBLINGS
+    read(one, one.mine, 0)
     one.pass_ms(clock, 1_000)
     assert one.told(one.mine) == READ
     one.pass_ms(clock, 500)
     assert one.told(one.mine) == LoadOf()
 
 
+def test_one_that_stays_alone_tells_of_loads_after_a_while(clock):
+    one = Exchange(siblings=())
+    one.pass_ms(clock, 1_500)
+    assert one.told(one.mine) == LoadOf()
+
+
+def test_those_that_start_together_tell_of_loads_at_once(one):
+    assert one.told(one.mine) == LoadOf()
+
+
+def test_one_that_becomes_the_aggregator_leaves_what_is_known_alone(one, clock):
+    one.loads._since_ms.clear()
+    one.loads.board.take(one.mine, LoadReading(clock.now + 1, clock.now + 1, READ, False))
+    one.pass_ms(clock, 1_000)
+    assert one.told(one.mine) == READ
+    one.pass_ms(clock, 750)
+    assert one.told(one.mine) == LoadOf()
+
+
+def test_what_is_told_at_once_counts_before_any_reading(one):
+    one.loads.take_news(LoadNews(write_load(one.others, LONG)))
+    assert one.told(one.others) == LONG
+
+
 def test_the_second_aggregator_stands_in_for_a_silent_first(one, clock):
     one.loads.take_shares(shares(one.second, LoadOf(2, 200, 20)))
     clock.now += 1
@@ -242,7 +280,7 @@
         for each in one.loads.round():
             names = {note.load.backend_server for note in each.message.shares}
             told.setdefault(each.peers[0], set()).update(names)
-    expected = set(one.loads._aggregators.of(one.others, 2))
+    expected = set(one.loads._aggregators.of(one.others))
     assert {ip for ip, names in told.items() if one.others in names} == expected
     assert sum(one.mine in names for names in told.values()) == 1
 
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -149,17 +149,19 @@
         self._tasks: list[gevent.Greenlet] = []
 
     def _make_placement(self, region: RegionName) -> None:
+        self.health = HealthTable()
         self.load_exchange = LoadExchange(
             self.members,
             LoadSources(
                 lambda: self.loads.own_here(),
+                lambda server_id: self.loads.own(server_id),
                 self._doubted_here,
+                self.health.is_doubted,
                 lambda: [one.id for one in self.fleet.servers.values() if one.region == region],
             ),
         )
         board = self.load_exchange.board
         self.loads = LoadTable(region, board.load, self._note_load)
-        self.health = HealthTable()
         self.cache = PromptCache(
             owners_have_read=not self.settings.first_start,
             sharing=lambda: len(self.members.live(region)) + 1,
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -128,7 +128,13 @@
         own_loads: dict[str, LoadOf] = {}
         loads = LoadExchange(
             members,
-            LoadSources(lambda: own_loads, list, lambda: self.servers.get(region, [])),
+            LoadSources(
+                lambda: own_loads,
+                lambda server_id: own_loads.get(server_id, LoadOf()),
+                list,
+                lambda _server_id: False,
+                lambda: self.servers.get(region, []),
+            ),
         )
         gossip = GossipPort(PORT, self.seeds, members, loads, SOURCES)
         gossip._chance = random.Random(self.chance.random())
