--- /dev/null
+++ b/benchmarks/tests/test_replay.py
@@ -0,0 +1,41 @@
+"""Patterns of load at its worst, replayed by the choice and the gossip of many instances."""
+
+import pytest
+
+from benchmarks._load_patterns import (
+    SHOWN_SEEDS,
+    UNSEEN_SEEDS,
+    arrivals_of,
+    deployment_of,
+    load_patterns,
+)
+from benchmarks._replay import replay_day
+
+PATTERNS = load_patterns()
+
+
+def test_unseen_deployments_are_none_of_the_shown():
+    assert not set(SHOWN_SEEDS) & set(UNSEEN_SEEDS)
+
+
+@pytest.mark.parametrize("name", sorted(PATTERNS))
+def test_the_same_requests_come_whatever_the_number_of_instances(name):
+    few, many = (
+        arrivals_of(PATTERNS[name], deployment_of(PATTERNS[name], instances, 1))
+        for instances in (3, 24)
+    )
+    assert [(one.at_ms, one.tokens) for one in few] == [(one.at_ms, one.tokens) for one in many]
+    assert max(one.instance for one in many) > max(one.instance for one in few)
+
+
+def test_a_pattern_tells_each_regions_rate_by_time():
+    sun = PATTERNS["follow-the-sun"]
+    rates = [sun.rate("large", at_ms) for at_ms in (0, 3_999, 4_000)]
+    assert rates == [2.3, 2.3, 0.3]
+
+
+def test_a_surge_of_one_region_is_served_by_the_others_too():
+    # Least-loaded stays in the region: 0.58 against 0.90 of the credit at 3 instances a region.
+    sun = PATTERNS["follow-the-sun"]
+    ours, near = (replay_day(sun, 3, 2, policy) for policy in ("ours", "least-loaded"))
+    assert ours.share > near.share + 0.1
