--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -1,6 +1,5 @@
 """A deployment in simulated time: the real choice, gossip without sockets, modelled engines."""
 
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +11,7 @@
 import sparline._clock
 from benchmarks._decide_draws import Arrival, Draw, KindDraw
 from benchmarks._decide_engine import Job, ModelEngine
+from benchmarks._decide_time import SimulatedTime
 from sparline._cbor import unpack
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId, RegionName, RequestId, ZoneName
@@ -77,31 +77,6 @@
 MakeChooser = Callable[[OwnPlace, PlacementTables, random.Random], Chooser]
 
 
-class SimulatedTime:
-    """Run what is due, in order; stands in for the clock of the choice."""
-
-    def __init__(self) -> None:
-        """Start at a time that is not zero, like any clock."""
-        self.now_ms = 1_000_000.0
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
-
-    def monotonic(self) -> float:
-        """Return the time as `time.monotonic` does, in seconds."""
-        return self.now_ms / 1000
-
-    def after(self, delay_ms: float, run: Callable[[], None]) -> None:
-        """Run something later."""
-        self._count += 1
-        heapq.heappush(self._due, (self.now_ms + delay_ms, self._count, run))
-
-    def run(self, until_ms: float) -> None:
-        """Run all that is due before a time."""
-        while self._due and self._due[0][0] <= until_ms:
-            self.now_ms, _, run = heapq.heappop(self._due)
-            run()
-
-
 @dataclass(slots=True)
 class CallerView:
     """Hold what one caller saw of its request."""
