Let the scenario 'no loop' wait until a place away can be used

Cause: test_invariants.py 'no loop' with its mechanism off failed once (915 tests, beside load): right after the fleet has settled the other region's first summary may not name the target yet, so no place there is usable and the scenario has nothing to judge. The scenario of residency already waits for just this. Change: wait until a caller's request could go there, then judge the relayed one. Stricter with the mechanism on as well: it passed before without having looked at a usable place.

--- a/sparline/tests/test_invariants.py
+++ b/sparline/tests/test_invariants.py
@@ -21,7 +21,7 @@
 from sparline.instance._records_sync import RecordsSync
 from sparline.relay import _sender
 from sparline.requests import Origin, Outcome, RequestLedger, not_run
-from sparline.routing import BackendState, CandidateFinder, Verdict
+from sparline.routing import BackendState, CandidateFinder, RemoteCandidate, Verdict
 from sparline.tests.local_fleet import LocalFleet
 
 Broken = list[str]
@@ -67,17 +67,24 @@
     with LocalFleet(ONE_AWAY) as fleet:
         no_engines_at(fleet, "zone-a")
         instance = fleet.instances["zone-a-0"]
-        request = replace(_some_request(), origin=Origin.RELAY)
-        candidates = instance.finder.find(request)
-        usable = [one for one in candidates.remote if one.verdict is Verdict.USABLE]
+        # The other region's first summaries may lack the target; then nothing can go there yet.
+        fleet.until(lambda: _usable_away(instance, Origin.CALLER), "a caller's request may go away")
+        usable = _usable_away(instance, Origin.RELAY)
         if not usable:
             return []
         # The program itself stops rather than send it on.
+        request = replace(_some_request(), origin=Origin.RELAY)
         with pytest.raises(AssertionError, match="relayed again"):
             list(instance.dispatcher._send_away(request, usable[0], _dispatcher._Progress(0)))
         return ["a relayed request could be relayed again"]
 
 
+def _usable_away(instance: Instance, origin: Origin) -> list[RemoteCandidate]:
+    request = replace(_some_request(), origin=origin)
+    found = instance.finder.find(request)
+    return [one for one in found.remote if one.verdict is Verdict.USABLE]
+
+
 def _some_request() -> object:
     from sparline.relay.tests.test_sender import make_request
 
