Leave no closed socket watched when the peers' port is closed: it aborted the process

Once that number is used again, libev finds a closed one in its list and aborts the whole process ('I/O watcher with invalid fd found in epoll_ctl'). Seen in the tests, which stop many instances in one process (54 such watches at the end of a whole run, counted after each test); an instance of the product that goes on after closing the port may abort too. Ruled out: the callers' connections and the gateway (no such watch after any of their tests). Before: test_server.py red 3 of 3 with the library's shutdown, by that very assertion.

--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -27,7 +27,7 @@
 from sparline.limits import LimitEnforcer, LimitExchange
 from sparline.operations import Explainer, OperationsApp, StatusBoard
 from sparline.orders import OrderHooks, OrderRunner
-from sparline.peers import MAX_MESSAGE_BYTES, Dialer, Membership, Mesh, read_hello
+from sparline.peers import MAX_MESSAGE_BYTES, Dialer, Membership, Mesh, read_hello, stop_serving
 from sparline.publication import PlatformClient, PlatformReader, ReaderHooks
 from sparline.relay import RelayReceiver, RelaySender
 from sparline.requests import RequestLedger
@@ -285,7 +285,7 @@
         self._callers.stop(timeout=0.2)
         self._operators.stop(timeout=0.2)
         if self._peers is not None:
-            self._peers.shutdown()
+            stop_serving(self._peers)
         self.mesh.close()
         self.relay_sender.close()
         gevent.killall(self._tasks, block=False)
--- a/sparline/peers/__init__.py
+++ b/sparline/peers/__init__.py
@@ -5,6 +5,7 @@
 from sparline.peers._membership import Membership
 from sparline.peers._mesh import MAX_MESSAGE_BYTES, Dialer, Mesh, Receiver, read_hello
 from sparline.peers._rendezvous import first, ranked
+from sparline.peers._server import stop_serving
 from sparline.peers._spread import Scope, next_hops, scope_of
 
 __all__ = [
@@ -25,4 +26,5 @@
     "ranked",
     "read_hello",
     "scope_of",
+    "stop_serving",
 ]
--- /dev/null
+++ b/sparline/peers/tests/test_server.py
@@ -0,0 +1,45 @@
+"""A port that is closed leaves nothing that is watched."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[3]
+# Serves, stops, and then uses the numbers of the closed sockets again.
+STOPS_AND_GOES_ON = """
+from gevent import monkey
+monkey.patch_all()
+import socket
+import subprocess
+import gevent
+from websockets.sync.server import serve
+from sparline.peers import stop_serving
+for _ in range(3):
+    server = serve(lambda connection: None, "127.0.0.1", 0)
+    task = gevent.spawn(server.serve_forever)
+    gevent.sleep(0.02)
+    stop_serving(server)
+    stop_serving(server)
+    task.join()
+for _ in range(10):
+    subprocess.run(["true"], capture_output=True)
+    one, other = socket.socketpair()
+    gevent.spawn_later(0.01, other.send, b"x")
+    one.recv(1)
+    one.close()
+    other.close()
+    gevent.sleep(0.001)
+print("went on")
+"""
+
+
+def test_a_stopped_server_leaves_no_watch_that_aborts_the_process() -> None:
+    ended = subprocess.run(
+        [sys.executable, "-c", STOPS_AND_GOES_ON],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert (ended.returncode, ended.stdout) == (0, "went on\n"), ended.stderr
--- a/sparline/relay/tests/test_sender.py
+++ b/sparline/relay/tests/test_sender.py
@@ -15,7 +15,7 @@
 from sparline._ids import InstanceId, OrganisationId, RegionName, RequestId, TargetName, ZoneName
 from sparline._metrics import Metrics
 from sparline.declarations import Catalog
-from sparline.peers import Dialer, Membership, decode, encode
+from sparline.peers import Dialer, Membership, decode, encode, stop_serving
 from sparline.relay import RelaySender
 from sparline.requests import (
     AnswerChunk,
@@ -132,7 +132,7 @@
 
     def stop(self) -> None:
         """Close the port."""
-        self._server.shutdown()
+        stop_serving(self._server)
         self._task.kill()
 
 
