--- a/benchmarks/tests/test_replay.py
+++ b/benchmarks/tests/test_replay.py
@@ -10,6 +10,9 @@
     load_patterns,
 )
 from benchmarks._replay import replay_day
+from sparline.fleet import LoadExchange
+from sparline.fleet._loads import read_load
+from sparline.schema._gossip import LoadNews
 
 PATTERNS = load_patterns()
 
@@ -39,3 +42,15 @@
     sun = PATTERNS["follow-the-sun"]
     ours, near = (replay_day(sun, 3, 2, policy) for policy in ("ours", "least-loaded"))
     assert ours.share > near.share + 0.1
+
+
+def test_what_siblings_readings_show_of_engines_earns_credit_where_many_send_to_them(monkeypatch):
+    # Each of twelve instances measures an engine rarely; simulated, so the shares repeat exactly.
+    twice = PATTERNS["twice-what-can-be-served"]
+    told = replay_day(twice, 12, 2).share
+
+    def take_load_alone(self: LoadExchange, news: LoadNews) -> None:
+        self.board.note_change(news.change.backend_server, read_load(news.change))
+
+    monkeypatch.setattr(LoadExchange, "take_news", take_load_alone)
+    assert told > replay_day(twice, 12, 2).share + 0.1
