--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
 from benchmarks._baselines import POLICIES
 from benchmarks._control import control
 from benchmarks._decide import decide
+from benchmarks._decide_known import Known
 from benchmarks._demo import demo
 from benchmarks._gateway_soak import gateway_soak
 from benchmarks._limits import limits
@@ -60,6 +61,13 @@
         "--unseen", action="store_true", help="decide, replay: the draws kept for the end"
     )
     command.add_argument("--seed", type=int, default=1, help="views: of the random load")
+    command.add_argument(
+        "--known",
+        nargs="*",
+        default=[],
+        choices=[one.value for one in Known],
+        help="replay: what all instances of a region know as one, to find what ignorance costs",
+    )
     command.set_defaults(run=lambda options: EXPERIMENTS[options.experiment](options))
     command = commands.add_parser("soak", help="a randomised run under faults, judged by ledgers")
     command.add_argument("--seed", type=int, required=True)
--- a/benchmarks/_decide.py
+++ b/benchmarks/_decide.py
@@ -4,6 +4,7 @@
 import json
 from dataclasses import dataclass
 
+from benchmarks._decide_caller import CallerView
 from benchmarks._decide_draws import (
     SHOWN_SEEDS,
     UNSEEN_SEEDS,
@@ -13,7 +14,7 @@
     draw_deployment,
     work_ms,
 )
-from benchmarks._decide_world import CallerView, World, play
+from benchmarks._decide_world import World, play
 from sparline.placement import Chooser, Placement
 
 # Requests that come in one of these windows are to be read within it or the wanted time (ms).
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -3,14 +3,17 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 from unittest.mock import patch
 
 import msgspec
 from loguru import logger
 
 import sparline._clock
+from benchmarks._decide_caller import CallerView
 from benchmarks._decide_draws import Arrival, Draw, KindDraw
 from benchmarks._decide_engine import Job, ModelEngine
+from benchmarks._decide_known import Known
 from benchmarks._decide_time import SimulatedTime
 from sparline._cbor import unpack
 from sparline._hashing import hash64
@@ -28,6 +31,7 @@
     UnknownItem,
     _gossip,
     make_note,
+    sum_loads,
 )
 from sparline.placement import (
     Chooser,
@@ -74,30 +78,10 @@
 # Instances hear of each other for so long before the first request (ms).
 SETTLE_MS = 3_000.0
 
-MakeChooser = Callable[[OwnPlace, PlacementTables, random.Random], Chooser]
+Table = TypeVar("Table")
 
 
-@dataclass(slots=True)
-class CallerView:
-    """Hold what one caller saw of its request."""
-
-    arrival: Arrival  # what it asked
-    came_at_ms: float  # when it first asked
-    tries: int = 0  # how often it came back
-    first_ms: float | None = None  # time to the first event
-    event_at_ms: float = 0.0  # newest event
-    longest_pause_ms: float = 0.0  # between two events
-    whole: bool = False  # whether the answer ended in time
-    refused: bool = False  # whether it was last refused
-
-    def credit(self) -> float:
-        """Return what the answer earns."""
-        kind = self.arrival.kind
-        if not self.whole or self.first_ms is None:
-            return 0.0
-        if self.first_ms <= kind.wanted_ms and self.longest_pause_ms <= kind.pause_ms:
-            return self.arrival.credit
-        return self.arrival.credit * kind.late_worth / kind.worth
+MakeChooser = Callable[[OwnPlace, PlacementTables, random.Random], Chooser]
 
 
 @dataclass(slots=True)
@@ -111,6 +95,19 @@
     nodes: dict[str, list["Node"]] = field(default_factory=dict)  # instances, by region
     by_ip: dict[str, "Node"] = field(default_factory=dict)  # the same
     views: list[CallerView] = field(default_factory=list)  # all callers
+    known: frozenset[Known] = frozenset()  # what instances share without delay
+    tables: dict[tuple[str, Known], object] = field(default_factory=dict)  # these, by region
+
+    def table(self, region: str, name: Known, make: Callable[[], Table]) -> Table:
+        """Return a table of one instance, or the one that all of its region share."""
+        if name not in self.known:
+            return make()
+        return self.tables.setdefault((region, name), make())  # type: ignore[return-value]
+
+    def true_load(self, server_id: BackendServerId) -> LoadOf:
+        """Return what all instances of a server's region have at it."""
+        region = next(one.region for one in self.servers if one.id == server_id)
+        return sum_loads(node.loads.own(server_id) for node in self.nodes[region])
 
     def way_ms(self, region: str, other: str) -> float:
         """Return the time of a message between two regions."""
@@ -187,12 +184,18 @@
                 list,
                 lambda _server_id: False,
                 lambda: here,
-                lambda server_id, shown_log: self._pace.note_shown(server_id, shown_log),
+                self._note_shown,
             ),
         )
-        self.loads = LoadTable(RegionName(region), self.exchange.board.load, self._note_load)
+        told = world.true_load if Known.LOADS in world.known else self.exchange.board.load
+        self.loads = LoadTable(RegionName(region), told, self._note_load)
         instances = world.draw.instances_a_region
-        self._cache = PromptCache(owners_have_read=False, sharing=lambda: instances)
+        sends = 1 if Known.STARTS in world.known else instances
+        self._cache = world.table(
+            region,
+            Known.STARTS,
+            lambda: PromptCache(owners_have_read=False, sharing=lambda: sends),
+        )
         self._cache._chance = random.Random(f"cache/{world.draw.seed}/{ip}")
         self.port = GossipPort(
             GOSSIP_PORT,
@@ -204,20 +207,21 @@
             ),
         )
         self.port._chance = random.Random(f"gossip/{world.draw.seed}/{ip}")
-        self._pace = pace = PaceTable()
-        pauses = PauseTable()
-        self._watch_tables = WatchTables(pace, pauses, self.loads)
+        self._pace = world.table(region, Known.PACES, PaceTable)
+        pauses = world.table(region, Known.PAUSES, PauseTable)
+        asks = 1 if Known.DEMAND in world.known else instances
+        self._watch_tables = WatchTables(self._pace, pauses, self.loads)
         tables = PlacementTables(
             fleet=_fleet_state(world),
             loads=self.loads,
             health=HealthTable(),
             cold=ColdShares(ip, lambda: [ip]),
             cache=self._cache,
-            pace=pace,
+            pace=self._pace,
             pauses=pauses,
-            credit=CreditTable(),
-            demand=DemandTable(),
-            sharing=lambda: instances,
+            credit=world.table(region, Known.CREDIT, CreditTable),
+            demand=world.table(region, Known.DEMAND, DemandTable),
+            sharing=lambda: asks,
             peers=self._peers,
             round_trip_ms=lambda other: 2 * world.way_ms(region, other),
             load_age_ms=self.exchange.board.age_ms,
@@ -226,6 +230,11 @@
         chance = random.Random(f"{world.draw.seed}/{ip}")
         self._chooser = make(OwnPlace(RegionName(region), ZoneName(zone)), tables, chance)
 
+    def _note_shown(self, server_id: BackendServerId, shown_log: float) -> None:
+        # A table that all share has learned of it already.
+        if Known.PACES not in self._world.known:
+            self._pace.note_shown(server_id, shown_log)
+
     def _set_phase(self) -> None:
         self.members.own = msgspec.structs.replace(self.members.own, phase=MemberPhase.live)
 
@@ -260,7 +269,7 @@
             self._refuse(view, place.retry_after_ms if isinstance(place, Refusal) else 300.0)
             return
         if place.peer is None:
-            self._run(request, place, lambda: _note_event(view), lambda: _note_end(view))
+            self._run(request, place, lambda: view.note_event(), lambda: view.note_end())
             return
         peer = next(
             one
@@ -279,11 +288,11 @@
 
         def event() -> None:
             reservation.note_first_event()
-            _note_event(view)
+            view.note_event()
 
         def end() -> None:
             reservation.release()
-            _note_end(view)
+            view.note_end()
 
         after = self._world.time.after
         after(
@@ -359,20 +368,6 @@
         self._world.time.after(retry_after_ms, back)
 
 
-def _note_event(view: CallerView) -> None:
-    now = sparline._clock.now_ms()
-    if view.first_ms is None:
-        view.first_ms = now - view.came_at_ms
-    else:
-        view.longest_pause_ms = max(view.longest_pause_ms, now - view.event_at_ms)
-    view.event_at_ms = now
-
-
-def _note_end(view: CallerView) -> None:
-    took_ms = sparline._clock.now_ms() - view.came_at_ms
-    view.whole = took_ms <= view.arrival.kind.deadline_ms
-
-
 def _route(kind: KindDraw) -> Route:
     return Route(
         name=RouteName(kind.name),
@@ -423,15 +418,19 @@
 
 
 def play(
-    draw: Draw, arrivals: list[Arrival], make: MakeChooser, settle_ms: float = SETTLE_MS
+    draw: Draw,
+    arrivals: list[Arrival],
+    make: MakeChooser,
+    settle_ms: float = SETTLE_MS,
+    known: frozenset[Known] = frozenset(),
 ) -> World:
-    """Play one day of a deployment."""
+    """Play one day of a deployment; `known` is what instances share without delay."""
     time = SimulatedTime()
     held_clock = sparline._clock.time
     sparline._clock.time = time  # type: ignore[assignment]
     logger.disable("sparline")
     try:
-        return _played(draw, arrivals, make, time, settle_ms)
+        return _played(draw, arrivals, make, time, settle_ms, known)
     finally:
         logger.enable("sparline")
         sparline._clock.time = held_clock
@@ -443,6 +442,7 @@
     make: MakeChooser,
     time: SimulatedTime,
     settle_ms: float,
+    known: frozenset[Known],
 ) -> World:
     servers = [
         BackendServer(
@@ -461,7 +461,7 @@
         server.id: ModelEngine(draw.engine, engine.speed)
         for server, engine in zip(servers, draw.engines, strict=True)
     }
-    world = World(draw, time, engines, servers)
+    world = World(draw, time, engines, servers, known=known)
     with (
         patch.object(_gossip.socket, "socket", lambda *_kind: _WorldSocket(world)),
         patch.object(_gossip, "hash", hash64, create=True),
--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -4,6 +4,7 @@
 import json
 
 from benchmarks._decide import POLICIES, DayResult, result_of
+from benchmarks._decide_known import Known
 from benchmarks._decide_world import play
 from benchmarks._load_patterns import (
     SHOWN_SEEDS,
@@ -18,23 +19,30 @@
 SIZES = (3, 24, 65)
 
 
-def replay_day(pattern: LoadPattern, instances: int, seed: int, policy: str = "ours") -> DayResult:
+def replay_day(
+    pattern: LoadPattern,
+    instances: int,
+    seed: int,
+    policy: str = "ours",
+    known: frozenset[Known] = frozenset(),
+) -> DayResult:
     """Return what a policy earns of one pattern on one deployment."""
     draw = deployment_of(pattern, instances, seed)
     arrivals = arrivals_of(pattern, draw)
-    return result_of(play(draw, arrivals, POLICIES[policy], pattern.settle_ms))
+    return result_of(play(draw, arrivals, POLICIES[policy], pattern.settle_ms, known))
 
 
 def replay(options: argparse.Namespace) -> int:
     """Print a row for each pattern, number of instances and policy."""
     seeds = UNSEEN_SEEDS if options.unseen else SHOWN_SEEDS
     sizes = SIZES[:2] if options.quick else SIZES
+    known = frozenset(Known(name) for name in options.known)
     means: dict[str, float] = {}
     print("pattern, instances a region, policy: share of the credit (long/short), refused, late")
     for pattern in load_patterns().values():
         for instances in sizes:
             for policy in POLICIES:
-                days = [replay_day(pattern, instances, seed, policy) for seed in seeds]
+                days = [replay_day(pattern, instances, seed, policy, known) for seed in seeds]
                 share = sum(one.share for one in days) / len(days)
                 means[f"{pattern.name}/{instances}/{policy}"] = round(share, 4)
                 long = sum(one.long_share for one in days) / len(days)
@@ -45,5 +53,14 @@
                     f"{sum(one.late for one in days):5}",
                     flush=True,
                 )
-    print(json.dumps({"experiment": "replay", "unseen": options.unseen, "mean_share": means}))
+    print(
+        json.dumps(
+            {
+                "experiment": "replay",
+                "unseen": options.unseen,
+                "known": options.known,
+                "mean_share": means,
+            }
+        )
+    )
     return 0
