--- a/sparline/fleet/_load_exchange.py
+++ b/sparline/fleet/_load_exchange.py
@@ -26,8 +26,8 @@
 # millisecond it takes 30 ms, a tenth of what delays other streams.
 NEWS_TOKENS = 1_500
 # So are readings of at least this many (tokens, 8 ms) while there are few of them; the rest is told
-# in readings (replayed load patterns, 24 instances a region: they earn 0.63 of the credit that is
-# owed, and 0.59 where only the longer ones are told).
+# in readings (replayed load patterns, 24 instances a region, before the bound on their number: 0.63
+# of the credit that is owed, and 0.59 where only the longer ones are told).
 NEWS_LEAST_TOKENS = 400
 MILLI = 1_000
 # Every so many rounds all shares are told again (rounds): a datagram may have been lost.
@@ -101,18 +101,20 @@
         outgoing = []
         if change.running or abs(change.unread_tokens) >= SHARE_TOKENS:
             outgoing += self._shares_to(self._aggregators.of(server_id), [server_id])
-        if self._is_news(abs(change.unread_tokens)):
-            siblings = [one.note.ip for one in self._siblings()]
-            slower_milli = round((shown_log or 0.0) * MILLI)
-            news = LoadNews(write_load(server_id, change), slower_milli)
-            outgoing.append(Outgoing(siblings, news))
+        if abs(change.unread_tokens) >= NEWS_LEAST_TOKENS:
+            outgoing += self._news(server_id, change, shown_log)
         return outgoing
 
-    def _is_news(self, unread_tokens: int) -> bool:
-        """Tell whether siblings are to know at once that so much is to be read, or was."""
-        if unread_tokens < NEWS_LEAST_TOKENS:
-            return False
-        return unread_tokens >= NEWS_TOKENS or self._short_news.take(len(self._siblings()) + 1)
+    def _news(
+        self, server_id: BackendServerId, change: LoadOf, shown_log: float | None
+    ) -> list[Outgoing]:
+        """Return what all siblings are to know at once of a reading that begins or is over."""
+        siblings = [one.note.ip for one in self._siblings()]
+        is_long = abs(change.unread_tokens) >= NEWS_TOKENS
+        if not is_long and not self._short_news.take(len(siblings) + 1):
+            return []
+        slower_milli = round((shown_log or 0.0) * MILLI)
+        return [Outgoing(siblings, LoadNews(write_load(server_id, change), slower_milli))]
 
     def _siblings(self) -> list[Member]:
         return self._members.live(RegionName(self._members.own.region))
