Reproduce: a request that ends its servers is sent on and on (fails)

Cause: an instance excludes a server that ended for one try alone; no try and no sibling counts what has ended under a request. Ruled out: cold servers that fall over and servers that end by themselves: the stand-ins end by this content alone, and the fault shows with no other load.

--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -1,6 +1,8 @@
 """Stand-in for the users' backend servers: engines with streams, and plain services."""
 
+import contextlib
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
@@ -56,7 +58,10 @@
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
     connections: int = 0  # connections that were opened
+    ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
+    on_end: Callable[[], None] = lambda: None  # called once the process has ended
     _server: StreamServer | None = None
+    _open: set[GeventSocket] = field(default_factory=set)
 
     def start(self) -> None:
         """Open the port."""
@@ -68,8 +73,18 @@
         if self._server is not None:
             self._server.stop(timeout=0)
 
+    def end(self) -> None:
+        """End as a process that is lost does: the port closes and every connection is reset."""
+        self.stop()
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            connection.close()
+        self.on_end()
+
     def _serve(self, connection: GeventSocket, _address: object) -> None:
         self.connections += 1
+        self._open.add(connection)
         parser = RequestParser()
         try:
             while True:
@@ -83,6 +98,7 @@
         except OSError:
             return
         finally:
+            self._open.discard(connection)
             connection.close()
 
     def _is_in(self, request: HttpRequest) -> bool:
@@ -107,6 +123,9 @@
             return True
         run = self._start_run(request)
         gevent.sleep(self.work_ms / 1000)
+        if self.ends_on and self.ends_on in run.body:
+            self.end()
+            return False
         if faults.close_after_run:
             return False
         if faults.hang:
