Count over the fleet which servers ended under a request, and send it nowhere after three

Cause (class): what a failure has shown is kept with one try; the next try, the caller's repeat and the sibling know nothing of it and meet the failure anew. Ruled out: counting at one instance (repeats come at any); ids (new with each repeat); telling every broken answer (a break is not an end: servers lose one answer and live on; a connection shows it, refused in some 3 ms). Change: sparline/quarantine holds the count by content, merged as sets; two ends make a suspect (one send a try, to the server with the fewest requests), three a quarantine of 2 min, doubled with each further end; a whole answer excuses. The end of a server is asked for by a connection, and told by the store after silence. Siblings hear of suspects at once, other regions by two instances that pass on, all again in rounds; a newcomer is told all suspects; a relay names the server that ended. The caller gets 502 with a reason and no Retry-After. Counters, a gauge and lines for ends, suspicion, clearing.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -20,6 +20,8 @@
 from sparline._ids import BackendServerId, RegionName, RequestId, ZoneName
 from sparline.fleet import (
     BackendServer,
+    CrashExchange,
+    Datagram,
     FleetState,
     GossipPort,
     GossipSources,
@@ -50,6 +52,7 @@
     StreamWatch,
     WatchTables,
 )
+from sparline.quarantine import CrashTable
 from sparline.requests import Origin, Prompt, PromptStart, RoutedRequest
 from sparline.routes import (
     DEFAULT_LIMITS,
@@ -63,7 +66,7 @@
     ServiceShare,
     make_configuration,
 )
-from sparline.schema._gossip import Gossip, LoadNews, LoadShares, MemberPhase
+from sparline.schema._gossip import MemberPhase
 
 ENGINES = ServiceName("engines")
 IN_REGION_MS = 0.3
@@ -127,7 +130,7 @@
         to = self.by_ip.get(receiver)
         if to is None or sender not in self.by_ip:
             return
-        message = unpack(data, Gossip | LoadShares | LoadNews).unwrap()
+        message = unpack(data, Datagram).unwrap()
         way_ms = self.way_ms(self.by_ip[sender].region, to.region)
         self.time.after(way_ms, lambda: to.port.take(message))
 
@@ -202,6 +205,7 @@
             world.seeds(),
             self.members,
             self.exchange,
+            CrashExchange(CrashTable()),
             GossipSources(
                 self._cache.recent_reads, self._cache.take_reads, lambda: 1, lambda: True
             ),
--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -26,6 +26,7 @@
     "LoadReadingNote",
     "StoreItemNote",
     "PromptReadNote",
+    "CrashNote",
 )
 
 
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -9,8 +9,9 @@
     StoreItem,
     UnknownItem,
 )
+from sparline.fleet._crash_exchange import CrashExchange
 from sparline.fleet._fleet_state import FleetState
-from sparline.fleet._gossip import GossipPort, GossipSources, make_note
+from sparline.fleet._gossip import Datagram, GossipPort, GossipSources, make_note
 from sparline.fleet._load_board import LoadBoard, LoadReading
 from sparline.fleet._load_exchange import LoadExchange, LoadSources, Outgoing
 from sparline.fleet._loads import LoadOf, sum_loads
@@ -31,6 +32,8 @@
     "BackendServerItem",
     "BadItem",
     "ConfigurationItem",
+    "CrashExchange",
+    "Datagram",
     "EvacuationItem",
     "FleetState",
     "GossipPort",
--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -41,11 +41,13 @@
         disturbed_ago_ms: Callable[[], float],
         zones: dict[ZoneName, RegionName],
         on_restart: Callable[[BackendServer], None] = lambda _server: None,
+        on_gone: Callable[[BackendServer], None] = lambda _server: None,
     ) -> None:
         """Start with nothing.
 
         `disturbed_ago_ms` tells how long ago the store last failed; `on_restart` is told of each
-        start that is over because another one has its key.
+        start that is over because another one has its key, `on_gone` of each that went without
+        having said that it leaves.
         """
         self.configuration: Configuration | None = None  # newest version, None before the first
         self.servers: dict[BackendServerId, BackendServer] = {}  # all that are not gone
@@ -57,6 +59,7 @@
         self._on_bad_item = on_bad_item
         self._disturbed_ago_ms = disturbed_ago_ms
         self._on_restart = on_restart
+        self._on_gone = on_gone
         self._bad_keys: set[str] = set()
         self._lapsed: dict[BackendServerId, float] = {}
         self._known: dict[BackendServerId, float] = {}
@@ -161,12 +164,14 @@
         log.bind(zones=sorted(self.evacuated), revision=revision).info("evacuated_zones")
 
     def _remove(self, server_id: BackendServerId, why: str) -> None:
-        self.servers.pop(server_id, None)
+        server = self.servers.pop(server_id, None)
         self._lapsed.pop(server_id, None)
         for key in [key for key, of in self._server_keys.items() if of == server_id]:
             del self._server_keys[key]
         self._index()
         log.bind(backend_server=server_id, why=why).info("server_gone")
+        if server is not None and not server.leaving:
+            self._on_gone(server)
 
     def _index(self) -> None:
         by_service: dict[ServiceName, list[BackendServer]] = {}
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -15,9 +15,12 @@
 from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline._logging import log
+from sparline.fleet._crash_exchange import CrashExchange
 from sparline.fleet._load_exchange import LoadExchange, Outgoing
 from sparline.fleet._members import Member, Members
+from sparline.quarantine import CrashChange
 from sparline.schema._gossip import (
+    CrashNews,
     Gossip,
     LoadNews,
     LoadShares,
@@ -62,6 +65,8 @@
 
 
 Note = TypeVar("Note")
+# What instances send each other.
+Datagram = Gossip | LoadShares | LoadNews | CrashNews
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +88,7 @@
         seeds: list[str],
         members: Members,
         loads: LoadExchange,
+        crashes: CrashExchange,
         sources: GossipSources,
     ) -> None:
         """Name the port, alike on all instances, and the addresses to start from."""
@@ -90,6 +96,7 @@
         self._port = port
         self._members = members
         self._loads = loads
+        self._crashes = crashes
         self._sources = sources
         self._round = 0
         self._chance = random.Random()
@@ -108,15 +115,17 @@
                 # An earlier datagram met a closed port; that says nothing about this socket.
                 log.debug("gossip: {}", error)
                 continue
-            match unpack(data, Gossip | LoadShares | LoadNews):
+            match unpack(data, Datagram):
                 case Err(reason):
                     log.warning("gossip: datagram from {} refused: {}", sender[0], reason)
                 case Ok(message):
                     self.take(message)
 
-    def take(self, message: Gossip | LoadShares | LoadNews) -> None:
+    def take(self, message: Datagram) -> None:
         """Take in a datagram."""
         match message:
+            case CrashNews():
+                self._take_crashes(message)
             case LoadNews():
                 self._loads.take_news(message)
             case LoadShares():
@@ -128,14 +137,21 @@
         is_new = self._members.take(gossip)
         self._sources.take_reads(gossip.reads)
         self._loads.take_readings(gossip.loads)
+        self._crashes.take(gossip.crashes)
         self._answer(gossip, is_new)
 
+    def _take_crashes(self, told: CrashNews) -> None:
+        news = self._crashes.take(told.crashes)
+        if news and told.pass_on:
+            self._tell_siblings(CrashNews(news, pass_on=False))
+
     def _answer(self, gossip: Gossip, is_new: bool) -> None:
         if is_new:
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
         near = gossip.sender.region == self._members.own.region
         if gossip.wants_members:
-            self._send([gossip.sender.ip], self._message(near, self._sample(gossip.sender.region)))
+            sample = self._sample(gossip.sender.region)
+            self._send([gossip.sender.ip], self._message(near, sample, is_new=True))
         elif is_new and near:
             # One of another region hears of this instance from those that speak for this one.
             self._greet([gossip.sender.ip])
@@ -157,7 +173,7 @@
         new = [ip for ip in siblings if self._greeted.get(ip) != starts.get(ip)]
         self._greeted.update({ip: starts[ip] for ip in new if ip in starts})
         if new:
-            self._send(new, self._message(True))
+            self._send(new, self._message(True, is_new=True))
 
     def _not_asked_for(self, keys: list[int]) -> list[int]:
         """Return the unknown instances whose description is not under way already."""
@@ -228,6 +244,21 @@
         for one in outgoing:
             self._send(self._some(one.peers, MOST_TOLD_AT_ONCE), one.message)
 
+    def tell_crash(self, change: CrashChange) -> None:
+        """Tell all siblings, and a few instances of each other region, what they must know at once."""
+        sharing = len(self._members.live(RegionName(self._members.own.region))) + 1
+        news = self._crashes.news_of(change, sharing)
+        if news is None:
+            return
+        self._tell_siblings(news)
+        for ips in self._far_by_region():
+            self._send(self._some(ips, TELLERS), news)
+
+    def _tell_siblings(self, news: CrashNews) -> None:
+        near, _, _ = self._peers()
+        told = CrashNews(news.crashes, pass_on=False)
+        self._send(self._some(_ips(near), MOST_TOLD_AT_ONCE), told)
+
     def close(self) -> None:
         """Close the port, which ends reading."""
         self._closed = True
@@ -296,8 +327,9 @@
         members: list[MemberNote] | None = None,
         wants_members: bool = False,
         wanted: list[int] | None = None,
+        is_new: bool = False,
     ) -> Gossip:
-        """Return a datagram for a peer of the own region, or of another."""
+        """Return a datagram for a peer of the own region, or of another; `is_new` if it just started."""
         return Gossip(
             sender=self._members.own,
             store_revision=self._sources.store_revision(),
@@ -308,6 +340,7 @@
             members=members or [],
             wants_members=wants_members,
             wanted=wanted or [],
+            crashes=self._crashes.notes_for(near, is_new),
         )
 
     def _beats(self, near: bool) -> list[MemberBeat]:
@@ -328,7 +361,7 @@
             return all_of_them
         return self._chance.sample(all_of_them, most)
 
-    def _send(self, peers: list[str], message: Gossip | LoadShares | LoadNews) -> None:
+    def _send(self, peers: list[str], message: Datagram) -> None:
         data = pack(message)
         for ip in peers:
             try:
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sparline.fleet import (
+    CrashExchange,
     GossipPort,
     GossipSources,
     LoadExchange,
@@ -12,6 +13,7 @@
     Members,
     _gossip,
 )
+from sparline.quarantine import CrashTable
 from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberNote, MemberPhase
 from sparline.tests.fake_fleet import FakeFleet
 
@@ -29,6 +31,7 @@
     region_servers=list,
     note_shown=lambda _server, _shown_log: None,
 )
+CRASHES = CrashExchange(CrashTable())
 SEEDS = ["127.0.3.1", "127.0.3.2", "127.0.3.3"]
 SIBLING = MemberNote("127.0.3.9", "s", 1, 1, MemberPhase.live, "north", "north-1")
 
@@ -37,7 +40,7 @@
 def port(monkeypatch):
     own = MemberNote("127.0.3.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
     members = Members(own)
-    one = GossipPort(0, SEEDS, members, LoadExchange(members, LOADS), SOURCES)
+    one = GossipPort(0, SEEDS, members, LoadExchange(members, LOADS), CRASHES, SOURCES)
     one.sent = []
     monkeypatch.setattr(one, "_send", lambda peers, message: one.sent.append((peers, message)))
     yield one
@@ -113,7 +116,7 @@
 def test_reading_ends_with_its_port(monkeypatch):
     own = MemberNote("127.0.0.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
     members = Members(own)
-    port = GossipPort(0, [], members, LoadExchange(members, LOADS), SOURCES)
+    port = GossipPort(0, [], members, LoadExchange(members, LOADS), CRASHES, SOURCES)
     faults: list[int] = []
     monkeypatch.setattr(_gossip.log, "debug", lambda *_args: note_fault(faults))
     reading = gevent.spawn(port.read)
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -10,9 +10,11 @@
 from sparline.forwarding._events import EventCutter
 from sparline.forwarding._forwarder import Forwarder, ForwarderParts, RequestEnd, may_move
 from sparline.forwarding._retry_window import RetryRule, RetryWindow
+from sparline.forwarding._server_ends import EndParts, EndSign, ServerEnds
 from sparline.forwarding._wire import (
     AnswerKind,
     AnswerMeaning,
+    OwnAnswer,
     SendTerms,
     Wire,
 )
@@ -24,14 +26,18 @@
     "AttemptResult",
     "AttemptTools",
     "EventCutter",
+    "EndParts",
+    "EndSign",
     "Forwarder",
     "ForwarderParts",
+    "OwnAnswer",
     "Progress",
     "RequestEnd",
     "RetryRule",
     "RetryWindow",
     "SendTerms",
     "SentEnd",
+    "ServerEnds",
     "Wire",
     "may_move",
 ]
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -13,6 +13,7 @@
     CallerConnection,
     ConnectionBroken,
     HttpAnswer,
+    Reach,
     end_to_end,
 )
 from sparline.placement import Placement, Reservation, StreamWatch
@@ -76,14 +77,30 @@
             return self._exchange(connection, terms)
         except ConnectionBroken:
             self._note_broken()
-            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, self._broken_reason())
+            return self._broken_end()
         except _ServerSilent:
             self._tools.health.note_failure(self._server_id, "silent")
-            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_SILENT)
+            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_SILENT, in_doubt=True)
         finally:
             self._tools.health.note_done(self._server_id)
             self._tools.pool.give_back(connection)
 
+    def _broken_end(self) -> AttemptEnd:
+        """Return the end of an answer that broke off, and whether its server ended with it."""
+        reason = self._broken_reason()
+        if self._placement.peer is not None:
+            # The peer finds out what became of its server.
+            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, reason)
+        reach = Reach.REFUSED
+        if not self._tools.has_ended(self._server_id):
+            reach = self._tools.ends.reach(self._placement.server)
+        return AttemptEnd(
+            AttemptResult.MAY_HAVE_RUN,
+            reason,
+            ended_server=self._server_id if reach is Reach.REFUSED else None,
+            in_doubt=reach is Reach.UNKNOWN,
+        )
+
     def _broken_reason(self) -> Reason:
         if self._placement.peer is not None:
             return Reason.PEER_LOST
@@ -206,10 +223,14 @@
                 return AttemptEnd(
                     AttemptResult.NOT_RUN, Reason.PEER_NO_ROOM, meaning.retry_after_ms
                 )
+            case AnswerKind.QUARANTINED:
+                return AttemptEnd(AttemptResult.NOT_RUN, Reason.QUARANTINED)
             case AnswerKind.TIMED_OUT:
                 return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         self._tools.health.note_failure(self._server_id, "unknown" if far else "unsigned")
-        return AttemptEnd(AttemptResult.MAY_HAVE_RUN, self._broken_reason())
+        return AttemptEnd(
+            AttemptResult.MAY_HAVE_RUN, self._broken_reason(), ended_server=meaning.ended_server
+        )
 
     def _pass_on(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         is_stream = self._request.route.kind is RequestKind.STREAM
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -6,6 +6,7 @@
 
 from sparline._ids import BackendServerId, RegionName
 from sparline.forwarding._events import EventCutter
+from sparline.forwarding._server_ends import ServerEnds
 from sparline.forwarding._wire import Wire
 from sparline.http import ConnectionPool, HttpAnswer
 from sparline.placement import HealthTable, PaceTable, WatchTables
@@ -28,6 +29,8 @@
     result: AttemptResult  # how
     reason: Reason  # why
     retry_after_ms: float = 0.0  # when the server asks to come back
+    ended_server: BackendServerId | None = None  # server that ended with it, None for none
+    in_doubt: bool = False  # whether the server may have ended, which nothing has shown yet
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,4 +72,5 @@
     may_move: Callable[[RoutedRequest, Progress], bool]  # whether another try is possible
     note_peer: Callable[[str, bool], None]  # whether a peer could be reached
     note_round_trip: Callable[[RegionName, float], None]  # time that a connection took to open
+    ends: ServerEnds  # whether servers that broke an answer off have ended
     has_ended: Callable[[BackendServerId], bool]  # whether that start of a server is over
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -19,9 +19,10 @@
 from sparline.forwarding._events import EventCutter
 from sparline.forwarding._resume_wait import is_awaited, resumes_later
 from sparline.forwarding._retry_window import RetryWindow
-from sparline.forwarding._wire import SendTerms
+from sparline.forwarding._wire import OwnAnswer, SendTerms
 from sparline.http import CallerConnection, CallerGone, Headers, end_to_end
 from sparline.placement import Chooser, LoadTable, Placement, Refusal
+from sparline.quarantine import CrashTable, Learnt, RequestDigest, Verdict
 from sparline.requests import Origin, Reason, RoutedRequest
 
 # Sends that were proved not to have run are repeated at most so often (count).
@@ -35,6 +36,13 @@
 RESUME_STEP_MS = 40.0
 NOT_RUN_REST_MS = 150.0
 RESUME_SPREAD = (0.5, 1.5)
+# A try of a request under which servers have ended one after the other may reach so many (count).
+SUSPECT_SENDS = 1
+TEXT_TYPE = (b"Content-Type", b"text/plain; charset=utf-8")
+QUARANTINED_TEXT = (
+    b"expected a backend server to answer this request, found that each one that ran it ended; "
+    b"it is not sent again for some minutes\n"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +68,8 @@
     tools: AttemptTools  # connections and protocols
     note_retry: Callable[[RoutedRequest, Placement, AttemptEnd], None]  # counters and log
     note_broken: Callable[[RoutedRequest, Placement, SentEnd], None]  # counters and log
-    # For own answers: whether it ran, when to come back (ms), whether it was sent anywhere.
-    refusal_headers: Callable[[bool, float, bool], Headers]
+    crashes: CrashTable  # servers that ended under requests
+    refusal_headers: Callable[[OwnAnswer], Headers]  # for answers of this instance's own
 
 
 class Forwarder:
@@ -112,13 +120,21 @@
         self._sends_left = sends_left
         self._not_run = 0
         self._progress = progress
+        self._digest: RequestDigest | None = None
+        self._ended_server: BackendServerId | None = None
         self.placement: Placement | None = None
         self.refusal: Refusal | None = None
 
     def to_end(self) -> RequestEnd:
         while True:
+            verdict = self._verdict()
+            if verdict is Verdict.QUARANTINED:
+                return self._end_quarantined()
+            is_suspect = verdict is Verdict.SUSPECT
+            if is_suspect:
+                self._sends_left = min(self._sends_left, SUSPECT_SENDS)
             place = self._parts.chooser.choose(
-                self._request, self._excluded(), self._progress.began
+                self._request, self._excluded(), self._progress.began, is_suspect
             )
             if isinstance(place, Refusal):
                 self.refusal = place
@@ -132,7 +148,10 @@
             self.placement = place
             end = self._attempt(place)
             if end.result is AttemptResult.DELIVERED:
+                self._parts.crashes.note_whole(self._own_digest())
                 return self._ended(200, Reason.NONE)
+            if end.reason is Reason.QUARANTINED:
+                return self._end_quarantined()
             stop = self._why_stop(place, end)
             if stop is not None:
                 return self._end_failed(stop, end)
@@ -140,6 +159,16 @@
             if end.result is AttemptResult.NOT_RUN and self._progress.began:
                 self._rest(NOT_RUN_REST_MS)
 
+    def _own_digest(self) -> RequestDigest:
+        if self._digest is None:
+            self._digest = self._request.digest()
+        return self._digest
+
+    def _verdict(self) -> Verdict:
+        """Return what may be done with the request; its digest is worked out only if it matters."""
+        crashes = self._parts.crashes
+        return Verdict.CLEAR if crashes.is_empty else crashes.verdict(self._own_digest())
+
     def _rest(self, usual_ms: float) -> None:
         """Let a stream that broke off wait for a moment."""
         gevent.sleep(usual_ms * self._parts.chance.uniform(*RESUME_SPREAD) / 1000)
@@ -182,11 +211,24 @@
             self._progress.may_have_run = True
             self._sends_left -= 1
         self._progress.excluded.add(place.server.id)
+        self._note_crash(place, end)
         if end.result is AttemptResult.MAY_HAVE_RUN:
             sent_ago_ms = now_ms() - self._progress.sent_at_ms
             sent = SentEnd(end, sent_ago_ms, self._progress.began)
             self._parts.note_broken(self._request, place, sent)
 
+    def _note_crash(self, place: Placement, end: AttemptEnd) -> None:
+        """Note a server that ended with the request, and repeat a suspect no more."""
+        if end.in_doubt:
+            self._parts.tools.ends.wait_for_word(self._own_digest(), place.server.id)
+        if end.ended_server is None:
+            return
+        self._ended_server = end.ended_server
+        learnt = Learnt.HERE if place.peer is None else Learnt.PEER
+        self._parts.crashes.note_end(self._own_digest(), end.ended_server, learnt)
+        if self._verdict() is not Verdict.CLEAR:
+            self._sends_left = 0
+
     def _why_stop(self, place: Placement, end: AttemptEnd) -> Reason | None:
         """Return why there is no further try, None if there is one."""
         reached_a_server = end.reason not in (Reason.CONNECT_FAILED, Reason.PEER_NO_ROOM)
@@ -223,6 +265,14 @@
         self._caller.answer(answer.status, end_to_end(answer.headers), body)
         return self._ended(answer.status, Reason.BACKEND_FAILED)
 
+    def _end_quarantined(self) -> RequestEnd:
+        """Tell a caller that the request is not sent on; servers ran it, and may not again."""
+        if self._progress.began:
+            return self._cut(Reason.QUARANTINED)
+        headers = self._parts.refusal_headers(OwnAnswer(ran=True, quarantined=True))
+        self._caller.answer(502, [*headers, TEXT_TYPE], QUARANTINED_TEXT)
+        return self._ended(502, Reason.QUARANTINED)
+
     def _end_own(self, reason: Reason, retry_after_ms: float) -> RequestEnd:
         """End with an answer of this instance; never call not run what may have run."""
         if self._progress.began:
@@ -246,7 +296,8 @@
     def _answer_own(
         self, status: int, reason: Reason, ran: bool, retry_after_ms: float
     ) -> RequestEnd:
-        headers = self._parts.refusal_headers(ran, retry_after_ms, self._progress.sends > 0)
+        said = OwnAnswer(ran, retry_after_ms, self._progress.sends > 0, self._ended_server)
+        headers = self._parts.refusal_headers(said)
         self._caller.answer(status, headers, b"")
         return self._ended(status, reason, ran)
 
--- /dev/null
+++ b/sparline/forwarding/_server_ends.py
@@ -0,0 +1,109 @@
+"""Whether a backend server that broke an answer off has ended, or goes on."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from gevent.event import AsyncResult
+
+from sparline._clock import now_ms
+from sparline._ids import BackendServerId
+from sparline.fleet import BackendServer
+from sparline.http import Address, Reach
+from sparline.quarantine import RequestDigest
+
+# A server in the own region takes or refuses a connection within a few milliseconds; one that does
+# neither by then may be behind a cut (ms).
+PROBE_MS = 300.0
+# What a probe showed holds for all answers that broke off with the one that was probed for (ms).
+SHOWN_MS = 500.0
+# A server that is gone from the store this long after a break may have ended with it (ms): three
+# heartbeats of silence, and the store's delay.
+GONE_AFTER_MS = 15_000.0
+# Broken answers that wait for word of their servers (count).
+MOST_WAITING = 1_024
+
+
+class EndSign(Enum):
+    """Name what showed that a server has ended."""
+
+    REFUSED = "refused"  # nothing listens at its address
+    GONE = "gone"  # its entry went, after a break and silence
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenAnswer:
+    """Hold a break that no probe could explain."""
+
+    digest: RequestDigest  # request whose answer it was
+    server_id: BackendServerId  # server that broke it off
+    broke_at_ms: float  # when
+
+
+@dataclass(frozen=True, slots=True)
+class EndParts:
+    """Hold what the search for ends works with."""
+
+    probe: Callable[[Address, float], Reach]  # tries to connect, for some seconds
+    heard_at_ms: Callable[[BackendServerId], float]  # when a server last sent anything
+    note_unreachable: Callable[[BackendServerId], None]  # takes what a probe showed
+    on_end: Callable[[BackendServerId, EndSign], None]  # counters and log
+
+
+class ServerEnds:
+    """Find out whether servers have ended: at once by a connection, later by the store."""
+
+    def __init__(self, parts: EndParts) -> None:
+        """Start with no server in doubt."""
+        self._parts = parts
+        self._probes: dict[BackendServerId, AsyncResult] = {}
+        self._shown: OrderedDict[BackendServerId, tuple[Reach, float]] = OrderedDict()
+        self._waiting: OrderedDict[BrokenAnswer, None] = OrderedDict()
+
+    def reach(self, server: BackendServer) -> Reach:
+        """Return whether a server that has just broken an answer off still listens."""
+        shown, at_ms = self._shown.get(server.id, (Reach.UNKNOWN, 0.0))
+        if shown is Reach.REFUSED and now_ms() - at_ms < SHOWN_MS:
+            return shown
+        running = self._probes.get(server.id)
+        if running is not None:
+            return running.get()
+        result = self._probes[server.id] = AsyncResult()
+        found = Reach.UNKNOWN
+        try:
+            found = self._parts.probe(server.address, PROBE_MS / 1000)
+        finally:
+            # Also where this greenlet is ended: others wait for the result.
+            del self._probes[server.id]
+            result.set(found)
+        self._note(server.id, found)
+        return found
+
+    def _note(self, server_id: BackendServerId, found: Reach) -> None:
+        self._shown[server_id] = (found, now_ms())
+        if len(self._shown) > MOST_WAITING:
+            self._shown.popitem(last=False)
+        if found is Reach.REFUSED:
+            self._parts.note_unreachable(server_id)
+            self._parts.on_end(server_id, EndSign.REFUSED)
+
+    def wait_for_word(self, digest: RequestDigest, server_id: BackendServerId) -> None:
+        """Remember a break until the store tells what became of the server."""
+        self._waiting[BrokenAnswer(digest, server_id, now_ms())] = None
+        if len(self._waiting) > MOST_WAITING:
+            self._waiting.popitem(last=False)
+
+    def note_gone(self, server_id: BackendServerId) -> list[RequestDigest]:
+        """Return the requests that a server, which is gone now, took with it."""
+        mine = [one for one in self._waiting if one.server_id == server_id]
+        for one in mine:
+            del self._waiting[one]
+        since = now_ms() - GONE_AFTER_MS
+        heard_at_ms = self._parts.heard_at_ms(server_id)
+        ended = [
+            one.digest for one in mine if one.broke_at_ms >= since and heard_at_ms < one.broke_at_ms
+        ]
+        if ended:
+            self._parts.on_end(server_id, EndSign.GONE)
+        return ended
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -18,6 +18,7 @@
     MISDIRECTED = "misdirected"  # another server has the address; did not run
     UNKNOWN = "unknown"  # it could not be finished, and may have run
     TIMED_OUT = "timed_out"  # a peer's time for it was over, and it may have run
+    QUARANTINED = "quarantined"  # a peer sends it to no backend server: too many ended under it
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,18 @@
 
     kind: AnswerKind  # what it means
     retry_after_ms: float = 0.0  # when to come back, 0 where nothing was said
+    ended_server: BackendServerId | None = None  # server that ended while a peer ran it there
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """Hold what an answer of an instance's own says."""
+
+    ran: bool  # whether the request may have run
+    retry_after_ms: float = 0.0  # when to come back, where it has not run
+    sent: bool = False  # whether it was sent to any backend server
+    ended_server: BackendServerId | None = None  # server that ended while it ran there
+    quarantined: bool = False  # whether it is sent nowhere, for what ended under it
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from sparline.fleet import (
     WATCHERS_A_ZONE,
     BackendServer,
+    CrashExchange,
     FleetState,
     GossipPort,
     GossipSources,
@@ -31,10 +32,13 @@
 )
 from sparline.forwarding import (
     AttemptTools,
+    EndParts,
     Forwarder,
     ForwarderParts,
+    OwnAnswer,
     RetryRule,
     RetryWindow,
+    ServerEnds,
     may_move,
 )
 from sparline.gateway._directory import Directory
@@ -45,7 +49,7 @@
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
-from sparline.http import ConnectionPool
+from sparline.http import ConnectionPool, Headers
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -70,6 +74,7 @@
     refusal_headers,
     relayed_refusal_headers,
 )
+from sparline.quarantine import CrashChange, CrashTable
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
@@ -107,7 +112,9 @@
             self._disturbed_ago_ms,
             zones,
             self._note_restarted,
+            self._note_gone,
         )
+        self.crashes = CrashTable(self._note_crash, self.request_log.note_pushed_out)
         self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
         self.copy = StoreCopyTable(self.fleet.take)
         self.reader = StoreReader(
@@ -123,6 +130,14 @@
         self.peers = PeerTable(self.members, needed_until_ms)
         self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
         self._make_placement(region)
+        self.ends = ServerEnds(
+            EndParts(
+                self._pool.probe,
+                self.health.heard_at_ms,
+                self.health.note_unreachable,
+                self.request_log.note_server_end,
+            )
+        )
         self.service = Service(
             self.fleet, self.copy, self.request_log, self.pace, self._store_fault_ago_ms
         )
@@ -133,6 +148,7 @@
             [split_address(seed)[0] for seed in settings.seeds],
             self.members,
             self.load_exchange,
+            CrashExchange(self.crashes),
             GossipSources(
                 self.cache.recent_reads,
                 self.cache.take_reads,
@@ -198,7 +214,7 @@
             rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
         )
 
-    def _forwarder(self, headers: Callable) -> Forwarder:
+    def _forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
         tools = AttemptTools(
             pool=self._pool,
             backend_wire=ServerWire(),
@@ -210,6 +226,7 @@
             may_move=may_move,
             note_peer=self.peers.note,
             note_round_trip=self.peers.note_round_trip,
+            ends=self.ends,
             has_ended=self._ended_starts.__contains__,
         )
         return Forwarder(
@@ -221,6 +238,7 @@
                 tools=tools,
                 note_retry=self.request_log.note_retry,
                 note_broken=self.request_log.note_broken,
+                crashes=self.crashes,
                 refusal_headers=headers,
             )
         )
@@ -244,6 +262,15 @@
         if len(self._ended_starts) > MOST_ENDED_STARTS:
             self._ended_starts.popitem(last=False)
 
+    def _note_gone(self, server: BackendServer) -> None:
+        """Count a server's end under the requests that broke off with it."""
+        for digest in self.ends.note_gone(server.id):
+            self.crashes.note_end(digest, server.id)
+
+    def _note_crash(self, change: CrashChange) -> None:
+        self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
+        self.gossip.tell_crash(change)
+
     def _store_fault_ago_ms(self) -> float | None:
         at_ms = self.reader.disturbed_at_ms
         return now_ms() - at_ms if at_ms else None
@@ -285,6 +312,7 @@
 
     def _metrics_app(self, _environ: Environ, start_response: StartResponse) -> list[bytes]:
         self.metrics.in_flight.set(self.service.in_flight)
+        self.metrics.quarantined.set(self.crashes.quarantined())
         self.metrics.members.set(len(self.members.live()))
         own_region = RegionName(self.settings.region)
         self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
@@ -328,6 +356,7 @@
             self.cache.forget_all_but(known)
             self.pace.forget_all_but(known)
             self.loads.forget_old()
+            self.crashes.forget_old()
             self.members.forget_old()
             self._pool.sweep()
             gevent.sleep(UPKEEP_MS / 1000)
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -18,6 +18,18 @@
         self.refusals = self._counter("refusals", "Requests answered here.", ("reason",))
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
         self.breaks = self._counter("answers_broken", "Answers that broke off.", ("reason",))
+        self.server_ends = self._counter(
+            "server_ends", "Backend servers that ended with requests of this instance.", ("sign",)
+        )
+        self.crashes = self._counter(
+            "request_crashes",
+            "Changes in what is known of servers that ended under requests.",
+            ("learnt", "ends"),
+        )
+        self.pushed_out = self._counter(
+            "suspects_pushed_out", "Suspects forgotten for want of room.", ()
+        )
+        self.quarantined = self._gauge("quarantined_requests", "Requests that are sent nowhere.")
         self.sends = self._counter("sends", "Sends by place.", ("place",))
         self.cold_sends = self._counter("cold_sends", "Sends to cold backend servers.", ())
         self.store_calls = self._counter("store_calls", "Calls of the store.", ("call", "result"))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -2,12 +2,13 @@
 
 from sparline._clock import now_ms
 from sparline._hashing import hash64
+from sparline._ids import BackendServerId
 from sparline._logging import log
-from sparline.forwarding import AttemptEnd, RequestEnd, SentEnd
+from sparline.forwarding import AttemptEnd, EndSign, RequestEnd, SentEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.placement import ColdUse, Placement, Refusal
-from sparline.quarantine import logged
+from sparline.quarantine import MOST_ENDS, CrashChange, RequestDigest, logged
 from sparline.requests import Prompt, Reason, RoutedRequest
 
 # Lines a second for answered requests and for all others, an instance; above them lines are
@@ -16,6 +17,8 @@
 OTHER_LINES_PER_S = 120.0
 # Lines a second for answers that broke off, an instance: all that ran on an engine when it ended.
 BREAK_LINES_PER_S = 60.0
+# Lines a second about requests under which servers ended, an instance.
+CRASH_LINES_PER_S = 40.0
 
 
 class RequestLog:
@@ -27,6 +30,7 @@
         self._answered = LineBudget(ANSWERED_LINES_PER_S)
         self._other = LineBudget(OTHER_LINES_PER_S)
         self._broken = LineBudget(BREAK_LINES_PER_S)
+        self._crashes = LineBudget(CRASH_LINES_PER_S)
 
     def note_retry(self, request: RoutedRequest, place: Placement, end: AttemptEnd) -> None:
         """Note that an attempt is followed by another."""
@@ -54,6 +58,33 @@
                 **_place_fields(place),
             ).info("answer_broken")
 
+    def note_server_end(self, server_id: BackendServerId, sign: EndSign) -> None:
+        """Note that a server ended with requests of this instance."""
+        self._metrics.server_ends.labels(sign.value).inc()
+        if self._crashes.take():
+            log.bind(backend_server=server_id, sign=sign.value).info("server_ended")
+
+    def note_crash(self, change: CrashChange, quarantine_ms: float) -> None:
+        """Note what has changed in what is known of one request, and what follows from it."""
+        ends = str(change.ends) if change.ends < MOST_ENDS else f"{MOST_ENDS}_or_more"
+        self._metrics.crashes.labels(change.learnt.value, ends).inc()
+        if not change.concerns_suspect or not self._crashes.take():
+            return
+        log.bind(
+            content=logged(change.fact.digest),
+            ends=change.ends,
+            ends_before=change.ends_before,
+            learnt=change.learnt.value,
+            age_ms=round(change.fact.age_ms),
+            quarantine_ms=round(quarantine_ms),
+        ).warning("request_suspected" if change.ends else "request_cleared")
+
+    def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
+        """Note that a suspect was forgotten for want of room."""
+        self._metrics.pushed_out.inc()
+        if self._crashes.take():
+            log.bind(content=logged(digest), ends=ends).warning("suspect_pushed_out")
+
     def note_cold_use(self, use: ColdUse) -> None:
         """Note that a request goes to a cold server, whose rate is shared out."""
         self._metrics.cold_sends.inc()
@@ -105,6 +136,7 @@
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
+            **({"content": logged(request.digest())} if _names_content(end) else {}),
             **(_prompt_fields(request.prompt) if request.prompt else {}),
             **(_place_fields(end.placement) if end.placement else {}),
             **(_refusal_fields(end.refusal) if end.refusal else {}),
@@ -112,7 +144,13 @@
 
     def left_out(self) -> int:
         """Return the lines that were left out so far."""
-        return self._answered.left_out + self._other.left_out + self._broken.left_out
+        budgets = (self._answered, self._other, self._broken, self._crashes)
+        return sum(one.left_out for one in budgets)
+
+
+def _names_content(end: RequestEnd) -> bool:
+    """Tell whether a line has to say which repeats belong together."""
+    return end.reason is Reason.QUARANTINED
 
 
 def _prompt_fields(prompt: Prompt) -> dict[str, object]:
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -12,7 +12,7 @@
 from sparline._ids import RequestId
 from sparline.decisions import unserved_wait_ms
 from sparline.fleet import FleetState, StoreCopyTable
-from sparline.forwarding import Forwarder
+from sparline.forwarding import Forwarder, OwnAnswer
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._request_log import RequestLog
 from sparline.http import (
@@ -193,7 +193,7 @@
         retry_after_ms: float,
     ) -> None:
         headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
-        caller.answer(503, headers(False, retry_after_ms), b"")
+        caller.answer(503, headers(OwnAnswer(False, retry_after_ms)), b"")
         self._log.note_rejected(request_id, 503, reason, "not run")
 
     def _reject(
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -42,6 +42,10 @@
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
+    def rest(self) -> None:
+        """Let a new connection be kept without a request."""
+        self.idle_until_ms = now_ms() + IDLE_DEFAULT_S * 1000
+
     def is_quiet(self) -> bool:
         """Tell whether a kept connection is still open and holds no unasked bytes."""
         if now_ms() >= self.idle_until_ms:
--- a/sparline/http/_pool.py
+++ b/sparline/http/_pool.py
@@ -1,6 +1,7 @@
 """Kept connections by address."""
 
 from collections.abc import Callable
+from enum import Enum
 
 from sparline.http._backend_connection import Address, BackendConnection
 
@@ -11,6 +12,14 @@
 OnOpen = Callable[[Address], None]
 
 
+class Reach(Enum):
+    """Say what became of a try to connect."""
+
+    OPEN = "open"  # something listens there
+    REFUSED = "refused"  # a machine answers, and nothing listens
+    UNKNOWN = "unknown"  # no answer
+
+
 class ConnectionPool:
     """Lend connections; each lent one is given back or closed."""
 
@@ -34,6 +43,19 @@
         self._on_open(address)
         return BackendConnection(address, timeout_s)
 
+    def probe(self, address: Address, timeout_s: float) -> Reach:
+        """Tell whether something listens at an address; the connection is kept for use."""
+        try:
+            connection = self.open(address, timeout_s)
+        except (ConnectionRefusedError, ConnectionResetError):
+            return Reach.REFUSED
+        except OSError:
+            # No word in time, or no way there: that says nothing of whoever listens.
+            return Reach.UNKNOWN
+        connection.rest()
+        self.give_back(connection)
+        return Reach.OPEN
+
     def give_back(self, connection: BackendConnection) -> None:
         """Keep a connection, or close it where it may not be used again."""
         kept = self._kept.setdefault(connection.address, [])
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -38,10 +38,12 @@
         request: RoutedRequest,
         excluded: frozenset[BackendServerId],
         has_begun: bool = False,
+        beside_few: bool = False,
     ) -> Placement | Refusal:
         """Return the place that loses least.
 
-        `excluded` were tried already; `has_begun` says that the caller has a part of the answer.
+        `excluded` were tried already; `has_begun` says that the caller has a part of the answer;
+        `beside_few` asks for the server with the fewest requests, which may end with this one.
         """
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
@@ -56,7 +58,7 @@
         placements = [one for one in judged if one is not None]
         if not placements:
             return Refusal(Reason.NO_BACKEND, unserved_wait_ms(request.left_ms()), len(servers))
-        best = self._best(placements)
+        best = self._best(placements, beside_few)
         if has_begun or request.resume_after is not None:
             # A late rest is worth more to the caller than a stream that is cut off.
             return best
@@ -106,9 +108,11 @@
             found.append(server)
         return found
 
-    def _best(self, placements: list[Placement]) -> Placement:
+    def _best(self, placements: list[Placement], beside_few: bool) -> Placement:
         least_doubt = min(one.doubt.value for one in placements)
         trusted = [one for one in placements if one.doubt.value == least_doubt]
+        if beside_few:
+            return min(trusted, key=lambda one: (one.load.running, one.loss))
         least = min(one.loss for one in trusted)
         near = [one for one in trusted if one.loss <= least + EQUAL_LOSS]
         return self._chance.choice(near)
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -76,6 +76,11 @@
         """Note that a server sent something."""
         self._of(server_id).heard_at_ms = now_ms()
 
+    def heard_at_ms(self, server_id: BackendServerId) -> float:
+        """Return when a server last sent anything, 0 where that was never."""
+        witness = self._witnesses.get(server_id)
+        return witness.heard_at_ms if witness else 0.0
+
     def note_event(self, server_id: BackendServerId) -> None:
         """Note a part of a good answer: the server is back if it was passed over."""
         witness = self._of(server_id)
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -33,6 +33,7 @@
 OWN_PREFIX = b"sparline-"
 RELAY_SERVICE = b"sparline-service"  # service that the first instance chose
 RELAY_OUTCOME = b"sparline-outcome"  # marks an answer of the peer itself
+RELAY_ENDED = b"sparline-ended"  # backend server that ended while the peer ran the request there
 
 # Calls of the store.
 READ_KEY_RANGE = "/v1/kv-range"
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -4,8 +4,8 @@
 
 from result import Err, Ok, Result
 
-from sparline._ids import RequestId
-from sparline.forwarding import AnswerKind, AnswerMeaning, SendTerms
+from sparline._ids import BackendServerId, RequestId
+from sparline.forwarding import AnswerKind, AnswerMeaning, OwnAnswer, SendTerms
 from sparline.http import Headers, HttpAnswer, HttpRequest, end_to_end
 from sparline.platform import _names as names
 from sparline.platform._incarnations import listed_id
@@ -157,8 +157,11 @@
             return AnswerMeaning(AnswerKind.NOT_RUN, _retry_after_ms(answer))
         if outcome == b"not-sent":
             return AnswerMeaning(AnswerKind.NOT_SENT, _retry_after_ms(answer))
+        if outcome == b"quarantined":
+            return AnswerMeaning(AnswerKind.QUARANTINED)
         late = answer.status == 504
-        return AnswerMeaning(AnswerKind.TIMED_OUT if late else AnswerKind.UNKNOWN)
+        kind = AnswerKind.TIMED_OUT if late else AnswerKind.UNKNOWN
+        return AnswerMeaning(kind, ended_server=_ended_server(answer))
 
 
 def _deadline_and_resume(request: RoutedRequest, terms: SendTerms) -> Headers:
@@ -188,14 +191,29 @@
         return 0.0
 
 
-def refusal_headers(ran: bool, retry_after_ms: float, sent: bool = False) -> Headers:
+def _ended_server(answer: HttpAnswer) -> BackendServerId | None:
+    told = answer.header(names.RELAY_ENDED)
+    return None if told is None else BackendServerId(told.decode("latin-1"))
+
+
+def refusal_headers(answer: OwnAnswer) -> Headers:
     """Return the headers of an answer of our own to a caller, who need not know of sends."""
-    if ran:
+    if answer.ran or answer.quarantined:
         return []
-    return [(names.RETRY_AFTER, b"%.3f" % (retry_after_ms / MS_PER_S))]
+    return [(names.RETRY_AFTER, b"%.3f" % (answer.retry_after_ms / MS_PER_S))]
 
 
-def relayed_refusal_headers(ran: bool, retry_after_ms: float, sent: bool = False) -> Headers:
+def relayed_refusal_headers(answer: OwnAnswer) -> Headers:
     """Return the headers of an answer of our own to the instance that relayed."""
-    outcome = b"unknown" if ran else b"not-run" if sent else b"not-sent"
-    return [(names.RELAY_OUTCOME, outcome), *refusal_headers(ran, retry_after_ms)]
+    own = [(names.RELAY_OUTCOME, _outcome(answer)), *refusal_headers(answer)]
+    if answer.ended_server is not None:
+        own.append((names.RELAY_ENDED, answer.ended_server.encode("latin-1")))
+    return own
+
+
+def _outcome(answer: OwnAnswer) -> bytes:
+    if answer.quarantined:
+        return b"quarantined"
+    if answer.ran:
+        return b"unknown"
+    return b"not-run" if answer.sent else b"not-sent"
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -26,6 +26,7 @@
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
     RETRY_BUDGET = "retry_budget"
+    QUARANTINED = "quarantined"
     # Why one attempt did not run.
     CONNECT_FAILED = "connect_failed"
     BACKEND_REFUSED = "backend_refused"
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -97,6 +97,32 @@
     backend_server: str
 
 
+class CrashNote(WireNode):
+    """
+    Tell which backend servers have ended under one request.
+    """
+
+    digest: Annotated[
+        bytes, Meta(description="What the request and its repeats have in common, 16 bytes.")
+    ]
+    ended: Annotated[list[int], Meta(description="Hashes of the starts of the servers, 32 bits.")]
+    cleared: Annotated[
+        list[int], Meta(description="Those of them that a whole answer has excused since.")
+    ]
+    age_ms: Annotated[int, Meta(description="How long ago the newest of them ended, milliseconds.")]
+
+
+class CrashNews(WireMessage):
+    """
+    Tell at once that one backend server after the other has ended under a request, or that it was answered whole.
+    """
+
+    crashes: list[CrashNote]
+    pass_on: Annotated[
+        bool, Meta(description="Whether the receiver is to tell the others of its region.")
+    ]
+
+
 class Gossip(WireMessage):
     """
     Tell a peer about the sender, its load and some others.
@@ -128,6 +154,9 @@
         list[int],
         Meta(description="Keys of instances that the sender asks the receiver to describe."),
     ] = field(default_factory=list)
+    crashes: Annotated[
+        list[CrashNote], Meta(description="Requests under which servers have ended.")
+    ] = field(default_factory=list)
 
 
 class LoadShares(WireMessage):
@@ -196,4 +225,5 @@
     gossip: Gossip
     load_shares: LoadShares
     load_news: LoadNews
+    crash_news: CrashNews
     store_copy: StoreCopy
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -9,6 +9,8 @@
 from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline.fleet import (
+    CrashExchange,
+    Datagram,
     GossipPort,
     GossipSources,
     LoadExchange,
@@ -20,11 +22,13 @@
     _load_exchange,
     _load_shares,
     _members,
+    _news_allowance,
     sum_loads,
 )
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
 from sparline.placement import ColdShares, _cold_shares
-from sparline.schema._gossip import Gossip, LoadNews, LoadShares, MemberNote, MemberPhase
+from sparline.quarantine import CrashTable, _crash_table
+from sparline.schema._gossip import MemberNote, MemberPhase
 
 STEP_MS = 5.0
 NEAR_MS = 1.0
@@ -47,6 +51,7 @@
     members: Members
     gossip: GossipPort
     loads: LoadExchange
+    crashes: CrashTable
     own_loads: dict[str, LoadOf]  # what it has at each server of its region
     cold: ColdShares
     retries: RetryWindow
@@ -79,6 +84,8 @@
             _load_shares,
             _cold_shares,
             _retry_window,
+            _news_allowance,
+            _crash_table,
         ):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
@@ -137,7 +144,8 @@
                 lambda _server_id, _shown_log: None,
             ),
         )
-        gossip = GossipPort(PORT, self.seeds, members, loads, SOURCES)
+        crashes = CrashTable(lambda change: gossip.tell_crash(change))
+        gossip = GossipPort(PORT, self.seeds, members, loads, CrashExchange(crashes), SOURCES)
         gossip._chance = random.Random(self.chance.random())
         cold = ColdShares(
             ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
@@ -146,7 +154,7 @@
             RETRY_RULE, lambda: len(members.sharers()), members.are_sharers_settled
         )
         self.instances[ip] = FakeInstance(
-            members, gossip, loads, own_loads, cold, retries, region, self.now_ms
+            members, gossip, loads, crashes, own_loads, cold, retries, region, self.now_ms
         )
 
     def send(self, sender: str, receiver: str, data: bytes) -> None:
@@ -194,4 +202,4 @@
 
 
 def _deliver(receiver: FakeInstance, data: bytes) -> None:
-    receiver.gossip.take(unpack(data, Gossip | LoadShares | LoadNews).unwrap())
+    receiver.gossip.take(unpack(data, Datagram).unwrap())
