Test the count of ends: verdicts, merging, spread at 9 to 195 instances, signs of an end

Cause found by the tests: a new request found no room beside a table full of suspects (the newest is never pushed out now); an excuse from an instance that had answered the request whole was not told at once (it is now).

--- /dev/null
+++ b/sparline/fleet/tests/test_crash_exchange.py
@@ -0,0 +1,149 @@
+"""How fast and how far the fleet hears of ends under requests, and what it costs."""
+
+import random
+
+import pytest
+
+from sparline.fleet import CrashExchange, _crash_exchange, _gossip
+from sparline.quarantine import CrashTable, RequestDigest, Verdict
+from sparline.schema._gossip import CrashNews
+from sparline.tests.fake_fleet import FAR_MS, FakeFleet, region_of
+
+ONE = RequestDigest(b"1" * 16)
+# Time within which every instance in touch has to know of the third end (ms): the shortest that an
+# operator sets.
+CONTACT_MS = 5_000.0
+# Datagrams may arrive this much later than the way takes (factor).
+LATE = 1.5
+SIZES = [("small", 3, 3), ("middle", 26, 3), ("large", 65, 3), ("many regions", 4, 12)]
+
+
+def fleet_of(monkeypatch, instances: int, regions: int, lossy: float = 0.0) -> FakeFleet:
+    seeds = [f"10.{region}.0.1" for region in range(1, min(regions, 3) + 1)]
+    fleet = FakeFleet(random.Random(5), seeds=seeds)
+    fleet.install(monkeypatch)
+    for region in range(1, regions + 1):
+        for number in range(1, instances + 1):
+            fleet.start(f"10.{region}.0.{number}", str(region))
+    fleet.pass_ms(6_000)
+    fleet.lossy = lossy
+    return fleet
+
+
+def count_sent(monkeypatch) -> list[tuple[str, str, bytes]]:
+    """Return a list that grows with each datagram: sender, receiver, content."""
+    sent: list[tuple[str, str, bytes]] = []
+    carry = FakeFleet.send
+
+    def send(fleet: FakeFleet, sender: str, receiver: str, data: bytes) -> None:
+        sent.append((sender, receiver, data))
+        carry(fleet, sender, receiver, data)
+
+    monkeypatch.setattr(FakeFleet, "send", send)
+    return sent
+
+
+def verdicts(fleet: FakeFleet) -> list[Verdict]:
+    return [one.crashes.verdict(ONE) for one in fleet.instances.values()]
+
+
+@pytest.mark.parametrize(
+    ("instances", "regions"), [row[1:] for row in SIZES], ids=[row[0] for row in SIZES]
+)
+def test_a_third_end_is_known_everywhere_at_once(monkeypatch, instances, regions):
+    fleet = fleet_of(monkeypatch, instances, regions)
+    crashes = fleet.instances["10.2.0.2"].crashes
+    for server in ("a", "b", "c"):
+        crashes.note_end(ONE, server)
+    fleet.pass_ms(LATE * FAR_MS + 20)
+    assert set(verdicts(fleet)) == {Verdict.QUARANTINED}
+
+
+@pytest.mark.parametrize(
+    ("instances", "regions"), [row[1:] for row in SIZES], ids=[row[0] for row in SIZES]
+)
+@pytest.mark.parametrize("lossy", [0.0, 0.2])
+def test_ends_at_three_instances_of_three_regions_add_up(monkeypatch, instances, regions, lossy):
+    fleet = fleet_of(monkeypatch, instances, regions, lossy)
+    for region, server in ((1, "a"), (2, "b"), (3, "c")):
+        fleet.instances[f"10.{region}.0.2"].crashes.note_end(ONE, server)
+    fleet.pass_ms(CONTACT_MS)
+    assert set(verdicts(fleet)) == {Verdict.QUARANTINED}
+
+
+@pytest.mark.parametrize("lossy", [0.0, 0.2])
+def test_an_instance_that_starts_later_hears_of_suspects(monkeypatch, lossy):
+    fleet = fleet_of(monkeypatch, 5, 3, lossy)
+    for server in ("a", "b", "c"):
+        fleet.instances["10.1.0.2"].crashes.note_end(ONE, server)
+    fleet.pass_ms(60_000)
+    fleet.start("10.3.0.99", "3")
+    fleet.pass_ms(1_000)
+    assert fleet.instances["10.3.0.99"].crashes.verdict(ONE) is Verdict.QUARANTINED
+
+
+def test_an_excuse_is_heard_everywhere(monkeypatch):
+    fleet = fleet_of(monkeypatch, 5, 3)
+    for server in ("a", "b"):
+        fleet.instances["10.1.0.2"].crashes.note_end(ONE, server)
+    fleet.pass_ms(500)
+    fleet.instances["10.3.0.2"].crashes.note_whole(ONE)
+    fleet.pass_ms(LATE * FAR_MS + 20)
+    assert set(verdicts(fleet)) == {Verdict.CLEAR}
+
+
+def test_a_region_that_was_cut_off_hears_what_it_missed(monkeypatch):
+    fleet = fleet_of(monkeypatch, 5, 3)
+    fleet.far_side = frozenset(ip for ip in fleet.instances if region_of(ip) == "3")
+    for server in ("a", "b", "c"):
+        fleet.instances["10.1.0.2"].crashes.note_end(ONE, server)
+    fleet.pass_ms(2_000)
+    assert set(verdicts(fleet)) == {Verdict.QUARANTINED, Verdict.CLEAR}
+    fleet.far_side = frozenset()
+    fleet.pass_ms(CONTACT_MS)
+    assert set(verdicts(fleet)) == {Verdict.QUARANTINED}
+
+
+def test_what_crosses_between_regions_is_bounded_by_regions(monkeypatch):
+    fleet = fleet_of(monkeypatch, 26, 3)
+    sent = count_sent(monkeypatch)
+    for server in ("a", "b", "c"):
+        fleet.instances["10.1.0.2"].crashes.note_end(ONE, server)
+    told_at_once = [
+        data
+        for sender, receiver, data in sent
+        if region_of(sender) != region_of(receiver) and b"CrashNews" in data
+    ]
+    # The second end and the third, to two instances of two regions each.
+    assert len(told_at_once) == 2 * _gossip.TELLERS * 2
+    assert max(map(len, told_at_once)) < 100
+
+
+def test_a_loss_of_many_servers_costs_little(monkeypatch):
+    fleet = fleet_of(monkeypatch, 26, 3)
+    sent = count_sent(monkeypatch)
+    # A region's 14 engines end with 16 requests each; none of these is under two ends.
+    for number in range(14 * 16):
+        at = fleet.instances[f"10.1.0.{number % 26 + 1}"]
+        at.crashes.note_end(RequestDigest(number.to_bytes(16, "big")), f"e{number % 14}")
+    fleet.pass_ms(20_000)
+    assert not [data for _, _, data in sent if b"CrashNews" in data]
+    assert max(len(data) for _, _, data in sent) < 1_400
+
+
+def test_at_once_is_told_as_far_as_the_allowance_goes():
+    table = CrashTable(lambda change: told.append(exchange.news_of(change, instances=26)))
+    exchange = CrashExchange(table)
+    told: list[CrashNews | None] = []
+    for number in range(50):
+        digest = RequestDigest(number.to_bytes(16, "big"))
+        table.note_end(digest, "a")
+        table.note_end(digest, "b")
+    at_once = [one for one in told if one is not None]
+    assert 0 < len(at_once) < 20
+    # What is left out goes with the rounds.
+    assert len(exchange.notes_for(True, False)) == _crash_exchange.MOST_TOLD
+
+
+def test_nothing_known_adds_nothing():
+    assert CrashExchange(CrashTable()).notes_for(True, True) == []
--- /dev/null
+++ b/sparline/forwarding/tests/test_server_ends.py
@@ -0,0 +1,128 @@
+"""Whether a server has ended, by what a connection and the store show."""
+
+import gevent
+import pytest
+
+from sparline._ids import BackendServerId
+from sparline.fleet import BackendServer
+from sparline.forwarding import EndParts, EndSign, ServerEnds, _server_ends
+from sparline.http import Reach
+from sparline.quarantine import RequestDigest
+
+SERVER = BackendServer(
+    BackendServerId("e1"), "engines", ("127.0.0.1", 1), "north-1", "north", 4, False, 0.0
+)
+ONE = RequestDigest(b"1" * 16)
+BROKE_MS = 1_000_000.0
+
+
+class Seen:
+    """Stand for the network, the server's signs of life and the log."""
+
+    def __init__(self, reach: Reach) -> None:
+        self.reach = reach
+        self.probes = 0
+        self.heard_at_ms = 0.0
+        self.unreachable: list[str] = []
+        self.ends: list[tuple[str, EndSign]] = []
+
+    def probe(self, _address: object, _timeout_s: float) -> Reach:
+        self.probes += 1
+        gevent.sleep(0.01)
+        return self.reach
+
+    def parts(self) -> EndParts:
+        return EndParts(
+            self.probe,
+            lambda _server_id: self.heard_at_ms,
+            self.unreachable.append,
+            lambda server_id, sign: self.ends.append((server_id, sign)),
+        )
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    time = [BROKE_MS]
+    monkeypatch.setattr(_server_ends, "now_ms", lambda: time[0])
+    return time
+
+
+REACHES = [
+    ("nothing listens", Reach.REFUSED, ["e1"], [("e1", EndSign.REFUSED)]),
+    ("it goes on", Reach.OPEN, [], []),
+    ("no answer", Reach.UNKNOWN, [], []),
+]
+
+
+@pytest.mark.parametrize(
+    ("reach", "unreachable", "ends"),
+    [row[1:] for row in REACHES],
+    ids=[row[0] for row in REACHES],
+)
+def test_a_connection_shows_it(clock, reach, unreachable, ends):
+    seen = Seen(reach)
+    server_ends = ServerEnds(seen.parts())
+    assert server_ends.reach(SERVER) is reach
+    assert seen.unreachable == unreachable
+    assert seen.ends == ends
+
+
+def test_all_that_broke_off_together_ask_once(clock):
+    seen = Seen(Reach.REFUSED)
+    server_ends = ServerEnds(seen.parts())
+    asking = [gevent.spawn(server_ends.reach, SERVER) for _ in range(30)]
+    gevent.joinall(asking, timeout=20)
+    assert [one.value for one in asking] == [Reach.REFUSED] * 30
+    assert server_ends.reach(SERVER) is Reach.REFUSED
+    assert seen.probes == 1
+    assert len(seen.ends) == 1
+
+
+def test_a_server_that_was_there_is_asked_again(clock):
+    seen = Seen(Reach.OPEN)
+    server_ends = ServerEnds(seen.parts())
+    server_ends.reach(SERVER)
+    seen.reach = Reach.REFUSED
+    assert server_ends.reach(SERVER) is Reach.REFUSED
+
+
+def test_who_waits_for_a_probe_is_freed_when_the_prober_is_ended(clock):
+    seen = Seen(Reach.REFUSED)
+    server_ends = ServerEnds(seen.parts())
+    prober = gevent.spawn(server_ends.reach, SERVER)
+    gevent.sleep(0)
+    waiting = gevent.spawn(server_ends.reach, SERVER)
+    gevent.sleep(0)
+    prober.kill()
+    assert waiting.get(timeout=20) is Reach.UNKNOWN
+
+
+WORDS = [
+    ("gone soon, and never heard again", 3_000.0, 0.0, [ONE]),
+    ("gone long after", _server_ends.GONE_AFTER_MS + 1, 0.0, []),
+    ("heard after the break", 3_000.0, BROKE_MS + 1, []),
+    ("heard before the break", 3_000.0, BROKE_MS - 1, [ONE]),
+]
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "heard_at_ms", "ended"), [row[1:] for row in WORDS], ids=[row[0] for row in WORDS]
+)
+def test_the_store_tells_what_no_connection_showed(clock, after_ms, heard_at_ms, ended):
+    seen = Seen(Reach.UNKNOWN)
+    server_ends = ServerEnds(seen.parts())
+    server_ends.wait_for_word(ONE, SERVER.id)
+    clock[0] += after_ms
+    seen.heard_at_ms = heard_at_ms
+    assert server_ends.note_gone(BackendServerId("another")) == []
+    assert server_ends.note_gone(SERVER.id) == ended
+    assert server_ends.note_gone(SERVER.id) == []
+    assert seen.ends == ([("e1", EndSign.GONE)] if ended else [])
+
+
+def test_what_waits_for_word_is_bounded(clock):
+    server_ends = ServerEnds(Seen(Reach.UNKNOWN).parts())
+    for number in range(2 * _server_ends.MOST_WAITING):
+        clock[0] += 0.001
+        server_ends.wait_for_word(ONE, BackendServerId(f"s{number}"))
+    assert len(server_ends._waiting) == _server_ends.MOST_WAITING
--- a/sparline/quarantine/_crash_table.py
+++ b/sparline/quarantine/_crash_table.py
@@ -78,7 +78,7 @@
     @property
     def concerns_suspect(self) -> bool:
         """Tell whether every instance should know at once."""
-        return max(self.ends, self.ends_before) >= SUSPECT_ENDS
+        return len(self.fact.ended) >= SUSPECT_ENDS
 
 
 @dataclass(slots=True)
@@ -206,15 +206,16 @@
         record.changed_at_ms = now
         change = CrashChange(_fact_of(fact.digest, record, now), record.ends, before, learnt)
         self._on_change(change)
-        self._bound()
+        self._bound(fact.digest)
         return change
 
-    def _bound(self) -> None:
-        """Push out what matters least where there is too much."""
+    def _bound(self, newest: RequestDigest) -> None:
+        """Push out what matters least where there is too much, never the newest."""
         if len(self._records) <= MOST_RECORDS:
             return
         order = sorted(
-            self._records, key=lambda one: (self._records[one].ends, self._records[one].ended_at_ms)
+            (one for one in self._records if one != newest),
+            key=lambda one: (self._records[one].ends, self._records[one].ended_at_ms),
         )
         for digest in order[: int(MOST_RECORDS * PUSHED_OUT_SHARE)]:
             ends = self._records.pop(digest).ends
--- /dev/null
+++ b/sparline/quarantine/tests/test_crash_table.py
@@ -0,0 +1,189 @@
+"""What a table says of requests by the ends that it was told of."""
+
+import pytest
+
+from sparline.quarantine import (
+    CrashFact,
+    CrashTable,
+    Learnt,
+    RequestDigest,
+    Verdict,
+    _crash_table,
+)
+
+ONE = RequestDigest(b"1" * 16)
+TWO = RequestDigest(b"2" * 16)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    time = [1_000_000.0]
+    monkeypatch.setattr(_crash_table, "now_ms", lambda: time[0])
+    return time
+
+
+def ended(table: CrashTable, *servers: str, digest: RequestDigest = ONE) -> None:
+    for server in servers:
+        table.note_end(digest, server)
+
+
+def fact(*servers: str, cleared: tuple[str, ...] = (), age_ms: float = 0.0) -> CrashFact:
+    keys = frozenset(_crash_table.start_key(one) for one in servers)
+    return CrashFact(ONE, keys, frozenset(_crash_table.start_key(one) for one in cleared), age_ms)
+
+
+VERDICTS = [
+    ("nothing", [], Verdict.CLEAR),
+    ("one end", ["a"], Verdict.CLEAR),
+    ("one end, seen by several", ["a", "a", "a"], Verdict.CLEAR),
+    ("two ends", ["a", "b"], Verdict.SUSPECT),
+    ("a server and its next start", ["a@1", "a@2"], Verdict.SUSPECT),
+    ("three ends", ["a", "b", "c"], Verdict.QUARANTINED),
+    ("twenty ends", [f"s{number}" for number in range(20)], Verdict.QUARANTINED),
+]
+
+
+@pytest.mark.parametrize(
+    ("servers", "verdict"), [row[1:] for row in VERDICTS], ids=[row[0] for row in VERDICTS]
+)
+def test_the_number_of_servers_decides(clock, servers, verdict):
+    table = CrashTable()
+    ended(table, *servers)
+    assert table.verdict(ONE) is verdict
+    assert table.verdict(TWO) is Verdict.CLEAR
+
+
+MERGES = [
+    ("told twice", [["a", "b"], ["a", "b"]], 2),
+    ("told by two instances", [["a", "b"], ["b", "c"]], 3),
+    ("told by three regions, one each", [["a"], ["b"], ["c"]], 3),
+    ("nothing new", [["a"], ["a"], []], 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("told", "ends"), [row[1:] for row in MERGES], ids=[row[0] for row in MERGES]
+)
+def test_facts_are_merged_in_any_order(clock, told, ends):
+    for order in (told, told[::-1]):
+        table = CrashTable()
+        for servers in order:
+            table.take([fact(*servers)])
+        assert table.ends(ONE) == ends
+
+
+def test_a_whole_answer_excuses_what_was_before_it(clock):
+    table = CrashTable()
+    ended(table, "a", "b")
+    table.note_whole(ONE)
+    assert table.verdict(ONE) is Verdict.CLEAR
+    # The excuse goes before what a peer, who has not heard of it, still tells.
+    table.take([fact("a", "b")])
+    assert table.verdict(ONE) is Verdict.CLEAR
+    clock[0] += _crash_table.SOUND_MS + 1
+    ended(table, "c")
+    assert table.ends(ONE) == 1
+
+
+def test_a_peers_excuse_is_taken(clock):
+    table = CrashTable()
+    ended(table, "a", "b", "c")
+    assert table.take([fact("a", "b", "c", cleared=("a", "b", "c"))])
+    assert table.verdict(ONE) is Verdict.CLEAR
+
+
+def test_a_request_that_many_send_is_sound_when_its_servers_are_lost_together(clock):
+    table = CrashTable()
+    table.note_whole(ONE)
+    clock[0] += 100
+    ended(table, "a", "b", "c")
+    assert table.verdict(ONE) is Verdict.CLEAR
+    # Instances that have not answered it yet hear so.
+    (told,) = table.take([fact("a", "b", "c")])
+    assert told.cleared == told.ended
+
+
+def test_what_was_sound_once_is_not_sound_for_ever(clock):
+    table = CrashTable()
+    table.note_whole(ONE)
+    clock[0] += _crash_table.SOUND_MS
+    ended(table, "a", "b", "c")
+    assert table.verdict(ONE) is Verdict.QUARANTINED
+
+
+def test_a_quarantine_ends_in_a_trial_and_grows_with_each_further_end(clock):
+    table = CrashTable()
+    ended(table, "a", "b", "c")
+    for number, times in enumerate((1, 2, 4)):
+        clock[0] += times * _crash_table.QUARANTINE_MS - 1
+        assert table.verdict(ONE) is Verdict.QUARANTINED
+        clock[0] += 1
+        assert table.verdict(ONE) is Verdict.SUSPECT
+        ended(table, f"d{number}")
+        assert table.verdict(ONE) is Verdict.QUARANTINED
+
+
+def test_old_news_does_not_prolong_a_quarantine(clock):
+    table = CrashTable()
+    ended(table, "a", "b", "c")
+    clock[0] += _crash_table.QUARANTINE_MS / 2
+    table.take([fact("a", "b", "c", age_ms=_crash_table.QUARANTINE_MS / 2)])
+    assert table.quarantine_left_ms(ONE) == _crash_table.QUARANTINE_MS / 2
+
+
+def test_what_nothing_has_ended_under_for_long_is_forgotten(clock):
+    table = CrashTable()
+    ended(table, "a", "b")
+    clock[0] += _crash_table.KEPT_MS
+    table.forget_old()
+    assert table.is_empty
+
+
+def test_a_flood_of_others_pushes_no_suspect_out(clock):
+    pushed_out = []
+    table = CrashTable(on_pushed_out=lambda digest, ends: pushed_out.append((digest, ends)))
+    ended(table, "a", "b", "c")
+    for number in range(3 * _crash_table.MOST_RECORDS):
+        clock[0] += 1
+        ended(table, "x", digest=RequestDigest(number.to_bytes(16, "big")))
+    assert table.verdict(ONE) is Verdict.QUARANTINED
+    assert len(table._records) <= _crash_table.MOST_RECORDS
+    assert pushed_out == []
+
+
+def test_a_suspect_without_room_is_told_of(clock, monkeypatch):
+    monkeypatch.setattr(_crash_table, "MOST_RECORDS", 20)
+    pushed_out = []
+    table = CrashTable(on_pushed_out=lambda digest, ends: pushed_out.append((digest, ends)))
+    for number in range(21):
+        clock[0] += 1
+        ended(table, "a", "b", digest=RequestDigest(number.to_bytes(16, "big")))
+    assert pushed_out == [(RequestDigest(bytes(16)), 2), (RequestDigest(bytes(15) + b"\1"), 2)]
+
+
+def test_the_worst_are_told_first_and_each_for_its_time(clock):
+    table = CrashTable()
+    ended(table, "a", "b", "c")
+    clock[0] += 100
+    ended(table, "a", digest=TWO)
+    assert [one.digest for one in table.facts(5, 50, 500)] == [ONE, TWO]
+    assert [one.digest for one in table.facts(1, 50, 500)] == [ONE]
+    clock[0] += 100
+    assert [one.digest for one in table.facts(5, 50, 500)] == [ONE]
+    assert table.facts(5, 50, 150) == []
+
+
+def test_a_change_is_told_once_with_what_it_was_before(clock):
+    changes = []
+    table = CrashTable(
+        lambda change: changes.append((change.ends_before, change.ends, change.learnt))
+    )
+    ended(table, "a", "a", "b")
+    table.take([fact("a", "b", "c")])
+    table.note_whole(ONE)
+    assert changes == [
+        (0, 1, Learnt.HERE),
+        (1, 2, Learnt.HERE),
+        (2, 3, Learnt.PEER),
+        (3, 0, Learnt.HERE),
+    ]
