Test whole gateways: what a crashing request's caller, its bystanders and relays get

Twelve tests: a true answer without Retry-After; others served at each instance; an instance that starts later, a relay that knows more, a relay's word of the server that ended; one that ran beside two ends is sent once more, beside the fewest, and cleared everywhere; a request that many send isn't blamed for servers lost together; a broken answer of a server that lives is no end.

--- a/sparline/gateway/tests/test_crashing_request.py
+++ b/sparline/gateway/tests/test_crashing_request.py
@@ -16,8 +16,9 @@
 import gevent
 import pytest
 
+from sparline.quarantine import digest_of
 from sparline.tests.routed_fleet import RoutedFleet
-from standins import PROMPT
+from standins import HOST, PROMPT, SealedFaults
 
 PLACES = ("north-1", "north-1", "south-1", "south-1")
 ZONES = ("north-1", "north-1", "north-1", "south-1", "south-1")
@@ -76,3 +77,139 @@
         repeat(fleet, later)
         gevent.sleep(BACK_S)
     assert sends(fleet) - before <= MOST_LATER_SENDS
+
+
+def test_its_caller_is_told_the_truth_and_not_to_come_back(fleet):
+    for number in range(TRIES):
+        got = repeat(fleet, number)
+        # Never a promise that it has not run, and no time at which to come back.
+        assert got.status in (0, 502)
+        assert "retry-after" not in got.headers
+        gevent.sleep(BACK_S)
+    assert got.status == 502
+    assert b"each one that ran it ended" in got.body
+
+
+def test_others_are_served_beside_it(fleet):
+    asking = []
+    for number in range(TRIES):
+        asking.append(gevent.spawn(repeat, fleet, number))
+        for other in range(3):
+            at = f"g{other}"
+            body = b"other %d %d" % (number, other)
+            asking.append(
+                gevent.spawn(fleet.ask, "/stream/x", f"o{number}{at}", at, body=body, **PROMPT)
+            )
+        gevent.sleep(BACK_S)
+    gevent.joinall(asking, timeout=20)
+    # Engines came back meanwhile; whoever asks now is served at each instance.
+    for at in fleet.gateways:
+        got = fleet.ask("/stream/x", f"after-{at}", at, body=b"other", **PROMPT)
+        assert (got.status, got.whole) == (200, True)
+    assert {one.crashes.quarantined() for one in fleet.gateways.values()} == {1}
+
+
+def test_an_instance_that_starts_later_does_not_send_it(fleet):
+    number = 0
+    while sends(fleet) < MOST_ENDS and number < TRIES:
+        repeat(fleet, number)
+        number += 1
+        gevent.sleep(BACK_S)
+    late = fleet.add_gateway("late", "127.0.1.77", "south-1")
+    fleet.until(late.is_ready, "the new instance is ready")
+    fleet.until(lambda: not late.crashes.is_empty, "it has heard of the request")
+    before = sends(fleet)
+    assert fleet.ask("/stream/x", "at-late", "late", body=CRASHING, **PROMPT).status == 502
+    assert sends(fleet) == before
+
+
+def test_what_a_relay_saw_counts_for_the_instance_that_relayed(fleet):
+    fleet.store.put("op/evacuate/north-1", {})
+    g0 = fleet.gateways["g0"]
+    fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
+    fleet.ask("/stream/x", "r1", body=CRASHING, **PROMPT)
+    fleet.until(lambda: not g0.crashes.is_empty, "the end is known where the caller asked")
+    assert all(
+        run.body != CRASHING for name in ("e0", "e1", "e2") for run in fleet.servers[name].runs
+    )
+
+
+def test_a_relay_that_knows_more_sends_nothing(fleet):
+    number = 0
+    while sends(fleet) < MOST_ENDS and number < TRIES:
+        repeat(fleet, number)
+        number += 1
+        gevent.sleep(BACK_S)
+    fleet.until(
+        lambda: all(len(one.crashes.facts(9, 9e9, 9e9)) == 1 for one in fleet.gateways.values()),
+        "all know",
+    )
+    # One that has lost what it knew, as after a start, asks a region that knows.
+    g0 = fleet.gateways["g0"]
+    g0.crashes._records.clear()
+    fleet.store.put("op/evacuate/north-1", {})
+    fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
+    before = sends(fleet)
+    got = fleet.ask("/stream/x", "r9", body=CRASHING, **PROMPT)
+    assert (got.status, "retry-after" in got.headers) == (502, False)
+    assert sends(fleet) == before
+
+
+def test_one_that_ran_beside_two_ends_is_sent_once_more_and_cleared(fleet):
+    body = b"innocent"
+    digest = None
+    for gateway in fleet.gateways.values():
+        digest = digest_of_ask(body)
+        for server in ("e1", "e3"):
+            gateway.crashes.note_end(digest, server)
+    got = fleet.ask("/stream/x", "r1", body=body, **PROMPT)
+    assert (got.status, got.whole) == (200, True)
+    fleet.until(
+        lambda: all(not one.crashes.ends(digest) for one in fleet.gateways.values()),
+        "all hear that it was answered whole",
+    )
+
+
+def test_a_suspect_goes_to_the_server_with_the_fewest_requests(fleet):
+    digest = digest_of_ask(b"suspect")
+    g0 = fleet.gateways["g0"]
+    for server in ("x", "y"):
+        g0.crashes.note_end(digest, server)
+    for name in ("e0", "e1"):
+        for _ in range(3):
+            g0.loads.reserve(g0.fleet.servers[name], 0, 0)
+    fleet.ask("/stream/x", "r1", body=b"suspect", **PROMPT)
+    assert [run.body for run in fleet.servers["e2"].runs] == [b"suspect"]
+
+
+def test_a_request_that_many_send_is_not_blamed_for_servers_lost_together(fleet):
+    asking = []
+    for round_ in range(6):
+        for at in fleet.gateways:
+            asking.append(
+                gevent.spawn(fleet.ask, "/stream/x", f"{round_}{at}", at, body=b"poll", **PROMPT)
+            )
+        gevent.sleep(0.05)
+        if round_ == 4:
+            for name in list(fleet.servers):
+                fleet.servers[name].end()
+    gevent.joinall(asking, timeout=20)
+    gevent.sleep(2 * BACK_S)
+    for at in fleet.gateways:
+        assert fleet.ask("/stream/x", f"after-{at}", at, body=b"poll", **PROMPT).status == 200
+
+
+@pytest.mark.parametrize("target", ["/stream/x", "/safe/x", "/unsafe/x", "/once/x"])
+def test_a_broken_answer_of_a_server_that_lives_is_no_end(fleet, target):
+    fleet.add_server("p1")
+    fleet.until(lambda: all("p1" in one.fleet.servers for one in fleet.gateways.values()), "listed")
+    for server in fleet.servers.values():
+        server.faults = SealedFaults(close_after_run=True)
+    for number in range(4):
+        fleet.ask(target, f"r{number}", f"g{number}", body=b"abc", **PROMPT)
+    assert all(one.crashes.is_empty for one in fleet.gateways.values())
+
+
+def digest_of_ask(body: bytes):
+    """Return the digest of what a test's caller sends."""
+    return digest_of([HOST.encode(), b"POST", b"/stream/x", body])
