--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -8,6 +8,9 @@
 
 GRACE_MS = 8_000.0
 STREAM = make_route(kind=RequestKind.STREAM, wanted_latency_ms=1_000, timeout_ms=8_000)
+ONCE = make_route(
+    kind=RequestKind.STREAM, wanted_latency_ms=1_000, timeout_ms=8_000, resumable=False
+)
 PLAIN = make_route(kind=RequestKind.UNSAFE, wanted_latency_ms=400, timeout_ms=1_200)
 
 ROWS = [
@@ -41,6 +44,17 @@
     ("a plain one after the usual last moment", PLAIN, None, 6_700, True),
     ("a plain one after the last moment of all", PLAIN, None, 6_900, False),
     ("a long answer that would not end in time", STREAM, Prompt(17_000, 120, ()), 5_000, False),
+    # Taken 4.47 s into a stop of 8 s, it was cut at 7.63 s: engines paused longer than they usually do.
+    ("one that runs once and may last longer", ONCE, Prompt(17_000, 110, ()), 4_470, False),
+    ("one that runs once and ends soon", ONCE, Prompt(17_000, 50, ()), 4_470, True),
+    ("a long answer that can be picked up again", STREAM, Prompt(17_000, 110, ()), 4_470, True),
+    (
+        "one that runs once, before the usual last moment",
+        ONCE,
+        Prompt(17_000, 110, ()),
+        3_900,
+        True,
+    ),
 ]
 
 
