Take ages on a clock that goes on while the machine sleeps, and judge no engine by own pauses

Ruled out: a list of special cases for each table; the time of day (it jumps). Change: now_ms is the time since the machine's start (CLOCK_BOOTTIME), decided in the clock module alone; a watch that ticks with the upkeep, or is asked first, knows the last pause of 0.9 s and more; is_dark, first events, pauses, answers and paces leave such times out; a wait for a server ends by the clock where the timers were late; process_paused line and counter. Open: members of before a pause count as silent until they are heard again.

--- a/benchmarks/_decide_time.py
+++ b/benchmarks/_decide_time.py
@@ -13,8 +13,10 @@
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
 
-    def monotonic(self) -> float:
-        """Return the time as `time.monotonic` does, in seconds."""
+    CLOCK_BOOTTIME = 7
+
+    def clock_gettime(self, _clock: int) -> float:
+        """Return the time as `time.clock_gettime` does, in seconds."""
         return self.now_ms / 1000
 
     def after(self, delay_ms: float, run: Callable[[], None]) -> None:
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -44,6 +44,10 @@
     """Say that a backend server shows no sign of life."""
 
 
+class _TimeOver(Exception):
+    """Say that nobody waits any more, though no timer has told: this process stood still."""
+
+
 class Attempt:
     """Send a request once and pass its answer on."""
 
@@ -81,6 +85,8 @@
         except _ServerSilent:
             self._tools.health.note_failure(self._server_id, "silent")
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_SILENT, in_doubt=True)
+        except _TimeOver:
+            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         finally:
             self._tools.health.note_done(self._server_id)
             self._tools.pool.give_back(connection)
@@ -193,6 +199,9 @@
         """Give a silent server up where the request can go elsewhere, and one that is no more."""
         if self._placement.peer is None and self._tools.has_ended(self._server_id):
             raise ConnectionBroken("the server has started anew and holds nothing of this request")
+        if self._request.left_ms() <= 0:
+            # Timers stand still while the machine is suspended; the clock does not.
+            raise _TimeOver
         if not self._request.route.repeatable:
             return
         if not self._tools.may_move(self._request, self._progress):
@@ -268,7 +277,8 @@
 
     def _note_plain_success(self, took_ms: float) -> None:
         self._tools.health.note_success(self._server_id)
-        if self._placement.peer is not None:
+        stood_still = self._tools.watch.thawed_at_ms() > self._progress.sent_at_ms
+        if self._placement.peer is not None or stood_still:
             return
         usual_ms = self._tools.pace.answer_ms(self._request.service)
         self._tools.health.note_pace(self._server_id, took_ms, usual_ms)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -10,7 +10,7 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from sparline._clock import now_ms
+from sparline._clock import PauseWatch, now_ms
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
@@ -100,6 +100,7 @@
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.request_log = RequestLog(self.metrics)
+        self.pause_watch = PauseWatch(self._note_pause)
         region = RegionName(settings.region)
         zones = {ZoneName(one): RegionName(of) for one, of in settings.zone_regions.items()}
         started_ms = int(time.time() * 1000)
@@ -165,7 +166,7 @@
         self._tasks: list[gevent.Greenlet] = []
 
     def _make_placement(self, region: RegionName) -> None:
-        self.health = HealthTable()
+        self.health = HealthTable(self.pause_watch.thawed_at_ms)
         self.load_exchange = LoadExchange(
             self.members,
             LoadSources(
@@ -222,7 +223,7 @@
             peer_port=self._relay_port,
             health=self.health,
             pace=self.pace,
-            watch=WatchTables(self.pace, self.pauses, self.loads),
+            watch=WatchTables(self.pace, self.pauses, self.loads, self.pause_watch.thawed_at_ms),
             may_move=may_move,
             note_peer=self.peers.note,
             note_round_trip=self.peers.note_round_trip,
@@ -262,6 +263,10 @@
         if len(self._ended_starts) > MOST_ENDED_STARTS:
             self._ended_starts.popitem(last=False)
 
+    def _note_pause(self, pause_ms: float) -> None:
+        self.metrics.pauses.inc()
+        log.bind(pause_ms=round(pause_ms)).warning("process_paused")
+
     def _note_gone(self, server: BackendServer) -> None:
         """Count a server's end under the requests that broke off with it."""
         for digest in self.ends.note_gone(server.id):
@@ -347,6 +352,7 @@
     def _upkeep(self) -> None:
         logged_at_ms = now_ms()
         while True:
+            self.pause_watch.tick()
             if now_ms() - logged_at_ms >= LEARNED_MS:
                 logged_at_ms = now_ms()
                 log.bind(pace=self.pace.learned(), pauses=self.pauses.learned()).info("learned")
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -1,5 +1,6 @@
 """What requests show of a backend server: refusals, failures, silence, pace."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -50,8 +51,9 @@
 class HealthTable:
     """Judge backend servers by the requests of this instance."""
 
-    def __init__(self) -> None:
-        """Start with no opinion."""
+    def __init__(self, thawed_at_ms: Callable[[], float] = lambda: 0.0) -> None:
+        """Start with no opinion; `thawed_at_ms` tells when this process last stood still."""
+        self._thawed_at_ms = thawed_at_ms
         self._witnesses: dict[BackendServerId, _Witness] = {}
 
     def _of(self, server_id: BackendServerId) -> _Witness:
@@ -164,7 +166,7 @@
     def is_dark(self, server_id: BackendServerId) -> bool:
         """Tell whether a server with work under way has sent nothing for too long."""
         witness = self._witnesses.get(server_id)
-        return witness is not None and _is_dark(witness, now_ms())
+        return witness is not None and self._is_silent(witness, now_ms())
 
     def is_elsewhere(self, server_id: BackendServerId) -> bool:
         """Tell whether another server has the address, so that each send would be turned away."""
@@ -179,23 +181,25 @@
         now = now_ms()
         if now < witness.elsewhere_until_ms or now < witness.full_until_ms:
             return False
-        return not _is_doubted(witness, now)
+        return not self._doubts(witness, now)
 
     def is_doubted(self, server_id: BackendServerId) -> bool:
         """Tell whether a server failed or fell silent lately."""
         witness = self._witnesses.get(server_id)
-        return witness is not None and _is_doubted(witness, now_ms())
+        return witness is not None and self._doubts(witness, now_ms())
 
     def forget_all_but(self, known: set[BackendServerId]) -> None:
         """Forget servers that are gone."""
         self._witnesses = {one: kept for one, kept in self._witnesses.items() if one in known}
 
+    def _doubts(self, witness: _Witness, now: float) -> bool:
+        return now < witness.pass_over_until_ms or self._is_silent(witness, now)
 
-def _is_doubted(witness: _Witness, now: float) -> bool:
-    return now < witness.pass_over_until_ms or _is_dark(witness, now)
-
-
-def _is_dark(witness: _Witness, now: float) -> bool:
-    if not witness.waiting:
-        return False
-    return now - max(witness.heard_at_ms, witness.waiting_since_ms) > DARK_MS
+    def _is_silent(self, witness: _Witness, now: float) -> bool:
+        if not witness.waiting:
+            return False
+        since_ms = max(witness.heard_at_ms, witness.waiting_since_ms)
+        if now - since_ms <= DARK_MS:
+            return False
+        # What this process did not hear while it stood still is no silence of the server.
+        return now - self._thawed_at_ms() > DARK_MS
--- a/sparline/placement/_stream_watch.py
+++ b/sparline/placement/_stream_watch.py
@@ -1,5 +1,6 @@
 """What one stream's events show of its engine: how it reads, and how it delays others."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -20,6 +21,7 @@
     pace: PaceTable  # times of services and engines
     pauses: PauseTable  # which readings make pauses too long
     loads: LoadTable  # load of backend servers
+    thawed_at_ms: Callable[[], float] = lambda: 0.0  # when this process last stood still
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,14 +64,17 @@
         self._events += 1
         if self._events == 1:
             self._first_at_ms = now_ms()
-            self._reservation.note_first_event(self._note_first())
+            shown_log = None if self._stood_still_since(self._sent_at_ms) else self._note_first()
+            self._reservation.note_first_event(shown_log)
+        elif self._stood_still_since(self._event_at_ms):
+            self._began = None
         elif self._request.route.pause_target_ms:
             self._note_pause(now_ms() - self._event_at_ms)
         self._event_at_ms = now_ms()
 
     def note_end(self) -> None:
         """Note that the answer is whole."""
-        if self._placement.peer is not None:
+        if self._placement.peer is not None or self._stood_still_since(self._sent_at_ms):
             return
         service = self._request.service
         self._tables.pace.note_answer(service, now_ms() - self._sent_at_ms)
@@ -78,6 +83,10 @@
             took_ms = now_ms() - self._first_at_ms
             self._tables.pace.note_output(service, prompt.most_output_tokens, took_ms)
 
+    def _stood_still_since(self, at_ms: float) -> bool:
+        """Tell whether a time holds a pause of this process, which no engine is to be judged by."""
+        return self._tables.thawed_at_ms() > at_ms
+
     def _note_first(self) -> float | None:
         """Learn how quickly the engine reads, where nothing else held the request up."""
         place = self._placement
--- a/sparline/placement/tests/test_observed.py
+++ b/sparline/placement/tests/test_observed.py
@@ -225,13 +225,13 @@
 class Watched:
     """Hold a stream at n1, and the tables that it teaches."""
 
-    def __init__(self, **changes) -> None:
+    def __init__(self, thawed_at_ms=lambda: 0.0, **changes) -> None:
         self.loads = LoadTable(NORTH, lambda _one: None, lambda _one, _load, _shown: None)
         self.pauses = PauseTable()
         self.pace = PaceTable()
         reservation = self.loads.reserve(N1, 450, 400)
         request = make_request(make_route(pause_target_ms=PAUSE_MS))
-        tables = WatchTables(self.pace, self.pauses, self.loads)
+        tables = WatchTables(self.pace, self.pauses, self.loads, thawed_at_ms)
         self.watch = StreamWatch(tables, request, make_placement(**changes), reservation)
 
         self.noted: list[tuple[str, int]] = []
@@ -307,6 +307,32 @@
     assert stream.loads.own(N1.id).unread_tokens == 0
 
 
+# Each row: when events came, and when a pause of this process ended (ms).
+OWN_PAUSES = [
+    ("before the first event", (3_000,), 2_900),
+    ("between events", (100, 3_100, 3_200), 3_000),
+    ("before the end", (100, 3_200), 3_150),
+]
+
+
+@pytest.mark.parametrize(
+    ("events", "thawed"), [row[1:] for row in OWN_PAUSES], ids=[row[0] for row in OWN_PAUSES]
+)
+def test_a_pause_of_this_process_teaches_nothing_of_an_engine(clock, monkeypatch, events, thawed):
+    learned = []
+    for name in ("note_first_event", "note_answer", "note_output"):
+        monkeypatch.setattr(PaceTable, name, lambda *_, name=name: learned.append((clock[0], name)))
+    stream = Watched(lambda: 1_000 + thawed if clock[0] >= 1_000 + thawed else 0.0)
+    for at in events:
+        if at > 100:
+            stream.loads.reserve(N1, 500, 500)
+        clock[0] = 1_000 + at
+        stream.watch.note_event()
+    stream.watch.note_end()
+    assert [one for one in learned if one[0] >= 1_000 + thawed] == []
+    assert [one for one in stream.noted if one[1] not in (100, False)] == []
+
+
 def test_what_was_learned_can_be_logged():
     pace, pauses = PaceTable(), PauseTable()
     pace.note_first_event(ENGINES, N1.id, FirstEvent(0, 2_000, 0), 60.0)
