Count the ends under a request in the product's own gateway too, by the same table

Cause: the class of the incident stood in the dispatcher as well: it excludes what failed for one request id, and the next try knows nothing. Change: the table, the search for ends and the notes are shared; the dispatcher asks them, a mesh message spreads what is new over zones and regions, a new link is told all suspects; the caller gets an unknown outcome with reason quarantined. A suspect gets one attempt a try; it is not sent beside the fewest there (the waiting room places requests, not yet by suspicion). Bodies of plain services that are read as they are sent are known once they were read. Conclusion: one implementation of the count, two of the sending.

--- a/sparline/backends/__init__.py
+++ b/sparline/backends/__init__.py
@@ -1,7 +1,13 @@
 """Exchanges with backend servers."""
 
 from sparline.backends._attempt import AttemptContext, attempt, cancel
-from sparline.backends._connection import BackendAddress, Exchange, ExchangeFault, call_json
+from sparline.backends._connection import (
+    BackendAddress,
+    Exchange,
+    ExchangeFault,
+    call_json,
+    probe,
+)
 
 __all__ = [
     "AttemptContext",
@@ -11,4 +17,5 @@
     "attempt",
     "call_json",
     "cancel",
+    "probe",
 ]
--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -8,6 +8,7 @@
 from sparline.backends import AttemptContext, BackendAddress, attempt
 from sparline.dispatch._retry_budget import RetryBudget
 from sparline.dispatch._waiting_room import WaitingRoom
+from sparline.quarantine import CrashTable, Reach, ServerEnds, Verdict
 from sparline.requests import (
     Answer,
     AnswerChunk,
@@ -23,6 +24,7 @@
     unknown,
 )
 from sparline.routing import (
+    BackendState,
     CandidateFinder,
     LoadTable,
     Policy,
@@ -42,6 +44,9 @@
 # After these ends another attempt makes no sense: nobody waits for its answer.
 _FINAL_REASONS = (Reason.CALLER_GONE, Reason.DEADLINE_PASSED)
 
+# After these a backend server may have ended with the request.
+_BROKEN = (Reason.BROKEN_BEFORE_ANSWER, Reason.BROKEN_IN_ANSWER)
+
 # These say something about the backend server, the others about the request.
 _SERVER_FAULTS = (
     Reason.CONNECT_FAILED,
@@ -77,6 +82,8 @@
     metrics: Metrics  # counters
     relay: RelaySender  # sends to other zones
     connect_timeout_ms: float  # longest wait for a connection
+    crashes: CrashTable  # backend servers that ended under requests
+    ends: ServerEnds  # whether those that broke an answer off have ended
 
 
 class Dispatcher:
@@ -94,6 +101,9 @@
         progress = _Progress(tokens_passed=resume_from)
         self._budget.earn()
         while True:
+            if self._verdict(request) is Verdict.QUARANTINED:
+                yield unknown(Reason.QUARANTINED)
+                return
             end = yield from self._try_once(request, progress)
             stop = self._reason_to_stop(request, progress, end)
             if stop is not None:
@@ -105,6 +115,13 @@
                 return
             self._parts.metrics.retries.labels(end.reason).inc()
 
+    def _verdict(self, request: Request) -> Verdict:
+        """Return what may be done with a request; its digest is worked out only if it matters."""
+        if self._parts.crashes.is_empty:
+            return Verdict.CLEAR
+        digest = request.digest()
+        return Verdict.CLEAR if digest is None else self._parts.crashes.verdict(digest)
+
     def takes_relayed(self, request: Request) -> bool:
         """Tell whether a request from another zone may run here now."""
         assert request.origin is Origin.RELAY, "only relayed requests are offered"
@@ -201,8 +218,21 @@
             else:
                 self._parts.loads.note_failure(backend)
             progress.excluded.add(backend.member.id)
+            self._note_crash(request, backend, end)
         elif end.outcome is Outcome.complete:
             self._parts.loads.note_success(backend)
+            if (digest := request.digest()) is not None:
+                self._parts.crashes.note_whole(digest)
+
+    def _note_crash(self, request: Request, backend: BackendState, end: AnswerEnd) -> None:
+        """Count a backend server that ended while it ran a request."""
+        digest = request.digest() if end.reason in _BROKEN else None
+        if digest is None:
+            return
+        server_id = BackendServerId(f"{backend.member.id}@{backend.incarnation}")
+        address = (backend.member.ip, backend.member.port)
+        if self._parts.ends.reach(server_id, address) is Reach.REFUSED:
+            self._parts.crashes.note_end(digest, server_id)
 
     def _send_away(
         self, request: Request, candidate: RemoteCandidate, progress: _Progress
@@ -226,12 +256,14 @@
         """Return why there is no further attempt, None if there is one."""
         if (
             end.outcome is Outcome.complete
-            or end.reason in _FINAL_REASONS
+            or end.reason in (*_FINAL_REASONS, Reason.QUARANTINED)
             or progress.attempts >= MAX_ATTEMPTS
         ):
             return end.reason
         if not _may_try_again(request, progress, end):
             return end.reason
+        if progress.may_have_run and self._verdict(request) is not Verdict.CLEAR:
+            return end.reason
         if end.reason in (Reason.DEADLINE_UNREACHABLE, Reason.OVERLOADED, Reason.NO_BACKEND):
             return end.reason
         return None if self._budget.spend() else Reason.RETRY_BUDGET
--- /dev/null
+++ b/sparline/dispatch/tests/test_quarantine.py
@@ -0,0 +1,103 @@
+"""A request that ends each engine that runs it, at instances of two regions."""
+
+import gevent
+
+from benchmarks._callers import Report
+from benchmarks._shapes import ZoneShape
+from sparline.requests import RequestBody
+from sparline.tests.local_fleet import HOST, LocalFleet
+from standins import Engine, Faults
+
+CRASHING = "whoever reads this ends"
+# An engine that has ended is back after this long (s), and news has spread after that long (s).
+BACK_S = 0.2
+NEWS_S = 1.0
+TRIES = 10
+MOST_ENDS = 3
+MOST_LATER_SENDS = 3
+ZONES = (ZoneShape("zone-a", "north", 2, 3, 1), ZoneShape("zone-b", "south", 2, 2, 1))
+
+
+class CrashingFleet(LocalFleet):
+    """Start engines again, each time as another incarnation, when they have ended."""
+
+    def __init__(self) -> None:
+        super().__init__(ZONES)
+        self.ended: list[Engine] = []
+        for name in self.engines:
+            self._watch(name)
+
+    def _watch(self, name: str) -> None:
+        engine = self.engines[name]
+        engine.ends_on = CRASHING
+        engine.on_end = lambda: self._note_end(name)
+
+    def _note_end(self, name: str) -> None:
+        self.ended.append(self.engines[name])
+        gevent.spawn_later(BACK_S, self._come_back, name)
+
+    def _come_back(self, name: str) -> None:
+        port = self._backend_ports[name][0]
+        loaded = self.engines[name].loaded
+        self.engines[name] = Engine(HOST, port, self.platform.address, self.engine_shape, loaded)
+        self._watch(name)
+        self.engines[name].start()
+
+    def repeat(self, number: int) -> Report:
+        """Ask as a caller who repeats: the same content, another id, instances of either region."""
+        return self.ask(self.question("north", prompt=CRASHING), ("north", "south")[number % 2])
+
+    def repeat_until_ended(self) -> None:
+        """Repeat until three engines have ended, and let the news spread."""
+        for number in range(TRIES):
+            if len(self.ended) >= MOST_ENDS:
+                break
+            self.repeat(number)
+            gevent.sleep(2 * BACK_S)
+        assert len(self.ended) >= MOST_ENDS
+        gevent.sleep(NEWS_S)
+
+
+def test_a_request_that_ends_its_engines_is_not_sent_on_and_on():
+    with CrashingFleet() as fleet:
+        fleet.repeat_until_ended()
+        before = len(fleet.ended)
+        for number in range(TRIES):
+            report = fleet.repeat(number)
+            gevent.sleep(BACK_S)
+        assert len(fleet.ended) - before <= MOST_LATER_SENDS
+        # Never called not run, and no time at which to come back.
+        assert (report.outcome, report.reason) == ("unknown", "quarantined")
+        known = [one.crashes.quarantined() for one in fleet.instances.values()]
+        assert known == [1] * len(known)
+        assert fleet.ask(fleet.question("north")).outcome == "complete"
+
+
+def test_an_instance_that_starts_later_does_not_send_it():
+    with CrashingFleet() as fleet:
+        fleet.repeat_until_ended()
+        before = len(fleet.ended)
+        late = fleet.start_instance_again("zone-b-0")
+        fleet.until(lambda: late.crashes.quarantined() == 1, "the new instance has heard of it")
+        for number in range(4):
+            fleet.repeat(number)
+        assert len(fleet.ended) == before
+
+
+def test_a_broken_answer_of_an_engine_that_lives_is_no_end():
+    with LocalFleet(ZONES) as fleet:
+        for engine in fleet.engines.values():
+            engine.faults = Faults(close_after_run=True)
+        for number in range(4):
+            fleet.ask(fleet.question("north"), ("north", "south")[number % 2])
+        assert all(one.crashes.is_empty for one in fleet.instances.values())
+
+
+def test_only_a_body_that_was_read_names_a_request():
+    assert RequestBody.of(b"abc").content == b"abc"
+    parts = iter([b"ab", b"c", b""])
+    body = RequestBody(lambda _size: next(parts), 3)
+    assert body.content is None
+    assert b"".join(body.parts()) == b"abc"
+    assert body.content == b"abc"
+    assert RequestBody(lambda _size: b"x" * 300_000, 600_000).content is None
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -10,7 +10,6 @@
 from sparline.forwarding._events import EventCutter
 from sparline.forwarding._forwarder import Forwarder, ForwarderParts, RequestEnd, may_move
 from sparline.forwarding._retry_window import RetryRule, RetryWindow
-from sparline.forwarding._server_ends import EndParts, EndSign, ServerEnds
 from sparline.forwarding._wire import (
     AnswerKind,
     AnswerMeaning,
@@ -26,8 +25,6 @@
     "AttemptResult",
     "AttemptTools",
     "EventCutter",
-    "EndParts",
-    "EndSign",
     "Forwarder",
     "ForwarderParts",
     "OwnAnswer",
@@ -37,7 +34,6 @@
     "RetryWindow",
     "SendTerms",
     "SentEnd",
-    "ServerEnds",
     "Wire",
     "may_move",
 ]
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -13,10 +13,10 @@
     CallerConnection,
     ConnectionBroken,
     HttpAnswer,
-    Reach,
     end_to_end,
 )
 from sparline.placement import Placement, Reservation, StreamWatch
+from sparline.quarantine import Reach
 from sparline.requests import Reason, RoutedRequest
 from sparline.routes import RequestKind
 
@@ -99,7 +99,7 @@
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, reason)
         reach = Reach.REFUSED
         if not self._tools.has_ended(self._server_id):
-            reach = self._tools.ends.reach(self._placement.server)
+            reach = self._tools.ends.reach(self._server_id, self._placement.server.address)
         return AttemptEnd(
             AttemptResult.MAY_HAVE_RUN,
             reason,
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -6,10 +6,10 @@
 
 from sparline._ids import BackendServerId, RegionName
 from sparline.forwarding._events import EventCutter
-from sparline.forwarding._server_ends import ServerEnds
 from sparline.forwarding._wire import Wire
 from sparline.http import ConnectionPool, HttpAnswer
 from sparline.placement import HealthTable, PaceTable, WatchTables
+from sparline.quarantine import ServerEnds
 from sparline.requests import Reason, RoutedRequest
 
 
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -32,13 +32,11 @@
 )
 from sparline.forwarding import (
     AttemptTools,
-    EndParts,
     Forwarder,
     ForwarderParts,
     OwnAnswer,
     RetryRule,
     RetryWindow,
-    ServerEnds,
     may_move,
 )
 from sparline.gateway._directory import Directory
@@ -74,7 +72,7 @@
     refusal_headers,
     relayed_refusal_headers,
 )
-from sparline.quarantine import CrashChange, CrashTable
+from sparline.quarantine import CrashChange, CrashTable, EndParts, ServerEnds
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -4,11 +4,11 @@
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId
 from sparline._logging import log
-from sparline.forwarding import AttemptEnd, EndSign, RequestEnd, SentEnd
+from sparline.forwarding import AttemptEnd, RequestEnd, SentEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.placement import ColdUse, Placement, Refusal
-from sparline.quarantine import MOST_ENDS, CrashChange, RequestDigest, logged
+from sparline.quarantine import MOST_ENDS, CrashChange, EndSign, RequestDigest, logged
 from sparline.requests import Prompt, Reason, RoutedRequest
 
 # Lines a second for answered requests and for all others, an instance; above them lines are
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -17,7 +17,7 @@
     end_to_end,
     first_header,
 )
-from sparline.http._pool import ConnectionPool, Reach
+from sparline.http._pool import ConnectionPool
 
 __all__ = [
     "Address",
@@ -32,7 +32,6 @@
     "HttpAnswer",
     "HttpRequest",
     "MalformedMessage",
-    "Reach",
     "ReadLimits",
     "RequestParser",
     "end_to_end",
--- a/sparline/http/_pool.py
+++ b/sparline/http/_pool.py
@@ -1,9 +1,9 @@
 """Kept connections by address."""
 
 from collections.abc import Callable
-from enum import Enum
 
 from sparline.http._backend_connection import Address, BackendConnection
+from sparline.quarantine import Reach
 
 # Kept connections beyond this many to one address are closed (count; a 6-slot service or a
 # 64-slot engine shared by a few instances never needs more at rest).
@@ -12,14 +12,6 @@
 OnOpen = Callable[[Address], None]
 
 
-class Reach(Enum):
-    """Say what became of a try to connect."""
-
-    OPEN = "open"  # something listens there
-    REFUSED = "refused"  # a machine answers, and nothing listens
-    UNKNOWN = "unknown"  # no answer
-
-
 class ConnectionPool:
     """Lend connections; each lent one is given back or closed."""
 
--- a/sparline/instance/_control.py
+++ b/sparline/instance/_control.py
@@ -23,6 +23,7 @@
     next_hops,
     scope_of,
 )
+from sparline.quarantine import CrashChange, CrashTable, Learnt, fact_of, note_of
 from sparline.routing import (
     LoadTable,
     Reporter,
@@ -31,6 +32,7 @@
     aged,
     summarise,
 )
+from sparline.schema._gossip import CrashNews
 from sparline.schema._messages import (
     Heartbeat,
     LimitReport,
@@ -52,6 +54,8 @@
 PAUSE_INTERVALS = 6
 # Links outside the zone get every so many heartbeats.
 FAR_EVERY = 4
+# Suspects that a new peer is told of (count).
+MOST_TOLD_TO_NEW = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +71,7 @@
     metrics: Metrics  # counters
     timing: Timing  # intervals
     room_appeared: Callable[[], None]  # called when there may be room again
+    crashes: CrashTable  # backend servers that ended under requests
 
 
 class Control(Receiver):
@@ -104,6 +109,20 @@
         self._send_passed_on()
         self._send_summary()
 
+    def tell_crash(self, change: CrashChange) -> None:
+        """Tell the fleet of a backend server that ended under a request, seen here."""
+        if change.learnt is Learnt.HERE:
+            self._spread_crashes([change], Scope.SELF, None)
+
+    def _spread_crashes(
+        self, changes: list[CrashChange], came_from: Scope, link: PeerLink | None
+    ) -> None:
+        hops = next_hops(self._parts.membership, came_from, came_from is not Scope.REGION)
+        news = EncodedMessage.of(CrashNews([note_of(one.fact) for one in changes], pass_on=True))
+        for hop in hops:
+            if hop is not link:
+                hop.send(news)
+
     def announce(self) -> None:
         """Tell every peer at once what state this instance is in."""
         heartbeat = EncodedMessage.of(self._heartbeat())
@@ -166,6 +185,10 @@
     def on_link(self, link: PeerLink) -> None:
         """Greet a new peer with a heartbeat and what is known of other zones."""
         link.send(self._heartbeat())
+        # What was told while there was no link is made up for.
+        suspects = self._parts.crashes.facts(MOST_TOLD_TO_NEW, 0.0, FOREVER_MS)
+        if suspects:
+            link.send(CrashNews([note_of(one) for one in suspects], pass_on=True))
         if scope_of(self._parts.membership.self_hello, link.peer) is Scope.SIBLING:
             for held in self._parts.summaries.fresh():
                 link.send(aged(held.summary, now_ms() - held.received_ms))
@@ -243,6 +266,13 @@
     def _(self, message: Records, link: PeerLink) -> None:
         self._parts.sync.take(link, message)
 
+    @_take.register
+    def _(self, message: CrashNews, link: PeerLink) -> None:
+        changes = self._parts.crashes.take(map(fact_of, message.crashes))
+        if changes:
+            came_from = scope_of(self._parts.membership.self_hello, link.peer)
+            self._spread_crashes(changes, came_from, link)
+
     @_take.register
     def _(self, message: LimitReport, link: PeerLink) -> None:
         if self.limit_exchange is not None:
--- a/sparline/instance/_instance.py
+++ b/sparline/instance/_instance.py
@@ -18,6 +18,7 @@
 from sparline._logging import log
 from sparline._metrics import Metrics
 from sparline._wsgi import make_server
+from sparline.backends import probe
 from sparline.declarations import RecordStore, build_catalog
 from sparline.dispatch import Dispatcher, DispatchParts
 from sparline.entry import EntryApp, EntryParts, Locator
@@ -29,6 +30,15 @@
 from sparline.orders import OrderHooks, OrderRunner
 from sparline.peers import MAX_MESSAGE_BYTES, Dialer, Membership, Mesh, read_hello, stop_serving
 from sparline.publication import PlatformClient, PlatformReader, ReaderHooks
+from sparline.quarantine import (
+    MOST_ENDS,
+    CrashChange,
+    CrashTable,
+    EndParts,
+    RequestDigest,
+    ServerEnds,
+    logged,
+)
 from sparline.relay import RelayReceiver, RelaySender
 from sparline.requests import RequestLedger
 from sparline.routing import (
@@ -77,10 +87,36 @@
         self.ledger = RequestLedger(InstanceId(settings.instance_id), self.incarnation)
         self.membership.uptime_ms = self.ledger.uptime_ms
         self.dialer = Dialer(settings.listen.peers.ip, settings.timing.connect_timeout_ms)
+        self._make_quarantine()
         self._make_routing(policy)
         self._make_control()
         self._make_servers()
 
+    def _make_quarantine(self) -> None:
+        self.crashes = CrashTable(self._note_crash, self._note_pushed_out)
+        self.ends = ServerEnds(
+            EndParts(
+                probe=probe,
+                heard_at_ms=lambda _server_id: 0.0,
+                note_unreachable=lambda _server_id: None,
+                on_end=lambda _server_id, sign: self.metrics.server_ends.labels(sign.value).inc(),
+            )
+        )
+
+    def _note_crash(self, change: CrashChange) -> None:
+        self.metrics.crashes.labels(change.learnt.value, str(min(change.ends, MOST_ENDS))).inc()
+        if change.concerns_suspect:
+            log.warning(
+                "quarantine: {} backend servers ended under request {}, told by {}",
+                change.ends,
+                logged(change.fact.digest),
+                change.learnt.value,
+            )
+        self.control.tell_crash(change)
+
+    def _note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
+        log.warning("quarantine: no room for request {} with {} ends", logged(digest), ends)
+
     def _make_routing(self, policy: Policy) -> None:
         settings = self.settings
         prefixes = PrefixMap()
@@ -102,6 +138,8 @@
                 metrics=self.metrics,
                 relay=self.relay_sender.send,
                 connect_timeout_ms=settings.timing.connect_timeout_ms,
+                crashes=self.crashes,
+                ends=self.ends,
             )
         )
         self.relay_receiver = RelayReceiver(self.membership, self.dispatcher, self.metrics)
@@ -125,6 +163,7 @@
                 metrics=self.metrics,
                 timing=timing,
                 room_appeared=self.dispatcher.waiting_room.pump,
+                crashes=self.crashes,
             )
         )
         self.mesh = Mesh(
@@ -242,6 +281,7 @@
 
     def _beat(self) -> None:
         self.mesh.maintain()
+        self.crashes.forget_old()
         self.control.beat()
         self.metrics.peers.set(len(self.membership.links()))
         self.metrics.waiting.set(len(self.dispatcher.waiting_room))
--- a/sparline/peers/_codec.py
+++ b/sparline/peers/_codec.py
@@ -6,6 +6,7 @@
 from result import Err, Result
 
 from sparline._cbor import pack, unpack
+from sparline.schema._gossip import CrashNews
 from sparline.schema._messages import (
     Heartbeat,
     Hello,
@@ -40,6 +41,7 @@
     | RelayHead
     | RelayChunk
     | RelayEnd
+    | CrashNews
 )
 
 MESSAGE_TYPES = get_args(Message)
--- a/sparline/quarantine/__init__.py
+++ b/sparline/quarantine/__init__.py
@@ -9,15 +9,23 @@
     Verdict,
 )
 from sparline.quarantine._digest import RequestDigest, digest_of, logged
+from sparline.quarantine._notes import fact_of, note_of
+from sparline.quarantine._server_ends import EndParts, EndSign, Reach, ServerEnds
 
 __all__ = [
     "MOST_ENDS",
     "CrashChange",
     "CrashFact",
     "CrashTable",
+    "EndParts",
+    "EndSign",
     "Learnt",
+    "Reach",
     "RequestDigest",
+    "ServerEnds",
     "Verdict",
     "digest_of",
+    "fact_of",
     "logged",
+    "note_of",
 ]
--- a/sparline/quarantine/_crash_table.py
+++ b/sparline/quarantine/_crash_table.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -179,10 +179,10 @@
         answered_at_ms = self._sound.get(digest)
         return answered_at_ms is not None and now_ms() - answered_at_ms < SOUND_MS
 
-    def take(self, facts: list[CrashFact]) -> list[CrashFact]:
-        """Take in what a peer told; return what was news of suspects."""
+    def take(self, facts: Iterable[CrashFact]) -> list[CrashChange]:
+        """Take in what a peer told; return what was news."""
         changes = [self._merge(self._excused(fact), Learnt.PEER) for fact in facts]
-        return [one.fact for one in changes if one is not None and one.concerns_suspect]
+        return [one for one in changes if one is not None]
 
     def _excused(self, fact: CrashFact) -> CrashFact:
         """Return a peer's fact; what is known to be sound here is excused."""
--- a/sparline/forwarding/_server_ends.py
+++ b/sparline/quarantine/_server_ends.py
@@ -9,9 +9,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
-from sparline.fleet import BackendServer
-from sparline.http import Address, Reach
-from sparline.quarantine import RequestDigest
+from sparline.quarantine._digest import RequestDigest
 
 # A server in the own region takes or refuses a connection within a few milliseconds; one that does
 # neither by then may be behind a cut (ms).
@@ -25,6 +23,17 @@
 MOST_WAITING = 1_024
 
 
+Address = tuple[str, int]
+
+
+class Reach(Enum):
+    """Say what became of a try to connect."""
+
+    OPEN = "open"  # something listens there
+    REFUSED = "refused"  # a machine answers, and nothing listens
+    UNKNOWN = "unknown"  # no answer
+
+
 class EndSign(Enum):
     """Name what showed that a server has ended."""
 
@@ -61,23 +70,23 @@
         self._shown: OrderedDict[BackendServerId, tuple[Reach, float]] = OrderedDict()
         self._waiting: OrderedDict[BrokenAnswer, None] = OrderedDict()
 
-    def reach(self, server: BackendServer) -> Reach:
+    def reach(self, server_id: BackendServerId, address: Address) -> Reach:
         """Return whether a server that has just broken an answer off still listens."""
-        shown, at_ms = self._shown.get(server.id, (Reach.UNKNOWN, 0.0))
+        shown, at_ms = self._shown.get(server_id, (Reach.UNKNOWN, 0.0))
         if shown is Reach.REFUSED and now_ms() - at_ms < SHOWN_MS:
             return shown
-        running = self._probes.get(server.id)
+        running = self._probes.get(server_id)
         if running is not None:
             return running.get()
-        result = self._probes[server.id] = AsyncResult()
+        result = self._probes[server_id] = AsyncResult()
         found = Reach.UNKNOWN
         try:
-            found = self._parts.probe(server.address, PROBE_MS / 1000)
+            found = self._parts.probe(address, PROBE_MS / 1000)
         finally:
             # Also where this greenlet is ended: others wait for the result.
-            del self._probes[server.id]
+            del self._probes[server_id]
             result.set(found)
-        self._note(server.id, found)
+        self._note(server_id, found)
         return found
 
     def _note(self, server_id: BackendServerId, found: Reach) -> None:
--- a/sparline/quarantine/tests/test_crash_table.py
+++ b/sparline/quarantine/tests/test_crash_table.py
@@ -100,7 +100,8 @@
     assert table.verdict(ONE) is Verdict.CLEAR
     # Instances that have not answered it yet hear so.
     (told,) = table.take([fact("a", "b", "c")])
-    assert told.cleared == told.ended
+    assert told.concerns_suspect
+    assert told.fact.cleared == told.fact.ended
 
 
 def test_what_was_sound_once_is_not_sound_for_ever(clock):
--- a/sparline/forwarding/tests/test_server_ends.py
+++ b/sparline/quarantine/tests/test_server_ends.py
@@ -4,14 +4,10 @@
 import pytest
 
 from sparline._ids import BackendServerId
-from sparline.fleet import BackendServer
-from sparline.forwarding import EndParts, EndSign, ServerEnds, _server_ends
-from sparline.http import Reach
-from sparline.quarantine import RequestDigest
+from sparline.quarantine import EndParts, EndSign, Reach, RequestDigest, ServerEnds, _server_ends
 
-SERVER = BackendServer(
-    BackendServerId("e1"), "engines", ("127.0.0.1", 1), "north-1", "north", 4, False, 0.0
-)
+SERVER = BackendServerId("e1")
+ADDRESS = ("127.0.0.1", 1)
 ONE = RequestDigest(b"1" * 16)
 BROKE_MS = 1_000_000.0
 
@@ -62,7 +58,7 @@
 def test_a_connection_shows_it(clock, reach, unreachable, ends):
     seen = Seen(reach)
     server_ends = ServerEnds(seen.parts())
-    assert server_ends.reach(SERVER) is reach
+    assert server_ends.reach(SERVER, ADDRESS) is reach
     assert seen.unreachable == unreachable
     assert seen.ends == ends
 
@@ -70,10 +66,10 @@
 def test_all_that_broke_off_together_ask_once(clock):
     seen = Seen(Reach.REFUSED)
     server_ends = ServerEnds(seen.parts())
-    asking = [gevent.spawn(server_ends.reach, SERVER) for _ in range(30)]
+    asking = [gevent.spawn(server_ends.reach, SERVER, ADDRESS) for _ in range(30)]
     gevent.joinall(asking, timeout=20)
     assert [one.value for one in asking] == [Reach.REFUSED] * 30
-    assert server_ends.reach(SERVER) is Reach.REFUSED
+    assert server_ends.reach(SERVER, ADDRESS) is Reach.REFUSED
     assert seen.probes == 1
     assert len(seen.ends) == 1
 
@@ -81,17 +77,17 @@
 def test_a_server_that_was_there_is_asked_again(clock):
     seen = Seen(Reach.OPEN)
     server_ends = ServerEnds(seen.parts())
-    server_ends.reach(SERVER)
+    server_ends.reach(SERVER, ADDRESS)
     seen.reach = Reach.REFUSED
-    assert server_ends.reach(SERVER) is Reach.REFUSED
+    assert server_ends.reach(SERVER, ADDRESS) is Reach.REFUSED
 
 
 def test_who_waits_for_a_probe_is_freed_when_the_prober_is_ended(clock):
     seen = Seen(Reach.REFUSED)
     server_ends = ServerEnds(seen.parts())
-    prober = gevent.spawn(server_ends.reach, SERVER)
+    prober = gevent.spawn(server_ends.reach, SERVER, ADDRESS)
     gevent.sleep(0)
-    waiting = gevent.spawn(server_ends.reach, SERVER)
+    waiting = gevent.spawn(server_ends.reach, SERVER, ADDRESS)
     gevent.sleep(0)
     prober.kill()
     assert waiting.get(timeout=20) is Reach.UNKNOWN
@@ -111,12 +107,12 @@
 def test_the_store_tells_what_no_connection_showed(clock, after_ms, heard_at_ms, ended):
     seen = Seen(Reach.UNKNOWN)
     server_ends = ServerEnds(seen.parts())
-    server_ends.wait_for_word(ONE, SERVER.id)
+    server_ends.wait_for_word(ONE, SERVER)
     clock[0] += after_ms
     seen.heard_at_ms = heard_at_ms
     assert server_ends.note_gone(BackendServerId("another")) == []
-    assert server_ends.note_gone(SERVER.id) == ended
-    assert server_ends.note_gone(SERVER.id) == []
+    assert server_ends.note_gone(SERVER) == ended
+    assert server_ends.note_gone(SERVER) == []
     assert seen.ends == ([("e1", EndSign.GONE)] if ended else [])
 
 
--- a/sparline/requests/_body.py
+++ b/sparline/requests/_body.py
@@ -38,6 +38,11 @@
         """Tell whether the whole body can still be sent from its start."""
         return not self._forgotten
 
+    @property
+    def content(self) -> bytes | None:
+        """Return the whole body, None where it was not read to its end or not kept."""
+        return b"".join(self._kept) if self._ended and self.replayable else None
+
     def parts(self) -> Iterator[bytes]:
         """Yield the body from its start."""
         assert self.replayable, "a body that was passed on can't be sent again"
--- a/sparline/requests/_types.py
+++ b/sparline/requests/_types.py
@@ -6,6 +6,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import OrganisationId, RegionName, RequestId, TargetName
+from sparline.quarantine import RequestDigest, digest_of
 from sparline.requests._body import RequestBody
 from sparline.requests._reasons import Reason
 from sparline.schema._messages import Outcome
@@ -62,6 +63,14 @@
         """Return the name under which zones sum up their room."""
         return f"{self.target}+{self.adapter}" if self.adapter else self.target
 
+    def digest(self) -> RequestDigest | None:
+        """Return what an organisation's repeats have in common; None before the body is read."""
+        content = self.body.content
+        if content is None:
+            return None
+        told = (self.organisation, self.target, self.adapter, self.method, self.path)
+        return digest_of([*(one.encode() for one in told), content])
+
     def left_ms(self) -> float:
         """Return the time left before the deadline."""
         return self.deadline_at_ms - now_ms()
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -4,7 +4,7 @@
 import json
 import uuid
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 import gevent
@@ -72,6 +72,8 @@
         self.order_log: list[dict] = []  # every order, with what became of it
         self.events: deque[dict] = deque(maxlen=1000)  # cache events, with gaps
         self.busy_ms = 0.0  # time slots were held
+        self.ends_on = ""  # the process ends as it runs a prompt that holds this
+        self.on_end: Callable[[], None] = lambda: None  # called once the process has ended
         self._fence = 0
         self._platform = platform
         self._jobs: dict[str, _Job] = {}
@@ -126,10 +128,18 @@
                 "409 Conflict",
                 [("X-Not-Run", "0" if job.started else "1")],
             )
+        if self.ends_on and self.ends_on in job.prompt:
+            # Closing the server ends this handler, too.
+            gevent.spawn(self._end)
+            close_now(environ)
         faults.after_run(environ)
         start_response("200 OK", [("Content-Type", "text/event-stream")])
         return self._stream(job, faults, environ)
 
+    def _end(self) -> None:
+        self.stop()
+        self.on_end()
+
     def _missing(self, wanted: dict) -> str:
         model, adapter = wanted["model"], wanted.get("adapter", "")
         if not any(one.startswith(f"{model}@") for one in self.loaded):
