--- a/sparline/cli/_main.py
+++ b/sparline/cli/_main.py
@@ -164,8 +164,12 @@
 
 
 def _add_trace(commands: Commands) -> None:
-    command = _add(commands, "trace", "print one request's way from logs of instances, in order")
-    command.add_argument("id", metavar="REQUEST_ID", help="id that the caller sent")
+    command = _add(
+        commands, "trace", "print the way of one request and its repeats from logs of instances"
+    )
+    command.add_argument(
+        "id", metavar="REQUEST_ID", help="id that the caller sent, or the content that a line names"
+    )
     command.add_argument(
         "logs", nargs="*", metavar="LOG", help="log files; standard input without any"
     )
