--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -77,7 +77,11 @@
 
 
 def adapt(text: str, target: Target) -> str:
-    """Drop the unset marker (each default is a value) and give message parts their own base."""
+    """Drop the unset marker (each default is a value) and give message parts their own base.
+
+    A field that an older peer leaves out would else hold the marker, which is neither a value nor null.
+    """
+    text = text.replace(") = UNSET\n", ") = None\n").replace("import UNSET, ", "import ")
     text = text.replace("\n        | UnsetType\n", "\n").replace(" | UnsetType", "")
     text = text.replace(", UnsetType", "").replace("UnsetType, ", "")
     if target.base == "WireMessage":
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import UNSET, Meta, field
+from msgspec import Meta, field
 
 from sparline.schema._nodes import WireMessage, WireNode
 
@@ -214,7 +214,7 @@
             ),
         ]
         | None
-    ) = UNSET
+    ) = None
 
 
 class GossipSchema(WireMessage):
