--- a/sparline/gateway/tests/test_crashing_request.py
+++ b/sparline/gateway/tests/test_crashing_request.py
@@ -18,7 +18,7 @@
 
 from sparline.quarantine import digest_of
 from sparline.tests.routed_fleet import RoutedFleet
-from standins import HOST, PROMPT, SealedFaults
+from standins import HOST, PROMPT, SealedFaults, StoreMode
 
 PLACES = ("north-1", "north-1", "south-1", "south-1")
 ZONES = ("north-1", "north-1", "north-1", "south-1", "south-1")
@@ -228,3 +228,21 @@
 def digest_of_ask(body: bytes):
     """Return the digest of what a test's caller sends."""
     return digest_of([HOST.encode(), b"POST", b"/stream/x", body])
+
+
+def test_engines_that_come_back_unseen_behind_an_open_port_are_counted(fleet):
+    # The store is silent, so that nobody hears of the starts; each engine comes back at once under its
+    # id, behind a port that something else holds.
+    for server in fleet.servers.values():
+        server.keeps_port = True
+        server.on_end = lambda: None
+    fleet.store.mode = StoreMode.SILENT
+    for number in range(TRIES):
+        repeat(fleet, number)
+        gevent.sleep(BACK_S)
+    gevent.sleep(NEWS_S)
+    before = sends(fleet)
+    for number in range(TRIES):
+        repeat(fleet, number)
+        gevent.sleep(BACK_S)
+    assert sends(fleet) - before <= MOST_LATER_SENDS
