Start an instance of the soak once when two faults saw it end

Change: the ended process is forgotten before the next is made. Before: 4 starts instead of 2 in the new test; after: 2.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -48,6 +48,8 @@
 
     def start(self) -> None:
         """Start the process; its log is appended to the instance's file."""
+        # Others run while the process is made: whoever saw the earlier one end must not start a second.
+        self.process = None
         environment = os.environ | {"SPARLINE_NODE_FILE": str(self.settings_path)}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -1,9 +1,13 @@
 import json
+from types import SimpleNamespace
+from unittest.mock import patch
 
+import gevent
 import pytest
 
 from benchmarks.__main__ import main
-from benchmarks._gateway_soak import Record, _broken
+from benchmarks._gateway_fleet import GatewayProcess
+from benchmarks._gateway_soak import Record, SoakRun, _broken
 from standins import Got
 
 SEAL = {"response-seal": "s"}
@@ -52,3 +56,23 @@
     result = json.loads(capsys.readouterr().out.splitlines()[-1])
     assert result["broken"] == []
     assert code == 0
+
+
+def test_an_instance_that_ended_is_started_once(tmp_path):
+    # Two faults that wait for the same process to end both start it again.
+    starts = []
+    gateway = GatewayProcess("g0", "north-1", "127.0.2.1", tmp_path / "s", None, tmp_path / "log")
+
+    class SlowProcess:
+        def __init__(self, *_arguments, **_options) -> None:
+            gevent.sleep(0.01)
+            starts.append(self)
+
+        def wait(self) -> None:
+            gevent.sleep(0)
+
+    with patch("benchmarks._gateway_fleet.subprocess.Popen", SlowProcess):
+        gateway.start()
+        run = SoakRun(None, SimpleNamespace(uniform=lambda _least, _most: 0.0))
+        gevent.joinall([gevent.spawn(run._restart, gateway) for _ in range(3)], timeout=20)
+    assert len(starts) == 2
