--- a/sparline/fleet/tests/test_crash_exchange.py
+++ b/sparline/fleet/tests/test_crash_exchange.py
@@ -106,12 +106,24 @@
     assert set(verdicts(fleet)) == {Verdict.CLEAR}
 
 
-def test_a_region_that_was_cut_off_hears_what_it_missed(monkeypatch):
-    fleet = fleet_of(monkeypatch, 5, 3)
-    fleet.far_side = frozenset(ip for ip in fleet.instances if region_of(ip) == "3")
+# Who is away, and for how long (ms): rounds tell of a suspect for 12 s.
+AWAY = [
+    ("a region, for a moment", lambda ip: region_of(ip) == "3", 2_000.0),
+    ("a region, for long", lambda ip: region_of(ip) == "3", 30_000.0),
+    ("one instance, as one that sleeps", lambda ip: ip == "10.3.0.2", 30_000.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_away", "away_ms"), [row[1:] for row in AWAY], ids=[row[0] for row in AWAY]
+)
+@pytest.mark.parametrize("instances", [3, 26])
+def test_who_was_away_hears_what_it_missed(monkeypatch, instances, is_away, away_ms):
+    fleet = fleet_of(monkeypatch, instances, 3)
+    fleet.far_side = frozenset(ip for ip in fleet.instances if is_away(ip))
     for server in ("a", "b", "c"):
         fleet.instances["10.1.0.2"].crashes.note_end(ONE, server)
-    fleet.pass_ms(2_000)
+    fleet.pass_ms(away_ms)
     assert set(verdicts(fleet)) == {Verdict.QUARANTINED, Verdict.CLEAR}
     fleet.far_side = frozenset()
     fleet.pass_ms(CONTACT_MS)
