Report which backend servers set a request rate limit

Cause: a backend server that needs to limit its load states in its answers how many requests per second it accepts from all instances together. No log line or counter showed that a server did so, or when an instance learned of it.

Change: read `Server-Limit` from answers given by the server itself (a decimal number; any other value means no limit) and keep it per server. Add the log line `server_limit_changed`, the counter `sparline_server_limit_changes_total` and the gauge `sparline_limited_servers`. Routing is unchanged. `Retry-After` values such as "inf" or "1e9", and others that are no plain decimal number, are now treated as absent.

Before: no log line.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -42,6 +42,8 @@
 MOST_EVENT_BYTES = 1_048_576
 # Answers from here on say that the backend server failed.
 SERVER_ERRORS_FROM = 500
+# Answers that come from the addressed server, unlike misdirected answers and unsigned successes.
+SERVER_ANSWER_KINDS = (AnswerKind.RESULT, AnswerKind.NOT_RUN)
 
 Read = TypeVar("Read")
 
@@ -202,9 +204,12 @@
     def _meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         self._answer_began = True
         self._tools.health.note_heard(self._server_id)
+        meaning = self._wire().meaning(answer)
         if self._placement.peer is not None:
             self._tools.note_peer(self._placement.peer.note.ip, True)
-        return self._wire().meaning(answer)
+        elif meaning.kind in SERVER_ANSWER_KINDS:
+            self._tools.server_limits.note_answer(self._server_id, meaning.limit_per_s)
+        return meaning
 
     def _wait(self, read: Callable[[], Read]) -> Read:
         """Read on as long as the server may still be at work."""
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -8,7 +8,7 @@
 from sparline.forwarding._events import EventCutter
 from sparline.forwarding._wire import Wire
 from sparline.http import ConnectionPool, HttpAnswer
-from sparline.placement import HealthTable, PaceTable, WatchTables
+from sparline.placement import HealthTable, PaceTable, ServerLimitTable, WatchTables
 from sparline.quarantine import ServerEnds
 from sparline.requests import Reason, RoutedRequest
 
@@ -73,6 +73,7 @@
     peer_wire: Wire  # protocol between instances
     peer_port: int  # where instances take relayed requests
     health: HealthTable  # first-hand knowledge of servers
+    server_limits: ServerLimitTable  # request rate limits set by servers
     pace: PaceTable  # usual times
     watch: WatchTables  # what streams teach
     may_move: Callable[[RoutedRequest, Progress], bool]  # whether another try is possible
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -29,6 +29,7 @@
     retry_after_ms: float = 0.0  # when to come back, 0 where nothing was said
     ended_server: BackendServerId | None = None  # server that ended while a peer ran it there
     is_region_full: bool = False  # whether no server of the peer's region would take it
+    limit_per_s: float | None = None  # requests per second to the server, None if unlimited
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -62,6 +62,7 @@
     PauseTable,
     PlacementTables,
     PromptCache,
+    ServerLimitTable,
     WatchTables,
 )
 from sparline.platform import (
@@ -197,6 +198,7 @@
         )
         board = self.load_exchange.board
         self.loads = LoadTable(region, board.load, self._note_load)
+        self.server_limits = ServerLimitTable(self.request_log.note_server_limit)
         self.cache = PromptCache(
             owners_have_read=not self.settings.first_start,
             sharing=lambda: len(self.members.live(region)) + 1,
@@ -239,6 +241,7 @@
             peer_wire=InstanceWire(),
             peer_port=self._relay_port,
             health=self.health,
+            server_limits=self.server_limits,
             pace=self.pace,
             watch=WatchTables(self.pace, self.pauses, self.loads, self.pause_watch.thawed_at_ms),
             may_move=may_move,
@@ -339,6 +342,7 @@
         self.metrics.in_flight.set(self.service.in_flight)
         self.metrics.quotas_kept.set(len(self.quota_exchange.account))
         self.metrics.quarantined.set(self.crashes.quarantined())
+        self.metrics.limited_servers.set(self.server_limits.limited_count())
         self.metrics.members.set(len(self.members.live()))
         own_region = RegionName(self.settings.region)
         self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
@@ -382,6 +386,7 @@
             self.fleet.remove_lapsed(self._store_away())
             known = set(self.fleet.servers)
             self.health.forget_all_but(known)
+            self.server_limits.forget_all_but(known)
             self.cache.forget_all_but(known)
             self.pace.forget_all_but(known)
             self.loads.forget_old()
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -28,6 +28,12 @@
         self.quarantined = self._gauge("quarantined_requests", "Requests that are sent nowhere.")
         self.sends = self._counter("sends", "Sends by place.", ("place",))
         self.cold_sends = self._counter("cold_sends", "Sends to cold backend servers.", ())
+        self.limit_changes = self._counter(
+            "server_limit_changes", "Limits that backend servers named, changed or lifted.", ("to",)
+        )
+        self.limited_servers = self._gauge(
+            "limited_servers", "Backend servers whose answers name a limit."
+        )
         self.store_calls = self._counter("store_calls", "Calls of the store.", ("call", "result"))
         self.bad_items = self._counter("bad_items", "Items of the store not understood.", ())
         self.store_copies = self._counter("store_copies", "Copies of the store.", ("result",))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -7,7 +7,7 @@
 from sparline.forwarding import AttemptEnd, RequestEnd, SentEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.placement import ColdUse, Placement, Refusal
+from sparline.placement import ColdUse, Placement, Refusal, ServerLimit
 from sparline.quarantine import MOST_ENDS, CrashChange, EndSign, RequestDigest, logged
 from sparline.requests import Prompt, Reason, RoutedRequest
 
@@ -96,6 +96,16 @@
                 pause_ms=round(use.pause_ms),
             ).info("cold_server_used")
 
+    def note_server_limit(self, limit: ServerLimit) -> None:
+        """Note that the limit set by a server was added, changed or removed."""
+        self._metrics.limit_changes.labels("none" if limit.per_s is None else "rate").inc()
+        if self._other.take():
+            log.bind(
+                backend_server=limit.server_id,
+                per_s=limit.per_s,
+                age_ms=round(now_ms() - limit.at_ms),
+            ).info("server_limit_changed")
+
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
         """Note a request that was answered before it was routed."""
         self._metrics.refusals.labels(reason.value).inc()
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -11,6 +11,7 @@
 from sparline.placement._place_judge import OwnPlace, PlacementTables
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, owner_of
+from sparline.placement._server_limits import ServerLimit, ServerLimitTable
 from sparline.placement._stream_watch import StreamWatch, WatchTables
 
 __all__ = [
@@ -30,6 +31,8 @@
     "PromptCache",
     "Refusal",
     "Reservation",
+    "ServerLimit",
+    "ServerLimitTable",
     "StreamWatch",
     "WatchTables",
     "owner_of",
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -1,5 +1,6 @@
 """Callers' requests and backend servers' answers: heads read and written."""
 
+import re
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -21,6 +22,8 @@
 from sparline.routes import ConfigurationVersion, KeyDigest, digest_of_key
 
 MOST_PRIORITY = 9
+# Unsigned, with an optional fraction; rejects signs, exponents, "inf" and "nan".
+DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 # Longer numbers are none: no time, length or id of an event has as many digits.
 MOST_DIGITS = 15
 MS_PER_S = 1000.0
@@ -174,14 +177,13 @@
 
     def meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         """Return what an answer means."""
-        retry_after_ms = _retry_after_ms(answer)
         if answer.status == 421:
-            return AnswerMeaning(AnswerKind.MISDIRECTED, retry_after_ms)
+            return AnswerMeaning(AnswerKind.MISDIRECTED, _retry_after_ms(answer))
         if answer.header(names.NOT_RUN) is not None:
-            return AnswerMeaning(AnswerKind.NOT_RUN, retry_after_ms)
+            return _server_meaning(AnswerKind.NOT_RUN, answer)
         if answer.status < 300 and answer.header(names.SEAL) is None:
             return AnswerMeaning(AnswerKind.UNKNOWN)
-        return AnswerMeaning(AnswerKind.RESULT, retry_after_ms)
+        return _server_meaning(AnswerKind.RESULT, answer)
 
 
 class InstanceWire:
@@ -244,15 +246,22 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _server_meaning(kind: AnswerKind, answer: HttpAnswer) -> AnswerMeaning:
+    """Return what an answer from the server itself means."""
+    limit_per_s = _decimal(answer.header(names.SERVER_LIMIT))
+    return AnswerMeaning(kind, _retry_after_ms(answer), limit_per_s=limit_per_s)
+
+
 def _retry_after_ms(answer: HttpAnswer) -> float:
-    text = answer.header(names.RETRY_AFTER)
-    if text is None:
-        return 0.0
-    try:
-        return max(float(text) * MS_PER_S, 0.0)
-    except ValueError:
-        # A date, or nothing that can be read: as if nothing was said.
-        return 0.0
+    # A date or a malformed value is treated as absent.
+    return (_decimal(answer.header(names.RETRY_AFTER)) or 0.0) * MS_PER_S
+
+
+def _decimal(text: bytes | None) -> float | None:
+    """Return a non-negative decimal number, None for anything else."""
+    if text is None or not DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
 
 
 def _ended_server(answer: HttpAnswer) -> BackendServerId | None:
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -190,7 +190,15 @@
     assert InstanceWire().meaning(answer(503, told)).is_region_full is is_full
 
 
-RETRY_AFTER = [("0.25", 250.0), ("2", 2000.0), ("Wed, 02 Dec 2026 14:00:00 GMT", 0.0), ("-1", 0.0)]
+RETRY_AFTER = [
+    ("0.25", 250.0),
+    ("2", 2000.0),
+    ("Wed, 02 Dec 2026 14:00:00 GMT", 0.0),
+    ("-1", 0.0),
+    ("inf", 0.0),
+    ("nan", 0.0),
+    ("1e9", 0.0),
+]
 
 
 @pytest.mark.parametrize(("text", "expected_ms"), RETRY_AFTER)
@@ -199,6 +207,27 @@
     assert ServerWire().meaning(refused).retry_after_ms == expected_ms
 
 
+SERVER_LIMITS = [
+    # status, headers, expected limit in requests per second
+    (200, {"response-seal": "s", "server-limit": "1.8"}, 1.8),
+    (200, {"response-seal": "s", "server-limit": " 12 "}, 12.0),
+    (500, {"server-limit": "2.5"}, 2.5),
+    (503, {"not-executed": "1", "server-limit": "0"}, 0.0),
+    (200, {"response-seal": "s"}, None),
+    (200, {"response-seal": "s", "server-limit": "-1"}, None),
+    (200, {"response-seal": "s", "server-limit": "inf"}, None),
+    (200, {"response-seal": "s", "server-limit": "few"}, None),
+    # Misdirected answer and unsigned success: may come from another server.
+    (421, {"server-limit": "3"}, None),
+    (200, {"server-limit": "3"}, None),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "expected_per_s"), SERVER_LIMITS)
+def test_server_limit_is_read_from_answers_of_the_server(status, headers, expected_per_s):
+    assert ServerWire().meaning(answer(status, headers)).limit_per_s == expected_per_s
+
+
 SENDS = [
     ("resumed", make_route(), 7, True),
     ("not resumed", make_route(), None, False),
