--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -61,6 +61,7 @@
     runs: list[SealedRun] = field(default_factory=list)
     connections: int = 0  # connections that were opened
     ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
+    limit_per_s: float | None = None  # limit that its answers state, None for no limit
     keeps_port: bool = False  # whether something else goes on listening once it has ended
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
     _server: StreamServer | None = None
@@ -192,6 +193,8 @@
         lines.append(f"Attempt-Id: {request_id}")
         if not (faults and faults.without_seal) and status in (200, 500):
             lines.append(f"Response-Seal: seal-of-{self.server_id}")
+        if self.limit_per_s is not None and status != 421:
+            lines.append(f"Server-Limit: {self.limit_per_s}")
         lines += [f"{name}: {value}" for name, value in headers]
         if length is not None:
             lines.append(
