Enforce the request rate limits of backend servers across a region

Impact: none visible to callers, but overloaded servers kept receiving requests. A server with a limit of 1.8 requests a second received 155 in 4 s, where 16 are allowed.

Cause: the limits that servers set in their answers were ignored. A limited server was selected by load like any other, and few requests make it look like the best choice. An instance that does read the limit knows only the requests that it sends itself.

Change: move the division of a cold server's rate between instances to a separate class, RateShares, and use it for limits as well. At most four instances of the server's region send to it, at 0.85 of its limit in total. Every instance derives the same four without exchanging messages; the others send nothing to the server. They learn by gossip, within the region and across regions, when a limit is changed or removed. The newest answer counts and is remembered for 120 s. Instances of other regions send to a limited server only if there is no other.

Status: fixed for what an instance sends and learns.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -42,6 +42,7 @@
     CreditTable,
     DemandTable,
     HealthTable,
+    LimitShares,
     LoadTable,
     OwnPlace,
     PaceTable,
@@ -49,7 +50,9 @@
     Placement,
     PlacementTables,
     PromptCache,
+    RateShares,
     Refusal,
+    ServerLimitTable,
     StreamWatch,
     WatchTables,
 )
@@ -210,7 +213,12 @@
             CrashExchange(CrashTable()),
             QuotaExchange(self.members, Allowance(NO_ROOM, random.Random(ip)), lambda _key: None),
             GossipSources(
-                self._cache.recent_reads, self._cache.take_reads, lambda: 1, lambda: True
+                recent_reads=self._cache.recent_reads,
+                take_reads=self._cache.take_reads,
+                server_limits=list,
+                take_server_limits=lambda _notes: None,
+                store_revision=lambda: 1,
+                store_reached=lambda: True,
             ),
         )
         self.port._chance = random.Random(f"gossip/{world.draw.seed}/{ip}")
@@ -223,6 +231,7 @@
             loads=self.loads,
             health=HealthTable(),
             cold=ColdShares(ip, lambda: [ip]),
+            limits=LimitShares(ServerLimitTable(), RateShares(ip, lambda: [ip], lambda: True)),
             cache=self._cache,
             pace=self._pace,
             pauses=pauses,
--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -27,6 +27,7 @@
     "StoreItemNote",
     "PromptReadNote",
     "CrashNote",
+    "ServerLimitNote",
     "QuotaUseNote",
     "QuotaLevelNote",
     "QuotaTotalNote",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -33,6 +33,7 @@
     QuotaReport,
     QuotaTotals,
     QuotaWord,
+    ServerLimitNote,
 )
 
 # A round each so often (ms): loads of siblings are then about as old as a prompt's prefill.
@@ -81,6 +82,8 @@
 
     recent_reads: Callable[[], list[PromptReadNote]]  # long starts that engines have read
     take_reads: Callable[[list[PromptReadNote]], None]  # what to do with a peer's
+    server_limits: Callable[[], list[ServerLimitNote]]  # some of the known limits of servers
+    take_server_limits: Callable[[list[ServerLimitNote]], None]  # merges a peer's limits
     store_revision: Callable[[], int]  # revision of the store held here
     store_reached: Callable[[], bool]  # whether the store answered lately
 
@@ -149,6 +152,7 @@
         is_new = self._members.take(gossip)
         self._sources.take_reads(gossip.reads)
         self._loads.take_readings(gossip.loads)
+        self._sources.take_server_limits(gossip.server_limits)
         self._crashes.take(gossip.crashes)
         self._answer(gossip, is_new)
 
@@ -357,6 +361,7 @@
             wants_members=wants_members,
             wanted=wanted or [],
             crashes=self._crashes.notes_for(near, is_new),
+            server_limits=self._sources.server_limits(),
         )
 
     def _beats(self, near: bool) -> list[MemberBeat]:
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -22,6 +22,8 @@
 SOURCES = GossipSources(
     recent_reads=list,
     take_reads=lambda _reads: None,
+    server_limits=list,
+    take_server_limits=lambda _notes: None,
     store_revision=lambda: 1,
     store_reached=lambda: True,
 )
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -56,12 +56,14 @@
     CreditTable,
     DemandTable,
     HealthTable,
+    LimitShares,
     LoadTable,
     OwnPlace,
     PaceTable,
     PauseTable,
     PlacementTables,
     PromptCache,
+    RateShares,
     ServerLimitTable,
     WatchTables,
 )
@@ -171,6 +173,8 @@
             GossipSources(
                 self.cache.recent_reads,
                 self.cache.take_reads,
+                self.server_limits.notes,
+                self.server_limits.take,
                 lambda: self.copy.revision,
                 self.reader.reached,
             ),
@@ -205,15 +209,20 @@
         )
         self.pace = PaceTable()
         self.pauses = PauseTable()
+
+        def sharers() -> list[str]:
+            return self.members.sharers(region)
+
+        def is_settled() -> bool:
+            return self.members.are_sharers_settled(region)
+
         tables = PlacementTables(
             fleet=self.fleet,
             loads=self.loads,
             health=self.health,
-            cold=ColdShares(
-                self.settings.ip,
-                lambda: self.members.sharers(region),
-                lambda: self.members.are_sharers_settled(region),
-                self.request_log.note_cold_use,
+            cold=ColdShares(self.settings.ip, sharers, is_settled, self.request_log.note_cold_use),
+            limits=LimitShares(
+                self.server_limits, RateShares(self.settings.ip, sharers, is_settled)
             ),
             cache=self.cache,
             pace=self.pace,
@@ -386,10 +395,10 @@
             self.fleet.remove_lapsed(self._store_away())
             known = set(self.fleet.servers)
             self.health.forget_all_but(known)
-            self.server_limits.forget_all_but(known)
             self.cache.forget_all_but(known)
             self.pace.forget_all_but(known)
             self.loads.forget_old()
+            self.server_limits.forget_old()
             self.crashes.forget_old()
             self.members.forget_old()
             self._pool.sweep()
--- a/sparline/gateway/tests/test_server_limits.py
+++ b/sparline/gateway/tests/test_server_limits.py
@@ -1,21 +1,21 @@
-"""A backend server that names how many requests it takes gets no more, from all instances together."""
+"""All instances together keep to the request rate limit that a backend server sets."""
 
 import gevent
 import pytest
 
 from sparline.tests.routed_fleet import RoutedFleet
 
-# Nothing of it is shared with other requests, so that any engine is as good.
+# No prompt prefix is shared with other requests, so that no engine is preferred.
 PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "cc:400"}
 PLACES = ("north-1", "north-1", "north-1", "south-1")
 LIMIT_PER_S = 2.0
 WINDOW_MS = 4_000.0
-# Requests that a limit allows in any window: half as many again, and a few that were under way.
+# Requests allowed in any window: 1.5 times the limit, and a few in flight.
 MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_MS / 1000 + 5
-# By then every instance has had an answer that names the limit (s).
-HEARD_S = 2.0
-ASKING_S = 6.0
-# Time between two requests of one caller (s).
+# Time within which every instance learns the limit (s).
+LEARNING_S = 2.0
+MEASURED_S = 6.0
+# Time between two requests to one instance (s).
 PAUSE_S = 0.03
 
 
@@ -27,8 +27,8 @@
         yield one.ready()
 
 
-def ask_on(fleet: RoutedFleet, at: str, seconds: float) -> list[int]:
-    """Ask one instance again and again; return the statuses."""
+def send_to_instance(fleet: RoutedFleet, at: str, seconds: float) -> list[int]:
+    """Send requests to one instance one after another; return the statuses."""
     statuses = []
     with gevent.Timeout(seconds, False):
         while True:
@@ -42,19 +42,19 @@
     return max((sum(at <= one < at + WINDOW_MS for one in at_ms) for at in at_ms), default=0)
 
 
-def ask_everywhere(fleet: RoutedFleet, seconds: float) -> list[int]:
-    asking = [gevent.spawn(ask_on, fleet, at, seconds) for at in fleet.gateways]
-    gevent.joinall(asking, raise_error=True)
-    return [status for one in asking for status in one.value]
+def send_to_all_instances(fleet: RoutedFleet, seconds: float) -> list[int]:
+    senders = [gevent.spawn(send_to_instance, fleet, at, seconds) for at in fleet.gateways]
+    gevent.joinall(senders, raise_error=True)
+    return [status for one in senders for status in one.value]
 
 
-def test_a_server_that_names_a_limit_gets_no_more_from_all_instances(fleet):
+def test_all_instances_together_keep_to_a_servers_limit(fleet):
     limited = fleet.servers["e0"]
     limited.limit_per_s = LIMIT_PER_S
-    ask_everywhere(fleet, HEARD_S)
-    before = len(limited.runs)
-    assert set(ask_everywhere(fleet, ASKING_S)) == {200}
-    later = [run.at_ms for run in limited.runs[before:]]
-    assert most_in_window(later) <= MOST_IN_WINDOW
-    # It is used all the same.
-    assert later
+    send_to_all_instances(fleet, LEARNING_S)
+    warm_up_count = len(limited.runs)
+    assert set(send_to_all_instances(fleet, MEASURED_S)) == {200}
+    sent_at_ms = [run.at_ms for run in limited.runs[warm_up_count:]]
+    assert most_in_window(sent_at_ms) <= MOST_IN_WINDOW
+    # Guards against excluding a limited server altogether.
+    assert sent_at_ms
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -5,12 +5,14 @@
 from sparline.placement._credit import CreditTable
 from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
+from sparline.placement._limit_shares import LimitShares
 from sparline.placement._loads import LoadTable, Reservation
 from sparline.placement._pace import PaceTable
 from sparline.placement._pauses import PauseTable
 from sparline.placement._place_judge import OwnPlace, PlacementTables
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, owner_of
+from sparline.placement._rate_shares import RateShares
 from sparline.placement._server_limits import ServerLimit, ServerLimitTable
 from sparline.placement._stream_watch import StreamWatch, WatchTables
 
@@ -22,6 +24,7 @@
     "DemandTable",
     "Doubt",
     "HealthTable",
+    "LimitShares",
     "LoadTable",
     "PaceTable",
     "OwnPlace",
@@ -29,6 +32,7 @@
     "Placement",
     "PlacementTables",
     "PromptCache",
+    "RateShares",
     "Refusal",
     "Reservation",
     "ServerLimit",
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -111,6 +111,7 @@
     ) -> list[BackendServer]:
         fleet = self._tables.fleet
         found = []
+        limited_in_other_regions = []
         for server in looked_at:
             if server.leaving or server.zone in fleet.evacuated or server.id in excluded:
                 continue
@@ -120,12 +121,21 @@
                 continue
             if request.origin is Origin.RELAY and server.region != self._region:
                 continue
-            if server.region == self._region and not self._tables.cold.may_use(
-                server, service.cold_requests_per_s
-            ):
+            if server.region == self._region:
+                if not self._may_send(server, service):
+                    continue
+            elif self._tables.limits.is_limited(server.id):
+                # A low load only reflects the limit; the rate is left to the server's own region.
+                limited_in_other_regions.append(server)
                 continue
             found.append(server)
-        return found
+        return found or limited_in_other_regions
+
+    def _may_send(self, server: BackendServer, service: Service) -> bool:
+        """Tell whether the rates of a server of this region allow one more request now."""
+        if not self._tables.limits.may_use(server.id):
+            return False
+        return self._tables.cold.may_use(server, service.cold_requests_per_s)
 
     def _without_full(
         self, request: RoutedRequest, servers: list[BackendServer]
@@ -189,6 +199,7 @@
         self._tables.health.note_placed(placement.server.id)
         if placement.peer is None:
             self._tables.cold.note_sent(placement.server, service.cold_requests_per_s)
+            self._tables.limits.note_sent(placement.server.id)
         if request.prompt is not None and service.engine is not None:
             self._tables.credit.note(request.service, request.prompt)
             self._tables.cache.note(
--- a/sparline/placement/_cold_shares.py
+++ b/sparline/placement/_cold_shares.py
@@ -4,18 +4,9 @@
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
-from sparline._hashing import hash64
 from sparline._ids import BackendServerId
 from sparline.fleet import BackendServer
-
-# Instances that share one cold server's rate (count): each may be ahead by one request, and so
-# many requests at once are borne.
-MOST_SHARING = 4
-# Part of the declared rate that is used, so that clocks and late arrivals stay within it.
-RATE_USED = 0.85
-
-Sharers = Callable[[], list[str]]
-IsSettled = Callable[[], bool]
+from sparline.placement._rate_shares import IsSettled, RateShares, Sharers
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,35 +34,19 @@
         `sharers` names them, silent ones too; `is_settled` tells whether these are likely to be
         all of them; `on_use` is told of each send.
         """
-        self._own_ip = own_ip
-        self._sharers = sharers
-        self._is_settled = is_settled
+        self._shares = RateShares(own_ip, sharers, is_settled)
         self._on_use = on_use
-        self._next_at_ms: dict[BackendServerId, float] = {}
 
     def may_use(self, server: BackendServer, rate_per_s: float) -> bool:
         """Tell whether this instance may send a cold server one more request now."""
         if rate_per_s <= 0 or now_ms() >= server.cold_until_ms:
             return True
-        if now_ms() < self._next_at_ms.get(server.id, 0.0):
-            return False
-        # Instances that start together know nobody yet, and each would take the whole rate.
-        return self._is_settled() and self._has_share(server.id)
+        return self._shares.may_send(server.id, rate_per_s)
 
     def note_sent(self, server: BackendServer, rate_per_s: float) -> None:
         """Count a request that goes to a server; spaces out those to a cold one."""
         if rate_per_s <= 0 or now_ms() >= server.cold_until_ms:
-            self._next_at_ms.pop(server.id, None)
+            self._shares.forget(server.id)
             return
-        sharers = len(self._sharers())
-        pause_ms = 1000 * min(sharers, MOST_SHARING) / (rate_per_s * RATE_USED)
-        self._next_at_ms[server.id] = now_ms() + pause_ms
+        sharers, pause_ms = self._shares.note_sent(server.id, rate_per_s)
         self._on_use(ColdUse(server.id, server.cold_until_ms - now_ms(), sharers, pause_ms))
-
-    def _has_share(self, server_id: BackendServerId) -> bool:
-        """Tell whether this instance is one of those that share the server."""
-        sharers = self._sharers()
-        if len(sharers) <= MOST_SHARING:
-            return True
-        order = sorted(sharers, key=lambda ip: hash64(f"cold/{server_id}/{ip}"), reverse=True)
-        return self._own_ip in order[:MOST_SHARING]
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -11,6 +11,7 @@
 from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
 from sparline.placement._kept_prompt import KeptPrompt
+from sparline.placement._limit_shares import LimitShares
 from sparline.placement._loads import LoadTable
 from sparline.placement._pace import EnginePace, PaceTable
 from sparline.placement._pauses import PauseTable
@@ -64,6 +65,7 @@
     loads: LoadTable  # load of backend servers
     health: HealthTable  # what requests showed
     cold: ColdShares  # rates of cold servers
+    limits: LimitShares  # request rate limits set by servers
     cache: PromptCache  # prompt parts at engines
     pace: PaceTable  # times of services and engines
     pauses: PauseTable  # which readings make pauses too long
--- a/sparline/placement/_server_limits.py
+++ b/sparline/placement/_server_limits.py
@@ -1,10 +1,18 @@
 """Request rate limits that backend servers set in their answers."""
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
+from sparline.schema._gossip import ServerLimitNote
+
+# Time after which a limit that no answer has repeated is forgotten (ms). Removed limits are kept as
+# long, so that an instance that was partitioned does not restore an outdated one.
+KEPT_MS = 120_000.0
+# Most limits told in one datagram (count), a random sample where there are more: about 25 bytes each.
+MOST_TOLD = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +30,7 @@
     def __init__(self, on_change: Callable[[ServerLimit], None] = lambda _limit: None) -> None:
         """Start empty; `on_change` is called when a limit is added, changed or removed."""
         self._on_change = on_change
+        self._chance = random.Random()
         self._limits: dict[BackendServerId, ServerLimit] = {}
 
     def note_answer(self, server_id: BackendServerId, per_s: float | None) -> None:
@@ -30,6 +39,22 @@
             return
         self._update(ServerLimit(server_id, per_s, now_ms()))
 
+    def take(self, notes: Iterable[ServerLimitNote]) -> None:
+        """Merge limits from a peer; the newest answer of each server counts."""
+        for note in notes:
+            server_id = BackendServerId(note.backend_server)
+            at_ms = now_ms() - max(note.age_ms, 0)
+            known = self._limits.get(server_id)
+            if known is None or known.at_ms < at_ms:
+                self._update(ServerLimit(server_id, note.per_s, at_ms))
+
+    def notes(self) -> list[ServerLimitNote]:
+        """Return the limits to tell a peer, a random sample where there are many."""
+        limits = list(self._limits.values())
+        if len(limits) > MOST_TOLD:
+            limits = self._chance.sample(limits, MOST_TOLD)
+        return [_note(limit) for limit in limits]
+
     def _update(self, limit: ServerLimit) -> None:
         previous = self._limits.get(limit.server_id)
         self._limits[limit.server_id] = limit
@@ -45,8 +70,13 @@
         """Return how many servers have a limit."""
         return sum(limit.per_s is not None for limit in self._limits.values())
 
-    def forget_all_but(self, known: set[BackendServerId]) -> None:
-        """Forget the limits of all servers that are not in `known`."""
+    def forget_old(self) -> None:
+        """Forget limits that no answer has repeated for `KEPT_MS`."""
+        since_ms = now_ms() - KEPT_MS
         self._limits = {
-            server_id: limit for server_id, limit in self._limits.items() if server_id in known
+            server_id: limit for server_id, limit in self._limits.items() if limit.at_ms >= since_ms
         }
+
+
+def _note(limit: ServerLimit) -> ServerLimitNote:
+    return ServerLimitNote(limit.server_id, limit.per_s, round(now_ms() - limit.at_ms))
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -12,6 +12,7 @@
     CreditTable,
     DemandTable,
     HealthTable,
+    LimitShares,
     LoadTable,
     OwnPlace,
     PaceTable,
@@ -19,7 +20,9 @@
     Placement,
     PlacementTables,
     PromptCache,
+    RateShares,
     Refusal,
+    ServerLimitTable,
     _prompt_cache,
     owner_of,
 )
@@ -52,6 +55,7 @@
             self.fleet.servers[server.id] = server
             self.fleet.by_service.setdefault(server.service, []).append(server)
         self.health = HealthTable()
+        self.limits = ServerLimitTable()
         self.cache = PromptCache(owners_have_read=False)
         credit = CreditTable()
         credit.note(ENGINES, SHORT)
@@ -62,6 +66,7 @@
             loads=LoadTable(NORTH, self.loads.get, lambda _one, _change, _shown: None),
             health=self.health,
             cold=ColdShares("own", lambda: ["own"]),
+            limits=LimitShares(self.limits, RateShares("own", lambda: ["own"], lambda: True)),
             cache=self.cache,
             pace=PaceTable(),
             pauses=PauseTable(),
@@ -437,3 +442,29 @@
     request = make_request()
     world.chooser.note_region_full(request, world.chooser.choose(request, frozenset()))
     assert world.choose(request) == "s1"
+
+
+def test_a_server_whose_share_is_used_up_gets_nothing():
+    world = World(N1, N2)
+    world.limits.note_answer(N1.id, 1.0)
+    sent = []
+    for _ in range(20):
+        place = world.chooser.choose(make_request(), frozenset())
+        world.chooser.note_sent(make_request(), place)
+        sent.append(place.server.id)
+    assert sent.count(N1.id) <= 1
+
+
+@pytest.mark.parametrize(("far_servers", "expected"), [((), "s1"), (("s2",), "s2")])
+def test_a_limited_server_of_another_region_is_the_last_resort(far_servers, expected):
+    world = World(S1, *(make_server(one, "south") for one in far_servers))
+    world.limits.note_answer(S1.id, 1.0)
+    assert {world.choose(make_request()) for _ in range(20)} == {expected}
+
+
+def test_a_relayed_request_keeps_to_a_servers_limit():
+    world = World(N1)
+    world.limits.note_answer(N1.id, 1.0)
+    request = make_request(origin=Origin.RELAY)
+    world.chooser.note_sent(request, world.chooser.choose(request, frozenset()))
+    assert world.choose(request) == "refused: no_backend"
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -2,7 +2,14 @@
 
 from sparline._ids import BackendServerId, RegionName
 from sparline.fleet import LoadOf
-from sparline.placement import ColdShares, HealthTable, LoadTable, _cold_shares, _health
+from sparline.placement import (
+    ColdShares,
+    HealthTable,
+    LoadTable,
+    _cold_shares,
+    _health,
+    _rate_shares,
+)
 from sparline.tests.routed import make_server
 
 S1 = BackendServerId("s1")
@@ -13,7 +20,7 @@
     class Clock:
         now = 1_000_000.0
 
-    for module in (_health, _cold_shares):
+    for module in (_health, _cold_shares, _rate_shares):
         monkeypatch.setattr(module, "now_ms", lambda: Clock.now)
     return Clock
 
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -97,6 +97,22 @@
     backend_server: str
 
 
+class ServerLimitNote(WireNode):
+    """
+    Tell the request rate limit in a backend server's latest answer.
+    """
+
+    backend_server: str
+    per_s: (
+        Annotated[
+            float,
+            Meta(description="Requests per second from all instances together, null if unlimited."),
+        ]
+        | None
+    )
+    age_ms: Annotated[int, Meta(description="Time since that answer arrived, milliseconds.")]
+
+
 class CrashNote(WireNode):
     """
     Tell which backend servers have ended under one request.
@@ -157,6 +173,12 @@
     crashes: Annotated[
         list[CrashNote], Meta(description="Requests under which servers have ended.")
     ] = field(default_factory=list)
+    server_limits: Annotated[
+        list[ServerLimitNote],
+        Meta(
+            description="Some of the request rate limits that the sender knows, including removed ones."
+        ),
+    ] = field(default_factory=list)
 
 
 class LoadShares(WireMessage):
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -28,7 +28,15 @@
     sum_loads,
 )
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
-from sparline.placement import ColdShares, _cold_shares
+from sparline.placement import (
+    ColdShares,
+    LimitShares,
+    RateShares,
+    ServerLimitTable,
+    _cold_shares,
+    _rate_shares,
+    _server_limits,
+)
 from sparline.quarantine import CrashTable, _crash_table
 from sparline.quotas import NO_ROOM, Allowance, QuotaBounds, Terms, make_terms, quota_key
 from sparline.routes import Organisation
@@ -40,12 +48,6 @@
 PORT = 7660
 # Repeats beyond a fifth of the requests that the whole fleet may send in ten seconds.
 RETRY_RULE = RetryRule(ratio=0.2, slack=198, window_ms=10_000)
-SOURCES = GossipSources(
-    recent_reads=list,
-    take_reads=lambda _reads: None,
-    store_revision=lambda: 1,
-    store_reached=lambda: True,
-)
 
 
 @dataclass(slots=True)
@@ -58,6 +60,8 @@
     crashes: CrashTable
     own_loads: dict[str, LoadOf]  # what it has at each server of its region
     cold: ColdShares
+    server_limits: ServerLimitTable
+    limits: LimitShares
     retries: RetryWindow
     quotas: QuotaExchange
     region: RegionName
@@ -93,6 +97,8 @@
             _load_exchange,
             _load_shares,
             _cold_shares,
+            _rate_shares,
+            _server_limits,
             _retry_window,
             _news_allowance,
             _crash_table,
@@ -173,14 +179,30 @@
             ),
         )
         quotas = QuotaExchange(members, Allowance(self.quota_bounds, self.chance), self.quota_terms)
+        server_limits = ServerLimitTable()
+        server_limits._chance = random.Random(ip)
+        sources = GossipSources(
+            recent_reads=list,
+            take_reads=lambda _reads: None,
+            server_limits=server_limits.notes,
+            take_server_limits=server_limits.take,
+            store_revision=lambda: 1,
+            store_reached=lambda: True,
+        )
         crashes = CrashTable(lambda change: gossip.tell_crash(change))
         gossip = GossipPort(
-            PORT, self.seeds, members, loads, CrashExchange(crashes), quotas, SOURCES
+            PORT, self.seeds, members, loads, CrashExchange(crashes), quotas, sources
         )
         gossip._chance = random.Random(self.chance.random())
-        cold = ColdShares(
-            ip, lambda: members.sharers(region), lambda: members.are_sharers_settled(region)
-        )
+
+        def sharers() -> list[str]:
+            return members.sharers(region)
+
+        def is_settled() -> bool:
+            return members.are_sharers_settled(region)
+
+        cold = ColdShares(ip, sharers, is_settled)
+        limits = LimitShares(server_limits, RateShares(ip, sharers, is_settled))
         retries = RetryWindow(
             RETRY_RULE, lambda: len(members.sharers()), members.are_sharers_settled
         )
@@ -191,6 +213,8 @@
             crashes,
             own_loads,
             cold,
+            server_limits,
+            limits,
             retries,
             quotas,
             region,
