--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -59,8 +59,11 @@
     work_ms: float = 5.0  # time to the answer, and between events
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
+    refused_at_ms: list[float] = field(default_factory=list)  # when it refused requests
     connections: int = 0  # connections that were opened
     ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
+    says_leaving: bool = False  # whether its answers state that it leaves
+    rest_s: float = 0.0  # wait that its refusals ask for, 0 for none
     limit_per_s: float | None = None  # limit that its answers state, None for no limit
     keeps_port: bool = False  # whether something else goes on listening once it has ended
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
@@ -124,6 +127,7 @@
             connection.sendall(self._head(421, request, [("Instance-Id", self.server_id)], 0))
             return True
         if faults.refuse or faults.early:
+            self.refused_at_ms.append(now_ms())
             connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
             return True
         run = self._start_run(request)
@@ -193,6 +197,10 @@
         lines.append(f"Attempt-Id: {request_id}")
         if not (faults and faults.without_seal) and status in (200, 500):
             lines.append(f"Response-Seal: seal-of-{self.server_id}")
+        if self.says_leaving and status != 421:
+            lines.append("Server-Leaving: 1")
+        if self.rest_s and status == 503:
+            lines.append(f"Retry-After: {self.rest_s}")
         if self.limit_per_s is not None and status != 421:
             lines.append(f"Server-Limit: {self.limit_per_s}")
         lines += [f"{name}: {value}" for name, value in headers]
