Stop sending requests to a backend server that reports it is leaving

Impact: none visible to callers. Requests still reached a server 3.2 s after its answers had reported that it was leaving, and so were about to be cut off.

Cause: the leaving state was taken from the store entry alone, and the store answered no call for 12 s. The leaving state reported in the server's own answers was not read.

Change: read `Server-Leaving: 1` from answers that the server itself gave. The fleet state then marks that incarnation of the server as leaving, so every user of the state treats it like a server whose store entry says so. Entries that are written or reappear later do not clear the mark. Add the log event `server_says_leaving`.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -28,6 +28,9 @@
 KNOWN_FOR_MS = 120_000.0
 # Keys whose items can't be read are remembered up to here (count); more are logged each time.
 MOST_BAD_KEYS = 1_000
+# Maximum number of servers remembered as reporting that they are leaving; the oldest is evicted
+# first. Far more than are replaced in a day.
+MOST_LEAVING = 4_096
 # Withdrawn keys that are remembered (count): some 0.1 kB each.
 MOST_WITHDRAWN = 4_096
 
@@ -68,6 +71,7 @@
         self._bad_keys: set[str] = set()
         self._lapsed: dict[BackendServerId, float] = {}
         self._known: dict[BackendServerId, float] = {}
+        self._reported_leaving: OrderedDict[BackendServerId, None] = OrderedDict()
         self._evacuations: dict[str, ZoneName] = {}
         self._server_keys: dict[str, BackendServerId] = {}
         self._withdrawn: OrderedDict[KeyDigest, ConfigurationVersion] = OrderedDict()
@@ -161,9 +165,10 @@
         held = self.servers.get(server.id)
         if held is None:
             server = self._as_new(server)
+        if server.id in self._reported_leaving:
+            server = replace(server, leaving=True)
         self._known[server.id] = now_ms()
-        self.servers[server.id] = server
-        self._is_indexed = False
+        self._put_server(server)
         if held is None and not self.started:
             # An instance that starts reads thousands at once, and says how many when it is live.
             return
@@ -176,6 +181,24 @@
             revision=revision,
         ).info("server_known" if held is None else "server_changed")
 
+    def note_leaving(self, server_id: BackendServerId) -> None:
+        """Mark a server as leaving because its answer says so; later store entries don't clear it."""
+        if server_id in self._reported_leaving:
+            return
+        self._reported_leaving[server_id] = None
+        if len(self._reported_leaving) > MOST_LEAVING:
+            self._reported_leaving.popitem(last=False)
+        server = self.servers.get(server_id)
+        if server is not None:
+            self._put_server(replace(server, leaving=True))
+        log.bind(
+            backend_server=server_id, leaving_in_store=server is not None and server.leaving
+        ).info("server_says_leaving")
+
+    def _put_server(self, server: BackendServer) -> None:
+        self.servers[server.id] = server
+        self._is_indexed = False
+
     def _as_new(self, server: BackendServer) -> BackendServer:
         """Treat a server that appears while work goes on as cold for its service's time."""
         known_at_ms = self._known.get(server.id)
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -208,9 +208,15 @@
         if self._placement.peer is not None:
             self._tools.note_peer(self._placement.peer.note.ip, True)
         elif meaning.kind in SERVER_ANSWER_KINDS:
-            self._tools.server_limits.note_answer(self._server_id, meaning.limit_per_s)
+            self._note_server_state(meaning)
         return meaning
 
+    def _note_server_state(self, meaning: AnswerMeaning) -> None:
+        """Record the rate limit and leaving state that a server's answer reports."""
+        self._tools.server_limits.note_answer(self._server_id, meaning.limit_per_s)
+        if meaning.is_leaving:
+            self._tools.note_leaving(self._server_id)
+
     def _wait(self, read: Callable[[], Read]) -> Read:
         """Read on as long as the server may still be at work."""
         began_ms = now_ms()
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -74,6 +74,7 @@
     peer_port: int  # where instances take relayed requests
     health: HealthTable  # first-hand knowledge of servers
     server_limits: ServerLimitTable  # request rate limits set by servers
+    note_leaving: Callable[[BackendServerId], None]  # marks a server as leaving
     pace: PaceTable  # usual times
     watch: WatchTables  # what streams teach
     may_move: Callable[[RoutedRequest, Progress], bool]  # whether another try is possible
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -30,6 +30,7 @@
     ended_server: BackendServerId | None = None  # server that ended while a peer ran it there
     is_region_full: bool = False  # whether no server of the peer's region would take it
     limit_per_s: float | None = None  # requests per second to the server, None if unlimited
+    is_leaving: bool = False  # whether the server reports that it is leaving
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -251,6 +251,7 @@
             peer_port=self._relay_port,
             health=self.health,
             server_limits=self.server_limits,
+            note_leaving=self.fleet.note_leaving,
             pace=self.pace,
             watch=WatchTables(self.pace, self.pauses, self.loads, self.pause_watch.thawed_at_ms),
             may_move=may_move,
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -31,6 +31,7 @@
 SEAL = b"response-seal"  # signature of the backend server over its answer
 NOT_RUN = b"not-executed"  # proof that the request did not and will not run
 RETRY_AFTER = b"retry-after"  # seconds, fractions included
+SERVER_LEAVING = b"server-leaving"  # "1" if the backend server is shutting down
 SERVER_LIMIT = b"server-limit"  # requests per second, from all instances together
 
 # Headers between our own instances; callers' are dropped.
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -248,8 +248,12 @@
 
 def _server_meaning(kind: AnswerKind, answer: HttpAnswer) -> AnswerMeaning:
     """Return what an answer from the server itself means."""
-    limit_per_s = _decimal(answer.header(names.SERVER_LIMIT))
-    return AnswerMeaning(kind, _retry_after_ms(answer), limit_per_s=limit_per_s)
+    return AnswerMeaning(
+        kind,
+        _retry_after_ms(answer),
+        limit_per_s=_decimal(answer.header(names.SERVER_LIMIT)),
+        is_leaving=answer.header(names.SERVER_LEAVING) == b"1",
+    )
 
 
 def _retry_after_ms(answer: HttpAnswer) -> float:
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -228,6 +228,23 @@
     assert ServerWire().meaning(answer(status, headers)).limit_per_s == expected_per_s
 
 
+LEAVING = [
+    # status, headers, whether the server is reported as leaving
+    (200, {"response-seal": "s", "server-leaving": "1"}, True),
+    (503, {"not-executed": "1", "server-leaving": "1"}, True),
+    (200, {"response-seal": "s", "server-leaving": "0"}, False),
+    (200, {"response-seal": "s"}, False),
+    # Misdirected answers and unsigned successes may come from another server.
+    (421, {"server-leaving": "1"}, False),
+    (200, {"server-leaving": "1"}, False),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "is_leaving"), LEAVING)
+def test_leaving_is_read_from_answers_of_the_server(status, headers, is_leaving):
+    assert ServerWire().meaning(answer(status, headers)).is_leaving is is_leaving
+
+
 SENDS = [
     ("resumed", make_route(), 7, True),
     ("not resumed", make_route(), None, False),
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -59,11 +59,11 @@
     work_ms: float = 5.0  # time to the answer, and between events
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
-    refused_at_ms: list[float] = field(default_factory=list)  # when it refused requests
+    refused_at_ms: list[float] = field(default_factory=list)  # times at which requests were refused
     connections: int = 0  # connections that were opened
     ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
-    says_leaving: bool = False  # whether its answers state that it leaves
-    rest_s: float = 0.0  # wait that its refusals ask for, 0 for none
+    reports_leaving: bool = False  # whether answers carry Server-Leaving: 1
+    rest_s: float = 0.0  # Retry-After value of 503 answers in seconds, 0 to omit it
     limit_per_s: float | None = None  # limit that its answers state, None for no limit
     keeps_port: bool = False  # whether something else goes on listening once it has ended
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
@@ -197,7 +197,7 @@
         lines.append(f"Attempt-Id: {request_id}")
         if not (faults and faults.without_seal) and status in (200, 500):
             lines.append(f"Response-Seal: seal-of-{self.server_id}")
-        if self.says_leaving and status != 421:
+        if self.reports_leaving and status != 421:
             lines.append("Server-Leaving: 1")
         if self.rest_s and status == 503:
             lines.append(f"Retry-After: {self.rest_s}")
