Honour the Retry-After of a backend server's refusal

Impact: requests were answered one hop later. A server that had asked an instance to wait 3 s received 7 requests from it in that time (2 are allowed).

Cause: a refusal marked the server as full for 150 ms, whatever its Retry-After, and a server that is passed over as full is still used when there is no other.

Change: the Retry-After of a refusal by the server itself is stored per server and start. The server is not a candidate until that time is over. Neither a shorter Retry-After nor an expired entry ends a longer wait. When no server can take a request, its caller is refused at once; if suitable servers outside evacuated zones are in backoff, the caller is told to return when the first backoff ends, if that is sooner than the usual wait. The log event server_rests reports the start of a backoff.

--- a/sparline/decisions/_return_time.py
+++ b/sparline/decisions/_return_time.py
@@ -32,6 +32,13 @@
     return min(max(late_ms, RETRY_AFTER_LEAST_MS), RETRY_AFTER_MOST_MS)
 
 
-def unserved_wait_ms(left_ms: float) -> float:
-    """Return when a caller with so much time left is to come back where nothing can serve it."""
-    return min(max(WAIT_SHARE * left_ms, WAIT_LEAST_MS), WAIT_MOST_MS)
+def unserved_wait_ms(left_ms: float, backoff_left_ms: float | None = None) -> float:
+    """Return when a caller with so much time left is to come back where nothing can serve it.
+
+    `backoff_left_ms` is the time until the backoff of a suitable server ends, None if none backs off.
+    It shortens the wait but never below the minimum Retry-After.
+    """
+    wait_ms = min(max(WAIT_SHARE * left_ms, WAIT_LEAST_MS), WAIT_MOST_MS)
+    if backoff_left_ms is None:
+        return wait_ms
+    return min(wait_ms, max(backoff_left_ms, RETRY_AFTER_LEAST_MS))
--- a/sparline/decisions/tests/test_decisions.py
+++ b/sparline/decisions/tests/test_decisions.py
@@ -63,6 +63,11 @@
     assert unserved_wait_ms(left_ms) == after_ms
 
 
+@pytest.mark.parametrize(("backoff_left_ms", "after_ms"), [(20, 150), (700, 700), (30_000, 1_000)])
+def test_server_backoff_shortens_unserved_wait(backoff_left_ms, after_ms):
+    assert unserved_wait_ms(3_000, backoff_left_ms) == after_ms
+
+
 REFUSED_AT_MS = 1_000.0
 # What is asked after a refusal of priority 1 and 300 tokens: the region, the service, the priority, the tokens,
 # when, and whether the region is full for it.
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -259,7 +259,9 @@
                 self._tools.health.note_misdirected(self._server_id)
                 return AttemptEnd(AttemptResult.NOT_RUN, Reason.MISDIRECTED)
             case AnswerKind.NOT_RUN:
-                self._tools.health.note_full(self._server_id)
+                # The Retry-After of a peer gateway does not apply to the backend server.
+                server_retry_after_ms = 0.0 if far else meaning.retry_after_ms
+                self._tools.health.note_full(self._server_id, server_retry_after_ms)
                 reason = Reason.PEER_NOT_RUN if far else Reason.BACKEND_REFUSED
                 return AttemptEnd(AttemptResult.NOT_RUN, reason, meaning.retry_after_ms)
             case AnswerKind.NOT_SENT:
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -64,7 +64,8 @@
             # None of those may take it, so that all have to be looked at.
             servers = self._servers(request, service, every, excluded)
         if not servers:
-            return Refusal(Reason.NO_BACKEND, unserved_wait_ms(request.left_ms()), 0)
+            wait_ms = unserved_wait_ms(request.left_ms(), self._shortest_backoff_ms(request, every))
+            return Refusal(Reason.NO_BACKEND, wait_ms, 0)
         if request.prompt is not None and request.origin is Origin.CALLER and not excluded:
             self._tables.demand.note(request, request.prompt)
         common = self._common(request, servers)
@@ -117,6 +118,8 @@
                 continue
             if self._tables.health.is_elsewhere(server.id):
                 continue
+            if self._tables.health.backoff_left_ms(server.id):
+                continue
             if not request.allows(server.region):
                 continue
             if request.origin is Origin.RELAY and server.region != self._region:
@@ -131,6 +134,17 @@
             found.append(server)
         return found or limited_in_other_regions
 
+    def _shortest_backoff_ms(
+        self, request: RoutedRequest, servers: Sequence[BackendServer]
+    ) -> float | None:
+        """Return the time until the first backoff of a suitable server ends, None if none backs off."""
+        left = [
+            self._tables.health.backoff_left_ms(one.id)
+            for one in servers
+            if _is_suitable(request, one) and one.zone not in self._tables.fleet.evacuated
+        ]
+        return min((one for one in left if one), default=None)
+
     def _may_send(self, server: BackendServer, service: Service) -> bool:
         """Tell whether the rates of a server of this region allow one more request now."""
         if not self._tables.limits.may_use(server.id):
@@ -207,5 +221,9 @@
             )
 
 
+def _is_suitable(request: RoutedRequest, server: BackendServer) -> bool:
+    return not server.leaving and request.allows(server.region)
+
+
 def _tokens(request: RoutedRequest) -> int:
     return request.prompt.tokens if request.prompt else 0
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -39,6 +39,7 @@
     pass_over_until_ms: float = 0.0  # until when it is used only for want of another
     on_trial: bool = False  # whether one request tries it after that
     full_until_ms: float = 0.0  # until when it is taken to have no room
+    backoff_until_ms: float = 0.0  # end of the wait requested through Retry-After
     elsewhere_until_ms: float = 0.0  # until when another server is taken to have its address
     pass_over_ms: float = 0.0  # how long it was passed over the last time
     pace: float = 1.0  # observed time against the expected one
@@ -118,10 +119,21 @@
         witness.failing += (1 - witness.failing) * FAILURE_WEIGHT
         self._pass_over(server_id, witness, "unreachable")
 
-    def note_full(self, server_id: BackendServerId) -> None:
-        """Note a refusal for want of room."""
+    def note_full(self, server_id: BackendServerId, retry_after_ms: float = 0.0) -> None:
+        """Note a refusal for want of room and its Retry-After, 0 if it has none."""
         witness = self._of(server_id)
         witness.full_until_ms = now_ms() + FULL_MS
+        if retry_after_ms <= 0:
+            return
+        if not self.backoff_left_ms(server_id):
+            log.bind(backend_server=server_id, for_ms=round(retry_after_ms)).info("server_rests")
+        # Concurrent refusals may name different waits; the latest end applies.
+        witness.backoff_until_ms = max(witness.backoff_until_ms, now_ms() + retry_after_ms)
+
+    def backoff_left_ms(self, server_id: BackendServerId) -> float:
+        """Return the remaining time for which a server must get no requests, 0 if there is none."""
+        witness = self._witnesses.get(server_id)
+        return 0.0 if witness is None else max(witness.backoff_until_ms - now_ms(), 0.0)
 
     def note_misdirected(self, server_id: BackendServerId) -> None:
         """Note that another server has the address."""
@@ -190,7 +202,13 @@
 
     def forget_all_but(self, known: set[BackendServerId]) -> None:
         """Forget servers that are gone."""
-        self._witnesses = {one: kept for one, kept in self._witnesses.items() if one in known}
+        now = now_ms()
+        self._witnesses = {
+            one: kept
+            for one, kept in self._witnesses.items()
+            # A server whose entry expires and reappears must still be in backoff.
+            if one in known or now < kept.backoff_until_ms
+        }
 
     def _doubts(self, witness: _Witness, now: float) -> bool:
         return now < witness.pass_over_until_ms or self._is_silent(witness, now)
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -468,3 +468,40 @@
     request = make_request(origin=Origin.RELAY)
     world.chooser.note_sent(request, world.chooser.choose(request, frozenset()))
     assert world.choose(request) == "refused: no_backend"
+
+
+def refuse_with_retry_after(
+    world: World, *servers: BackendServer, retry_after_ms: float = 3_000.0
+) -> None:
+    for server in servers:
+        world.health.note_full(server.id, retry_after_ms)
+
+
+def test_server_in_backoff_is_not_used_even_as_last_resort():
+    world = World(N1, N2)
+    refuse_with_retry_after(world, N1)
+    assert {world.choose(make_request()) for _ in range(20)} == {N2.id}
+    refuse_with_retry_after(world, N2)
+    assert world.choose(make_request()) == "refused: no_backend"
+
+
+def test_refused_callers_are_told_to_return_after_the_shortest_backoff():
+    world = World(N1, N2)
+    refuse_with_retry_after(world, N1, retry_after_ms=60_000)
+    refuse_with_retry_after(world, N2, retry_after_ms=700)
+    refusal = world.chooser.choose(make_request(), frozenset())
+    assert 150 <= refusal.retry_after_ms <= 700
+
+
+def test_shorter_retry_after_does_not_shorten_backoff():
+    world = World(N1)
+    refuse_with_retry_after(world, N1, retry_after_ms=600_000)
+    refuse_with_retry_after(world, N1, retry_after_ms=1.0)
+    assert world.health.backoff_left_ms(N1.id) > 1_000
+
+
+def test_expired_entry_does_not_end_backoff():
+    world = World(N1)
+    refuse_with_retry_after(world, N1)
+    world.health.forget_all_but(set())
+    assert world.choose(make_request()) == "refused: no_backend"
