Prevent gossiped server limits from appearing newer with each hop

Cause: an instance accepted a limit from a peer as newer even if its answer appeared to have arrived only a millisecond later. Ages in gossip do not include the network delay, so when peers exchanged the same answer, it appeared newer by that delay with each hop. The limit was kept for longer than 120 s, and a limit that had since been removed could override the removal.

Change: an instance sends peers only the limits from answers that it received itself, so an answer travels one hop. A limit from a peer replaces the known one only if it is newer by more than 100 ms. If an answer within that tolerance is ignored, the next one corrects it. The tolerance alone was tried and is not sufficient: with a delay of more than 50 ms between two instances, the limit was still held after 121 s.

Evidence: a test in which two instances exchange a limit failed before the change with a delay of 50 ms per datagram (still held after 121 s, with an age of 86,500 ms), and failed with the tolerance alone at 400 ms. It now passes with 1, 50 and 400 ms, as do the 24 other tests in the file.

Conclusion: fixed.

--- a/sparline/placement/_server_limits.py
+++ b/sparline/placement/_server_limits.py
@@ -11,6 +11,9 @@
 # Time after which a limit that no answer has repeated is forgotten (ms). Removed limits are kept as
 # long, so that an instance that was partitioned does not restore an outdated one.
 KEPT_MS = 120_000.0
+# A limit from a peer replaces the known one only if it is newer by more than this (ms), because ages
+# in gossip do not include the network delay, which varies between datagrams.
+AGE_TOLERANCE_MS = 100.0
 # Most limits told in one datagram (count), a random sample where there are more: about 25 bytes each.
 MOST_TOLD = 8
 
@@ -22,6 +25,7 @@
     server_id: BackendServerId
     per_s: float | None  # requests per second from all instances together, None if unlimited
     at_ms: float  # when the answer arrived
+    from_peer: bool = False  # whether a peer received the answer and sent its limit
 
 
 class ServerLimitTable:
@@ -45,12 +49,16 @@
             server_id = BackendServerId(note.backend_server)
             at_ms = now_ms() - max(note.age_ms, 0)
             known = self._limits.get(server_id)
-            if known is None or known.at_ms < at_ms:
-                self._update(ServerLimit(server_id, note.per_s, at_ms))
+            if known is None or known.at_ms + AGE_TOLERANCE_MS < at_ms:
+                self._update(ServerLimit(server_id, note.per_s, at_ms, from_peer=True))
 
     def notes(self) -> list[ServerLimitNote]:
-        """Return the limits to tell a peer, a random sample where there are many."""
-        limits = list(self._limits.values())
+        """Return the limits to tell a peer, a random sample where there are many.
+
+        Limits from peers are left out, because forwarding them would make an answer appear newer by
+        the network delay of each hop.
+        """
+        limits = [limit for limit in self._limits.values() if not limit.from_peer]
         if len(limits) > MOST_TOLD:
             limits = self._chance.sample(limits, MOST_TOLD)
         return [_note(limit) for limit in limits]
--- a/sparline/placement/tests/test_server_limits.py
+++ b/sparline/placement/tests/test_server_limits.py
@@ -82,6 +82,24 @@
     assert limits.notes() == []
 
 
+@pytest.mark.parametrize("delay_ms", [1, 50, 400])
+def test_limit_exchanged_between_peers_is_forgotten(clock, delay_ms):
+    # Guards against network delay making the same answer appear newer with each exchange.
+    first, second = ServerLimitTable(), ServerLimitTable()
+    first.note_answer(S1, 1.8)
+    start_ms = clock[0]
+    while clock[0] - start_ms <= _server_limits.KEPT_MS + 1_000:
+        for sender, receiver in ((first, second), (second, first)):
+            notes = sender.notes()
+            clock[0] += delay_ms
+            receiver.take(notes)
+        clock[0] += 250
+        first.forget_old()
+        second.forget_old()
+    assert first.limit_per_s(S1) is None
+    assert second.limit_per_s(S1) is None
+
+
 def test_number_of_limits_in_a_datagram_is_bounded():
     limits = ServerLimitTable()
     for number in range(100):
