Announce rate limits from backend servers in the gateway soak

Cause: no backend server in the soak announced a limit. That instances keep serving under a limit and recover with it was covered only by single-case tests.

Change: a second sequence of state changes lets a backend server announce a limit of 1 to 20 requests per second for 0.3 to 3 s. It uses its own random generator, so that a seed draws the existing faults as before. An exception in either sequence now fails the run.

Conclusion: part of every soak from now on.

--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -54,6 +54,8 @@
 
     fleet: GatewayFleet
     chance: random.Random
+    # Separate generator for server states, so that they take no draws from the other faults.
+    server_chance: random.Random = field(default_factory=random.Random)
     records: list[Record] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     version: int = 1
@@ -62,11 +64,14 @@
     def drive(self, seconds: float) -> None:
         """Send requests while faults come and go."""
         end_ms = now_ms() + seconds * 1000
-        faults = gevent.spawn(self._trouble, end_ms)
+        faults = [
+            gevent.spawn(self._trouble, end_ms),
+            gevent.spawn(self._change_server_states, end_ms),
+        ]
         while now_ms() < end_ms:
             self.send_one()
             gevent.sleep(self.chance.expovariate(REQUESTS_PER_S))
-        faults.join()
+        gevent.joinall(faults, raise_error=True)
         self.join()
 
     def join(self) -> None:
@@ -108,6 +113,23 @@
             gevent.sleep(self.chance.uniform(0.1, PAUSE_S))
         pending.join()
 
+    def _change_server_states(self, end_ms: float) -> None:
+        """Make random backend servers announce limits."""
+        kinds = [self._limit_server]
+        pending = Pool(20)
+        while now_ms() < end_ms:
+            kind = self.server_chance.choice(kinds)
+            self.faults[kind.__name__.strip("_")] += 1
+            pending.spawn(kind, self.server_chance.choice(sorted(SERVERS)))
+            gevent.sleep(self.server_chance.uniform(0.5, 2 * PAUSE_S))
+        pending.join()
+
+    def _limit_server(self, name: str) -> None:
+        server = self.fleet.servers[name]
+        server.limit_per_s = self.server_chance.uniform(1.0, REQUESTS_PER_S)
+        gevent.sleep(self.server_chance.uniform(0.3, HOLD_S))
+        server.limit_per_s = None
+
     def _hold(self) -> None:
         gevent.sleep(self.chance.uniform(0.3, HOLD_S))
 
@@ -281,7 +303,8 @@
 def gateway_soak(options: argparse.Namespace) -> int:
     """Run one seed and return an exit code."""
     with GatewayFleet() as fleet:
-        run = SoakRun(fleet, random.Random(options.seed))
+        server_chance = random.Random(f"servers/{options.seed}")
+        run = SoakRun(fleet, random.Random(options.seed), server_chance)
         for server in fleet.servers.values():
             server.ends_on = CRASHING
         run.drive(options.seconds)
