Add Retry-After and server shutdown to the gateway soak

Cause: no backend server in the soak gave a wait time when it refused a request, or announced that it was leaving.

Change: the same sequence of state changes lets a backend server refuse requests with a wait time of 0.1 to 2 s, or announce that it is leaving, end, and come back as another start.

--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -34,6 +34,8 @@
 MOST_ENDS = 3
 CONTACT_MS = 5_000.0
 MOST_LATER_SENDS = 3
+# Upper bound of Retry-After in 503 responses from backend servers (s).
+MOST_RETRY_AFTER_S = 2.0
 TARGETS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x", "/home/x")
 ONCE = ("/unsafe/x", "/once/x")
 
@@ -114,8 +116,8 @@
         pending.join()
 
     def _change_server_states(self, end_ms: float) -> None:
-        """Make random backend servers announce limits."""
-        kinds = [self._limit_server]
+        """Make random backend servers announce limits, back-off times and shutdowns."""
+        kinds = [self._limit_server, self._back_off_server, self._retire_server]
         pending = Pool(20)
         while now_ms() < end_ms:
             kind = self.server_chance.choice(kinds)
@@ -130,6 +132,24 @@
         gevent.sleep(self.server_chance.uniform(0.3, HOLD_S))
         server.limit_per_s = None
 
+    def _back_off_server(self, name: str) -> None:
+        server = self.fleet.servers[name]
+        server.rest_s = self.server_chance.uniform(0.1, MOST_RETRY_AFTER_S)
+        server.faults = SealedFaults(refuse=True)
+        gevent.sleep(self.server_chance.uniform(0.3, HOLD_S))
+        server.faults = SealedFaults()
+        server.rest_s = 0.0
+
+    def _retire_server(self, name: str) -> None:
+        """Announce a shutdown, then end the server; the fleet restarts it."""
+        server = self.fleet.servers[name]
+        server.reports_leaving = True
+        gevent.sleep(self.server_chance.uniform(0.3, HOLD_S))
+        server.reports_leaving = False
+        # A server that has already ended must not schedule a second restart.
+        if server.is_listening():
+            server.end()
+
     def _hold(self) -> None:
         gevent.sleep(self.chance.uniform(0.3, HOLD_S))
 
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -80,6 +80,10 @@
         if self._server is not None:
             self._server.stop(timeout=0)
 
+    def is_listening(self) -> bool:
+        """Return whether the server accepts connections."""
+        return self._server is not None and self._server.started
+
     def end(self) -> None:
         """End as a process that is lost does: the port closes and every connection is reset."""
         if not self.keeps_port:
