Run the test files in several pytest processes

Change: scripts/test without arguments starts the package testrunner, which runs groups of test files in TEST_PROCESSES pytest processes (4 unless set, at most 8) from one queue, the slow folders first and file by file. A plugin writes the counts of each process to a file; the runner sums them up, prints the outputs one after the other and ends with "N passed, N failed". Processes that are killed or leave no result count as failed. conftest.py prints a known red test only in the process that collects it; the runner reports entries that no process collected.

PortPool started its search at a number derived from the process id, and consecutive ids lay 61 ports apart, so that processes at once were handed the same ports: three processes that took 200 ports each got 322 different ones of 600. A process now claims blocks of 100 ports by holding a socket bound to the first port of each.

--- a/conftest.py
+++ b/conftest.py
@@ -8,18 +8,9 @@
 
 import pytest
 
-KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
-MOST_KNOWN_RED = 3
-# Starts the text of an entry whose test fails in some runs only.
-INTERMITTENT = "intermittent, "
+from testrunner import is_one_of_several, read_known_red, was_collected
 
-
-def _known_red() -> dict[str, str]:
-    if not KNOWN_RED.exists():
-        return {}
-    lines = [line for line in KNOWN_RED.read_text(encoding="utf-8").splitlines() if line.strip()]
-    assert len(lines) <= MOST_KNOWN_RED, f"KNOWN-RED.txt has {len(lines)} lines"
-    return dict(line.split(", ", 1) for line in lines)
+ROOT = Path(__file__).parent
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
@@ -27,22 +18,26 @@
 
     A pass is then an error, except for an entry that is marked as intermittent.
     """
-    known = _known_red()
+    known = {entry.test: entry for entry in read_known_red(ROOT)}
     for item in items:
-        if item.nodeid in known:
-            cause = known[item.nodeid]
-            strict = not cause.startswith(INTERMITTENT)
-            item.add_marker(pytest.mark.xfail(reason=cause, strict=strict))
+        if entry := known.get(item.nodeid):
+            item.add_marker(pytest.mark.xfail(reason=entry.cause, strict=entry.must_fail))
+
 
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter, config: pytest.Config
+) -> None:
+    """Print the known red tests and the outcome of each in this run.
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the known red tests and the outcome of each in this run."""
+    Beside other processes, only the tests that this one collected are printed.
+    """
     outcomes = {
         report.nodeid: outcome
         for outcome, reports in terminalreporter.stats.items()
         for report in reports
         if getattr(report, "when", None) == "call"
     }
-    for name, cause in _known_red().items():
-        outcome = outcomes.get(name, "not run")
-        terminalreporter.write_line(f"known red ({outcome}): {name}, {cause}")
+    for entry in read_known_red(ROOT):
+        if is_one_of_several(config) and not was_collected(config, entry.test):
+            continue
+        terminalreporter.write_line(entry.line(outcomes.get(entry.test, "not run")))
--- /dev/null
+++ b/testrunner/_known_red.py
@@ -0,0 +1,46 @@
+"""The tests that are expected to fail, as `KNOWN-RED.txt` lists them."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+FILE_NAME = "KNOWN-RED.txt"
+MOST_ENTRIES = 3
+# Starts the text of an entry whose test fails in some runs only.
+INTERMITTENT = "intermittent, "
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """Hold one entry."""
+
+    test: str  # node id in pytest
+    cause: str  # rest of the entry
+
+    @property
+    def must_fail(self) -> bool:
+        """Tell whether a pass of the test is an error."""
+        return not self.cause.startswith(INTERMITTENT)
+
+    def line(self, outcome: str) -> str:
+        """Return the line that reports the outcome of the test in a run."""
+        return f"known red ({outcome}): {self.test}, {self.cause}"
+
+
+def read_known_red(root: Path) -> list[KnownRed]:
+    """Return the entries of a repository, in their order; none if it has no such file.
+
+    Raises `ValueError` where a line has no cause or there are more than `MOST_ENTRIES` lines.
+    """
+    path = root / FILE_NAME
+    if not path.exists():
+        return []
+    lines = [line for line in path.read_text(encoding="utf-8").splitlines() if line.strip()]
+    if len(lines) > MOST_ENTRIES:
+        raise ValueError(f"{FILE_NAME} has {len(lines)} lines, at most {MOST_ENTRIES} are allowed")
+    entries = []
+    for line in lines:
+        test, separator, cause = line.partition(", ")
+        if not separator:
+            raise ValueError(f"{FILE_NAME} has a line without a cause: {line}")
+        entries.append(KnownRed(test, cause))
+    return entries
