--- a/testrunner/__main__.py
+++ b/testrunner/__main__.py
@@ -32,10 +32,14 @@
     folder = Path(tempfile.mkdtemp(prefix="sparline-tests-"))
     totals = Totals()
     groups = group_files(find_test_files(root))
-    with closing(PytestProcesses(root, folder, processes).run(groups)) as results:
-        for result in results:
-            print(f"{result.heading()}\n{result.output.rstrip()}\n", flush=True)
-            totals.add(result)
+    try:
+        with closing(PytestProcesses(root, folder, processes).run(groups)) as results:
+            for result in results:
+                print(f"{result.heading()}\n{result.output.rstrip()}\n", flush=True)
+                totals.add(result)
+    except KeyboardInterrupt:
+        print(f"outputs and temporary files are in {folder}", flush=True)
+        raise
     for entry in known:
         if entry.test not in totals.collected:
             print(entry.line("not run"))
--- a/testrunner/tests/test_runner.py
+++ b/testrunner/tests/test_runner.py
@@ -33,10 +33,13 @@
         path = root / folder / "tests" / f"test_{folder}.py"
         path.parent.mkdir(parents=True)
         path.write_text(text)
+    temporary = root / ".tmp"
+    temporary.mkdir()
+    own = {"PYTHONPATH": str(ROOT), "TEST_PROCESSES": processes, "TMPDIR": str(temporary)}
     return subprocess.Popen(
         [sys.executable, "-m", "testrunner"],
         cwd=root,
-        env=os.environ | {"PYTHONPATH": str(ROOT), "TEST_PROCESSES": processes},
+        env=os.environ | own,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
@@ -80,6 +83,8 @@
         f"{passed} passed, {failed} failed",
     ]
     assert process.returncode == exit_code
+    # Files of passed tests would fill the machine's memory; those of failed ones are needed.
+    assert any((tmp_path / ".tmp").iterdir()) == bool(exit_code)
     assert all(f"=== {folder}/tests/test_{folder}.py: " in output for folder in files)
 
 
@@ -162,7 +167,7 @@
     process = start(tmp_path, {"a": ENDLESS})
     pid = int(wait_for(tmp_path / "pid"))
     process.send_signal(signal.SIGTERM)
-    process.communicate(timeout=TIMEOUT_S)
+    assert "temporary files are in" in process.communicate(timeout=TIMEOUT_S)[0]
     assert process.returncode == 130
     with pytest.raises(ProcessLookupError):
         os.kill(pid, 0)
