Compute fair shares between organisations and keep the demand they come from

Cause: one organisation at 7.5 times its usual load is still below its quota while the engines are full. All organisations then lose in proportion, although 15 of 16 ask for no more than usual.

Nothing calls either yet.

--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from sparline.decisions._admission import AdmissionFacts, RefusalReason, refusal_reason
+from sparline.decisions._fair_shares import DemandSketch, OrganisationDemand, fair_shares
 from sparline.decisions._region_refusals import RegionRefusals
 from sparline.decisions._return_time import (
     RefusalFacts,
@@ -13,9 +14,12 @@
 
 __all__ = [
     "AdmissionFacts",
+    "DemandSketch",
+    "OrganisationDemand",
     "RefusalReason",
     "RegionRefusals",
     "RefusalFacts",
+    "fair_shares",
     "refusal_retry_after_ms",
     "unserved_retry_after_ms",
     "refusal_reason",
