Count a crash only where the server was known to run or its port is closed

Cause: three observations of a reset connection counted as crashes of the server. - A connection attempt that ended in ECONNRESET was a refused one.

For a watched request one is opened and the server answers 421 on it, which it does without running anything. - Exits that the store shows, of servers not known to run when the request was sent, count as one for a request, whatever the server. - One crash has the same id at all instances. A second one of the same id counts only if the server was heard from in between. - No evidence: connections that the other side closes for their age (after a suspension of the gateway), connections that time out, requests that the other machine has not acknowledged (a cut).

test_two_ends_under_one_server_id_are_distinct asked for two ids for two lost witnesses without anything heard in between, which the specification rules out. It now asks that four restarts under one id count four, and a second test that one crash found by three instances counts once.

--- a/sparline/backends/_connection.py
+++ b/sparline/backends/_connection.py
@@ -161,8 +161,10 @@
     """Tell whether something listens at an address."""
     try:
         socket.create_connection(address, timeout_s).close()
-    except (ConnectionRefusedError, ConnectionResetError):
+    except ConnectionRefusedError:
         return ProbeResult.REFUSED
+    except ConnectionResetError:
+        return ProbeResult.RESET
     except OSError:
         # No word in time, or no way there: that says nothing of whoever listens.
         return ProbeResult.UNKNOWN
--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -4,6 +4,17 @@
 """
 
 from sparline.decisions._admission import AdmissionFacts, RefusalReason, refusal_reason
+from sparline.decisions._crash_evidence import (
+    UNPROVEN_EXIT,
+    EndEvidence,
+    InterruptionFacts,
+    Liveness,
+    ProbeResult,
+    counted_exit,
+    exit_evidence,
+    liveness,
+    may_be_shown_later,
+)
 from sparline.decisions._region_refusals import RegionRefusals
 from sparline.decisions._return_time import (
     RefusalFacts,
@@ -12,10 +23,19 @@
 )
 
 __all__ = [
+    "UNPROVEN_EXIT",
     "AdmissionFacts",
+    "EndEvidence",
+    "InterruptionFacts",
+    "Liveness",
+    "ProbeResult",
     "RefusalReason",
     "RegionRefusals",
     "RefusalFacts",
+    "counted_exit",
+    "exit_evidence",
+    "liveness",
+    "may_be_shown_later",
     "refusal_retry_after_ms",
     "unserved_retry_after_ms",
     "refusal_reason",
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -7,6 +7,15 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
+from sparline.decisions import (
+    EndEvidence,
+    InterruptionFacts,
+    ProbeResult,
+    counted_exit,
+    exit_evidence,
+    liveness,
+    may_be_shown_later,
+)
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
     AttemptEnd,
@@ -14,6 +23,7 @@
     Progress,
 )
 from sparline.forwarding._wire import AnswerKind, AnswerMeaning, AttemptParameters, Wire
+from sparline.forwarding._witnesses import find_witnesses
 from sparline.http import (
     BackendConnection,
     CallerConnection,
@@ -22,7 +32,6 @@
     end_to_end,
 )
 from sparline.placement import Placement, Reservation, StreamWatch
-from sparline.quarantine import ProbeResult
 from sparline.requests import Reason, RoutedRequest
 from sparline.routes import RequestKind
 
@@ -31,12 +40,6 @@
 BACKEND_CONNECT_TIMEOUT_MS = 600.0
 # Connection timeout between regions, where the round trip alone takes over 100 ms (ms).
 PEER_CONNECT_TIMEOUT_MS = 1_200.0
-# A watched request is delayed by at most this long to open a probe connection (ms).
-PROBE_CONNECT_TIMEOUT_MS = 100.0
-# Idle connections to the server that are recorded as probes before a request is sent (count). A
-# server process that exits loses all of its connections, so a few are enough. Each check is a
-# system call.
-MAX_PROBE_CONNECTIONS = 2
 # Interval at which a pending read checks whether the server is still alive (ms).
 LIVENESS_CHECK_INTERVAL_MS = 400.0
 # Timeout of a non-streaming response that can be retried elsewhere, as a multiple of the service's
@@ -81,7 +84,9 @@
         self._caller = caller
         self._progress = progress
         self._answer_received = False
-        self._probe_connections: tuple[BackendConnection, ...] = ()
+        self._witnesses: tuple[BackendConnection, ...] = ()
+        self._exited_at_ms = 0.0  # last known exit of the server before the request was sent
+        self._was_received = True  # whether the other side acknowledged the whole request
         self._watch = StreamWatch(dependencies.watch, request, placement, reservation)
         self._server_id = placement.server.id
 
@@ -91,17 +96,28 @@
         if connection is None:
             self._note_unreachable()
             return AttemptEnd(AttemptResult.NOT_RUN, Reason.CONNECT_FAILED)
-        self._probe_connections = self._find_probe_connections(parameters)
+        if self._placement.peer is None:
+            address = self._placement.server.address
+            self._exited_at_ms = max(
+                parameters.exited_at_ms, self._dependencies.ends.ended_at_ms(self._server_id)
+            )
+            self._witnesses = find_witnesses(
+                self._dependencies, address, self._exited_at_ms, parameters.is_watched
+            )
         self._dependencies.health.note_sent(self._server_id)
         try:
             return self._exchange(connection, parameters)
         except ConnectionBroken:
             self._note_interruption()
-            return self._interrupted_end()
+            return self._interrupted_end(connection, parameters)
         except _ServerUnresponsive:
             self._dependencies.health.note_failure(self._server_id, "silent")
+            facts = self._interruption_facts(connection)
             return AttemptEnd(
-                AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_SILENT, may_have_ended=True
+                AttemptResult.MAY_HAVE_RUN,
+                Reason.BACKEND_SILENT,
+                may_have_ended=may_be_shown_later(facts),
+                liveness=liveness(facts),
             )
         except _DeadlinePassed:
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
@@ -109,41 +125,57 @@
             self._dependencies.health.note_done(self._server_id)
             self._dependencies.pool.give_back(connection)
 
-    def _interrupted_end(self) -> AttemptEnd:
+    def _interrupted_end(
+        self, connection: BackendConnection, parameters: AttemptParameters
+    ) -> AttemptEnd:
         """Return the end of an interrupted response and whether its server process has exited."""
         reason = self._interruption_reason()
         if self._placement.peer is not None:
             # The peer itself determines whether its backend server has exited.
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, reason)
-        ended = self._ended_incarnation()
-        # An open port proves nothing: a supervisor or a restarted process may be listening there.
-        may_have_ended = ended is None
+        is_replaced = self._dependencies.has_ended(self._server_id)
+        probe = ProbeResult.UNKNOWN
+        if not is_replaced:
+            probe = self._dependencies.ends.probe(
+                self._server_id, self._placement.server.address, self._progress.sent_at_ms
+            )
+        # The connections are looked at after the probe, which gives their resets time to arrive.
+        facts = self._interruption_facts(connection, probe, is_replaced)
         return AttemptEnd(
-            AttemptResult.MAY_HAVE_RUN, reason, ended_server=ended, may_have_ended=may_have_ended
+            AttemptResult.MAY_HAVE_RUN,
+            reason,
+            ended_server=self._ended_server(facts, parameters),
+            may_have_ended=may_be_shown_later(facts),
+            liveness=liveness(facts),
         )
 
-    def _ended_incarnation(self) -> BackendServerId | None:
-        """Return the server incarnation that has exited, or None without evidence of an exit."""
-        if self._dependencies.has_ended(self._server_id):
-            return self._server_id
-        address = self._placement.server.address
-        if self._dependencies.ends.probe(self._server_id, address) is ProbeResult.REFUSED:
-            return self._server_id
-        return self._dependencies.ends.witnessed_end(self._server_id, self._probe_connections)
-
-    def _find_probe_connections(
-        self, parameters: AttemptParameters
-    ) -> tuple[BackendConnection, ...]:
-        """Return other connections to the server, opening one if the request is watched."""
-        if self._placement.peer is not None:
-            return ()
-        address = self._placement.server.address
-        found = self._dependencies.pool.resting(address, MAX_PROBE_CONNECTIONS)
-        if not found and parameters.is_watched:
-            # The new connection stays in the pool for later requests.
-            self._dependencies.pool.probe(address, PROBE_CONNECT_TIMEOUT_MS / 1000)
-            found = self._dependencies.pool.resting(address, MAX_PROBE_CONNECTIONS)
-        return found
+    def _interruption_facts(
+        self,
+        connection: BackendConnection,
+        probe: ProbeResult = ProbeResult.UNKNOWN,
+        is_replaced: bool = False,
+    ) -> InterruptionFacts:
+        return InterruptionFacts(
+            probe=probe,
+            is_replaced=is_replaced,
+            was_closed=connection.is_lost(),
+            was_received=self._was_received,
+            has_answered=connection.proven_at_ms > self._exited_at_ms,
+            witnesses_closed=tuple(one.is_lost() for one in self._witnesses),
+        )
+
+    def _ended_server(
+        self, facts: InterruptionFacts, parameters: AttemptParameters
+    ) -> BackendServerId | None:
+        """Return the id under which an exit of the server counts, None without evidence of one."""
+        evidence = exit_evidence(facts)
+        if evidence is None:
+            return None
+        if evidence is EndEvidence.WITNESSED:
+            return self._dependencies.ends.witnessed_end(
+                self._server_id, self._witnesses, parameters.earlier_exits
+            )
+        return counted_exit(self._server_id, evidence, liveness(facts), parameters.earlier_exits)
 
     def _interruption_reason(self) -> Reason:
         if self._placement.peer is not None:
@@ -198,6 +230,8 @@
                 lambda: connection.read_head(self._is_answer_to_request)
             )
             meaning = self._interpret(answer)
+            if _is_from_server(meaning, answer):
+                connection.note_proven()
             if meaning.kind is AnswerKind.RESULT:
                 end = self._forward_answer(connection, answer)
             else:
@@ -206,6 +240,7 @@
             return end
         finally:
             if not answered:
+                self._was_received = connection.is_received()
                 # Closing the connection makes the server abort any remaining work.
                 connection.close()
 
@@ -386,3 +421,10 @@
         self._progress.last_event_at_ms = now
         if self._progress.first_at_ms is None:
             self._progress.first_at_ms = now
+
+
+def _is_from_server(meaning: AnswerMeaning, answer: HttpAnswer) -> bool:
+    """Tell whether an answer must come from a backend server itself, not from a proxy before it."""
+    if meaning.kind is AnswerKind.RESULT:
+        return answer.status < MIN_SERVER_ERROR_STATUS
+    return meaning.kind in (AnswerKind.NOT_RUN, AnswerKind.MISDIRECTED)
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -5,8 +5,9 @@
 from enum import Enum
 
 from sparline._ids import BackendServerId, RegionName
+from sparline.decisions import Liveness
 from sparline.forwarding._events import EventSplitter
-from sparline.forwarding._wire import Wire
+from sparline.forwarding._wire import BackendWire, Wire
 from sparline.http import ConnectionPool, HttpAnswer
 from sparline.placement import HealthTable, PaceTable, ServerLimitTable, WatchTables
 from sparline.quarantine import ServerEndDetector
@@ -32,6 +33,7 @@
     ended_server: BackendServerId | None = None  # server that exited while running it, if any
     is_region_full: bool = False  # no server in the peer's region has capacity
     may_have_ended: bool = False  # the server may have exited, without evidence so far
+    liveness: Liveness = Liveness.PROVEN  # whether the server was known to run at the start
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
     """Bundle the dependencies of attempts."""
 
     pool: ConnectionPool  # persistent connections
-    backend_wire: Wire  # protocol used with backend servers
+    backend_wire: BackendWire  # protocol used with backend servers
     peer_wire: Wire  # protocol used between instances
     peer_port: int  # port on which instances accept relayed requests
     health: HealthTable  # server health observed by this instance
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import gevent
 
@@ -205,7 +206,7 @@
             resume_after=self._progress.splitter.last_id,
             sends_left=self._sends_left,
             source=placement.source.address if placement.source else None,
-            is_watched=self._has_unexplained_interruption(),
+            **self._crash_parameters(placement),
         )
         attempt = Attempt(
             self._dependencies.attempt_dependencies,
@@ -222,15 +223,22 @@
         self._note_end(placement, end)
         return end
 
-    def _has_unexplained_interruption(self) -> bool:
-        """Tell whether the request had a recent unexplained interruption.
+    def _crash_parameters(self, placement: Placement) -> dict[str, Any]:
+        """Return the parameters that depend on earlier crashes under the request.
 
-        The digest is computed only if any such interruption is recorded.
+        The digest is computed only if any crash or unexplained interruption is recorded.
         """
         ends = self._dependencies.attempt_dependencies.ends
-        return ends.has_watched_requests and ends.has_unexplained_interruption(
-            self._request_digest()
-        )
+        crashes = self._dependencies.crashes
+        if crashes.is_empty and not ends.has_watched_requests:
+            return {}
+        digest = self._request_digest()
+        earlier_exits = crashes.earlier_exits(digest, placement.server.id)
+        return {
+            "is_watched": crashes.ends(digest) > 0 or ends.has_unexplained_interruption(digest),
+            "earlier_exits": earlier_exits,
+            "exited_at_ms": crashes.exited_at_ms(digest) if earlier_exits else 0.0,
+        }
 
     def _note_end(self, placement: Placement, end: AttemptEnd) -> None:
         if end.result is AttemptResult.NOT_RUN:
@@ -264,7 +272,7 @@
         """Record a server exit during the request and stop retrying a suspected request."""
         if end.may_have_ended:
             self._dependencies.attempt_dependencies.ends.note_interrupted_answer(
-                self._request_digest(), placement.server.id
+                self._request_digest(), placement.server.id, end.liveness
             )
         if end.ended_server is None:
             return
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -55,6 +55,8 @@
     sends_left: int  # maximum number of backend servers that a peer may use
     source: Address | None = None  # engine to fetch the cached prompt prefix from, if any
     is_watched: bool = False  # whether a second connection must detect an exit of the server
+    earlier_exits: int = 0  # known exits of the server under this request
+    exited_at_ms: float = 0.0  # newest exit under this request if the server has exited, else 0
 
 
 class Wire(Protocol):
@@ -71,3 +73,11 @@
     def meaning(self, answer: HttpAnswer) -> AnswerMeaning:
         """Interpret a response."""
         ...
+
+
+class BackendWire(Wire, Protocol):
+    """Implement the protocol used with backend servers."""
+
+    def presence_check(self) -> bytes:
+        """Return the head of a request that every backend server answers without running it."""
+        ...
--- /dev/null
+++ b/sparline/forwarding/_witnesses.py
@@ -0,0 +1,58 @@
+"""Other connections to a backend server that show whether its process exits under a request."""
+
+import gevent
+
+from sparline.forwarding._attempt_types import AttemptDependencies
+from sparline.forwarding._wire import AnswerKind
+from sparline.http import Address, BackendConnection, ConnectionBroken
+
+# A watched request is delayed by at most this long to open a connection beside it on which the
+# server answers (ms). A server in the own region answers within a few milliseconds.
+WITNESS_TIMEOUT_MS = 300.0
+# Resting connections to a server that are recorded before a request is sent (count). A server
+# process that exits loses all of its connections, so a few are enough. Each check is a system call.
+MAX_WITNESSES = 2
+
+
+def find_witnesses(
+    dependencies: AttemptDependencies, address: Address, since_ms: float, is_watched: bool
+) -> tuple[BackendConnection, ...]:
+    """Return resting connections on which the server has answered since a time (ms).
+
+    If there are none and the request is watched, one is opened; it stays in the pool.
+    """
+    found = dependencies.pool.resting(address, MAX_WITNESSES, since_ms)
+    if found or not is_watched:
+        return found
+    _open_witness(dependencies, address)
+    return dependencies.pool.resting(address, MAX_WITNESSES, since_ms)
+
+
+def _open_witness(dependencies: AttemptDependencies, address: Address) -> None:
+    """Open a connection and let the server answer on it, so that it is known to lead there.
+
+    A proxy or supervisor that accepts connections without the server gives no such answer.
+    """
+    wire = dependencies.backend_wire
+    connection = None
+    with gevent.Timeout(WITNESS_TIMEOUT_MS / 1000, False):
+        try:
+            connection = dependencies.pool.open(address, WITNESS_TIMEOUT_MS / 1000)
+            connection.send(wire.presence_check(), b"")
+            answer = connection.read_head(lambda _answer: True)
+            if wire.meaning(answer).kind is AnswerKind.MISDIRECTED:
+                connection.skip_body(answer)
+                connection.note_proven()
+        except (OSError, ConnectionBroken):
+            # The caller finds no witness.
+            pass
+        finally:
+            if connection is not None:
+                _keep_proven(dependencies, connection)
+
+
+def _keep_proven(dependencies: AttemptDependencies, connection: BackendConnection) -> None:
+    if connection.proven_at_ms:
+        dependencies.pool.give_back(connection)
+    else:
+        connection.close()
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
+from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.fleet import (
     WATCHERS_PER_ZONE,
     BackendServer,
@@ -308,8 +309,10 @@
 
     def _note_gone(self, server: BackendServer) -> None:
         """Count a server's end under the requests that broke off with it."""
-        for digest in self.ends.note_removed(server.id):
-            self.crashes.note_end(digest, server.id)
+        for known in Liveness:
+            counted = counted_exit(server.id, EndEvidence.GONE, known)
+            for digest in self.ends.note_removed(server.id, known):
+                self.crashes.note_end(digest, counted)
 
     def _note_crash(self, change: CrashChange) -> None:
         self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -62,6 +62,8 @@
                 reason=end.end.reason.value,
                 sent_ago_ms=round(end.sent_ago_ms),
                 has_begun=end.has_begun,
+                liveness=end.end.liveness.value,
+                counted=end.end.ended_server,
                 cold_ms=round(max(place.server.cold_until_ms - now_ms(), 0)),
                 **_place_fields(place),
             ).info("answer_broken")
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -1,6 +1,10 @@
 """A kept connection to a backend server or a peer: one request at a time, sent once."""
 
+import errno
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 import gevent
@@ -18,6 +22,8 @@
 IDLE_MARGIN_S = 1.0
 # Without a word from the other side, a connection is kept this long (s).
 IDLE_DEFAULT_S = 4.0
+# Errors of a connection whose way fails; they say nothing of the process at the other end.
+WAY_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 Address = tuple[str, int]
 
@@ -34,6 +40,9 @@
         self.address = address
         self.reusable = True  # whether another request may follow
         self._lost = False  # whether the other side has ended it
+        self._is_way_broken = False  # whether the way to the other side has failed
+        self._in_use = False  # whether an answer is awaited
+        self.proven_at_ms = 0.0  # when the server itself last answered on it, 0 if never
         self.uses = 0  # requests sent
         self.idle_until_ms = 0.0  # when a kept connection is too old to use
         self._parser = AnswerParser()
@@ -52,8 +61,33 @@
         return now_ms() < self.idle_until_ms and self._peek() is None
 
     def is_lost(self) -> bool:
-        """Tell whether the other side has ended the connection; False where this side did."""
-        return self._lost or (not self._socket.closed and self._peek() == b"")
+        """Tell whether the other side has ended the connection; False where this side did.
+
+        False also where the way has failed, and where the connection has rested so long, for example
+        while this process was suspended, that the other side closes it as a matter of course.
+        """
+        if not self._lost and not self._socket.closed and not self._has_expired():
+            self._peek()
+        return self._lost
+
+    def _has_expired(self) -> bool:
+        return not self._in_use and now_ms() >= self.idle_until_ms
+
+    def is_received(self) -> bool:
+        """Tell whether the other machine has acknowledged all bytes that were sent."""
+        is_sending = self._sender is not None and not self._sender.ready()
+        if is_sending or self._is_way_broken:
+            return False
+        try:
+            unacknowledged = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        except (OSError, ValueError):
+            # It is closed, so that the kernel no longer knows.
+            return True
+        return struct.unpack("i", unacknowledged)[0] == 0
+
+    def note_proven(self) -> None:
+        """Record that the server itself, not something on the way, has answered on it."""
+        self.proven_at_ms = now_ms()
 
     def _peek(self) -> bytes | None:
         """Return what could be read, empty for the end of the connection and None for nothing yet."""
@@ -62,16 +96,24 @@
             found = self._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return None
-        except OSError:
-            found = b""
+        except OSError as error:
+            self._note_error(error)
+            return b""
         finally:
             self._socket.settimeout(None)
         self._lost = self._lost or not found
         return found
 
+    def _note_error(self, error: OSError) -> None:
+        if error.errno in WAY_ERRORS:
+            self._is_way_broken = True
+        else:
+            self._lost = True
+
     def send(self, head: bytes, body: bytes) -> None:
         """Send one request; a large body goes on in the background."""
         self.uses += 1
+        self._in_use = True
         self._sender = None
         try:
             data = head + body
@@ -83,6 +125,7 @@
                 self._sender = gevent.spawn(self._send_rest, memoryview(data)[taken:])
         except OSError as error:
             self.reusable = False
+            self._note_error(error)
             raise ConnectionBroken(f"expected to send, found: {error}") from error
 
     def _write_some(self, data: bytes) -> int:
@@ -158,7 +201,7 @@
             data = self._socket.recv(READ_BYTES)
         except OSError as error:
             self.reusable = False
-            self._lost = True
+            self._note_error(error)
             raise ConnectionBroken(f"expected an answer, found: {error}") from error
         if not data:
             self.reusable = False
@@ -184,6 +227,7 @@
             self.reusable = False
         # A parser serves one answer, so that nothing of it can shape the next one.
         self._parser = AnswerParser()
+        self._in_use = False
         self.idle_until_ms = now_ms() + _idle_s(answer) * 1000
 
     def close(self) -> None:
--- a/sparline/http/_pool.py
+++ b/sparline/http/_pool.py
@@ -31,9 +31,18 @@
             connection.close()
         return None
 
-    def resting(self, address: Address, most: int) -> tuple[BackendConnection, ...]:
-        """Return up to so many quiet kept connections to an address, which stay in the pool."""
-        quiet = (one for one in reversed(self._kept.get(address, ())) if one.is_quiet())
+    def resting(
+        self, address: Address, most: int, proven_after_ms: float = -1.0
+    ) -> tuple[BackendConnection, ...]:
+        """Return up to so many quiet kept connections to an address, which stay in the pool.
+
+        The server must have answered on them after `proven_after_ms`; below zero, any will do.
+        """
+        quiet = (
+            one
+            for one in reversed(self._kept.get(address, ()))
+            if one.proven_at_ms > proven_after_ms and one.is_quiet()
+        )
         return tuple(islice(quiet, most))
 
     def open(self, address: Address, timeout_s: float) -> BackendConnection:
@@ -45,8 +54,10 @@
         """Tell whether something listens at an address; the connection is kept for use."""
         try:
             connection = self.open(address, timeout_s)
-        except (ConnectionRefusedError, ConnectionResetError):
+        except ConnectionRefusedError:
             return ProbeResult.REFUSED
+        except ConnectionResetError:
+            return ProbeResult.RESET
         except OSError:
             # No word in time, or no way there: that says nothing of whoever listens.
             return ProbeResult.UNKNOWN
--- a/sparline/http/tests/test_pool.py
+++ b/sparline/http/tests/test_pool.py
@@ -1,9 +1,14 @@
 """What the pool keeps of connections, and shows of them."""
 
+import errno
+
+import gevent
 import pytest
 from gevent import socket
 
-from sparline.http import ConnectionPool
+from sparline._clock import now_ms
+from sparline.http import ConnectionPool, _backend_connection
+from sparline.quarantine import ProbeResult
 
 
 @pytest.fixture
@@ -23,3 +28,69 @@
         pool.give_back(connection)
     assert len(pool.resting(address, most)) == shown
     pool.forget(address)
+
+
+def accepted(listener, pool):
+    connection = pool.open(listener.getsockname(), 1.0)
+    return connection, listener.accept()[0]
+
+
+@pytest.mark.parametrize(
+    ("rest_ms", "is_lost"), ((60_000.0, True), (-1.0, False)), ids=("resting", "rested too long")
+)
+def test_connection_closed_for_its_age_is_not_lost(listener, rest_ms, is_lost):
+    # After this process was suspended, all resting connections looked like those of a crash.
+    pool = ConnectionPool(lambda _address: None)
+    connection, other = accepted(listener, pool)
+    connection.idle_until_ms = now_ms() + rest_ms
+    other.close()
+    gevent.sleep(0.05)
+    assert connection.is_lost() is is_lost
+
+
+@pytest.mark.parametrize(
+    ("number", "is_lost"), ((errno.ECONNRESET, True), (errno.ETIMEDOUT, False))
+)
+def test_connection_whose_way_fails_is_not_lost(listener, number, is_lost):
+    # In a cut of the network all connections time out, although no server has crashed.
+    pool = ConnectionPool(lambda _address: None)
+    connection, _other = accepted(listener, pool)
+    connection.rest()
+    connection._note_error(OSError(number, "as the kernel reports it"))
+    assert connection.is_lost() is is_lost
+    assert connection.is_received() is is_lost
+
+
+def test_request_that_the_other_machine_does_not_take_is_not_received(listener):
+    # A request that never arrived was blamed for the removal of an unreachable server.
+    pool = ConnectionPool(lambda _address: None)
+    connection, _other = accepted(listener, pool)
+    connection.send(b"head", b"")
+    gevent.sleep(0.05)
+    assert connection.is_received()
+    connection.send(b"head", bytes(64_000_000))
+    gevent.sleep(0.05)
+    assert not connection.is_received()
+    connection.close()
+
+
+def test_connection_without_an_answer_of_the_server_is_no_witness(listener):
+    # A proxy that accepts connections without its server looked like a server that crashed.
+    pool = ConnectionPool(lambda _address: None)
+    connection, _other = accepted(listener, pool)
+    connection.rest()
+    pool.give_back(connection)
+    assert pool.resting(connection.address, 2, proven_after_ms=0.0) == ()
+    connection.note_proven()
+    assert pool.resting(connection.address, 2, proven_after_ms=0.0) == (connection,)
+    assert pool.resting(connection.address, 2, proven_after_ms=now_ms()) == ()
+
+
+def test_reset_probe_is_no_refusal(monkeypatch):
+    # A reset in the middle of opening a connection counted as a closed port.
+    def reset(_address, _timeout_s):
+        raise ConnectionResetError
+
+    monkeypatch.setattr(_backend_connection.gevent_socket, "create_connection", reset)
+    pool = ConnectionPool(lambda _address: None)
+    assert pool.probe(("127.0.0.1", 9), 1.0) is ProbeResult.RESET
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -27,6 +27,8 @@
 # Longer numbers are none: no time, length or id of an event has as many digits.
 MOST_DIGITS = 15
 MS_PER_S = 1000.0
+# An id that no backend server has.
+NO_SERVER = b"-"
 # The one scheme in which keys are shown (RFC 6750), in lower case.
 BEARER = b"bearer"
 
@@ -154,6 +156,12 @@
 class ServerWire:
     """Speak to backend servers."""
 
+    def presence_check(self) -> bytes:
+        """Return a request that any backend server answers with 421, since it runs nowhere."""
+        own = [(names.EXPECTED_SERVER, NO_SERVER), (b"host", NO_SERVER)]
+        lines = [b"GET / HTTP/1.1", *(b"%b: %b" % pair for pair in own)]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def send_head(self, request: RoutedRequest, terms: AttemptParameters) -> bytes:
         """Return the head of a request to a backend server."""
         own = [
--- a/sparline/quarantine/_crash_table.py
+++ b/sparline/quarantine/_crash_table.py
@@ -14,6 +14,7 @@
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId
+from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.quarantine._digest import RequestDigest
 
 # Crashes that make a request a suspect. A request that ran beside others on two servers that
@@ -132,6 +133,25 @@
         record = self._records.get(digest)
         return record.ends if record else 0
 
+    def exited_at_ms(self, digest: RequestDigest) -> float:
+        """Return the time of the newest exit under a request, 0 if none is known (ms)."""
+        record = self._records.get(digest)
+        return record.ended_at_ms if record else 0.0
+
+    def earlier_exits(self, digest: RequestDigest, server_id: BackendServerId) -> int:
+        """Return how many exits of one server under a request are known, cleared or not."""
+        record = self._records.get(digest)
+        count = 0
+        while (
+            record is not None
+            and server_incarnation_key(
+                counted_exit(server_id, EndEvidence.WITNESSED, Liveness.PROVEN, count)
+            )
+            in record.ended
+        ):
+            count += 1
+        return count
+
     def verdict(self, digest: RequestDigest) -> Verdict:
         """Return how a request may be sent now."""
         record = self._records.get(digest)
--- a/sparline/quarantine/_server_ends.py
+++ b/sparline/quarantine/_server_ends.py
@@ -8,13 +8,20 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from gevent.event import AsyncResult
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
+from sparline.decisions import (
+    EndEvidence,
+    InterruptionFacts,
+    Liveness,
+    ProbeResult,
+    counted_exit,
+    exit_evidence,
+)
 from sparline.quarantine._digest import RequestDigest
 
 # Timeout of a probe (ms). A server in the own region accepts or refuses a connection within a few
@@ -38,22 +45,6 @@
 Address = tuple[str, int]
 
 
-class ProbeResult(Enum):
-    """Classify the result of a connection attempt."""
-
-    OPEN = "open"  # a process is listening
-    REFUSED = "refused"  # the machine responds, but no process is listening
-    UNKNOWN = "unknown"  # no response
-
-
-class EndEvidence(Enum):
-    """Name the evidence that a server has exited."""
-
-    REFUSED = "refused"  # no process is listening at its address
-    GONE = "gone"  # its store entry was removed, and it sent nothing after the interrupted answer
-    WITNESSED = "witnessed"  # it lost all connections at once
-
-
 @dataclass(frozen=True, slots=True)
 class InterruptedAnswer:
     """Represent an interrupted answer that no probe could explain."""
@@ -61,6 +52,7 @@
     digest: RequestDigest  # request that was being answered
     server_id: BackendServerId  # server that interrupted the answer
     interrupted_at_ms: float  # time of the interruption
+    liveness: Liveness  # whether the server was known to run when the request was sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +61,7 @@
 
     probe: Callable[[Address, float], ProbeResult]  # tries to connect, with a timeout in seconds
     heard_at_ms: Callable[[BackendServerId], float]  # time when a server last sent anything
-    note_unreachable: Callable[[BackendServerId], None]  # called when a probe was refused
+    note_unreachable: Callable[[BackendServerId], None]  # called when a probe was refused or reset
     on_end: Callable[[BackendServerId, EndEvidence], None]  # called for metrics and logging
 
 
@@ -90,14 +82,22 @@
         self._probes: dict[BackendServerId, AsyncResult] = {}
         self._probe_results: OrderedDict[BackendServerId, tuple[ProbeResult, float]] = OrderedDict()
         self._unexplained: OrderedDict[InterruptedAnswer, None] = OrderedDict()
+        self._ended_at_ms: OrderedDict[BackendServerId, float] = OrderedDict()
         self._watched: OrderedDict[RequestDigest, float] = (
             OrderedDict()
         )  # time of the newest interruption
 
-    def probe(self, server_id: BackendServerId, address: Address) -> ProbeResult:
-        """Probe whether a server that has just interrupted an answer still accepts connections."""
+    def probe(
+        self, server_id: BackendServerId, address: Address, sent_at_ms: float = 0.0
+    ) -> ProbeResult:
+        """Probe whether a server that has just interrupted an answer still accepts connections.
+
+        A recent refusal is reused for a request that was sent before it (`sent_at_ms`): a later one
+        was accepted, so that something listened again.
+        """
         last_result, probed_at_ms = self._probe_results.get(server_id, (ProbeResult.UNKNOWN, 0.0))
-        if last_result is ProbeResult.REFUSED and now_ms() - probed_at_ms < REFUSAL_TTL_MS:
+        is_recent = now_ms() - probed_at_ms < REFUSAL_TTL_MS
+        if last_result is ProbeResult.REFUSED and is_recent and sent_at_ms <= probed_at_ms:
             return last_result
         running = self._probes.get(server_id)
         if running is not None:
@@ -117,22 +117,39 @@
         self._probe_results[server_id] = (found, now_ms())
         if len(self._probe_results) > MAX_UNEXPLAINED:
             self._probe_results.popitem(last=False)
-        if found is ProbeResult.REFUSED:
+        if found in (ProbeResult.REFUSED, ProbeResult.RESET):
             self._callbacks.note_unreachable(server_id)
-            self._callbacks.on_end(server_id, EndEvidence.REFUSED)
+        if found is ProbeResult.REFUSED:
+            self._note_end(server_id, EndEvidence.REFUSED)
+
+    def _note_end(self, server_id: BackendServerId, evidence: EndEvidence) -> None:
+        self._ended_at_ms[server_id] = now_ms()
+        self._ended_at_ms.move_to_end(server_id)
+        if len(self._ended_at_ms) > MAX_UNEXPLAINED:
+            self._ended_at_ms.popitem(last=False)
+        self._callbacks.on_end(server_id, evidence)
+
+    def ended_at_ms(self, server_id: BackendServerId) -> float:
+        """Return when a server was last found to have exited, 0 if never (ms)."""
+        return self._ended_at_ms.get(server_id, 0.0)
 
     def witnessed_end(
-        self, server_id: BackendServerId, other_connections: Sequence[OtherConnection]
+        self,
+        server_id: BackendServerId,
+        other_connections: Sequence[OtherConnection],
+        earlier_exits: int = 0,
     ) -> BackendServerId | None:
-        """Return an id of the exited server incarnation, None without evidence of an exit.
+        """Return the id under which an exit is counted, None without evidence of one.
 
-        The evidence is that there were other connections and all are lost. The server's own id may
-        be reused: the supervisor that holds its port may restart it under that id.
+        The evidence is that there were other connections and all are lost. The server must have
+        answered on each of them since its last known exit. `earlier_exits` is the number of its
+        exits known under the request when that was sent.
         """
-        if not other_connections or not all(one.is_lost() for one in other_connections):
+        closed = tuple(one.is_lost() for one in other_connections)
+        if exit_evidence(InterruptionFacts(witnesses_closed=closed)) is None:
             return None
-        self._callbacks.on_end(server_id, EndEvidence.WITNESSED)
-        return BackendServerId(f"{server_id}/until-{now_ms():.0f}")
+        self._note_end(server_id, EndEvidence.WITNESSED)
+        return counted_exit(server_id, EndEvidence.WITNESSED, Liveness.PROVEN, earlier_exits)
 
     @property
     def has_watched_requests(self) -> bool:
@@ -146,19 +163,31 @@
         """Return whether an answer to a request was recently interrupted without an explanation."""
         return self._watched.get(digest, 0.0) > now_ms() - WATCH_MS
 
-    def note_interrupted_answer(self, digest: RequestDigest, server_id: BackendServerId) -> None:
+    def note_interrupted_answer(
+        self,
+        digest: RequestDigest,
+        server_id: BackendServerId,
+        known: Liveness = Liveness.PROVEN,
+    ) -> None:
         """Remember an interrupted answer until the store shows whether the server has exited."""
         self._watched[digest] = now_ms()
         self._watched.move_to_end(digest)
         if len(self._watched) > MAX_WATCHED:
             self._watched.popitem(last=False)
-        self._unexplained[InterruptedAnswer(digest, server_id, now_ms())] = None
+        self._unexplained[InterruptedAnswer(digest, server_id, now_ms(), known)] = None
         if len(self._unexplained) > MAX_UNEXPLAINED:
             self._unexplained.popitem(last=False)
 
-    def note_removed(self, server_id: BackendServerId) -> list[RequestDigest]:
-        """Return the requests whose interrupted answers are explained by the removal of a server."""
-        interrupted = [one for one in self._unexplained if one.server_id == server_id]
+    def note_removed(
+        self, server_id: BackendServerId, known: Liveness = Liveness.PROVEN
+    ) -> list[RequestDigest]:
+        """Return the requests whose interrupted answers are explained by the removal of a server.
+
+        `known` selects those sent when the server was, or was not, known to run.
+        """
+        interrupted = [
+            one for one in self._unexplained if one.server_id == server_id and one.liveness is known
+        ]
         for one in interrupted:
             del self._unexplained[one]
         since = now_ms() - MAX_REMOVAL_DELAY_MS
@@ -168,6 +197,6 @@
             for one in interrupted
             if one.interrupted_at_ms >= since and heard_at_ms < one.interrupted_at_ms
         ]
-        if ended:
-            self._callbacks.on_end(server_id, EndEvidence.GONE)
+        if ended and known is Liveness.PROVEN:
+            self._note_end(server_id, EndEvidence.GONE)
         return ended
--- a/sparline/quarantine/tests/test_server_ends.py
+++ b/sparline/quarantine/tests/test_server_ends.py
@@ -5,6 +5,7 @@
 
 from sparline._ids import BackendServerId
 from sparline.quarantine import (
+    CrashTable,
     EndEvidence,
     ProbeResult,
     RequestDigest,
@@ -164,10 +165,26 @@
 
 
 def test_two_ends_under_one_server_id_are_distinct(clock):
-    detector = ServerEndDetector(FakeEnvironment(ProbeResult.OPEN).callbacks())
-    first = detector.witnessed_end(SERVER, [FakeConnection(True)])
-    clock[0] += 200
-    assert detector.witnessed_end(SERVER, [FakeConnection(True)]) != first
+    # A supervisor restarts the server under its id, and the request is sent again.
+    table = CrashTable()
+    for number in range(4):
+        detector = ServerEndDetector(FakeEnvironment(ProbeResult.OPEN).callbacks())
+        earlier_exits = table.earlier_exits(DIGEST, SERVER)
+        table.note_end(
+            DIGEST, detector.witnessed_end(SERVER, [FakeConnection(True)], earlier_exits)
+        )
+        assert table.ends(DIGEST) == number + 1
+
+
+def test_one_end_found_by_several_instances_counts_once(clock):
+    # Each instance gave the exit an id of its own, so that one exit was counted three times.
+    table = CrashTable()
+    for _ in range(3):
+        detector = ServerEndDetector(FakeEnvironment(ProbeResult.OPEN).callbacks())
+        table.note_end(DIGEST, detector.witnessed_end(SERVER, [FakeConnection(True)]))
+        table.note_end(DIGEST, SERVER)  # as the removal of the store entry shows it
+        clock[0] += 200
+    assert table.ends(DIGEST) == 1
 
 
 def test_request_is_watched_after_an_unexplained_interruption(clock):
