Test that servers which were down or cut off are not blamed on a request

After engines had crashed, the proxies before them accepted and reset what was sent until the new starts, and each new start counted as a crash under those requests. A second cause was found beside it: a server that is silent (a suspended process, a cut) and whose entry lapses counted as crashed under each request that it had on a kept connection.

Change: - A silent server counts as known to run only if it has answered in the course of the attempt.

--- a/sparline/decisions/_crash_evidence.py
+++ b/sparline/decisions/_crash_evidence.py
@@ -56,15 +56,24 @@
     is_replaced: bool = False  # whether the store shows a later start of the server
     was_closed: bool = True  # whether the other side closed or reset the request's connection
     was_received: bool = True  # whether the other side acknowledged all bytes of the request
-    has_answered: bool = False  # whether the server has answered on the request's connection
+    # Whether the server has answered on the request's connection since its last known exit.
+    has_answered: bool = False
+    # Whether it has answered on any of these connections since the attempt began.
+    has_answered_lately: bool = False
     # Of each other connection that has witnessed the server since its last known exit, whether the
     # other side has closed it.
     witnesses_closed: tuple[bool, ...] = ()
 
 
 def liveness(facts: InterruptionFacts) -> Liveness:
-    """Tell whether the server was known to run when the request was sent."""
-    is_proven = facts.has_answered or bool(facts.witnesses_closed)
+    """Tell whether the server was known to run when the request was sent.
+
+    The connections to a suspended process, or beyond a cut, stay open whenever it last answered. If
+    the request's connection was not closed, only an answer in the course of the attempt counts.
+    """
+    is_proven = facts.has_answered_lately
+    if facts.was_closed or facts.is_replaced:
+        is_proven = is_proven or facts.has_answered or bool(facts.witnesses_closed)
     return Liveness.PROVEN if is_proven else Liveness.UNPROVEN
 
 
--- a/sparline/decisions/tests/test_crash_evidence.py
+++ b/sparline/decisions/tests/test_crash_evidence.py
@@ -31,12 +31,26 @@
     ("replaced after it had answered", {"is_replaced": True, "has_answered": True}, GONE, PROVEN, False),
     ("replaced, perhaps before the send", {"is_replaced": True}, GONE, UNPROVEN, False),
     ("server silent, request received", {"was_closed": False}, None, UNPROVEN, True),
+    (
+        "server silent, it had answered before",
+        {"was_closed": False, "has_answered": True, "witnesses_closed": (False,)},
+        None,
+        UNPROVEN,
+        True,
+    ),
+    (
+        "server silent, it answered just before",
+        {"was_closed": False, "has_answered_lately": True},
+        None,
+        PROVEN,
+        True,
+    ),
     ("network cut", {"was_closed": False, "was_received": False}, None, UNPROVEN, False),
     (
         "network cut, only the others were reset",
         {"was_closed": False, "was_received": False, "witnesses_closed": BOTH},
         None,
-        PROVEN,
+        UNPROVEN,
         False,
     ),
 ]  # fmt: skip
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -85,6 +85,7 @@
         self._progress = progress
         self._answer_received = False
         self._witnesses: tuple[BackendConnection, ...] = ()
+        self._began_at_ms = 0.0  # when the attempt began
         self._exited_at_ms = 0.0  # last known exit of the server before the request was sent
         self._was_received = True  # whether the other side acknowledged the whole request
         self._watch = StreamWatch(dependencies.watch, request, placement, reservation)
@@ -96,16 +97,9 @@
         if connection is None:
             self._note_unreachable()
             return AttemptEnd(AttemptResult.NOT_RUN, Reason.CONNECT_FAILED)
-        if self._placement.peer is None:
-            address = self._placement.server.address
-            self._exited_at_ms = max(
-                parameters.exited_at_ms, self._dependencies.ends.ended_at_ms(self._server_id)
-            )
-            self._witnesses = find_witnesses(
-                self._dependencies, address, self._exited_at_ms, parameters.is_watched
-            )
         self._dependencies.health.note_sent(self._server_id)
         try:
+            self._find_witnesses(parameters)
             return self._exchange(connection, parameters)
         except ConnectionBroken:
             self._note_interruption()
@@ -125,6 +119,20 @@
             self._dependencies.health.note_done(self._server_id)
             self._dependencies.pool.give_back(connection)
 
+    def _find_witnesses(self, parameters: AttemptParameters) -> None:
+        self._began_at_ms = now_ms()
+        if self._placement.peer is not None:
+            return
+        self._exited_at_ms = max(
+            parameters.exited_at_ms, self._dependencies.ends.ended_at_ms(self._server_id)
+        )
+        self._witnesses = find_witnesses(
+            self._dependencies,
+            self._placement.server.address,
+            self._exited_at_ms,
+            parameters.is_watched,
+        )
+
     def _interrupted_end(
         self, connection: BackendConnection, parameters: AttemptParameters
     ) -> AttemptEnd:
@@ -161,6 +169,9 @@
             was_closed=connection.is_lost(),
             was_received=self._was_received,
             has_answered=connection.proven_at_ms > self._exited_at_ms,
+            has_answered_lately=any(
+                one.proven_at_ms >= self._began_at_ms for one in (connection, *self._witnesses)
+            ),
             witnesses_closed=tuple(one.is_lost() for one in self._witnesses),
         )
 
@@ -230,7 +241,7 @@
                 lambda: connection.read_head(self._is_answer_to_request)
             )
             meaning = self._interpret(answer)
-            if _is_from_server(meaning, answer):
+            if self._placement.peer is None and _is_from_server(meaning, answer):
                 connection.note_proven()
             if meaning.kind is AnswerKind.RESULT:
                 end = self._forward_answer(connection, answer)
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -162,7 +162,7 @@
             self.placement = selected
             end = self._attempt(selected)
             if end.result is AttemptResult.DELIVERED:
-                self._dependencies.crashes.note_complete_answer(self._request_digest())
+                self._note_complete_answer()
                 return self._make_end(200, Reason.NONE)
             if end.reason is Reason.QUARANTINED:
                 return self._end_quarantined()
@@ -178,6 +178,11 @@
             self._digest = self._request.digest()
         return self._digest
 
+    def _note_complete_answer(self) -> None:
+        digest = self._request_digest()
+        self._dependencies.crashes.note_complete_answer(digest)
+        self._dependencies.attempt_dependencies.ends.note_complete_answer(digest)
+
     def _quarantine_verdict(self) -> Verdict:
         """Return the quarantine verdict, computing the digest only if any crash is recorded."""
         crashes = self._dependencies.crashes
--- a/sparline/forwarding/_witnesses.py
+++ b/sparline/forwarding/_witnesses.py
@@ -19,12 +19,10 @@
 ) -> tuple[BackendConnection, ...]:
     """Return resting connections on which the server has answered since a time (ms).
 
-    If there are none and the request is watched, one is opened; it stays in the pool.
+    If the request is watched, the server answers on a new one, which stays in the pool.
     """
-    found = dependencies.pool.resting(address, MAX_WITNESSES, since_ms)
-    if found or not is_watched:
-        return found
-    _open_witness(dependencies, address)
+    if is_watched:
+        _open_witness(dependencies, address)
     return dependencies.pool.resting(address, MAX_WITNESSES, since_ms)
 
 
--- a/sparline/gateway/tests/test_crashing_request.py
+++ b/sparline/gateway/tests/test_crashing_request.py
@@ -246,3 +246,22 @@
         repeat(fleet, number)
         gevent.sleep(BACK_S)
     assert sends(fleet) - before <= MOST_LATER_SENDS
+
+
+@pytest.mark.parametrize("keeps_port", [True, False], ids=["port kept", "port closed"])
+def test_each_crash_of_an_engine_restarted_under_its_id_is_counted(keeps_port):
+    # With a silent store and a closed port, all crashes of one engine counted as one: 24 of 24
+    # repeats were sent.
+    with RoutedFleet(("north-1",)) as fleet:
+        engine = fleet.add_server("e0", "engines", events=4)
+        engine.ends_on = CRASHING
+        engine.keeps_port = keeps_port
+        if not keeps_port:
+            engine.on_end = lambda: gevent.spawn_later(BACK_S, engine.start)
+        fleet.ready()
+        fleet.store.mode = StoreMode.SILENT
+        for number in range(TRIES):
+            fleet.ask("/stream/x", f"try{number}", body=CRASHING, **PROMPT)
+            # While the port is closed, an engine is passed over for half a second.
+            gevent.sleep(BACK_S if keeps_port else 3 * BACK_S)
+        assert MOST_ENDS <= sends(fleet) <= MOST_ENDS + 1
--- a/sparline/quarantine/_server_ends.py
+++ b/sparline/quarantine/_server_ends.py
@@ -163,6 +163,10 @@
         """Return whether an answer to a request was recently interrupted without an explanation."""
         return self._watched.get(digest, 0.0) > now_ms() - WATCH_MS
 
+    def note_complete_answer(self, digest: RequestDigest) -> None:
+        """Stop watching a request: a server has answered it completely."""
+        self._watched.pop(digest, None)
+
     def note_interrupted_answer(
         self,
         digest: RequestDigest,
--- a/sparline/quarantine/tests/test_server_ends.py
+++ b/sparline/quarantine/tests/test_server_ends.py
@@ -197,6 +197,9 @@
     clock[0] += _server_ends.WATCH_MS + 1
     assert not detector.has_unexplained_interruption(DIGEST)
     assert not detector.has_watched_requests
+    detector.note_interrupted_answer(DIGEST, SERVER)
+    detector.note_complete_answer(DIGEST)
+    assert not detector.has_watched_requests
 
 
 def test_watched_requests_are_bounded(clock):
