--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -45,7 +45,8 @@
 # Seeds of the run in CI, and each seed that ever failed with a line on its cause.
 SEEDS = [
     (11, 8.0),
-    # Failed 2 of 5 times: SIGHUP met a process that was starting and ended it.
+    # Failed 2 of 5 times: SIGHUP met a process that was starting and ended it. Later 2 of 4 times beside
+    # busy processes: resets after crashes counted as further crashes under a request.
     (133, 10.0),
 ]
 
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -97,9 +97,16 @@
         if connection is None:
             self._note_unreachable()
             return AttemptEnd(AttemptResult.NOT_RUN, Reason.CONNECT_FAILED)
-        self._dependencies.health.note_sent(self._server_id)
         try:
+            # The server owes no answer yet: the time that this takes does not count as its silence.
             self._find_witnesses(parameters)
+            return self._run_on(connection, parameters)
+        finally:
+            self._dependencies.pool.give_back(connection)
+
+    def _run_on(self, connection: BackendConnection, parameters: AttemptParameters) -> AttemptEnd:
+        self._dependencies.health.note_sent(self._server_id)
+        try:
             return self._exchange(connection, parameters)
         except ConnectionBroken:
             self._note_interruption()
@@ -117,7 +124,6 @@
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         finally:
             self._dependencies.health.note_done(self._server_id)
-            self._dependencies.pool.give_back(connection)
 
     def _find_witnesses(self, parameters: AttemptParameters) -> None:
         self._began_at_ms = now_ms()
