--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -9,6 +9,7 @@
 
 from benchmarks._baselines import POLICIES
 from benchmarks._control import control
+from benchmarks._cpu import cpu
 from benchmarks._decide import decide
 from benchmarks._decide_known import Known
 from benchmarks._demo import demo
@@ -32,6 +33,7 @@
     "decide": decide,
     "views": views,
     "replay": replay,
+    "cpu": cpu,
 }
 
 
@@ -68,6 +70,13 @@
         choices=[one.value for one in Known],
         help="replay: what all instances of a region know as one, to find what ignorance costs",
     )
+    command.add_argument(
+        "--trees",
+        nargs="*",
+        default=[],
+        metavar="PATH",
+        help="cpu: other source trees, side by side",
+    )
     command.set_defaults(run=lambda options: EXPERIMENTS[options.experiment](options))
     command = commands.add_parser("soak", help="a randomised run under faults, judged by ledgers")
     command.add_argument("--seed", type=int, required=True)
--- /dev/null
+++ b/benchmarks/_cpu_child.py
@@ -0,0 +1,101 @@
+"""Measure imports and log lines within a process of its own, for the tree that PYTHONPATH names.
+
+Written to standard error as JSON, in microseconds; standard output takes the log lines.
+"""
+
+import time
+
+began_s = time.process_time()
+from gevent import events, monkey  # noqa: E402
+
+events.notify_and_call_entry_points = events.notify
+monkey.patch_all()
+patched_s = time.process_time()
+
+import sparline.gateway  # noqa: E402, F401
+
+imported_s = time.process_time()
+
+import json  # noqa: E402
+import sys  # noqa: E402
+from types import SimpleNamespace  # noqa: E402
+
+from sparline._clock import now_ms  # noqa: E402
+from sparline._logging import log  # noqa: E402
+from sparline.gateway import _request_log  # noqa: E402
+from sparline.gateway._log_output import LogOutput, configure  # noqa: E402
+from sparline.gateway._metrics import GatewayMetrics  # noqa: E402
+from sparline.requests import Reason  # noqa: E402
+
+US = 1e6
+ROUNDS = 20
+# Lines between two flushes, below what may wait.
+LINES = 50
+
+
+def _named(value: str) -> SimpleNamespace:
+    return SimpleNamespace(value=value, name=value)
+
+
+def _end() -> tuple:
+    server = SimpleNamespace(id="server-12@3", cold_until_ms=0.0)
+    place = SimpleNamespace(
+        server=server,
+        peer=None,
+        expected_ms=12.3,
+        unread_tokens=250,
+        source=None,
+        loss=0.0123,
+        load=SimpleNamespace(running=3, unread_tokens=400),
+        load_age_ms=120.4,
+        doubt=_named("NONE"),
+    )
+    request = SimpleNamespace(
+        request_id="id-0123456789",
+        arrived_at_ms=now_ms(),
+        route=SimpleNamespace(kind=_named("safe"), name="r0"),
+        origin=_named("caller"),
+        prompt=SimpleNamespace(
+            tokens=400, shared_tokens=150, shared_prefixes=(SimpleNamespace(key="/aa/bb"),)
+        ),
+    )
+    progress = SimpleNamespace(sends=1, first_at_ms=now_ms(), longest_pause_ms=2.0)
+    end = SimpleNamespace(
+        status=200, reason=Reason.NONE, ran=True, progress=progress, placement=place, refusal=None
+    )
+    return request, end, 7
+
+
+def main() -> None:
+    """Write the figures."""
+    _request_log.ANSWERED_LINES_PER_S = _request_log.OTHER_LINES_PER_S = 1e9
+    lines = _request_log.RequestLog(GatewayMetrics())
+    output = LogOutput("instance-1")
+    ended = _end()
+    calls = {
+        "log line, request rejected": lambda: lines.note_rejected(
+            "id-0123456789", 404, Reason.NO_ROUTE, "expected a route"
+        ),
+        "log line, request ended": lambda: lines.note_end(*ended),
+        "log line, other": lambda: log.bind(peer="127.0.0.1", for_ms=1500).info("peer"),
+    }
+    found = {
+        "import of gevent and patching": (patched_s - began_s) * US,
+        "import of sparline.gateway": (imported_s - patched_s) * US,
+    }
+    for level, suffix in (("INFO", ""), ("ERROR", ", level off")):
+        configure(output, level)
+        for name, call in calls.items():
+            least_s = float("inf")
+            for _ in range(ROUNDS):
+                start_s = time.process_time()
+                for _ in range(LINES):
+                    call()
+                output.flush()
+                least_s = min(least_s, time.process_time() - start_s)
+            found[name + suffix] = least_s / LINES * US
+    json.dump(found, sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -14,8 +14,12 @@
 }
 
 
-def configuration(version: int, routes: dict[str, dict[str, Any]] | None = None) -> dict[str, Any]:
-    """Return a configuration in the users' format."""
+def configuration(
+    version: int,
+    routes: dict[str, dict[str, Any]] | None = None,
+    more_services: tuple[str, ...] = (),
+) -> dict[str, Any]:
+    """Return a configuration in the users' format; `more_services` are plain ones."""
     return {
         "version": version,
         "routes": [
@@ -45,7 +49,10 @@
                     "moves": True,
                 },
             },
-            {"name": "plain", "cold_start_s": 0.0, "cold_per_s": 0.0},
+            *(
+                {"name": name, "cold_start_s": 0.0, "cold_per_s": 0.0}
+                for name in ("plain", *more_services)
+            ),
         ],
         "limits": {
             "max_header_bytes": 4_096,
@@ -56,9 +63,14 @@
     }
 
 
-def publish(store: KeyStore, version: int) -> int:
+def publish(
+    store: KeyStore,
+    version: int,
+    routes: dict[str, dict[str, Any]] | None = None,
+    more_services: tuple[str, ...] = (),
+) -> int:
     """Put a version into force; return the store's revision."""
-    return store.put("op/config", configuration(version))
+    return store.put("op/config", configuration(version, routes, more_services))
 
 
 def list_server(
