Open connections to numeric addresses without the resolver

Cause: gevent's create_connection calls getaddrinfo for every connection, also for a numeric address. It runs in a thread of the pool, so each of some 20 new connections a second cost two thread switches before its first packet. The WSGI servers asked for the name of their own address as they started, three times in each start; nothing reads SERVER_NAME.

Change: BackendConnection makes the IPv4 socket itself and connects; gevent skips the resolver for what inet_pton takes. Addresses of servers, peers and the store are IPv4 by their schemas, and a name would still be resolved. The WSGI servers are given their address as the name. UDP sendto and bind on numeric addresses already went past the resolver.

--- a/benchmarks/_cpu_child.py
+++ b/benchmarks/_cpu_child.py
@@ -18,19 +18,23 @@
 
 import json  # noqa: E402
 import sys  # noqa: E402
+from collections.abc import Callable  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 
+from gevent import socket  # noqa: E402
+
 from sparline._clock import now_ms  # noqa: E402
 from sparline._logging import log  # noqa: E402
 from sparline.gateway import _request_log  # noqa: E402
 from sparline.gateway._log_output import LogOutput, configure  # noqa: E402
 from sparline.gateway._metrics import GatewayMetrics  # noqa: E402
+from sparline.http import BackendConnection  # noqa: E402
 from sparline.requests import Reason  # noqa: E402
 
 US = 1e6
 ROUNDS = 20
-# Lines between two flushes, below what may wait.
-LINES = 50
+# Calls in a round; as many log lines may wait.
+CALLS = 50
 
 
 def _named(value: str) -> SimpleNamespace:
@@ -66,6 +70,17 @@
     return request, end, 7
 
 
+def _least_us(call: Callable[[], None], at_end: Callable[[], None] = lambda: None) -> float:
+    least_s = float("inf")
+    for _ in range(ROUNDS):
+        start_s = time.process_time()
+        for _ in range(CALLS):
+            call()
+        at_end()
+        least_s = min(least_s, time.process_time() - start_s)
+    return least_s / CALLS * US
+
+
 def main() -> None:
     """Write the figures."""
     _request_log.ANSWERED_LINES_PER_S = _request_log.OTHER_LINES_PER_S = 1e9
@@ -86,14 +101,14 @@
     for level, suffix in (("INFO", ""), ("ERROR", ", level off")):
         configure(output, level)
         for name, call in calls.items():
-            least_s = float("inf")
-            for _ in range(ROUNDS):
-                start_s = time.process_time()
-                for _ in range(LINES):
-                    call()
-                output.flush()
-                least_s = min(least_s, time.process_time() - start_s)
-            found[name + suffix] = least_s / LINES * US
+            found[name + suffix] = _least_us(call, output.flush)
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(ROUNDS * CALLS)
+        address = listener.getsockname()
+        found["connection opened and closed"] = _least_us(
+            lambda: BackendConnection(address, 1.0).close()
+        )
     json.dump(found, sys.stderr)
 
 
--- a/sparline/_wsgi.py
+++ b/sparline/_wsgi.py
@@ -51,6 +51,8 @@
         (ip, port),
         application,
         log=None,
+        # Without a name, the server asks the resolver for the name of its address as it starts.
+        environ={"SERVER_NAME": ip},
         handler_class=ConnectionHandler,
         # A pool, so that a stop ends what is still served.
         spawn=Pool(MAX_CONNECTIONS),
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import gevent
-from gevent import socket as gevent_socket
+from gevent.socket import socket as GeventSocket
 
 from sparline._clock import now_ms
 from sparline.http._messages import AnswerParser, HttpAnswer, MalformedMessage
@@ -38,7 +38,7 @@
         self.idle_until_ms = 0.0  # when a kept connection is too old to use
         self._parser = AnswerParser()
         self._sender: gevent.Greenlet | None = None
-        self._socket = gevent_socket.create_connection(address, timeout_s)
+        self._socket = _connect(address, timeout_s)
         self._socket.settimeout(None)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
@@ -202,3 +202,18 @@
         if name.lower() == b"timeout" and value.isdigit():
             return max(int(value) - IDLE_MARGIN_S, 0.0)
     return IDLE_DEFAULT_S
+
+
+def _connect(address: Address, timeout_s: float) -> GeventSocket:
+    """Return a connection to an IPv4 address; `OSError` where that fails.
+
+    `create_connection` would ask the resolver, a thread, even for a numeric address.
+    """
+    connection = GeventSocket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connection.settimeout(timeout_s)
+        connection.connect(address)
+    except BaseException:
+        connection.close()
+        raise
+    return connection
--- a/sparline/http/tests/test_pool.py
+++ b/sparline/http/tests/test_pool.py
@@ -1,9 +1,12 @@
 """What the pool keeps of connections, and shows of them."""
 
+from unittest.mock import patch
+
+import gevent
 import pytest
 from gevent import socket
 
-from sparline.http import ConnectionPool
+from sparline.http import BackendConnection, ConnectionPool, _backend_connection
 
 
 @pytest.fixture
@@ -23,3 +26,24 @@
         pool.give_back(connection)
     assert len(pool.resting(address, most)) == shown
     pool.forget(address)
+
+
+def test_numeric_address_needs_no_resolver(listener):
+    # The resolver runs in a thread, which delays the connection and costs a thread switch.
+    resolver = gevent.get_hub().resolver
+    with patch.object(type(resolver), "getaddrinfo", side_effect=AssertionError("resolved")):
+        BackendConnection(listener.getsockname(), 1.0).close()
+
+
+def test_failed_connection_is_closed():
+    # A socket that is left to the garbage collector keeps its file open until then.
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        address = unused.getsockname()
+        connection = socket.socket()
+        with (
+            patch.object(_backend_connection, "GeventSocket", return_value=connection),
+            pytest.raises(ConnectionRefusedError),
+        ):
+            BackendConnection(address, 1.0)
+    assert connection.closed
