Keep the live instances of a region until a change or a timeout

Change: Members keeps each selection (by region, with or without starting instances) until a member joins, restarts, changes phase, returns from silence or is removed, until the first selected one times out, or until the clock is stepped back. live() and starting_or_live() return tuples, which callers share. A member's heartbeat key is computed once. Of the recent heartbeats only those that are sent are built; the same draws choose them. A round asks for the time once to find silent members. forget_old() rebuilds its tables only when there is something to remove.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -297,10 +297,12 @@
         siblings: list[Member] = []
         remote: list[Member] = []
         silent: list[Member] = []
+        now = now_ms()
+        own_region = self._members.own.region
         for member in self._members.others():
-            if _is_silent(member):
+            if _is_silent(member, now):
                 silent.append(member)
-            elif member.note.region == self._members.own.region:
+            elif member.note.region == own_region:
                 siblings.append(member)
             else:
                 remote.append(member)
@@ -379,14 +381,15 @@
         )
 
     def _heartbeats(self, same_region: bool) -> list[MemberBeat]:
-        if same_region:
-            return self._limit_randomly(self._members.recent_heartbeats(), MAX_RELAYED_HEARTBEATS)
-        own_region = self._members.recent_heartbeats(RegionName(self._members.own.region))
-        return self._limit_randomly(own_region, MAX_CROSS_REGION_HEARTBEATS)
+        region = None if same_region else RegionName(self._members.own.region)
+        limit = MAX_RELAYED_HEARTBEATS if same_region else MAX_CROSS_REGION_HEARTBEATS
+        heard = self._members.recently_heard(region)
+        return [one.heartbeat() for one in self._limit_randomly(heard, limit)]
 
     def _sample_members(self, region: str) -> list[MemberNote]:
         """Return a sample of the members that are not silent, preferring those of a region."""
-        known = [one.note for one in self._members.others() if not _is_silent(one)]
+        now = now_ms()
+        known = [one.note for one in self._members.others() if not _is_silent(one, now)]
         in_region = self._limit_randomly(
             [one for one in known if one.region == region], MAX_DESCRIBED_MEMBERS
         )
@@ -411,9 +414,9 @@
     return sorted(one.note.ip for one in members)
 
 
-def _is_silent(member: Member) -> bool:
+def _is_silent(member: Member, now: float) -> bool:
     """Return whether a member is contacted only by periodic probes."""
-    return now_ms() - member.heard_at_ms > PROBE_ONLY_AFTER_MS
+    return now - member.heard_at_ms > PROBE_ONLY_AFTER_MS
 
 
 def make_member_note(
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -1,7 +1,7 @@
 """Membership table: liveness, location and state of the other instances."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -45,12 +45,33 @@
     store_revision: int = 0  # store revision that it holds
     store_reached: bool = False  # whether the store recently responded to it
     datagram_at_ms: float = 0.0  # when it last sent a datagram to this instance
+    key: int = field(init=False)  # key of its relayed heartbeats
+
+    def __post_init__(self) -> None:
+        """Compute the key once; the address of a member never changes."""
+        self.key = member_key(self.note.ip)
 
     @property
     def region(self) -> RegionName:
         """Return the region of the instance."""
         return RegionName(self.note.region)
 
+    def heartbeat(self) -> MemberBeat:
+        """Return its newest heartbeat as it is relayed."""
+        note = self.note
+        return MemberBeat(self.key, _incarnation_key(note), note.counter, note.phase)
+
+
+@dataclass(frozen=True, slots=True)
+class _Selection:
+    """Hold the members that had not timed out, and what decides how long that stays true."""
+
+    members: tuple[Member, ...]
+    at_ms: float  # when they were selected
+    # Earliest heartbeat of those of the own region and of the others; infinite for none.
+    own_region_heard_at_ms: float
+    cross_region_heard_at_ms: float
+
 
 class Members:
     """Track the other instances; their own datagrams take precedence over relayed state."""
@@ -65,6 +86,11 @@
         self._others: dict[str, Member] = {}
         self._ip_by_key: dict[int, str] = {}  # address by heartbeat key
         self._own_key = member_key(own.ip)
+        # By region, None for all, and whether starting members are included. Valid until a member
+        # joins, restarts, changes phase, returns from silence or is removed, and until the first of
+        # the selected ones times out.
+        self._selections: dict[tuple[RegionName | None, bool], _Selection] = {}
+        self._selected_at_ms = float("-inf")  # time of the latest of them
 
     def take(self, gossip: Gossip) -> bool:
         """Merge a datagram; return whether its sender was unknown or had restarted."""
@@ -101,16 +127,11 @@
             )
         return True
 
-    def recent_heartbeats(self, region: RegionName | None = None) -> list[MemberBeat]:
-        """Return the heartbeats of one region, or of all, that are recent enough to be relayed."""
+    def recently_heard(self, region: RegionName | None = None) -> list[Member]:
+        """Return the members of one region, or of all, whose heartbeat may be relayed."""
         since = now_ms() - RELAY_MAX_AGE_MS
         return [
-            MemberBeat(
-                member_key(one.note.ip),
-                _incarnation_key(one.note),
-                one.note.counter,
-                one.note.phase,
-            )
+            one
             for one in self._others.values()
             if one.heard_at_ms >= since and (region is None or one.note.region == region)
         ]
@@ -136,9 +157,11 @@
         # The set that divides limits consists of addresses, so a restart does not change it.
         counted = known is not None and known.heard_at_ms >= now - SHARER_TIMEOUT_MS
         sharer_since_ms = known.sharer_since_ms if known is not None and counted else now
+        if known is None or self._changes_selections(known, note, now):
+            self._clear_selections()
         if known is None or known.note.incarnation != note.incarnation:
             known = self._others[note.ip] = Member(note, now, now)
-            self._ip_by_key[member_key(note.ip)] = note.ip
+            self._ip_by_key[known.key] = note.ip
         if known.note.phase is not note.phase:
             known.phase_at_ms = now
         known.note = note
@@ -146,6 +169,17 @@
         known.sharer_since_ms = sharer_since_ms
         return known
 
+    def _changes_selections(self, known: Member, note: MemberNote, now: float) -> bool:
+        """Return whether a new note of a known member changes who is selected."""
+        return (
+            known.note.incarnation != note.incarnation
+            or known.note.phase is not note.phase
+            or known.note.region != note.region
+            or now - known.heard_at_ms > self._timeout_ms(note.region)
+            # The clock was stepped back: the heartbeat may be older than the selections assume.
+            or now < self._selected_at_ms
+        )
+
     def requested_notes(self, keys: Iterable[int]) -> list[MemberNote]:
         """Return the notes of the known members among the requested keys."""
         known = [self._others.get(self._ip_by_key.get(key, "")) for key in keys]
@@ -155,32 +189,61 @@
         """Iterate over all other known instances, including silent ones."""
         return iter(self._others.values())
 
-    def live(self, region: RegionName | None = None) -> list[Member]:
+    def live(self, region: RegionName | None = None) -> tuple[Member, ...]:
         """Return the other instances that accept work, of one region or of all."""
-        return [one for one in self._not_timed_out(region) if one.note.phase is MemberPhase.live]
+        return self._selected(region, False)
 
-    def starting_or_live(self) -> list[Member]:
+    def starting_or_live(self) -> tuple[Member, ...]:
         """Return the other instances that accept work or are about to."""
-        return [
-            one for one in self._not_timed_out(None) if one.note.phase is not MemberPhase.leaving
-        ]
+        return self._selected(None, True)
 
-    def _not_timed_out(self, region: RegionName | None) -> list[Member]:
+    def _selected(self, region: RegionName | None, with_starting: bool) -> tuple[Member, ...]:
         now = now_ms()
-        cross_region_timeout_ms = max(
-            LIVENESS_TIMEOUT_MS, CROSS_REGION_TIMEOUT_PER_MEMBER_MS * len(self._others)
+        held = self._selections.get((region, with_starting))
+        if held is None or not self._is_valid(held, now):
+            held = self._select(region, with_starting, now)
+            self._selections[region, with_starting] = held
+            self._selected_at_ms = max(self._selected_at_ms, now)
+        return held.members
+
+    def _clear_selections(self) -> None:
+        self._selections.clear()
+        self._selected_at_ms = float("-inf")
+
+    def _is_valid(self, selection: _Selection, now: float) -> bool:
+        """Return whether nobody selected has timed out, nor the clock been stepped back."""
+        return (
+            now >= selection.at_ms
+            and now - selection.own_region_heard_at_ms <= LIVENESS_TIMEOUT_MS
+            and now - selection.cross_region_heard_at_ms <= self._cross_region_timeout_ms()
         )
-        return [
-            one
-            for one in self._others.values()
-            if now - one.heard_at_ms
-            <= (
-                LIVENESS_TIMEOUT_MS
-                if one.note.region == self.own.region
-                else cross_region_timeout_ms
-            )
-            and (region is None or one.note.region == region)
-        ]
+
+    def _select(self, region: RegionName | None, with_starting: bool, now: float) -> _Selection:
+        found: list[Member] = []
+        earliest = {True: float("inf"), False: float("inf")}
+        for one in self._others.values():
+            note = one.note
+            if region is not None and note.region != region:
+                continue
+            phase = note.phase
+            if phase is not MemberPhase.live and (
+                not with_starting or phase is MemberPhase.leaving
+            ):
+                continue
+            if now - one.heard_at_ms > self._timeout_ms(note.region):
+                continue
+            found.append(one)
+            is_own = note.region == self.own.region
+            earliest[is_own] = min(earliest[is_own], one.heard_at_ms)
+        return _Selection(tuple(found), now, earliest[True], earliest[False])
+
+    def _timeout_ms(self, region: str) -> float:
+        """Return after how long a member of a region without a new heartbeat times out."""
+        is_own = region == self.own.region
+        return LIVENESS_TIMEOUT_MS if is_own else self._cross_region_timeout_ms()
+
+    def _cross_region_timeout_ms(self) -> float:
+        return max(LIVENESS_TIMEOUT_MS, CROSS_REGION_TIMEOUT_PER_MEMBER_MS * len(self._others))
 
     def leaving(self, region: RegionName, for_less_than_ms: float) -> list[Member]:
         """Return the other instances of a region that began to leave less than this time ago."""
@@ -238,6 +301,9 @@
     def forget_old(self) -> None:
         """Remove members that have been silent for longer than the retention time."""
         since = now_ms() - RETENTION_MS
+        if all(one.heard_at_ms >= since for one in self._others.values()):
+            return
+        self._clear_selections()
         self._others = {ip: one for ip, one in self._others.items() if one.heard_at_ms >= since}
         self._ip_by_key = {key: ip for key, ip in self._ip_by_key.items() if ip in self._others}
 
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -1,5 +1,9 @@
+from unittest.mock import patch
+
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sparline._ids import RegionName
 from sparline.fleet import Members, _members
@@ -110,3 +114,77 @@
     clock.now += ago_ms
     members.take(gossip(note("b"), store_reached=False, beats=[beat("a", 5, 11)]))
     assert members.is_store_reached() is is_reached
+
+
+REGIONS = (None, "north", "south", "west")
+IPS = {"a": "north", "b": "north", "c": "south", "d": "south"}
+PHASES = st.sampled_from(list(MemberPhase))
+# Around the timeouts, so that a member is met just before and just after each; below zero, the clock
+# is stepped back.
+CLOCK_STEPS_MS = st.sampled_from(
+    (0.1, 250.0, 1_000.0, 2_999.9, 3_000.0, 3_000.1, 3_300.0, 21_000.0, 601_000.0, -0.1, -1_000.0, -50_000.0)
+)  # fmt: skip
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("datagram"), st.sampled_from(sorted(IPS)), st.booleans(), PHASES),
+        st.tuples(st.just("heartbeat"), st.sampled_from(sorted(IPS)), PHASES),
+        st.tuples(st.just("clock"), CLOCK_STEPS_MS),
+        st.tuples(st.just("forget")),
+    ),
+    max_size=40,
+)
+
+
+def plain_search(members: Members, now: float, region: str | None, phases) -> list:
+    """Return the members that have not timed out, as a search through all of them finds them."""
+    cross_region_ms = max(3_000.0, 25.0 * len(list(members.others())))
+    return [
+        one
+        for one in members.others()
+        if now - one.heard_at_ms <= (3_000.0 if one.note.region == "north" else cross_region_ms)
+        and region in (None, one.note.region)
+        and one.note.phase in phases
+    ]
+
+
+@settings(max_examples=400, deadline=None)
+@given(events=EVENTS, others=st.sampled_from((0, 130)))
+def test_kept_selections_equal_a_plain_search(events, others):
+    # A selection that is kept too long offers callers an instance that is gone, or hides a new one.
+    now = [1_000_000.0]
+    counters, starts = dict.fromkeys(IPS, 1), dict.fromkeys(IPS, 5)
+    with patch.object(_members, "now_ms", lambda: now[0]):
+        members = Members(note("own"))
+        for number in range(others):
+            members.take(gossip(note(f"x{number}", "west")))
+        for event in events:
+            match event:
+                case ("clock", step_ms):
+                    now[0] += step_ms
+                case ("forget",):
+                    members.forget_old()
+                case ("datagram", ip, restarts, phase):
+                    counters[ip] += 1
+                    starts[ip] += restarts
+                    members.take(gossip(note(ip, IPS[ip], starts[ip], counters[ip], phase=phase)))
+                case ("heartbeat", ip, phase):
+                    counters[ip] += 1
+                    relayed = [beat(ip, starts[ip], counters[ip], phase)]
+                    members.take(gossip(note("e", "north", counter=counters[ip]), beats=relayed))
+            for region in REGIONS:
+                expected = plain_search(members, now[0], region, {MemberPhase.live})
+                found = members.live(region and RegionName(region))
+                assert [id(one) for one in found] == [id(one) for one in expected]
+            expected = plain_search(members, now[0], None, set(MemberPhase) - {MemberPhase.leaving})
+            assert list(members.starting_or_live()) == expected
+
+
+def test_member_heard_while_the_clock_is_behind_a_selection_is_live(members, clock):
+    # Kept selections without it would hide it until another member changes.
+    members.take(gossip(note("a")))
+    clock.now += 3_100
+    assert not members.live()
+    clock.now -= 2_000
+    members.take(gossip(note("a", counter=11)))
+    clock.now += 2_100
+    assert ips(members.live()) == {"a"}
