Send structured lines past loguru, and import it when it is first needed

Cause: loguru collects the frame, thread, process, time zone and a copy of the whole record for each line; LogOutput used its time, level, message and fields. Importing it pulls in asyncio and multiprocessing in every start. Fields of lines below the level in force were built and thrown away.

Change: sparline._logging.log is a front of loguru. Where an output is configured, lines that bind() fields go to it straight, with the same level threshold and by the same encoder; all else, and every line where none is configured (tests, the other program), goes to loguru, which is imported then. A line that can't be encoded still goes to loguru, which reports it on standard error. The bounded lines build their fields after their budget and their level.

--- a/sparline/gateway/_log_output.py
+++ b/sparline/gateway/_log_output.py
@@ -3,13 +3,15 @@
 import os
 import sys
 from collections import deque
+from collections.abc import Mapping
+from typing import Any
 
 import gevent
 import msgspec
 from gevent.event import Event
-from loguru import logger
 
 from sparline._clock import now_ms
+from sparline._logging import LineLevel, log
 
 # Lines that may wait for a slow reader (count); what comes beyond is counted and dropped.
 MOST_WAITING = 2_000
@@ -32,18 +34,24 @@
     def sink(self, message: object) -> None:
         """Take one line of loguru's."""
         record = message.record  # type: ignore[attr-defined]
+        level = record["level"].name
+        self.append(record["time"].timestamp(), level, record["message"], record["extra"])
+
+    def append(self, at_s: float, level: str, event: str, fields: Mapping[str, object]) -> None:
+        """Take one line of a time of day (s); raise what the encoder raises."""
         if len(self._lines) >= MOST_WAITING:
             self.dropped += 1
             return
         line = {
-            "at": round(record["time"].timestamp(), 3),
+            "at": round(at_s, 3),
             "instance": self._name,
-            "level": record["level"].name,
-            "event": record["message"],
-            **record["extra"],
+            "level": level,
+            "event": event,
+            **fields,
         }
         self._lines.append(msgspec.json.encode(line) + b"\n")
-        self._some.set()
+        if not self._some.is_set():
+            self._some.set()
 
     def run(self) -> None:
         """Write for as long as the process lives."""
@@ -76,8 +84,12 @@
 
 def configure(output: LogOutput, level: str) -> None:
     """Send every line of a level and above to an output."""
-    logger.remove()
-    logger.add(output.sink, level=level, format="{message}", backtrace=False, diagnose=False)
+
+    def configure_loguru(logger: Any) -> None:
+        logger.remove()
+        logger.add(output.sink, level=level, format="{message}", backtrace=False, diagnose=False)
+
+    log.send_lines_to(output, LineLevel[level], configure_loguru)
 
 
 class LineBudget:
--- a/sparline/gateway/_quotas.py
+++ b/sparline/gateway/_quotas.py
@@ -5,7 +5,7 @@
 import gevent
 
 from sparline._ids import RequestId
-from sparline._logging import log
+from sparline._logging import LineLevel, log
 from sparline.fleet import FleetState, GossipPort, QuotaExchange
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
@@ -89,7 +89,7 @@
         self, request_id: RequestId, organisation: Organisation, wait_ms: float
     ) -> None:
         self._metrics.quota_refusals.labels(organisation.id).inc()
-        if not self._lines.take():
+        if not self._lines.take() or not log.is_written(LineLevel.INFO):
             return
         left = self._exchange.left(organisation.id)
         assert left is not None, "a quota that refused is followed"
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -3,7 +3,7 @@
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId
-from sparline._logging import log
+from sparline._logging import LineLevel, log
 from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
@@ -41,7 +41,7 @@
     def note_retry(self, request: RoutedRequest, place: Placement, end: AttemptEnd) -> None:
         """Note that an attempt is followed by another."""
         self._metrics.retries.labels(end.reason.value).inc()
-        if self._other.take():
+        if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 reason=end.reason.value,
@@ -55,7 +55,7 @@
     ) -> None:
         """Note that an answer broke off, and in what state its server was."""
         self._metrics.breaks.labels(end.end.reason.value).inc()
-        if self._broken.take():
+        if self._broken.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 content=short_hex(request.digest()),
@@ -69,7 +69,7 @@
     def note_server_end(self, server_id: BackendServerId, sign: EndEvidence) -> None:
         """Note that a server ended with requests of this instance."""
         self._metrics.server_ends.labels(sign.value).inc()
-        if self._crashes.take():
+        if self._crashes.take() and log.is_written(LineLevel.INFO):
             log.bind(backend_server=server_id, sign=sign.value).info("server_ended")
 
     def note_crash(self, change: CrashChange, quarantine_ms: float) -> None:
@@ -82,6 +82,8 @@
         self._metrics.crashes.labels(change.learnt.value, ends).inc()
         if not change.concerns_suspect or not self._crashes.take():
             return
+        if not log.is_written(LineLevel.WARNING):
+            return
         log.bind(
             content=short_hex(change.fact.digest),
             ends=change.ends,
@@ -94,13 +96,13 @@
     def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
         """Note that a suspect was forgotten for want of room."""
         self._metrics.pushed_out.inc()
-        if self._crashes.take():
+        if self._crashes.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
     def note_cold_use(self, use: ColdRequest) -> None:
         """Note that a request goes to a cold server, whose rate is shared out."""
         self._metrics.cold_sends.inc()
-        if self._other.take():
+        if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 backend_server=use.server_id,
                 cold_ms=round(use.cold_ms),
@@ -111,7 +113,7 @@
     def note_server_limit(self, limit: ServerLimit) -> None:
         """Note that the limit set by a server was added, changed or removed."""
         self._metrics.limit_changes.labels("none" if limit.per_s is None else "rate").inc()
-        if self._other.take():
+        if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 backend_server=limit.server_id,
                 per_s=limit.per_s,
@@ -121,10 +123,13 @@
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
         """Note a request that was answered before it was routed."""
         self._metrics.refusals.labels(reason.value).inc()
-        if self._other.take():
-            log.bind(request_id=request_id, status=status, reason=reason.value, text=text).info(
-                "request_rejected"
-            )
+        if self._other.take() and log.is_written(LineLevel.INFO):
+            log.bind(
+                request_id=request_id,
+                status=status,
+                reason=reason.value,
+                text=text,
+            ).info("request_rejected")
 
     def note_end(self, request: RoutedRequest, end: RequestEnd, version: int) -> None:
         """Note how a request ended and what decided its place."""
@@ -146,6 +151,8 @@
             self._metrics.refusals.labels(end.reason.value).inc()
             if not self._other.take():
                 return
+        if not log.is_written(LineLevel.INFO):
+            return
         log.bind(
             request_id=request.request_id,
             route=request.route.name,
