Add the controller of admission levels and its gossip messages

Cause: under a surge each instance refuses on its own, so goodput falls as demand rises and urgent requests are refused while less urgent ones are served.

Change: LevelController turns the reports of a region (asked, admitted, missed, answered) into a budget and a level. The budget falls to less than what is answered, stays there while the queue drains, returns to the measured capacity and rises beyond it with growing steps, but only while servers keep up. Misses of requests that a higher level had admitted do not count, and misses that stay when admission is cut to three quarters are tolerated for a minute. The setting `admission` exists in the schema only so far.

--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -31,6 +31,11 @@
     "QuotaUseNote",
     "QuotaLevelNote",
     "QuotaTotalNote",
+    "AdmissionBucketNote",
+    "OrganisationDemandNote",
+    "AdmissionDemandNote",
+    "OrganisationShareNote",
+    "AdmissionLevelNote",
 )
 
 
--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -4,6 +4,20 @@
 """
 
 from sparline.decisions._admission import AdmissionFacts, RefusalReason, refusal_reason
+from sparline.decisions._admission_level import (
+    FLOOR_POSITIONS,
+    KEYS_PER_RANK,
+    MAX_RANK,
+    OPEN_LEVEL,
+    OPENING_MS,
+    POSITIONS,
+    LevelController,
+    RoundReport,
+    admission_key,
+    is_admitted,
+    is_telling,
+    level_retry_after_ms,
+)
 from sparline.decisions._region_refusals import RegionRefusals
 from sparline.decisions._return_time import (
     RefusalFacts,
@@ -12,6 +26,18 @@
 )
 
 __all__ = [
+    "FLOOR_POSITIONS",
+    "KEYS_PER_RANK",
+    "MAX_RANK",
+    "OPENING_MS",
+    "OPEN_LEVEL",
+    "POSITIONS",
+    "LevelController",
+    "RoundReport",
+    "admission_key",
+    "is_admitted",
+    "is_telling",
+    "level_retry_after_ms",
     "AdmissionFacts",
     "RefusalReason",
     "RegionRefusals",
--- /dev/null
+++ b/sparline/decisions/_admission_level.py
@@ -0,0 +1,340 @@
+"""Admission level of one service in one region: which requests are admitted while capacity is scarce.
+
+Answers a load that exceeds the capacity of a region for seconds (2 to 3 times its mean, then far
+below it). If each instance judges each request on its own, urgent requests are refused in one place
+while less urgent ones are accepted in another, and goodput falls as demand rises. The level is one
+number for all instances of the region: requests with lower keys are admitted first. Its budget
+follows what was missed, which is admitted cost that was then refused for lack of capacity or
+answered too late.
+
+Costs are in credit tokens (or requests, for services without prompts), rates in cost per second,
+times in ms.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+MAX_RANK = 9
+POSITIONS = 128
+KEYS_PER_RANK = 2 * POSITIONS
+# Lowest level that admits every key.
+OPEN_LEVEL = (MAX_RANK + 1) * KEYS_PER_RANK
+# Demand is reported by bucket of this many keys.
+BUCKET_KEYS = 16
+BUCKETS = OPEN_LEVEL // BUCKET_KEYS
+# Positions admitted at any level while a rank is shut out: 1 in 32.
+FLOOR_POSITIONS = POSITIONS // 32
+# Time in which a level opens from closed once nothing is missed (ms).
+OPENING_MS = 2_000.0
+# A level that fell by at most this many keys counts as the same.
+LEVEL_TOLERANCE = BUCKET_KEYS
+# Interval between two adjustments (ms): one gossip round.
+ADJUSTMENT_MS = 250.0
+# Number of further rounds in which an open level is announced and demand is reported.
+ROUNDS_AFTER_OPENING = 4
+# Part of the admitted cost that may be missed.
+TOLERATED_MISSES = 0.05
+# Misses above this part of what is tolerated restart the rise with its smallest step.
+SLOW_RISE_PART = 0.25
+# Most by which the budget falls in one adjustment (factor).
+MAX_FALL = 0.5
+# Budget after a fall, as part of the capacity: the rest of the capacity drains the queue.
+DRAIN_PART = 0.8
+# Budget once the queue has drained, as part of the capacity.
+STEADY_PART = 0.97
+# The queue grows if less than this part of what was started is answered.
+KEEPS_UP_PART = 0.92
+# Time constants of the demand by bucket, and of all other rates (ms). The latter decide how soon a
+# change is seen.
+DEMAND_SMOOTHING_MS = 1_000.0
+RATE_SMOOTHING_MS = 300.0
+# The capacity is the highest rate answered in so many rounds.
+CAPACITY_ROUNDS = 4
+# Rounds after a fall in which the budget changes no further: its effect is reported that late.
+ROUNDS_AFTER_FALL = 3
+# Each round without a miss adds the cube of its number to the rise, up to this number. Seven such
+# steps are the whole demand, which leaves one of the eight rounds of `OPENING_MS` for the report.
+RISE_STEPS = 7
+RISE_UNIT = 1 / sum(number**3 for number in range(1, RISE_STEPS + 1))
+# Largest step back to the steady budget, as part of the demand.
+MAX_RESTORED_PART = 0.25
+# The level opens once the budget exceeds the demand by this factor, and the budget stops there.
+OPEN_FACTOR = 1.05
+MAX_BUDGET_FACTOR = 1.06
+# Misses are unrelated to load if their share is still at least `UNRELATED_RATIO` of what it was,
+# although admission was cut to `CUT_RATIO` for `CUT_MS`. They are then tolerated for
+# `UNRELATED_MS`, up to a share of `MAX_UNRELATED`.
+UNRELATED_RATIO = 0.75
+CUT_RATIO = 0.75
+CUT_MS = 1_500.0
+UNRELATED_MS = 60_000.0
+MAX_UNRELATED = 0.25
+# Retry-After of a refused request: a miss-free round has to be reported first (ms).
+REPORT_DELAY_MS = 2 * ADJUSTMENT_MS
+# Callers wait for at most this part of the time that they have left.
+CALLER_WAIT_SHARE = 1 / 3
+# Part of that wait over which the retries are spread while the level does not rise.
+SPREAD_SHARE = 1 / 3
+
+
+def admission_key(rank: int, step: int, position: int) -> int:
+    """Return the key of a request; ranks above 9 count as 9."""
+    return min(rank, MAX_RANK) * KEYS_PER_RANK + step * POSITIONS + position
+
+
+def is_admitted(key: int, level: int, floor: int) -> bool:
+    """Tell whether a level and floor admit a key."""
+    return key < level or key % POSITIONS < floor
+
+
+def is_telling(admitted_at_level: int, level: int) -> bool:
+    """Tell whether a miss says something about the level in force.
+
+    While a queue drains after the level has fallen, requests that a higher level had admitted are
+    late. If they counted, the level would fall again for each of them.
+    """
+    return admitted_at_level <= level + LEVEL_TOLERANCE
+
+
+def level_retry_after_ms(
+    key: int, level: int, ranks: int, left_ms: float, is_rising: bool
+) -> float:
+    """Return the time after which a refused key is expected to be admitted (ms).
+
+    `ranks` is the number of ranks over which the level opens, from the highest key that is in use.
+    A level that does not rise may stay for seconds, so its callers wait nearly as long as they
+    can. A result of at least `left_ms` says that the key is not expected to be admitted in time.
+    """
+    keys_per_ms = ranks * KEYS_PER_RANK / OPENING_MS
+    opening_ms = REPORT_DELAY_MS + max(key - level, 0) / keys_per_ms
+    if is_rising:
+        return opening_ms
+    spread = 1 - SPREAD_SHARE * (1 - (key % POSITIONS) / POSITIONS)
+    return max(opening_ms, CALLER_WAIT_SHARE * left_ms * spread)
+
+
+@dataclass(frozen=True, slots=True)
+class RoundReport:
+    """Hold what one instance, or all of a region, counted in a round."""
+
+    demand: Mapping[int, float]  # cost of what was asked, by bucket
+    admitted: float  # cost of what the level admitted
+    missed: float  # cost of what was then refused or late
+    answered: float  # cost of what got its first event or its answer, in time or late
+
+
+class _Rate:
+    """Smooth a rate; the first values count fully, without a start from zero."""
+
+    def __init__(self, smoothing_ms: float) -> None:
+        self._smoothing_ms = smoothing_ms
+        self._cost = 0.0
+        self._span_ms = 0.0
+
+    def add(self, cost: float, span_ms: float) -> None:
+        keep = max(1 - span_ms / self._smoothing_ms, 0.0)
+        self._cost = self._cost * keep + cost
+        self._span_ms = self._span_ms * keep + span_ms
+
+    @property
+    def per_s(self) -> float:
+        return 1_000 * self._cost / self._span_ms if self._span_ms else 0.0
+
+
+class LevelController:
+    """Adjusts the level of one service in one region; the caller passes the time in (ms)."""
+
+    def __init__(
+        self, patience_ms: Mapping[int, float], level: int = OPEN_LEVEL, floor: int = 0
+    ) -> None:
+        """Start from a known level; `patience_ms` is the longest deadline of each rank."""
+        self.level = level
+        self.floor = floor
+        self.budget_per_s: float | None = None  # None until demand is known
+        self.quiet_rounds = 0  # rounds in which the level was open and nothing was missed
+        self.patience_ms = patience_ms
+        self._demand: dict[int, _Rate] = {}
+        self._admitted = _Rate(RATE_SMOOTHING_MS)
+        self._missed = _Rate(RATE_SMOOTHING_MS)
+        self._answered = _Rate(RATE_SMOOTHING_MS)
+        self._asked = _Rate(RATE_SMOOTHING_MS)
+        self._recent: list[float] = []  # answered per second, in the last rounds
+        self._capacity = 0.0  # estimate of the cost per second that servers can answer
+        self._sum: dict[int, float] = {}
+        self._sum_admitted = self._sum_missed = self._sum_answered = 0.0
+        self._stepped_at_ms: float | None = None
+        self._good_rounds = 0
+        self._rounds_since_fall = ROUNDS_AFTER_FALL  # none so far
+        self._shut_since_ms: dict[int, float] = {}
+        self._before_cut: tuple[float, float, float] | None = None  # time, admitted, missed share
+        self._unrelated = 0.0
+        self._unrelated_until_ms = 0.0
+
+    def note(self, report: RoundReport) -> None:
+        """Add an instance's report to the current round."""
+        for bucket, cost in report.demand.items():
+            if 0 <= bucket < BUCKETS:
+                self._sum[bucket] = self._sum.get(bucket, 0.0) + cost
+        self._sum_admitted += report.admitted
+        self._sum_missed += report.missed
+        self._sum_answered += report.answered
+
+    @property
+    def asked_per_s(self) -> float:
+        """Return the demand, smoothed over less time than that of each bucket."""
+        return self._asked.per_s
+
+    @property
+    def missed_share(self) -> float:
+        """Return the smoothed part of the admitted cost that was missed, at most 1."""
+        missed, admitted = self._missed.per_s, self._admitted.per_s
+        return min(missed / admitted, 1.0) if admitted > 0 else 0.0
+
+    def is_done(self) -> bool:
+        """Tell whether the level has been open and without misses for long enough to be dropped."""
+        return self.quiet_rounds > ROUNDS_AFTER_OPENING
+
+    def step(self, now: float) -> int:
+        """End a round: adjust budget, level and floor to the reports; return the level.
+
+        The first call begins the measurement. Its reports are discarded, because at first only
+        instances with misses report.
+        """
+        began_at_ms, self._stepped_at_ms = self._stepped_at_ms, now
+        total = RoundReport(self._sum, self._sum_admitted, self._sum_missed, self._sum_answered)
+        self._sum, self._sum_admitted, self._sum_missed, self._sum_answered = {}, 0.0, 0.0, 0.0
+        if began_at_ms is None or now <= began_at_ms:
+            return self.level
+        span_ms = now - began_at_ms
+        self._measure(total, span_ms)
+        self._adjust(now, span_ms)
+        self._set_level()
+        self._set_floor(now)
+        is_quiet = self.level == OPEN_LEVEL and total.missed <= 0
+        self.quiet_rounds = self.quiet_rounds + 1 if is_quiet else 0
+        return self.level
+
+    def _measure(self, total: RoundReport, span_ms: float) -> None:
+        for bucket in total.demand:
+            self._demand.setdefault(bucket, _Rate(DEMAND_SMOOTHING_MS))
+        for bucket, rate in self._demand.items():
+            rate.add(total.demand.get(bucket, 0.0), span_ms)
+        self._asked.add(sum(total.demand.values()), span_ms)
+        self._admitted.add(total.admitted, span_ms)
+        self._missed.add(total.missed, span_ms)
+        self._answered.add(total.answered, span_ms)
+
+    def _tolerated(self, now: float) -> float:
+        return TOLERATED_MISSES + (self._unrelated if now < self._unrelated_until_ms else 0.0)
+
+    def _adjust(self, now: float, span_ms: float) -> None:
+        asked, share = self.asked_per_s, self.missed_share
+        if self.budget_per_s is None:
+            # An inherited level stands for the demand below it.
+            self.budget_per_s = (
+                asked if self.level == OPEN_LEVEL else self._demand_below(self.level)
+            )
+            self._capacity = self.budget_per_s
+        self._recent = [*self._recent, self._answered.per_s][-CAPACITY_ROUNDS:]
+        self._learn_unrelated(now, share)
+        tolerated = self._tolerated(now)
+        self._rounds_since_fall += 1
+        if share > tolerated:
+            self._good_rounds = 0
+            self._fall(now, share)
+        elif self.level == OPEN_LEVEL:
+            # Without misses, more demand alone does not close the level.
+            self.budget_per_s = asked * MAX_BUDGET_FACTOR
+        elif self._rounds_since_fall > ROUNDS_AFTER_FALL:
+            related = max(share - (tolerated - TOLERATED_MISSES), 0.0)
+            self._rise(asked, related / TOLERATED_MISSES, span_ms)
+
+    def _fall(self, now: float, share: float) -> None:
+        """Lower the budget to less than what was answered, so that the queue drains."""
+        assert self.budget_per_s is not None
+        if self._before_cut is None:
+            self._before_cut = (now, self._admitted.per_s, share)
+        answered = max(self._recent)
+        if self.budget_per_s <= answered and self._rounds_since_fall <= ROUNDS_AFTER_FALL:
+            return
+        self._capacity = min(answered, self.budget_per_s)
+        self.budget_per_s = max(self._capacity * DRAIN_PART, self.budget_per_s * MAX_FALL)
+        self._rounds_since_fall = 0
+
+    def _rise(self, asked: float, part: float, span_ms: float) -> None:
+        """Raise the budget: to the capacity in large steps, beyond it in growing ones.
+
+        `part` is the missed share as part of what is tolerated.
+        """
+        assert self.budget_per_s is not None
+        if self.budget_per_s < self._capacity * STEADY_PART:
+            self.budget_per_s = min(
+                self._capacity * STEADY_PART, self.budget_per_s + asked * MAX_RESTORED_PART
+            )
+            return
+        if part > SLOW_RISE_PART:
+            self._good_rounds = 0
+        started = self._admitted.per_s - self._missed.per_s
+        if self.level < OPEN_LEVEL and self._answered.per_s < KEEPS_UP_PART * started:
+            self._good_rounds = 0
+            self._capacity = max(self._recent)
+            self.budget_per_s = min(self.budget_per_s, self._capacity * STEADY_PART)
+            return
+        self._good_rounds = min(self._good_rounds + 1, RISE_STEPS)
+        rise = asked * RISE_UNIT * self._good_rounds**3 * (1 - part)
+        self.budget_per_s += rise * span_ms / ADJUSTMENT_MS
+        self.budget_per_s = min(self.budget_per_s, asked * MAX_BUDGET_FACTOR)
+
+    def _learn_unrelated(self, now: float, share: float) -> None:
+        """Find out whether misses persist although less is admitted."""
+        if self._before_cut is None:
+            return
+        cut_at_ms, admitted, share_before = self._before_cut
+        if now - cut_at_ms < CUT_MS:
+            return
+        if share < UNRELATED_RATIO * share_before:
+            self._before_cut = None
+        elif self._admitted.per_s <= CUT_RATIO * admitted:
+            self._unrelated = min(share, MAX_UNRELATED)
+            self._unrelated_until_ms = now + UNRELATED_MS
+            self._before_cut = None
+
+    def _demand_below(self, level: int) -> float:
+        whole, part = divmod(level, BUCKET_KEYS)
+        below = sum(rate.per_s for bucket, rate in self._demand.items() if bucket < whole)
+        edge = self._demand.get(whole)
+        return below + (edge.per_s * part / BUCKET_KEYS if edge else 0.0)
+
+    def _set_level(self) -> None:
+        assert self.budget_per_s is not None
+        asked = self.asked_per_s
+        if self.budget_per_s >= asked * OPEN_FACTOR:
+            self.level = OPEN_LEVEL
+            return
+        # What the floor admits above the level is part of the budget.
+        floor_part = self.floor / POSITIONS
+        left = (self.budget_per_s - floor_part * asked) / (1 - floor_part)
+        scale = asked / max(sum(one.per_s for one in self._demand.values()), 1e-9)
+        for bucket in sorted(self._demand):
+            per_s = self._demand[bucket].per_s * scale
+            if per_s > left:
+                self.level = bucket * BUCKET_KEYS + int(BUCKET_KEYS * max(left, 0.0) / per_s)
+                return
+            left -= per_s
+        self.level = (max(self._demand, default=BUCKETS - 1) + 1) * BUCKET_KEYS
+
+    def _set_floor(self, now: float) -> None:
+        """Set the floor while a rank that is asked for has been shut out for as long as it waits."""
+        asked_ranks = {
+            bucket * BUCKET_KEYS // KEYS_PER_RANK
+            for bucket, rate in self._demand.items()
+            if rate.per_s > 0
+        }
+        shut = {rank for rank in asked_ranks if self.level <= rank * KEYS_PER_RANK}
+        self._shut_since_ms = {rank: self._shut_since_ms.get(rank, now) for rank in shut}
+        longest = max(self.patience_ms.values(), default=OPENING_MS)
+        is_starved = any(
+            now - since_ms >= self.patience_ms.get(rank, longest)
+            for rank, since_ms in self._shut_since_ms.items()
+        )
+        self.floor = FLOOR_POSITIONS if is_starved else 0
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -59,6 +59,14 @@
     slack: Annotated[float, Meta(description="Units beyond that.", ge=0.0)]
 
 
+class AdmissionSettings(StrictNode):
+    """
+    Say whether requests are admitted by their rank while capacity is scarce.
+    """
+
+    enabled: bool = True
+
+
 class RetrySettings(StrictNode):
     """
     Bound the sends to a service beyond the first of each request, over the whole fleet.
@@ -109,3 +117,10 @@
         Annotated[QuotaSettings, Meta(description="What is borne over quotas, null for nothing.")]
         | None
     ) = None
+    admission: (
+        Annotated[
+            AdmissionSettings,
+            Meta(description="Admission by level while capacity is scarce, null for the defaults."),
+        ]
+        | None
+    ) = None
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -139,48 +139,6 @@
     ]
 
 
-class Gossip(WireMessage):
-    """
-    Tell a peer about the sender, its load and some others.
-    """
-
-    sender: MemberNote
-    store_revision: Annotated[int, Meta(description="Revision of the store that the sender holds.")]
-    store_reached: Annotated[
-        bool, Meta(description="Whether the store answered the sender lately.")
-    ]
-    loads: Annotated[
-        list[LoadReadingNote],
-        Meta(
-            description="The newest that the sender holds, those of its own region alone towards others."
-        ),
-    ]
-    reads: Annotated[
-        list[PromptReadNote],
-        Meta(description="What engines have lately read, as far as it was news to the sender."),
-    ]
-    beats: Annotated[
-        list[MemberBeat], Meta(description="Heartbeats of others that the sender has heard lately.")
-    ]
-    members: Annotated[list[MemberNote], Meta(description="Other instances, for one who asked.")]
-    wants_members: Annotated[
-        bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
-    ]
-    wanted: Annotated[
-        list[int],
-        Meta(description="Keys of instances that the sender asks the receiver to describe."),
-    ] = field(default_factory=list)
-    crashes: Annotated[
-        list[CrashNote], Meta(description="Requests under which servers have ended.")
-    ] = field(default_factory=list)
-    server_limits: Annotated[
-        list[ServerLimitNote],
-        Meta(
-            description="Some of the request rate limits that the sender knows, including removed ones."
-        ),
-    ] = field(default_factory=list)
-
-
 class LoadShares(WireMessage):
     """
     Tell the instance that adds up a backend server's load what the sender puts on it.
@@ -292,6 +250,100 @@
     totals: list[QuotaTotalNote]
 
 
+class AdmissionBucketNote(WireNode):
+    """
+    Tell what was asked within one bucket of admission keys.
+    """
+
+    bucket: Annotated[int, Meta(description="Key divided by 16, 0 to 159.")]
+    cost: Annotated[
+        int, Meta(description="Credit tokens, or requests for a service without prompts.")
+    ]
+
+
+class OrganisationDemandNote(WireNode):
+    """
+    Tell what one organisation asked of a service.
+    """
+
+    key: Annotated[
+        int,
+        Meta(
+            description="Hash of the organisation's name, 32 bits; 0 for all that are not listed."
+        ),
+    ]
+    cost: int
+
+
+class AdmissionDemandNote(WireNode):
+    """
+    Tell what an instance was asked of one service in a round, and what became of it.
+    """
+
+    service: str
+    admitted: Annotated[int, Meta(description="Cost that the level admitted.")]
+    missed: Annotated[
+        int, Meta(description="Cost that was then refused for lack of capacity, or late.")
+    ]
+    demand: list[AdmissionBucketNote]
+    organisations: Annotated[
+        list[OrganisationDemandNote], Meta(description="The largest, at most 16, and the rest.")
+    ]
+    answered: Annotated[
+        int, Meta(description="Cost that got its first event or its answer, in time or late.")
+    ] = 0
+
+
+class AdmissionReport(WireMessage):
+    """
+    Tell the admission coordinator of the region what was asked of the sender in a round.
+    """
+
+    ip: str
+    incarnation: Annotated[int, Meta(description="Start of the sender's process.")]
+    sequence: Annotated[int, Meta(description="Number of the report; an overtaken one is ignored.")]
+    services: list[AdmissionDemandNote]
+
+
+class OrganisationShareNote(WireNode):
+    """
+    Tell which part of an organisation's requests is within its fair share.
+    """
+
+    key: Annotated[int, Meta(description="Hash of the organisation's name, 32 bits.")]
+    share: Annotated[int, Meta(description="In 128ths.")]
+
+
+class AdmissionLevelNote(WireNode):
+    """
+    Tell the admission level of one service in one region.
+    """
+
+    service: str
+    region: str
+    age_ms: Annotated[int, Meta(description="How long ago it was set, milliseconds.")]
+    level: Annotated[int, Meta(description="Lowest key that is not admitted, 2560 for open.")]
+    floor: Annotated[int, Meta(description="Positions below it are admitted at any level.")]
+    shares: Annotated[
+        list[OrganisationShareNote],
+        Meta(description="Organisations that ask for more than their share, at most 16."),
+    ]
+
+
+class AdmissionLevels(WireMessage):
+    """
+    Tell the levels that an admission coordinator has set.
+    """
+
+    ip: str
+    incarnation: Annotated[int, Meta(description="Start of the sender's process.")]
+    region: str
+    sequence: Annotated[
+        int, Meta(description="Number of the message; an overtaken one is ignored.")
+    ]
+    levels: list[AdmissionLevelNote]
+
+
 class StoreItemNote(WireNode):
     """
     Copy one item of the store.
@@ -321,6 +373,52 @@
     ) = None
 
 
+class Gossip(WireMessage):
+    """
+    Tell a peer about the sender, its load and some others.
+    """
+
+    sender: MemberNote
+    store_revision: Annotated[int, Meta(description="Revision of the store that the sender holds.")]
+    store_reached: Annotated[
+        bool, Meta(description="Whether the store answered the sender lately.")
+    ]
+    loads: Annotated[
+        list[LoadReadingNote],
+        Meta(
+            description="The newest that the sender holds, those of its own region alone towards others."
+        ),
+    ]
+    reads: Annotated[
+        list[PromptReadNote],
+        Meta(description="What engines have lately read, as far as it was news to the sender."),
+    ]
+    beats: Annotated[
+        list[MemberBeat], Meta(description="Heartbeats of others that the sender has heard lately.")
+    ]
+    members: Annotated[list[MemberNote], Meta(description="Other instances, for one who asked.")]
+    wants_members: Annotated[
+        bool, Meta(description="Whether the sender asks for all members that the receiver knows.")
+    ]
+    wanted: Annotated[
+        list[int],
+        Meta(description="Keys of instances that the sender asks the receiver to describe."),
+    ] = field(default_factory=list)
+    crashes: Annotated[
+        list[CrashNote], Meta(description="Requests under which servers have ended.")
+    ] = field(default_factory=list)
+    server_limits: Annotated[
+        list[ServerLimitNote],
+        Meta(
+            description="Some of the request rate limits that the sender knows, including removed ones."
+        ),
+    ] = field(default_factory=list)
+    levels: Annotated[
+        list[AdmissionLevelNote],
+        Meta(description="Admission levels that are not open, or opened lately."),
+    ] = field(default_factory=list)
+
+
 class GossipSchema(WireMessage):
     """
     List what instances tell each other in datagrams and in copies of the store.
@@ -334,4 +432,6 @@
     quota_report: QuotaReport
     quota_word: QuotaWord
     quota_totals: QuotaTotals
+    admission_report: AdmissionReport
+    admission_levels: AdmissionLevels
     store_copy: StoreCopy
