Admit requests by the level of their service and region

Cause: instances with different views refuse an urgent request in one place and accept a less urgent one in another, and a refused request costs as much processor time as a served one.

Change: AdmissionExchange reports demand to the admission coordinator of a region and spreads the levels; AdmissionGate compares the key of a request before its quota is charged and before a server is evaluated. A request that its own region refuses goes to regions that admit it; an instance that gets a relayed request compares the key that `sparline-admission-key` carries. Late first events are counted as they happen, misses of requests that a higher level had admitted are left out. Levels carry the time of day of their coordinator, because a relayed age leaves out the time on the way and an old level would be renewed by each instance that relays it (seen in a test of a cut).

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -19,6 +19,8 @@
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId, RegionName, RequestId, ZoneName
 from sparline.fleet import (
+    NO_ADMISSION,
+    AdmissionExchange,
     BackendServer,
     CrashExchange,
     Datagram,
@@ -214,6 +216,7 @@
             QuotaExchange(
                 self.members, QuotaLimiter(NO_TOLERANCE, random.Random(ip)), lambda _key: None
             ),
+            AdmissionExchange(self.members, NO_ADMISSION),
             GossipSources(
                 recent_prefix_uses=self._cache.recent_prefix_uses,
                 merge_prefix_uses=self._cache.merge_prefix_uses,
--- a/sparline/_metrics_registry.py
+++ b/sparline/_metrics_registry.py
@@ -26,5 +26,5 @@
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(f"sparline_{name}", text, labels, registry=self.registry)
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"sparline_{name}", text, registry=self.registry)
+    def _gauge(self, name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
+        return Gauge(f"sparline_{name}", text, labels, registry=self.registry)
--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -3,8 +3,16 @@
 Nothing here reads a clock, a socket or a table; the caller passes the facts and the time in.
 """
 
-from sparline.decisions._admission import AdmissionFacts, RefusalReason, refusal_reason
+from sparline.decisions._admission import (
+    LONG_PREFILL_RATIO,
+    AdmissionFacts,
+    RefusalReason,
+    refusal_reason,
+)
 from sparline.decisions._admission_level import (
+    ADJUSTMENT_MS,
+    BUCKET_KEYS,
+    DEMAND_SMOOTHING_MS,
     FLOOR_POSITIONS,
     KEYS_PER_RANK,
     MAX_RANK,
@@ -13,6 +21,7 @@
     POSITIONS,
     LevelController,
     RoundReport,
+    SmoothedRate,
     admission_key,
     is_admitted,
     is_telling,
@@ -26,14 +35,19 @@
 )
 
 __all__ = [
+    "ADJUSTMENT_MS",
+    "BUCKET_KEYS",
+    "DEMAND_SMOOTHING_MS",
     "FLOOR_POSITIONS",
     "KEYS_PER_RANK",
+    "LONG_PREFILL_RATIO",
     "MAX_RANK",
     "OPENING_MS",
     "OPEN_LEVEL",
     "POSITIONS",
     "LevelController",
     "RoundReport",
+    "SmoothedRate",
     "admission_key",
     "is_admitted",
     "is_telling",
--- a/sparline/decisions/_admission_level.py
+++ b/sparline/decisions/_admission_level.py
@@ -123,21 +123,24 @@
     answered: float  # cost of what got its first event or its answer, in time or late
 
 
-class _Rate:
+class SmoothedRate:
     """Smooth a rate; the first values count fully, without a start from zero."""
 
     def __init__(self, smoothing_ms: float) -> None:
+        """Forget costs with a time constant (ms)."""
         self._smoothing_ms = smoothing_ms
         self._cost = 0.0
         self._span_ms = 0.0
 
     def add(self, cost: float, span_ms: float) -> None:
+        """Add the cost of a span of time."""
         keep = max(1 - span_ms / self._smoothing_ms, 0.0)
         self._cost = self._cost * keep + cost
         self._span_ms = self._span_ms * keep + span_ms
 
     @property
     def per_s(self) -> float:
+        """Return the smoothed cost per second."""
         return 1_000 * self._cost / self._span_ms if self._span_ms else 0.0
 
 
@@ -153,11 +156,11 @@
         self.budget_per_s: float | None = None  # None until demand is known
         self.quiet_rounds = 0  # rounds in which the level was open and nothing was missed
         self.patience_ms = patience_ms
-        self._demand: dict[int, _Rate] = {}
-        self._admitted = _Rate(RATE_SMOOTHING_MS)
-        self._missed = _Rate(RATE_SMOOTHING_MS)
-        self._answered = _Rate(RATE_SMOOTHING_MS)
-        self._asked = _Rate(RATE_SMOOTHING_MS)
+        self._demand: dict[int, SmoothedRate] = {}
+        self._admitted = SmoothedRate(RATE_SMOOTHING_MS)
+        self._missed = SmoothedRate(RATE_SMOOTHING_MS)
+        self._answered = SmoothedRate(RATE_SMOOTHING_MS)
+        self._asked = SmoothedRate(RATE_SMOOTHING_MS)
         self._recent: list[float] = []  # answered per second, in the last rounds
         self._capacity = 0.0  # estimate of the cost per second that servers can answer
         self._sum: dict[int, float] = {}
@@ -216,7 +219,7 @@
 
     def _measure(self, total: RoundReport, span_ms: float) -> None:
         for bucket in total.demand:
-            self._demand.setdefault(bucket, _Rate(DEMAND_SMOOTHING_MS))
+            self._demand.setdefault(bucket, SmoothedRate(DEMAND_SMOOTHING_MS))
         for bucket, rate in self._demand.items():
             rate.add(total.demand.get(bucket, 0.0), span_ms)
         self._asked.add(sum(total.demand.values()), span_ms)
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -1,5 +1,8 @@
 """Fleet state: peer instances learned by gossip; servers and configuration read from the store."""
 
+from sparline.fleet._admission_coordinator import NO_ADMISSION, AdmissionSources, LevelChange
+from sparline.fleet._admission_exchange import AdmissionExchange
+from sparline.fleet._admission_table import LevelInForce, ServiceRanks
 from sparline.fleet._backend_servers import (
     BackendServer,
     BackendServerItem,
@@ -28,7 +31,10 @@
 from sparline.fleet._store_watchers import WATCHERS_PER_ZONE, is_store_watcher
 
 __all__ = [
+    "NO_ADMISSION",
     "WATCHERS_PER_ZONE",
+    "AdmissionExchange",
+    "AdmissionSources",
     "BackendServer",
     "BackendServerItem",
     "BadItem",
@@ -42,12 +48,15 @@
     "ServerLoadTable",
     "LoadExchange",
     "ServerLoad",
+    "LevelChange",
+    "LevelInForce",
     "LoadReading",
     "LoadSources",
     "Member",
     "Members",
     "LoadDatagram",
     "QuotaExchange",
+    "ServiceRanks",
     "StoreAnswer",
     "StoreChange",
     "StoreClient",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -15,12 +15,15 @@
 from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline._logging import log
+from sparline.fleet._admission_exchange import AdmissionDatagram, AdmissionExchange
 from sparline.fleet._crash_exchange import CrashExchange
 from sparline.fleet._load_exchange import LoadDatagram, LoadExchange
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
 from sparline.quarantine import CrashChange
 from sparline.schema._gossip import (
+    AdmissionLevels,
+    AdmissionReport,
     CrashNews,
     Gossip,
     LoadNews,
@@ -74,7 +77,16 @@
 Item = TypeVar("Item")
 # Messages that instances send each other in datagrams.
 Datagram = (
-    Gossip | LoadShares | LoadNews | LoadWord | CrashNews | QuotaReport | QuotaWord | QuotaTotals
+    Gossip
+    | LoadShares
+    | LoadNews
+    | LoadWord
+    | CrashNews
+    | QuotaReport
+    | QuotaWord
+    | QuotaTotals
+    | AdmissionReport
+    | AdmissionLevels
 )
 
 
@@ -103,6 +115,7 @@
         loads: LoadExchange,
         crashes: CrashExchange,
         quotas: QuotaExchange,
+        admission: AdmissionExchange,
         sources: GossipSources,
     ) -> None:
         """Bind the port, the same on all instances; `seeds` are the initial peer addresses."""
@@ -112,6 +125,7 @@
         self._loads = loads
         self._crashes = crashes
         self._quotas = quotas
+        self._admission = admission
         self._sources = sources
         self._round = 0
         self._rng = random.Random()
@@ -149,6 +163,8 @@
                 self._loads.take_readings([message.reading])
             case QuotaReport() | QuotaWord() | QuotaTotals():
                 self.send_immediately(self._quotas.take(message))
+            case AdmissionReport() | AdmissionLevels():
+                self.send_immediately(self._admission.take(message))
             case Gossip():
                 self._handle_gossip(message)
 
@@ -158,6 +174,7 @@
         self._loads.take_readings(gossip.loads)
         self._sources.take_server_limits(gossip.server_limits)
         self._crashes.take(gossip.crashes)
+        self._admission.take_notes(gossip.levels)
         self._reply(gossip, is_new)
 
     def _handle_crash_news(self, message: CrashNews) -> None:
@@ -219,7 +236,7 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
         siblings, remote, silent = self._peers()
-        for one in (*self._loads.round(), *self._quotas.round()):
+        for one in (*self._loads.round(), *self._quotas.round(), *self._admission.round()):
             self._send(one.peers, one.message)
         round_siblings = self._siblings_for_round(siblings)
         if round_siblings:
@@ -267,8 +284,10 @@
         remote = [self._rng.choice(ips) for ips in self._ips_by_other_region()]
         self._send(remote, self._gossip_message(False))
 
-    def send_immediately(self, outgoing: Iterable[LoadDatagram | QuotaDatagram]) -> None:
-        """Send load or quota datagrams immediately."""
+    def send_immediately(
+        self, outgoing: Iterable[LoadDatagram | QuotaDatagram | AdmissionDatagram]
+    ) -> None:
+        """Send load, quota or admission datagrams immediately."""
         for one in outgoing:
             self._send(self._limit_randomly(one.peers, MAX_BROADCAST_PEERS), one.message)
 
@@ -376,6 +395,7 @@
             wanted=wanted or [],
             crashes=self._crashes.notes_for(same_region, is_new),
             server_limits=self._sources.server_limits(),
+            levels=self._admission.notes(),
         )
 
     def _heartbeats(self, same_region: bool) -> list[MemberBeat]:
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -4,6 +4,8 @@
 import pytest
 
 from sparline.fleet import (
+    NO_ADMISSION,
+    AdmissionExchange,
     CrashExchange,
     GossipPort,
     GossipSources,
@@ -49,7 +51,14 @@
     own = MemberNote("127.0.3.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
     members = Members(own)
     one = GossipPort(
-        0, SEEDS, members, LoadExchange(members, LOADS), CRASHES, no_quotas(members), SOURCES
+        0,
+        SEEDS,
+        members,
+        LoadExchange(members, LOADS),
+        CRASHES,
+        no_quotas(members),
+        AdmissionExchange(members, NO_ADMISSION),
+        SOURCES,
     )
     one.sent = []
     monkeypatch.setattr(one, "_send", lambda peers, message: one.sent.append((peers, message)))
@@ -127,7 +136,14 @@
     own = MemberNote("127.0.0.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
     members = Members(own)
     port = GossipPort(
-        0, [], members, LoadExchange(members, LOADS), CRASHES, no_quotas(members), SOURCES
+        0,
+        [],
+        members,
+        LoadExchange(members, LOADS),
+        CRASHES,
+        no_quotas(members),
+        AdmissionExchange(members, NO_ADMISSION),
+        SOURCES,
     )
     faults: list[int] = []
     monkeypatch.setattr(_gossip.log, "debug", lambda *_args: note_fault(faults))
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -328,7 +328,7 @@
             self._progress.failed_answer = (answer, bytes(body))
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(elapsed_ms)
-        self._progress.first_at_ms = now_ms()
+        self._note_first(now_ms())
         self._caller.answer(answer.status, end_to_end(answer.headers), bytes(body))
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
@@ -385,4 +385,8 @@
             self._progress.longest_pause_ms = max(self._progress.longest_pause_ms, pause_ms)
         self._progress.last_event_at_ms = now
         if self._progress.first_at_ms is None:
-            self._progress.first_at_ms = now
+            self._note_first(now)
+
+    def _note_first(self, now: float) -> None:
+        self._progress.first_at_ms = now
+        self._dependencies.note_first(self._request, self._placement, self._progress)
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -8,7 +8,13 @@
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import Wire
 from sparline.http import ConnectionPool, HttpAnswer
-from sparline.placement import HealthTable, PaceTable, ServerLimitTable, WatchTables
+from sparline.placement import (
+    HealthTable,
+    PaceTable,
+    Placement,
+    ServerLimitTable,
+    WatchTables,
+)
 from sparline.quarantine import ServerEndDetector
 from sparline.requests import Reason, RoutedRequest
 
@@ -84,3 +90,6 @@
     note_round_trip: Callable[[RegionName, float], None]  # records a connection's opening time
     ends: ServerEndDetector  # detects whether servers have exited
     has_ended: Callable[[BackendServerId], bool]  # whether that incarnation has exited
+    note_first: Callable[
+        [RoutedRequest, Placement, Progress], None
+    ]  # records the first event or response
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -147,7 +147,12 @@
             if is_suspect:
                 self._sends_left = min(self._sends_left, MAX_SUSPECT_SENDS)
             selected = self._dependencies.chooser.choose(
-                self._request, self._excluded(), self._progress.began, is_suspect
+                self._request,
+                self._excluded(),
+                self._progress.began,
+                is_suspect,
+                # A stream that has begun is never refused by the admission level.
+                frozenset() if self._progress.began else self._request.closed_regions,
             )
             if isinstance(selected, Refusal):
                 self.refusal = selected
--- /dev/null
+++ b/sparline/gateway/_admission.py
@@ -0,0 +1,344 @@
+"""Admission level at an instance: whether a request is admitted, and what became of it."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from sparline._clock import now_ms
+from sparline._hashing import hash_parts
+from sparline._ids import RegionName
+from sparline._logging import log
+from sparline.decisions import (
+    KEYS_PER_RANK,
+    LONG_PREFILL_RATIO,
+    MAX_RANK,
+    POSITIONS,
+    admission_key,
+    is_admitted,
+    is_telling,
+    level_retry_after_ms,
+)
+from sparline.fleet import (
+    AdmissionExchange,
+    AdmissionSources,
+    FleetState,
+    LevelChange,
+    LevelInForce,
+    ServiceRanks,
+)
+from sparline.forwarding import Progress, RequestEnd
+from sparline.gateway._log_output import LineBudget
+from sparline.gateway._metrics import GatewayMetrics
+from sparline.http import HttpRequest
+from sparline.placement import Placement, credit_of
+from sparline.platform import RequestMarks
+from sparline.quotas import quota_key
+from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
+from sparline.routes import Configuration, Route, ServiceName
+
+# Period after which the same content has another position (s), so that it is not refused for ever.
+PERIOD_S = 10.0
+# Log lines per second and instance.
+REFUSAL_LINES_PER_S = 20.0
+CHANGE_LINES_PER_S = 10.0
+# How long the regions with servers of a service are remembered (ms).
+REGIONS_TTL_MS = 250.0
+# Ends without an answer that show a lack of capacity.
+MISS_REASONS = frozenset(
+    (
+        Reason.DEADLINE_UNREACHABLE,
+        Reason.PEER_NO_ROOM,
+        Reason.BACKEND_REFUSED,
+        Reason.PEER_NOT_RUN,
+    )
+)
+# Ends by time; they show a lack of capacity only if no server failed the request before.
+TIMEOUT_REASONS = frozenset((Reason.DEADLINE_PASSED, Reason.ROUTE_TIMEOUT))
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold what is known of a request before it is admitted."""
+
+    http: HttpRequest  # as it was received
+    marks: RequestMarks  # what its head says
+    route: Route  # route that matches it
+    service: ServiceName  # service of the route that handles it
+    caller: KnownCaller | None  # authenticated caller, if any
+    left_ms: float  # time until the deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Say under which conditions a request is admitted."""
+
+    key: int | None = None  # None where no level applies
+    level: int | None = None  # level of the own region that admitted it, None if only others do
+    closed_regions: frozenset[RegionName] = frozenset()  # regions whose level refuses it
+
+
+NOT_SUBJECT = Admitted()
+
+
+@dataclass(frozen=True, slots=True)
+class NotAdmitted:
+    """Say that all allowed regions refuse a request."""
+
+    retry_after_ms: float
+
+
+class RankTable:
+    """Finds the services to which levels apply, and their ranks, in the current configuration."""
+
+    def __init__(self, fleet: FleetState, enabled: bool) -> None:
+        """Look into the configuration that a fleet holds."""
+        self._fleet = fleet
+        self._enabled = enabled
+        self._configuration: Configuration | None = None
+        self._ranks: dict[ServiceName, ServiceRanks] = {}
+        self._weights: dict[int, float] = {}
+
+    def _refresh(self) -> None:
+        configuration = self._fleet.configuration
+        if configuration is self._configuration or not self._enabled:
+            return
+        self._configuration = configuration
+        self._ranks = _ranks(configuration) if configuration else {}
+        self._weights = _weights(configuration) if configuration else {}
+
+    def ranks_of(self, service: ServiceName) -> ServiceRanks | None:
+        """Return the ranks of a service, None if no level applies to it."""
+        self._refresh()
+        return self._ranks.get(service)
+
+    def services(self) -> list[ServiceName]:
+        """Return the services to which levels apply."""
+        self._refresh()
+        return list(self._ranks)
+
+    def weights(self) -> Mapping[int, float]:
+        """Return the weight of each organisation by its key."""
+        self._refresh()
+        return self._weights
+
+
+def _ranks(configuration: Configuration) -> dict[ServiceName, ServiceRanks]:
+    known = configuration.organisations
+    organisations = known.by_id.values() if known else ()
+    is_shared = any(one.priority is not None or one.quota is not None for one in organisations)
+    own_ranks = {min(one.priority, MAX_RANK) for one in organisations if one.priority is not None}
+    patience_ms: dict[ServiceName, dict[int, float]] = {}
+    for route in configuration.routes:
+        for share in route.shares:
+            of_service = patience_ms.setdefault(share.service, {})
+            # Requests of an organisation with a priority have that rank on every route.
+            for rank in {min(route.priority, MAX_RANK), *own_ranks}:
+                of_service[rank] = max(of_service.get(rank, 0.0), route.timeout_ms)
+    return {
+        service: ServiceRanks(max(by_rank) + 1, by_rank)
+        for service, by_rank in patience_ms.items()
+        if len(by_rank) > 1 or is_shared
+    }
+
+
+def _weights(configuration: Configuration) -> dict[int, float]:
+    known = configuration.organisations
+    if known is None:
+        return {}
+    quotas = [one.quota for one in known.by_id.values()]
+    all_have_quotas = all(quota is not None for quota in quotas)
+    return {
+        quota_key(one.id): one.quota.per_s if one.quota and all_have_quotas else 1.0
+        for one in known.by_id.values()
+    }
+
+
+class AdmissionGate:
+    """Compares requests with levels, and counts what was asked, admitted, missed and answered."""
+
+    def __init__(
+        self,
+        region: RegionName,
+        fleet: FleetState,
+        ranks: RankTable,
+        exchange: AdmissionExchange,
+        metrics: GatewayMetrics,
+        time_s: Callable[[], float] = time.time,
+    ) -> None:
+        """Admit requests to an instance; `time_s` returns the time of day, alike on all."""
+        self._region = region
+        self._fleet = fleet
+        self._ranks = ranks
+        self._exchange = exchange
+        self._metrics = metrics
+        self._time_s = time_s
+        self._lines = LineBudget(REFUSAL_LINES_PER_S)
+        self._regions: dict[ServiceName, tuple[float, frozenset[RegionName]]] = {}
+
+    def admit(self, arrival: Arrival, origin: Origin) -> Admitted | NotAdmitted:
+        """Decide whether a request is admitted, and by which regions."""
+        ranks = self._ranks.ranks_of(arrival.service)
+        relayed_key = arrival.marks.admission_key if origin is Origin.RELAY else None
+        if ranks is None or (origin is Origin.RELAY and relayed_key is None):
+            return NOT_SUBJECT
+        level = self._exchange.level(arrival.service, self._region)
+        key = self._key(arrival, level) if relayed_key is None else relayed_key
+        cost = _cost(arrival.marks.prompt)
+        caller = arrival.caller
+        organisation = quota_key(caller.organisation.id) if caller else 0
+        self._exchange.note_asked(arrival.service, key, cost, organisation)
+        is_own_open = is_admitted(key, level.level, level.floor)
+        if origin is Origin.RELAY:
+            if is_own_open:
+                self._exchange.note_admitted(arrival.service, cost)
+                return Admitted(key, level.level)
+            return self._refuse(arrival, key, level, ranks)
+        closed = self._closed_regions(arrival, key, is_own_open)
+        if is_own_open:
+            self._exchange.note_admitted(arrival.service, cost)
+            return Admitted(key, level.level, closed)
+        if self._is_admitted_elsewhere(arrival, closed):
+            return Admitted(key, None, closed)
+        return self._refuse(arrival, key, level, ranks)
+
+    def _key(self, arrival: Arrival, level: LevelInForce) -> int:
+        caller = arrival.caller
+        content = hash_parts((arrival.marks.key.digest or b"", *_content(arrival.http)))
+        # The periods of different contents begin at different times.
+        period = int(self._time_s() / PERIOD_S + (content >> 32) / 2**32)
+        position = hash_parts((content.to_bytes(8, "big"), period.to_bytes(8, "big"))) % POSITIONS
+        step = 0
+        rank = arrival.route.priority
+        if caller is not None:
+            own = caller.organisation.priority
+            rank = rank if own is None else own
+            if level.shares:
+                share = level.shares.get(quota_key(caller.organisation.id), POSITIONS)
+                step = int(position >= share)
+        return admission_key(rank, step, position)
+
+    def _closed_regions(
+        self, arrival: Arrival, key: int, is_own_open: bool
+    ) -> frozenset[RegionName]:
+        closed = [] if is_own_open else [self._region]
+        for region in self._exchange.regions_with_levels(arrival.service):
+            if region != self._region:
+                level = self._exchange.level(arrival.service, region)
+                if not is_admitted(key, level.level, level.floor):
+                    closed.append(region)
+        return frozenset(closed)
+
+    def _is_admitted_elsewhere(self, arrival: Arrival, closed: frozenset[RegionName]) -> bool:
+        now = now_ms()
+        at_ms, regions = self._regions.get(arrival.service, (0.0, frozenset()))
+        if now - at_ms > REGIONS_TTL_MS or not at_ms:
+            servers = self._fleet.by_service.get(arrival.service, [])
+            regions = frozenset(one.region for one in servers if not one.leaving)
+            self._regions[arrival.service] = (now, regions)
+        caller = arrival.caller
+        return any(
+            region not in closed
+            and arrival.route.allows(region)
+            and (caller is None or caller.organisation.allows(region))
+            for region in regions
+        )
+
+    def _refuse(
+        self, arrival: Arrival, key: int, level: LevelInForce, ranks: ServiceRanks
+    ) -> NotAdmitted:
+        rank = key // KEYS_PER_RANK
+        self._metrics.admission_refusals.labels(arrival.service, rank).inc()
+        wait_ms = level_retry_after_ms(
+            key, level.level, ranks.count, arrival.left_ms, level.is_rising
+        )
+        if self._lines.take():
+            log.bind(
+                request_id=arrival.marks.request_id,
+                status=503,
+                reason=Reason.ADMISSION_LEVEL.value,
+                service=arrival.service,
+                rank=rank,
+                key=key,
+                level=level.level,
+                region=self._region,
+                level_age_ms=round(level.age_ms),
+                retry_after_ms=round(wait_ms),
+            ).info("request_rejected")
+        return NotAdmitted(wait_ms)
+
+    def note_first(self, request: RoutedRequest, placement: Placement, progress: Progress) -> None:
+        """Count the first event or answer of a request, and whether it is late."""
+        if request.admission_level is None or progress.first_at_ms is None:
+            return
+        self._exchange.note_answered(request.service, _cost(request.prompt))
+        target_ms = request.route.wanted_latency_ms
+        first_ms = progress.first_at_ms - request.arrived_at_ms
+        if progress.may_have_run or target_ms <= 0:
+            # Late because a server failed, not for lack of capacity.
+            return
+        if placement.prefill_ms > LONG_PREFILL_RATIO * target_ms:
+            # As in admission by estimate, a long prompt is judged by its wait before prefill.
+            first_ms -= placement.prefill_ms
+        if first_ms > target_ms:
+            self._note_missed(request)
+
+    def note_end(self, request: RoutedRequest, end: RequestEnd) -> None:
+        """Count a request that was admitted and not answered for lack of capacity."""
+        if request.admission_level is None or end.progress.first_at_ms is not None:
+            return
+        reason = end.reason
+        if reason is Reason.RETRY_BUDGET and not end.progress.runs():
+            # No retry was left after servers had turned it away.
+            reason = Reason.BACKEND_REFUSED
+        if reason in MISS_REASONS or (reason in TIMEOUT_REASONS and not end.progress.may_have_run):
+            self._note_missed(request)
+
+    def _note_missed(self, request: RoutedRequest) -> None:
+        assert request.admission_level is not None and request.admission_key is not None
+        rank = request.admission_key // KEYS_PER_RANK
+        self._metrics.admission_missed.labels(request.service, rank).inc()
+        level = self._exchange.level(request.service, self._region)
+        if is_telling(request.admission_level, level.level):
+            self._exchange.note_missed(request.service, _cost(request.prompt))
+
+    def update_metrics(self) -> None:
+        """Set the gauges to the levels in force."""
+        for service in self._ranks.services():
+            level = self._exchange.level(service, self._region).level
+            self._metrics.admission_level.labels(service).set(level)
+
+
+def _content(http: HttpRequest) -> tuple[bytes, bytes, bytes]:
+    return (http.method, http.target, bytes(http.body))
+
+
+def _cost(prompt: Prompt | None) -> int:
+    return credit_of(prompt) if prompt else 1
+
+
+def make_admission_sources(
+    fleet: FleetState, ranks: RankTable, fair_shares: Callable[..., dict[int, float]]
+) -> AdmissionSources:
+    """Return what the exchange of levels needs of an instance."""
+    lines = LineBudget(CHANGE_LINES_PER_S)
+
+    def note_change(change: LevelChange) -> None:
+        if lines.take():
+            log.bind(
+                service=change.service,
+                level=change.level,
+                before=change.before,
+                budget_per_s=round(change.budget_per_s),
+                asked_per_s=round(change.asked_per_s),
+                missed_share=round(change.missed_share, 3),
+            ).info("admission_level_changed")
+
+    regions = frozenset(fleet.zones.values())
+    return AdmissionSources(
+        ranks_of=ranks.ranks_of,
+        services=ranks.services,
+        regions=lambda: regions,
+        weights=ranks.weights,
+        fair_shares=fair_shares,
+        note_change=note_change,
+    )
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from sparline._wsgi import Environ, StartResponse, make_server
 from sparline.fleet import (
     WATCHERS_PER_ZONE,
+    AdmissionExchange,
     BackendServer,
     CrashExchange,
     FleetState,
@@ -40,6 +41,7 @@
     RetryWindow,
     may_send_elsewhere,
 )
+from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
 from sparline.gateway._directory import Directory
 from sparline.gateway._leave_plan import NEEDED_UNTIL, LeavePlan
 from sparline.gateway._metrics import GatewayMetrics
@@ -156,6 +158,13 @@
             QuotaTerms(self.fleet, bounds).of,
         )
         self.quotas = Quotas(self.quota_exchange, lambda: self.gossip, self.metrics)
+        ranks = RankTable(self.fleet, settings.admission is None or settings.admission.enabled)
+        # Without part B there are no fair shares.
+        sources = make_admission_sources(self.fleet, ranks, lambda _asked, _weights, _budget: {})
+        self.admission_exchange = AdmissionExchange(self.members, sources)
+        self.admission = AdmissionGate(
+            region, self.fleet, ranks, self.admission_exchange, self.metrics
+        )
         self.service = Service(
             self.fleet,
             self.copy,
@@ -164,6 +173,7 @@
             self._store_fault_ago_ms,
             self._may_be_behind,
             self.quotas,
+            self.admission,
         )
         self.service.use(self._forwarder(refusal_headers), self._forwarder(relayed_refusal_headers))
         gossip_port = split_address(settings.listen.gossip)[1]
@@ -174,6 +184,7 @@
             self.load_exchange,
             CrashExchange(self.crashes),
             self.quota_exchange,
+            self.admission_exchange,
             GossipSources(
                 self.cache.recent_prefix_uses,
                 self.cache.merge_prefix_uses,
@@ -265,6 +276,7 @@
             note_round_trip=self.peers.note_round_trip,
             ends=self.ends,
             has_ended=self._ended_starts.__contains__,
+            note_first=self.admission.note_first,
         )
         return Forwarder(
             ForwarderDependencies(
@@ -362,6 +374,7 @@
 
     def _metrics_app(self, _environ: Environ, start_response: StartResponse) -> list[bytes]:
         self.metrics.in_flight.set(self.service.in_flight)
+        self.admission.update_metrics()
         self.metrics.quotas_kept.set(len(self.quota_exchange.quota_coordinator))
         self.metrics.quarantined.set(self.crashes.quarantined())
         self.metrics.limited_servers.set(self.server_limits.limited_count())
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -19,6 +19,17 @@
         self.quota_refusals = self._counter(
             "quota_refusals", "Requests over their organisation's quota.", ("organisation",)
         )
+        self.admission_level = self._gauge(
+            "admission_level", "Lowest admission key that is refused, 2560 for none.", ("service",)
+        )
+        self.admission_refusals = self._counter(
+            "admission_refusals", "Requests refused by the admission level.", ("service", "rank")
+        )
+        self.admission_missed = self._counter(
+            "admission_missed",
+            "Admitted requests refused for lack of capacity, or late.",
+            ("service", "rank"),
+        )
         self.quotas_kept = self._gauge("quotas_kept", "Quotas whose account is kept here.")
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
         self.breaks = self._counter("answers_broken", "Answers that broke off.", ("reason",))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -118,9 +118,13 @@
                 age_ms=round(now_ms() - limit.at_ms),
             ).info("server_limit_changed")
 
+    def count_rejected(self, reason: Reason) -> None:
+        """Count a request that was answered before it was routed and is logged elsewhere."""
+        self._metrics.refusals.labels(reason.value).inc()
+
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
         """Note a request that was answered before it was routed."""
-        self._metrics.refusals.labels(reason.value).inc()
+        self.count_rejected(reason)
         if self._other.take():
             log.bind(request_id=request_id, status=status, reason=reason.value, text=text).info(
                 "request_rejected"
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -14,6 +14,7 @@
 from sparline.decisions import unserved_retry_after_ms
 from sparline.fleet import FleetState, StoreCopyTable
 from sparline.forwarding import Forwarder, OwnAnswer
+from sparline.gateway._admission import AdmissionGate, Admitted, Arrival, NotAdmitted
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._quotas import Quotas
 from sparline.gateway._request_log import RequestLog
@@ -77,6 +78,7 @@
         disturbed_ago_ms: Callable[[], float | None],
         may_be_behind: Callable[[], bool],
         quotas: Quotas,
+        admission: AdmissionGate,
     ) -> None:
         """Serve from what is in force.
 
@@ -92,6 +94,7 @@
         self._disturbed_ago_ms = disturbed_ago_ms
         self._may_be_behind = may_be_behind
         self._quotas = quotas
+        self._admission = admission
         self._open: set[CallerConnection] = set()
 
     def use(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
@@ -156,6 +159,7 @@
             self.in_flight -= 1
         if origin is Origin.CALLER:
             self._quotas.settle(routed, end.progress.runs())
+        self._admission.note_end(routed, end)
         version = self._fleet.configuration.version if self._fleet.configuration else 0
         self._log.note_end(routed, end, version)
 
@@ -192,15 +196,26 @@
         if not self._has_time(route, service, marks):
             self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_MS)
             return None
+        limit_ms = route.timeout_ms
+        if marks.deadline_ms is not None:
+            limit_ms = min(limit_ms, marks.deadline_ms)
+        resume_after = marks.resume_after if route.resumable else None
+        admitted = Admitted()
+        if resume_after is None:
+            # A stream that has begun is never refused by the level.
+            decision = self._admission.admit(
+                Arrival(http, marks, route, service, known, limit_ms), origin
+            )
+            if isinstance(decision, NotAdmitted):
+                self._answer_not_admitted(caller, origin, decision)
+                return None
+            admitted = decision
         wait_ms = None
         if origin is Origin.CALLER:
             wait_ms = self._quotas.admit(request_id, known, marks.prompt)
         if wait_ms is not None:
             self._refuse(caller, request_id, origin, Reason.LIMIT, wait_ms)
             return None
-        limit_ms = route.timeout_ms
-        if marks.deadline_ms is not None:
-            limit_ms = min(limit_ms, marks.deadline_ms)
         return RoutedRequest(
             request_id=request_id,
             route=route,
@@ -210,12 +225,25 @@
             headers=headers_to_pass(http, shows_key=configuration.organisations is not None),
             body=bytes(http.body),
             prompt=marks.prompt,
-            resume_after=marks.resume_after if route.resumable else None,
+            resume_after=resume_after,
             deadline_at_ms=now_ms() + limit_ms,
             origin=origin,
             caller=known,
+            admission_key=admitted.key,
+            admission_level=admitted.level,
+            closed_regions=admitted.closed_regions,
         )
 
+    def _answer_not_admitted(
+        self, caller: CallerConnection, origin: Origin, decision: NotAdmitted
+    ) -> None:
+        """Refuse a request that no allowed region admits; the gate has logged it."""
+        headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
+        # An instance that relayed it need not ask another one of this region.
+        answer = OwnAnswer(False, decision.retry_after_ms, is_region_full=True)
+        caller.answer(503, headers(answer), b"")
+        self._log.count_rejected(Reason.ADMISSION_LEVEL)
+
     def _whose(
         self, configuration: Configuration, route: Route, marks: RequestMarks, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -2,7 +2,7 @@
 
 from sparline.placement._choice import Chooser
 from sparline.placement._cold_shares import ColdRequest, ColdShares
-from sparline.placement._credit import CreditTable
+from sparline.placement._credit import CreditTable, credit_of
 from sparline.placement._demand import DemandTable
 from sparline.placement._health import HealthTable
 from sparline.placement._limit_shares import ServerLimitShares
@@ -39,5 +39,6 @@
     "ServerLimitTable",
     "StreamWatch",
     "WatchTables",
+    "credit_of",
     "prefix_owner",
 ]
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -5,7 +5,7 @@
 from statistics import median_low
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId
+from sparline._ids import BackendServerId, RegionName
 from sparline.decisions import (
     AdmissionFacts,
     RefusalFacts,
@@ -53,12 +53,14 @@
         excluded: frozenset[BackendServerId],
         has_begun: bool = False,
         prefer_few_running: bool = False,
+        closed_regions: frozenset[RegionName] = frozenset(),
     ) -> Placement | Refusal:
         """Return the placement with the lowest loss.
 
         `excluded` are servers that were tried already; `has_begun` says that the caller has
         received part of the answer; `prefer_few_running` selects the server with the fewest running
-        requests, because this request may crash it.
+        requests, because this request may crash it. Servers of `closed_regions` are not
+        evaluated, because the admission level of these regions refuses the request.
         """
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
@@ -66,12 +68,14 @@
         all_servers = self._tables.fleet.by_service.get(request.service, [])
         shortlisted = self._shortlist.of(request, all_servers)
         has_begun = has_begun or request.resume_after is not None
-        servers = self._eligible_servers(request, service, shortlisted, excluded)
+        servers = self._eligible_servers(request, service, shortlisted, excluded, closed_regions)
         if not has_begun:
             servers = self._without_full(request, servers)
         if not servers and len(shortlisted) < len(all_servers):
             # No server on the shortlist may be used: consider all of them.
-            servers = self._eligible_servers(request, service, all_servers, excluded)
+            servers = self._eligible_servers(
+                request, service, all_servers, excluded, closed_regions
+            )
         if not servers:
             wait_ms = unserved_retry_after_ms(
                 request.left_ms(), self._shortest_backoff_ms(request, all_servers)
@@ -124,6 +128,7 @@
         service: Service,
         shortlisted: Sequence[BackendServer],
         excluded: frozenset[BackendServerId],
+        closed_regions: frozenset[RegionName],
     ) -> list[BackendServer]:
         fleet = self._tables.fleet
         found = []
@@ -131,6 +136,8 @@
         for server in shortlisted:
             if server.leaving or server.zone in fleet.evacuated or server.id in excluded:
                 continue
+            if server.region in closed_regions:
+                continue
             if self._tables.health.is_misdirected(server.id):
                 continue
             if self._tables.health.backoff_left_ms(server.id):
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -38,6 +38,7 @@
 OWN_PREFIX = b"sparline-"
 RELAY_SERVICE = b"sparline-service"  # service that the first instance chose
 RELAY_CALLER = b"sparline-caller"  # whose key the first instance was shown
+RELAY_ADMISSION_KEY = b"sparline-admission-key"  # compared with the level of the peer's region
 RELAY_OUTCOME = b"sparline-outcome"  # marks an answer of the peer itself
 RELAY_NO_ROOM = b"sparline-no-room"  # the peer's whole region has no room for the request
 RELAY_ENDED = b"sparline-ended"  # backend server that ended while the peer ran the request there
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from sparline._ids import BackendServerId, OrganisationId, RequestId
+from sparline.decisions import OPEN_LEVEL
 from sparline.forwarding import AnswerKind, AnswerMeaning, AttemptParameters, OwnAnswer
 from sparline.http import Headers, HttpAnswer, HttpRequest, end_to_end
 from sparline.platform import _names as names
@@ -44,6 +45,7 @@
     relay_service: str  # service chosen by the first instance, empty from callers
     key: PresentedKey  # key that a caller shows
     relay_caller: RelayedCaller | None  # whose key the first instance was shown, None from callers
+    admission_key: int | None = None  # computed by the first instance, ignored from callers
 
 
 def read_marks(request: HttpRequest) -> Result[RequestMarks, str]:
@@ -75,6 +77,7 @@
             relay_service=(request.header(names.RELAY_SERVICE) or b"").decode("latin-1"),
             key=_shown_key(request),
             relay_caller=relay_caller.unwrap(),
+            admission_key=_admission_key(request),
         )
     )
 
@@ -111,6 +114,13 @@
     return Ok(RelayedCaller(ConfigurationVersion(number), organisation, key))
 
 
+def _admission_key(request: HttpRequest) -> int | None:
+    """Return the admission key of a relayed request; one out of range is treated as absent."""
+    told = request.header(names.RELAY_ADMISSION_KEY)
+    key = None if told is None else _whole(told)
+    return key if key is not None and key < OPEN_LEVEL else None
+
+
 def _whole(text: bytes) -> int | None:
     """Return a whole number, None for anything else."""
     text = text.strip()
@@ -197,6 +207,8 @@
         ]
         if request.caller is not None:
             own.append((names.RELAY_CALLER, _told_caller(request.caller)))
+        if request.admission_key is not None:
+            own.append((names.RELAY_ADMISSION_KEY, b"%d" % request.admission_key))
         return _head(request, own)
 
     def belongs(self, request_id: RequestId, answer: HttpAnswer) -> bool:
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -20,6 +20,7 @@
     NO_ROUTE = "no_route"
     NO_CONFIGURATION = "no_configuration"
     LIMIT = "limit"
+    ADMISSION_LEVEL = "admission_level"
     DUPLICATE = "duplicate"
     TICKET_ELSEWHERE = "ticket_elsewhere"
     TICKET_EXPIRED = "ticket_expired"
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -56,6 +56,10 @@
     deadline_at_ms: float  # deadline, on this process's clock
     origin: Origin  # received from a caller or from a peer
     caller: KnownCaller | None = None  # authenticated caller, None where no key was required
+    admission_key: int | None = None  # key compared with admission levels, None where none apply
+    # Admission level of the own region that admitted it, None where other regions did or none apply.
+    admission_level: int | None = None
+    closed_regions: frozenset[RegionName] = frozenset()  # regions whose level refuses it
     arrived_at_ms: float = field(default_factory=now_ms)  # when it was received
 
     def left_ms(self) -> float:
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -328,6 +328,12 @@
         list[OrganisationShareNote],
         Meta(description="Organisations that ask for more than their share, at most 16."),
     ]
+    set_ms: Annotated[
+        int,
+        Meta(
+            description="When it was set, milliseconds of the coordinator's time of day; tells a newer level from one that was relayed."
+        ),
+    ] = 0
 
 
 class AdmissionLevels(WireMessage):
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -9,6 +9,9 @@
 from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline.fleet import (
+    NO_ADMISSION,
+    AdmissionExchange,
+    AdmissionSources,
     CrashExchange,
     Datagram,
     GossipPort,
@@ -18,6 +21,7 @@
     Members,
     QuotaExchange,
     ServerLoad,
+    _admission_exchange,
     _gossip,
     _load_board,
     _load_exchange,
@@ -71,6 +75,7 @@
     limits: ServerLimitShares
     retries: RetryWindow
     quotas: QuotaExchange
+    admission: AdmissionExchange
     region: RegionName
     next_round_ms: float
     live_at_ms: float
@@ -91,6 +96,9 @@
     quota_bounds: QuotaTolerance = NO_TOLERANCE  # what is borne over a quota
     organisations: dict[str, Organisation] = field(default_factory=dict)  # by name
     quota_bytes: int = 0  # of datagrams about quotas
+    admission: AdmissionSources = NO_ADMISSION
+    admission_bytes: dict[str, int] = field(default_factory=dict)  # by sender
+    admission_datagrams: dict[str, int] = field(default_factory=dict)  # by sender
     _starts: list[tuple[float, str, RegionName]] = field(default_factory=list)
     _queue: list[tuple[float, int, str, bytes]] = field(default_factory=list)
     _number: count = field(default_factory=count)
@@ -110,6 +118,7 @@
             _news_allowance,
             _crash_table,
             _quota_exchange,
+            _admission_exchange,
         ):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
@@ -188,6 +197,7 @@
         quotas = QuotaExchange(
             members, QuotaLimiter(self.quota_bounds, self.chance), self.quota_terms
         )
+        admission = AdmissionExchange(members, self.admission)
         server_limits = ServerLimitTable()
         server_limits._rng = random.Random(ip)
         sources = GossipSources(
@@ -200,7 +210,7 @@
         )
         crashes = CrashTable(lambda change: gossip.broadcast_crash(change))
         gossip = GossipPort(
-            PORT, self.seeds, members, loads, CrashExchange(crashes), quotas, sources
+            PORT, self.seeds, members, loads, CrashExchange(crashes), quotas, admission, sources
         )
         gossip._rng = random.Random(self.chance.random())
 
@@ -226,6 +236,7 @@
             limits,
             retries,
             quotas,
+            admission,
             region,
             self.now_ms,
             self.now_ms + self.starting_ms,
@@ -236,6 +247,9 @@
         if b"Quota" in data:
             # The tag of a message names its type.
             self.quota_bytes += len(data)
+        if b"Admission" in data:
+            self.admission_bytes[sender] = self.admission_bytes.get(sender, 0) + len(data)
+            self.admission_datagrams[sender] = self.admission_datagrams.get(sender, 0) + 1
         is_cut = (sender in self.far_side) != (receiver in self.far_side)
         if is_cut or self.chance.random() < self.lossy:
             return
