--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -3,7 +3,30 @@
 Nothing here reads a clock, a socket or a table; the caller passes the facts and the time in.
 """
 
-from sparline.decisions._admission import AdmissionFacts, RefusalReason, refusal_reason
+from sparline.decisions._admission import (
+    LONG_PREFILL_RATIO,
+    AdmissionFacts,
+    RefusalReason,
+    refusal_reason,
+)
+from sparline.decisions._admission_level import (
+    ADJUSTMENT_MS,
+    BUCKET_KEYS,
+    DEMAND_SMOOTHING_MS,
+    FLOOR_POSITIONS,
+    KEYS_PER_RANK,
+    MAX_RANK,
+    OPEN_LEVEL,
+    OPENING_MS,
+    POSITIONS,
+    LevelController,
+    RoundReport,
+    SmoothedRate,
+    admission_key,
+    is_admitted,
+    is_telling,
+    level_retry_after_ms,
+)
 from sparline.decisions._crash_evidence import (
     UNPROVEN_EXIT,
     EndEvidence,
@@ -24,20 +47,37 @@
 )
 
 __all__ = [
+    "ADJUSTMENT_MS",
+    "BUCKET_KEYS",
+    "DEMAND_SMOOTHING_MS",
+    "FLOOR_POSITIONS",
+    "KEYS_PER_RANK",
+    "LONG_PREFILL_RATIO",
+    "MAX_RANK",
+    "OPENING_MS",
+    "OPEN_LEVEL",
+    "POSITIONS",
     "UNPROVEN_EXIT",
     "AdmissionFacts",
     "DemandSketch",
     "EndEvidence",
     "InterruptionFacts",
+    "LevelController",
     "Liveness",
     "OrganisationDemand",
     "ProbeResult",
     "RefusalFacts",
     "RefusalReason",
     "RegionRefusals",
+    "RoundReport",
+    "SmoothedRate",
+    "admission_key",
     "counted_exit",
     "exit_evidence",
     "fair_shares",
+    "is_admitted",
+    "is_telling",
+    "level_retry_after_ms",
     "liveness",
     "may_be_shown_later",
     "refusal_reason",
