Judge requests by what engines admit before them

Cause: the estimate counted all waiting requests alike, although engines admit those of lower ranks first, and weighed a long prefill against the target of its own request, so that long targets let the least urgent requests wait where urgent ones were refused.

Change: loads carry `pending`, the requests without a first event by rank (number and unread tokens, ranks 0 to 9, without zeros at the end). It takes some four bytes for each rank that occurs; fewer readings go into a datagram in turn (`_fitting`). Loads of older builds read as before, and older builds ignore the additional element of the array. `queue_before` leaves out the requests that wait for a slot and are less urgent. Where only such wait behind a full batch, MEMORY_LOSS counts by the part of the demand that is at least as urgent, so that nothing changes where all requests have one rank or none are known to be less urgent. What an overtaken request loses is weighed against its target, up to the point where it is late anyway. DemandTable keeps the target of each class, and what arrives behind a prefill is weighed against the targets of its classes. The replay has the pattern `ranks-mixed-at-twice` and reports shares by rank.

--- a/benchmarks/_choice_cost.py
+++ b/benchmarks/_choice_cost.py
@@ -167,9 +167,10 @@
     def _fill(self, health: HealthTable, pace: PaceTable, cache: PromptCache) -> None:
         for server in self.servers:
             load = ServerLoad(
-                self._rng.randrange(2, 12),
+                self._rng.randrange(2, 22),
                 self._rng.randrange(5_000, 60_000),
-                self._rng.randrange(0, 4_000),
+                6_000,
+                (1, 600, 2, 1_400, 3, 4_000),
             )
             self._board.take(server.id, LoadReading(now_ms(), now_ms(), load, False))
             health.note_success(server.id)
@@ -178,7 +179,7 @@
             server = self._rng.choice(self.servers)
             cache.note(self.request().prompt, server.id, CACHE_TOKENS)
             own = self._rng.choice(self.servers[: ENGINES_BY_REGION["north"]])
-            self.tables.loads.reserve(own, 0, 0)
+            self.tables.loads.reserve(own, 0, 0, 0).note_first_event()
 
     def renew(self) -> None:
         """Let the readings of all servers be new."""
--- a/benchmarks/_decide.py
+++ b/benchmarks/_decide.py
@@ -45,6 +45,7 @@
     short_share: float  # the same of short ones
     refused: int  # callers that were refused in the end
     late: int  # whole answers that were late
+    rank_shares: dict[int, float]  # share of the credit by rank
 
 
 def decide(options: argparse.Namespace) -> int:
@@ -83,6 +84,10 @@
         short_share=_share(short),
         refused=sum(one.refused for one in world.views),
         late=sum(one.whole and one.credit() < one.arrival.credit for one in world.views),
+        rank_shares={
+            rank: _share([one for one in world.views if one.arrival.kind.rank == rank])
+            for rank in sorted({kind.rank for kind in world.draw.kinds})
+        },
     )
 
 
--- a/benchmarks/_decide_draws.py
+++ b/benchmarks/_decide_draws.py
@@ -47,6 +47,7 @@
     worth: float  # credit of the mean request in time
     late_worth: float  # the same of one that is late
     resumable: bool  # whether it may run twice
+    rank: int  # urgency of its route, 0 for the most urgent
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +163,40 @@
     return engine, (long, replace(short, output_tokens=_log_between(chance, 25, 70)))
 
 
+def draw_ranked_work(seed: int) -> tuple[EngineKind, tuple[KindDraw, ...]]:
+    """Return engines with few slots, and requests of three ranks, a third of them most urgent.
+
+    The more urgent a request, the shorter it is and the sooner its first event is wanted.
+    """
+    chance = random.Random(seed * 15_485_863)
+    engine, _ = draw_short_work(seed)
+    pause_ms = max(400.0, 2 * engine.event_tokens * engine.crowded_step_ms)
+    medium_share = chance.uniform(0.3, 0.45)
+    short = replace(
+        _short_kind(chance, 1 / 3, engine, pause_ms),
+        own_tokens=_log_between(chance, 150, 500),
+        output_tokens=_log_between(chance, 20, 50),
+        wanted_ms=500.0,
+        resumable=True,
+        rank=0,
+    )
+    medium = replace(
+        _short_kind(chance, medium_share, engine, pause_ms),
+        name="medium",
+        shared_tokens=_between(chance, 500, 1_500),
+        own_tokens=_log_between(chance, 400, 1_200),
+        output_tokens=_log_between(chance, 2, 30),
+        wanted_ms=600.0,
+        resumable=True,
+    )
+    long = replace(
+        _long_kind(chance, 2 / 3 - medium_share, engine, pause_ms),
+        output_tokens=_log_between(chance, 30, 100),
+        wanted_ms=1_500.0,
+    )
+    return engine, (long, medium, short)
+
+
 def _long_kind(
     chance: random.Random, share: float, engine: EngineKind, pause_ms: float
 ) -> KindDraw:
@@ -183,6 +218,7 @@
         worth=worth,
         late_worth=worth * chance.choice((0.1, 0.3)),
         resumable=True,
+        rank=2,
     )
 
 
@@ -204,6 +240,7 @@
         worth=1.9,
         late_worth=1.9 * chance.choice((0.1, 0.3)),
         resumable=chance.random() < 0.5,
+        rank=1,
     )
 
 
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -302,7 +302,7 @@
         )
         way_ms = self._world.way_ms(self.region, peer.region)
         reservation = self.loads.reserve(
-            place.server, request.prompt.held_tokens, place.effort_tokens
+            place.server, request.prompt.held_tokens, place.effort_tokens, request.priority
         )
         self._chooser.note_sent(request, place)
 
@@ -355,7 +355,9 @@
         end: Callable[[], None],
     ) -> None:
         prompt = request.prompt
-        reservation = self.loads.reserve(place.server, prompt.held_tokens, place.effort_tokens)
+        reservation = self.loads.reserve(
+            place.server, prompt.held_tokens, place.effort_tokens, request.priority
+        )
         self._chooser.note_sent(request, place)
         watch = StreamWatch(self._watch_tables, request, place, reservation)
 
@@ -402,7 +404,7 @@
         timeout_ms=kind.deadline_ms,
         wanted_latency_ms=kind.wanted_ms,
         pause_target_ms=kind.pause_ms,
-        priority=2 if kind.name == "long" else 1,
+        priority=kind.rank,
         shares=(ServiceShare(ENGINES, 1.0),),
         max_backends=2,
         resumable=kind.resumable,
--- a/benchmarks/_load_patterns.py
+++ b/benchmarks/_load_patterns.py
@@ -14,6 +14,7 @@
     EngineDraw,
     draw_arrivals,
     draw_deployment,
+    draw_ranked_work,
     draw_short_work,
 )
 
@@ -39,6 +40,7 @@
     load: float  # work that comes, against what all engines can do, where the rate is 1
     # For each region: from when (ms) callers come how many times as often as on average.
     rates: tuple[tuple[tuple[float, float], ...], ...]
+    is_ranked: bool = False  # whether requests have three ranks, and the most urgent are short
     is_short: bool = False  # whether nearly all requests are short, before engines with few slots
 
     def rate(self, region: str, at_ms: float) -> float:
@@ -65,6 +67,9 @@
     if pattern.is_short:
         engine, kinds = draw_short_work(seed)
         drawn = replace(drawn, engine=engine, kinds=kinds)
+    if pattern.is_ranked:
+        engine, kinds = draw_ranked_work(seed)
+        drawn = replace(drawn, engine=engine, kinds=kinds)
     return replace(
         drawn,
         regions=REGIONS,
@@ -77,7 +82,7 @@
 
 def arrivals_of(pattern: LoadPattern, draw: Draw) -> list[Arrival]:
     """Return the requests of a day; who asks which instance differs with their number alone."""
-    most = MOST_SHORT_REQUESTS if pattern.is_short else MOST_REQUESTS
+    most = MOST_SHORT_REQUESTS if pattern.is_short or pattern.is_ranked else MOST_REQUESTS
     arrivals = draw_arrivals(draw, pattern.rate, DAY_MS, most)
     chance = random.Random(draw.seed)
     return [replace(one, instance=chance.randrange(draw.instances_a_region)) for one in arrivals]
--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -38,7 +38,10 @@
     sizes = SIZES[:2] if options.quick else SIZES
     known = frozenset(Known(name) for name in options.known)
     means: dict[str, float] = {}
-    print("pattern, instances a region, policy: share of the credit (long/short), refused, late")
+    rank_means: dict[str, dict[int, float]] = {}
+    print(
+        "pattern, instances a region, policy: share of the credit (long/short), refused, late, by rank"
+    )
     for pattern in load_patterns().values():
         for instances in sizes:
             for policy in POLICIES:
@@ -47,10 +50,18 @@
                 means[f"{pattern.name}/{instances}/{policy}"] = round(share, 4)
                 long = sum(one.long_share for one in days) / len(days)
                 short = sum(one.short_share for one in days) / len(days)
+                by_rank = {
+                    rank: sum(one.rank_shares[rank] for one in days) / len(days)
+                    for rank in days[0].rank_shares
+                }
+                rank_means[f"{pattern.name}/{instances}/{policy}"] = {
+                    rank: round(one, 4) for rank, one in by_rank.items()
+                }
+                shown = "/".join(f"{one:.2f}" for one in by_rank.values())
                 print(
                     f"{pattern.name:24} {instances:3} {policy:13} {share:.3f} "
                     f"({long:.2f}/{short:.2f}) {sum(one.refused for one in days):5} "
-                    f"{sum(one.late for one in days):5}",
+                    f"{sum(one.late for one in days):5} by rank {shown}",
                     flush=True,
                 )
     print(
@@ -60,6 +71,7 @@
                 "unseen": options.unseen,
                 "known": options.known,
                 "mean_share": means,
+                "mean_share_by_rank": rank_means,
             }
         )
     )
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -14,7 +14,7 @@
 from sparline.fleet._gossip import Datagram, GossipPort, GossipSources, make_member_note
 from sparline.fleet._load_board import LoadReading, ServerLoadTable
 from sparline.fleet._load_exchange import LoadDatagram, LoadExchange, LoadSources
-from sparline.fleet._loads import ServerLoad, sum_loads
+from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaExchange
 from sparline.fleet._store_copy import StoreChange, StoreCopyTable
@@ -57,7 +57,9 @@
     "StoreItem",
     "StoreReader",
     "UnknownItem",
+    "add_pending",
     "make_member_note",
+    "pending_of",
     "sum_loads",
     "is_store_watcher",
 ]
--- a/sparline/fleet/_load_board.py
+++ b/sparline/fleet/_load_board.py
@@ -5,7 +5,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
-from sparline.fleet._loads import NO_LOAD, ServerLoad, sum_loads
+from sparline.fleet._loads import NO_LOAD, ServerLoad, add_pending, sum_loads, trim_pending
 
 # Maximum age of a reading or change that is still used (ms).
 LOAD_MAX_AGE_MS = 4_000.0
@@ -54,6 +54,7 @@
                 self.sum.running - removed.running,
                 self.sum.held_tokens - removed.held_tokens,
                 self.sum.unread_tokens - removed.unread_tokens,
+                add_pending(self.sum.pending, tuple(-one for one in removed.pending)),
             )
 
 
@@ -109,6 +110,7 @@
             max(base.running + change.running, 0),
             max(base.held_tokens + change.held_tokens, 0),
             max(base.unread_tokens + change.unread_tokens, 0),
+            _at_least_zero(add_pending(base.pending, change.pending)),
         )
 
     def age_ms(self, server_id: BackendServerId) -> float | None:
@@ -134,3 +136,10 @@
         self._readings = {one: held for one, held in self._readings.items() if held.at_ms >= since}
         for server_id in list(self._changes):
             self._trim(server_id, now_ms())
+
+
+def _at_least_zero(pending: tuple[int, ...]) -> tuple[int, ...]:
+    """Return pending requests without those that were removed before they were added."""
+    if not pending or min(pending) >= 0:
+        return pending
+    return trim_pending(max(one, 0) for one in pending)
--- a/sparline/fleet/_load_exchange.py
+++ b/sparline/fleet/_load_exchange.py
@@ -58,6 +58,9 @@
 MAX_SIBLING_READINGS = 16
 MAX_RELAYED_READINGS = 5
 MAX_CROSS_REGION_READINGS = 36
+# Pending requests of one rank take up to this part of the bytes of a reading without any: four
+# bytes, of some 28.
+PENDING_RANK_SIZE = 0.15
 # A local change made less than this long before a reading was computed may not be included in it
 # (ms): the transit time to the aggregator, within a region and from another region.
 REGION_TRANSIT_MS = 3.0
@@ -225,10 +228,11 @@
         fresh = self.load_table.newer_than(RELAY_MAX_AGE_MS)
         own_region = [pair for pair in fresh if pair[0] in own_servers]
         if not is_same_region:
-            return _reading_notes(own_region[:MAX_CROSS_REGION_READINGS])
+            return _reading_notes(_fitting(own_region, MAX_CROSS_REGION_READINGS))
         other_regions = [pair for pair in fresh if pair[0] not in own_servers]
         return _reading_notes(
-            own_region[:MAX_SIBLING_READINGS] + other_regions[:MAX_RELAYED_READINGS]
+            _fitting(own_region, MAX_SIBLING_READINGS)
+            + _fitting(other_regions, MAX_RELAYED_READINGS)
         )
 
     def take_readings(self, notes: list[LoadReadingNote]) -> None:
@@ -280,3 +284,15 @@
         LoadReadingNote(round(now - one.at_ms), write_load(server_id, one.load), one.is_doubted)
         for server_id, one in readings
     ]
+
+
+def _fitting(
+    readings: list[tuple[BackendServerId, LoadReading]], count: int
+) -> list[tuple[BackendServerId, LoadReading]]:
+    """Return the first readings that take as many bytes as `count` without pending requests."""
+    size = 0.0
+    for index, (_, reading) in enumerate(readings):
+        size += 1 + PENDING_RANK_SIZE * (len(reading.load.pending) // 2)
+        if size > count:
+            return readings[:index]
+    return readings
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -196,7 +196,10 @@
         )
         reserved_tokens = request.prompt.held_tokens if request.prompt else 0
         reservation = self._dependencies.loads.reserve(
-            placement.server, reserved_tokens, placement.effort_tokens
+            placement.server,
+            reserved_tokens,
+            placement.effort_tokens,
+            request.priority if request.prompt else None,
         )
         self._dependencies.chooser.note_sent(request, placement)
         parameters = AttemptParameters(
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -18,6 +18,7 @@
 )
 from sparline.fleet import BackendServer
 from sparline.placement._credit import credit_of
+from sparline.placement._demand import DemandFacts
 from sparline.placement._engine_counts import EngineCounts
 from sparline.placement._kept_prompt import find_cached_prefix
 from sparline.placement._place_judge import (
@@ -131,7 +132,8 @@
             usual_failing=median_low(tables.health.failing(one.id) for one in shortlisted.servers),
             credit=credit_of(prompt) if prompt else 0,
             usual_credit=tables.credit.usual(request.service, prompt) if prompt else 0.0,
-            demand=self._demand(request, all_servers, now),
+            demand=tables.demand.facts(request, prompt) if prompt else DemandFacts(),
+            demand_per_engine=self._demand_per_engine(request, all_servers, now),
             now=now,
             ways=ways,
             usual=tables.pace.service(service.name),
@@ -143,19 +145,12 @@
             ),
         )
 
-    def _demand(
+    def _demand_per_engine(
         self, request: RoutedRequest, all_servers: list[BackendServer], now: float
     ) -> float:
-        """Return the value arriving per ms at each engine here, relative to that of the request."""
-        if request.prompt is None:
-            return 0.0
-        tables = self._tables
-        rate = tables.demand.rate(request.service, request.priority)
-        if not rate:
-            return 0.0
-        request_value = tables.demand.request_value(request, request.prompt)
+        """Return the part of each engine here in the region's demand, in that of this instance."""
         engines = self._engine_counts.count(request.service, all_servers, now)
-        return rate * tables.sharing() / engines / request_value
+        return self._tables.sharing() / engines
 
     def _judge(
         self,
--- a/sparline/placement/_demand.py
+++ b/sparline/placement/_demand.py
@@ -34,12 +34,25 @@
     """Arrivals of one class of requests."""
 
     usual_size: float  # size of a usual request
+    target_ms: float  # wanted latency of the latest request
     arrived_value: float = 0.0  # decaying sum of the arrived value
     at_ms: float = 0.0  # when it was last updated
 
-    def decayed(self) -> float:
-        """Return the sum, decayed to the current time."""
-        return self.arrived_value * 0.5 ** ((now_ms() - self.at_ms) / HALF_LIFE_MS)
+    def decayed(self, now: float) -> float:
+        """Return the sum, decayed to the current time (ms)."""
+        return self.arrived_value * 0.5 ** ((now - self.at_ms) / HALF_LIFE_MS)
+
+
+@dataclass(frozen=True, slots=True)
+class DemandFacts:
+    """Demand of a service, relative to the value of one request."""
+
+    # Value that arrives per ms and is at least as urgent, each part over the square of the target
+    # (ms) of its requests.
+    per_ms3: float = 0.0
+    urgent_share: float = 1.0  # part of all that arrives that is at least as urgent
+    later_value: float = 0.0  # value of a usual request that is less urgent
+    later_target_ms: float = 1.0  # usual target of these
 
 
 class DemandTable:
@@ -53,10 +66,12 @@
         """Record a request from a caller."""
         size = credit_of(prompt)
         by_class = self._arrivals.setdefault(request.service, {})
-        arrivals = by_class.setdefault(_class_of(request), _Arrivals(size))
+        arrivals = by_class.setdefault(_class_of(request), _Arrivals(size, 0.0))
+        arrivals.target_ms = request.route.wanted_latency_ms
         arrivals.usual_size += USUAL_WEIGHT * (size - arrivals.usual_size)
-        arrivals.arrived_value = arrivals.decayed() + self.request_value(request, prompt)
-        arrivals.at_ms = now_ms()
+        now = now_ms()
+        arrivals.arrived_value = arrivals.decayed(now) + self.request_value(request, prompt)
+        arrivals.at_ms = now
 
     def request_value(self, request: RoutedRequest, prompt: Prompt) -> float:
         """Return the estimated value of a request, from its size."""
@@ -65,15 +80,30 @@
         usual = arrivals.usual_size if arrivals else float(size)
         return usual**SIZE_EXPONENT * (FIXED_SHARE + (1 - FIXED_SHARE) * size / usual)
 
-    def rate(self, service: ServiceName, priority: int) -> float:
-        """Return the value per millisecond of the arrivals that are at least as urgent."""
-        by_class = self._arrivals.get(service, {})
-        total = sum(
-            one.decayed()
-            for request_class, one in by_class.items()
-            if request_class.rank <= priority
+    def facts(self, request: RoutedRequest, prompt: Prompt) -> DemandFacts:
+        """Return the demand of a request's service, as seen by this instance."""
+        by_class = self._arrivals.get(request.service, {})
+        urgent = later = per_target = later_values = later_targets_ms = 0.0
+        now = now_ms()
+        for request_class, one in by_class.items():
+            value = one.decayed(now)
+            if request_class.rank <= request.priority:
+                urgent += value
+                per_target += value / one.target_ms**2
+            else:
+                later += value
+                later_values += value * one.usual_size**SIZE_EXPONENT
+                later_targets_ms += value * one.target_ms
+        own_value = self.request_value(request, prompt)
+        per_ms3 = per_target / (HALF_LIVES_PER_SUM * HALF_LIFE_MS) / own_value
+        if not later:
+            return DemandFacts(per_ms3)
+        return DemandFacts(
+            per_ms3,
+            urgent / (urgent + later),
+            later_values / later / own_value,
+            later_targets_ms / later,
         )
-        return total / (HALF_LIVES_PER_SUM * HALF_LIFE_MS)
 
 
 def _class_of(request: RoutedRequest) -> _RequestClass:
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, RegionName
-from sparline.fleet import BackendServer, ServerLoad
+from sparline.fleet import BackendServer, ServerLoad, add_pending, pending_of
 
 ReportedLoad = Callable[[BackendServerId], ServerLoad | None]
 NoteChange = Callable[[BackendServer, ServerLoad, float | None], None]
@@ -23,6 +24,7 @@
     # Prefill of requests without a first event, as tokens at the start of a prompt that take as
     # long.
     unread_tokens: int = 0
+    pending: tuple[int, ...] = ()  # requests without a first event by rank, as in `ServerLoad`
     region: RegionName = RegionName("")  # region of the server
     used_at_ms: float = 0.0  # when a request was last placed
 
@@ -44,9 +46,11 @@
         load: OwnLoad,
         held_tokens: int,
         unread_tokens: int,
+        rank: int | None,
         on_change: Callable[[ServerLoad, float | None], None],
     ) -> None:
         """Count it; `on_change` gets each load change, with the log factor of a measured prefill."""
+        self._rank = rank
         self._load = load
         self._on_change = on_change
         self._held_tokens = held_tokens
@@ -56,7 +60,21 @@
         load.held_tokens += held_tokens
         load.unread_tokens += unread_tokens
         load.used_at_ms = now_ms()
-        on_change(ServerLoad(1, held_tokens, unread_tokens), None)
+        on_change(ServerLoad(1, held_tokens, unread_tokens, self._pend(1, unread_tokens)), None)
+
+    def _pend(self, count: int, unread_tokens: int) -> tuple[int, ...]:
+        """Add to the pending requests; return the change."""
+        if self._rank is None:
+            return ()
+        change = pending_of(self._rank, count, unread_tokens)
+        self._load.pending = add_pending(self._load.pending, change)
+        return change
+
+    def _end_pending(self, prefilled: int) -> tuple[int, ...]:
+        """Remove this request from the pending ones, the first time; return the change."""
+        change = self._pend(-1, -prefilled)
+        self._rank = None
+        return change
 
     def note_first_event(self, log_factor: float | None = None) -> None:
         """Count the prompt as prefilled.
@@ -64,9 +82,10 @@
         `log_factor` is the result of `PaceTable.note_first_event`.
         """
         prefilled, self._unread_tokens = self._unread_tokens, 0
-        if prefilled:
+        pending = self._end_pending(prefilled)
+        if prefilled or pending:
             self._load.unread_tokens -= prefilled
-            self._on_change(ServerLoad(0, 0, -prefilled), log_factor)
+            self._on_change(ServerLoad(0, 0, -prefilled, pending), log_factor)
 
     def release(self) -> None:
         """Count the request as ended; further calls have no effect."""
@@ -77,7 +96,8 @@
         self._load.running -= 1
         self._load.held_tokens -= self._held_tokens
         self._load.unread_tokens -= unread
-        self._on_change(ServerLoad(-1, -self._held_tokens, -unread), None)
+        pending = self._end_pending(unread)
+        self._on_change(ServerLoad(-1, -self._held_tokens, -unread, pending), None)
         assert self._load.running >= 0, "a request was released twice"
 
 
@@ -97,8 +117,19 @@
         self._reported = reported
         self._prefills: dict[BackendServerId, Prefill] = {}
 
-    def reserve(self, server: BackendServer, held_tokens: int, unread_tokens: int) -> Reservation:
-        """Count a request on a backend server."""
+    def reserve(
+        self,
+        server: BackendServer,
+        held_tokens: int,
+        unread_tokens: int,
+        rank: int | None = None,
+    ) -> Reservation:
+        """Count a request on a backend server.
+
+        `held_tokens` is the cache memory that it takes, `unread_tokens` its prefill, as tokens at
+        the start of a prompt that take as long. `rank` is its urgency, 0 for the most urgent, None
+        where the server does not admit requests by rank.
+        """
         load = self._own.get(server.id)
         if load is None:
             load = self._own[server.id] = OwnLoad(region=server.region)
@@ -106,6 +137,7 @@
             load,
             held_tokens,
             unread_tokens,
+            rank,
             lambda change, log_factor: self._note_change(server, change, log_factor),
         )
         if unread_tokens:
@@ -127,13 +159,16 @@
             max(own.running, reported.running),
             max(own.held_tokens, reported.held_tokens),
             max(own.unread_tokens, reported.unread_tokens),
+            _larger(own.pending, reported.pending),
         )
 
     def own(self, server_id: BackendServerId) -> ServerLoad:
         """Return this instance's part of the load of a backend server."""
         load = self._own.get(server_id)
         return (
-            ServerLoad(load.running, load.held_tokens, load.unread_tokens) if load else ServerLoad()
+            ServerLoad(load.running, load.held_tokens, load.unread_tokens, load.pending)
+            if load
+            else ServerLoad()
         )
 
     def own_in_region(self) -> dict[str, ServerLoad]:
@@ -153,3 +188,10 @@
         self._prefills = {
             one: prefill for one, prefill in self._prefills.items() if one in self._own
         }
+
+
+def _larger(one: tuple[int, ...], other: tuple[int, ...]) -> tuple[int, ...]:
+    """Return the larger numbers of two counts of pending requests by rank."""
+    if not one or one == other:
+        return other
+    return tuple(map(max, zip_longest(one, other, fillvalue=0)))
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -10,7 +10,7 @@
 from sparline.fleet import BackendServer, FleetState, Member, ServerLoad
 from sparline.placement._cold_shares import ColdShares
 from sparline.placement._credit import CreditTable
-from sparline.placement._demand import DemandTable
+from sparline.placement._demand import DemandFacts, DemandTable
 from sparline.placement._health import HealthTable
 from sparline.placement._kept_prompt import CachedPrefix
 from sparline.placement._limit_shares import ServerLimitShares
@@ -128,7 +128,8 @@
     usual_failing: float  # median failure share of the candidates
     credit: int  # credit of the request, in prompt tokens
     usual_credit: float  # usual credit of a request of its service
-    demand: float  # value arriving at an engine per ms, relative to that of the request
+    demand: DemandFacts  # demand of the service at this instance
+    demand_per_engine: float  # factor of it for one engine of the region
     now: float  # current time (ms)
     usual: ServicePace  # prefill speed of the service's usual engine
     answer_ms: float  # usual time of a complete answer
@@ -146,7 +147,18 @@
     repeated_tokens: int  # tokens that it prefills although some engine has them cached
 
 
+class Queue(msgspec.Struct, frozen=True):
+    """What stands before a request at an engine."""
+
+    slots_needed: int  # slots that have to be free before it gets one, 0 if one is free
+    unread_tokens: int  # prefill before its own, as tokens at the start of a prompt
+    overtaken: int = 0  # waiting requests that are less urgent
+    overtaken_held_tokens: int = 0  # cache memory that these do not hold yet, at least
+    last_unread_tokens: int = 0  # prefill before the last of these ends, as tokens likewise
+
+
 NO_WORK = _Work(0, 0, 0, None, 0)
+NO_QUEUE = Queue(0, 0)
 
 
 class LossEstimator:
@@ -173,14 +185,17 @@
         factor = self._tables.pace.factor_at(server.id, common.now)
         usual = common.usual.engine
         pace = EnginePace(usual.base_ms * factor, usual.token_ms * factor)
+        queue = NO_QUEUE
+        if request.prompt is not None and service.engine is not None:
+            queue = queue_before(request.priority, load, service.engine.slots)
         expected_ms = way.network_ms + self._server_time_ms(
-            request, service, server, load, work, pace, common
+            request, service, server, load, queue, work, pace, common
         )
         loss = (expected_ms / request.route.wanted_latency_ms) ** 2
         loss += self._server_loss(server, common)
         if request.prompt is not None and service.engine is not None:
-            loss += self._prompt_loss(request, service.engine, load, work, pace, common)
-            loss += _queue_loss(request, load, work, pace, common)
+            loss += self._prompt_loss(request, service.engine, load, queue, work, pace, common)
+            loss += _queue_loss(queue, work, pace, common)
         return Placement(
             server=server,
             peer=way.peer,
@@ -214,6 +229,7 @@
         service: Service,
         server: BackendServer,
         load: ServerLoad,
+        queue: Queue,
         work: _Work,
         pace: EnginePace,
         common: CommonFacts,
@@ -224,10 +240,9 @@
             work_ms = usual_ms * self._tables.health.time_factor(server.id)
             queued = max(load.running + 1 - server.slots, 0)
             return EXCHANGE_MS + work_ms * (1 + queued / max(server.slots, 1))
-        queued = max(load.running + 1 - service.engine.slots, 0)
-        queue_ms = queued / service.engine.slots * usual_ms
+        queue_ms = queue.slots_needed / service.engine.slots * usual_ms
         fetch_ms = FETCH_QUEUE_FACTOR * service.engine.fetch_ms(work.fetched_tokens)
-        prefill_ms = (load.unread_tokens + work.effort_tokens) * pace.token_ms
+        prefill_ms = (queue.unread_tokens + work.effort_tokens) * pace.token_ms
         return pace.base_ms + queue_ms + prefill_ms + fetch_ms
 
     def _prompt_loss(
@@ -235,6 +250,7 @@
         request: RoutedRequest,
         engine: EngineSpec,
         load: ServerLoad,
+        queue: Queue,
         work: _Work,
         pace: EnginePace,
         common: CommonFacts,
@@ -253,21 +269,53 @@
             added = after - common.late.at(before_ms)
             loss += load.running * added * common.usual_credit / credit
             loss += OWN_DELAY_LOSS * after
-        if load.held_tokens + prompt.held_tokens > MAX_MEMORY_SHARE * engine.cache_tokens:
+        held_tokens = load.held_tokens - queue.overtaken_held_tokens
+        if held_tokens + prompt.held_tokens > MAX_MEMORY_SHARE * engine.cache_tokens:
             loss += MEMORY_LOSS
-        if load.running >= engine.slots:
+        if queue.slots_needed > 1:
             loss += MEMORY_LOSS
+        elif queue.slots_needed:
+            # It gets the next slot that is free, and less urgent requests wait for a later one.
+            loss += MEMORY_LOSS * common.demand.urgent_share
         return loss
 
 
-def _queue_loss(
-    request: RoutedRequest, load: ServerLoad, work: _Work, pace: EnginePace, common: CommonFacts
-) -> float:
-    """Return the loss of the requests that queue behind a prefill."""
-    queue_ms = load.unread_tokens * pace.token_ms
+def queue_before(rank: int, load: ServerLoad, slots: int) -> Queue:
+    """Return what an engine with so many slots does before it begins with a request of a rank.
+
+    Engines admit requests of lower ranks first. Of the requests without a first event, the least
+    urgent are those that wait for a slot; the others have one, and go first whatever their rank.
+    """
+    waiting = max(load.running - slots, 0)
+    slots_needed = max(load.running + 1 - slots, 0)
+    later = load.pending[2 * rank + 2 :] if waiting else ()
+    later_count = sum(later[::2])
+    if not later_count:
+        return Queue(slots_needed, load.unread_tokens)
+    overtaken = min(waiting, later_count)
+    later_tokens = sum(later[1::2]) * overtaken // later_count
+    return Queue(
+        slots_needed=slots_needed - overtaken,
+        unread_tokens=max(load.unread_tokens - later_tokens, 0),
+        overtaken=overtaken,
+        overtaken_held_tokens=min(later_tokens, load.held_tokens * overtaken // load.running),
+        last_unread_tokens=load.unread_tokens,
+    )
+
+
+def _queue_loss(queue: Queue, work: _Work, pace: EnginePace, common: CommonFacts) -> float:
+    """Return the loss of the requests that arrive behind a prefill, or that it overtakes."""
+    queue_ms = queue.unread_tokens * pace.token_ms
     prefill_ms = work.effort_tokens * pace.token_ms
-    queue_ratio = queue_ms / request.route.wanted_latency_ms
-    return DISPLACEMENT_WEIGHT * common.demand * prefill_ms * queue_ratio**2
+    demand = common.demand
+    arriving = demand.per_ms3 * common.demand_per_engine
+    loss = DISPLACEMENT_WEIGHT * arriving * prefill_ms * queue_ms**2
+    if queue.overtaken:
+        # What is late already cannot lose more.
+        before = min(queue.last_unread_tokens * pace.token_ms / demand.later_target_ms, 1.0)
+        after = min(before + prefill_ms / demand.later_target_ms, 1.0)
+        loss += queue.overtaken * demand.later_value * (after**2 - before**2)
+    return loss
 
 
 def _work_of(
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -62,6 +62,12 @@
     unread_tokens: Annotated[
         int, Meta(description="Prompt tokens of requests that have no first event yet.")
     ]
+    pending: Annotated[
+        list[int],
+        Meta(
+            description="Requests that have no first event yet, by rank: their number and unread tokens for rank 0, then for rank 1, up to rank 9, without zeros at the end."
+        ),
+    ] = field(default_factory=list)
 
 
 class LoadShareNote(WireNode):
