Keep the holders of a prefix in a fixed order

Cause: the index of holders used sets of names, whose order differs from process to process.

Change: keys of dictionaries instead of sets.

--- a/sparline/placement/_prompt_cache.py
+++ b/sparline/placement/_prompt_cache.py
@@ -67,9 +67,10 @@
         self._to_report: dict[tuple[int, str], float] = {}
         self._rng = random.Random()
         self._uses: OrderedDict[tuple[int, str], _Use] = OrderedDict()
-        # Engines with a recorded use of each long prefix, and with each short one in `_prefixes`.
-        self._users: dict[int, set[BackendServerId]] = {}
-        self._short_holders: dict[str, set[BackendServerId]] = {}
+        # Engines with a recorded use of each long prefix, and with each short one in `_prefixes`:
+        # keys of dictionaries, which have an order, so that a choice repeats with its seed.
+        self._users: dict[int, dict[BackendServerId, None]] = {}
+        self._short_holders: dict[str, dict[BackendServerId, None]] = {}
 
     def note(self, prompt: Prompt, server_id: BackendServerId, cache_tokens: int) -> None:
         """Record that an engine prefills a prompt including its shared prefix."""
@@ -81,7 +82,7 @@
         for start in prompt.shared_prefixes:
             if start.key not in cached:
                 total += start.own_tokens
-                self._short_holders.setdefault(start.key, set()).add(server_id)
+                self._short_holders.setdefault(start.key, {})[server_id] = None
             cached[start.key] = start.own_tokens
             cached.move_to_end(start.key)
         while cached and total > cache_tokens * PREFIX_CACHE_SHARE:
@@ -114,7 +115,7 @@
         if known is not None and at_ms < known.at_ms + SAME_USE_MS:
             return
         if known is None:
-            self._users.setdefault(key[0], set()).add(BackendServerId(key[1]))
+            self._users.setdefault(key[0], {})[BackendServerId(key[1])] = None
         self._to_report[key] = at_ms
         self._uses[key] = self._updated_use(known, key[1], at_ms)
         self._uses.move_to_end(key)
@@ -164,14 +165,14 @@
                 for one in self._users.get(start, ())
                 if self._is_cached(self._uses[start, one], one)
             ]
-        held: set[BackendServerId] = set()
+        held: list[BackendServerId] = []
         for part in prompt.shared_prefixes:
-            longer = self._short_holders.get(part.key, set())
-            longer = longer & held if held else longer
+            holders = self._short_holders.get(part.key, {})
+            longer = [one for one in held if one in holders] if held else list(holders)
             if not longer:
                 break
             held = longer
-        return list(held)
+        return held
 
     def _updated_use(self, before: _Use | None, server_id: BackendServerId, at_ms: float) -> _Use:
         cached = before is not None and self._is_cached(before, server_id)
@@ -222,13 +223,13 @@
 
 
 def _discard(
-    holders: dict[Key, set[BackendServerId]], key: Key, server_id: BackendServerId
+    holders: dict[Key, dict[BackendServerId, None]], key: Key, server_id: BackendServerId
 ) -> None:
     """Remove an engine from the holders of a prefix."""
     some = holders.get(key)
     if some is None:
         return
-    some.discard(server_id)
+    some.pop(server_id, None)
     if not some:
         del holders[key]
 
