Test that levels carry the fair shares of organisations

Change: a test with a function in its place checks demands, weights, the rest and the 128ths.

Tests: fleet/tests/test_admission_exchange.py passes (17).

--- a/sparline/fleet/tests/test_admission_exchange.py
+++ b/sparline/fleet/tests/test_admission_exchange.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from dataclasses import replace
 
 import pytest
 
@@ -9,9 +10,15 @@
 from sparline._ids import RegionName
 from sparline.decisions import OPEN_LEVEL, admission_key, is_admitted
 from sparline.fleet import AdmissionSources, ServiceRanks
+from sparline.fleet._admission_coordinator import AdmissionCoordinator
 from sparline.fleet._admission_table import AdmissionLevelTable
 from sparline.routes import ServiceName
-from sparline.schema._gossip import AdmissionLevelNote
+from sparline.schema._gossip import (
+    AdmissionBucketNote,
+    AdmissionDemandNote,
+    AdmissionLevelNote,
+    OrganisationDemandNote,
+)
 from sparline.tests.fake_fleet import STEP_MS, FakeFleet
 
 SERVICE = ServiceName("engines")
@@ -263,3 +270,30 @@
     coordinating = [ip for ip, one in fleet.instances.items() if len(one.admission.coordinator)]
     assert coordinating == [coordinator]
     assert len(set(load.levels())) == 1
+
+
+def test_levels_carry_the_shares_of_organisations_beyond_theirs():
+    """Guards against shares that are not passed on, or that the rest of the organisations gets."""
+    asked: list[tuple] = []
+
+    def fair_shares(demands, weights, capacity):
+        asked.append((dict(demands), dict(weights), capacity))
+        return {7: 0.25, 0: 0.5}
+
+    sources = replace(SOURCES, weights=lambda: {7: 1.0, 8: 3.0}, fair_shares=fair_shares)
+    coordinator = AdmissionCoordinator(
+        RegionName("east"), sources, AdmissionLevelTable(RegionName("east"))
+    )
+    organisations = [OrganisationDemandNote(7, 300), OrganisationDemandNote(0, 100)]
+    demand = [AdmissionBucketNote(0, 200), AdmissionBucketNote(16, 200)]
+    report = AdmissionDemandNote(SERVICE, 400, 300, demand, organisations, 100)
+    for number in range(5):
+        coordinator.take([report], 250.0 * number)
+        coordinator.step(250.0 * number)
+    (level,) = coordinator.notes(1)
+    assert level.level < OPEN_LEVEL
+    assert {one.key: one.share for one in level.shares} == {7: 32}
+    demands, weights, capacity = asked[-1]
+    assert demands == pytest.approx({7: 1_200.0, 0: 400.0})
+    assert weights == {7: 1.0, 0: 3.0}
+    assert 0 < capacity < 1_600.0
