Keep levels open while servers are free, and rank by organisation and route

Change: the coordinator knows the mean occupancy of its region's usable servers (slots, memory, queue of prefill). Below 0.8 the budget doesn't fall for late answers and rises the faster, the more is free; what servers refuse as full counts whatever is known of their load (AdmissionDemandNote.refused). A rank is the place of both priorities in the configuration: the organisation's goes first, the route's decides among equals. Without priorities of organisations ranks are the routes' priorities as before.

A test expected the rank of an organisation's priority alone; it now expects that of both. A test of read limits passes the argument that the admission level added to Service.

--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -15,7 +15,6 @@
     DEMAND_SMOOTHING_MS,
     FLOOR_POSITIONS,
     KEYS_PER_RANK,
-    MAX_RANK,
     OPEN_LEVEL,
     OPENING_MS,
     POSITIONS,
@@ -39,6 +38,7 @@
     may_be_shown_later,
 )
 from sparline.decisions._fair_shares import DemandSketch, OrganisationDemand, fair_shares
+from sparline.decisions._occupancy import ServerUse, region_occupancy
 from sparline.decisions._region_refusals import RegionRefusals
 from sparline.decisions._return_time import (
     RefusalFacts,
@@ -53,7 +53,6 @@
     "FLOOR_POSITIONS",
     "KEYS_PER_RANK",
     "LONG_PREFILL_RATIO",
-    "MAX_RANK",
     "OPENING_MS",
     "OPEN_LEVEL",
     "POSITIONS",
@@ -70,6 +69,7 @@
     "RefusalReason",
     "RegionRefusals",
     "RoundReport",
+    "ServerUse",
     "SmoothedRate",
     "admission_key",
     "counted_exit",
@@ -82,5 +82,6 @@
     "may_be_shown_later",
     "refusal_reason",
     "refusal_retry_after_ms",
+    "region_occupancy",
     "unserved_retry_after_ms",
 ]
--- a/sparline/decisions/_admission_level.py
+++ b/sparline/decisions/_admission_level.py
@@ -14,7 +14,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-MAX_RANK = 9
+from sparline.routes import MAX_RANK
+
 POSITIONS = 128
 KEYS_PER_RANK = 2 * POSITIONS
 # Lowest level that admits every key.
@@ -56,6 +57,9 @@
 # steps are the whole demand, which leaves one of the eight rounds of `OPENING_MS` for the report.
 RISE_STEPS = 7
 RISE_UNIT = 1 / sum(number**3 for number in range(1, RISE_STEPS + 1))
+# Below this mean occupancy of the region's servers, misses have other causes than scarce capacity:
+# the budget does not fall, and rises faster the more is free.
+ROOM_OCCUPANCY = 0.8
 # Largest step back to the steady budget, as part of the demand.
 MAX_RESTORED_PART = 0.25
 # The level opens once the budget exceeds the demand by this factor, and the budget stops there.
@@ -121,6 +125,7 @@
     admitted: float  # cost of what the level admitted
     missed: float  # cost of what was then refused or late
     answered: float  # cost of what got its first event or answer, or failed otherwise
+    refused: float = 0.0  # part of what was missed that servers refused as full
 
 
 class SmoothedRate:
@@ -159,12 +164,13 @@
         self._demand: dict[int, SmoothedRate] = {}
         self._admitted = SmoothedRate(RATE_SMOOTHING_MS)
         self._missed = SmoothedRate(RATE_SMOOTHING_MS)
+        self._refused = SmoothedRate(RATE_SMOOTHING_MS)
         self._answered = SmoothedRate(RATE_SMOOTHING_MS)
         self._asked = SmoothedRate(RATE_SMOOTHING_MS)
         self._recent: list[float] = []  # answered per second, in the last rounds
         self._capacity = 0.0  # estimate of the cost per second that servers can answer
         self._sum: dict[int, float] = {}
-        self._sum_admitted = self._sum_missed = self._sum_answered = 0.0
+        self._sum_admitted = self._sum_missed = self._sum_answered = self._sum_refused = 0.0
         self._stepped_at_ms: float | None = None
         self._good_rounds = 0
         self._rounds_since_fall = ROUNDS_AFTER_FALL  # none so far
@@ -181,6 +187,7 @@
         self._sum_admitted += report.admitted
         self._sum_missed += report.missed
         self._sum_answered += report.answered
+        self._sum_refused += report.refused
 
     @property
     def asked_per_s(self) -> float:
@@ -197,20 +204,29 @@
         """Tell whether the level has been open and without misses for long enough to be dropped."""
         return self.quiet_rounds > ROUNDS_AFTER_OPENING
 
-    def step(self, now: float) -> int:
+    def step(self, now: float, occupancy: float | None = None) -> int:
         """End a round: adjust budget, level and floor to the reports; return the level.
 
+        `occupancy` is the mean occupancy of the region's servers, 0 to 1, None if it is not known.
         The first call begins the measurement. Its reports are discarded, because at first only
         instances with misses report.
         """
         began_at_ms, self._stepped_at_ms = self._stepped_at_ms, now
-        total = RoundReport(self._sum, self._sum_admitted, self._sum_missed, self._sum_answered)
-        self._sum, self._sum_admitted, self._sum_missed, self._sum_answered = {}, 0.0, 0.0, 0.0
+        total = RoundReport(
+            self._sum,
+            self._sum_admitted,
+            self._sum_missed,
+            self._sum_answered,
+            self._sum_refused,
+        )
+        self._sum = {}
+        self._sum_admitted = self._sum_missed = self._sum_answered = self._sum_refused = 0.0
         if began_at_ms is None or now <= began_at_ms:
             return self.level
         span_ms = now - began_at_ms
         self._measure(total, span_ms)
-        self._adjust(now, span_ms)
+        room = 0.0 if occupancy is None else max(1 - occupancy / ROOM_OCCUPANCY, 0.0)
+        self._adjust(now, span_ms, room)
         self._set_level()
         self._set_floor(now)
         is_quiet = self.level == OPEN_LEVEL and total.missed <= 0
@@ -225,12 +241,14 @@
         self._asked.add(sum(total.demand.values()), span_ms)
         self._admitted.add(total.admitted, span_ms)
         self._missed.add(total.missed, span_ms)
+        self._refused.add(total.refused, span_ms)
         self._answered.add(total.answered, span_ms)
 
     def _tolerated(self, now: float) -> float:
         return TOLERATED_MISSES + (self._unrelated if now < self._unrelated_until_ms else 0.0)
 
-    def _adjust(self, now: float, span_ms: float) -> None:
+    def _adjust(self, now: float, span_ms: float, room: float) -> None:
+        """Adjust the budget; `room` is the free part of what may be occupied, 0 if none is."""
         asked, share = self.asked_per_s, self.missed_share
         if self.budget_per_s is None:
             # An inherited level stands for the demand below it.
@@ -242,7 +260,13 @@
         self._learn_unrelated(now, share)
         tolerated = self._tolerated(now)
         self._rounds_since_fall += 1
-        if share > tolerated:
+        if self._refused.per_s > tolerated * self._admitted.per_s:
+            # Servers that refuse are full, whatever load is known of them.
+            room = 0.0
+        if room > 0 and self.level < OPEN_LEVEL:
+            rise = asked * MAX_RESTORED_PART * room * span_ms / ADJUSTMENT_MS
+            self.budget_per_s = min(self.budget_per_s + rise, asked * MAX_BUDGET_FACTOR)
+        elif share > tolerated and not room:
             self._good_rounds = 0
             self._fall(now, share)
         elif self.level == OPEN_LEVEL:
--- a/sparline/fleet/_admission_coordinator.py
+++ b/sparline/fleet/_admission_coordinator.py
@@ -51,6 +51,8 @@
     regions: Callable[[], frozenset[RegionName]]  # all regions
     weights: Callable[[], Mapping[int, float]]  # weight of each organisation, by its key
     fair_shares: FairShares
+    # Mean occupancy of the region's servers of a service, None if it is not known.
+    occupancy: Callable[[ServiceName], float | None]
     note_change: Callable[[LevelChange], None]
 
 
@@ -61,6 +63,7 @@
     regions=frozenset,
     weights=dict,
     fair_shares=lambda _demands, _weights, _capacity: {},
+    occupancy=lambda _service: None,
     note_change=lambda _change: None,
 )
 
@@ -68,8 +71,9 @@
 class _Coordinated:
     """Hold the controller of one service and the demand of its organisations."""
 
-    def __init__(self, controller: LevelController) -> None:
+    def __init__(self, service: ServiceName, controller: LevelController) -> None:
         self.controller = controller
+        self._service = service
         self.reported_at_ms = 0.0
         self.shares: dict[int, int] = {}
         self._demand: dict[int, SmoothedRate] = {}
@@ -79,12 +83,14 @@
     def note(self, note: AdmissionDemandNote, now: float) -> None:
         self.reported_at_ms = now
         demand = {one.bucket: float(one.cost) for one in note.demand}
-        self.controller.note(RoundReport(demand, note.admitted, note.missed, note.answered))
+        self.controller.note(
+            RoundReport(demand, note.admitted, note.missed, note.answered, note.refused)
+        )
         for one in note.organisations:
             self._sum[one.key] = self._sum.get(one.key, 0.0) + max(one.cost, 0)
 
     def step(self, sources: AdmissionSources, now: float) -> None:
-        self.controller.step(now)
+        self.controller.step(now, sources.occupancy(self._service))
         began_at_ms, self._stepped_at_ms = self._stepped_at_ms, now
         asked, self._sum = self._sum, {}
         if began_at_ms is None or now <= began_at_ms:
@@ -150,7 +156,7 @@
                 # Sent in reply to a level that has been dropped since.
                 continue
             controller = LevelController(ranks.patience_ms, held.level, held.floor)
-            one = self._coordinated[service] = _Coordinated(controller)
+            one = self._coordinated[service] = _Coordinated(service, controller)
             one.shares = dict(held.shares)
             one.reported_at_ms = now
             one.step(self._sources, now)
--- a/sparline/fleet/_admission_exchange.py
+++ b/sparline/fleet/_admission_exchange.py
@@ -58,6 +58,7 @@
     organisations: dict[int, int] = field(default_factory=dict)  # by key
     admitted: int = 0
     missed: int = 0
+    refused: int = 0  # part of what was missed that servers refused as full
     answered: int = 0
 
 
@@ -107,9 +108,15 @@
         """Count a request that the level admitted."""
         self._count(service).admitted += cost
 
-    def note_missed(self, service: ServiceName, cost: int) -> None:
-        """Count an admitted request that was refused for lack of capacity or is late."""
-        self._count(service).missed += cost
+    def note_missed(self, service: ServiceName, cost: int, by_server: bool = False) -> None:
+        """Count an admitted request that was refused for lack of capacity or is late.
+
+        `by_server` tells whether backend servers refused it as full.
+        """
+        counted = self._count(service)
+        counted.missed += cost
+        if by_server:
+            counted.refused += cost
 
     def note_answered(self, service: ServiceName, cost: int) -> None:
         """Count an admitted request that got its first event or its answer."""
@@ -277,4 +284,5 @@
         [AdmissionBucketNote(bucket, cost) for bucket, cost in counted.demand.items()],
         organisations,
         counted.answered,
+        counted.refused,
     )
--- a/sparline/fleet/_loads.py
+++ b/sparline/fleet/_loads.py
@@ -6,11 +6,9 @@
 import msgspec
 
 from sparline._ids import BackendServerId
+from sparline.routes import MAX_RANK
 from sparline.schema._gossip import BackendLoadNote
 
-# Least urgent rank that is told apart; it bounds the size of messages.
-MAX_RANK = 9
-
 
 class ServerLoad(msgspec.Struct, frozen=True):
     """Hold the load on one backend server, or a change of it.
--- a/sparline/fleet/tests/test_admission_exchange.py
+++ b/sparline/fleet/tests/test_admission_exchange.py
@@ -31,6 +31,7 @@
     regions=lambda: frozenset(RegionName(one) for one in REGIONS),
     weights=dict,
     fair_shares=lambda _demands, _weights, _capacity: {},
+    occupancy=lambda _service: None,
     note_change=lambda _change: None,
 )
 # Requests that the servers of a region answer per second. Those that would wait for longer than
--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -11,7 +11,6 @@
 from sparline.decisions import (
     KEYS_PER_RANK,
     LONG_PREFILL_RATIO,
-    MAX_RANK,
     POSITIONS,
     admission_key,
     fair_shares,
@@ -35,7 +34,7 @@
 from sparline.platform import RequestMarks
 from sparline.quotas import quota_key
 from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
-from sparline.routes import Configuration, Route, ServiceName
+from sparline.routes import Configuration, Organisation, Route, ServiceName
 
 # Period after which the same content has another position (s), so that it is not refused for ever.
 PERIOD_S = 10.0
@@ -112,6 +111,11 @@
         self._refresh()
         return self._ranks.get(service)
 
+    def rank_of(self, route: Route, organisation: Organisation | None) -> int:
+        """Return the rank of a request, 0 for the most urgent."""
+        assert self._configuration is not None, "a level applies without a configuration"
+        return self._configuration.rank_of(route, organisation)
+
     def services(self) -> list[ServiceName]:
         """Return the services to which levels apply."""
         self._refresh()
@@ -127,13 +131,12 @@
     known = configuration.organisations
     organisations = known.by_id.values() if known else ()
     is_shared = any(one.priority is not None or one.quota is not None for one in organisations)
-    own_ranks = {min(one.priority, MAX_RANK) for one in organisations if one.priority is not None}
+    own_priorities = {None, *(one.priority for one in organisations)}
     patience_ms: dict[ServiceName, dict[int, float]] = {}
     for route in configuration.routes:
         for share in route.shares:
             of_service = patience_ms.setdefault(share.service, {})
-            # Requests of an organisation with a priority have that rank on every route.
-            for rank in {min(route.priority, MAX_RANK), *own_ranks}:
+            for rank in {configuration.ranks.of(route.priority, own) for own in own_priorities}:
                 of_service[rank] = max(of_service.get(rank, 0.0), route.timeout_ms)
     return {
         service: ServiceRanks(max(by_rank) + 1, by_rank)
@@ -219,13 +222,10 @@
         period = int(self._time_s() / PERIOD_S + (content >> 32) / 2**32)
         position = hash_parts((content.to_bytes(8, "big"), period.to_bytes(8, "big"))) % POSITIONS
         step = 0
-        rank = arrival.route.priority
-        if caller is not None:
-            own = caller.organisation.priority
-            rank = rank if own is None else own
-            if level.shares:
-                share = level.shares.get(quota_key(caller.organisation.id), POSITIONS)
-                step = int(position >= share)
+        if caller is not None and level.shares:
+            share = level.shares.get(quota_key(caller.organisation.id), POSITIONS)
+            step = int(position >= share)
+        rank = self._ranks.rank_of(arrival.route, caller.organisation if caller else None)
         return admission_key(rank, step, position)
 
     def _closed_regions(
@@ -306,17 +306,17 @@
             # No retry was left after servers had turned it away.
             reason = Reason.BACKEND_REFUSED
         if reason in MISS_REASONS or (reason in TIMEOUT_REASONS and not end.progress.may_have_run):
-            self._note_missed(request)
+            self._note_missed(request, by_server=reason is Reason.BACKEND_REFUSED)
         else:
             self._exchange.note_answered(request.service, _cost(request.prompt))
 
-    def _note_missed(self, request: RoutedRequest) -> None:
+    def _note_missed(self, request: RoutedRequest, by_server: bool = False) -> None:
         assert request.admission_level is not None and request.admission_key is not None
         rank = request.admission_key // KEYS_PER_RANK
         self._metrics.admission_missed.labels(request.service, rank).inc()
         level = self._exchange.level(request.service, self._region)
         if is_telling(request.admission_level, level.level):
-            self._exchange.note_missed(request.service, _cost(request.prompt))
+            self._exchange.note_missed(request.service, _cost(request.prompt), by_server)
 
     def update_metrics(self) -> None:
         """Set the gauges to the levels in force."""
@@ -333,7 +333,9 @@
     return credit_of(prompt) if prompt else 1
 
 
-def make_admission_sources(fleet: FleetState, ranks: RankTable) -> AdmissionSources:
+def make_admission_sources(
+    fleet: FleetState, ranks: RankTable, occupancy: Callable[[ServiceName], float | None]
+) -> AdmissionSources:
     """Return what the exchange of levels needs of an instance."""
     lines = LineBudget(CHANGE_LINES_PER_S)
 
@@ -355,5 +357,6 @@
         regions=lambda: regions,
         weights=ranks.weights,
         fair_shares=fair_shares,
+        occupancy=occupancy,
         note_change=note_change,
     )
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from sparline.gateway._directory import Directory
 from sparline.gateway._leave_plan import NEEDED_UNTIL, LeavePlan
 from sparline.gateway._metrics import GatewayMetrics
+from sparline.gateway._occupancy import RegionOccupancy
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._quotas import Quotas, QuotaTerms
 from sparline.gateway._request_log import RequestLog
@@ -160,7 +161,10 @@
         )
         self.quotas = Quotas(self.quota_exchange, lambda: self.gossip, self.metrics)
         ranks = RankTable(self.fleet, settings.admission is None or settings.admission.enabled)
-        sources = make_admission_sources(self.fleet, ranks)
+        occupancy = RegionOccupancy(
+            region, self.fleet, self.loads, self.pace, lambda one: not self._is_doubted(one)
+        )
+        sources = make_admission_sources(self.fleet, ranks, occupancy.of)
         self.admission_exchange = AdmissionExchange(self.members, sources)
         self.admission = AdmissionGate(
             region, self.fleet, ranks, self.admission_exchange, self.metrics
@@ -303,6 +307,11 @@
             self.load_exchange.note_change(server.id, change, log_factor, is_near)
         )
 
+    def _is_doubted(self, server_id: BackendServerId) -> bool:
+        """Tell whether a server has recently failed this instance or one of its region."""
+        by_region = self.load_exchange.load_table.is_doubted(server_id)
+        return by_region or self.health.is_doubted(server_id)
+
     def _doubted_here(self) -> list[str]:
         region = self.members.own.region
         return [one for one in self.fleet.ids_in(region) if self.health.is_doubted(one)]
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -244,6 +244,7 @@
             admission_key=admitted.key,
             admission_level=admitted.level,
             closed_regions=admitted.closed_regions,
+            rank=configuration.rank_of(route, known.organisation if known else None),
         )
 
     def _answer_not_admitted(
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -58,7 +58,7 @@
         self.fleet._is_indexed = False
         ranks = RankTable(self.fleet, enabled)
         own = MemberNote("1.1.1.1", "own", 1, 1, MemberPhase.live, NORTH, "north-1")
-        sources = make_admission_sources(self.fleet, ranks)
+        sources = make_admission_sources(self.fleet, ranks, lambda _service: None)
         self.exchange = AdmissionExchange(Members(own), sources)
         self.metrics = GatewayMetrics()
         self.gate = AdmissionGate(
@@ -161,7 +161,8 @@
     level = LevelInForce(2_000, 0, {quota_key(caller.organisation.id): 32})
     world.exchange.level = lambda _service, _region: level
     keys = [world.admit(body=b"%d" % number, caller=caller).key for number in range(300)]
-    assert {key // KEYS_PER_RANK for key in keys} == {1}
+    # The priority of the organisation, 1, and of the route, 2: behind 0 and 0, and 1 and 0.
+    assert {key // KEYS_PER_RANK for key in keys} == {2}
     assert all((key % 256 >= 128) == (key % 128 >= 32) for key in keys)
 
 
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -15,7 +15,7 @@
 def test_limits_are_those_of_the_configuration_in_force():
     # They are kept between requests: a new configuration has to replace them.
     fleet = SimpleNamespace(configuration=None)
-    service = Service(fleet, *[None] * 6)
+    service = Service(fleet, *[None] * 7)
     assert service._limits(Origin.CALLER).max_body_bytes == DEFAULT_LIMITS.max_body_bytes
     for size in (10, 20):
         fleet.configuration = changed(max_body_bytes=size, max_head_bytes=size)
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -27,9 +27,8 @@
     RelayedCaller,
     RoutedRequest,
 )
-from sparline.routes import ConfigurationVersion, KeyDigest, digest_of_key
+from sparline.routes import MAX_RANK, ConfigurationVersion, KeyDigest, digest_of_key
 
-MOST_PRIORITY = 9
 # Unsigned, with an optional fraction; rejects signs, exponents, "inf" and "nan".
 DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 # Longer numbers are none: no time, length or id of an event has as many digits.
@@ -189,7 +188,7 @@
         if terms.source is not None:
             own.append((names.FETCH_FROM, b"%b:%d" % (terms.source[0].encode(), terms.source[1])))
         if request.prompt is not None:
-            own.append((names.PRIORITY, b"%d" % min(request.priority, MOST_PRIORITY)))
+            own.append((names.PRIORITY, b"%d" % min(request.priority, MAX_RANK)))
         if request.caller is not None:
             own.append((names.ORGANISATION, request.caller.organisation.id.encode("latin-1")))
         return _head(request, own)
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -60,6 +60,7 @@
     # Admission level of the own region that admitted it, None where other regions did or none apply.
     admission_level: int | None = None
     closed_regions: frozenset[RegionName] = frozenset()  # regions whose level refuses it
+    rank: int | None = None  # rank in the configuration, None where it is not known
     arrived_at_ms: float = field(default_factory=now_ms)  # when it was received
 
     def left_ms(self) -> float:
@@ -68,7 +69,9 @@
 
     @property
     def priority(self) -> int:
-        """Return its priority, 0 for the most urgent; the organisation's overrides the route's."""
+        """Return its priority, 0 for the most urgent: its rank, if it is known."""
+        if self.rank is not None:
+            return self.rank
         own = self.caller.organisation.priority if self.caller else None
         return self.route.priority if own is None else own
 
--- a/sparline/routes/__init__.py
+++ b/sparline/routes/__init__.py
@@ -9,6 +9,7 @@
     digest_of_key,
     make_organisations,
 )
+from sparline.routes._ranks import MAX_RANK, Ranks, make_ranks
 from sparline.routes._types import (
     DEFAULT_LIMITS,
     CallerLimits,
@@ -31,10 +32,12 @@
     "ConfigurationVersion",
     "EngineSpec",
     "KeyDigest",
+    "MAX_RANK",
     "Organisation",
     "Organisations",
     "Quota",
     "QuotaUnit",
+    "Ranks",
     "RequestKind",
     "Route",
     "RouteName",
@@ -44,4 +47,5 @@
     "digest_of_key",
     "make_configuration",
     "make_organisations",
+    "make_ranks",
 ]
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -5,7 +5,8 @@
 from typing import NewType
 
 from sparline._ids import RegionName
-from sparline.routes._organisations import Organisations
+from sparline.routes._organisations import Organisation, Organisations
+from sparline.routes._ranks import Ranks, make_ranks
 
 ServiceName = NewType("ServiceName", str)
 RouteName = NewType("RouteName", str)
@@ -111,6 +112,11 @@
     limits: CallerLimits  # what callers may send
     by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)  # longest prefix first
     organisations: Organisations | None = None  # owners of the keys, None if no keys are required
+    ranks: Ranks = field(default_factory=Ranks)  # order of urgency of the requests
+
+    def rank_of(self, route: Route, organisation: Organisation | None) -> int:
+        """Return the rank of a request, 0 for the most urgent."""
+        return self.ranks.of(route.priority, organisation.priority if organisation else None)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the matching route with the longest path prefix."""
@@ -132,4 +138,8 @@
     for route in sorted(routes, key=lambda item: -len(item.path_start)):
         by_host.setdefault(route.host, []).append(route)
     routes_by_host = {host: tuple(found) for host, found in by_host.items()}
-    return Configuration(version, routes, services, limits, routes_by_host, organisations)
+    ranks = make_ranks(
+        (route.priority for route in routes),
+        (one.priority for one in organisations.by_id.values()) if organisations else (),
+    )
+    return Configuration(version, routes, services, limits, routes_by_host, organisations, ranks)
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -301,6 +301,9 @@
             description="Cost that got its first event or its answer, in time or late, or ended without being missed."
         ),
     ] = 0
+    refused: Annotated[
+        int, Meta(description="Part of what was missed that backend servers refused as full.")
+    ] = 0
 
 
 class AdmissionReport(WireMessage):
