Word the comments and docstrings of the gateway package

Comments, docstrings and two assertion messages of sparline/gateway and sparline/gateway_process.py use the terms of docs/GLOSSARY.md, sparline/forwarding, sparline/fleet and sparline/placement. All reasons and figures are kept.

--- a/sparline/gateway/__init__.py
+++ b/sparline/gateway/__init__.py
@@ -1,4 +1,4 @@
-"""One instance on the users' platform: its parts, its life from start to stop."""
+"""A gateway instance: its components and its life cycle from start to stop."""
 
 from sparline.gateway._gateway import Gateway
 from sparline.gateway._run import run, settings_path
--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -1,4 +1,4 @@
-"""Admission level at an instance: whether a request is admitted, and what became of it."""
+"""Admits requests by the admission level, and counts how admitted requests end."""
 
 import time
 from collections.abc import Callable, Mapping
@@ -37,14 +37,14 @@
 from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
 from sparline.routes import Configuration, Route, ServiceName
 
-# Period after which the same content has another position (s), so that it is not refused for ever.
+# Period after which the same content gets another position (s), so that it is not refused forever.
 PERIOD_S = 10.0
-# Log lines per second and instance.
+# Log lines per second and instance about refusals, and about changes of levels.
 REFUSAL_LINES_PER_S = 20.0
 CHANGE_LINES_PER_S = 10.0
-# How long the regions with servers of a service are remembered (ms).
+# How long the regions with servers of a service are cached (ms).
 REGIONS_TTL_MS = 250.0
-# Ends without an answer that show a lack of capacity.
+# Reasons of unanswered requests that show a lack of capacity.
 MISS_REASONS = frozenset(
     (
         Reason.DEADLINE_UNREACHABLE,
@@ -53,16 +53,16 @@
         Reason.PEER_NOT_RUN,
     )
 )
-# Ends by time; they show a lack of capacity only if no server failed the request before.
+# Timeouts, which show a lack of capacity only if no server failed the request before.
 TIMEOUT_REASONS = frozenset((Reason.DEADLINE_PASSED, Reason.ROUTE_TIMEOUT))
 
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Hold what is known of a request before it is admitted."""
+    """Describe a request before admission."""
 
-    http: HttpRequest  # as it was received
-    marks: RequestMarks  # what its head says
+    http: HttpRequest  # request as received
+    marks: RequestMarks  # fields parsed from its head
     route: Route  # route that matches it
     service: ServiceName  # service of the route that handles it
     caller: KnownCaller | None  # authenticated caller, if any
@@ -71,10 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """Say under which conditions a request is admitted."""
+    """Describe the conditions under which a request is admitted."""
 
-    key: int | None = None  # None where no level applies
-    level: int | None = None  # level of the own region that admitted it, None if only others do
+    key: int | None = None  # admission key, None if no level applies
+    level: int | None = None  # level of the own region, None if only other regions admit it
     closed_regions: frozenset[RegionName] = frozenset()  # regions whose level refuses it
 
 
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotAdmitted:
-    """Say that all allowed regions refuse a request."""
+    """Describe a request that all allowed regions refuse."""
 
     retry_after_ms: float
 
@@ -92,7 +92,7 @@
     """Finds the services to which levels apply, and their ranks, in the current configuration."""
 
     def __init__(self, fleet: FleetState, enabled: bool) -> None:
-        """Look into the configuration that a fleet holds."""
+        """Create a table that follows the configuration of a fleet."""
         self._fleet = fleet
         self._enabled = enabled
         self._configuration: Configuration | None = None
@@ -155,7 +155,7 @@
 
 
 class AdmissionGate:
-    """Compares requests with levels, and counts what was asked, admitted, missed and answered."""
+    """Compares requests with levels; counts those asked, admitted, missed and answered."""
 
     def __init__(
         self,
@@ -166,7 +166,7 @@
         metrics: GatewayMetrics,
         time_s: Callable[[], float] = time.time,
     ) -> None:
-        """Admit requests to an instance; `time_s` returns the time of day, alike on all."""
+        """Create a gate; `time_s` returns the wall-clock time, on which instances agree."""
         self._region = region
         self._fleet = fleet
         self._ranks = ranks
@@ -186,7 +186,7 @@
         key = self._key(arrival, level) if relayed_key is None else relayed_key
         is_own_open = is_admitted(key, level.level, level.floor)
         if not is_own_open:
-            # An admitted request counts once its quota is charged.
+            # An admitted request is counted in `note_start`, after its quota is charged.
             self._note_asked(arrival.service, key, arrival.caller, arrival.marks.prompt)
         if origin is Origin.RELAY:
             if is_own_open:
@@ -215,7 +215,7 @@
     def _key(self, arrival: Arrival, level: LevelInForce) -> int:
         caller = arrival.caller
         content = hash_parts((arrival.marks.key.digest or b"", *_content(arrival.http)))
-        # The periods of different contents begin at different times.
+        # Periods start at a different time for each content.
         period = int(self._time_s() / PERIOD_S + (content >> 32) / 2**32)
         position = hash_parts((content.to_bytes(8, "big"), period.to_bytes(8, "big"))) % POSITIONS
         step = 0
@@ -278,32 +278,32 @@
         return NotAdmitted(wait_ms)
 
     def note_first(self, request: RoutedRequest, placement: Placement, progress: Progress) -> None:
-        """Count the first event or answer of a request, and whether it is late."""
+        """Count the first event or answer of a request, as missed too if it is late."""
         if request.admission_level is None or progress.first_at_ms is None:
             return
         self._exchange.note_answered(request.service, _cost(request.prompt))
         target_ms = request.route.wanted_latency_ms
         first_ms = progress.first_at_ms - request.arrived_at_ms
         if progress.may_have_run or target_ms <= 0:
-            # Late because a server failed, not for lack of capacity.
+            # The delay was caused by a failed server, not by a lack of capacity.
             return
         if placement.prefill_ms > LONG_PREFILL_RATIO * target_ms:
-            # As in admission by estimate, a long prompt is judged by its wait before prefill.
+            # As in admission by estimate, a long prompt is judged by its wait before prefill starts.
             first_ms -= placement.prefill_ms
         if first_ms > target_ms:
             self._note_missed(request)
 
     def note_end(self, request: RoutedRequest, end: RequestEnd) -> None:
-        """Count a request that got no event, as missed if it was for lack of capacity.
+        """Count a request that ended without an event, as missed if capacity was lacking.
 
-        Others count as answered, because they no longer wait: a request that a server failed is no
-        sign of a queue.
+        Others count as answered, because they no longer wait: a request that a server failed does
+        not indicate a queue.
         """
         if request.admission_level is None or end.progress.first_at_ms is not None:
             return
         reason = end.reason
         if reason is Reason.RETRY_BUDGET and not end.progress.runs():
-            # No retry was left after servers had turned it away.
+            # Servers refused it, and the retry budget was used up.
             reason = Reason.BACKEND_REFUSED
         if reason in MISS_REASONS or (reason in TIMEOUT_REASONS and not end.progress.may_have_run):
             self._note_missed(request)
@@ -319,7 +319,7 @@
             self._exchange.note_missed(request.service, _cost(request.prompt))
 
     def update_metrics(self) -> None:
-        """Set the gauges to the levels in force."""
+        """Update the gauges of the levels in force."""
         for service in self._ranks.services():
             level = self._exchange.level(service, self._region).level
             self._metrics.admission_level.labels(service).set(level)
@@ -334,7 +334,7 @@
 
 
 def make_admission_sources(fleet: FleetState, ranks: RankTable) -> AdmissionSources:
-    """Return what the exchange of levels needs of an instance."""
+    """Create the sources of the admission exchange."""
     lines = LineBudget(CHANGE_LINES_PER_S)
 
     def note_change(change: LevelChange) -> None:
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -1,4 +1,4 @@
-"""Which instances callers are sent to."""
+"""Directory of the instances that callers should use."""
 
 import random
 
@@ -8,34 +8,35 @@
 from sparline.platform import DirectoryQuestion
 from sparline.schema._gossip import MemberPhase
 
-# Most instances named in one answer (count); callers take no more.
+# Maximum number of instances in one answer; callers accept no more.
 MOST_NAMED = 64
-# Callers are sent to their own availability zone while so many instances there take work (count):
-# bytes between zones are priced, and one alone would not bear the loss of another.
+# Callers are directed to their own availability zone if it has at least this many live instances.
+# Traffic between zones costs money, but a zone with one instance has none left if that is lost.
 ZONE_LEAST = 2
-# A new process that has heard of nobody waits this long (ms) before it names itself alone.
+# How long a new process without known members waits before it names itself alone (ms).
 ALONE_AFTER_MS = 1_500.0
-# Callers hold on to an answer for up to so long (ms): whoever is named still has to take requests then.
+# How long callers may use an answer (ms). Named instances have to accept requests for that long.
 HELD_MS = 2_000.0
-# An instance that leaves is named for so long at the most (ms), however long its stop may take: those
-# whose stops overlap are back in 5 s.
+# Maximum time for which a leaving instance is named (ms), however long its stop takes: instances
+# whose stops overlap are back within 5 s.
 LAST_NAMED_MS = 5_000.0
-# An instance that began to leave less than this long ago (ms) still takes what callers send
-# while they hold on to an answer. Where a region has no live one, these go before instances that
-# may not run all of a caller's requests, and after them those that leave for longer.
+# An instance that began to leave less than this long ago (ms) accepts requests for as long as
+# callers use an answer. If a region has no live instance, these are preferred to instances of other
+# regions that may not run all of a caller's requests, and instances that have been leaving for
+# longer come next.
 JUST_LEAVING_MS = 2_000.0
 
 
 class Directory:
-    """Name instances near the caller; those of other regions only where there are none."""
+    """Select instances near a caller, or in other regions if there are none."""
 
     def __init__(
         self, members: Members, fleet: FleetState, callers_port: int, needed_until_ms: float
     ) -> None:
-        """Name instances by the port at which all of them listen for callers.
+        """Create a directory; all instances listen for callers on `callers_port`.
 
-        An instance that leaves takes requests for `needed_until_ms` where no other of its region
-        does.
+        A leaving instance accepts requests for `needed_until_ms` if no other instance of its
+        region is live.
         """
         self._members = members
         self._fleet = fleet
@@ -46,7 +47,7 @@
         self._started_ms = now_ms()
 
     def find(self, question: DirectoryQuestion) -> list[str]:
-        """Return addresses for a caller, none where nothing is known yet."""
+        """Return addresses for a caller; none while the members are still unknown."""
         if not any(True for _ in self._members.others()) and self._is_new():
             return []
         region = question.region or RegionName(self._members.own.region)
@@ -59,7 +60,7 @@
         return now_ms() - self._started_ms < ALONE_AFTER_MS
 
     def _in_zone(self, zone: ZoneName, region: RegionName) -> list[str]:
-        """Return the instances of a caller's zone, those of its region where they are few."""
+        """Return the instances of a zone, or those of its region if the zone has too few."""
         in_region = self._in_region(region)
         own = self._members.own
         zones = {one.note.ip: one.note.availability_zone for one in self._members.live(region)}
@@ -75,7 +76,10 @@
         return found
 
     def _elsewhere(self, question: DirectoryQuestion, region: RegionName) -> list[str]:
-        """Return instances of the regions that may run most of the caller's routes."""
+        """Return instances of the other regions that may run most routes of the caller's host.
+
+        Leaving instances of the caller's region are preferred if no other region may run all.
+        """
         found: dict[RegionName, list[str]] = {}
         for other in dict.fromkeys(self._fleet.zones.values()):
             if other != region and (addresses := self._in_region(other)):
@@ -89,7 +93,7 @@
         return [ip for one, of in found.items() if allowed[one] == most for ip in of]
 
     def _leaving(self, region: RegionName, for_less_than_ms: float) -> list[str]:
-        """Return the instances of a region that began to leave so lately, this one too."""
+        """Return the instances of a region, including this one, that began to leave recently."""
         found = [one.note.ip for one in self._members.leaving(region, for_less_than_ms)]
         own = self._members.own
         is_young = now_ms() - self._members.own_phase_at_ms <= for_less_than_ms
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -1,4 +1,4 @@
-"""One instance on the users' platform, put together."""
+"""A gateway instance, assembled from its components."""
 
 import random
 import time
@@ -86,25 +86,26 @@
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
-# Connections that may wait to be accepted (count): a wave of callers at once.
+# Maximum number of connections waiting to be accepted: many callers may connect at once.
 BACKLOG = 1_024
-# A starting instance looks so often whether it has a configuration (ms): callers wait.
+# Interval at which a starting instance checks for a configuration (ms). It is short because callers
+# wait meanwhile.
 STARTING_STEP_MS = 10.0
-# Housekeeping comes round so often (ms).
 UPKEEP_MS = 500.0
-# What was learned of the services is written to the log so often (ms).
+# Interval at which the learned timings of the services are logged (ms).
 LEARNED_MS = 10_000.0
-# A planned stop looks so often whether all is done (ms).
+# Interval at which a planned stop checks whether it is complete (ms).
 STOP_STEP_MS = 50.0
-# Starts of servers that are over are remembered up to here (count): requests there end in seconds.
+# Maximum number of remembered server starts that have ended. Requests sent to them end within
+# seconds.
 MOST_ENDED_STARTS = 4_096
 
 
 class Gateway:
-    """Serve callers, peers and the platform's checks."""
+    """Serve callers, peers and the platform's requests for readiness, directory and metrics."""
 
     def __init__(self, settings: GatewaySettings) -> None:
-        """Build every part; nothing listens yet."""
+        """Create all components without opening any port."""
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.request_log = RequestLog(self.metrics)
@@ -308,7 +309,7 @@
         return [one for one in self.fleet.ids_in(region) if self.health.is_doubted(one)]
 
     def _note_restarted(self, server: BackendServer) -> None:
-        """Give up what connects this instance with a server that has started anew."""
+        """Close idle connections to a replaced start, and record the end for requests on it."""
         self._pool.forget(server.address)
         self._ended_starts[server.id] = None
         if len(self._ended_starts) > MOST_ENDED_STARTS:
@@ -319,7 +320,7 @@
         log.bind(pause_ms=round(pause_ms)).warning("process_paused")
 
     def _note_gone(self, server: BackendServer) -> None:
-        """Count a server's end under the requests that broke off with it."""
+        """Count the end of a removed server for the requests that were interrupted on it."""
         for known in Liveness:
             counted = counted_exit(server.id, EndEvidence.GONE, known)
             for digest in self.ends.note_removed(server.id, known):
@@ -340,13 +341,13 @@
         return max((one.store_revision for one in self.members.live()), default=0)
 
     def _may_be_behind(self) -> bool:
-        """Tell whether the store may hold a newer configuration than this instance."""
+        """Return whether a newer configuration than this instance's may be in force."""
         if self._newest_peer_revision() > self.copy.revision:
             return True
         return not self.reader.reached() and not self.members.is_store_reached()
 
     def start(self) -> None:
-        """Open the ports, then follow the store and the fleet; `OSError` where one is taken."""
+        """Open the ports and start the background tasks; raise `OSError` if a port is in use."""
         listen = self.settings.listen
         self._listen(listen.callers, self.service.serve_caller)
         self._listen(listen.relay, self.service.serve_peer)
@@ -399,11 +400,11 @@
         return [content]
 
     def is_ready(self) -> bool:
-        """Tell whether callers should come here."""
+        """Return whether callers should use this instance."""
         return self.members.own.phase is MemberPhase.live
 
     def _go_live(self) -> None:
-        """Take requests as soon as there is a configuration."""
+        """Announce that this instance is live once it has a configuration."""
         while self.fleet.configuration is None:
             gevent.sleep(STARTING_STEP_MS / 1000)
         self.fleet.started = True
@@ -433,13 +434,13 @@
             gevent.sleep(UPKEEP_MS / 1000)
 
     def _store_away(self) -> bool:
-        """Tell whether the store answers no instance that is known."""
+        """Return whether the store answers neither this instance nor any known one."""
         if self.reader.reached():
             return False
         return not self.members.is_store_reached()
 
     def reload(self, settings: GatewaySettings) -> list[str]:
-        """Take over changed settings; return the names of those that need a restart."""
+        """Apply changed settings; return the names of those that need a restart."""
         self.gossip.seeds = [split_address(seed)[0] for seed in settings.seeds]
         changed = [
             name
@@ -451,7 +452,7 @@
         return [name for name in changed if name not in taken_over]
 
     def leave(self) -> None:
-        """Stop as planned: take leave, serve what comes late, end what is under way."""
+        """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
         plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last)
@@ -469,7 +470,7 @@
         self._stopped.set()
 
     def _is_last(self) -> bool:
-        """Tell whether no other instance of the region is live."""
+        """Return whether no other instance of the region is live."""
         return not self.members.live(RegionName(self.settings.region))
 
     def wait(self) -> None:
@@ -477,7 +478,7 @@
         self._stopped.wait()
 
     def stop(self) -> None:
-        """Stop at once, as a lost process would."""
+        """Stop at once, as if the process had crashed."""
         gevent.killall(self._tasks, block=False)
         for server in (*self._servers, *self._apps):
             server.stop(timeout=0)
--- a/sparline/gateway/_log_output.py
+++ b/sparline/gateway/_log_output.py
@@ -1,4 +1,4 @@
-"""Structured log lines on standard output, bounded and never waited for."""
+"""Bounded, non-blocking output of structured log lines to standard output."""
 
 import os
 import sys
@@ -13,32 +13,32 @@
 from sparline._clock import now_ms
 from sparline._logging import LineLevel, log
 
-# Lines that may wait for a slow reader (count); what comes beyond is counted and dropped.
+# Maximum number of lines queued for a slow reader; further lines are dropped and counted.
 MOST_WAITING = 2_000
-# How long the writer rests when the reader takes nothing (ms).
+# Delay before the next write to a reader whose pipe is full (ms).
 FULL_PAUSE_MS = 50.0
 STANDARD_OUTPUT = 1
 
 
 class LogOutput:
-    """Write lines in the background."""
+    """Queue lines and write them in the background."""
 
     def __init__(self, name: str) -> None:
-        """Name the instance that every line carries."""
-        self.dropped = 0  # lines that found no room
+        """Create an output; each line carries the instance's name."""
+        self.dropped = 0  # lines lost because the queue was full or the reader was gone
         self._name = name
         self._lines: deque[bytes] = deque()
         self._some = Event()
         os.set_blocking(STANDARD_OUTPUT, False)
 
     def sink(self, message: object) -> None:
-        """Take one line of loguru's."""
+        """Queue a loguru message."""
         record = message.record  # type: ignore[attr-defined]
         level = record["level"].name
         self.append(record["time"].timestamp(), level, record["message"], record["extra"])
 
     def append(self, at_s: float, level: str, event: str, fields: Mapping[str, object]) -> None:
-        """Take one line of a time of day (s); raise what the encoder raises."""
+        """Queue a line with a wall-clock time (s); pass on exceptions of the encoder."""
         if len(self._lines) >= MOST_WAITING:
             self.dropped += 1
             return
@@ -54,7 +54,7 @@
             self._some.set()
 
     def run(self) -> None:
-        """Write for as long as the process lives."""
+        """Write queued lines until the process ends."""
         while True:
             self._some.wait()
             self._some.clear()
@@ -69,12 +69,12 @@
             except BlockingIOError:
                 gevent.sleep(FULL_PAUSE_MS / 1000)
             except OSError:
-                # Nobody reads any more; there is no other place to say so.
+                # The reader is gone, and there is nowhere else to report it.
                 self.dropped += 1
                 return
 
     def flush(self) -> None:
-        """Write what waits, as far as the reader takes it at once."""
+        """Write the queued lines that the reader accepts without waiting; drop the others."""
         while self._lines:
             try:
                 os.write(STANDARD_OUTPUT, self._lines.popleft())
@@ -83,7 +83,7 @@
 
 
 def configure(output: LogOutput, level: str) -> None:
-    """Send every line of a level and above to an output."""
+    """Send all lines of a level and above to an output."""
 
     def configure_loguru(logger: Any) -> None:
         logger.remove()
@@ -93,17 +93,17 @@
 
 
 class LineBudget:
-    """Bound the lines of one kind a second; the rest are counted."""
+    """Limit the rate of one kind of log line, and count the lines left out."""
 
     def __init__(self, lines_per_s: float) -> None:
-        """Allow a second's lines at once."""
+        """Create a budget that allows bursts of one second's lines."""
         self.left_out = 0  # lines that were not written
         self._per_s = lines_per_s
         self._left = lines_per_s
         self._at_ms = now_ms()
 
     def take(self) -> bool:
-        """Tell whether one more line may be written."""
+        """Return whether another line may be written, and take it from the budget if so."""
         now = now_ms()
         self._left = min(self._left + (now - self._at_ms) / 1000 * self._per_s, self._per_s)
         self._at_ms = now
@@ -115,5 +115,5 @@
 
 
 def print_refusal(text: str) -> None:
-    """Say in one line why the program does not start."""
+    """Print on standard error why the program does not start."""
     print(text, file=sys.stderr, flush=True)
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -1,18 +1,18 @@
-"""Counters, gauges and histograms of an instance on the users' platform."""
+"""Counters, gauges and histograms of a gateway instance."""
 
 from prometheus_client import Histogram
 
 from sparline._metrics_registry import MetricsRegistry, keep_children
 
-# Seconds, closest where operators' wanted times lie, 0.35 to 1.3.
+# Bucket bounds (s), densest where the target latencies of operators lie, 0.35 to 1.3 s.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.0, 1.3, 2, 4, 8)
 
 
 class GatewayMetrics(MetricsRegistry):
-    """Hold all metrics of one instance; labels carry no ids and no prompts."""
+    """Hold all metrics of an instance; labels contain no request ids and no prompts."""
 
     def __init__(self) -> None:
-        """Register every metric in a registry of its own."""
+        """Register all metrics in a new registry."""
         super().__init__()
         self.requests = self._counter("requests", "Requests by end.", ("origin", "status"))
         self.refusals = self._counter("refusals", "Requests answered here.", ("reason",))
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -1,34 +1,34 @@
-"""Peers as relayed requests have met them: reachable or not, and how far away."""
+"""Reachability of peers and round-trip times, as observed by relayed requests."""
 
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline._logging import log
 from sparline.fleet import Member, Members
 
-# Before the first measurement, the way to another region and back takes this long (ms): the
-# first request that goes there has to be placed.
+# Round-trip time to another region before the first measurement (ms): the first request has to be
+# placed without one.
 FIRST_ROUND_TRIP_MS = 112.0
-# Weight of one more measurement.
+# Weight of one more measured round-trip time.
 WEIGHT = 0.2
-# A peer that could not be reached is passed over this long (ms).
+# How long a peer that could not be reached is skipped (ms).
 PASS_OVER_MS = 1_500.0
 
 
 class PeerTable:
-    """Name the peers that may be relayed to."""
+    """Select the peers to which requests may be relayed."""
 
     def __init__(self, members: Members, takes_new_ms: float) -> None:
-        """Start with no experience; a leaving instance takes new requests for `takes_new_ms`."""
+        """Create an empty table; leaving instances accept new requests for `takes_new_ms`."""
         self._members = members
         self._takes_new_ms = takes_new_ms
         self._pass_over_until_ms: dict[str, float] = {}
         self._round_trip_ms: dict[RegionName, float] = {}
 
     def usable(self, region: RegionName) -> list[Member]:
-        """Return the instances of a region that were not out of reach lately.
+        """Return the instances of a region that are not skipped as unreachable.
 
-        Where none is live, those that leave but still take requests: nobody else reaches the
-        backend servers there.
+        If none is live, returns the leaving ones that still accept requests, because no others
+        can reach the backend servers there.
         """
         live = self._reachable(self._members.live(region))
         return live or self._reachable(self._members.leaving(region, self._takes_new_ms))
@@ -38,7 +38,7 @@
         return [one for one in members if self._pass_over_until_ms.get(one.note.ip, 0.0) <= now]
 
     def note(self, ip: str, reached: bool) -> None:
-        """Note whether a peer answered."""
+        """Record whether a peer was reachable."""
         if reached:
             self._pass_over_until_ms.pop(ip, None)
             return
@@ -47,10 +47,10 @@
         self._pass_over_until_ms[ip] = now_ms() + PASS_OVER_MS
 
     def round_trip_ms(self, region: RegionName) -> float:
-        """Return the time to a region and back."""
+        """Return the estimated round-trip time to a region."""
         return self._round_trip_ms.get(region, FIRST_ROUND_TRIP_MS)
 
     def note_round_trip(self, region: RegionName, took_ms: float) -> None:
-        """Learn from the time that a connection took to open."""
+        """Update the estimate with the time that a connection took to open."""
         held = self.round_trip_ms(region)
         self._round_trip_ms[region] = held + WEIGHT * (took_ms - held)
--- a/sparline/gateway/_quotas.py
+++ b/sparline/gateway/_quotas.py
@@ -1,4 +1,4 @@
-"""Charge requests to their organisations' quotas, and tell others of it."""
+"""Charges requests to the quotas of their organisations and reports the charges."""
 
 from collections.abc import Callable
 
@@ -13,24 +13,24 @@
 from sparline.requests import KnownCaller, Prompt, RoutedRequest
 from sparline.routes import Configuration, Organisation
 
-# The way to the account holder of the region and back, and some more (ms).
+# Round trip to the region's quota coordinator, with a margin (ms).
 WORD_MS = 8.0
-# Lines a second about requests over a quota, an instance.
+# Log lines per second and instance about requests over a quota.
 QUOTA_LINES_PER_S = 20.0
 
 
 class QuotaTerms:
-    """Find the terms of a quota by its key, in the configuration in force."""
+    """Looks up the parameters of quotas in the configuration in force."""
 
     def __init__(self, fleet: FleetState, bounds: QuotaTolerance) -> None:
-        """Look into what a fleet holds."""
+        """Create a table that follows the configuration of a fleet."""
         self._fleet = fleet
         self._bounds = bounds
         self._configuration: Configuration | None = None
         self._by_key: dict[int, QuotaParameters] = {}
 
     def of(self, key: int) -> QuotaParameters | None:
-        """Return the terms, None where the organisation is unknown or has no quota."""
+        """Return a quota's parameters, None if the organisation is unknown or has no quota."""
         configuration = self._fleet.configuration
         if configuration is not self._configuration:
             self._configuration = configuration
@@ -49,7 +49,7 @@
 
 
 class Quotas:
-    """Charge requests once they are let in, and again or back by how often they ran."""
+    """Charge requests on admission, and adjust the charge to how often they ran."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         gossip: Callable[[], GossipPort],
         metrics: GatewayMetrics,
     ) -> None:
-        """Charge what an exchange holds."""
+        """Charge the quotas of an exchange; `gossip` returns the port that sends the charges."""
         self._exchange = exchange
         self._gossip = gossip
         self._metrics = metrics
@@ -66,14 +66,14 @@
     def admit(
         self, request_id: RequestId, caller: KnownCaller | None, prompt: Prompt | None
     ) -> float | None:
-        """Return None where a request may run, else when it may come back (ms)."""
+        """Charge a request; return None if it may run, else the retry delay (ms)."""
         if caller is None or caller.organisation.quota is None:
             return None
         organisation = caller.organisation
         cost = cost_of(organisation, prompt)
         wait_ms = self._ask(organisation, cost)
         if wait_ms is not None and self._exchange.is_estimate(organisation.id):
-            # What others gave back or what has come meanwhile is known a way later.
+            # The coordinator's answer may show units that were returned or refilled meanwhile.
             gevent.sleep(WORD_MS / 1000)
             wait_ms = self._ask(organisation, cost)
         if wait_ms is not None:
@@ -92,7 +92,7 @@
         if not self._lines.take() or not log.is_written(LineLevel.INFO):
             return
         left = self._exchange.left(organisation.id)
-        assert left is not None, "a quota that refused is followed"
+        assert left is not None, "expected an account of a quota that refused a request"
         log.bind(
             request_id=request_id,
             organisation=organisation.id,
@@ -104,7 +104,7 @@
         ).info("over_quota")
 
     def settle(self, request: RoutedRequest, runs: int) -> None:
-        """Charge a request that may have run more than once again; give back what never ran."""
+        """Charge each further run of a request, or refund a request that did not run."""
         if request.caller is None or request.caller.organisation.quota is None or runs == 1:
             return
         organisation = request.caller.organisation
@@ -112,6 +112,6 @@
 
 
 def cost_of(organisation: Organisation, prompt: Prompt | None) -> float:
-    """Return what a request counts against the quota of its organisation."""
-    assert organisation.quota is not None, "only what has a quota is counted"
+    """Return the units that a request takes from the quota of its organisation."""
+    assert organisation.quota is not None, "expected an organisation with a quota"
     return organisation.quota.cost(prompt.held_tokens if prompt else None)
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -1,4 +1,4 @@
-"""One line and the counters for each decision about a request."""
+"""Log lines and metrics for decisions about requests."""
 
 from sparline._clock import now_ms
 from sparline._hashing import hash64
@@ -17,21 +17,22 @@
 )
 from sparline.requests import Prompt, Reason, RoutedRequest
 
-# Lines a second for answered requests and for all others, an instance; above them lines are
+# Log lines per second and instance about answered requests, and about all others. Further lines are
 # left out and counted. A line costs about 60 microseconds.
 ANSWERED_LINES_PER_S = 60.0
 OTHER_LINES_PER_S = 120.0
-# Lines a second for answers that broke off, an instance: all that ran on an engine when it ended.
+# Log lines per second and instance about interrupted answers: an engine that ends interrupts all
+# answers that it was running.
 BREAK_LINES_PER_S = 60.0
-# Lines a second about requests under which servers ended, an instance.
+# Log lines per second and instance about requests on which servers ended.
 CRASH_LINES_PER_S = 40.0
 
 
 class RequestLog:
-    """Say what was decided about requests."""
+    """Log and count decisions about requests."""
 
     def __init__(self, metrics: GatewayMetrics) -> None:
-        """Start with full budgets."""
+        """Create a log with full line budgets."""
         self._metrics = metrics
         self._answered = LineBudget(ANSWERED_LINES_PER_S)
         self._other = LineBudget(OTHER_LINES_PER_S)
@@ -39,7 +40,7 @@
         self._crashes = LineBudget(CRASH_LINES_PER_S)
 
     def note_retry(self, request: RoutedRequest, place: Placement, end: AttemptEnd) -> None:
-        """Note that an attempt is followed by another."""
+        """Record that an attempt is followed by another."""
         self._metrics.retries.labels(end.reason.value).inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -53,7 +54,7 @@
     def note_broken(
         self, request: RoutedRequest, place: Placement, end: InterruptedAttempt
     ) -> None:
-        """Note that an answer broke off, and in what state its server was."""
+        """Record an interrupted answer and the state of its server."""
         self._metrics.breaks.labels(end.end.reason.value).inc()
         if self._broken.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -69,13 +70,13 @@
             ).info("answer_broken")
 
     def note_server_end(self, server_id: BackendServerId, sign: EndEvidence) -> None:
-        """Note that a server ended with requests of this instance."""
+        """Record that a server ended while it ran requests of this instance."""
         self._metrics.server_ends.labels(sign.value).inc()
         if self._crashes.take() and log.is_written(LineLevel.INFO):
             log.bind(backend_server=server_id, sign=sign.value).info("server_ended")
 
     def note_crash(self, change: CrashChange, quarantine_ms: float) -> None:
-        """Note what has changed in what is known of one request, and what follows from it."""
+        """Record a change of the ends counted for a request, and its quarantine time."""
         ends = (
             str(change.ends)
             if change.ends < MIN_QUARANTINE_ENDS
@@ -96,13 +97,13 @@
         ).warning("request_suspected" if change.ends else "request_cleared")
 
     def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
-        """Note that a suspect was forgotten for want of room."""
+        """Record that a suspect was evicted because the table was full."""
         self._metrics.pushed_out.inc()
         if self._crashes.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
     def note_cold_use(self, use: ColdRequest) -> None:
-        """Note that a request goes to a cold server, whose rate is shared out."""
+        """Record a send to a cold server, whose request rate is divided among instances."""
         self._metrics.cold_sends.inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -113,7 +114,7 @@
             ).info("cold_server_used")
 
     def note_server_limit(self, limit: ServerLimit) -> None:
-        """Note that the limit set by a server was added, changed or removed."""
+        """Record that a server added, changed or removed its limit."""
         self._metrics.limit_changes.labels("none" if limit.per_s is None else "rate").inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -123,11 +124,11 @@
             ).info("server_limit_changed")
 
     def count_rejected(self, reason: Reason) -> None:
-        """Count a request that was answered before it was routed and is logged elsewhere."""
+        """Count a request that was rejected before routing and is logged elsewhere."""
         self._metrics.refusals.labels(reason.value).inc()
 
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
-        """Note a request that was answered before it was routed."""
+        """Record a request that was rejected before routing."""
         self.count_rejected(reason)
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -138,7 +139,7 @@
             ).info("request_rejected")
 
     def note_end(self, request: RoutedRequest, end: RequestEnd, version: int) -> None:
-        """Note how a request ended and what decided its place."""
+        """Record how a request ended and why it was placed where it ran."""
         total_ms = now_ms() - request.arrived_at_ms
         kind = request.route.kind.value
         self._metrics.requests.labels(request.origin.value, str(end.status)).inc()
@@ -178,13 +179,13 @@
         ).info("request_ended")
 
     def left_out(self) -> int:
-        """Return the lines that were left out so far."""
+        """Return the number of lines left out so far."""
         budgets = (self._answered, self._other, self._broken, self._crashes)
         return sum(one.left_out for one in budgets)
 
 
 def _names_content(end: RequestEnd) -> bool:
-    """Tell whether a line has to say which repeats belong together."""
+    """Return whether the line needs the digest, which identifies repeats of a request."""
     return end.reason is Reason.QUARANTINED
 
 
@@ -192,7 +193,8 @@
     return {
         "prompt_tokens": prompt.tokens,
         "shared_tokens": prompt.shared_tokens,
-        # Equal for prompts that share their longest start; the parts' names are the callers'.
+        # Equal for prompts with the same longest shared prefix. It is hashed because callers choose
+        # the names of the parts.
         "start": f"{hash64(prompt.shared_prefixes[-1].key):016x}"
         if prompt.shared_prefixes
         else None,
--- a/sparline/gateway/_run.py
+++ b/sparline/gateway/_run.py
@@ -1,4 +1,4 @@
-"""The life of the process: settings, signals, start, stop."""
+"""Main function of the process: settings, signals, start and stop."""
 
 import os
 import signal
@@ -14,10 +14,10 @@
 from sparline.gateway._settings import load_settings
 from sparline.schema._gateway import GatewaySettings
 
-# Where the platform tells the path of the settings file.
+# Environment variable in which the platform passes the path of the settings file.
 SETTINGS_VARIABLE = "SPARLINE_NODE_FILE"
 DEFAULT_SETTINGS = "/etc/sparline/settings.json"
-# The settings file is looked at so often (s); it may change without a signal.
+# Interval at which the settings file is checked (s), because it may change without a signal.
 LOOK_S = 2.0
 
 EXIT_OK = 0
@@ -25,7 +25,7 @@
 
 
 def settings_path() -> str:
-    """Return where the platform has put the settings."""
+    """Return the path of the settings file."""
     return os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
 
 
@@ -41,7 +41,7 @@
 
 
 def _serve(path: str, settings: GatewaySettings) -> int:
-    # A failed assertion in any task ends the process; all else is a value or logged.
+    # A failed assertion in any greenlet ends the process. Other failures are handled or logged.
     Hub.SYSTEM_ERROR = (*Hub.SYSTEM_ERROR, AssertionError)
     output = LogOutput(settings.name)
     configure(output, settings.log_level.value)
@@ -64,12 +64,12 @@
 
 
 class _Reloader:
-    """Take over settings that change, refused ones leave the old in force."""
+    """Applies changed settings; if they are invalid, the previous ones stay in force."""
 
     def __init__(self, path: str, gateway: Gateway) -> None:
         self._path = path
         self._gateway = gateway
-        # What was loaded may have changed since: the first look compares settings.
+        # The file may have changed since it was loaded, so the first check compares its settings.
         self._content: bytes | None = None
 
     def _read(self) -> bytes | None:
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -1,4 +1,4 @@
-"""Serve connections of callers and of peers that relay."""
+"""Serves connections of callers and of peers that relay requests."""
 
 import socket
 from collections.abc import Callable
@@ -44,30 +44,31 @@
 )
 from sparline.routes import DEFAULT_LIMITS, Configuration, Organisation, Route, ServiceName
 
-# A caller of an instance that has no configuration yet and names no deadline is taken to have so
-# much time (ms).
+# Deadline assumed for requests without one when they are refused before a route's timeout
+# applies (ms).
 UNNAMED_DEADLINE_MS = 3_000.0
-# The first instance of a relayed request that has no route here is to try elsewhere (ms).
+# Retry delay for a relayed request that has no route here (ms). The instance that relayed it
+# then tries elsewhere.
 NO_ROUTE_RETRY_MS = 500.0
-# Callers whose key may be one that this instance has not heard of yet come back after this long (ms):
-# instances that are in touch hear of a version within a second or two.
+# Retry delay for callers whose key may belong to a newer configuration (ms). Instances that are
+# connected receive a new version within a second or two.
 BEHIND_RETRY_MS = 400.0
-# Callers of an instance that is about to end go elsewhere at once (ms).
+# Retry delay for callers of an instance that is about to exit (ms): they can use another at once.
 LEAVING_RETRY_MS = 50.0
-# Kept connections of peers rest at most this long (ms).
+# Idle timeout of persistent connections of peers (ms).
 PEER_IDLE_MS = 30_000
-# Idle connections are closed this much later than the operators' limit (factor), so that a
-# caller that takes one up just in time is served.
+# Factor applied to the configured idle timeout, so that a caller that reuses a connection just in
+# time is still served.
 IDLE_SLACK = 1.1
-# What a caller still sends after a refusal is read for this long (s), so that the refusal is
-# not lost with a reset.
+# How long remaining input is read after an error response (s), so that a connection reset does not
+# discard the response.
 LINGER_S = 0.5
-# Where peers get copies of the store.
+# Request target under which peers fetch store copies, without the revision.
 STORE_COPY_TARGET = b"/sparline/store-copy?after="
 
 
 class Service:
-    """Read requests, find their route, and let them be forwarded."""
+    """Read requests, route and admit them, and pass them to a forwarder."""
 
     def __init__(
         self,
@@ -80,13 +81,13 @@
         quotas: Quotas,
         admission: AdmissionGate,
     ) -> None:
-        """Serve from what is in force.
+        """Create a service that follows the configuration of a fleet.
 
-        `disturbed_ago_ms` tells how long ago the store failed, `may_be_behind` whether a newer
-        configuration may be in force elsewhere.
+        `disturbed_ago_ms` returns the time since the store's last fault, None if there was none.
+        `may_be_behind` returns whether a newer configuration may be in force elsewhere.
         """
-        self.in_flight = 0  # requests that are being answered
-        self.leave_plan: LeavePlan | None = None  # once this instance leaves
+        self.in_flight = 0  # requests being forwarded
+        self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._copy = copy
         self._log = request_log
@@ -96,11 +97,11 @@
         self._quotas = quotas
         self._admission = admission
         self._open: set[CallerConnection] = set()
-        self._limits_of: Configuration | None = None  # configuration that the limits are of
+        self._limits_of: Configuration | None = None  # configuration of the cached read limits
         self._read_limits: dict[Origin, ReadLimits] = {}
 
     def use(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
-        """Name the forwarders of the two kinds of origin."""
+        """Set the forwarders for requests of callers and of peers."""
         self._forwarders = {Origin.CALLER: for_callers, Origin.RELAY: for_peers}
 
     def serve_caller(self, connection: GeventSocket, _address: object) -> None:
@@ -126,7 +127,7 @@
                     return
                 self._answer(caller, request, origin)
         except CallerGone:
-            # Nobody is left to answer; what was under way has been noted where it ended.
+            # There is nobody to answer, and the forwarder has recorded the end of the request.
             return
         finally:
             self._open.discard(caller)
@@ -145,7 +146,7 @@
     def _make_limits(self, configuration: Configuration | None, origin: Origin) -> ReadLimits:
         limits = configuration.limits if configuration else DEFAULT_LIMITS
         idle_ms = PEER_IDLE_MS if origin is Origin.RELAY else limits.idle_timeout_ms * IDLE_SLACK
-        # A peer adds headers of its own to those that the caller was allowed.
+        # A peer adds its own headers to those allowed for callers.
         head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
         return ReadLimits(head_bytes, limits.max_body_bytes, limits.head_timeout_ms, int(idle_ms))
 
@@ -178,7 +179,7 @@
     def _route(
         self, caller: CallerConnection, http: HttpRequest, marks: RequestMarks, origin: Origin
     ) -> RoutedRequest | None:
-        """Return the request with its route; None once it is answered."""
+        """Route and admit a request; return None if it was answered instead."""
         configuration = self._fleet.configuration
         request_id = marks.request_id
         if configuration is None:
@@ -187,7 +188,7 @@
             return None
         route = configuration.find(marks.host, marks.path)
         if route is None and origin is Origin.RELAY:
-            # The first instance may hold another version; it decides what to answer.
+            # The instance that relayed it may have another version and decides on the answer.
             self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_MS)
             return None
         if route is None:
@@ -214,7 +215,7 @@
         resume_after = marks.resume_after if route.resumable else None
         admitted = Admitted()
         if resume_after is None:
-            # A stream that has begun is never refused by the level.
+            # The admission level never refuses a stream that has begun.
             decision = self._admission.admit(
                 Arrival(http, marks, route, service, known, limit_ms), origin
             )
@@ -249,9 +250,9 @@
     def _answer_not_admitted(
         self, caller: CallerConnection, origin: Origin, decision: NotAdmitted
     ) -> None:
-        """Refuse a request that no allowed region admits; the gate has logged it."""
+        """Refuse a request that no allowed region admits; `AdmissionGate` has logged it."""
         headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
-        # An instance that relayed it need not ask another one of this region.
+        # Tells a relaying instance not to try another instance of this region.
         answer = OwnAnswer(False, decision.retry_after_ms, is_region_full=True)
         caller.answer(503, headers(answer), b"")
         self._log.count_rejected(Reason.ADMISSION_LEVEL)
@@ -266,10 +267,10 @@
     def _turn_away(
         self, caller: CallerConnection, marks: RequestMarks, origin: Origin, why: UnknownCaller
     ) -> None:
-        """Answer a request for which no organisation stands.
+        """Answer a request without a known organisation.
 
-        A key that is not known here may be a new one: where a newer configuration may be in force, its
-        caller is told to come back, which 401 would not do.
+        An unknown key may be new: if a newer configuration may be in force, the caller is told to
+        retry, which 401 would not do.
         """
         request_id = marks.request_id
         if origin is Origin.RELAY:
@@ -285,7 +286,7 @@
         self._reject(caller, request_id, 401, why.reason, text)
 
     def _has_time(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
-        """Tell whether this instance stays long enough for a request."""
+        """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
         token_ms = self._pace.max_output_token_ms(service)
@@ -331,19 +332,19 @@
         caller.answer(200, [(b"Content-Type", b"application/cbor")], content)
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections without a request in flight."""
         for caller in list(self._open):
             if caller.is_resting():
                 caller.close()
 
     def close_all(self) -> None:
-        """Close every connection, whatever is under way."""
+        """Close all connections, even with requests in flight."""
         for caller in list(self._open):
             caller.close()
 
 
 def _has_home(route: Route, organisation: Organisation) -> bool:
-    """Tell whether any region may run an organisation's requests on a route."""
+    """Return whether any region may run an organisation's requests on a route."""
     return (
         not route.allowed_regions
         or not organisation.allowed_regions
@@ -352,7 +353,7 @@
 
 
 def choose_service(route: Route, request_id: RequestId) -> ServiceName:
-    """Return the service that takes a request, by its share."""
+    """Choose the service for a request by the weights of the route's shares."""
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
--- a/sparline/gateway/_settings.py
+++ b/sparline/gateway/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of an instance on the users' platform, checked before any port opens."""
+"""Settings of a gateway instance, checked before any port is opened."""
 
 from pathlib import Path
 
@@ -11,7 +11,7 @@
 
 
 def load_settings(path: str) -> Result[GatewaySettings, str]:
-    """Read settings; the error names the file and the place in it."""
+    """Read settings; an error names the file and the field."""
     try:
         content = Path(path).read_bytes()
     except OSError as error:
@@ -43,6 +43,6 @@
 
 
 def split_address(text: str) -> Address:
-    """Return the parts of an IP:PORT that the schema has checked."""
+    """Split an IP:PORT that the schema has validated."""
     ip, _, port = text.rpartition(":")
     return ip, int(port)
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -1,4 +1,4 @@
-"""Copies of the store from peers, for an instance that does not watch it or gets no answer."""
+"""Copies the store from peers if this instance does not watch it or gets no answer from it."""
 
 import random
 
@@ -13,14 +13,14 @@
 from sparline.http import BackendConnection, ConnectionBroken
 from sparline.schema._gossip import MemberNote, StoreCopy
 
-# How often this instance compares its copy with what peers hold (ms).
+# Interval at which this instance compares its store copy with the revisions of its peers (ms).
 COMPARE_MS = 400.0
-# A copy from a peer may take this long (ms): the way between regions, and a megabyte.
+# Timeout of a copy from a peer (ms): a round trip between regions and a transfer of one megabyte.
 COPY_TIMEOUT_MS = 2_500.0
 
 
 class StoreSync:
-    """Follow peers whose copy is newer, unless the store itself answers."""
+    """Copy from peers with a newer revision, unless the store itself answers."""
 
     def __init__(
         self,
@@ -30,7 +30,7 @@
         metrics: GatewayMetrics,
         relay_port: int,
     ) -> None:
-        """Compare with the members of a fleet."""
+        """Create a synchronisation with the members of a fleet."""
         self._members = members
         self._copy = copy
         self._reader = reader
@@ -39,7 +39,7 @@
         self._chance = random.Random()
 
     def run(self) -> None:
-        """Compare for as long as the process lives."""
+        """Compare until the process ends."""
         while True:
             gevent.sleep(COMPARE_MS / 1000)
             behind = self._reader.interrupt_stale_watch()
@@ -81,7 +81,8 @@
                 self._note(peer, "bad_answer", reason)
             case Ok(copy):
                 if copy.disturbed_ago_ms is not None:
-                    # Before the items: what lapsed while the store was away is not gone yet.
+                    # Recorded before the items are applied, so that entries that lapsed during the
+                    # store's outage are kept.
                     self._reader.record_peer_fault(copy.disturbed_ago_ms)
                 self._copy.take_copy(copy)
                 self._note(peer, "taken", f"revision {copy.revision}")
@@ -94,7 +95,7 @@
 def nearest(peers: list[Member], own: MemberNote) -> list[Member]:
     """Return the peers of the own zone, else of the own region, else all.
 
-    Bytes between zones and regions are priced, and a copy may be a megabyte.
+    Traffic between zones and regions costs money, and a copy may be a megabyte.
     """
     zone = [one for one in peers if one.note.availability_zone == own.availability_zone]
     region = [one for one in peers if one.note.region == own.region]
--- a/sparline/gateway_process.py
+++ b/sparline/gateway_process.py
@@ -1,22 +1,23 @@
-"""Run one instance on the users' platform: `python -m sparline.gateway_process`.
+"""Run one gateway instance: `python -m sparline.gateway_process`.
 
-A module of its own, so that nothing is imported before the standard library is patched.
+This is a separate module so that the standard library is patched before anything else is imported.
 """
 
 import signal
 
-# Settings that change during the start are read by it; the signal must not end the process.
+# SIGHUP requests a reload of the settings. Startup reads them anyway, so it is ignored until then;
+# its default action would end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import gc
 
-# Nothing that is made while modules load is ever garbage; collecting then only takes time.
+# Objects created while modules load are never garbage, so collecting them only takes time.
 gc.disable()
 
 from gevent import events, monkey
 
-# Patching would ask all installed distributions for plugins, which are not wanted, some ten times,
-# which takes a good part of a start.
+# Patching would search all installed distributions for plugins about ten times, which takes a good
+# part of the startup time. No plugins are used.
 events.notify_and_call_entry_points = events.notify
 monkey.patch_all()
 
@@ -32,6 +33,6 @@
     exit_code = run(settings_path())
     sys.stdout.flush()
     sys.stderr.flush()
-    # A planned stop uses its grace period nearly up; taking the modules apart would take 0.06 s of a
-    # whole core more (least of ten exits), and whoever outlasts the grace period is killed.
+    # Skips the interpreter's teardown. A planned stop uses most of its grace period, and a process
+    # that exceeds it is killed. Teardown takes another 0.06 s of a whole core (least of ten exits).
     os._exit(exit_code)
