--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -38,10 +38,10 @@
 from sparline.routes import Configuration, Route, ServiceName
 
 # Period after which the same content gets another position (s), so that it is not refused forever.
-PERIOD_S = 10.0
+POSITION_PERIOD_S = 10.0
 # Log lines per second and instance about refusals, and about changes of levels.
 REFUSAL_LINES_PER_S = 20.0
-CHANGE_LINES_PER_S = 10.0
+LEVEL_CHANGE_LINES_PER_S = 10.0
 # How long the regions with servers of a service are cached (ms).
 REGIONS_TTL_MS = 250.0
 # Reasons of unanswered requests that show a lack of capacity.
@@ -216,7 +216,7 @@
         caller = arrival.caller
         content = hash_parts((arrival.marks.key.digest or b"", *_content(arrival.http)))
         # Periods start at a different time for each content.
-        period = int(self._time_s() / PERIOD_S + (content >> 32) / 2**32)
+        period = int(self._time_s() / POSITION_PERIOD_S + (content >> 32) / 2**32)
         position = hash_parts((content.to_bytes(8, "big"), period.to_bytes(8, "big"))) % POSITIONS
         step = 0
         rank = arrival.route.priority
@@ -335,7 +335,7 @@
 
 def make_admission_sources(fleet: FleetState, ranks: RankTable) -> AdmissionSources:
     """Create the sources of the admission exchange."""
-    lines = LineBudget(CHANGE_LINES_PER_S)
+    lines = LineBudget(LEVEL_CHANGE_LINES_PER_S)
 
     def note_change(change: LevelChange) -> None:
         if lines.take():
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -44,10 +44,10 @@
 )
 from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
 from sparline.gateway._directory import Directory
-from sparline.gateway._leave_plan import NEEDED_UNTIL, LeavePlan
+from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION, LeavePlan
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._peer_table import PeerTable
-from sparline.gateway._quotas import Quotas, QuotaTerms
+from sparline.gateway._quotas import QuotaParameterTable, Quotas
 from sparline.gateway._request_log import RequestLog
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
@@ -87,18 +87,18 @@
 from sparline.schema._gossip import MemberPhase
 
 # Maximum number of connections waiting to be accepted: many callers may connect at once.
-BACKLOG = 1_024
+LISTEN_BACKLOG = 1_024
 # Interval at which a starting instance checks for a configuration (ms). It is short because callers
 # wait meanwhile.
-STARTING_STEP_MS = 10.0
-UPKEEP_MS = 500.0
+CONFIGURATION_POLL_INTERVAL_MS = 10.0
+HOUSEKEEPING_INTERVAL_MS = 500.0
 # Interval at which the learned timings of the services are logged (ms).
-LEARNED_MS = 10_000.0
+LEARNED_LOG_INTERVAL_MS = 10_000.0
 # Interval at which a planned stop checks whether it is complete (ms).
-STOP_STEP_MS = 50.0
+STOP_POLL_INTERVAL_MS = 50.0
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
 # seconds.
-MOST_ENDED_STARTS = 4_096
+MAX_ENDED_STARTS = 4_096
 
 
 class Gateway:
@@ -109,7 +109,7 @@
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.request_log = RequestLog(self.metrics)
-        self.pause_watch = PauseWatch(self._note_pause)
+        self.pause_watch = PauseWatch(self._on_process_pause)
         region = RegionName(settings.region)
         zones = {ZoneName(one): RegionName(of) for one, of in settings.zone_regions.items()}
         started_ms = int(time.time() * 1000)
@@ -121,12 +121,12 @@
         self.fleet = FleetState(
             ItemReader(zones),
             self.metrics.bad_items.inc,
-            self._disturbed_ago_ms,
+            self._store_fault_age_ms,
             zones,
-            self._note_restarted,
-            self._note_gone,
+            self._on_server_restart,
+            self._on_server_gone,
         )
-        self.crashes = CrashTable(self._note_crash, self.request_log.note_pushed_out)
+        self.crashes = CrashTable(self._on_crash_change, self.request_log.note_pushed_out)
         self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
         self.copy = StoreCopyTable(self.fleet.take)
         self.reader = StoreReader(
@@ -138,11 +138,11 @@
             lambda: is_store_watcher(self.members),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
-        needed_until_ms = NEEDED_UNTIL * settings.grace_s * 1000
-        self.peers = PeerTable(self.members, needed_until_ms)
+        last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
+        self.peers = PeerTable(self.members, last_instance_accept_ms)
         self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
-        self._make_placement(region)
-        self.ends = ServerEndDetector(
+        self._build_placement(region)
+        self.end_detector = ServerEndDetector(
             ServerEndCallbacks(
                 self._pool.probe,
                 self.health.heard_at_ms,
@@ -150,14 +150,16 @@
                 self.request_log.note_server_end,
             )
         )
-        borne = settings.quotas
-        bounds = (
-            QuotaTolerance(borne.window_s, borne.excess, borne.slack) if borne else NO_TOLERANCE
+        quota_settings = settings.quotas
+        tolerance = (
+            QuotaTolerance(quota_settings.window_s, quota_settings.excess, quota_settings.slack)
+            if quota_settings
+            else NO_TOLERANCE
         )
         self.quota_exchange = QuotaExchange(
             self.members,
-            QuotaLimiter(bounds, random.Random()),
-            QuotaTerms(self.fleet, bounds).of,
+            QuotaLimiter(tolerance, random.Random()),
+            QuotaParameterTable(self.fleet, tolerance).parameters_of,
         )
         self.quotas = Quotas(self.quota_exchange, lambda: self.gossip, self.metrics)
         ranks = RankTable(self.fleet, settings.admission is None or settings.admission.enabled)
@@ -171,12 +173,14 @@
             self.copy,
             self.request_log,
             self.pace,
-            self._store_fault_ago_ms,
-            self._may_be_behind,
+            self._known_store_fault_age_ms,
+            self._may_be_outdated,
             self.quotas,
             self.admission,
         )
-        self.service.use(self._forwarder(refusal_headers), self._forwarder(relayed_refusal_headers))
+        self.service.set_forwarders(
+            self._make_forwarder(refusal_headers), self._make_forwarder(relayed_refusal_headers)
+        )
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
             gossip_port,
@@ -196,28 +200,28 @@
             ),
         )
         callers_port = split_address(settings.listen.callers)[1]
-        self.directory = Directory(self.members, self.fleet, callers_port, needed_until_ms)
+        self.directory = Directory(self.members, self.fleet, callers_port, last_instance_accept_ms)
         self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
         self._stopped = Event()
         self._servers: list[StreamServer] = []
         self._apps: list[WSGIServer] = []
         self._tasks: list[gevent.Greenlet] = []
 
-    def _make_placement(self, region: RegionName) -> None:
+    def _build_placement(self, region: RegionName) -> None:
         self.health = HealthTable(self.pause_watch.process_resumed_at_ms)
         self.load_exchange = LoadExchange(
             self.members,
             LoadSources(
                 lambda: self.loads.own_in_region(),
                 lambda server_id: self.loads.own(server_id),
-                self._doubted_here,
+                self._doubted_in_own_region,
                 self.health.is_doubted,
                 lambda: self.fleet.ids_in(region),
                 lambda server_id, log_factor: self.pace.note_log_factor(server_id, log_factor),
             ),
         )
         load_table = self.load_exchange.load_table
-        self.loads = LoadTable(region, load_table.load, self._note_load)
+        self.loads = LoadTable(region, load_table.load, self._on_load_change)
         self.server_limits = ServerLimitTable(self.request_log.note_server_limit)
         self.cache = PromptCache(
             owners_have_cached=not self.settings.first_start,
@@ -259,8 +263,8 @@
             rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
         )
 
-    def _forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
-        tools = AttemptDependencies(
+    def _make_forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
+        dependencies = AttemptDependencies(
             pool=self._pool,
             backend_wire=ServerWire(),
             peer_wire=InstanceWire(),
@@ -273,9 +277,9 @@
                 self.pace, self.gaps, self.loads, self.pause_watch.process_resumed_at_ms
             ),
             may_send_elsewhere=may_send_elsewhere,
-            note_peer=self.peers.note,
+            note_peer=self.peers.note_reachability,
             note_round_trip=self.peers.note_round_trip,
-            ends=self.ends,
+            ends=self.end_detector,
             has_ended=self._ended_starts.__contains__,
             note_first=self.admission.note_first,
         )
@@ -285,7 +289,7 @@
                 rng=random.Random(),
                 loads=self.loads,
                 retries=self.retries,
-                attempt_dependencies=tools,
+                attempt_dependencies=dependencies,
                 note_retry=self.request_log.note_retry,
                 note_broken=self.request_log.note_broken,
                 crashes=self.crashes,
@@ -296,51 +300,51 @@
             )
         )
 
-    def _note_load(
+    def _on_load_change(
         self, server: BackendServer, change: ServerLoad, log_factor: float | None
     ) -> None:
-        is_near = server.region == self.members.own.region
+        is_in_own_region = server.region == self.members.own.region
         self.gossip.send_immediately(
-            self.load_exchange.note_change(server.id, change, log_factor, is_near)
+            self.load_exchange.note_change(server.id, change, log_factor, is_in_own_region)
         )
 
-    def _doubted_here(self) -> list[str]:
+    def _doubted_in_own_region(self) -> list[str]:
         region = self.members.own.region
         return [one for one in self.fleet.ids_in(region) if self.health.is_doubted(one)]
 
-    def _note_restarted(self, server: BackendServer) -> None:
+    def _on_server_restart(self, server: BackendServer) -> None:
         """Close idle connections to a replaced start, and record the end for requests on it."""
         self._pool.forget(server.address)
         self._ended_starts[server.id] = None
-        if len(self._ended_starts) > MOST_ENDED_STARTS:
+        if len(self._ended_starts) > MAX_ENDED_STARTS:
             self._ended_starts.popitem(last=False)
 
-    def _note_pause(self, pause_ms: float) -> None:
+    def _on_process_pause(self, pause_ms: float) -> None:
         self.metrics.pauses.inc()
         log.bind(pause_ms=round(pause_ms)).warning("process_paused")
 
-    def _note_gone(self, server: BackendServer) -> None:
+    def _on_server_gone(self, server: BackendServer) -> None:
         """Count the end of a removed server for the requests that were interrupted on it."""
-        for known in Liveness:
-            counted = counted_exit(server.id, EndEvidence.GONE, known)
-            for digest in self.ends.note_removed(server.id, known):
+        for liveness in Liveness:
+            counted = counted_exit(server.id, EndEvidence.GONE, liveness)
+            for digest in self.end_detector.note_removed(server.id, liveness):
                 self.crashes.note_end(digest, counted)
 
-    def _note_crash(self, change: CrashChange) -> None:
+    def _on_crash_change(self, change: CrashChange) -> None:
         self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
         self.gossip.broadcast_crash(change)
 
-    def _store_fault_ago_ms(self) -> float | None:
+    def _known_store_fault_age_ms(self) -> float | None:
         at_ms = self.reader.last_fault_at_ms
         return now_ms() - at_ms if at_ms else None
 
-    def _disturbed_ago_ms(self) -> float:
+    def _store_fault_age_ms(self) -> float:
         return now_ms() - self.reader.last_fault_at_ms
 
     def _newest_peer_revision(self) -> int:
         return max((one.store_revision for one in self.members.live()), default=0)
 
-    def _may_be_behind(self) -> bool:
+    def _may_be_outdated(self) -> bool:
         """Return whether a newer configuration than this instance's may be in force."""
         if self._newest_peer_revision() > self.copy.revision:
             return True
@@ -354,18 +358,18 @@
         self._serve_app(listen.readiness, make_readiness_app(self.is_ready))
         self._serve_app(listen.directory, make_directory_app(self.directory.find))
         self._serve_app(listen.metrics, self._metrics_app)
-        work = (
+        tasks = (
             self._go_live,
             self.gossip.read,
             self.gossip.run,
             self.reader.run,
             self.sync.run,
-            self._upkeep,
+            self._run_housekeeping,
         )
-        self._tasks += [gevent.spawn(task) for task in work]
+        self._tasks += [gevent.spawn(task) for task in tasks]
 
     def _listen(self, address: str, handle: Callable) -> None:
-        server = StreamServer(split_address(address), handle, backlog=BACKLOG)
+        server = StreamServer(split_address(address), handle, backlog=LISTEN_BACKLOG)
         server.start()
         self._servers.append(server)
 
@@ -406,7 +410,7 @@
     def _go_live(self) -> None:
         """Announce that this instance is live once it has a configuration."""
         while self.fleet.configuration is None:
-            gevent.sleep(STARTING_STEP_MS / 1000)
+            gevent.sleep(CONFIGURATION_POLL_INTERVAL_MS / 1000)
         self.fleet.started = True
         if self.members.own.phase is MemberPhase.starting:
             self.gossip.announce(MemberPhase.live)
@@ -414,26 +418,26 @@
                 version=self.fleet.configuration.version, servers=len(self.fleet.servers)
             ).info("instance_live")
 
-    def _upkeep(self) -> None:
+    def _run_housekeeping(self) -> None:
         logged_at_ms = now_ms()
         while True:
             self.pause_watch.tick()
-            if now_ms() - logged_at_ms >= LEARNED_MS:
+            if now_ms() - logged_at_ms >= LEARNED_LOG_INTERVAL_MS:
                 logged_at_ms = now_ms()
                 log.bind(pace=self.pace.learned(), pauses=self.gaps.learned()).info("learned")
-            self.fleet.remove_lapsed(self._store_away())
-            known = set(self.fleet.servers)
-            self.health.forget_all_but(known)
-            self.cache.forget_all_but(known)
-            self.pace.forget_all_but(known)
+            self.fleet.remove_lapsed(self._is_store_unreachable())
+            server_ids = set(self.fleet.servers)
+            self.health.forget_all_but(server_ids)
+            self.cache.forget_all_but(server_ids)
+            self.pace.forget_all_but(server_ids)
             self.loads.forget_old()
             self.server_limits.forget_old()
             self.crashes.forget_old()
             self.members.forget_old()
             self._pool.sweep()
-            gevent.sleep(UPKEEP_MS / 1000)
+            gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
 
-    def _store_away(self) -> bool:
+    def _is_store_unreachable(self) -> bool:
         """Return whether the store answers neither this instance nor any known one."""
         if self.reader.reached():
             return False
@@ -448,28 +452,28 @@
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
-        taken_over = ("seeds", "log_level", "grace_s")
-        return [name for name in changed if name not in taken_over]
+        reloadable = ("seeds", "log_level", "grace_s")
+        return [name for name in changed if name not in reloadable]
 
     def leave(self) -> None:
         """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
-        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last)
+        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last_in_region)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
         log.bind(in_flight=self.service.in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
-        while (left_ms := plan.takes_until_ms() - now_ms()) > 0:
-            gevent.sleep(min(left_ms, STOP_STEP_MS) / 1000)
+        while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
+            gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
         for server in self._servers:
             server.stop_accepting()
-        while self.service.in_flight and now_ms() < plan.ends_at_ms():
+        while self.service.in_flight and now_ms() < plan.exits_at_ms():
             self.service.close_idle()
-            gevent.sleep(STOP_STEP_MS / 1000)
+            gevent.sleep(STOP_POLL_INTERVAL_MS / 1000)
         log.bind(in_flight=self.service.in_flight).info("instance_stopped")
         self._stopped.set()
 
-    def _is_last(self) -> bool:
+    def _is_last_in_region(self) -> bool:
         """Return whether no other instance of the region is live."""
         return not self.members.live(RegionName(self.settings.region))
 
--- a/sparline/gateway/_log_output.py
+++ b/sparline/gateway/_log_output.py
@@ -14,10 +14,10 @@
 from sparline._logging import LineLevel, log
 
 # Maximum number of lines queued for a slow reader; further lines are dropped and counted.
-MOST_WAITING = 2_000
+MAX_QUEUED_LINES = 2_000
 # Delay before the next write to a reader whose pipe is full (ms).
-FULL_PAUSE_MS = 50.0
-STANDARD_OUTPUT = 1
+BLOCKED_WRITE_DELAY_MS = 50.0
+STDOUT_FD = 1
 
 
 class LogOutput:
@@ -28,8 +28,8 @@
         self.dropped = 0  # lines lost because the queue was full or the reader was gone
         self._name = name
         self._lines: deque[bytes] = deque()
-        self._some = Event()
-        os.set_blocking(STANDARD_OUTPUT, False)
+        self._has_lines = Event()
+        os.set_blocking(STDOUT_FD, False)
 
     def sink(self, message: object) -> None:
         """Queue a loguru message."""
@@ -39,7 +39,7 @@
 
     def append(self, at_s: float, level: str, event: str, fields: Mapping[str, object]) -> None:
         """Queue a line with a wall-clock time (s); pass on exceptions of the encoder."""
-        if len(self._lines) >= MOST_WAITING:
+        if len(self._lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
         line = {
@@ -50,14 +50,14 @@
             **fields,
         }
         self._lines.append(msgspec.json.encode(line) + b"\n")
-        if not self._some.is_set():
-            self._some.set()
+        if not self._has_lines.is_set():
+            self._has_lines.set()
 
     def run(self) -> None:
         """Write queued lines until the process ends."""
         while True:
-            self._some.wait()
-            self._some.clear()
+            self._has_lines.wait()
+            self._has_lines.clear()
             while self._lines:
                 self._write(self._lines.popleft())
 
@@ -65,9 +65,9 @@
         rest = line
         while rest:
             try:
-                rest = rest[os.write(STANDARD_OUTPUT, rest) :]
+                rest = rest[os.write(STDOUT_FD, rest) :]
             except BlockingIOError:
-                gevent.sleep(FULL_PAUSE_MS / 1000)
+                gevent.sleep(BLOCKED_WRITE_DELAY_MS / 1000)
             except OSError:
                 # The reader is gone, and there is nowhere else to report it.
                 self.dropped += 1
@@ -77,7 +77,7 @@
         """Write the queued lines that the reader accepts without waiting; drop the others."""
         while self._lines:
             try:
-                os.write(STANDARD_OUTPUT, self._lines.popleft())
+                os.write(STDOUT_FD, self._lines.popleft())
             except OSError:
                 self.dropped += 1
 
@@ -99,21 +99,23 @@
         """Create a budget that allows bursts of one second's lines."""
         self.left_out = 0  # lines that were not written
         self._per_s = lines_per_s
-        self._left = lines_per_s
+        self._available = lines_per_s
         self._at_ms = now_ms()
 
     def take(self) -> bool:
         """Return whether another line may be written, and take it from the budget if so."""
         now = now_ms()
-        self._left = min(self._left + (now - self._at_ms) / 1000 * self._per_s, self._per_s)
+        self._available = min(
+            self._available + (now - self._at_ms) / 1000 * self._per_s, self._per_s
+        )
         self._at_ms = now
-        if self._left < 1:
+        if self._available < 1:
             self.left_out += 1
             return False
-        self._left -= 1
+        self._available -= 1
         return True
 
 
-def print_refusal(text: str) -> None:
+def print_startup_error(text: str) -> None:
     """Print on standard error why the program does not start."""
     print(text, file=sys.stderr, flush=True)
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -7,21 +7,25 @@
 
 # Round-trip time to another region before the first measurement (ms): the first request has to be
 # placed without one.
-FIRST_ROUND_TRIP_MS = 112.0
+INITIAL_ROUND_TRIP_MS = 112.0
 # Weight of one more measured round-trip time.
-WEIGHT = 0.2
+ROUND_TRIP_WEIGHT = 0.2
 # How long a peer that could not be reached is skipped (ms).
-PASS_OVER_MS = 1_500.0
+PEER_SKIP_MS = 1_500.0
 
 
 class PeerTable:
     """Select the peers to which requests may be relayed."""
 
-    def __init__(self, members: Members, takes_new_ms: float) -> None:
-        """Create an empty table; leaving instances accept new requests for `takes_new_ms`."""
+    def __init__(self, members: Members, last_instance_accept_ms: float) -> None:
+        """Create an empty table.
+
+        A leaving instance accepts requests for `last_instance_accept_ms` if no other instance of
+        its region is live.
+        """
         self._members = members
-        self._takes_new_ms = takes_new_ms
-        self._pass_over_until_ms: dict[str, float] = {}
+        self._last_instance_accept_ms = last_instance_accept_ms
+        self._skip_until_ms: dict[str, float] = {}
         self._round_trip_ms: dict[RegionName, float] = {}
 
     def usable(self, region: RegionName) -> list[Member]:
@@ -31,26 +35,26 @@
         can reach the backend servers there.
         """
         live = self._reachable(self._members.live(region))
-        return live or self._reachable(self._members.leaving(region, self._takes_new_ms))
+        return live or self._reachable(self._members.leaving(region, self._last_instance_accept_ms))
 
     def _reachable(self, members: list[Member]) -> list[Member]:
         now = now_ms()
-        return [one for one in members if self._pass_over_until_ms.get(one.note.ip, 0.0) <= now]
+        return [one for one in members if self._skip_until_ms.get(one.note.ip, 0.0) <= now]
 
-    def note(self, ip: str, reached: bool) -> None:
+    def note_reachability(self, ip: str, reached: bool) -> None:
         """Record whether a peer was reachable."""
         if reached:
-            self._pass_over_until_ms.pop(ip, None)
+            self._skip_until_ms.pop(ip, None)
             return
-        if self._pass_over_until_ms.get(ip, 0.0) <= now_ms():
-            log.bind(peer=ip, for_ms=PASS_OVER_MS).info("peer_passed_over")
-        self._pass_over_until_ms[ip] = now_ms() + PASS_OVER_MS
+        if self._skip_until_ms.get(ip, 0.0) <= now_ms():
+            log.bind(peer=ip, for_ms=PEER_SKIP_MS).info("peer_passed_over")
+        self._skip_until_ms[ip] = now_ms() + PEER_SKIP_MS
 
     def round_trip_ms(self, region: RegionName) -> float:
         """Return the estimated round-trip time to a region."""
-        return self._round_trip_ms.get(region, FIRST_ROUND_TRIP_MS)
+        return self._round_trip_ms.get(region, INITIAL_ROUND_TRIP_MS)
 
     def note_round_trip(self, region: RegionName, took_ms: float) -> None:
         """Update the estimate with the time that a connection took to open."""
         held = self.round_trip_ms(region)
-        self._round_trip_ms[region] = held + WEIGHT * (took_ms - held)
+        self._round_trip_ms[region] = held + ROUND_TRIP_WEIGHT * (took_ms - held)
--- a/sparline/gateway/_quotas.py
+++ b/sparline/gateway/_quotas.py
@@ -14,22 +14,22 @@
 from sparline.routes import Configuration, Organisation
 
 # Round trip to the region's quota coordinator, with a margin (ms).
-WORD_MS = 8.0
+COORDINATOR_ROUND_TRIP_MS = 8.0
 # Log lines per second and instance about requests over a quota.
-QUOTA_LINES_PER_S = 20.0
+QUOTA_REFUSAL_LINES_PER_S = 20.0
 
 
-class QuotaTerms:
+class QuotaParameterTable:
     """Looks up the parameters of quotas in the configuration in force."""
 
-    def __init__(self, fleet: FleetState, bounds: QuotaTolerance) -> None:
+    def __init__(self, fleet: FleetState, tolerance: QuotaTolerance) -> None:
         """Create a table that follows the configuration of a fleet."""
         self._fleet = fleet
-        self._bounds = bounds
+        self._tolerance = tolerance
         self._configuration: Configuration | None = None
         self._by_key: dict[int, QuotaParameters] = {}
 
-    def of(self, key: int) -> QuotaParameters | None:
+    def parameters_of(self, key: int) -> QuotaParameters | None:
         """Return a quota's parameters, None if the organisation is unknown or has no quota."""
         configuration = self._fleet.configuration
         if configuration is not self._configuration:
@@ -42,7 +42,7 @@
         if known is None:
             return {}
         return {
-            quota_key(one.id): make_quota_parameters(one.quota, self._bounds)
+            quota_key(one.id): make_quota_parameters(one.quota, self._tolerance)
             for one in known.by_id.values()
             if one.quota is not None
         }
@@ -61,7 +61,7 @@
         self._exchange = exchange
         self._gossip = gossip
         self._metrics = metrics
-        self._lines = LineBudget(QUOTA_LINES_PER_S)
+        self._lines = LineBudget(QUOTA_REFUSAL_LINES_PER_S)
 
     def admit(
         self, request_id: RequestId, caller: KnownCaller | None, prompt: Prompt | None
@@ -70,17 +70,17 @@
         if caller is None or caller.organisation.quota is None:
             return None
         organisation = caller.organisation
-        cost = cost_of(organisation, prompt)
-        wait_ms = self._ask(organisation, cost)
+        cost = quota_cost(organisation, prompt)
+        wait_ms = self._charge(organisation, cost)
         if wait_ms is not None and self._exchange.is_estimate(organisation.id):
             # The coordinator's answer may show units that were returned or refilled meanwhile.
-            gevent.sleep(WORD_MS / 1000)
-            wait_ms = self._ask(organisation, cost)
+            gevent.sleep(COORDINATOR_ROUND_TRIP_MS / 1000)
+            wait_ms = self._charge(organisation, cost)
         if wait_ms is not None:
             self._note_refused(request_id, organisation, wait_ms)
         return wait_ms
 
-    def _ask(self, organisation: Organisation, cost: float) -> float | None:
+    def _charge(self, organisation: Organisation, cost: float) -> float | None:
         wait_ms = self._exchange.admit(organisation, cost)
         self._gossip().send_immediately(self._exchange.due())
         return wait_ms
@@ -108,10 +108,12 @@
         if request.caller is None or request.caller.organisation.quota is None or runs == 1:
             return
         organisation = request.caller.organisation
-        self._exchange.settle(organisation.id, (runs - 1) * cost_of(organisation, request.prompt))
+        self._exchange.settle(
+            organisation.id, (runs - 1) * quota_cost(organisation, request.prompt)
+        )
 
 
-def cost_of(organisation: Organisation, prompt: Prompt | None) -> float:
+def quota_cost(organisation: Organisation, prompt: Prompt | None) -> float:
     """Return the units that a request takes from the quota of its organisation."""
     assert organisation.quota is not None, "expected an organisation with a quota"
     return organisation.quota.cost(prompt.held_tokens if prompt else None)
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -23,9 +23,9 @@
 OTHER_LINES_PER_S = 120.0
 # Log lines per second and instance about interrupted answers: an engine that ends interrupts all
 # answers that it was running.
-BREAK_LINES_PER_S = 60.0
+INTERRUPTED_LINES_PER_S = 60.0
 # Log lines per second and instance about requests on which servers ended.
-CRASH_LINES_PER_S = 40.0
+SERVER_END_LINES_PER_S = 40.0
 
 
 class RequestLog:
@@ -36,10 +36,10 @@
         self._metrics = metrics
         self._answered = LineBudget(ANSWERED_LINES_PER_S)
         self._other = LineBudget(OTHER_LINES_PER_S)
-        self._broken = LineBudget(BREAK_LINES_PER_S)
-        self._crashes = LineBudget(CRASH_LINES_PER_S)
+        self._interrupted = LineBudget(INTERRUPTED_LINES_PER_S)
+        self._server_ends = LineBudget(SERVER_END_LINES_PER_S)
 
-    def note_retry(self, request: RoutedRequest, place: Placement, end: AttemptEnd) -> None:
+    def note_retry(self, request: RoutedRequest, placement: Placement, end: AttemptEnd) -> None:
         """Record that an attempt is followed by another."""
         self._metrics.retries.labels(end.reason.value).inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
@@ -47,16 +47,16 @@
                 request_id=request.request_id,
                 reason=end.reason.value,
                 result=end.result.value,
-                **_place_fields(place),
+                **_placement_fields(placement),
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
 
     def note_broken(
-        self, request: RoutedRequest, place: Placement, end: InterruptedAttempt
+        self, request: RoutedRequest, placement: Placement, end: InterruptedAttempt
     ) -> None:
         """Record an interrupted answer and the state of its server."""
         self._metrics.breaks.labels(end.end.reason.value).inc()
-        if self._broken.take() and log.is_written(LineLevel.INFO):
+        if self._interrupted.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 content=short_hex(request.digest()),
@@ -65,15 +65,15 @@
                 has_begun=end.has_begun,
                 liveness=end.end.liveness.value,
                 counted=end.end.ended_server,
-                cold_ms=round(max(place.server.cold_until_ms - now_ms(), 0)),
-                **_place_fields(place),
+                cold_ms=round(max(placement.server.cold_until_ms - now_ms(), 0)),
+                **_placement_fields(placement),
             ).info("answer_broken")
 
-    def note_server_end(self, server_id: BackendServerId, sign: EndEvidence) -> None:
+    def note_server_end(self, server_id: BackendServerId, evidence: EndEvidence) -> None:
         """Record that a server ended while it ran requests of this instance."""
-        self._metrics.server_ends.labels(sign.value).inc()
-        if self._crashes.take() and log.is_written(LineLevel.INFO):
-            log.bind(backend_server=server_id, sign=sign.value).info("server_ended")
+        self._metrics.server_ends.labels(evidence.value).inc()
+        if self._server_ends.take() and log.is_written(LineLevel.INFO):
+            log.bind(backend_server=server_id, sign=evidence.value).info("server_ended")
 
     def note_crash(self, change: CrashChange, quarantine_ms: float) -> None:
         """Record a change of the ends counted for a request, and its quarantine time."""
@@ -83,7 +83,7 @@
             else f"{MIN_QUARANTINE_ENDS}_or_more"
         )
         self._metrics.crashes.labels(change.learnt.value, ends).inc()
-        if not change.concerns_suspect or not self._crashes.take():
+        if not change.concerns_suspect or not self._server_ends.take():
             return
         if not log.is_written(LineLevel.WARNING):
             return
@@ -99,7 +99,7 @@
     def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
         """Record that a suspect was evicted because the table was full."""
         self._metrics.pushed_out.inc()
-        if self._crashes.take() and log.is_written(LineLevel.WARNING):
+        if self._server_ends.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
     def note_cold_use(self, use: ColdRequest) -> None:
@@ -172,19 +172,19 @@
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
-            **({"content": short_hex(request.digest())} if _names_content(end) else {}),
+            **({"content": short_hex(request.digest())} if _needs_digest(end) else {}),
             **(_prompt_fields(request.prompt) if request.prompt else {}),
-            **(_place_fields(end.placement) if end.placement else {}),
+            **(_placement_fields(end.placement) if end.placement else {}),
             **(_refusal_fields(end.refusal) if end.refusal else {}),
         ).info("request_ended")
 
     def left_out(self) -> int:
         """Return the number of lines left out so far."""
-        budgets = (self._answered, self._other, self._broken, self._crashes)
+        budgets = (self._answered, self._other, self._interrupted, self._server_ends)
         return sum(one.left_out for one in budgets)
 
 
-def _names_content(end: RequestEnd) -> bool:
+def _needs_digest(end: RequestEnd) -> bool:
     """Return whether the line needs the digest, which identifies repeats of a request."""
     return end.reason is Reason.QUARANTINED
 
@@ -208,21 +208,21 @@
         "why": refusal.why.value if refusal.why else None,
     }
     if refusal.best is not None:
-        best = _place_fields(refusal.best)
+        best = _placement_fields(refusal.best)
         fields |= {f"best_{name}": value for name, value in best.items()}
     return fields
 
 
-def _place_fields(place: Placement) -> dict[str, object]:
+def _placement_fields(placement: Placement) -> dict[str, object]:
     return {
-        "backend_server": place.server.id,
-        "peer": place.peer.note.name if place.peer else None,
-        "expected_ms": round(place.expected_ms),
-        "unread_tokens": place.unread_tokens,
-        "source": place.source.id if place.source else None,
-        "loss": round(place.loss, 3),
-        "running": place.load.running,
-        "waiting_tokens": place.load.unread_tokens,
-        "load_age_ms": None if place.load_age_ms is None else round(place.load_age_ms),
-        "doubt": place.doubt.name,
+        "backend_server": placement.server.id,
+        "peer": placement.peer.note.name if placement.peer else None,
+        "expected_ms": round(placement.expected_ms),
+        "unread_tokens": placement.unread_tokens,
+        "source": placement.source.id if placement.source else None,
+        "loss": round(placement.loss, 3),
+        "running": placement.load.running,
+        "waiting_tokens": placement.load.unread_tokens,
+        "load_age_ms": None if placement.load_age_ms is None else round(placement.load_age_ms),
+        "doubt": placement.doubt.name,
     }
--- a/sparline/gateway/_run.py
+++ b/sparline/gateway/_run.py
@@ -10,7 +10,7 @@
 
 from sparline._logging import log
 from sparline.gateway._gateway import Gateway
-from sparline.gateway._log_output import LogOutput, configure, print_refusal
+from sparline.gateway._log_output import LogOutput, configure, print_startup_error
 from sparline.gateway._settings import load_settings
 from sparline.schema._gateway import GatewaySettings
 
@@ -18,7 +18,7 @@
 SETTINGS_VARIABLE = "SPARLINE_NODE_FILE"
 DEFAULT_SETTINGS = "/etc/sparline/settings.json"
 # Interval at which the settings file is checked (s), because it may change without a signal.
-LOOK_S = 2.0
+SETTINGS_POLL_INTERVAL_S = 2.0
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -33,7 +33,7 @@
     """Serve until SIGTERM; return the exit code."""
     match load_settings(path):
         case Err(reason):
-            print_refusal(reason)
+            print_startup_error(reason)
             return EXIT_REFUSED
         case Ok(settings):
             return _serve(path, settings)
@@ -54,7 +54,7 @@
     try:
         gateway.start()
     except OSError as error:
-        print_refusal(f"{path}: expected free addresses under $.listen, found: {error}")
+        print_startup_error(f"{path}: expected free addresses under $.listen, found: {error}")
         return EXIT_REFUSED
     log.bind(region=settings.region, zone=settings.availability_zone).info("instance_started")
     gevent.spawn(reloader.run)
@@ -81,7 +81,7 @@
 
     def run(self) -> None:
         while True:
-            gevent.sleep(LOOK_S)
+            gevent.sleep(SETTINGS_POLL_INTERVAL_S)
             self.reload()
 
     def reload(self) -> None:
@@ -95,5 +95,5 @@
             case Ok(settings):
                 if settings == self._gateway.settings:
                     return
-                waiting = self._gateway.reload(settings)
-                log.bind(need_restart=waiting).info("settings_reloaded")
+                restart_needed = self._gateway.reload(settings)
+                log.bind(need_restart=restart_needed).info("settings_reloaded")
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -46,20 +46,20 @@
 
 # Deadline assumed for requests without one when they are refused before a route's timeout
 # applies (ms).
-UNNAMED_DEADLINE_MS = 3_000.0
+DEFAULT_DEADLINE_MS = 3_000.0
 # Retry delay for a relayed request that has no route here (ms). The instance that relayed it
 # then tries elsewhere.
-NO_ROUTE_RETRY_MS = 500.0
+NO_ROUTE_RETRY_AFTER_MS = 500.0
 # Retry delay for callers whose key may belong to a newer configuration (ms). Instances that are
 # connected receive a new version within a second or two.
-BEHIND_RETRY_MS = 400.0
+OUTDATED_RETRY_AFTER_MS = 400.0
 # Retry delay for callers of an instance that is about to exit (ms): they can use another at once.
-LEAVING_RETRY_MS = 50.0
+LEAVING_RETRY_AFTER_MS = 50.0
 # Idle timeout of persistent connections of peers (ms).
-PEER_IDLE_MS = 30_000
+PEER_IDLE_TIMEOUT_MS = 30_000
 # Factor applied to the configured idle timeout, so that a caller that reuses a connection just in
 # time is still served.
-IDLE_SLACK = 1.1
+IDLE_TIMEOUT_FACTOR = 1.1
 # How long remaining input is read after an error response (s), so that a connection reset does not
 # discard the response.
 LINGER_S = 0.5
@@ -76,15 +76,15 @@
         copy: StoreCopyTable,
         request_log: RequestLog,
         pace: PaceTable,
-        disturbed_ago_ms: Callable[[], float | None],
-        may_be_behind: Callable[[], bool],
+        store_fault_age_ms: Callable[[], float | None],
+        may_be_outdated: Callable[[], bool],
         quotas: Quotas,
         admission: AdmissionGate,
     ) -> None:
         """Create a service that follows the configuration of a fleet.
 
-        `disturbed_ago_ms` returns the time since the store's last fault, None if there was none.
-        `may_be_behind` returns whether a newer configuration may be in force elsewhere.
+        `store_fault_age_ms` returns the time since the store's last fault, None if there was none.
+        `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
         self.in_flight = 0  # requests being forwarded
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
@@ -92,15 +92,16 @@
         self._copy = copy
         self._log = request_log
         self._pace = pace
-        self._disturbed_ago_ms = disturbed_ago_ms
-        self._may_be_behind = may_be_behind
+        self._store_fault_age_ms = store_fault_age_ms
+        self._may_be_outdated = may_be_outdated
         self._quotas = quotas
         self._admission = admission
-        self._open: set[CallerConnection] = set()
-        self._limits_of: Configuration | None = None  # configuration of the cached read limits
+        self._connections: set[CallerConnection] = set()
+        # Configuration of the cached read limits.
+        self._limits_configuration: Configuration | None = None
         self._read_limits: dict[Origin, ReadLimits] = {}
 
-    def use(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
+    def set_forwarders(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
         """Set the forwarders for requests of callers and of peers."""
         self._forwarders = {Origin.CALLER: for_callers, Origin.RELAY: for_peers}
 
@@ -115,7 +116,7 @@
     def _serve(self, raw: GeventSocket, origin: Origin) -> None:
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = CallerConnection(raw)
-        self._open.add(caller)
+        self._connections.add(caller)
         try:
             while not caller.closing:
                 request = caller.next_request(self._limits(origin))
@@ -130,22 +131,26 @@
             # There is nobody to answer, and the forwarder has recorded the end of the request.
             return
         finally:
-            self._open.discard(caller)
+            self._connections.discard(caller)
             caller.close()
 
     def _limits(self, origin: Origin) -> ReadLimits:
         configuration = self._fleet.configuration
-        if configuration is not self._limits_of:
-            self._limits_of = configuration
+        if configuration is not self._limits_configuration:
+            self._limits_configuration = configuration
             self._read_limits = {}
-        held = self._read_limits.get(origin)
-        if held is None:
-            held = self._read_limits[origin] = self._make_limits(configuration, origin)
-        return held
+        limits = self._read_limits.get(origin)
+        if limits is None:
+            limits = self._read_limits[origin] = self._make_limits(configuration, origin)
+        return limits
 
     def _make_limits(self, configuration: Configuration | None, origin: Origin) -> ReadLimits:
         limits = configuration.limits if configuration else DEFAULT_LIMITS
-        idle_ms = PEER_IDLE_MS if origin is Origin.RELAY else limits.idle_timeout_ms * IDLE_SLACK
+        idle_ms = (
+            PEER_IDLE_TIMEOUT_MS
+            if origin is Origin.RELAY
+            else limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
+        )
         # A peer adds its own headers to those allowed for callers.
         head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
         return ReadLimits(head_bytes, limits.max_body_bytes, limits.head_timeout_ms, int(idle_ms))
@@ -183,31 +188,31 @@
         configuration = self._fleet.configuration
         request_id = marks.request_id
         if configuration is None:
-            wait_ms = unserved_retry_after_ms(marks.deadline_ms or UNNAMED_DEADLINE_MS)
+            wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
             self._refuse(caller, request_id, origin, Reason.NO_CONFIGURATION, wait_ms)
             return None
         route = configuration.find(marks.host, marks.path)
         if route is None and origin is Origin.RELAY:
             # The instance that relayed it may have another version and decides on the answer.
-            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_MS)
+            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_AFTER_MS)
             return None
         if route is None:
             text = f"expected a route for host {marks.host} and path {marks.path}"
             self._reject(caller, request_id, 404, Reason.NO_ROUTE, text)
             return None
-        whose = self._whose(configuration, route, marks, origin)
-        if whose.is_err():
-            self._turn_away(caller, marks, origin, whose.unwrap_err())
+        found = self._find_caller(configuration, route, marks, origin)
+        if found.is_err():
+            self._answer_unknown_caller(caller, marks, origin, found.unwrap_err())
             return None
-        known = whose.unwrap()
-        if known is not None and not _has_home(route, known.organisation):
-            wait_ms = unserved_retry_after_ms(marks.deadline_ms or UNNAMED_DEADLINE_MS)
+        known_caller = found.unwrap()
+        if known_caller is not None and not _has_allowed_region(route, known_caller.organisation):
+            wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
             self._refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
             return None
         relayed = ServiceName(marks.relay_service) if origin is Origin.RELAY else None
         service = relayed or choose_service(route, request_id)
-        if not self._has_time(route, service, marks):
-            self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_MS)
+        if not self._can_complete(route, service, marks):
+            self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return None
         limit_ms = route.timeout_ms
         if marks.deadline_ms is not None:
@@ -217,7 +222,7 @@
         if resume_after is None:
             # The admission level never refuses a stream that has begun.
             decision = self._admission.admit(
-                Arrival(http, marks, route, service, known, limit_ms), origin
+                Arrival(http, marks, route, service, known_caller, limit_ms), origin
             )
             if isinstance(decision, NotAdmitted):
                 self._answer_not_admitted(caller, origin, decision)
@@ -225,7 +230,7 @@
             admitted = decision
         wait_ms = None
         if origin is Origin.CALLER:
-            wait_ms = self._quotas.admit(request_id, known, marks.prompt)
+            wait_ms = self._quotas.admit(request_id, known_caller, marks.prompt)
         if wait_ms is not None:
             self._refuse(caller, request_id, origin, Reason.LIMIT, wait_ms)
             return None
@@ -241,7 +246,7 @@
             resume_after=resume_after,
             deadline_at_ms=now_ms() + limit_ms,
             origin=origin,
-            caller=known,
+            caller=known_caller,
             admission_key=admitted.key,
             admission_level=admitted.level,
             closed_regions=admitted.closed_regions,
@@ -257,15 +262,15 @@
         caller.answer(503, headers(answer), b"")
         self._log.count_rejected(Reason.ADMISSION_LEVEL)
 
-    def _whose(
+    def _find_caller(
         self, configuration: Configuration, route: Route, marks: RequestMarks, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
         if origin is Origin.RELAY:
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
-    def _turn_away(
-        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, why: UnknownCaller
+    def _answer_unknown_caller(
+        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, unknown: UnknownCaller
     ) -> None:
         """Answer a request without a known organisation.
 
@@ -274,23 +279,25 @@
         """
         request_id = marks.request_id
         if origin is Origin.RELAY:
-            self._refuse(caller, request_id, origin, why.reason, NO_ROUTE_RETRY_MS)
+            self._refuse(caller, request_id, origin, unknown.reason, NO_ROUTE_RETRY_AFTER_MS)
             return
-        if why.reason is Reason.UNKNOWN_KEY and self._may_be_behind():
-            self._refuse(caller, request_id, origin, Reason.CONFIGURATION_BEHIND, BEHIND_RETRY_MS)
+        if unknown.reason is Reason.UNKNOWN_KEY and self._may_be_outdated():
+            self._refuse(
+                caller, request_id, origin, Reason.CONFIGURATION_BEHIND, OUTDATED_RETRY_AFTER_MS
+            )
             return
-        text = why.text
+        text = unknown.text
         withdrawn_at = self._fleet.withdrawn_at(marks.key.digest) if marks.key.digest else None
         if withdrawn_at is not None:
             text = f"{text}; it was withdrawn by version {withdrawn_at}"
-        self._reject(caller, request_id, 401, why.reason, text)
+        self._reject(caller, request_id, 401, unknown.reason, text)
 
-    def _has_time(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
+    def _can_complete(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
         """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
         token_ms = self._pace.max_output_token_ms(service)
-        return self.leave_plan.takes(route, marks.prompt, token_ms)
+        return self.leave_plan.accepts(route, marks.prompt, token_ms)
 
     def _refuse(
         self,
@@ -323,27 +330,27 @@
             text = f"expected a revision, found {after!r}"
             self._reject(caller, "", 400, Reason.BAD_REQUEST, text)
             return
-        ago_ms = self._disturbed_ago_ms()
+        fault_age_ms = self._store_fault_age_ms()
         copy = msgspec.structs.replace(
             self._copy.since(int(after)),
-            disturbed_ago_ms=None if ago_ms is None else round(ago_ms),
+            disturbed_ago_ms=None if fault_age_ms is None else round(fault_age_ms),
         )
         content = pack(copy)
         caller.answer(200, [(b"Content-Type", b"application/cbor")], content)
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
-        for caller in list(self._open):
+        for caller in list(self._connections):
             if caller.is_resting():
                 caller.close()
 
     def close_all(self) -> None:
         """Close all connections, even with requests in flight."""
-        for caller in list(self._open):
+        for caller in list(self._connections):
             caller.close()
 
 
-def _has_home(route: Route, organisation: Organisation) -> bool:
+def _has_allowed_region(route: Route, organisation: Organisation) -> bool:
     """Return whether any region may run an organisation's requests on a route."""
     return (
         not route.allowed_regions
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -14,7 +14,7 @@
 from sparline.schema._gossip import MemberNote, StoreCopy
 
 # Interval at which this instance compares its store copy with the revisions of its peers (ms).
-COMPARE_MS = 400.0
+COMPARE_INTERVAL_MS = 400.0
 # Timeout of a copy from a peer (ms): a round trip between regions and a transfer of one megabyte.
 COPY_TIMEOUT_MS = 2_500.0
 
@@ -36,36 +36,36 @@
         self._reader = reader
         self._metrics = metrics
         self._relay_port = relay_port
-        self._chance = random.Random()
+        self._rng = random.Random()
 
     def run(self) -> None:
         """Compare until the process ends."""
         while True:
-            gevent.sleep(COMPARE_MS / 1000)
-            behind = self._reader.interrupt_stale_watch()
-            if behind or self._reader.needs_peers():
-                self._pull()
+            gevent.sleep(COMPARE_INTERVAL_MS / 1000)
+            is_outdated = self._reader.interrupt_stale_watch()
+            if is_outdated or self._reader.needs_peers():
+                self._copy_from_peer()
 
-    def _pull(self) -> None:
+    def _copy_from_peer(self) -> None:
         newer = [one for one in self._members.live() if one.store_revision > self._copy.revision]
         if not newer:
             return
-        peer = self._chance.choice(nearest(newer, self._members.own))
+        peer = self._rng.choice(nearest_peers(newer, self._members.own))
         limit = gevent.Timeout(COPY_TIMEOUT_MS / 1000)
         try:
             with limit:
-                content = self._call(peer)
+                content = self._fetch(peer)
         except gevent.Timeout as timeout:
             if timeout is not limit:
                 raise
-            self._note(peer, "silent")
+            self._record_result(peer, "silent")
             return
         except (OSError, ConnectionBroken) as error:
-            self._note(peer, "unreachable", str(error))
+            self._record_result(peer, "unreachable", str(error))
             return
-        self._take(peer, content)
+        self._apply(peer, content)
 
-    def _call(self, peer: Member) -> bytes:
+    def _fetch(self, peer: Member) -> bytes:
         connection = BackendConnection((peer.note.ip, self._relay_port), COPY_TIMEOUT_MS / 1000)
         try:
             target = STORE_COPY_TARGET + b"%d" % self._copy.revision
@@ -75,24 +75,24 @@
         finally:
             connection.close()
 
-    def _take(self, peer: Member, content: bytes) -> None:
+    def _apply(self, peer: Member, content: bytes) -> None:
         match unpack(content, StoreCopy):
             case Err(reason):
-                self._note(peer, "bad_answer", reason)
+                self._record_result(peer, "bad_answer", reason)
             case Ok(copy):
                 if copy.disturbed_ago_ms is not None:
                     # Recorded before the items are applied, so that entries that lapsed during the
                     # store's outage are kept.
                     self._reader.record_peer_fault(copy.disturbed_ago_ms)
                 self._copy.take_copy(copy)
-                self._note(peer, "taken", f"revision {copy.revision}")
+                self._record_result(peer, "taken", f"revision {copy.revision}")
 
-    def _note(self, peer: Member, result: str, text: str = "") -> None:
+    def _record_result(self, peer: Member, result: str, text: str = "") -> None:
         self._metrics.store_copies.labels(result).inc()
         log.bind(peer=peer.note.name, result=result, text=text).info("store_copy")
 
 
-def nearest(peers: list[Member], own: MemberNote) -> list[Member]:
+def nearest_peers(peers: list[Member], own: MemberNote) -> list[Member]:
     """Return the peers of the own zone, else of the own region, else all.
 
     Traffic between zones and regions costs money, and a copy may be a megabyte.
--- a/sparline/gateway/tests/test_keys.py
+++ b/sparline/gateway/tests/test_keys.py
@@ -171,7 +171,7 @@
     # Nobody hears of the version that brings the key.
     fleet.store.mode = StoreMode.REFUSING
     g0 = fleet.gateways["g0"]
-    fleet.until(g0._may_be_behind, "it has seen that it may be behind")
+    fleet.until(g0._may_be_outdated, "it has seen that it may be behind")
     put(fleet, 2, ORE, PEAT, SLATE, {"name": "new", "api_keys": ["k-new"]})
     got = fleet.ask("/safe/x", Authorization="Bearer k-new")
     assert (got.status, "retry-after" in got.headers) == (503, True)
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -42,7 +42,7 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.takes(route, prompt, token_ms) is taken
+    assert plan.accepts(route, prompt, token_ms) is taken
 
 
 NEEDED_ROWS = [
@@ -66,4 +66,4 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS, lambda: True)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.takes(route, prompt, 15.0) is taken
+    assert plan.accepts(route, prompt, 15.0) is taken
--- a/sparline/gateway/tests/test_log_output.py
+++ b/sparline/gateway/tests/test_log_output.py
@@ -71,7 +71,7 @@
 
 
 def test_lines_beyond_what_may_wait_are_dropped(output, monkeypatch):
-    monkeypatch.setattr(_log_output, "MOST_WAITING", 2)
+    monkeypatch.setattr(_log_output, "MAX_QUEUED_LINES", 2)
     configure(output, "INFO")
     for _ in range(5):
         _log_output.log.bind().info("event")
--- a/sparline/gateway/tests/test_peer_table.py
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -2,7 +2,7 @@
 
 from sparline._ids import RegionName
 from sparline.fleet import Members
-from sparline.gateway._peer_table import PASS_OVER_MS, PeerTable
+from sparline.gateway._peer_table import PEER_SKIP_MS, PeerTable
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
@@ -25,7 +25,7 @@
     ("not those that take nothing new any more", [LEAVING_1], (), 4_100, set()),
     ("not one out of reach", [LIVE_1, LIVE_2], ("s1",), 0, {"s2"}),
     ("one that leaves, where the live one is out of reach", [LIVE_1, LEAVING_2], ("s1",), 0, {"s2"}),
-    ("one that was out of reach long ago", [LIVE_1], ("s1",), PASS_OVER_MS + 1, {"s1"}),
+    ("one that was out of reach long ago", [LIVE_1], ("s1",), PEER_SKIP_MS + 1, {"s1"}),
     ("nobody", [], (), 0, set()),
 ]  # fmt: skip
 
@@ -41,7 +41,7 @@
         members.take(Gossip(one, 1, True, [], [], [], [], False))
     peers = PeerTable(members, TAKES_NEW_MS)
     for ip in missed:
-        peers.note(ip, False)
+        peers.note_reachability(ip, False)
     at[0] += ago_ms
     if ago_ms > TAKES_NEW_MS:
         # Its heartbeat is heard on while it leaves.
--- a/sparline/gateway/tests/test_store_sync.py
+++ b/sparline/gateway/tests/test_store_sync.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sparline.fleet import Member
-from sparline.gateway._store_sync import nearest
+from sparline.gateway._store_sync import nearest_peers
 from sparline.schema._gossip import MemberNote, MemberPhase
 
 PLACES = {"own-zone": "north-1", "own-region": "north-2", "elsewhere": "south-1"}
@@ -26,4 +26,4 @@
 )
 def test_the_nearest_peers_are_asked_for_a_copy(names, found):
     peers = [Member(note(name, PLACES[name]), 0.0, 0.0) for name in names]
-    assert [one.note.name for one in nearest(peers, note("own", "north-1"))] == found
+    assert [one.note.name for one in nearest_peers(peers, note("own", "north-1"))] == found
