--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -288,7 +288,7 @@
             # The delay was caused by a failed server, not by a lack of capacity.
             return
         if placement.prefill_ms > LONG_PREFILL_RATIO * target_ms:
-            # As in admission by estimate, a long prompt is judged by its wait before prefill starts.
+            # As in admission by estimate, a long prompt is judged by its wait before prefill.
             first_ms -= placement.prefill_ms
         if first_ms > target_ms:
             self._note_missed(request)
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Admission by level at instances: what a caller sees, what counts as missed, what is relayed."""
+"""Tests of admission by level at instances: responses, misses and relayed requests."""
 
 from dataclasses import replace
 
@@ -41,7 +41,7 @@
 
 
 class World:
-    """A gate in front of servers in two regions; `now_s` is the time of day."""
+    """An admission gate before servers in two regions; `now_s` is the wall-clock time."""
 
     def __init__(self, routes=(URGENT, USUAL), organisations=(), enabled=True) -> None:
         self.now_s = 1_000_000.0
@@ -77,7 +77,7 @@
         return self.gate.admit(Arrival(http, marks, route, ENGINES, caller, 3_000.0), origin)
 
     def counted(self) -> tuple[int, int, int]:
-        """Return the admitted, missed and answered cost of this round."""
+        """Return the admitted, missed and answered cost counted so far."""
         one = self.exchange._count(ENGINES)
         return one.admitted, one.missed, one.answered
 
@@ -99,7 +99,7 @@
     ],
 )
 def test_levels_apply_only_where_the_configuration_calls_for_them(world, is_subject):
-    """Guards against changes for deployments without ranks and quotas."""
+    """Guards against changed behaviour in deployments without ranks and quotas."""
     admitted = world.admit(URGENT)
     assert (admitted.key is not None) is is_subject
     request = make_request(admission_key=admitted.key, admission_level=admitted.level)
@@ -121,7 +121,7 @@
 
 
 def test_a_retry_meets_the_same_decision_and_a_later_period_another():
-    """Guards against callers that gain from an immediate retry, or are refused for ever."""
+    """Guards against callers that gain from an immediate retry or are refused forever."""
     first, second = World(), World()
     keys = [first.admit(body=b"%d" % number).key for number in range(64)]
     assert keys == [second.admit(body=b"%d" % number).key for number in range(64)]
@@ -135,7 +135,7 @@
     world.set_level(KEYS_PER_RANK)
     admitted = world.admit()
     assert admitted.closed_regions == {NORTH}
-    # It counts in the region that serves it.
+    # The region that serves the request counts it.
     assert admitted.level is None
     assert world.counted() == (0, 0, 0)
     assert isinstance(world.admit(replace(USUAL, allowed_regions=frozenset({NORTH}))), NotAdmitted)
@@ -149,7 +149,7 @@
     world.set_level(KEYS_PER_RANK)
     assert world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK - 1).key == KEYS_PER_RANK - 1
     assert isinstance(world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK), NotAdmitted)
-    # From an instance without levels; out of range; from a caller, whose key is not believed.
+    # An instance without levels sends no key, a key may be out of range, and a caller's is ignored.
     assert world.admit(origin=Origin.RELAY).key is None
     assert world.admit(origin=Origin.RELAY, key=OPEN_LEVEL).key is None
     assert world.admit(key=0).level is None
@@ -166,7 +166,7 @@
 
 
 def test_a_request_beyond_its_quota_counts_as_neither_asked_nor_admitted():
-    """Guards against a budget for requests that their quota refuses."""
+    """Guards against admission levels that count requests refused by their quota."""
     world = World()
     world.admit()
     assert world.exchange._counted == {}
@@ -196,10 +196,10 @@
 
 @pytest.mark.parametrize(("end", "is_missed"), ENDS)
 def test_only_a_lack_of_capacity_is_missed(end, is_missed):
-    """Guards against levels that close because servers fail or callers leave."""
+    """Guards against levels that fall because servers fail or callers disconnect."""
     world = World()
     world.gate.note_end(make_request(admission_key=0, admission_level=OPEN_LEVEL), end)
-    # What failed otherwise is no sign of a queue either.
+    # Other failures count as answered, because they do not indicate a queue.
     is_over = not is_missed and end.progress.first_at_ms is None
     counted = (0, COST if is_missed else 0, COST if is_over else 0)
     assert world.counted() == counted
@@ -213,7 +213,7 @@
         (700.0, 100.0, False, False),
         (900.0, 100.0, False, True),
         (900.0, 100.0, True, False),
-        # Most of the time is the prefill of the prompt itself.
+        # Most of the time is spent on the prefill of the prompt itself.
         (1_500.0, 1_000.0, False, False),
         (1_900.0, 1_000.0, False, True),
     ],
@@ -233,7 +233,7 @@
 
 
 def test_a_miss_under_a_higher_level_is_not_reported():
-    """Guards against a level that falls again for each request admitted before it fell."""
+    """Guards against a level that falls again because of requests admitted before it fell."""
     world = World()
     world.set_level(KEYS_PER_RANK)
     request = make_request(admission_key=600, admission_level=OPEN_LEVEL)
@@ -270,7 +270,7 @@
     assert float(refused.headers["retry-after"]) > 0
     assert fleet.runs() == []
     assert fleet.ask("/stream/x", "r2", body=b"a", **PROMPT).status == 200
-    # The caller has part of the answer.
+    # The caller of a resumed stream already has part of the answer.
     assert fleet.ask("/usual/x", "r3", body=b"a", **PROMPT, **{"Last-Event-Id": "1"}).status == 200
 
 
--- a/sparline/gateway/tests/test_crashing_request.py
+++ b/sparline/gateway/tests/test_crashing_request.py
@@ -1,12 +1,12 @@
-"""A request that ends each backend server that runs it, and the others that run beside it.
+"""Tests of a request that ends each backend server running it, and of concurrent requests.
 
-A caller sent a request that ended the engine that ran it within 50 to 250 ms. Each try was sent on to
-the next engine, and the caller came back with the same content under a new id, at any instance of any
-region. Nothing counted what had ended under it: an instance excluded a server for one try alone, and
-the next try, there or at a sibling, knew nothing of it. The five engines that might run it ended within
-0.8 s, were back after 3.1 s and ended again, 15 times in all; in 36 of 95 s over a tenth of all short
-requests was not served. In the log of an instance it was one broken answer among the 15 to 36 that each
-engine left behind, and what the operators saw of it was
+A caller sent a request that ended its engine within 50 to 250 ms. Each attempt was retried on the
+next engine, and the caller repeated the same content under a new id at any instance of any region.
+The ends were not counted: an instance excluded a server for one request only, and neither it nor a
+sibling remembered the end for the next one. The five engines that could run it ended within 0.8 s,
+were back after 3.1 s and ended again, 15 times in all. In 36 of 95 s more than a tenth of all short
+requests were not served. In the log of an instance it was one of the 15 to 36 interrupted answers
+for each engine, and the operators saw only
 
     49.193 s  server i-02b7cc1641 runs it
     49.242 s  its run ends: 200 crashed
@@ -23,19 +23,19 @@
 PLACES = ("north-1", "north-1", "south-1", "south-1")
 ZONES = ("north-1", "north-1", "north-1", "south-1", "south-1")
 CRASHING = b"whoever runs this ends"
-# Servers that may end before the whole fleet has to be careful (count).
+# Maximum number of servers that end before the whole fleet stops sending the request.
 MOST_ENDS = 3
-# Sends that are borne once the fleet has had its time to hear of the third end (count).
+# Maximum number of sends after the fleet has had time to learn of the third end.
 MOST_LATER_SENDS = 3
-# News has reached every instance by then (s): far less than the time that an operator allows, 5 s.
+# Time within which every instance learns of an end (s), far less than the 5 s that operators allow.
 NEWS_S = 1.0
-# An engine that has ended is back after this long (s).
+# Time after which an engine that has ended is back (s).
 BACK_S = 0.2
 TRIES = 16
 
 
 def add_engine(fleet: RoutedFleet, name: str, zone: str) -> None:
-    """Start an engine that ends with the request, and comes back under another id."""
+    """Start an engine that ends on the request and comes back under another id."""
     engine = fleet.add_server(name, "engines", zone, events=4)
     engine.ends_on = CRASHING
     engine.on_end = lambda: gevent.spawn_later(BACK_S, come_back, fleet, name, zone)
@@ -56,12 +56,12 @@
 
 
 def sends(fleet: RoutedFleet) -> int:
-    """Return how often an engine began to run the request that ends it."""
+    """Return how often engines began to run the request that ends them."""
     return sum(run.body == CRASHING for one in fleet.servers.values() for run in one.runs)
 
 
 def repeat(fleet: RoutedFleet, number: int):
-    """Send the request as a caller repeats it: another id, at the next instance."""
+    """Repeat the request as a caller does: with another id, at the next instance."""
     at = f"g{number % len(PLACES)}"
     return fleet.ask("/stream/x", f"try{number}", at, body=CRASHING, **PROMPT)
 
@@ -81,7 +81,7 @@
 
 
 def repeat_until_ended(fleet: RoutedFleet) -> None:
-    """Repeat until three engines have ended."""
+    """Repeat the request until three engines have ended."""
     for number in range(TRIES):
         if sends(fleet) >= MOST_ENDS:
             return
@@ -90,7 +90,7 @@
 
 
 def test_an_end_behind_an_open_port_is_told_by_the_store(fleet):
-    # A supervisor may hold the port while its process starts again.
+    # A supervisor may keep the port open while its process restarts.
     for server in fleet.servers.values():
         server.keeps_port = True
     repeat_until_ended(fleet)
@@ -105,7 +105,7 @@
 def test_its_caller_is_told_the_truth_and_not_to_come_back(fleet):
     for number in range(TRIES):
         got = repeat(fleet, number)
-        # Never a promise that it has not run, and no time at which to come back.
+        # A 503 would say that it has not run, and Retry-After would ask for another attempt.
         assert got.status in (0, 502)
         assert "retry-after" not in got.headers
         gevent.sleep(BACK_S)
@@ -125,7 +125,7 @@
             )
         gevent.sleep(BACK_S)
     gevent.joinall(asking, timeout=20)
-    # Engines came back meanwhile; whoever asks now is served at each instance.
+    # The engines have come back, so each instance serves other requests again.
     for at in fleet.gateways:
         got = fleet.ask("/stream/x", f"after-{at}", at, body=b"other", **PROMPT)
         assert (got.status, got.whole) == (200, True)
@@ -159,7 +159,7 @@
         lambda: all(len(one.crashes.facts(9, 9e9, 9e9)) == 1 for one in fleet.gateways.values()),
         "all know",
     )
-    # One that has lost what it knew, as after a start, asks a region that knows.
+    # An instance without crash records, as after a restart, relays to a region that has them.
     g0 = fleet.gateways["g0"]
     g0.crashes._records.clear()
     fleet.store.put("op/evacuate/north-1", {})
@@ -226,13 +226,13 @@
 
 
 def digest_of_ask(body: bytes):
-    """Return the digest of what a test's caller sends."""
+    """Return the digest of a request sent by `RoutedFleet.ask`."""
     return digest_of([HOST.encode(), b"POST", b"/stream/x", body])
 
 
 def test_engines_that_come_back_unseen_behind_an_open_port_are_counted(fleet):
-    # The store is silent, so that nobody hears of the starts; each engine comes back at once under its
-    # id, behind a port that something else holds.
+    # The store is silent, so no instance learns of the restarts. Each engine comes back at once
+    # under its id, behind a port that another process keeps open.
     for server in fleet.servers.values():
         server.keeps_port = True
         server.on_end = lambda: None
@@ -250,8 +250,8 @@
 
 @pytest.mark.parametrize("keeps_port", [True, False], ids=["port kept", "port closed"])
 def test_each_crash_of_an_engine_restarted_under_its_id_is_counted(keeps_port):
-    # With a silent store and a closed port, all crashes of one engine counted as one: 24 of 24
-    # repeats were sent.
+    # With a silent store and a closed port, all crashes of an engine were counted as one, and 24 of
+    # 24 repeats were sent.
     with RoutedFleet(("north-1",)) as fleet:
         engine = fleet.add_server("e0", "engines", events=4)
         engine.ends_on = CRASHING
@@ -262,6 +262,6 @@
         fleet.store.mode = StoreMode.SILENT
         for number in range(TRIES):
             fleet.ask("/stream/x", f"try{number}", body=CRASHING, **PROMPT)
-            # While the port is closed, an engine is passed over for half a second.
+            # While its port is closed, an engine is skipped for half a second.
             gevent.sleep(BACK_S if keeps_port else 3 * BACK_S)
         assert MOST_ENDS <= sends(fleet) <= MOST_ENDS + 1
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -1,3 +1,5 @@
+"""Tests of which instances the directory names."""
+
 import pytest
 
 from sparline._ids import RegionName, ZoneName
@@ -17,7 +19,7 @@
     return MemberNote(ip, ip, 1, 1, phase, region, f"{region}-{zone}")
 
 
-# Routes of one host: any region; two homes.
+# Allowed regions of the host's two routes: all regions, and two home regions.
 HOMES = (frozenset(), frozenset((NORTH, SOUTH)))
 N1, N2 = note("n1", "north"), note("n2", "north")
 S1, W1 = note("s1", "south"), note("w1", "west")
@@ -57,8 +59,8 @@
 
 
 def test_an_instance_that_has_just_begun_to_leave_names_itself_before_one_that_is_no_home():
-    # Both instances of a region leave one after the other; a caller that asks the second one about
-    # its own region was sent to an instance that may not run its requests.
+    # When both instances of a region left one after the other, a caller that asked the second one
+    # about its own region was sent to an instance that may not run its requests.
     members = Members(note("own", "north", MemberPhase.leaving))
     for other in (LEAVING, W1):
         members.take(Gossip(other, 0, True, [], [], [], [], False))
@@ -93,8 +95,8 @@
 
 
 def test_an_instance_that_leaves_for_longer_goes_before_one_that_is_no_home(monkeypatch):
-    # Overlapping planned stops leave a region without a live instance; those that leave still take
-    # requests, and callers were sent to another region that may not run them.
+    # When planned stops overlapped, a region had no live instance. Its leaving instances still
+    # accepted requests, but callers were sent to another region that may not run them.
     at = [1_000.0]
     for module in ("sparline.gateway._directory", "sparline.fleet._members"):
         monkeypatch.setattr(f"{module}.now_ms", lambda: at[0])
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Several gateways: relays, the store's faults, what is in force, leaving."""
+"""Tests of several gateways: relaying, store faults, configurations and planned stops."""
 
 import json
 import urllib.request
--- a/sparline/gateway/tests/test_keys.py
+++ b/sparline/gateway/tests/test_keys.py
@@ -1,4 +1,4 @@
-"""Keys and organisations' homes: what callers get, what servers see, and when versions differ."""
+"""Tests of API keys and home regions: responses, forwarded headers and configuration versions."""
 
 from dataclasses import replace
 
@@ -22,7 +22,7 @@
 
 
 def put(fleet: RoutedFleet, version: int, *organisations: dict) -> None:
-    """Put a version with some organisations into force, and wait until all hold it."""
+    """Publish a configuration version with some organisations."""
     fleet.store.put("op/config", configuration(version, ROUTES) | {"tenants": list(organisations)})
 
 
@@ -45,7 +45,7 @@
 
 
 CALLERS = [
-    # headers, target, status, organisation that the server sees
+    # headers, target, status, organisation in the forwarded headers
     ("a key", {"Authorization": "Bearer k-ore"}, "/safe/x", 200, "ore"),
     ("its other key", {"Authorization": "Bearer k-ore-2"}, "/safe/x", 200, "ore"),
     ("no key", {}, "/safe/x", 401, None),
@@ -115,7 +115,7 @@
 
 
 HOMES = [
-    # key, target, whether it runs, and where
+    # key, target, status, server that runs the request
     ("k-peat", "/safe/x", 200, "s1"),
     ("k-slate", "/safe/x", 200, "n1"),
     ("k-peat", "/south/x", 200, "s1"),
@@ -168,14 +168,14 @@
 
 
 def test_a_key_that_may_be_a_new_one_is_not_called_unknown(fleet):
-    # Nobody hears of the version that brings the key.
+    # No instance receives the version that contains the key.
     fleet.store.mode = StoreMode.REFUSING
     g0 = fleet.gateways["g0"]
     fleet.until(g0._may_be_outdated, "it has seen that it may be behind")
     put(fleet, 2, ORE, PEAT, SLATE, {"name": "new", "api_keys": ["k-new"]})
     got = fleet.ask("/safe/x", Authorization="Bearer k-new")
     assert (got.status, "retry-after" in got.headers) == (503, True)
-    # What is known is served meanwhile.
+    # Callers with known keys are served meanwhile.
     assert fleet.ask("/safe/x", "r2", Authorization="Bearer k-ore").status == 200
 
 
@@ -196,7 +196,7 @@
         forwarder._dependencies, is_key_withdrawn=lambda _request: next(withdrawn)
     )
     got = fleet.ask("/safe/x", Authorization="Bearer k-ore")
-    # It has run once and is not called not run.
+    # It has run once, so the response must not say that it has not run.
     assert got.status == 502
     assert len(fleet.runs()) == 1
 
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -1,3 +1,5 @@
+"""Tests of which requests a leaving instance accepts."""
+
 import pytest
 
 from sparline.gateway import _leave_plan
@@ -22,7 +24,8 @@
     ("a short answer after the last moment", STREAM, Prompt(300, 20, ()), 4_100, False),
     ("a long answer of slow engines", STREAM, Prompt(17_000, 120, ()), 2_000, False, 45.0),
     ("a long answer of quick engines", STREAM, Prompt(17_000, 400, ()), 3_000, True, 5.0),
-    # Taken 3.85 s into a stop of 8 s, one that runs once was cut at 7.62 s: it had waited 0.8 s for a place.
+    # Accepted 3.85 s into a stop of 8 s, a request that runs once was cut at 7.62 s: it had waited
+    # 0.8 s for a place.
     ("one that runs once and may last longer", ONCE, Prompt(17_000, 110, ()), 3_850, False),
     ("one that runs once, half as long again", ONCE, Prompt(17_000, 110, ()), 3_500, True),
     ("one that runs once and ends soon", ONCE, Prompt(17_000, 50, ()), 3_850, True),
@@ -49,7 +52,7 @@
     ("a plain one after the usual last moment", PLAIN, None, 6_700, True),
     ("a plain one after the last moment of all", PLAIN, None, 6_900, False),
     ("a long answer that would not end in time", STREAM, Prompt(17_000, 120, ()), 5_000, False),
-    # Taken 4.47 s into a stop of 8 s, it was cut at 7.63 s: engines paused longer than they usually do.
+    # Accepted 4.47 s into a stop of 8 s, it was cut at 7.63 s: engines paused longer than usual.
     ("one that runs once and may last longer", ONCE, Prompt(17_000, 110, ()), 4_470, False),
     ("one that runs once and ends soon", ONCE, Prompt(17_000, 50, ()), 4_470, True),
     ("a long answer that can be picked up again", STREAM, Prompt(17_000, 110, ()), 4_470, True),
--- a/sparline/gateway/tests/test_log_output.py
+++ b/sparline/gateway/tests/test_log_output.py
@@ -1,4 +1,4 @@
-"""Structured lines that go past loguru are the ones that loguru's sink would write."""
+"""Tests that structured lines written without loguru equal those of its sink."""
 
 import subprocess
 import sys
@@ -32,7 +32,7 @@
 @pytest.mark.parametrize("fields", FIELDS)
 @pytest.mark.parametrize("level", list(LineLevel)[1:])
 def test_line_is_that_of_loguru(output, fields, level):
-    # Readers of the lines must not see which of the two ways one took.
+    # Readers of the log must not be able to tell the two paths apart.
     configure(output, "INFO")
     began_s = time.time()
     getattr(_log_output.log.bind(**fields), level.name.lower())("{event}")
@@ -80,7 +80,7 @@
 
 @pytest.mark.parametrize("imported_before", (True, False))
 def test_other_lines_reach_the_output_by_loguru(output, monkeypatch, imported_before):
-    # Lines with a sentence, such as a refused datagram's, are no structured ones.
+    # Lines with a formatted sentence, such as that about a refused datagram, are not structured.
     if not imported_before:
         monkeypatch.delitem(sys.modules, "loguru")
     configure(output, "INFO")
@@ -90,7 +90,7 @@
 
 
 def test_start_and_structured_lines_do_not_import_loguru():
-    # Its import, which pulls in asyncio, would make every start longer.
+    # Importing loguru, which imports asyncio, would lengthen every start.
     script = (
         "import sys; from sparline.gateway._log_output import LogOutput, configure;"
         "import sparline.gateway; from sparline._logging import log;"
--- a/sparline/gateway/tests/test_peer_table.py
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -1,3 +1,5 @@
+"""Tests of the peers to which requests may be relayed."""
+
 import pytest
 
 from sparline._ids import RegionName
@@ -16,8 +18,8 @@
 LIVE_1, LIVE_2 = (note(ip, MemberPhase.live) for ip in ("s1", "s2"))
 LEAVING_1, LEAVING_2 = (note(ip, MemberPhase.leaving) for ip in ("s1", "s2"))
 
-# Instances of the south that were heard, addresses that could not be reached, how long ago (ms);
-# whom a request may be relayed to.
+# Known instances of region south, addresses that could not be reached, time since then (ms), and
+# peers to which a request may be relayed.
 ROWS = [
     ("all that live", [LIVE_1, LIVE_2], (), 0, {"s1", "s2"}),
     ("not those that leave, beside a live one", [LIVE_1, LEAVING_2], (), 0, {"s1"}),
@@ -44,7 +46,7 @@
         peers.note_reachability(ip, False)
     at[0] += ago_ms
     if ago_ms > TAKES_NEW_MS:
-        # Its heartbeat is heard on while it leaves.
+        # A leaving instance continues to send heartbeats.
         for one in heard:
             beat = MemberNote(one.ip, one.name, 1, 2, one.phase, one.region, one.availability_zone)
             members.take(Gossip(beat, 1, True, [], [], [], [], False))
--- a/sparline/gateway/tests/test_process.py
+++ b/sparline/gateway/tests/test_process.py
@@ -1,4 +1,4 @@
-"""The process from outside: signals while it starts, settings that it refuses."""
+"""Tests of the process: signals during startup and invalid settings."""
 
 import os
 import signal
@@ -9,13 +9,13 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parents[3]
-# How the two ways to start the program are called.
+# Arguments of the two ways to start the program.
 COMMANDS = [["sparline.gateway_process"], ["sparline", "gateway"]]
 
 
 @pytest.mark.parametrize("command", COMMANDS, ids=["module", "command line"])
 def test_a_reload_while_it_starts_does_not_end_it(tmp_path, command):
-    # A pipe as settings file: the process waits in its start until this test writes.
+    # The settings file is a pipe, so the process waits during startup until this test writes.
     settings = tmp_path / "settings.json"
     os.mkfifo(settings)
     process = subprocess.Popen(
--- a/sparline/gateway/tests/test_quotas.py
+++ b/sparline/gateway/tests/test_quotas.py
@@ -1,11 +1,11 @@
-"""Quotas at the gateway: who is refused, with which answer, and what is given back."""
+"""Tests of quotas at the gateway: refusals, their responses and refunds."""
 
 import pytest
 
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, SealedFaults, configuration
 
-# A request of `PROMPT` counts 450 tokens.
+# A request with `PROMPT` costs 450 tokens.
 ORE = {
     "name": "ore",
     "api_keys": ["k-ore"],
@@ -51,7 +51,7 @@
         lambda: len(g1.quota_exchange.quota_coordinator), "the other region has heard of it"
     )
     admitted = sum(ask(fleet, number, "g1").status == 200 for number in range(12))
-    # At most what one request owes beyond the part that is left.
+    # One request may be admitted beyond the remaining quota.
     assert admitted * COST <= ORE["burst"] + COST
 
 
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -1,4 +1,4 @@
-"""Limits of what a caller may send follow the configuration in force."""
+"""Tests that read limits follow the configuration in force."""
 
 from types import SimpleNamespace
 
@@ -13,7 +13,7 @@
 
 
 def test_limits_are_those_of_the_configuration_in_force():
-    # They are kept between requests: a new configuration has to replace them.
+    # The limits are cached between requests, and a new configuration must replace them.
     fleet = SimpleNamespace(configuration=None)
     service = Service(fleet, *[None] * 6)
     assert service._limits(Origin.CALLER).max_body_bytes == DEFAULT_LIMITS.max_body_bytes
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""One gateway before backend servers: what callers get and what runs."""
+"""Tests of one gateway before backend servers: responses to callers and runs on servers."""
 
 import gevent
 import pytest
@@ -87,7 +87,7 @@
 
 
 FAULTS = [
-    # fault at every server, target, status, runs at the most
+    # fault of all servers, target, status, maximum number of runs
     ("refused everywhere", {"refuse": True}, "/unsafe/x", 503, 0),
     ("refused everywhere, safe", {"refuse": True}, "/safe/x", 503, 0),
     ("lost answer, runs once", {"close_after_run": True}, "/unsafe/x", 502, 1),
@@ -254,7 +254,7 @@
 
 
 def test_a_server_that_starts_anew_under_its_id_breaks_the_streams_that_it_had():
-    # The old process holds the connection open without a word, as one behind a cut does.
+    # The old process keeps the connection open silently, as one behind a network partition does.
     with RoutedFleet() as fleet:
         engine = fleet.add_server("e1", "engines", events=EVENTS)
         engine.faults = SealedFaults(stop_after_event=2, remaining=1)
--- a/sparline/gateway/tests/test_reset_connections.py
+++ b/sparline/gateway/tests/test_reset_connections.py
@@ -1,4 +1,4 @@
-"""A request is not blamed for connections that are reset on the way to a server that lives."""
+"""Tests that a request is not blamed for resets of connections to a running server."""
 
 import gevent
 import pytest
@@ -9,7 +9,7 @@
 
 TRIES = 12
 PAUSE_S = 0.1
-# Time for the instances to tell each other of crashes (s).
+# Time within which the instances exchange crash reports (s).
 NEWS_S = 0.5
 
 
@@ -27,7 +27,7 @@
     try:
         list_server(fleet.store, "p0", proxy.address, "plain", "north-1")
         fleet.ready()
-        # A proxy that accepts connections and resets them says nothing about the server behind it.
+        # Connections accepted and then reset by a proxy say nothing about the server behind it.
         proxy.faults.refuse = True
         for number in range(TRIES):
             fleet.ask("/safe/x", f"reset-{number}", body=b"abc")
@@ -80,8 +80,8 @@
 
 
 def test_request_is_not_blamed_for_servers_that_had_crashed_before_it_was_sent(engines):
-    # Seeds 133 and 332 of the gateway soak: proxies reset what was sent after the crashes, and the
-    # new starts of three engines shut the request out.
+    # In seeds 133 and 332 of the gateway soak, proxies reset connections opened after the crashes,
+    # and the restarts of three engines then put the request into quarantine.
     fleet, proxies = engines
     for name in ENGINES:
         fleet.servers[name].end()
--- a/sparline/gateway/tests/test_settings.py
+++ b/sparline/gateway/tests/test_settings.py
@@ -1,3 +1,5 @@
+"""Tests of the validation of settings."""
+
 import json
 
 import pytest
--- a/sparline/gateway/tests/test_store_sync.py
+++ b/sparline/gateway/tests/test_store_sync.py
@@ -1,4 +1,4 @@
-"""From whom an instance takes a copy of the store."""
+"""Tests of the choice of the peer from which an instance copies the store."""
 
 import pytest
 
