--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -36,14 +36,19 @@
 from standins import PROMPT, SealedFaults, configuration
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
-URGENT, USUAL = make_route(path_start="/a/"), make_route(path_start="/b/", priority=2)
+URGENT_ROUTE, LESS_URGENT_ROUTE = (
+    make_route(path_start="/a/"),
+    make_route(path_start="/b/", priority=2),
+)
 COST = credit_of(make_request().prompt)
 
 
-class World:
+class GateFixture:
     """An admission gate before servers in two regions; `now_s` is the wall-clock time."""
 
-    def __init__(self, routes=(URGENT, USUAL), organisations=(), enabled=True) -> None:
+    def __init__(
+        self, routes=(URGENT_ROUTE, LESS_URGENT_ROUTE), organisations=(), enabled=True
+    ) -> None:
         self.now_s = 1_000_000.0
         self.fleet = FleetState(
             lambda _change: None,
@@ -68,7 +73,9 @@
     def set_level(self, level: int, region: RegionName = NORTH, set_ms: int = 1) -> None:
         self.exchange.take_notes([AdmissionLevelNote(ENGINES, region, 0, level, 0, [], set_ms)])
 
-    def admit(self, route=USUAL, body=b"x", origin=Origin.CALLER, key=None, caller=None):
+    def admit(
+        self, route=LESS_URGENT_ROUTE, body=b"x", origin=Origin.CALLER, key=None, caller=None
+    ):
         headers = [(b"attempt-id", b"r"), (b"host", b"host.example"), (b"token-counts", b"400,50")]
         if key is not None:
             headers.append((b"sparline-admission-key", str(key).encode()))
@@ -91,38 +98,38 @@
 @pytest.mark.parametrize(
     ("world", "is_subject"),
     [
-        (World(), True),
-        (World(enabled=False), False),
-        (World(routes=(URGENT,)), False),
-        (World(routes=(URGENT,), organisations=[organisation("a")]), False),
-        (World(routes=(URGENT,), organisations=[organisation("a", 0)]), True),
+        (GateFixture(), True),
+        (GateFixture(enabled=False), False),
+        (GateFixture(routes=(URGENT_ROUTE,)), False),
+        (GateFixture(routes=(URGENT_ROUTE,), organisations=[organisation("a")]), False),
+        (GateFixture(routes=(URGENT_ROUTE,), organisations=[organisation("a", 0)]), True),
     ],
 )
-def test_levels_apply_only_where_the_configuration_calls_for_them(world, is_subject):
+def test_levels_apply_only_with_ranks_or_quotas(world, is_subject):
     """Guards against changed behaviour in deployments without ranks and quotas."""
-    admitted = world.admit(URGENT)
+    admitted = world.admit(URGENT_ROUTE)
     assert (admitted.key is not None) is is_subject
     request = make_request(admission_key=admitted.key, admission_level=admitted.level)
     world.gate.note_start(request)
     assert world.counted() == (COST if is_subject else 0, 0, 0)
 
 
-def test_the_rank_decides_who_is_refused():
-    world = World()
+def test_requests_of_less_urgent_rank_are_refused():
+    world = GateFixture()
     world.set_level(KEYS_PER_RANK)
     world.set_level(KEYS_PER_RANK, SOUTH)
     for number in range(50):
-        assert isinstance(world.admit(URGENT, b"%d" % number), Admitted)
-        refused = world.admit(USUAL, b"%d" % number)
+        assert isinstance(world.admit(URGENT_ROUTE, b"%d" % number), Admitted)
+        refused = world.admit(LESS_URGENT_ROUTE, b"%d" % number)
         assert isinstance(refused, NotAdmitted)
         assert refused.retry_after_ms > 0
-    told = world.metrics.render().decode()
-    assert 'sparline_admission_refusals_total{rank="2",service="engines"} 50.0' in told
+    metrics_text = world.metrics.render().decode()
+    assert 'sparline_admission_refusals_total{rank="2",service="engines"} 50.0' in metrics_text
 
 
-def test_a_retry_meets_the_same_decision_and_a_later_period_another():
+def test_key_is_the_same_for_a_retry_and_differs_in_a_later_period():
     """Guards against callers that gain from an immediate retry or are refused forever."""
-    first, second = World(), World()
+    first, second = GateFixture(), GateFixture()
     keys = [first.admit(body=b"%d" % number).key for number in range(64)]
     assert keys == [second.admit(body=b"%d" % number).key for number in range(64)]
     assert len(set(keys)) > 32
@@ -130,22 +137,24 @@
     assert sum(key != first.admit(body=b"%d" % n).key for n, key in enumerate(keys)) > 56
 
 
-def test_requests_go_to_regions_that_admit_them():
-    world = World()
+def test_request_is_admitted_to_regions_with_a_higher_level():
+    world = GateFixture()
     world.set_level(KEYS_PER_RANK)
     admitted = world.admit()
     assert admitted.closed_regions == {NORTH}
     # The region that serves the request counts it.
     assert admitted.level is None
     assert world.counted() == (0, 0, 0)
-    assert isinstance(world.admit(replace(USUAL, allowed_regions=frozenset({NORTH}))), NotAdmitted)
+    assert isinstance(
+        world.admit(replace(LESS_URGENT_ROUTE, allowed_regions=frozenset({NORTH}))), NotAdmitted
+    )
     world.set_level(OPEN_LEVEL, set_ms=2)
     world.set_level(KEYS_PER_RANK, SOUTH)
     assert world.admit().closed_regions == {SOUTH}
 
 
-def test_a_relayed_request_is_compared_by_the_key_that_it_carries():
-    world = World()
+def test_relayed_request_is_compared_by_its_admission_key_header():
+    world = GateFixture()
     world.set_level(KEYS_PER_RANK)
     assert world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK - 1).key == KEYS_PER_RANK - 1
     assert isinstance(world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK), NotAdmitted)
@@ -155,9 +164,9 @@
     assert world.admit(key=0).level is None
 
 
-def test_an_organisation_beyond_its_share_has_step_1():
+def test_organisation_beyond_its_fair_share_gets_step_1():
     caller = KnownCaller(1, organisation("a", 1), KeyDigest(b"a"))
-    world = World(organisations=[caller.organisation])
+    world = GateFixture(organisations=[caller.organisation])
     level = LevelInForce(2_000, 0, {quota_key(caller.organisation.id): 32})
     world.exchange.level = lambda _service, _region: level
     keys = [world.admit(body=b"%d" % number, caller=caller).key for number in range(300)]
@@ -165,9 +174,9 @@
     assert all((key % 256 >= 128) == (key % 128 >= 32) for key in keys)
 
 
-def test_a_request_beyond_its_quota_counts_as_neither_asked_nor_admitted():
+def test_request_beyond_its_quota_counts_as_neither_asked_nor_admitted():
     """Guards against admission levels that count requests refused by their quota."""
-    world = World()
+    world = GateFixture()
     world.admit()
     assert world.exchange._counted == {}
 
@@ -195,13 +204,13 @@
 
 
 @pytest.mark.parametrize(("end", "is_missed"), ENDS)
-def test_only_a_lack_of_capacity_is_missed(end, is_missed):
+def test_only_lack_of_capacity_counts_as_missed(end, is_missed):
     """Guards against levels that fall because servers fail or callers disconnect."""
-    world = World()
+    world = GateFixture()
     world.gate.note_end(make_request(admission_key=0, admission_level=OPEN_LEVEL), end)
     # Other failures count as answered, because they do not indicate a queue.
-    is_over = not is_missed and end.progress.first_at_ms is None
-    counted = (0, COST if is_missed else 0, COST if is_over else 0)
+    counts_as_answered = not is_missed and end.progress.first_at_ms is None
+    counted = (0, COST if is_missed else 0, COST if counts_as_answered else 0)
     assert world.counted() == counted
     world.gate.note_end(make_request(), end)
     assert world.counted() == counted
@@ -218,8 +227,8 @@
         (1_900.0, 1_000.0, False, True),
     ],
 )
-def test_a_late_first_event_is_missed(first_ms, prefill_ms, failed_before, is_missed):
-    world = World()
+def test_late_first_event_counts_as_missed(first_ms, prefill_ms, failed_before, is_missed):
+    world = GateFixture()
     request = make_request(
         admission_key=0, admission_level=OPEN_LEVEL, arrived_at_ms=now_ms() - first_ms
     )
@@ -232,9 +241,9 @@
     assert world.counted() == (0, COST if is_missed else 0, COST)
 
 
-def test_a_miss_under_a_higher_level_is_not_reported():
+def test_miss_admitted_under_a_higher_level_is_not_reported():
     """Guards against a level that falls again because of requests admitted before it fell."""
-    world = World()
+    world = GateFixture()
     world.set_level(KEYS_PER_RANK)
     request = make_request(admission_key=600, admission_level=OPEN_LEVEL)
     world.gate.note_end(request, make_end(Reason.PEER_NO_ROOM))
@@ -262,7 +271,7 @@
     fleet.gateways[name].admission_exchange.take_notes([note])
 
 
-def test_a_refused_caller_is_told_when_to_come_back_and_nothing_runs(fleet):
+def test_refused_caller_gets_retry_after_and_nothing_runs(fleet):
     for region in ("north", "south"):
         set_level(fleet, "g0", region, KEYS_PER_RANK)
     refused = fleet.ask("/usual/x", "r1", body=b"a", **PROMPT)
@@ -274,7 +283,7 @@
     assert fleet.ask("/usual/x", "r3", body=b"a", **PROMPT, **{"Last-Event-Id": "1"}).status == 200
 
 
-def test_another_region_serves_what_the_own_level_refuses(fleet):
+def test_other_region_serves_requests_refused_by_the_own_level(fleet):
     set_level(fleet, "g0", "north", KEYS_PER_RANK)
     assert fleet.ask("/usual/x", "r1", body=b"a", **PROMPT).status == 200
     (run,) = fleet.servers["e2"].runs
@@ -284,7 +293,7 @@
     assert fleet.ask("/usual/x", "r2", body=b"a", **PROMPT).status == 503
 
 
-def test_servers_that_refuse_close_the_level(fleet):
+def test_refusing_servers_lower_the_level(fleet):
     for server in fleet.servers.values():
         server.faults = SealedFaults(refuse=True)
     exchange = fleet.gateways["g0"].admission_exchange
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -44,7 +44,7 @@
 @pytest.mark.parametrize(
     ("others", "region", "named"), [row[1:] for row in ROWS], ids=[row[0] for row in ROWS]
 )
-def test_instances_are_named_by_region_and_homes(others, region, named):
+def test_instances_are_named_by_region_and_home_regions(others, region, named):
     members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "east", "east-1"))
     for other in others:
         members.take(Gossip(other, 0, True, [], [], [], [], False))
@@ -58,7 +58,7 @@
     assert set(directory.find(question)) == named
 
 
-def test_an_instance_that_has_just_begun_to_leave_names_itself_before_one_that_is_no_home():
+def test_recently_leaving_instance_names_itself_before_regions_that_are_no_home():
     # When both instances of a region left one after the other, a caller that asked the second one
     # about its own region was sent to an instance that may not run its requests.
     members = Members(note("own", "north", MemberPhase.leaving))
@@ -85,7 +85,7 @@
 @pytest.mark.parametrize(
     ("others", "named"), [row[1:] for row in ZONE_ROWS], ids=[row[0] for row in ZONE_ROWS]
 )
-def test_callers_are_sent_to_their_own_zone(others, named):
+def test_callers_are_directed_to_their_own_zone(others, named):
     members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "east", "east-1"))
     for other in others:
         members.take(Gossip(other, 0, True, [], [], [], [], False))
@@ -94,7 +94,7 @@
     assert set(Directory(members, fleet, 80, 6_000.0).find(question)) == named
 
 
-def test_an_instance_that_leaves_for_longer_goes_before_one_that_is_no_home(monkeypatch):
+def test_instance_that_leaves_for_longer_is_named_before_regions_that_are_no_home(monkeypatch):
     # When planned stops overlapped, a region had no live instance. Its leaving instances still
     # accepted requests, but callers were sent to another region that may not run them.
     at = [1_000.0]
@@ -112,7 +112,7 @@
     named = {}
     for ago_ms in (1_900, 3_900, 4_100):
         at[0] = 1_000.0 + ago_ms
-        beat = MemberNote("n1", "n1", 1, ago_ms, MemberPhase.leaving, "north", "north-1")
-        members.take(Gossip(beat, 0, True, [], [], [], [], False))
+        heartbeat = MemberNote("n1", "n1", 1, ago_ms, MemberPhase.leaving, "north", "north-1")
+        members.take(Gossip(heartbeat, 0, True, [], [], [], [], False))
         named[ago_ms] = directory.find(question)
     assert named == {1_900: ["n1:80"], 3_900: ["n1:80"], 4_100: ["own:80"]}
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -36,14 +36,14 @@
         return []
 
 
-def test_a_request_goes_to_the_region_that_can_run_it(fleet):
+def test_request_is_relayed_to_the_region_that_can_run_it(fleet):
     got = fleet.ask("/stream/x", body=b"abc", Token_Counts="400,50")
     assert got.status == 200
     assert got.body.count(b"data: r1-") == 4
     assert fleet.servers["es"].runs[0].request_id == "r1"
 
 
-def test_a_request_with_homes_runs_only_there(fleet):
+def test_request_runs_only_in_its_home_regions(fleet):
     for number in range(10):
         assert fleet.ask("/home/x", f"r{number}").status == 200
     assert len(fleet.servers["ps"].runs) == 10
@@ -63,7 +63,7 @@
     [row[1:] for row in RELAYED],
     ids=[row[0] for row in RELAYED],
 )
-def test_a_relayed_request_ends_in_a_true_answer(fleet, faults, target, status, runs):
+def test_relayed_request_ends_in_a_truthful_answer(fleet, faults, target, status, runs):
     fleet.store.put("op/evacuate/north-1", {})
     fleet.until(lambda: fleet.gateways["g0"].fleet.evacuated == {"north-1"}, "evacuated")
     fleet.servers["ps"].faults = SealedFaults(**faults)
@@ -74,7 +74,7 @@
     assert "sparline-outcome" not in got.headers
 
 
-def test_a_region_without_room_is_asked_once_and_its_wait_is_told(fleet):
+def test_region_without_capacity_is_asked_once_and_its_retry_after_is_passed_on(fleet):
     fleet.add_server("es2", "engines", "south-1", events=4)
     g0, g1 = fleet.gateways["g0"], fleet.gateways["g1"]
     fleet.until(lambda: "es2" in g0.fleet.servers, "both engines are known")
@@ -104,7 +104,7 @@
     [row[1:] for row in BLAMED],
     ids=[row[0] for row in BLAMED],
 )
-def test_a_peer_is_not_blamed_for_its_backend_servers(fleet, faults, target, usable):
+def test_peer_stays_usable_after_faults_of_its_backend_servers(fleet, faults, target, usable):
     fleet.store.put("op/evacuate/north-1", {})
     g0 = fleet.gateways["g0"]
     fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
@@ -115,7 +115,7 @@
     assert [one.note.name for one in g0.peers.usable("south")] == usable
 
 
-def test_a_peer_that_is_lost_is_passed_over(fleet):
+def test_lost_peer_is_skipped(fleet):
     fleet.store.put("op/evacuate/north-1", {})
     g0 = fleet.gateways["g0"]
     fleet.until(lambda: g0.fleet.evacuated == {"north-1"}, "evacuated")
@@ -129,7 +129,7 @@
     caller.close()
 
 
-def test_a_caller_who_leaves_ends_a_relayed_run(fleet):
+def test_caller_that_disconnects_ends_a_relayed_run(fleet):
     fleet.servers["es"].faults = SealedFaults(hang=True)
     caller = fleet.caller("g0")
     caller.send("/stream/x", "r1", b"abc")
@@ -138,27 +138,27 @@
     fleet.until(lambda: fleet.servers["es"].runs[0].abandoned, "its server sees it")
 
 
-def test_a_relayed_request_is_not_relayed_again(fleet):
+def test_relayed_request_is_not_relayed_again(fleet):
     fleet.store.delete("servers/es")
     fleet.until(lambda: not fleet.gateways["g0"].fleet.by_service.get("engines"), "gone at g0")
     got = fleet.ask("/stream/x", body=b"abc")
     assert got.status == 503
 
 
-def serve_all(fleet: RoutedFleet, prefix: str) -> None:
+def assert_all_serve(fleet: RoutedFleet, prefix: str) -> None:
     for at in fleet.gateways:
         assert fleet.ask("/safe/x", f"{prefix}-{at}", at).status == 200
 
 
 @pytest.mark.parametrize("mode", [StoreMode.SILENT, StoreMode.REFUSING, StoreMode.RESET])
-def test_without_the_store_requests_go_on_and_its_return_is_noticed(fleet, mode):
+def test_requests_are_served_during_a_store_outage_and_recovery_is_detected(fleet, mode):
     fleet.store.mode = mode
     fleet.store.put("servers/unheard", {})
-    serve_all(fleet, "away")
+    assert_all_serve(fleet, "away")
     fleet.store.mode = StoreMode.OK
     fleet.store.put("op/config", configuration(7))
     fleet.until(lambda: all_hold(fleet, 7), "version 7 everywhere")
-    serve_all(fleet, "back")
+    assert_all_serve(fleet, "back")
 
 
 def all_hold(fleet: RoutedFleet, version: int) -> bool:
@@ -166,7 +166,7 @@
     return all(one is not None and one.version == version for one in held)
 
 
-def test_an_instance_that_the_store_never_answers_follows_its_peers():
+def test_instance_without_store_access_copies_from_its_peers():
     with RoutedFleet(("north-1",)) as fleet:
         fleet.add_server("pn")
         fleet.ready()
@@ -201,7 +201,7 @@
     [row[1:] for row in STORE_CHANGES],
     ids=[row[0] for row in STORE_CHANGES],
 )
-def test_only_a_newer_whole_configuration_comes_into_force(fleet, change, version):
+def test_only_a_newer_valid_configuration_comes_into_force(fleet, change, version):
     fleet.store.put("op/config", configuration(4))
     fleet.until(lambda: all_hold(fleet, 4), "version 4 everywhere")
     change(fleet)
@@ -214,7 +214,7 @@
     assert all_hold(fleet, version)
 
 
-def test_servers_that_leave_or_stand_in_an_emptied_zone_get_nothing(fleet):
+def test_leaving_servers_and_evacuated_zones_get_no_requests(fleet):
     fleet.add_server("pn2", "plain", "north-1")
     fleet.list_server("pn", "plain", "north-1", state="draining")
     g0 = fleet.gateways["g0"]
@@ -232,7 +232,7 @@
     fleet.until(lambda: g0.copy.revision >= back and not g0.fleet.evacuated, "taken back")
 
 
-def test_entries_that_lapse_with_the_store_are_kept_until_they_are_back(fleet):
+def test_entries_that_lapse_during_a_store_outage_are_kept_until_renewed(fleet):
     fleet.store.mode = StoreMode.RESET
     gateways = list(fleet.gateways.values())
     fleet.store.forget_history()
@@ -242,25 +242,25 @@
     lapsed = fleet.store.revision
     fleet.store.mode = StoreMode.OK
     fleet.until(lambda: all(one.copy.revision >= lapsed for one in gateways), "all have read it")
-    serve_all(fleet, "lapsed")
+    assert_all_serve(fleet, "lapsed")
     fleet.list_server("pn", "plain", "north-1")
     fleet.list_server("ps", "plain", "south-1")
     fleet.until(lambda: all("es" not in one.fleet.servers for one in gateways), "one is gone")
     assert all({"pn", "ps"} <= set(one.fleet.servers) for one in gateways)
 
 
-def test_the_directory_names_instances_of_the_callers_region(fleet):
+def test_directory_names_instances_of_the_callers_region(fleet):
     assert resolve(fleet, "g0", "north") == ["127.0.1.1"]
     assert resolve(fleet, "g0", "south") == ["127.0.1.2"]
     assert resolve(fleet, "g0", "nowhere") != []
 
 
-def test_a_lost_instance_is_no_longer_named(fleet):
+def test_lost_instance_is_no_longer_named(fleet):
     fleet.gateways.pop("g1").stop()
     fleet.until(lambda: resolve(fleet, "g0", "south") == ["127.0.1.1"], "another region is named")
 
 
-def test_an_instance_that_leaves_is_not_named_and_serves_what_comes_late(fleet):
+def test_leaving_instance_is_not_named_and_serves_late_requests(fleet):
     g1 = fleet.gateways["g1"]
     kept = fleet.caller("g1")
     leaving = gevent.spawn(g1.leave)
@@ -273,7 +273,7 @@
     leaving.kill()
 
 
-def test_an_instance_that_leaves_ends_once_nothing_is_under_way(fleet):
+def test_leaving_instance_stops_once_no_request_is_in_flight(fleet):
     g1 = fleet.gateways["g1"]
     g1.settings = msgspec.structs.replace(g1.settings, grace_s=0.1)
     gevent.spawn(g1.leave)
@@ -282,7 +282,7 @@
     assert g1.service.in_flight == 0
 
 
-def test_a_returned_instance_is_named_again(fleet):
+def test_returned_instance_is_named_again(fleet):
     settings = fleet.gateways["g1"].settings
     fleet.gateways.pop("g1").stop()
     fleet.until(lambda: resolve(fleet, "g0", "south") == ["127.0.1.1"], "no longer named")
@@ -291,7 +291,7 @@
 
 
 @pytest.mark.parametrize(("settled", "status", "sends"), [(False, 503, 0), (True, 200, 1)])
-def test_a_cold_server_is_used_once_those_who_share_it_are_settled(settled, status, sends):
+def test_cold_server_is_used_once_its_sharers_are_settled(settled, status, sends):
     rules = configuration(2)
     for service in rules["services"]:
         service["cold_per_s"] = 5.0
@@ -308,7 +308,7 @@
         assert f"sparline_cold_sends_total {sends}.0" in gateway.metrics.render().decode()
 
 
-def test_three_of_a_zone_watch_the_store_and_the_others_follow_them():
+def test_three_instances_of_a_zone_watch_the_store_and_others_copy_from_them():
     with RoutedFleet(places=("north-1",) * 5) as one:
         one.ready()
         one.until(
--- a/sparline/gateway/tests/test_keys.py
+++ b/sparline/gateway/tests/test_keys.py
@@ -21,12 +21,12 @@
 }
 
 
-def put(fleet: RoutedFleet, version: int, *organisations: dict) -> None:
+def publish_organisations(fleet: RoutedFleet, version: int, *organisations: dict) -> None:
     """Publish a configuration version with some organisations."""
     fleet.store.put("op/config", configuration(version, ROUTES) | {"tenants": list(organisations)})
 
 
-def until_held(fleet: RoutedFleet, version: int) -> None:
+def wait_for_version(fleet: RoutedFleet, version: int) -> None:
     fleet.until(
         lambda: all(one.fleet.configuration.version == version for one in fleet.gateways.values()),
         f"all hold version {version}",
@@ -39,7 +39,7 @@
         one.add_server("n1")
         one.add_server("s1", zone="south-1")
         one.add_server("e1", "engines", events=4)
-        put(one, 1, ORE, PEAT, SLATE)
+        publish_organisations(one, 1, ORE, PEAT, SLATE)
         one.until(one._all_ready, "all are ready")
         yield one
 
@@ -64,7 +64,7 @@
     [row[1:] for row in CALLERS],
     ids=[row[0] for row in CALLERS],
 )
-def test_callers_are_known_by_their_keys(fleet, headers, target, status, seen):
+def test_callers_are_identified_by_their_keys(fleet, headers, target, status, seen):
     assert fleet.ask(target, **headers).status == status
     runs = [run for one in fleet.servers.values() for run in one.runs]
     assert len(runs) == (status == 200)
@@ -73,7 +73,7 @@
         assert "authorization" not in run.headers
 
 
-def test_two_keys_are_none(fleet):
+def test_request_with_two_keys_is_rejected(fleet):
     caller = fleet.caller()
     caller.socket.sendall(
         b"GET /safe/x HTTP/1.1\r\nHost: %b\r\nAttempt-Id: r1\r\n"
@@ -94,7 +94,7 @@
 @pytest.mark.parametrize(
     ("head", "trailer"), [row[1:] for row in SMUGGLED], ids=[row[0] for row in SMUGGLED]
 )
-def test_what_callers_say_of_their_organisation_is_never_seen(fleet, head, trailer):
+def test_organisation_named_by_the_caller_is_never_forwarded(fleet, head, trailer):
     caller = fleet.caller()
     caller.socket.sendall(
         b"POST /safe/x HTTP/1.1\r\nHost: %b\r\nAttempt-Id: r1\r\nAuthorization: Bearer k-ore\r\n"
@@ -109,7 +109,7 @@
             assert "authorization" not in run.headers
 
 
-def test_an_organisations_priority_reaches_the_engine(fleet):
+def test_priority_of_an_organisation_reaches_the_engine(fleet):
     fleet.ask("/stream/x", body=b"a", Authorization="Bearer k-ore", **PROMPT)
     assert fleet.servers["e1"].runs[0].headers["request-priority"] == "4"
 
@@ -125,7 +125,7 @@
 
 @pytest.mark.parametrize(("key", "target", "status", "where"), HOMES)
 @pytest.mark.parametrize("at", ["g0", "g2"])
-def test_a_request_runs_where_route_and_organisation_allow(fleet, key, target, status, where, at):
+def test_request_runs_where_route_and_organisation_allow(fleet, key, target, status, where, at):
     for number in range(4):
         got = fleet.ask(target, f"r{number}", at, Authorization=f"Bearer {key}")
         assert got.status == status
@@ -133,7 +133,7 @@
     assert ran == ({where} if where else set())
 
 
-def test_the_only_home_is_evacuated_and_nothing_leaves_it(fleet):
+def test_request_does_not_leave_its_only_home_when_evacuated(fleet):
     fleet.store.put("op/evacuate/south-1", {})
     fleet.until(
         lambda: all(one.fleet.evacuated == {"south-1"} for one in fleet.gateways.values()),
@@ -143,9 +143,9 @@
     assert fleet.runs() == []
 
 
-def test_a_key_that_is_taken_away_works_nowhere(fleet):
-    put(fleet, 2, ORE | {"api_keys": ["k-ore-2"]}, PEAT, SLATE)
-    until_held(fleet, 2)
+def test_withdrawn_key_is_rejected_everywhere(fleet):
+    publish_organisations(fleet, 2, ORE | {"api_keys": ["k-ore-2"]}, PEAT, SLATE)
+    wait_for_version(fleet, 2)
     for at in fleet.gateways:
         got = fleet.ask("/safe/x", f"r-{at}", at, Authorization="Bearer k-ore")
         assert got.status == 401
@@ -153,40 +153,40 @@
         assert fleet.ask("/safe/x", f"s-{at}", at, Authorization="Bearer k-ore-2").status == 200
 
 
-def test_the_last_key_of_the_last_organisation_opens_nothing(fleet):
-    put(fleet, 2)
-    until_held(fleet, 2)
+def test_withdrawing_the_last_organisation_opens_no_route(fleet):
+    publish_organisations(fleet, 2)
+    wait_for_version(fleet, 2)
     assert fleet.ask("/safe/x").status == 401
     assert fleet.ask("/safe/x", "r2", Authorization="Bearer k-ore").status == 401
 
 
-def test_a_version_with_a_key_of_two_organisations_changes_nothing(fleet):
-    put(fleet, 2, ORE, PEAT | {"api_keys": ["k-ore"]})
+def test_version_with_a_key_of_two_organisations_is_ignored(fleet):
+    publish_organisations(fleet, 2, ORE, PEAT | {"api_keys": ["k-ore"]})
     gevent.sleep(0.5)
     assert fleet.ask("/safe/x", Authorization="Bearer k-ore").status == 200
     assert fleet.gateways["g0"].fleet.configuration.version == 1
 
 
-def test_a_key_that_may_be_a_new_one_is_not_called_unknown(fleet):
+def test_key_that_may_be_new_is_not_rejected_as_unknown(fleet):
     # No instance receives the version that contains the key.
     fleet.store.mode = StoreMode.REFUSING
     g0 = fleet.gateways["g0"]
     fleet.until(g0._may_be_outdated, "it has seen that it may be behind")
-    put(fleet, 2, ORE, PEAT, SLATE, {"name": "new", "api_keys": ["k-new"]})
+    publish_organisations(fleet, 2, ORE, PEAT, SLATE, {"name": "new", "api_keys": ["k-new"]})
     got = fleet.ask("/safe/x", Authorization="Bearer k-new")
     assert (got.status, "retry-after" in got.headers) == (503, True)
     # Callers with known keys are served meanwhile.
     assert fleet.ask("/safe/x", "r2", Authorization="Bearer k-ore").status == 200
 
 
-def test_an_instance_that_the_store_turns_away_hears_of_a_withdrawn_key(fleet):
+def test_instance_refused_by_the_store_learns_of_a_withdrawn_key(fleet):
     fleet.store.turned_away.add("127.0.1.1")
-    put(fleet, 2, ORE | {"api_keys": ["k-ore-2"]}, PEAT, SLATE)
-    until_held(fleet, 2)
+    publish_organisations(fleet, 2, ORE | {"api_keys": ["k-ore-2"]}, PEAT, SLATE)
+    wait_for_version(fleet, 2)
     assert fleet.ask("/safe/x", Authorization="Bearer k-ore").status == 401
 
 
-def test_a_request_that_waits_for_its_next_send_is_not_sent_once_its_key_is_withdrawn(fleet):
+def test_request_is_not_retried_after_its_key_is_withdrawn(fleet):
     for name in ("n1", "s1"):
         fleet.servers[name].faults.close_after_run = True
     service = fleet.gateways["g0"].service
@@ -201,17 +201,17 @@
     assert len(fleet.runs()) == 1
 
 
-def test_no_key_stands_in_a_log_line_or_a_metric(fleet, capsys):
+def test_log_lines_and_metrics_contain_no_key(fleet, capsys):
     lines: list[str] = []
     sink = log.add(lambda message: lines.append(f"{message}{message.record['extra']}"), level=0)
     try:
         fleet.ask("/safe/x", Authorization="Bearer k-ore")
         fleet.ask("/safe/x", "r2", Authorization="Bearer k-none")
-        put(fleet, 2, ORE, PEAT | {"api_keys": ["k-ore"]})
+        publish_organisations(fleet, 2, ORE, PEAT | {"api_keys": ["k-ore"]})
         gevent.sleep(0.5)
     finally:
         log.remove(sink)
-    told = "".join(lines) + fleet.gateways["g0"].metrics.render().decode()
+    output = "".join(lines) + fleet.gateways["g0"].metrics.render().decode()
     assert lines
-    assert "k-ore" not in told
-    assert "k-none" not in told
+    assert "k-ore" not in output
+    assert "k-none" not in output
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -40,7 +40,7 @@
     [(*row[1:5], row[5] if len(row) > 5 else 15.0) for row in ROWS],
     ids=[row[0] for row in ROWS],
 )
-def test_a_leaving_instance_takes_what_it_can_end(
+def test_leaving_instance_accepts_requests_that_it_can_complete(
     monkeypatch, route, prompt, at_ms, taken, token_ms
 ):
     plan = LeavePlan(0.0, GRACE_MS)
@@ -64,7 +64,7 @@
     [row[1:] for row in NEEDED_ROWS],
     ids=[row[0] for row in NEEDED_ROWS],
 )
-def test_the_last_instance_of_a_region_takes_requests_for_longer(
+def test_last_instance_of_a_region_accepts_requests_for_longer(
     monkeypatch, route, prompt, at_ms, taken
 ):
     plan = LeavePlan(0.0, GRACE_MS, lambda: True)
--- a/sparline/gateway/tests/test_log_output.py
+++ b/sparline/gateway/tests/test_log_output.py
@@ -31,7 +31,7 @@
 
 @pytest.mark.parametrize("fields", FIELDS)
 @pytest.mark.parametrize("level", list(LineLevel)[1:])
-def test_line_is_that_of_loguru(output, fields, level):
+def test_line_equals_that_of_loguru(output, fields, level):
     # Readers of the log must not be able to tell the two paths apart.
     configure(output, "INFO")
     began_s = time.time()
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("level", ("DEBUG", "INFO", "WARNING", "ERROR"))
-def test_level_decides_alike(output, level):
+def test_level_filter_equals_that_of_loguru(output, level):
     configure(output, level)
     for one in LineLevel:
         before = len(output._lines)
@@ -56,13 +56,13 @@
         assert _log_output.log.is_written(one) is bool(by_loguru)
 
 
-def test_line_that_cannot_be_encoded_ends_no_request(output, capsys):
+def test_line_that_cannot_be_encoded_raises_no_exception(output, capsys):
     configure(output, "INFO")
     _log_output.log.bind(field=object()).info("event")
     assert not output._lines
 
 
-def test_sinks_of_loguru_get_the_line_where_no_output_is_configured(output):
+def test_loguru_sinks_get_lines_if_no_output_is_configured(output):
     logger.remove()
     found = []
     logger.add(lambda message: found.append(message.record["extra"]), level="INFO")
@@ -70,7 +70,7 @@
     assert found == [{"field": 1}]
 
 
-def test_lines_beyond_what_may_wait_are_dropped(output, monkeypatch):
+def test_lines_beyond_the_queue_limit_are_dropped(output, monkeypatch):
     monkeypatch.setattr(_log_output, "MAX_QUEUED_LINES", 2)
     configure(output, "INFO")
     for _ in range(5):
@@ -79,7 +79,7 @@
 
 
 @pytest.mark.parametrize("imported_before", (True, False))
-def test_other_lines_reach_the_output_by_loguru(output, monkeypatch, imported_before):
+def test_unstructured_lines_reach_the_output_through_loguru(output, monkeypatch, imported_before):
     # Lines with a formatted sentence, such as that about a refused datagram, are not structured.
     if not imported_before:
         monkeypatch.delitem(sys.modules, "loguru")
@@ -89,7 +89,7 @@
     assert [msgspec.json.decode(one)["event"] for one in output._lines] == ["gossip: x refused"]
 
 
-def test_start_and_structured_lines_do_not_import_loguru():
+def test_startup_and_structured_lines_do_not_import_loguru():
     # Importing loguru, which imports asyncio, would lengthen every start.
     script = (
         "import sys; from sparline.gateway._log_output import LogOutput, configure;"
--- a/sparline/gateway/tests/test_peer_table.py
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -8,7 +8,7 @@
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
-TAKES_NEW_MS = 4_000.0
+ACCEPT_MS = 4_000.0
 
 
 def note(ip: str, phase: MemberPhase, region: RegionName = SOUTH) -> MemberNote:
@@ -33,7 +33,7 @@
 
 
 @pytest.mark.parametrize("row", ROWS, ids=[row[0] for row in ROWS])
-def test_whom_a_request_may_be_relayed_to(monkeypatch, row):
+def test_usable_peers(monkeypatch, row):
     _, heard, missed, ago_ms, usable = row
     at = [1_000.0]
     for module in ("sparline.gateway._peer_table", "sparline.fleet._members"):
@@ -41,13 +41,15 @@
     members = Members(note("n1", MemberPhase.live, NORTH))
     for one in heard:
         members.take(Gossip(one, 1, True, [], [], [], [], False))
-    peers = PeerTable(members, TAKES_NEW_MS)
+    peers = PeerTable(members, ACCEPT_MS)
     for ip in missed:
         peers.note_reachability(ip, False)
     at[0] += ago_ms
-    if ago_ms > TAKES_NEW_MS:
+    if ago_ms > ACCEPT_MS:
         # A leaving instance continues to send heartbeats.
         for one in heard:
-            beat = MemberNote(one.ip, one.name, 1, 2, one.phase, one.region, one.availability_zone)
-            members.take(Gossip(beat, 1, True, [], [], [], [], False))
+            heartbeat = MemberNote(
+                one.ip, one.name, 1, 2, one.phase, one.region, one.availability_zone
+            )
+            members.take(Gossip(heartbeat, 1, True, [], [], [], [], False))
     assert {one.note.ip for one in peers.usable(SOUTH)} == usable
--- a/sparline/gateway/tests/test_process.py
+++ b/sparline/gateway/tests/test_process.py
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize("command", COMMANDS, ids=["module", "command line"])
-def test_a_reload_while_it_starts_does_not_end_it(tmp_path, command):
+def test_sighup_during_startup_does_not_end_the_process(tmp_path, command):
     # The settings file is a pipe, so the process waits during startup until this test writes.
     settings = tmp_path / "settings.json"
     os.mkfifo(settings)
@@ -28,6 +28,6 @@
     with settings.open("w") as pipe:
         process.send_signal(signal.SIGHUP)
         pipe.write("{")
-    _, said = process.communicate(timeout=60)
+    _, error_output = process.communicate(timeout=60)
     assert process.returncode == 1
-    assert str(settings) in said
+    assert str(settings) in error_output
--- a/sparline/gateway/tests/test_quotas.py
+++ b/sparline/gateway/tests/test_quotas.py
@@ -35,7 +35,7 @@
     )
 
 
-def test_one_over_its_quota_is_told_when_to_come_back_and_runs_nowhere(fleet):
+def test_request_over_its_quota_gets_retry_after_and_does_not_run(fleet):
     got = [ask(fleet, number) for number in range(12)]
     assert {one.status for one in got} == {200, 429}
     refused = [one for one in got if one.status == 429]
@@ -43,7 +43,7 @@
     assert len(fleet.runs()) == sum(one.status == 200 for one in got)
 
 
-def test_what_one_instance_admitted_is_known_to_the_other(fleet):
+def test_instances_share_their_charges(fleet):
     for number in range(12):
         ask(fleet, number)
     g1 = fleet.gateways["g1"]
@@ -55,20 +55,20 @@
     assert admitted * COST <= ORE["burst"] + COST
 
 
-def test_others_are_not_refused_for_it(fleet):
+def test_other_organisations_are_not_refused(fleet):
     for number in range(12):
         ask(fleet, number)
     assert all(ask(fleet, number, key="k-free").status == 200 for number in range(12))
 
 
-def test_what_did_not_run_is_given_back(fleet):
+def test_requests_that_did_not_run_are_refunded(fleet):
     for server in fleet.servers.values():
         server.faults = SealedFaults(refuse=True)
     assert {ask(fleet, number).status for number in range(12)} == {503}
     assert fleet.gateways["g0"].quota_exchange.left("ore").units > 0
 
 
-def test_a_lower_limit_is_in_force_with_its_version(fleet):
+def test_lower_quota_applies_with_its_configuration_version(fleet):
     assert ask(fleet, 0).status == 200
     lower = ORE | {"burst": 1, "per_s": 0.001}
     fleet.store.put("op/config", configuration(2) | {"tenants": [lower, FREE]})
@@ -82,5 +82,5 @@
 
 def test_refusals_are_counted_by_organisation(fleet):
     refused = sum(ask(fleet, number).status == 429 for number in range(12))
-    told = fleet.gateways["g0"].metrics.render().decode()
-    assert f'sparline_quota_refusals_total{{organisation="ore"}} {float(refused)}' in told
+    metrics_text = fleet.gateways["g0"].metrics.render().decode()
+    assert f'sparline_quota_refusals_total{{organisation="ore"}} {float(refused)}' in metrics_text
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -12,7 +12,7 @@
     return SimpleNamespace(limits=SimpleNamespace(**fields | changes))
 
 
-def test_limits_are_those_of_the_configuration_in_force():
+def test_limits_follow_the_configuration_in_force():
     # The limits are cached between requests, and a new configuration must replace them.
     fleet = SimpleNamespace(configuration=None)
     service = Service(fleet, *[None] * 6)
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -26,7 +26,7 @@
         yield one.ready()
 
 
-def break_all(fleet: RoutedFleet, **faults: object) -> None:
+def set_all_faults(fleet: RoutedFleet, **faults: object) -> None:
     for server in fleet.servers.values():
         server.faults = SealedFaults(**faults)
 
@@ -74,7 +74,7 @@
     [row[1:] for row in ANSWERS],
     ids=[row[0] for row in ANSWERS],
 )
-def test_a_request_gets_its_answer(fleet, target, request_, status, body, runs):
+def test_request_gets_the_expected_answer(fleet, target, request_, status, body, runs):
     got = fleet.ask(target, **request_)
     assert got.status == status
     assert got.whole
@@ -108,8 +108,8 @@
     [row[1:] for row in FAULTS],
     ids=[row[0] for row in FAULTS],
 )
-def test_a_fault_ends_in_a_true_answer(fleet, faults, target, status, runs):
-    break_all(fleet, **faults)
+def test_fault_leads_to_a_truthful_answer(fleet, faults, target, status, runs):
+    set_all_faults(fleet, **faults)
     got = fleet.ask(target, Deadline_Milliseconds="1500")
     assert got.status == status
     assert got.whole
@@ -122,7 +122,7 @@
         assert got.headers["response-seal"].startswith("seal-of-")
 
 
-def test_another_server_takes_what_one_refuses(fleet):
+def test_refused_request_is_sent_to_another_server(fleet):
     fleet.servers["p1"].faults = SealedFaults(refuse=True)
     for number in range(10):
         assert fleet.ask("/unsafe/x", f"r{number}").status == 200
@@ -138,7 +138,7 @@
 
 
 @pytest.mark.parametrize("faults", [row[1] for row in BREAKS], ids=[row[0] for row in BREAKS])
-def test_a_broken_stream_goes_on_elsewhere(fleet, faults):
+def test_interrupted_stream_resumes_on_another_server(fleet, faults):
     shared = SealedFaults(**faults, remaining=1)
     fleet.servers["e1"].faults = fleet.servers["e2"].faults = shared
     got = fleet.ask("/stream/x", body=b"abc", **PROMPT)
@@ -147,7 +147,7 @@
     assert len(fleet.runs()) == 2
 
 
-def test_a_broken_stream_waits_for_a_server_that_can_go_on(monkeypatch):
+def test_interrupted_stream_waits_for_a_server_that_can_resume_it(monkeypatch):
     monkeypatch.setattr(_resume_wait, "MIN_CALLER_PATIENCE_MS", PATIENCE_MS)
     with RoutedFleet() as fleet:
         fleet.add_server("p1")
@@ -160,8 +160,8 @@
     assert got.body == stream_of("r1")
 
 
-def test_a_stream_that_runs_once_is_cut_where_it_broke(fleet):
-    break_all(fleet, break_within_event=3)
+def test_stream_that_runs_once_is_cut_at_the_interruption(fleet):
+    set_all_faults(fleet, break_within_event=3)
     got = fleet.ask("/once/x", body=b"abc", **PROMPT)
     assert not got.whole
     assert got.body == stream_of("r1")[: len(got.body)]
@@ -169,8 +169,8 @@
 
 
 @pytest.mark.parametrize("target", ["/stream/x", "/unsafe/x"])
-def test_a_caller_who_leaves_ends_the_run(fleet, target):
-    break_all(fleet, hang=True)
+def test_caller_that_disconnects_ends_the_run(fleet, target):
+    set_all_faults(fleet, hang=True)
     caller = fleet.caller()
     caller.send(target, "r1")
     fleet.until(lambda: fleet.runs() == ["r1"], "the request runs")
@@ -180,7 +180,7 @@
     assert fleet.gateways["g0"].service.in_flight == 0
 
 
-def test_headers_that_are_ours_to_set_are_not_passed_on(fleet):
+def test_headers_reserved_for_the_gateway_are_not_forwarded(fleet):
     got = fleet.ask(
         "/unsafe/x",
         Hold="h1",
@@ -203,7 +203,7 @@
     assert 0 < int(run.headers["deadline-milliseconds"]) <= 8_000
 
 
-def test_a_body_in_chunks_arrives_whole(fleet):
+def test_chunked_body_arrives_completely(fleet):
     caller = fleet.caller()
     fields = {"Host": HOST, "Attempt-Id": "r1", "Transfer-Encoding": "chunked"}
     caller.send_raw("POST", "/unsafe/x", fields, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
@@ -229,7 +229,7 @@
     assert fleet.runs() == []
 
 
-def test_one_connection_carries_many_requests(fleet):
+def test_connections_are_reused(fleet):
     caller = fleet.caller()
     for number in range(5):
         caller.send("/safe/x", f"r{number}")
@@ -238,14 +238,14 @@
     assert opened <= 2
 
 
-def test_an_answer_before_the_end_of_the_body_ends_the_connection(fleet):
-    break_all(fleet, early=True)
+def test_answer_before_the_end_of_the_body_closes_the_connection(fleet):
+    set_all_faults(fleet, early=True)
     fleet.ask("/unsafe/x", body=b"x" * 90_000)
-    break_all(fleet)
+    set_all_faults(fleet)
     assert fleet.ask("/unsafe/x", "r2", body=b"abc").body == b"r2 /unsafe/x 3"
 
 
-def test_without_a_configuration_callers_are_told_to_come_back():
+def test_callers_get_retry_after_without_a_configuration():
     with RoutedFleet() as fleet:
         got = fleet.ask("/safe/x")
         assert got.status == 503
@@ -253,7 +253,7 @@
         assert not fleet.gateways["g0"].is_ready()
 
 
-def test_a_server_that_starts_anew_under_its_id_breaks_the_streams_that_it_had():
+def test_restart_of_a_server_under_its_id_aborts_its_streams():
     # The old process keeps the connection open silently, as one behind a network partition does.
     with RoutedFleet() as fleet:
         engine = fleet.add_server("e1", "engines", events=EVENTS)
--- a/sparline/gateway/tests/test_reset_connections.py
+++ b/sparline/gateway/tests/test_reset_connections.py
@@ -7,10 +7,10 @@
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, list_server
 
-TRIES = 12
-PAUSE_S = 0.1
+ATTEMPTS = 12
+REQUEST_INTERVAL_S = 0.1
 # Time within which the instances exchange crash reports (s).
-NEWS_S = 0.5
+CRASH_EXCHANGE_S = 0.5
 
 
 @pytest.fixture
@@ -29,9 +29,9 @@
         fleet.ready()
         # Connections accepted and then reset by a proxy say nothing about the server behind it.
         proxy.faults.refuse = True
-        for number in range(TRIES):
+        for number in range(ATTEMPTS):
             fleet.ask("/safe/x", f"reset-{number}", body=b"abc")
-            gevent.sleep(PAUSE_S)
+            gevent.sleep(REQUEST_INTERVAL_S)
         proxy.faults.refuse = False
         fleet.until(lambda: fleet.ask("/safe/x", "after", body=b"other").status == 200, "reachable")
         assert fleet.ask("/safe/x", "again", body=b"abc").status == 200
@@ -69,7 +69,7 @@
     for number in range(REPEATS):
         for at in fleet.gateways:
             fleet.ask("/stream/x", f"r{number}{at}", at, body=b"abc", **PROMPT)
-        gevent.sleep(PAUSE_S)
+        gevent.sleep(REQUEST_INTERVAL_S)
 
 
 def is_served_everywhere(fleet):
@@ -93,18 +93,18 @@
     fleet.until(
         lambda: all(starts == set(one.fleet.servers) for one in fleet.gateways.values()), "restarts"
     )
-    gevent.sleep(NEWS_S)
+    gevent.sleep(CRASH_EXCHANGE_S)
     assert not any(one.crashes.quarantined() for one in fleet.gateways.values())
     fleet.until(lambda: is_served_everywhere(fleet), "the request is served")
 
 
-def test_request_is_not_blamed_for_ways_that_were_cut_under_it(engines):
+def test_request_is_not_blamed_for_connections_cut_while_it_ran(engines):
     fleet, proxies = engines
     for proxy in proxies.values():
         proxy.faults.refuse = True
     repeat_everywhere(fleet)
     for proxy in proxies.values():
         proxy.faults.refuse = False
-    gevent.sleep(NEWS_S)
+    gevent.sleep(CRASH_EXCHANGE_S)
     assert not any(one.crashes.quarantined() for one in fleet.gateways.values())
     fleet.until(lambda: is_served_everywhere(fleet), "the request is served")
--- a/sparline/gateway/tests/test_settings.py
+++ b/sparline/gateway/tests/test_settings.py
@@ -6,7 +6,7 @@
 
 from sparline.gateway import load_settings
 
-GOOD = {
+VALID = {
     "name": "a",
     "ip": "10.0.0.1",
     "region": "north",
@@ -30,10 +30,10 @@
 
 
 def changed(**changes: object) -> str:
-    return json.dumps(GOOD | changes)
+    return json.dumps(VALID | changes)
 
 
-WRONG = [
+INVALID = [
     ("no JSON", "{", "truncated"),
     ("a field missing", json.dumps({"name": "a"}), "missing required field"),
     ("an unknown field", changed(nmae="b"), "nmae"),
@@ -44,17 +44,17 @@
     ("a zone of no region", changed(zone_regions={}), "$.zone_regions"),
     (
         "an address taken twice",
-        changed(listen=GOOD["listen"] | {"relay": "10.0.0.1:1"}),
+        changed(listen=VALID["listen"] | {"relay": "10.0.0.1:1"}),
         "$.listen.relay",
     ),
-    ("a ratio below zero", changed(retries=GOOD["retries"] | {"ratio": -1}), "$.retries.ratio"),
+    ("a ratio below zero", changed(retries=VALID["retries"] | {"ratio": -1}), "$.retries.ratio"),
 ]
 
 
 @pytest.mark.parametrize(
-    ("text", "place"), [row[1:] for row in WRONG], ids=[row[0] for row in WRONG]
+    ("text", "place"), [row[1:] for row in INVALID], ids=[row[0] for row in INVALID]
 )
-def test_wrong_settings_are_refused_with_their_place(tmp_path, text, place):
+def test_invalid_settings_are_refused_with_their_field(tmp_path, text, place):
     path = tmp_path / "settings.json"
     path.write_text(text)
     refusal = load_settings(str(path)).unwrap_err()
@@ -63,11 +63,11 @@
     assert "\n" not in refusal
 
 
-def test_good_settings_are_taken(tmp_path):
+def test_valid_settings_are_accepted(tmp_path):
     path = tmp_path / "settings.json"
-    path.write_text(json.dumps(GOOD))
+    path.write_text(json.dumps(VALID))
     assert load_settings(str(path)).unwrap().grace_s == 8
 
 
-def test_settings_that_are_not_there_are_refused(tmp_path):
+def test_missing_settings_file_is_refused(tmp_path):
     assert "expected a readable file" in load_settings(str(tmp_path / "none")).unwrap_err()
