--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -180,6 +180,7 @@
         """Decide whether a request is admitted, and by which regions."""
         ranks = self._ranks.ranks_of(arrival.service)
         relayed_key = arrival.marks.admission_key if origin is Origin.RELAY else None
+        # A peer without levels relays requests without a key.
         if ranks is None or (origin is Origin.RELAY and relayed_key is None):
             return NOT_SUBJECT
         level = self._exchange.level(arrival.service, self._region)
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -307,6 +307,7 @@
         reason: Reason,
         retry_after_ms: float,
     ) -> None:
+        """Refuse a request that has not run and may be retried after a delay."""
         headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
         status = 429 if reason is Reason.LIMIT else 503
         caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
@@ -315,6 +316,7 @@
     def _reject(
         self, caller: CallerConnection, request_id: str, status: int, reason: Reason, text: str
     ) -> None:
+        """Reject an invalid or unauthorised request with an error text, without Retry-After."""
         if status not in (401, 404):
             caller.closing = True
         body = text.encode() + b"\n"
