Rename the remaining private names of the gateway package

Attributes of GatewayMetrics (breaks to interrupted_answers, pushed_out to evicted_suspects), private functions, constants and local names of _admission.py, _directory.py and _service.py, and the admission tests' harness. Metric names and log events are unchanged.

--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -45,7 +45,7 @@
 # How long the regions with servers of a service are cached (ms).
 REGIONS_TTL_MS = 250.0
 # Reasons of unanswered requests that show a lack of capacity.
-MISS_REASONS = frozenset(
+MISSED_REASONS = frozenset(
     (
         Reason.DEADLINE_UNREACHABLE,
         Reason.PEER_NO_ROOM,
@@ -78,7 +78,7 @@
     closed_regions: frozenset[RegionName] = frozenset()  # regions whose level refuses it
 
 
-NOT_SUBJECT = Admitted()
+NO_LEVEL_APPLIES = Admitted()
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +104,8 @@
         if configuration is self._configuration or not self._enabled:
             return
         self._configuration = configuration
-        self._ranks = _ranks(configuration) if configuration else {}
-        self._weights = _weights(configuration) if configuration else {}
+        self._ranks = _service_ranks(configuration) if configuration else {}
+        self._weights = _organisation_weights(configuration) if configuration else {}
 
     def ranks_of(self, service: ServiceName) -> ServiceRanks | None:
         """Return the ranks of a service, None if no level applies to it."""
@@ -123,26 +123,28 @@
         return self._weights
 
 
-def _ranks(configuration: Configuration) -> dict[ServiceName, ServiceRanks]:
+def _service_ranks(configuration: Configuration) -> dict[ServiceName, ServiceRanks]:
     known = configuration.organisations
     organisations = known.by_id.values() if known else ()
     is_shared = any(one.priority is not None or one.quota is not None for one in organisations)
     own_ranks = {min(one.priority, MAX_RANK) for one in organisations if one.priority is not None}
-    patience_ms: dict[ServiceName, dict[int, float]] = {}
+    timeouts_ms: dict[ServiceName, dict[int, float]] = {}
     for route in configuration.routes:
         for share in route.shares:
-            of_service = patience_ms.setdefault(share.service, {})
+            service_timeouts_ms = timeouts_ms.setdefault(share.service, {})
             # Requests of an organisation with a priority have that rank on every route.
             for rank in {min(route.priority, MAX_RANK), *own_ranks}:
-                of_service[rank] = max(of_service.get(rank, 0.0), route.timeout_ms)
+                service_timeouts_ms[rank] = max(
+                    service_timeouts_ms.get(rank, 0.0), route.timeout_ms
+                )
     return {
         service: ServiceRanks(max(by_rank) + 1, by_rank)
-        for service, by_rank in patience_ms.items()
+        for service, by_rank in timeouts_ms.items()
         if len(by_rank) > 1 or is_shared
     }
 
 
-def _weights(configuration: Configuration) -> dict[int, float]:
+def _organisation_weights(configuration: Configuration) -> dict[int, float]:
     known = configuration.organisations
     if known is None:
         return {}
@@ -182,7 +184,7 @@
         relayed_key = arrival.marks.admission_key if origin is Origin.RELAY else None
         # A peer without levels relays requests without a key.
         if ranks is None or (origin is Origin.RELAY and relayed_key is None):
-            return NOT_SUBJECT
+            return NO_LEVEL_APPLIES
         level = self._exchange.level(arrival.service, self._region)
         key = self._key(arrival, level) if relayed_key is None else relayed_key
         is_own_open = is_admitted(key, level.level, level.floor)
@@ -222,8 +224,8 @@
         step = 0
         rank = arrival.route.priority
         if caller is not None:
-            own = caller.organisation.priority
-            rank = rank if own is None else own
+            own_rank = caller.organisation.priority
+            rank = rank if own_rank is None else own_rank
             if level.shares:
                 share = level.shares.get(quota_key(caller.organisation.id), POSITIONS)
                 step = int(position >= share)
@@ -306,7 +308,9 @@
         if reason is Reason.RETRY_BUDGET and not end.progress.runs():
             # Servers refused it, and the retry budget was used up.
             reason = Reason.BACKEND_REFUSED
-        if reason in MISS_REASONS or (reason in TIMEOUT_REASONS and not end.progress.may_have_run):
+        if reason in MISSED_REASONS or (
+            reason in TIMEOUT_REASONS and not end.progress.may_have_run
+        ):
             self._note_missed(request)
         else:
             self._exchange.note_answered(request.service, _cost(request.prompt))
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -84,13 +84,13 @@
         for other in dict.fromkeys(self._fleet.zones.values()):
             if other != region and (addresses := self._in_region(other)):
                 found[other] = addresses
-        allowed = {one: self._count_allowed_routes(question.host, one) for one in found}
+        allowed = {name: self._count_allowed_routes(question.host, name) for name in found}
         max_allowed = max(allowed.values(), default=0)
         if max_allowed < self._count_routes(question.host):
             for stage_ms in self._leaving_stages_ms:
                 if leaving := self._leaving_for_less_than(region, stage_ms):
                     return leaving
-        return [ip for one, of in found.items() if allowed[one] == max_allowed for ip in of]
+        return [ip for name, ips in found.items() if allowed[name] == max_allowed for ip in ips]
 
     def _leaving_for_less_than(self, region: RegionName, limit_ms: float) -> list[str]:
         """Return the instances of a region, including this one, that began to leave recently."""
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -32,8 +32,10 @@
         )
         self.quotas_kept = self._gauge("quotas_kept", "Quotas whose account is kept here.")
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
-        self.breaks = self._counter("answers_broken", "Answers that broke off.", ("reason",))
-        self.pushed_out = self._counter(
+        self.interrupted_answers = self._counter(
+            "answers_broken", "Answers that broke off.", ("reason",)
+        )
+        self.evicted_suspects = self._counter(
             "suspects_pushed_out", "Suspects forgotten for want of room.", ()
         )
         self.quarantined = self._gauge("quarantined_requests", "Requests that are sent nowhere.")
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -55,7 +55,7 @@
         self, request: RoutedRequest, placement: Placement, end: InterruptedAttempt
     ) -> None:
         """Record an interrupted answer and the state of its server."""
-        self._metrics.breaks.labels(end.end.reason.value).inc()
+        self._metrics.interrupted_answers.labels(end.end.reason.value).inc()
         if self._interrupted.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
@@ -98,7 +98,7 @@
 
     def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
         """Record that a suspect was evicted because the table was full."""
-        self._metrics.pushed_out.inc()
+        self._metrics.evicted_suspects.inc()
         if self._server_ends.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -159,7 +159,7 @@
         if self.leave_plan is not None:
             caller.closing = True
         if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
-            self._answer_copy(caller, http)
+            self._answer_store_copy(caller, http)
             return
         marks = read_marks(http)
         if marks.is_err():
@@ -326,7 +326,7 @@
         caller.answer(status, headers, body)
         self._log.note_rejected(request_id, status, reason, text)
 
-    def _answer_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
+    def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
         after = http.target.removeprefix(STORE_COPY_TARGET)
         if not after.isdigit():
             text = f"expected a revision, found {after!r}"
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -43,7 +43,7 @@
 COST = credit_of(make_request().prompt)
 
 
-class GateFixture:
+class GateHarness:
     """An admission gate before servers in two regions; `now_s` is the wall-clock time."""
 
     def __init__(
@@ -96,40 +96,40 @@
 
 
 @pytest.mark.parametrize(
-    ("world", "is_subject"),
+    ("harness", "level_applies"),
     [
-        (GateFixture(), True),
-        (GateFixture(enabled=False), False),
-        (GateFixture(routes=(URGENT_ROUTE,)), False),
-        (GateFixture(routes=(URGENT_ROUTE,), organisations=[organisation("a")]), False),
-        (GateFixture(routes=(URGENT_ROUTE,), organisations=[organisation("a", 0)]), True),
+        (GateHarness(), True),
+        (GateHarness(enabled=False), False),
+        (GateHarness(routes=(URGENT_ROUTE,)), False),
+        (GateHarness(routes=(URGENT_ROUTE,), organisations=[organisation("a")]), False),
+        (GateHarness(routes=(URGENT_ROUTE,), organisations=[organisation("a", 0)]), True),
     ],
 )
-def test_levels_apply_only_with_ranks_or_quotas(world, is_subject):
+def test_levels_apply_only_with_ranks_or_quotas(harness, level_applies):
     """Guards against changed behaviour in deployments without ranks and quotas."""
-    admitted = world.admit(URGENT_ROUTE)
-    assert (admitted.key is not None) is is_subject
+    admitted = harness.admit(URGENT_ROUTE)
+    assert (admitted.key is not None) is level_applies
     request = make_request(admission_key=admitted.key, admission_level=admitted.level)
-    world.gate.note_start(request)
-    assert world.counted() == (COST if is_subject else 0, 0, 0)
+    harness.gate.note_start(request)
+    assert harness.counted() == (COST if level_applies else 0, 0, 0)
 
 
 def test_requests_of_less_urgent_rank_are_refused():
-    world = GateFixture()
-    world.set_level(KEYS_PER_RANK)
-    world.set_level(KEYS_PER_RANK, SOUTH)
+    harness = GateHarness()
+    harness.set_level(KEYS_PER_RANK)
+    harness.set_level(KEYS_PER_RANK, SOUTH)
     for number in range(50):
-        assert isinstance(world.admit(URGENT_ROUTE, b"%d" % number), Admitted)
-        refused = world.admit(LESS_URGENT_ROUTE, b"%d" % number)
+        assert isinstance(harness.admit(URGENT_ROUTE, b"%d" % number), Admitted)
+        refused = harness.admit(LESS_URGENT_ROUTE, b"%d" % number)
         assert isinstance(refused, NotAdmitted)
         assert refused.retry_after_ms > 0
-    metrics_text = world.metrics.render().decode()
+    metrics_text = harness.metrics.render().decode()
     assert 'sparline_admission_refusals_total{rank="2",service="engines"} 50.0' in metrics_text
 
 
 def test_key_is_the_same_for_a_retry_and_differs_in_a_later_period():
     """Guards against callers that gain from an immediate retry or are refused forever."""
-    first, second = GateFixture(), GateFixture()
+    first, second = GateHarness(), GateHarness()
     keys = [first.admit(body=b"%d" % number).key for number in range(64)]
     assert keys == [second.admit(body=b"%d" % number).key for number in range(64)]
     assert len(set(keys)) > 32
@@ -138,47 +138,47 @@
 
 
 def test_request_is_admitted_to_regions_with_a_higher_level():
-    world = GateFixture()
-    world.set_level(KEYS_PER_RANK)
-    admitted = world.admit()
+    harness = GateHarness()
+    harness.set_level(KEYS_PER_RANK)
+    admitted = harness.admit()
     assert admitted.closed_regions == {NORTH}
     # The region that serves the request counts it.
     assert admitted.level is None
-    assert world.counted() == (0, 0, 0)
+    assert harness.counted() == (0, 0, 0)
     assert isinstance(
-        world.admit(replace(LESS_URGENT_ROUTE, allowed_regions=frozenset({NORTH}))), NotAdmitted
+        harness.admit(replace(LESS_URGENT_ROUTE, allowed_regions=frozenset({NORTH}))), NotAdmitted
     )
-    world.set_level(OPEN_LEVEL, set_ms=2)
-    world.set_level(KEYS_PER_RANK, SOUTH)
-    assert world.admit().closed_regions == {SOUTH}
+    harness.set_level(OPEN_LEVEL, set_ms=2)
+    harness.set_level(KEYS_PER_RANK, SOUTH)
+    assert harness.admit().closed_regions == {SOUTH}
 
 
 def test_relayed_request_is_compared_by_its_admission_key_header():
-    world = GateFixture()
-    world.set_level(KEYS_PER_RANK)
-    assert world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK - 1).key == KEYS_PER_RANK - 1
-    assert isinstance(world.admit(origin=Origin.RELAY, key=KEYS_PER_RANK), NotAdmitted)
+    harness = GateHarness()
+    harness.set_level(KEYS_PER_RANK)
+    assert harness.admit(origin=Origin.RELAY, key=KEYS_PER_RANK - 1).key == KEYS_PER_RANK - 1
+    assert isinstance(harness.admit(origin=Origin.RELAY, key=KEYS_PER_RANK), NotAdmitted)
     # An instance without levels sends no key, a key may be out of range, and a caller's is ignored.
-    assert world.admit(origin=Origin.RELAY).key is None
-    assert world.admit(origin=Origin.RELAY, key=OPEN_LEVEL).key is None
-    assert world.admit(key=0).level is None
+    assert harness.admit(origin=Origin.RELAY).key is None
+    assert harness.admit(origin=Origin.RELAY, key=OPEN_LEVEL).key is None
+    assert harness.admit(key=0).level is None
 
 
 def test_organisation_beyond_its_fair_share_gets_step_1():
     caller = KnownCaller(1, organisation("a", 1), KeyDigest(b"a"))
-    world = GateFixture(organisations=[caller.organisation])
+    harness = GateHarness(organisations=[caller.organisation])
     level = LevelInForce(2_000, 0, {quota_key(caller.organisation.id): 32})
-    world.exchange.level = lambda _service, _region: level
-    keys = [world.admit(body=b"%d" % number, caller=caller).key for number in range(300)]
+    harness.exchange.level = lambda _service, _region: level
+    keys = [harness.admit(body=b"%d" % number, caller=caller).key for number in range(300)]
     assert {key // KEYS_PER_RANK for key in keys} == {1}
     assert all((key % 256 >= 128) == (key % 128 >= 32) for key in keys)
 
 
 def test_request_beyond_its_quota_counts_as_neither_asked_nor_admitted():
     """Guards against admission levels that count requests refused by their quota."""
-    world = GateFixture()
-    world.admit()
-    assert world.exchange._counted == {}
+    harness = GateHarness()
+    harness.admit()
+    assert harness.exchange._counted == {}
 
 
 def make_end(reason: Reason, **progress) -> RequestEnd:
@@ -206,14 +206,14 @@
 @pytest.mark.parametrize(("end", "is_missed"), ENDS)
 def test_only_lack_of_capacity_counts_as_missed(end, is_missed):
     """Guards against levels that fall because servers fail or callers disconnect."""
-    world = GateFixture()
-    world.gate.note_end(make_request(admission_key=0, admission_level=OPEN_LEVEL), end)
+    harness = GateHarness()
+    harness.gate.note_end(make_request(admission_key=0, admission_level=OPEN_LEVEL), end)
     # Other failures count as answered, because they do not indicate a queue.
     counts_as_answered = not is_missed and end.progress.first_at_ms is None
     counted = (0, COST if is_missed else 0, COST if counts_as_answered else 0)
-    assert world.counted() == counted
-    world.gate.note_end(make_request(), end)
-    assert world.counted() == counted
+    assert harness.counted() == counted
+    harness.gate.note_end(make_request(), end)
+    assert harness.counted() == counted
 
 
 @pytest.mark.parametrize(
@@ -228,7 +228,7 @@
     ],
 )
 def test_late_first_event_counts_as_missed(first_ms, prefill_ms, failed_before, is_missed):
-    world = GateFixture()
+    harness = GateHarness()
     request = make_request(
         admission_key=0, admission_level=OPEN_LEVEL, arrived_at_ms=now_ms() - first_ms
     )
@@ -237,17 +237,17 @@
     )
     progress = Progress(EventSplitter(None), may_have_run=failed_before)
     progress.first_at_ms = request.arrived_at_ms + first_ms
-    world.gate.note_first(request, place, progress)
-    assert world.counted() == (0, COST if is_missed else 0, COST)
+    harness.gate.note_first(request, place, progress)
+    assert harness.counted() == (0, COST if is_missed else 0, COST)
 
 
 def test_miss_admitted_under_a_higher_level_is_not_reported():
     """Guards against a level that falls again because of requests admitted before it fell."""
-    world = GateFixture()
-    world.set_level(KEYS_PER_RANK)
+    harness = GateHarness()
+    harness.set_level(KEYS_PER_RANK)
     request = make_request(admission_key=600, admission_level=OPEN_LEVEL)
-    world.gate.note_end(request, make_end(Reason.PEER_NO_ROOM))
-    assert world.counted() == (0, 0, 0)
+    harness.gate.note_end(request, make_end(Reason.PEER_NO_ROOM))
+    assert harness.counted() == (0, 0, 0)
 
 
 RANKED = {"/stream/": {"kind": "streaming", "allow_resume": True, "max_attempts": 2, "priority": 0}}
--- a/sparline/gateway/tests/test_store_sync.py
+++ b/sparline/gateway/tests/test_store_sync.py
@@ -22,8 +22,8 @@
 
 
 @pytest.mark.parametrize(
-    ("names", "found"), [row[1:] for row in NEAREST], ids=[row[0] for row in NEAREST]
+    ("names", "expected"), [row[1:] for row in NEAREST], ids=[row[0] for row in NEAREST]
 )
-def test_nearest_peers_are_selected_for_a_copy(names, found):
+def test_nearest_peers_are_selected_for_a_copy(names, expected):
     peers = [Member(note(name, PLACES[name]), 0.0, 0.0) for name in names]
-    assert [one.note.name for one in nearest_peers(peers, note("own", "north-1"))] == found
+    assert [one.note.name for one in nearest_peers(peers, note("own", "north-1"))] == expected
