--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -1,8 +1,5 @@
-"""A gateway instance, assembled from its components."""
+"""The life cycle of a gateway instance: ports, tasks, reload and stop."""
 
-import random
-import time
-from collections import OrderedDict
 from collections.abc import Callable
 
 import gevent
@@ -10,79 +7,18 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from sparline._clock import PauseWatch, now_ms
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._clock import now_ms
+from sparline._ids import RegionName
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
-from sparline.decisions import EndEvidence, Liveness, counted_exit
-from sparline.fleet import (
-    WATCHERS_PER_ZONE,
-    AdmissionExchange,
-    BackendServer,
-    CrashExchange,
-    FleetState,
-    GossipPort,
-    GossipSources,
-    LoadExchange,
-    LoadSources,
-    Members,
-    QuotaExchange,
-    ServerLoad,
-    StoreCopyTable,
-    StoreReader,
-    is_store_watcher,
-    make_member_note,
-)
-from sparline.forwarding import (
-    AttemptDependencies,
-    Forwarder,
-    ForwarderDependencies,
-    OwnAnswer,
-    RetryRule,
-    RetryWindow,
-    may_send_elsewhere,
-)
-from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
-from sparline.gateway._directory import Directory
-from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION, LeavePlan
-from sparline.gateway._metrics import GatewayMetrics
-from sparline.gateway._peer_table import PeerTable
-from sparline.gateway._quotas import QuotaParameterTable, Quotas
-from sparline.gateway._request_log import RequestLog
-from sparline.gateway._service import Service
+from sparline.gateway._components import GatewayComponents
+from sparline.gateway._housekeeping import run_housekeeping
+from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._settings import split_address
-from sparline.gateway._store_sync import StoreSync
-from sparline.http import ConnectionPool, Headers
-from sparline.placement import (
-    Chooser,
-    ColdShares,
-    CreditTable,
-    DemandTable,
-    GapTable,
-    HealthTable,
-    InstanceLocation,
-    LoadTable,
-    PaceTable,
-    PlacementTables,
-    PromptCache,
-    RateShares,
-    ServerLimitShares,
-    ServerLimitTable,
-    WatchTables,
-)
 from sparline.platform import (
-    InstanceWire,
-    ItemReader,
-    ServerWire,
-    StoreHttpClient,
     make_directory_app,
     make_readiness_app,
-    refusal_headers,
-    relayed_refusal_headers,
 )
-from sparline.quarantine import CrashChange, CrashTable, ServerEndCallbacks, ServerEndDetector
-from sparline.quotas import NO_TOLERANCE, QuotaLimiter, QuotaTolerance
-from sparline.requests import is_withdrawn
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
@@ -91,265 +27,21 @@
 # Interval at which a starting instance checks for a configuration (ms). It is short because callers
 # wait meanwhile.
 CONFIGURATION_POLL_INTERVAL_MS = 10.0
-HOUSEKEEPING_INTERVAL_MS = 500.0
-# Interval at which the learned timings of the services are logged (ms).
-LEARNED_LOG_INTERVAL_MS = 10_000.0
 # Interval at which a planned stop checks whether it is complete (ms).
 STOP_POLL_INTERVAL_MS = 50.0
-# Maximum number of remembered server starts that have ended. Requests sent to them end within
-# seconds.
-MAX_ENDED_STARTS = 4_096
 
 
-class Gateway:
+class Gateway(GatewayComponents):
     """Serve callers, peers and the platform's requests for readiness, directory and metrics."""
 
     def __init__(self, settings: GatewaySettings) -> None:
         """Create all components without opening any port."""
-        self.settings = settings
-        self.metrics = GatewayMetrics()
-        self.request_log = RequestLog(self.metrics)
-        self.pause_watch = PauseWatch(self._on_process_pause)
-        region = RegionName(settings.region)
-        zones = {ZoneName(one): RegionName(of) for one, of in settings.zone_regions.items()}
-        started_ms = int(time.time() * 1000)
-        self.members = Members(
-            make_member_note(
-                settings.ip, settings.name, region, settings.availability_zone, started_ms
-            )
-        )
-        self.fleet = FleetState(
-            ItemReader(zones),
-            self.metrics.bad_items.inc,
-            self._store_fault_age_ms,
-            zones,
-            self._on_server_restart,
-            self._on_server_gone,
-        )
-        self.crashes = CrashTable(self._on_crash_change, self.request_log.note_pushed_out)
-        self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
-        self.copy = StoreCopyTable(self.fleet.take)
-        self.reader = StoreReader(
-            StoreHttpClient(split_address(settings.store)),
-            self.copy,
-            lambda call, result: self.metrics.store_calls.labels(call, result).inc(),
-            self._newest_peer_revision,
-            lambda: WATCHERS_PER_ZONE * len(zones),
-            lambda: is_store_watcher(self.members),
-        )
-        self._relay_port = split_address(settings.listen.relay)[1]
-        last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
-        self.peers = PeerTable(self.members, last_instance_accept_ms)
-        self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
-        self._build_placement(region)
-        self.end_detector = ServerEndDetector(
-            ServerEndCallbacks(
-                self._pool.probe,
-                self.health.heard_at_ms,
-                self.health.note_unreachable,
-                self.request_log.note_server_end,
-            )
-        )
-        quota_settings = settings.quotas
-        tolerance = (
-            QuotaTolerance(quota_settings.window_s, quota_settings.excess, quota_settings.slack)
-            if quota_settings
-            else NO_TOLERANCE
-        )
-        self.quota_exchange = QuotaExchange(
-            self.members,
-            QuotaLimiter(tolerance, random.Random()),
-            QuotaParameterTable(self.fleet, tolerance).parameters_of,
-        )
-        self.quotas = Quotas(self.quota_exchange, lambda: self.gossip, self.metrics)
-        ranks = RankTable(self.fleet, settings.admission is None or settings.admission.enabled)
-        sources = make_admission_sources(self.fleet, ranks)
-        self.admission_exchange = AdmissionExchange(self.members, sources)
-        self.admission = AdmissionGate(
-            region, self.fleet, ranks, self.admission_exchange, self.metrics
-        )
-        self.service = Service(
-            self.fleet,
-            self.copy,
-            self.request_log,
-            self.pace,
-            self._known_store_fault_age_ms,
-            self._may_be_outdated,
-            self.quotas,
-            self.admission,
-        )
-        self.service.set_forwarders(
-            self._make_forwarder(refusal_headers), self._make_forwarder(relayed_refusal_headers)
-        )
-        gossip_port = split_address(settings.listen.gossip)[1]
-        self.gossip = GossipPort(
-            gossip_port,
-            [split_address(seed)[0] for seed in settings.seeds],
-            self.members,
-            self.load_exchange,
-            CrashExchange(self.crashes),
-            self.quota_exchange,
-            self.admission_exchange,
-            GossipSources(
-                self.cache.recent_prefix_uses,
-                self.cache.merge_prefix_uses,
-                self.server_limits.limits_to_send,
-                self.server_limits.merge_limits,
-                lambda: self.copy.revision,
-                self.reader.reached,
-            ),
-        )
-        callers_port = split_address(settings.listen.callers)[1]
-        self.directory = Directory(self.members, self.fleet, callers_port, last_instance_accept_ms)
-        self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
+        super().__init__(settings)
         self._stopped = Event()
         self._servers: list[StreamServer] = []
         self._apps: list[WSGIServer] = []
         self._tasks: list[gevent.Greenlet] = []
 
-    def _build_placement(self, region: RegionName) -> None:
-        self.health = HealthTable(self.pause_watch.process_resumed_at_ms)
-        self.load_exchange = LoadExchange(
-            self.members,
-            LoadSources(
-                lambda: self.loads.own_in_region(),
-                lambda server_id: self.loads.own(server_id),
-                self._doubted_in_own_region,
-                self.health.is_doubted,
-                lambda: self.fleet.ids_in(region),
-                lambda server_id, log_factor: self.pace.note_log_factor(server_id, log_factor),
-            ),
-        )
-        load_table = self.load_exchange.load_table
-        self.loads = LoadTable(region, load_table.load, self._on_load_change)
-        self.server_limits = ServerLimitTable(self.request_log.note_server_limit)
-        self.cache = PromptCache(
-            owners_have_cached=not self.settings.first_start,
-            sharing=lambda: len(self.members.live(region)) + 1,
-        )
-        self.pace = PaceTable()
-        self.gaps = GapTable()
-
-        def sharers() -> list[str]:
-            return self.members.sharers(region)
-
-        def is_settled() -> bool:
-            return self.members.are_sharers_settled(region)
-
-        tables = PlacementTables(
-            fleet=self.fleet,
-            loads=self.loads,
-            health=self.health,
-            cold=ColdShares(self.settings.ip, sharers, is_settled, self.request_log.note_cold_use),
-            limits=ServerLimitShares(
-                self.server_limits, RateShares(self.settings.ip, sharers, is_settled)
-            ),
-            cache=self.cache,
-            pace=self.pace,
-            gaps=self.gaps,
-            credit=CreditTable(),
-            demand=DemandTable(),
-            sharing=lambda: len(self.members.live(region)) + 1,
-            peers=self.peers.usable,
-            round_trip_ms=self.peers.round_trip_ms,
-            load_age_ms=load_table.age_ms,
-            is_doubted_by_region=load_table.is_doubted,
-        )
-        place = InstanceLocation(region, ZoneName(self.settings.availability_zone))
-        self.chooser = Chooser(place, tables, random.Random())
-        retries = self.settings.retries
-        rule = RetryRule(retries.ratio, retries.slack, retries.window_s * 1000)
-        self.retries = RetryWindow(
-            rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
-        )
-
-    def _make_forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
-        dependencies = AttemptDependencies(
-            pool=self._pool,
-            backend_wire=ServerWire(),
-            peer_wire=InstanceWire(),
-            peer_port=self._relay_port,
-            health=self.health,
-            server_limits=self.server_limits,
-            note_leaving=self.fleet.note_leaving,
-            pace=self.pace,
-            watch=WatchTables(
-                self.pace, self.gaps, self.loads, self.pause_watch.process_resumed_at_ms
-            ),
-            may_send_elsewhere=may_send_elsewhere,
-            note_peer=self.peers.note_reachability,
-            note_round_trip=self.peers.note_round_trip,
-            ends=self.end_detector,
-            has_ended=self._ended_starts.__contains__,
-            note_first=self.admission.note_first,
-        )
-        return Forwarder(
-            ForwarderDependencies(
-                chooser=self.chooser,
-                rng=random.Random(),
-                loads=self.loads,
-                retries=self.retries,
-                attempt_dependencies=dependencies,
-                note_retry=self.request_log.note_retry,
-                note_broken=self.request_log.note_broken,
-                crashes=self.crashes,
-                is_key_withdrawn=lambda request: is_withdrawn(
-                    self.fleet.configuration, request.caller
-                ),
-                refusal_headers=headers,
-            )
-        )
-
-    def _on_load_change(
-        self, server: BackendServer, change: ServerLoad, log_factor: float | None
-    ) -> None:
-        is_in_own_region = server.region == self.members.own.region
-        self.gossip.send_immediately(
-            self.load_exchange.note_change(server.id, change, log_factor, is_in_own_region)
-        )
-
-    def _doubted_in_own_region(self) -> list[str]:
-        region = self.members.own.region
-        return [one for one in self.fleet.ids_in(region) if self.health.is_doubted(one)]
-
-    def _on_server_restart(self, server: BackendServer) -> None:
-        """Close idle connections to a replaced start, and record the end for requests on it."""
-        self._pool.forget(server.address)
-        self._ended_starts[server.id] = None
-        if len(self._ended_starts) > MAX_ENDED_STARTS:
-            self._ended_starts.popitem(last=False)
-
-    def _on_process_pause(self, pause_ms: float) -> None:
-        self.metrics.pauses.inc()
-        log.bind(pause_ms=round(pause_ms)).warning("process_paused")
-
-    def _on_server_gone(self, server: BackendServer) -> None:
-        """Count the end of a removed server for the requests that were interrupted on it."""
-        for liveness in Liveness:
-            counted = counted_exit(server.id, EndEvidence.GONE, liveness)
-            for digest in self.end_detector.note_removed(server.id, liveness):
-                self.crashes.note_end(digest, counted)
-
-    def _on_crash_change(self, change: CrashChange) -> None:
-        self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
-        self.gossip.broadcast_crash(change)
-
-    def _known_store_fault_age_ms(self) -> float | None:
-        at_ms = self.reader.last_fault_at_ms
-        return now_ms() - at_ms if at_ms else None
-
-    def _store_fault_age_ms(self) -> float:
-        return now_ms() - self.reader.last_fault_at_ms
-
-    def _newest_peer_revision(self) -> int:
-        return max((one.store_revision for one in self.members.live()), default=0)
-
-    def _may_be_outdated(self) -> bool:
-        """Return whether a newer configuration than this instance's may be in force."""
-        if self._newest_peer_revision() > self.copy.revision:
-            return True
-        return not self.reader.reached() and not self.members.is_store_reached()
-
     def start(self) -> None:
         """Open the ports and start the background tasks; raise `OSError` if a port is in use."""
         listen = self.settings.listen
@@ -364,7 +56,7 @@
             self.gossip.run,
             self.reader.run,
             self.sync.run,
-            self._run_housekeeping,
+            lambda: run_housekeeping(self),
         )
         self._tasks += [gevent.spawn(task) for task in tasks]
 
@@ -418,31 +110,6 @@
                 version=self.fleet.configuration.version, servers=len(self.fleet.servers)
             ).info("instance_live")
 
-    def _run_housekeeping(self) -> None:
-        logged_at_ms = now_ms()
-        while True:
-            self.pause_watch.tick()
-            if now_ms() - logged_at_ms >= LEARNED_LOG_INTERVAL_MS:
-                logged_at_ms = now_ms()
-                log.bind(pace=self.pace.learned(), pauses=self.gaps.learned()).info("learned")
-            self.fleet.remove_lapsed(self._is_store_unreachable())
-            server_ids = set(self.fleet.servers)
-            self.health.forget_all_but(server_ids)
-            self.cache.forget_all_but(server_ids)
-            self.pace.forget_all_but(server_ids)
-            self.loads.forget_old()
-            self.server_limits.forget_old()
-            self.crashes.forget_old()
-            self.members.forget_old()
-            self._pool.sweep()
-            gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
-
-    def _is_store_unreachable(self) -> bool:
-        """Return whether the store answers neither this instance nor any known one."""
-        if self.reader.reached():
-            return False
-        return not self.members.is_store_reached()
-
     def reload(self, settings: GatewaySettings) -> list[str]:
         """Apply changed settings; return the names of those that need a restart."""
         self.gossip.seeds = [split_address(seed)[0] for seed in settings.seeds]
--- /dev/null
+++ b/sparline/gateway/_housekeeping.py
@@ -0,0 +1,41 @@
+"""Periodic work of a gateway instance."""
+
+import gevent
+
+from sparline._clock import now_ms
+from sparline._logging import log
+from sparline.gateway._components import GatewayComponents
+
+HOUSEKEEPING_INTERVAL_MS = 500.0
+# Interval at which the learned timings of the services are logged (ms).
+LEARNED_LOG_INTERVAL_MS = 10_000.0
+
+
+def run_housekeeping(components: GatewayComponents) -> None:
+    """Log learned timings and remove expired state until the process ends."""
+    logged_at_ms = now_ms()
+    while True:
+        components.pause_watch.tick()
+        if now_ms() - logged_at_ms >= LEARNED_LOG_INTERVAL_MS:
+            logged_at_ms = now_ms()
+            log.bind(pace=components.pace.learned(), pauses=components.gaps.learned()).info(
+                "learned"
+            )
+        components.fleet.remove_lapsed(_is_store_unreachable(components))
+        server_ids = set(components.fleet.servers)
+        components.health.forget_all_but(server_ids)
+        components.cache.forget_all_but(server_ids)
+        components.pace.forget_all_but(server_ids)
+        components.loads.forget_old()
+        components.server_limits.forget_old()
+        components.crashes.forget_old()
+        components.members.forget_old()
+        components.pool.sweep()
+        gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
+
+
+def _is_store_unreachable(components: GatewayComponents) -> bool:
+    """Return whether the store answers neither this instance nor any known one."""
+    if components.reader.reached():
+        return False
+    return not components.members.is_store_reached()
