--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -11,7 +11,7 @@
 # Maximum number of instances in one answer; callers accept no more.
 MAX_NAMED_INSTANCES = 64
 # Callers are directed to their own availability zone if it has at least this many live instances.
-# Traffic between zones costs money, but a zone with one instance has none left if that is lost.
+# Traffic between zones costs money, but one instance alone could not absorb the loss of another.
 MIN_ZONE_INSTANCES = 2
 # How long a new process without known members waits before it names itself alone (ms).
 DISCOVERY_TIMEOUT_MS = 1_500.0
