--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -1,8 +1,5 @@
-"""One instance on the users' platform, put together."""
+"""The life cycle of a gateway instance: ports, tasks, reload and stop."""
 
-import random
-import time
-from collections import OrderedDict
 from collections.abc import Callable
 
 import gevent
@@ -10,370 +7,61 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from sparline._clock import PauseWatch, now_ms
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._clock import now_ms
+from sparline._ids import RegionName
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
-from sparline.decisions import EndEvidence, Liveness, counted_exit
-from sparline.fleet import (
-    WATCHERS_PER_ZONE,
-    AdmissionExchange,
-    BackendServer,
-    CrashExchange,
-    FleetState,
-    GossipPort,
-    GossipSources,
-    LoadExchange,
-    LoadSources,
-    Members,
-    QuotaExchange,
-    ServerLoad,
-    StoreCopyTable,
-    StoreReader,
-    is_store_watcher,
-    make_member_note,
-)
-from sparline.forwarding import (
-    AttemptDependencies,
-    Forwarder,
-    ForwarderDependencies,
-    OwnAnswer,
-    RetryRule,
-    RetryWindow,
-    may_send_elsewhere,
-)
-from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
-from sparline.gateway._directory import Directory
-from sparline.gateway._leave_plan import NEEDED_UNTIL, LeavePlan
-from sparline.gateway._metrics import GatewayMetrics
-from sparline.gateway._occupancy import RegionOccupancy
-from sparline.gateway._peer_table import PeerTable
-from sparline.gateway._quotas import Quotas, QuotaTerms
-from sparline.gateway._request_log import RequestLog
-from sparline.gateway._service import Service
+from sparline.gateway._components import GatewayComponents
+from sparline.gateway._housekeeping import run_housekeeping
+from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._settings import split_address
-from sparline.gateway._store_sync import StoreSync
-from sparline.http import ConnectionPool, Headers
-from sparline.placement import (
-    Chooser,
-    ColdShares,
-    CreditTable,
-    DemandTable,
-    GapTable,
-    HealthTable,
-    InstanceLocation,
-    LoadTable,
-    PaceTable,
-    PlacementTables,
-    PromptCache,
-    RateShares,
-    ServerLimitShares,
-    ServerLimitTable,
-    WatchTables,
-)
 from sparline.platform import (
-    InstanceWire,
-    ItemReader,
-    ServerWire,
-    StoreHttpClient,
     make_directory_app,
     make_readiness_app,
-    refusal_headers,
-    relayed_refusal_headers,
 )
-from sparline.quarantine import CrashChange, CrashTable, ServerEndCallbacks, ServerEndDetector
-from sparline.quotas import NO_TOLERANCE, QuotaLimiter, QuotaTolerance
-from sparline.requests import is_withdrawn
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
-# Connections that may wait to be accepted (count): a wave of callers at once.
-BACKLOG = 1_024
-# A starting instance looks so often whether it has a configuration (ms): callers wait.
-STARTING_STEP_MS = 10.0
-# Housekeeping comes round so often (ms).
-UPKEEP_MS = 500.0
-# What was learned of the services is written to the log so often (ms).
-LEARNED_MS = 10_000.0
-# A planned stop looks so often whether all is done (ms).
-STOP_STEP_MS = 50.0
-# Starts of servers that are over are remembered up to here (count): requests there end in seconds.
-MOST_ENDED_STARTS = 4_096
+# Maximum number of connections waiting to be accepted: many callers may connect at once.
+LISTEN_BACKLOG = 1_024
+# Interval at which a starting instance checks for a configuration (ms). It is short because callers
+# wait meanwhile.
+CONFIGURATION_POLL_INTERVAL_MS = 10.0
+# Interval at which a planned stop checks whether it is complete (ms).
+STOP_POLL_INTERVAL_MS = 50.0
 
 
-class Gateway:
-    """Serve callers, peers and the platform's checks."""
+class Gateway(GatewayComponents):
+    """Serve callers, peers and the platform's requests for readiness, directory and metrics."""
 
     def __init__(self, settings: GatewaySettings) -> None:
-        """Build every part; nothing listens yet."""
-        self.settings = settings
-        self.metrics = GatewayMetrics()
-        self.request_log = RequestLog(self.metrics)
-        self.pause_watch = PauseWatch(self._note_pause)
-        region = RegionName(settings.region)
-        zones = {ZoneName(one): RegionName(of) for one, of in settings.zone_regions.items()}
-        started_ms = int(time.time() * 1000)
-        self.members = Members(
-            make_member_note(
-                settings.ip, settings.name, region, settings.availability_zone, started_ms
-            )
-        )
-        self.fleet = FleetState(
-            ItemReader(zones),
-            self.metrics.bad_items.inc,
-            self._disturbed_ago_ms,
-            zones,
-            self._note_restarted,
-            self._note_gone,
-        )
-        self.crashes = CrashTable(self._note_crash, self.request_log.note_pushed_out)
-        self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
-        self.copy = StoreCopyTable(self.fleet.take)
-        self.reader = StoreReader(
-            StoreHttpClient(split_address(settings.store)),
-            self.copy,
-            lambda call, result: self.metrics.store_calls.labels(call, result).inc(),
-            self._newest_peer_revision,
-            lambda: WATCHERS_PER_ZONE * len(zones),
-            lambda: is_store_watcher(self.members),
-        )
-        self._relay_port = split_address(settings.listen.relay)[1]
-        needed_until_ms = NEEDED_UNTIL * settings.grace_s * 1000
-        self.peers = PeerTable(self.members, needed_until_ms)
-        self._pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
-        self._make_placement(region)
-        self.ends = ServerEndDetector(
-            ServerEndCallbacks(
-                self._pool.probe,
-                self.health.heard_at_ms,
-                self.health.note_unreachable,
-                self.request_log.note_server_end,
-            )
-        )
-        borne = settings.quotas
-        bounds = (
-            QuotaTolerance(borne.window_s, borne.excess, borne.slack) if borne else NO_TOLERANCE
-        )
-        self.quota_exchange = QuotaExchange(
-            self.members,
-            QuotaLimiter(bounds, random.Random()),
-            QuotaTerms(self.fleet, bounds).of,
-        )
-        self.quotas = Quotas(self.quota_exchange, lambda: self.gossip, self.metrics)
-        ranks = RankTable(self.fleet, settings.admission is None or settings.admission.enabled)
-        occupancy = RegionOccupancy(
-            region, self.fleet, self.loads, self.pace, lambda one: not self._is_doubted(one)
-        )
-        sources = make_admission_sources(self.fleet, ranks, occupancy.of)
-        self.admission_exchange = AdmissionExchange(self.members, sources)
-        self.admission = AdmissionGate(
-            region, self.fleet, ranks, self.admission_exchange, self.metrics
-        )
-        self.service = Service(
-            self.fleet,
-            self.copy,
-            self.request_log,
-            self.pace,
-            self._store_fault_ago_ms,
-            self._may_be_behind,
-            self.quotas,
-            self.admission,
-        )
-        self.service.use(self._forwarder(refusal_headers), self._forwarder(relayed_refusal_headers))
-        gossip_port = split_address(settings.listen.gossip)[1]
-        self.gossip = GossipPort(
-            gossip_port,
-            [split_address(seed)[0] for seed in settings.seeds],
-            self.members,
-            self.load_exchange,
-            CrashExchange(self.crashes),
-            self.quota_exchange,
-            self.admission_exchange,
-            GossipSources(
-                self.cache.recent_prefix_uses,
-                self.cache.merge_prefix_uses,
-                self.server_limits.limits_to_send,
-                self.server_limits.merge_limits,
-                lambda: self.copy.revision,
-                self.reader.reached,
-            ),
-        )
-        callers_port = split_address(settings.listen.callers)[1]
-        self.directory = Directory(self.members, self.fleet, callers_port, needed_until_ms)
-        self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
+        """Create all components without opening any port."""
+        super().__init__(settings)
         self._stopped = Event()
         self._servers: list[StreamServer] = []
         self._apps: list[WSGIServer] = []
         self._tasks: list[gevent.Greenlet] = []
 
-    def _make_placement(self, region: RegionName) -> None:
-        self.health = HealthTable(self.pause_watch.process_resumed_at_ms)
-        self.load_exchange = LoadExchange(
-            self.members,
-            LoadSources(
-                lambda: self.loads.own_in_region(),
-                lambda server_id: self.loads.own(server_id),
-                self._doubted_here,
-                self.health.is_doubted,
-                lambda: self.fleet.ids_in(region),
-                lambda server_id, log_factor: self.pace.note_log_factor(server_id, log_factor),
-            ),
-        )
-        load_table = self.load_exchange.load_table
-        self.loads = LoadTable(region, load_table.load, self._note_load)
-        self.server_limits = ServerLimitTable(self.request_log.note_server_limit)
-        self.cache = PromptCache(
-            owners_have_cached=not self.settings.first_start,
-            sharing=lambda: len(self.members.live(region)) + 1,
-        )
-        self.pace = PaceTable()
-        self.gaps = GapTable()
-
-        def sharers() -> list[str]:
-            return self.members.sharers(region)
-
-        def is_settled() -> bool:
-            return self.members.are_sharers_settled(region)
-
-        tables = PlacementTables(
-            fleet=self.fleet,
-            loads=self.loads,
-            health=self.health,
-            cold=ColdShares(self.settings.ip, sharers, is_settled, self.request_log.note_cold_use),
-            limits=ServerLimitShares(
-                self.server_limits, RateShares(self.settings.ip, sharers, is_settled)
-            ),
-            cache=self.cache,
-            pace=self.pace,
-            gaps=self.gaps,
-            credit=CreditTable(),
-            demand=DemandTable(),
-            sharing=lambda: len(self.members.live(region)) + 1,
-            peers=self.peers.usable,
-            round_trip_ms=self.peers.round_trip_ms,
-            load_age_ms=load_table.age_ms,
-            is_doubted_by_region=load_table.is_doubted,
-        )
-        place = InstanceLocation(region, ZoneName(self.settings.availability_zone))
-        self.chooser = Chooser(place, tables, random.Random())
-        retries = self.settings.retries
-        rule = RetryRule(retries.ratio, retries.slack, retries.window_s * 1000)
-        self.retries = RetryWindow(
-            rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
-        )
-
-    def _forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
-        tools = AttemptDependencies(
-            pool=self._pool,
-            backend_wire=ServerWire(),
-            peer_wire=InstanceWire(),
-            peer_port=self._relay_port,
-            health=self.health,
-            server_limits=self.server_limits,
-            note_leaving=self.fleet.note_leaving,
-            pace=self.pace,
-            watch=WatchTables(
-                self.pace, self.gaps, self.loads, self.pause_watch.process_resumed_at_ms
-            ),
-            may_send_elsewhere=may_send_elsewhere,
-            note_peer=self.peers.note,
-            note_round_trip=self.peers.note_round_trip,
-            ends=self.ends,
-            has_ended=self._ended_starts.__contains__,
-            note_first=self.admission.note_first,
-        )
-        return Forwarder(
-            ForwarderDependencies(
-                chooser=self.chooser,
-                rng=random.Random(),
-                loads=self.loads,
-                retries=self.retries,
-                attempt_dependencies=tools,
-                note_retry=self.request_log.note_retry,
-                note_broken=self.request_log.note_broken,
-                crashes=self.crashes,
-                is_key_withdrawn=lambda request: is_withdrawn(
-                    self.fleet.configuration, request.caller
-                ),
-                refusal_headers=headers,
-            )
-        )
-
-    def _note_load(
-        self, server: BackendServer, change: ServerLoad, log_factor: float | None
-    ) -> None:
-        is_near = server.region == self.members.own.region
-        self.gossip.send_immediately(
-            self.load_exchange.note_change(server.id, change, log_factor, is_near)
-        )
-
-    def _is_doubted(self, server_id: BackendServerId) -> bool:
-        """Tell whether a server has recently failed this instance or one of its region."""
-        by_region = self.load_exchange.load_table.is_doubted(server_id)
-        return by_region or self.health.is_doubted(server_id)
-
-    def _doubted_here(self) -> list[str]:
-        region = self.members.own.region
-        return [one for one in self.fleet.ids_in(region) if self.health.is_doubted(one)]
-
-    def _note_restarted(self, server: BackendServer) -> None:
-        """Give up what connects this instance with a server that has started anew."""
-        self._pool.forget(server.address)
-        self._ended_starts[server.id] = None
-        if len(self._ended_starts) > MOST_ENDED_STARTS:
-            self._ended_starts.popitem(last=False)
-
-    def _note_pause(self, pause_ms: float) -> None:
-        self.metrics.pauses.inc()
-        log.bind(pause_ms=round(pause_ms)).warning("process_paused")
-
-    def _note_gone(self, server: BackendServer) -> None:
-        """Count a server's end under the requests that broke off with it."""
-        for known in Liveness:
-            counted = counted_exit(server.id, EndEvidence.GONE, known)
-            for digest in self.ends.note_removed(server.id, known):
-                self.crashes.note_end(digest, counted)
-
-    def _note_crash(self, change: CrashChange) -> None:
-        self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
-        self.gossip.broadcast_crash(change)
-
-    def _store_fault_ago_ms(self) -> float | None:
-        at_ms = self.reader.last_fault_at_ms
-        return now_ms() - at_ms if at_ms else None
-
-    def _disturbed_ago_ms(self) -> float:
-        return now_ms() - self.reader.last_fault_at_ms
-
-    def _newest_peer_revision(self) -> int:
-        return max((one.store_revision for one in self.members.live()), default=0)
-
-    def _may_be_behind(self) -> bool:
-        """Tell whether the store may hold a newer configuration than this instance."""
-        if self._newest_peer_revision() > self.copy.revision:
-            return True
-        return not self.reader.reached() and not self.members.is_store_reached()
-
     def start(self) -> None:
-        """Open the ports, then follow the store and the fleet; `OSError` where one is taken."""
+        """Open the ports and start the background tasks; raise `OSError` if a port is in use."""
         listen = self.settings.listen
         self._listen(listen.callers, self.service.serve_caller)
         self._listen(listen.relay, self.service.serve_peer)
         self._serve_app(listen.readiness, make_readiness_app(self.is_ready))
         self._serve_app(listen.directory, make_directory_app(self.directory.find))
         self._serve_app(listen.metrics, self._metrics_app)
-        work = (
+        tasks = (
             self._go_live,
             self.gossip.read,
             self.gossip.run,
             self.reader.run,
             self.sync.run,
-            self._upkeep,
+            lambda: run_housekeeping(self),
         )
-        self._tasks += [gevent.spawn(task) for task in work]
+        self._tasks += [gevent.spawn(task) for task in tasks]
 
     def _listen(self, address: str, handle: Callable) -> None:
-        server = StreamServer(split_address(address), handle, backlog=BACKLOG)
+        server = StreamServer(split_address(address), handle, backlog=LISTEN_BACKLOG)
         server.start()
         self._servers.append(server)
 
@@ -408,13 +96,13 @@
         return [content]
 
     def is_ready(self) -> bool:
-        """Tell whether callers should come here."""
+        """Return whether callers should use this instance."""
         return self.members.own.phase is MemberPhase.live
 
     def _go_live(self) -> None:
-        """Take requests as soon as there is a configuration."""
+        """Announce that this instance is live once it has a configuration."""
         while self.fleet.configuration is None:
-            gevent.sleep(STARTING_STEP_MS / 1000)
+            gevent.sleep(CONFIGURATION_POLL_INTERVAL_MS / 1000)
         self.fleet.started = True
         if self.members.own.phase is MemberPhase.starting:
             self.gossip.announce(MemberPhase.live)
@@ -422,33 +110,8 @@
                 version=self.fleet.configuration.version, servers=len(self.fleet.servers)
             ).info("instance_live")
 
-    def _upkeep(self) -> None:
-        logged_at_ms = now_ms()
-        while True:
-            self.pause_watch.tick()
-            if now_ms() - logged_at_ms >= LEARNED_MS:
-                logged_at_ms = now_ms()
-                log.bind(pace=self.pace.learned(), pauses=self.gaps.learned()).info("learned")
-            self.fleet.remove_lapsed(self._store_away())
-            known = set(self.fleet.servers)
-            self.health.forget_all_but(known)
-            self.cache.forget_all_but(known)
-            self.pace.forget_all_but(known)
-            self.loads.forget_old()
-            self.server_limits.forget_old()
-            self.crashes.forget_old()
-            self.members.forget_old()
-            self._pool.sweep()
-            gevent.sleep(UPKEEP_MS / 1000)
-
-    def _store_away(self) -> bool:
-        """Tell whether the store answers no instance that is known."""
-        if self.reader.reached():
-            return False
-        return not self.members.is_store_reached()
-
     def reload(self, settings: GatewaySettings) -> list[str]:
-        """Take over changed settings; return the names of those that need a restart."""
+        """Apply changed settings; return the names of those that need a restart."""
         self.gossip.seeds = [split_address(seed)[0] for seed in settings.seeds]
         changed = [
             name
@@ -456,29 +119,29 @@
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
-        taken_over = ("seeds", "log_level", "grace_s")
-        return [name for name in changed if name not in taken_over]
+        reloadable = ("seeds", "log_level", "grace_s")
+        return [name for name in changed if name not in reloadable]
 
     def leave(self) -> None:
-        """Stop as planned: take leave, serve what comes late, end what is under way."""
+        """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
-        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last)
+        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last_in_region)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
         log.bind(in_flight=self.service.in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
-        while (left_ms := plan.takes_until_ms() - now_ms()) > 0:
-            gevent.sleep(min(left_ms, STOP_STEP_MS) / 1000)
+        while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
+            gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
         for server in self._servers:
             server.stop_accepting()
-        while self.service.in_flight and now_ms() < plan.ends_at_ms():
+        while self.service.in_flight and now_ms() < plan.exits_at_ms():
             self.service.close_idle()
-            gevent.sleep(STOP_STEP_MS / 1000)
+            gevent.sleep(STOP_POLL_INTERVAL_MS / 1000)
         log.bind(in_flight=self.service.in_flight).info("instance_stopped")
         self._stopped.set()
 
-    def _is_last(self) -> bool:
-        """Tell whether no other instance of the region is live."""
+    def _is_last_in_region(self) -> bool:
+        """Return whether no other instance of the region is live."""
         return not self.members.live(RegionName(self.settings.region))
 
     def wait(self) -> None:
@@ -486,7 +149,7 @@
         self._stopped.wait()
 
     def stop(self) -> None:
-        """Stop at once, as a lost process would."""
+        """Stop at once, as if the process had crashed."""
         gevent.killall(self._tasks, block=False)
         for server in (*self._servers, *self._apps):
             server.stop(timeout=0)
--- a/sparline/gateway/_quotas.py
+++ b/sparline/gateway/_quotas.py
@@ -1,4 +1,4 @@
-"""Charge requests to their organisations' quotas, and tell others of it."""
+"""Charges requests to the quotas of their organisations and reports the charges."""
 
 from collections.abc import Callable
 
@@ -13,24 +13,24 @@
 from sparline.requests import KnownCaller, Prompt, RoutedRequest
 from sparline.routes import Configuration, Organisation
 
-# The way to the account holder of the region and back, and some more (ms).
-WORD_MS = 8.0
-# Lines a second about requests over a quota, an instance.
-QUOTA_LINES_PER_S = 20.0
+# Round trip to the region's quota coordinator, with a margin (ms).
+COORDINATOR_ROUND_TRIP_MS = 8.0
+# Log lines per second and instance about requests over a quota.
+QUOTA_REFUSAL_LINES_PER_S = 20.0
 
 
-class QuotaTerms:
-    """Find the terms of a quota by its key, in the configuration in force."""
+class QuotaParameterTable:
+    """Looks up the parameters of quotas in the configuration in force."""
 
-    def __init__(self, fleet: FleetState, bounds: QuotaTolerance) -> None:
-        """Look into what a fleet holds."""
+    def __init__(self, fleet: FleetState, tolerance: QuotaTolerance) -> None:
+        """Create a table that follows the configuration of a fleet."""
         self._fleet = fleet
-        self._bounds = bounds
+        self._tolerance = tolerance
         self._configuration: Configuration | None = None
         self._by_key: dict[int, QuotaParameters] = {}
 
-    def of(self, key: int) -> QuotaParameters | None:
-        """Return the terms, None where the organisation is unknown or has no quota."""
+    def parameters_of(self, key: int) -> QuotaParameters | None:
+        """Return a quota's parameters, None if the organisation is unknown or has no quota."""
         configuration = self._fleet.configuration
         if configuration is not self._configuration:
             self._configuration = configuration
@@ -42,14 +42,14 @@
         if known is None:
             return {}
         return {
-            quota_key(one.id): make_quota_parameters(one.quota, self._bounds)
+            quota_key(one.id): make_quota_parameters(one.quota, self._tolerance)
             for one in known.by_id.values()
             if one.quota is not None
         }
 
 
 class Quotas:
-    """Charge requests once they are let in, and again or back by how often they ran."""
+    """Charge requests on admission, and adjust the charge to how often they ran."""
 
     def __init__(
         self,
@@ -57,30 +57,30 @@
         gossip: Callable[[], GossipPort],
         metrics: GatewayMetrics,
     ) -> None:
-        """Charge what an exchange holds."""
+        """Charge the quotas of an exchange; `gossip` returns the port that sends the charges."""
         self._exchange = exchange
         self._gossip = gossip
         self._metrics = metrics
-        self._lines = LineBudget(QUOTA_LINES_PER_S)
+        self._lines = LineBudget(QUOTA_REFUSAL_LINES_PER_S)
 
     def admit(
         self, request_id: RequestId, caller: KnownCaller | None, prompt: Prompt | None
     ) -> float | None:
-        """Return None where a request may run, else when it may come back (ms)."""
+        """Charge a request; return None if it may run, else the retry delay (ms)."""
         if caller is None or caller.organisation.quota is None:
             return None
         organisation = caller.organisation
-        cost = cost_of(organisation, prompt)
-        wait_ms = self._ask(organisation, cost)
+        cost = quota_cost(organisation, prompt)
+        wait_ms = self._charge(organisation, cost)
         if wait_ms is not None and self._exchange.is_estimate(organisation.id):
-            # What others gave back or what has come meanwhile is known a way later.
-            gevent.sleep(WORD_MS / 1000)
-            wait_ms = self._ask(organisation, cost)
+            # The coordinator's answer may show units that were returned or refilled meanwhile.
+            gevent.sleep(COORDINATOR_ROUND_TRIP_MS / 1000)
+            wait_ms = self._charge(organisation, cost)
         if wait_ms is not None:
             self._note_refused(request_id, organisation, wait_ms)
         return wait_ms
 
-    def _ask(self, organisation: Organisation, cost: float) -> float | None:
+    def _charge(self, organisation: Organisation, cost: float) -> float | None:
         wait_ms = self._exchange.admit(organisation, cost)
         self._gossip().send_immediately(self._exchange.due())
         return wait_ms
@@ -92,7 +92,7 @@
         if not self._lines.take() or not log.is_written(LineLevel.INFO):
             return
         left = self._exchange.left(organisation.id)
-        assert left is not None, "a quota that refused is followed"
+        assert left is not None, "expected an account of a quota that refused a request"
         log.bind(
             request_id=request_id,
             organisation=organisation.id,
@@ -104,14 +104,16 @@
         ).info("over_quota")
 
     def settle(self, request: RoutedRequest, runs: int) -> None:
-        """Charge a request that may have run more than once again; give back what never ran."""
+        """Charge each further run of a request, or refund a request that did not run."""
         if request.caller is None or request.caller.organisation.quota is None or runs == 1:
             return
         organisation = request.caller.organisation
-        self._exchange.settle(organisation.id, (runs - 1) * cost_of(organisation, request.prompt))
+        self._exchange.settle(
+            organisation.id, (runs - 1) * quota_cost(organisation, request.prompt)
+        )
 
 
-def cost_of(organisation: Organisation, prompt: Prompt | None) -> float:
-    """Return what a request counts against the quota of its organisation."""
-    assert organisation.quota is not None, "only what has a quota is counted"
+def quota_cost(organisation: Organisation, prompt: Prompt | None) -> float:
+    """Return the units that a request takes from the quota of its organisation."""
+    assert organisation.quota is not None, "expected an organisation with a quota"
     return organisation.quota.cost(prompt.held_tokens if prompt else None)
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -1,4 +1,4 @@
-"""One line and the counters for each decision about a request."""
+"""Log lines and metrics for decisions about requests."""
 
 from sparline._clock import now_ms
 from sparline._hashing import hash64
@@ -17,45 +17,46 @@
 )
 from sparline.requests import Prompt, Reason, RoutedRequest
 
-# Lines a second for answered requests and for all others, an instance; above them lines are
+# Log lines per second and instance about answered requests, and about all others. Further lines are
 # left out and counted. A line costs about 60 microseconds.
 ANSWERED_LINES_PER_S = 60.0
 OTHER_LINES_PER_S = 120.0
-# Lines a second for answers that broke off, an instance: all that ran on an engine when it ended.
-BREAK_LINES_PER_S = 60.0
-# Lines a second about requests under which servers ended, an instance.
-CRASH_LINES_PER_S = 40.0
+# Log lines per second and instance about interrupted answers: an engine that ends interrupts all
+# answers that it was running.
+INTERRUPTED_LINES_PER_S = 60.0
+# Log lines per second and instance about requests on which servers ended.
+SERVER_END_LINES_PER_S = 40.0
 
 
 class RequestLog:
-    """Say what was decided about requests."""
+    """Log and count decisions about requests."""
 
     def __init__(self, metrics: GatewayMetrics) -> None:
-        """Start with full budgets."""
+        """Create a log with full line budgets."""
         self._metrics = metrics
         self._answered = LineBudget(ANSWERED_LINES_PER_S)
         self._other = LineBudget(OTHER_LINES_PER_S)
-        self._broken = LineBudget(BREAK_LINES_PER_S)
-        self._crashes = LineBudget(CRASH_LINES_PER_S)
+        self._interrupted = LineBudget(INTERRUPTED_LINES_PER_S)
+        self._server_ends = LineBudget(SERVER_END_LINES_PER_S)
 
-    def note_retry(self, request: RoutedRequest, place: Placement, end: AttemptEnd) -> None:
-        """Note that an attempt is followed by another."""
+    def note_retry(self, request: RoutedRequest, placement: Placement, end: AttemptEnd) -> None:
+        """Record that an attempt is followed by another."""
         self._metrics.retries.labels(end.reason.value).inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 reason=end.reason.value,
                 result=end.result.value,
-                **_place_fields(place),
+                **_placement_fields(placement),
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
 
     def note_broken(
-        self, request: RoutedRequest, place: Placement, end: InterruptedAttempt
+        self, request: RoutedRequest, placement: Placement, end: InterruptedAttempt
     ) -> None:
-        """Note that an answer broke off, and in what state its server was."""
-        self._metrics.breaks.labels(end.end.reason.value).inc()
-        if self._broken.take() and log.is_written(LineLevel.INFO):
+        """Record an interrupted answer and the state of its server."""
+        self._metrics.interrupted_answers.labels(end.end.reason.value).inc()
+        if self._interrupted.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 content=short_hex(request.digest()),
@@ -64,25 +65,25 @@
                 has_begun=end.has_begun,
                 liveness=end.end.liveness.value,
                 counted=end.end.ended_server,
-                cold_ms=round(max(place.server.cold_until_ms - now_ms(), 0)),
-                **_place_fields(place),
+                cold_ms=round(max(placement.server.cold_until_ms - now_ms(), 0)),
+                **_placement_fields(placement),
             ).info("answer_broken")
 
-    def note_server_end(self, server_id: BackendServerId, sign: EndEvidence) -> None:
-        """Note that a server ended with requests of this instance."""
-        self._metrics.server_ends.labels(sign.value).inc()
-        if self._crashes.take() and log.is_written(LineLevel.INFO):
-            log.bind(backend_server=server_id, sign=sign.value).info("server_ended")
+    def note_server_end(self, server_id: BackendServerId, evidence: EndEvidence) -> None:
+        """Record that a server ended while it ran requests of this instance."""
+        self._metrics.server_ends.labels(evidence.value).inc()
+        if self._server_ends.take() and log.is_written(LineLevel.INFO):
+            log.bind(backend_server=server_id, sign=evidence.value).info("server_ended")
 
     def note_crash(self, change: CrashChange, quarantine_ms: float) -> None:
-        """Note what has changed in what is known of one request, and what follows from it."""
+        """Record a change of the ends counted for a request, and its quarantine time."""
         ends = (
             str(change.ends)
             if change.ends < MIN_QUARANTINE_ENDS
             else f"{MIN_QUARANTINE_ENDS}_or_more"
         )
         self._metrics.crashes.labels(change.learnt.value, ends).inc()
-        if not change.concerns_suspect or not self._crashes.take():
+        if not change.concerns_suspect or not self._server_ends.take():
             return
         if not log.is_written(LineLevel.WARNING):
             return
@@ -96,13 +97,13 @@
         ).warning("request_suspected" if change.ends else "request_cleared")
 
     def note_pushed_out(self, digest: RequestDigest, ends: int) -> None:
-        """Note that a suspect was forgotten for want of room."""
-        self._metrics.pushed_out.inc()
-        if self._crashes.take() and log.is_written(LineLevel.WARNING):
+        """Record that a suspect was evicted because the table was full."""
+        self._metrics.evicted_suspects.inc()
+        if self._server_ends.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
     def note_cold_use(self, use: ColdRequest) -> None:
-        """Note that a request goes to a cold server, whose rate is shared out."""
+        """Record a send to a cold server, whose request rate is divided among instances."""
         self._metrics.cold_sends.inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -113,7 +114,7 @@
             ).info("cold_server_used")
 
     def note_server_limit(self, limit: ServerLimit) -> None:
-        """Note that the limit set by a server was added, changed or removed."""
+        """Record that a server added, changed or removed its limit."""
         self._metrics.limit_changes.labels("none" if limit.per_s is None else "rate").inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -123,11 +124,11 @@
             ).info("server_limit_changed")
 
     def count_rejected(self, reason: Reason) -> None:
-        """Count a request that was answered before it was routed and is logged elsewhere."""
+        """Count a request that was rejected before routing and is logged elsewhere."""
         self._metrics.refusals.labels(reason.value).inc()
 
     def note_rejected(self, request_id: str, status: int, reason: Reason, text: str) -> None:
-        """Note a request that was answered before it was routed."""
+        """Record a request that was rejected before routing."""
         self.count_rejected(reason)
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
@@ -138,7 +139,7 @@
             ).info("request_rejected")
 
     def note_end(self, request: RoutedRequest, end: RequestEnd, version: int) -> None:
-        """Note how a request ended and what decided its place."""
+        """Record how a request ended and why it was placed where it ran."""
         total_ms = now_ms() - request.arrived_at_ms
         kind = request.route.kind.value
         self._metrics.requests.labels(request.origin.value, str(end.status)).inc()
@@ -171,20 +172,20 @@
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
-            **({"content": short_hex(request.digest())} if _names_content(end) else {}),
+            **({"content": short_hex(request.digest())} if _needs_digest(end) else {}),
             **(_prompt_fields(request.prompt) if request.prompt else {}),
-            **(_place_fields(end.placement) if end.placement else {}),
+            **(_placement_fields(end.placement) if end.placement else {}),
             **(_refusal_fields(end.refusal) if end.refusal else {}),
         ).info("request_ended")
 
     def left_out(self) -> int:
-        """Return the lines that were left out so far."""
-        budgets = (self._answered, self._other, self._broken, self._crashes)
+        """Return the number of lines left out so far."""
+        budgets = (self._answered, self._other, self._interrupted, self._server_ends)
         return sum(one.left_out for one in budgets)
 
 
-def _names_content(end: RequestEnd) -> bool:
-    """Tell whether a line has to say which repeats belong together."""
+def _needs_digest(end: RequestEnd) -> bool:
+    """Return whether the line needs the digest, which identifies repeats of a request."""
     return end.reason is Reason.QUARANTINED
 
 
@@ -192,7 +193,8 @@
     return {
         "prompt_tokens": prompt.tokens,
         "shared_tokens": prompt.shared_tokens,
-        # Equal for prompts that share their longest start; the parts' names are the callers'.
+        # Equal for prompts with the same longest shared prefix. It is hashed because callers choose
+        # the names of the parts.
         "start": f"{hash64(prompt.shared_prefixes[-1].key):016x}"
         if prompt.shared_prefixes
         else None,
@@ -206,21 +208,21 @@
         "why": refusal.why.value if refusal.why else None,
     }
     if refusal.best is not None:
-        best = _place_fields(refusal.best)
+        best = _placement_fields(refusal.best)
         fields |= {f"best_{name}": value for name, value in best.items()}
     return fields
 
 
-def _place_fields(place: Placement) -> dict[str, object]:
+def _placement_fields(placement: Placement) -> dict[str, object]:
     return {
-        "backend_server": place.server.id,
-        "peer": place.peer.note.name if place.peer else None,
-        "expected_ms": round(place.expected_ms),
-        "unread_tokens": place.unread_tokens,
-        "source": place.source.id if place.source else None,
-        "loss": round(place.loss, 3),
-        "running": place.load.running,
-        "waiting_tokens": place.load.unread_tokens,
-        "load_age_ms": None if place.load_age_ms is None else round(place.load_age_ms),
-        "doubt": place.doubt.name,
+        "backend_server": placement.server.id,
+        "peer": placement.peer.note.name if placement.peer else None,
+        "expected_ms": round(placement.expected_ms),
+        "unread_tokens": placement.unread_tokens,
+        "source": placement.source.id if placement.source else None,
+        "loss": round(placement.loss, 3),
+        "running": placement.load.running,
+        "waiting_tokens": placement.load.unread_tokens,
+        "load_age_ms": None if placement.load_age_ms is None else round(placement.load_age_ms),
+        "doubt": placement.doubt.name,
     }
--- a/sparline/gateway/_run.py
+++ b/sparline/gateway/_run.py
@@ -1,4 +1,4 @@
-"""The life of the process: settings, signals, start, stop."""
+"""Main function of the process: settings, signals, start and stop."""
 
 import os
 import signal
@@ -10,22 +10,22 @@
 
 from sparline._logging import log
 from sparline.gateway._gateway import Gateway
-from sparline.gateway._log_output import LogOutput, configure, print_refusal
+from sparline.gateway._log_output import LogOutput, configure, print_startup_error
 from sparline.gateway._settings import load_settings
 from sparline.schema._gateway import GatewaySettings
 
-# Where the platform tells the path of the settings file.
+# Environment variable in which the platform passes the path of the settings file.
 SETTINGS_VARIABLE = "SPARLINE_NODE_FILE"
 DEFAULT_SETTINGS = "/etc/sparline/settings.json"
-# The settings file is looked at so often (s); it may change without a signal.
-LOOK_S = 2.0
+# Interval at which the settings file is checked (s), because it may change without a signal.
+SETTINGS_POLL_INTERVAL_S = 2.0
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
 
 
 def settings_path() -> str:
-    """Return where the platform has put the settings."""
+    """Return the path of the settings file."""
     return os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
 
 
@@ -33,7 +33,7 @@
     """Serve until SIGTERM; return the exit code."""
     match load_settings(path):
         case Err(reason):
-            print_refusal(reason)
+            print_startup_error(reason)
             return EXIT_REFUSED
         case Ok(settings):
             return _serve(path, settings)
@@ -41,7 +41,7 @@
 
 
 def _serve(path: str, settings: GatewaySettings) -> int:
-    # A failed assertion in any task ends the process; all else is a value or logged.
+    # A failed assertion in any greenlet ends the process. Other failures are handled or logged.
     Hub.SYSTEM_ERROR = (*Hub.SYSTEM_ERROR, AssertionError)
     output = LogOutput(settings.name)
     configure(output, settings.log_level.value)
@@ -54,7 +54,7 @@
     try:
         gateway.start()
     except OSError as error:
-        print_refusal(f"{path}: expected free addresses under $.listen, found: {error}")
+        print_startup_error(f"{path}: expected free addresses under $.listen, found: {error}")
         return EXIT_REFUSED
     log.bind(region=settings.region, zone=settings.availability_zone).info("instance_started")
     gevent.spawn(reloader.run)
@@ -64,12 +64,12 @@
 
 
 class _Reloader:
-    """Take over settings that change, refused ones leave the old in force."""
+    """Applies changed settings; if they are invalid, the previous ones stay in force."""
 
     def __init__(self, path: str, gateway: Gateway) -> None:
         self._path = path
         self._gateway = gateway
-        # What was loaded may have changed since: the first look compares settings.
+        # The file may have changed since it was loaded, so the first check compares its settings.
         self._content: bytes | None = None
 
     def _read(self) -> bytes | None:
@@ -81,7 +81,7 @@
 
     def run(self) -> None:
         while True:
-            gevent.sleep(LOOK_S)
+            gevent.sleep(SETTINGS_POLL_INTERVAL_S)
             self.reload()
 
     def reload(self) -> None:
@@ -95,5 +95,5 @@
             case Ok(settings):
                 if settings == self._gateway.settings:
                     return
-                waiting = self._gateway.reload(settings)
-                log.bind(need_restart=waiting).info("settings_reloaded")
+                restart_needed = self._gateway.reload(settings)
+                log.bind(need_restart=restart_needed).info("settings_reloaded")
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -1,4 +1,4 @@
-"""Serve connections of callers and of peers that relay."""
+"""Serves connections of callers and of peers that relay requests."""
 
 import socket
 from collections.abc import Callable
@@ -44,30 +44,31 @@
 )
 from sparline.routes import DEFAULT_LIMITS, Configuration, Organisation, Route, ServiceName
 
-# A caller of an instance that has no configuration yet and names no deadline is taken to have so
-# much time (ms).
-UNNAMED_DEADLINE_MS = 3_000.0
-# The first instance of a relayed request that has no route here is to try elsewhere (ms).
-NO_ROUTE_RETRY_MS = 500.0
-# Callers whose key may be one that this instance has not heard of yet come back after this long (ms):
-# instances that are in touch hear of a version within a second or two.
-BEHIND_RETRY_MS = 400.0
-# Callers of an instance that is about to end go elsewhere at once (ms).
-LEAVING_RETRY_MS = 50.0
-# Kept connections of peers rest at most this long (ms).
-PEER_IDLE_MS = 30_000
-# Idle connections are closed this much later than the operators' limit (factor), so that a
-# caller that takes one up just in time is served.
-IDLE_SLACK = 1.1
-# What a caller still sends after a refusal is read for this long (s), so that the refusal is
-# not lost with a reset.
+# Deadline assumed for requests without one when they are refused before a route's timeout
+# applies (ms).
+DEFAULT_DEADLINE_MS = 3_000.0
+# Retry delay for a relayed request that has no route here (ms). The instance that relayed it
+# then tries elsewhere.
+NO_ROUTE_RETRY_AFTER_MS = 500.0
+# Retry delay for callers whose key may belong to a newer configuration (ms). Instances that are
+# connected receive a new version within a second or two.
+OUTDATED_RETRY_AFTER_MS = 400.0
+# Retry delay for callers of an instance that is about to exit (ms): they can use another at once.
+LEAVING_RETRY_AFTER_MS = 50.0
+# Idle timeout of persistent connections of peers (ms).
+PEER_IDLE_TIMEOUT_MS = 30_000
+# Factor applied to the configured idle timeout, so that a caller that reuses a connection just in
+# time is still served.
+IDLE_TIMEOUT_FACTOR = 1.1
+# How long remaining input is read after an error response (s), so that a connection reset does not
+# discard the response.
 LINGER_S = 0.5
-# Where peers get copies of the store.
+# Request target under which peers fetch store copies, without the revision.
 STORE_COPY_TARGET = b"/sparline/store-copy?after="
 
 
 class Service:
-    """Read requests, find their route, and let them be forwarded."""
+    """Read requests, route and admit them, and pass them to a forwarder."""
 
     def __init__(
         self,
@@ -75,32 +76,33 @@
         copy: StoreCopyTable,
         request_log: RequestLog,
         pace: PaceTable,
-        disturbed_ago_ms: Callable[[], float | None],
-        may_be_behind: Callable[[], bool],
+        store_fault_age_ms: Callable[[], float | None],
+        may_be_outdated: Callable[[], bool],
         quotas: Quotas,
         admission: AdmissionGate,
     ) -> None:
-        """Serve from what is in force.
+        """Create a service that follows the configuration of a fleet.
 
-        `disturbed_ago_ms` tells how long ago the store failed, `may_be_behind` whether a newer
-        configuration may be in force elsewhere.
+        `store_fault_age_ms` returns the time since the store's last fault, None if there was none.
+        `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
-        self.in_flight = 0  # requests that are being answered
-        self.leave_plan: LeavePlan | None = None  # once this instance leaves
+        self.in_flight = 0  # requests being forwarded
+        self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._copy = copy
         self._log = request_log
         self._pace = pace
-        self._disturbed_ago_ms = disturbed_ago_ms
-        self._may_be_behind = may_be_behind
+        self._store_fault_age_ms = store_fault_age_ms
+        self._may_be_outdated = may_be_outdated
         self._quotas = quotas
         self._admission = admission
-        self._open: set[CallerConnection] = set()
-        self._limits_of: Configuration | None = None  # configuration that the limits are of
+        self._connections: set[CallerConnection] = set()
+        # Configuration of the cached read limits.
+        self._limits_configuration: Configuration | None = None
         self._read_limits: dict[Origin, ReadLimits] = {}
 
-    def use(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
-        """Name the forwarders of the two kinds of origin."""
+    def set_forwarders(self, for_callers: Forwarder, for_peers: Forwarder) -> None:
+        """Set the forwarders for requests of callers and of peers."""
         self._forwarders = {Origin.CALLER: for_callers, Origin.RELAY: for_peers}
 
     def serve_caller(self, connection: GeventSocket, _address: object) -> None:
@@ -114,7 +116,7 @@
     def _serve(self, raw: GeventSocket, origin: Origin) -> None:
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = CallerConnection(raw)
-        self._open.add(caller)
+        self._connections.add(caller)
         try:
             while not caller.closing:
                 request = caller.next_request(self._limits(origin))
@@ -126,26 +128,30 @@
                     return
                 self._answer(caller, request, origin)
         except CallerGone:
-            # Nobody is left to answer; what was under way has been noted where it ended.
+            # There is nobody to answer, and the forwarder has recorded the end of the request.
             return
         finally:
-            self._open.discard(caller)
+            self._connections.discard(caller)
             caller.close()
 
     def _limits(self, origin: Origin) -> ReadLimits:
         configuration = self._fleet.configuration
-        if configuration is not self._limits_of:
-            self._limits_of = configuration
+        if configuration is not self._limits_configuration:
+            self._limits_configuration = configuration
             self._read_limits = {}
-        held = self._read_limits.get(origin)
-        if held is None:
-            held = self._read_limits[origin] = self._make_limits(configuration, origin)
-        return held
+        limits = self._read_limits.get(origin)
+        if limits is None:
+            limits = self._read_limits[origin] = self._make_limits(configuration, origin)
+        return limits
 
     def _make_limits(self, configuration: Configuration | None, origin: Origin) -> ReadLimits:
         limits = configuration.limits if configuration else DEFAULT_LIMITS
-        idle_ms = PEER_IDLE_MS if origin is Origin.RELAY else limits.idle_timeout_ms * IDLE_SLACK
-        # A peer adds headers of its own to those that the caller was allowed.
+        idle_ms = (
+            PEER_IDLE_TIMEOUT_MS
+            if origin is Origin.RELAY
+            else limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
+        )
+        # A peer adds its own headers to those allowed for callers.
         head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
         return ReadLimits(head_bytes, limits.max_body_bytes, limits.head_timeout_ms, int(idle_ms))
 
@@ -153,7 +159,7 @@
         if self.leave_plan is not None:
             caller.closing = True
         if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
-            self._answer_copy(caller, http)
+            self._answer_store_copy(caller, http)
             return
         marks = read_marks(http)
         if marks.is_err():
@@ -178,35 +184,35 @@
     def _route(
         self, caller: CallerConnection, http: HttpRequest, marks: RequestMarks, origin: Origin
     ) -> RoutedRequest | None:
-        """Return the request with its route; None once it is answered."""
+        """Route and admit a request; return None if it was answered instead."""
         configuration = self._fleet.configuration
         request_id = marks.request_id
         if configuration is None:
-            wait_ms = unserved_retry_after_ms(marks.deadline_ms or UNNAMED_DEADLINE_MS)
+            wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
             self._refuse(caller, request_id, origin, Reason.NO_CONFIGURATION, wait_ms)
             return None
         route = configuration.find(marks.host, marks.path)
         if route is None and origin is Origin.RELAY:
-            # The first instance may hold another version; it decides what to answer.
-            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_MS)
+            # The instance that relayed it may have another version and decides on the answer.
+            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_AFTER_MS)
             return None
         if route is None:
             text = f"expected a route for host {marks.host} and path {marks.path}"
             self._reject(caller, request_id, 404, Reason.NO_ROUTE, text)
             return None
-        whose = self._whose(configuration, route, marks, origin)
-        if whose.is_err():
-            self._turn_away(caller, marks, origin, whose.unwrap_err())
+        found = self._find_caller(configuration, route, marks, origin)
+        if found.is_err():
+            self._answer_unknown_caller(caller, marks, origin, found.unwrap_err())
             return None
-        known = whose.unwrap()
-        if known is not None and not _has_home(route, known.organisation):
-            wait_ms = unserved_retry_after_ms(marks.deadline_ms or UNNAMED_DEADLINE_MS)
+        known_caller = found.unwrap()
+        if known_caller is not None and not _has_allowed_region(route, known_caller.organisation):
+            wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
             self._refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
             return None
         relayed = ServiceName(marks.relay_service) if origin is Origin.RELAY else None
         service = relayed or choose_service(route, request_id)
-        if not self._has_time(route, service, marks):
-            self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_MS)
+        if not self._can_complete(route, service, marks):
+            self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
             return None
         limit_ms = route.timeout_ms
         if marks.deadline_ms is not None:
@@ -214,9 +220,9 @@
         resume_after = marks.resume_after if route.resumable else None
         admitted = Admitted()
         if resume_after is None:
-            # A stream that has begun is never refused by the level.
+            # The admission level never refuses a stream that has begun.
             decision = self._admission.admit(
-                Arrival(http, marks, route, service, known, limit_ms), origin
+                Arrival(http, marks, route, service, known_caller, limit_ms), origin
             )
             if isinstance(decision, NotAdmitted):
                 self._answer_not_admitted(caller, origin, decision)
@@ -224,7 +230,7 @@
             admitted = decision
         wait_ms = None
         if origin is Origin.CALLER:
-            wait_ms = self._quotas.admit(request_id, known, marks.prompt)
+            wait_ms = self._quotas.admit(request_id, known_caller, marks.prompt)
         if wait_ms is not None:
             self._refuse(caller, request_id, origin, Reason.LIMIT, wait_ms)
             return None
@@ -240,57 +246,59 @@
             resume_after=resume_after,
             deadline_at_ms=now_ms() + limit_ms,
             origin=origin,
-            caller=known,
+            caller=known_caller,
             admission_key=admitted.key,
             admission_level=admitted.level,
             closed_regions=admitted.closed_regions,
-            rank=configuration.rank_of(route, known.organisation if known else None),
+            rank=configuration.rank_of(route, known_caller.organisation if known_caller else None),
         )
 
     def _answer_not_admitted(
         self, caller: CallerConnection, origin: Origin, decision: NotAdmitted
     ) -> None:
-        """Refuse a request that no allowed region admits; the gate has logged it."""
+        """Refuse a request that no allowed region admits; `AdmissionGate` has logged it."""
         headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
-        # An instance that relayed it need not ask another one of this region.
+        # Tells a relaying instance not to try another instance of this region.
         answer = OwnAnswer(False, decision.retry_after_ms, is_region_full=True)
         caller.answer(503, headers(answer), b"")
         self._log.count_rejected(Reason.ADMISSION_LEVEL)
 
-    def _whose(
+    def _find_caller(
         self, configuration: Configuration, route: Route, marks: RequestMarks, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
         if origin is Origin.RELAY:
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
-    def _turn_away(
-        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, why: UnknownCaller
+    def _answer_unknown_caller(
+        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, unknown: UnknownCaller
     ) -> None:
-        """Answer a request for which no organisation stands.
+        """Answer a request without a known organisation.
 
-        A key that is not known here may be a new one: where a newer configuration may be in force, its
-        caller is told to come back, which 401 would not do.
+        An unknown key may be new: if a newer configuration may be in force, the caller is told to
+        retry, which 401 would not do.
         """
         request_id = marks.request_id
         if origin is Origin.RELAY:
-            self._refuse(caller, request_id, origin, why.reason, NO_ROUTE_RETRY_MS)
+            self._refuse(caller, request_id, origin, unknown.reason, NO_ROUTE_RETRY_AFTER_MS)
             return
-        if why.reason is Reason.UNKNOWN_KEY and self._may_be_behind():
-            self._refuse(caller, request_id, origin, Reason.CONFIGURATION_BEHIND, BEHIND_RETRY_MS)
+        if unknown.reason is Reason.UNKNOWN_KEY and self._may_be_outdated():
+            self._refuse(
+                caller, request_id, origin, Reason.CONFIGURATION_BEHIND, OUTDATED_RETRY_AFTER_MS
+            )
             return
-        text = why.text
+        text = unknown.text
         withdrawn_at = self._fleet.withdrawn_at(marks.key.digest) if marks.key.digest else None
         if withdrawn_at is not None:
             text = f"{text}; it was withdrawn by version {withdrawn_at}"
-        self._reject(caller, request_id, 401, why.reason, text)
+        self._reject(caller, request_id, 401, unknown.reason, text)
 
-    def _has_time(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
-        """Tell whether this instance stays long enough for a request."""
+    def _can_complete(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
+        """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
         token_ms = self._pace.max_output_token_ms(service)
-        return self.leave_plan.takes(route, marks.prompt, token_ms)
+        return self.leave_plan.accepts(route, marks.prompt, token_ms)
 
     def _refuse(
         self,
@@ -300,6 +308,7 @@
         reason: Reason,
         retry_after_ms: float,
     ) -> None:
+        """Refuse a request that has not run and may be retried after a delay."""
         headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
         status = 429 if reason is Reason.LIMIT else 503
         caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
@@ -308,6 +317,7 @@
     def _reject(
         self, caller: CallerConnection, request_id: str, status: int, reason: Reason, text: str
     ) -> None:
+        """Reject an invalid or unauthorised request with an error text, without Retry-After."""
         if status not in (401, 404):
             caller.closing = True
         body = text.encode() + b"\n"
@@ -317,34 +327,34 @@
         caller.answer(status, headers, body)
         self._log.note_rejected(request_id, status, reason, text)
 
-    def _answer_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
+    def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
         after = http.target.removeprefix(STORE_COPY_TARGET)
         if not after.isdigit():
             text = f"expected a revision, found {after!r}"
             self._reject(caller, "", 400, Reason.BAD_REQUEST, text)
             return
-        ago_ms = self._disturbed_ago_ms()
+        fault_age_ms = self._store_fault_age_ms()
         copy = msgspec.structs.replace(
             self._copy.since(int(after)),
-            disturbed_ago_ms=None if ago_ms is None else round(ago_ms),
+            disturbed_ago_ms=None if fault_age_ms is None else round(fault_age_ms),
         )
         content = pack(copy)
         caller.answer(200, [(b"Content-Type", b"application/cbor")], content)
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
-        for caller in list(self._open):
+        """Close the connections without a request in flight."""
+        for caller in list(self._connections):
             if caller.is_resting():
                 caller.close()
 
     def close_all(self) -> None:
-        """Close every connection, whatever is under way."""
-        for caller in list(self._open):
+        """Close all connections, even with requests in flight."""
+        for caller in list(self._connections):
             caller.close()
 
 
-def _has_home(route: Route, organisation: Organisation) -> bool:
-    """Tell whether any region may run an organisation's requests on a route."""
+def _has_allowed_region(route: Route, organisation: Organisation) -> bool:
+    """Return whether any region may run an organisation's requests on a route."""
     return (
         not route.allowed_regions
         or not organisation.allowed_regions
@@ -353,7 +363,7 @@
 
 
 def choose_service(route: Route, request_id: RequestId) -> ServiceName:
-    """Return the service that takes a request, by its share."""
+    """Choose the service for a request by the weights of the route's shares."""
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
--- a/sparline/gateway/tests/test_log_output.py
+++ b/sparline/gateway/tests/test_log_output.py
@@ -1,4 +1,4 @@
-"""Structured lines that go past loguru are the ones that loguru's sink would write."""
+"""Tests that structured lines written without loguru equal those of its sink."""
 
 import subprocess
 import sys
@@ -31,8 +31,8 @@
 
 @pytest.mark.parametrize("fields", FIELDS)
 @pytest.mark.parametrize("level", list(LineLevel)[1:])
-def test_line_is_that_of_loguru(output, fields, level):
-    # Readers of the lines must not see which of the two ways one took.
+def test_line_equals_that_of_loguru(output, fields, level):
+    # Readers of the log must not be able to tell the two paths apart.
     configure(output, "INFO")
     began_s = time.time()
     getattr(_log_output.log.bind(**fields), level.name.lower())("{event}")
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("level", ("DEBUG", "INFO", "WARNING", "ERROR"))
-def test_level_decides_alike(output, level):
+def test_level_filter_equals_that_of_loguru(output, level):
     configure(output, level)
     for one in LineLevel:
         before = len(output._lines)
@@ -56,13 +56,13 @@
         assert _log_output.log.is_written(one) is bool(by_loguru)
 
 
-def test_line_that_cannot_be_encoded_ends_no_request(output, capsys):
+def test_line_that_cannot_be_encoded_raises_no_exception(output, capsys):
     configure(output, "INFO")
     _log_output.log.bind(field=object()).info("event")
     assert not output._lines
 
 
-def test_sinks_of_loguru_get_the_line_where_no_output_is_configured(output):
+def test_loguru_sinks_get_lines_if_no_output_is_configured(output):
     logger.remove()
     found = []
     logger.add(lambda message: found.append(message.record["extra"]), level="INFO")
@@ -70,8 +70,8 @@
     assert found == [{"field": 1}]
 
 
-def test_lines_beyond_what_may_wait_are_dropped(output, monkeypatch):
-    monkeypatch.setattr(_log_output, "MOST_WAITING", 2)
+def test_lines_beyond_the_queue_limit_are_dropped(output, monkeypatch):
+    monkeypatch.setattr(_log_output, "MAX_QUEUED_LINES", 2)
     configure(output, "INFO")
     for _ in range(5):
         _log_output.log.bind().info("event")
@@ -79,8 +79,8 @@
 
 
 @pytest.mark.parametrize("imported_before", (True, False))
-def test_other_lines_reach_the_output_by_loguru(output, monkeypatch, imported_before):
-    # Lines with a sentence, such as a refused datagram's, are no structured ones.
+def test_unstructured_lines_reach_the_output_through_loguru(output, monkeypatch, imported_before):
+    # Lines with a formatted sentence, such as that about a refused datagram, are not structured.
     if not imported_before:
         monkeypatch.delitem(sys.modules, "loguru")
     configure(output, "INFO")
@@ -89,8 +89,8 @@
     assert [msgspec.json.decode(one)["event"] for one in output._lines] == ["gossip: x refused"]
 
 
-def test_start_and_structured_lines_do_not_import_loguru():
-    # Its import, which pulls in asyncio, would make every start longer.
+def test_startup_and_structured_lines_do_not_import_loguru():
+    # Importing loguru, which imports asyncio, would lengthen every start.
     script = (
         "import sys; from sparline.gateway._log_output import LogOutput, configure;"
         "import sparline.gateway; from sparline._logging import log;"
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -1,4 +1,4 @@
-"""Limits of what a caller may send follow the configuration in force."""
+"""Tests that read limits follow the configuration in force."""
 
 from types import SimpleNamespace
 
@@ -12,8 +12,8 @@
     return SimpleNamespace(limits=SimpleNamespace(**fields | changes))
 
 
-def test_limits_are_those_of_the_configuration_in_force():
-    # They are kept between requests: a new configuration has to replace them.
+def test_limits_follow_the_configuration_in_force():
+    # The limits are cached between requests, and a new configuration must replace them.
     fleet = SimpleNamespace(configuration=None)
     service = Service(fleet, *[None] * 7)
     assert service._limits(Origin.CALLER).max_body_bytes == DEFAULT_LIMITS.max_body_bytes
--- a/sparline/gateway/tests/test_reset_connections.py
+++ b/sparline/gateway/tests/test_reset_connections.py
@@ -1,4 +1,4 @@
-"""A request is not blamed for connections that are reset on the way to a server that lives."""
+"""Tests that a request is not blamed for resets of connections to a running server."""
 
 import gevent
 import pytest
@@ -7,10 +7,10 @@
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, list_server
 
-TRIES = 12
-PAUSE_S = 0.1
-# Time for the instances to tell each other of crashes (s).
-NEWS_S = 0.5
+ATTEMPTS = 12
+REQUEST_INTERVAL_S = 0.1
+# Time within which the instances exchange crash reports (s).
+CRASH_EXCHANGE_S = 0.5
 
 
 @pytest.fixture
@@ -27,11 +27,11 @@
     try:
         list_server(fleet.store, "p0", proxy.address, "plain", "north-1")
         fleet.ready()
-        # A proxy that accepts connections and resets them says nothing about the server behind it.
+        # Connections accepted and then reset by a proxy say nothing about the server behind it.
         proxy.faults.refuse = True
-        for number in range(TRIES):
+        for number in range(ATTEMPTS):
             fleet.ask("/safe/x", f"reset-{number}", body=b"abc")
-            gevent.sleep(PAUSE_S)
+            gevent.sleep(REQUEST_INTERVAL_S)
         proxy.faults.refuse = False
         fleet.until(lambda: fleet.ask("/safe/x", "after", body=b"other").status == 200, "reachable")
         assert fleet.ask("/safe/x", "again", body=b"abc").status == 200
@@ -69,7 +69,7 @@
     for number in range(REPEATS):
         for at in fleet.gateways:
             fleet.ask("/stream/x", f"r{number}{at}", at, body=b"abc", **PROMPT)
-        gevent.sleep(PAUSE_S)
+        gevent.sleep(REQUEST_INTERVAL_S)
 
 
 def is_served_everywhere(fleet):
@@ -80,8 +80,8 @@
 
 
 def test_request_is_not_blamed_for_servers_that_had_crashed_before_it_was_sent(engines):
-    # Seeds 133 and 332 of the gateway soak: proxies reset what was sent after the crashes, and the
-    # new starts of three engines shut the request out.
+    # In seeds 133 and 332 of the gateway soak, proxies reset connections opened after the crashes,
+    # and the restarts of three engines then put the request into quarantine.
     fleet, proxies = engines
     for name in ENGINES:
         fleet.servers[name].end()
@@ -93,18 +93,18 @@
     fleet.until(
         lambda: all(starts == set(one.fleet.servers) for one in fleet.gateways.values()), "restarts"
     )
-    gevent.sleep(NEWS_S)
+    gevent.sleep(CRASH_EXCHANGE_S)
     assert not any(one.crashes.quarantined() for one in fleet.gateways.values())
     fleet.until(lambda: is_served_everywhere(fleet), "the request is served")
 
 
-def test_request_is_not_blamed_for_ways_that_were_cut_under_it(engines):
+def test_request_is_not_blamed_for_connections_cut_while_it_ran(engines):
     fleet, proxies = engines
     for proxy in proxies.values():
         proxy.faults.refuse = True
     repeat_everywhere(fleet)
     for proxy in proxies.values():
         proxy.faults.refuse = False
-    gevent.sleep(NEWS_S)
+    gevent.sleep(CRASH_EXCHANGE_S)
     assert not any(one.crashes.quarantined() for one in fleet.gateways.values())
     fleet.until(lambda: is_served_everywhere(fleet), "the request is served")
--- a/sparline/gateway/tests/test_store_sync.py
+++ b/sparline/gateway/tests/test_store_sync.py
@@ -1,9 +1,9 @@
-"""From whom an instance takes a copy of the store."""
+"""Tests of the choice of the peer from which an instance copies the store."""
 
 import pytest
 
 from sparline.fleet import Member
-from sparline.gateway._store_sync import nearest
+from sparline.gateway._store_sync import nearest_peers
 from sparline.schema._gossip import MemberNote, MemberPhase
 
 PLACES = {"own-zone": "north-1", "own-region": "north-2", "elsewhere": "south-1"}
@@ -22,8 +22,8 @@
 
 
 @pytest.mark.parametrize(
-    ("names", "found"), [row[1:] for row in NEAREST], ids=[row[0] for row in NEAREST]
+    ("names", "expected"), [row[1:] for row in NEAREST], ids=[row[0] for row in NEAREST]
 )
-def test_the_nearest_peers_are_asked_for_a_copy(names, found):
+def test_nearest_peers_are_selected_for_a_copy(names, expected):
     peers = [Member(note(name, PLACES[name]), 0.0, 0.0) for name in names]
-    assert [one.note.name for one in nearest(peers, note("own", "north-1"))] == found
+    assert [one.note.name for one in nearest_peers(peers, note("own", "north-1"))] == expected
