Word sparline/platform in plain terms

Comments, doc comments, private names, parameters and test names of all modules and tests of the package. AttemptParameters are `parameters` now, no longer `terms`, also in the Wire protocol of sparline/forwarding.

--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -62,7 +62,7 @@
 class Wire(Protocol):
     """Implement the protocol used with backend servers or with other instances."""
 
-    def send_head(self, request: RoutedRequest, terms: AttemptParameters) -> bytes:
+    def send_head(self, request: RoutedRequest, parameters: AttemptParameters) -> bytes:
         """Return the encoded head of a request."""
         ...
 
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The users' platform: names, formats and calls, decoded into the product's types."""
+"""Adapter to the users' platform: decodes its names, formats and calls into internal types."""
 
 from sparline.platform._directory import (
     DirectoryQuestion,
--- a/sparline/platform/_directory.py
+++ b/sparline/platform/_directory.py
@@ -1,4 +1,4 @@
-"""The calls of the users' callers and checks that ask about this fleet."""
+"""HTTP applications for callers that look up instances, and for readiness checks."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -7,25 +7,27 @@
 from sparline._wsgi import Environ, StartResponse, answer_json, query_of
 from sparline.platform import _names as names
 
-# Callers are told to ask again after this long (s): short, so that an instance that leaves
-# is unknown to them before its grace period ends.
+# How long callers may use a list of addresses (s). It is short, so that callers drop an instance
+# that is leaving before its grace period ends.
 TTL_S = 1
 
 
 @dataclass(frozen=True, slots=True)
 class DirectoryQuestion:
-    """Ask which instances a caller should use."""
+    """Hold a caller's query for the instances to use."""
 
-    host: str  # host that it wants to reach
-    region: RegionName  # where the caller is
-    zone: ZoneName  # where the caller is
+    host: str  # host that the caller wants to reach
+    region: RegionName  # region of the caller
+    zone: ZoneName  # availability zone of the caller
 
 
 FindInstances = Callable[[DirectoryQuestion], list[str]]
 
 
-def make_directory_app(find: FindInstances) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
-    """Return the application that names instances."""
+def make_directory_app(
+    find_instances: FindInstances,
+) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    """Return the WSGI application that lists instances for callers."""
 
     def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         if environ["PATH_INFO"] != names.RESOLVE:
@@ -37,7 +39,7 @@
             region=RegionName(query.get("region", "")),
             zone=ZoneName(query.get("zone", "")),
         )
-        addresses = find(question)
+        addresses = find_instances(question)
         if not addresses:
             error = {"error": "no instance is known to be ready"}
             return answer_json(start_response, error, "503 Service Unavailable")
@@ -49,7 +51,7 @@
 def make_readiness_app(
     is_ready: Callable[[], bool],
 ) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
-    """Return the application that tells whether this instance takes requests."""
+    """Return the WSGI application that reports whether this instance accepts requests."""
 
     def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         if environ["PATH_INFO"] != names.READINESS:
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -1,4 +1,4 @@
-"""Items of the users' store, read into our types."""
+"""Decoding of items of the users' store."""
 
 import ipaddress
 from typing import Annotated, Literal
@@ -40,9 +40,9 @@
 )
 
 MS_PER_S = 1000.0
-# What is found in an entry is told with this many characters at the most.
-MOST_TOLD_CHARS = 80
-MOST_PORT = 65_535
+# Maximum length of an invalid value quoted in an error message.
+MAX_QUOTED_CHARS = 80
+MAX_PORT = 65_535
 
 
 class _SplitNode(msgspec.Struct):
@@ -60,10 +60,10 @@
     split: list[_SplitNode] | None = None
     target_latency_ms: float = 1000.0
     priority: int = 0
-    max_attempts: int = 1  # backend servers that may run it, not tries of the caller
+    max_attempts: int = 1  # maximum number of backend servers; retries by the caller do not count
     allow_resume: bool = False
-    gap_target_ms: float = 0.0  # longest wanted pause between events
-    home_regions: list[str] | None = None  # empty means any region
+    gap_target_ms: float = 0.0  # target for the longest pause between events of a stream
+    home_regions: list[str] | None = None  # none or empty: all regions
     allow_anonymous: bool = False  # whether callers need no key
 
 
@@ -71,14 +71,14 @@
     slots: int
     kv_cache_tokens: int
     kv_token_bytes: int = 0
-    link_mbps: float = 0.0  # megabits a second
-    moves: bool = False  # whether memory moves between engines; orders are none of ours
+    link_mbps: float = 0.0  # megabits per second
+    moves: bool = False  # whether engines move cache memory; this system orders no moves
 
 
 class _ServiceNode(msgspec.Struct):
     name: str
     cold_start_s: float = 0.0
-    cold_per_s: float = 0.0  # requests a second that a cold server bears
+    cold_per_s: float = 0.0  # requests per second that a cold server can handle
     engine: _EngineNode | None = None
 
 
@@ -89,19 +89,19 @@
     idle_timeout_ms: int
 
 
-NotNegative = Annotated[float, msgspec.Meta(ge=0.0)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class _TenantNode(msgspec.Struct):
-    # It is sent as a header.
+    # Sent as a header value.
     name: Annotated[str, msgspec.Meta(pattern="^[!-~]([ -~]*[!-~])?$")]
     api_keys: list[Annotated[str, msgspec.Meta(min_length=1)]]
     priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
-    unit: Literal["token_count", ""] = ""  # requests where it is empty
-    uncached_tokens: NotNegative = 0.0  # counted for a request that names no tokens
-    per_s: NotNegative = 0.0  # 0 means no limit
-    burst: NotNegative = 0.0
-    home_regions: list[str] | None = None  # empty means any region
+    unit: Literal["token_count", ""] = ""  # empty means requests
+    uncached_tokens: NonNegative = 0.0  # charged for a request without token counts
+    per_s: NonNegative = 0.0  # 0 means no limit
+    burst: NonNegative = 0.0
+    home_regions: list[str] | None = None  # none or empty: all regions
 
 
 class _ConfigurationNode(msgspec.Struct):
@@ -109,7 +109,7 @@
     routes: list[_RouteNode]
     services: list[_ServiceNode]
     limits: _LimitsNode
-    tenants: list[_TenantNode] | None = None  # none at all means that no key is asked for
+    tenants: list[_TenantNode] | None = None  # if missing, callers need no key
 
 
 class _ServerNode(msgspec.Struct):
@@ -118,20 +118,20 @@
     zone: str
     state: Literal["ready", "draining"]
     slots: Annotated[int, msgspec.Meta(ge=1)] = 1
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # until it has warmed up
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0  # Unix ms of its start, 0 where it does not tell
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # time until it is warm
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0  # start time in Unix ms, 0 if unknown
 
 
 class ItemReader:
-    """Read items; what can't be read is told with its place."""
+    """Decode items; an invalid one is returned as a `BadItem` that names the invalid part."""
 
     def __init__(self, zones: dict[ZoneName, RegionName]) -> None:
-        """Name the zones and their regions."""
+        """Set the region of each availability zone."""
         self._zones = zones
 
     def __call__(self, change: StoreChange) -> StoreItem:
-        """Read one item."""
-        assert change.value is not None, "deleted items have nothing to read"
+        """Decode one item."""
+        assert change.value is not None, "a deleted item has no value"
         try:
             return self._read(change.key, change.value)
         except (msgspec.DecodeError, ValueError, RecursionError) as error:
@@ -151,11 +151,11 @@
         zone = ZoneName(node.zone)
         region = self._zones.get(zone)
         if region is None:
-            found = node.zone[:MOST_TOLD_CHARS]
+            found = node.zone[:MAX_QUOTED_CHARS]
             return BadItem(f"zone: expected one of {sorted(self._zones)}, found {found!r}")
         address = _address(node.address)
         if address is None:
-            found = node.address[:MOST_TOLD_CHARS]
+            found = node.address[:MAX_QUOTED_CHARS]
             return BadItem(f"address: expected IP:PORT, found {found!r}")
         server = BackendServer(
             id=incarnation_id(listed_id, node.born),
@@ -172,14 +172,14 @@
 
 
 def _address(text: str) -> tuple[str, int] | None:
-    """Return the parts of IP:PORT, None for anything else."""
+    """Parse IP:PORT; return None if the text has another form."""
     ip, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MOST_PORT):
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
         return None
     try:
         ipaddress.IPv4Address(ip)
     except ValueError:
-        # No number of an address: `None` says so.
+        # Not an IPv4 address, for example a host name.
         return None
     return ip, int(port)
 
@@ -191,13 +191,13 @@
         "streaming": RequestKind.STREAM,
     }
     routes = []
-    for place, route in enumerate(node.routes):
+    for index, route in enumerate(node.routes):
         if route.kind not in kinds:
             return BadItem(
-                f"routes[{place}].kind: expected one of {sorted(kinds)}, found {route.kind!r}"
+                f"routes[{index}].kind: expected one of {sorted(kinds)}, found {route.kind!r}"
             )
         routes.append(_route(route, kinds[route.kind]))
-    services = {ServiceName(one.name): _service(one) for one in node.services}
+    services = {ServiceName(service.name): _service(service) for service in node.services}
     limits = CallerLimits(
         node.limits.max_header_bytes,
         node.limits.max_body_bytes,
@@ -214,25 +214,25 @@
 
 
 def _organisations(nodes: list[_TenantNode] | None) -> Organisations | BadItem | None:
-    """Read organisations; a name or a key that stands twice makes the whole version unfit."""
+    """Decode organisations; a duplicate name or key makes the whole configuration invalid."""
     if nodes is None:
         return None
-    places: dict[str | KeyDigest, str] = {}
-    found = []
-    for place, node in enumerate(nodes):
-        one = _organisation(node)
-        told = [(one.id, f"tenants[{place}].name")]
-        told += [
-            (digest_of_key(key.encode()), f"tenants[{place}].api_keys[{number}]")
-            for number, key in enumerate(node.api_keys)
+    path_by_value: dict[str | KeyDigest, str] = {}
+    organisations = []
+    for index, node in enumerate(nodes):
+        organisation = _organisation(node)
+        unique_values = [(organisation.id, f"tenants[{index}].name")]
+        unique_values += [
+            (digest_of_key(key.encode()), f"tenants[{index}].api_keys[{key_index}]")
+            for key_index, key in enumerate(node.api_keys)
         ]
-        for value, where in told:
-            if value in places:
-                text = f"expected one of its own, found that of {places[value]}"
-                return BadItem(f"{names.CONFIGURATION_KEY}: {where}: {text}")
-            places[value] = where
-        found.append(one)
-    return make_organisations(found)
+        for value, path in unique_values:
+            if value in path_by_value:
+                text = f"expected one of its own, found that of {path_by_value[value]}"
+                return BadItem(f"{names.CONFIGURATION_KEY}: {path}: {text}")
+            path_by_value[value] = path
+        organisations.append(organisation)
+    return make_organisations(organisations)
 
 
 def _organisation(node: _TenantNode) -> Organisation:
@@ -241,7 +241,7 @@
         id=OrganisationId(node.name),
         keys=frozenset(digest_of_key(key.encode()) for key in node.api_keys),
         priority=node.priority,
-        allowed_regions=frozenset(RegionName(one) for one in node.home_regions or ()),
+        allowed_regions=frozenset(RegionName(region) for region in node.home_regions or ()),
         quota=Quota(unit, node.per_s, node.burst, node.uncached_tokens) if node.per_s else None,
     )
 
@@ -257,10 +257,10 @@
         wanted_latency_ms=node.target_latency_ms,
         pause_target_ms=node.gap_target_ms,
         priority=node.priority,
-        shares=tuple(ServiceShare(ServiceName(one.service), one.weight) for one in split),
+        shares=tuple(ServiceShare(ServiceName(share.service), share.weight) for share in split),
         max_backends=node.max_attempts,
         resumable=node.allow_resume,
-        allowed_regions=frozenset(RegionName(one) for one in node.home_regions or ()),
+        allowed_regions=frozenset(RegionName(region) for region in node.home_regions or ()),
         allows_anonymous=node.allow_anonymous,
     )
 
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -1,4 +1,4 @@
-"""The one client of the users' store: its two reading calls, on one kept connection."""
+"""HTTP client of the users' store: its two read calls, on one persistent connection."""
 
 import base64
 from urllib.parse import urlencode
@@ -11,15 +11,15 @@
 from sparline.http import Address, BackendConnection, ConnectionBroken, HttpAnswer
 from sparline.platform import _names as names
 
-CONNECT_S = 1.0
-# Everything lies below this prefix.
+CONNECT_TIMEOUT_S = 1.0
+# Prefix of all keys in the store.
 ALL_KEYS = ""
 
 
 class _ItemNode(msgspec.Struct):
-    private_key: str  # the item's name; nothing about it is private
-    revision: int  # the store's revision of the last change
-    value: str | None = None  # content in base64
+    private_key: str  # name of the item; it is not secret
+    revision: int  # store revision of the last change
+    value: str | None = None  # content, base64-encoded
     deleted: bool = False
 
 
@@ -35,15 +35,15 @@
 
 
 class StoreHttpClient:
-    """Call the store; a connection that failed once is not used again."""
+    """Call the store; a connection is not reused after a failure."""
 
     def __init__(self, address: Address) -> None:
-        """Name the store."""
+        """Set the address of the store, without connecting."""
         self._address = address
         self._connection: BackendConnection | None = None
 
     def read_all(self, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
-        """Return every item, as new as the store has it."""
+        """Return the newest version of every item."""
         changes: list[StoreChange] = []
         first_revision: int | None = None
         after = ""
@@ -54,23 +54,23 @@
             if page.is_err():
                 return Err(page.unwrap_err())
             node = page.unwrap()
-            changes += [_change(item) for item in node.items]
-            # Pages are no snapshot: what changed since the first one is watched for.
+            changes += [_decode_change(item) for item in node.items]
+            # Pages are not a snapshot, so the watch starts at the revision of the first page.
             first_revision = node.timestamp if first_revision is None else first_revision
             if not node.has_more or not node.items:
                 return Ok(StoreAnswer(changes, first_revision))
             after = node.items[-1].private_key
 
     def watch(self, after: int, wait_ms: int, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision and return them."""
         query = {"path_prefix": ALL_KEYS, "after": after, "wait_ms": wait_ms}
         body = self._call(names.WATCH_KEYS, query, timeout_ms)
         return body.and_then(lambda content: _decode(content, _WatchNode)).map(
-            lambda node: StoreAnswer([_change(item) for item in node.events], node.timestamp)
+            lambda node: StoreAnswer([_decode_change(item) for item in node.events], node.timestamp)
         )
 
     def interrupt(self) -> None:
-        """End the call that is waiting, if any."""
+        """Abort the pending call, if any."""
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
@@ -78,42 +78,42 @@
     def _call(
         self, path: str, query: dict[str, str | int], timeout_ms: float
     ) -> Result[bytes, StoreFault]:
-        limit = gevent.Timeout(timeout_ms / 1000)
+        timer = gevent.Timeout(timeout_ms / 1000)
         try:
-            with limit:
+            with timer:
                 return self._exchange(f"{path}?{urlencode(query)}")
         except gevent.Timeout as timeout:
-            if timeout is not limit:
+            if timeout is not timer:
                 raise
-            self._drop()
+            self._close_connection()
             return Err(
                 StoreFault(StoreFaultKind.SILENT, f"expected an answer in {timeout_ms:.0f} ms")
             )
         except (OSError, ConnectionBroken) as error:
-            self._drop()
+            self._close_connection()
             return Err(StoreFault(StoreFaultKind.UNREACHABLE, str(error)))
 
     def _exchange(self, target: str) -> Result[bytes, StoreFault]:
         connection = self._connection
         if connection is None or not connection.reusable:
-            self._drop()
-            connection = self._connection = BackendConnection(self._address, CONNECT_S)
+            self._close_connection()
+            connection = self._connection = BackendConnection(self._address, CONNECT_TIMEOUT_S)
         host = f"{self._address[0]}:{self._address[1]}"
         connection.send(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), b"")
         answer = connection.read_head(lambda _answer: True)
-        return _status(answer, connection.read_body(answer))
+        return _check_status(answer, connection.read_body(answer))
 
-    def _drop(self) -> None:
+    def _close_connection(self) -> None:
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
 
-def _status(answer: HttpAnswer, body: bytes) -> Result[bytes, StoreFault]:
+def _check_status(answer: HttpAnswer, body: bytes) -> Result[bytes, StoreFault]:
     if answer.status == 200:
         return Ok(body)
-    gone = answer.status == 410
-    kind = StoreFaultKind.HISTORY_GONE if gone else StoreFaultKind.REFUSED
+    history_gone = answer.status == 410
+    kind = StoreFaultKind.HISTORY_GONE if history_gone else StoreFaultKind.REFUSED
     return Err(StoreFault(kind, f"expected status 200, found {answer.status}"))
 
 
@@ -124,6 +124,6 @@
         return Err(StoreFault(StoreFaultKind.BAD_ANSWER, str(error)))
 
 
-def _change(item: _ItemNode) -> StoreChange:
+def _decode_change(item: _ItemNode) -> StoreChange:
     value = None if item.deleted else base64.b64decode(item.value or "")
     return StoreChange(item.private_key, item.revision, value)
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -20,7 +20,7 @@
 from sparline.routes import EngineSpec, Quota, QuotaUnit, ServiceName, digest_of_key
 from standins import configuration
 
-READ = ItemReader({ZoneName("north-1"): RegionName("north")})
+READER = ItemReader({ZoneName("north-1"): RegionName("north")})
 ENTRY = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -34,9 +34,9 @@
 }
 
 
-def item(key: str, value: Any) -> Any:
+def decode(key: str, value: Any) -> Any:
     content = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return READ(StoreChange(key, 1, content))
+    return READER(StoreChange(key, 1, content))
 
 
 TENANT = {
@@ -55,7 +55,7 @@
     return configuration(3) | {"tenants": list(tenants)}
 
 
-KINDS = [
+ITEMS = [
     ("op/config", with_tenants(), ConfigurationItem),
     ("op/config", with_tenants(TENANT), ConfigurationItem),
     ("op/config", with_tenants({"name": "bare", "api_keys": []}), ConfigurationItem),
@@ -100,39 +100,41 @@
 ]
 
 
-@pytest.mark.parametrize(("key", "value", "kind"), KINDS)
-def test_each_item_is_read_or_told_as_bad(key, value, kind):
-    read = item(key, value)
-    assert isinstance(read, kind)
-    if isinstance(read, BadItem):
-        assert read.text
+@pytest.mark.parametrize(("key", "value", "kind"), ITEMS)
+def test_each_item_is_decoded_or_reported_as_bad(key, value, kind):
+    item = decode(key, value)
+    assert isinstance(item, kind)
+    if isinstance(item, BadItem):
+        assert item.text
 
 
-def test_what_is_wrong_with_a_key_is_told_with_its_place_and_without_the_key():
-    read = item("op/config", with_tenants(TENANT, TENANT | {"name": "other"}))
-    assert read.text == (
+def test_a_duplicate_key_is_reported_by_its_position_and_not_quoted():
+    item = decode("op/config", with_tenants(TENANT, TENANT | {"name": "other"}))
+    assert item.text == (
         "op/config: tenants[1].api_keys[0]: expected one of its own, "
         "found that of tenants[0].api_keys[0]"
     )
 
 
-def test_an_organisation_is_read():
-    read = item("op/config", with_tenants(TENANT, {"name": "bare", "api_keys": ["k3"], "per_s": 0}))
-    found = read.configuration.organisations
-    one = found.by_id["huka"]
-    assert (one.priority, one.allowed_regions) == (1, {"north"})
-    assert one.quota == Quota(QuotaUnit.TOKENS, 5000.0, 7000.0, 200.0)
-    assert found.by_key[digest_of_key(b"k2")] is one
-    bare = found.by_id["bare"]
+def test_organisations_are_decoded_with_their_defaults():
+    item = decode(
+        "op/config", with_tenants(TENANT, {"name": "bare", "api_keys": ["k3"], "per_s": 0})
+    )
+    decoded = item.configuration.organisations
+    organisation = decoded.by_id["huka"]
+    assert (organisation.priority, organisation.allowed_regions) == (1, {"north"})
+    assert organisation.quota == Quota(QuotaUnit.TOKENS, 5000.0, 7000.0, 200.0)
+    assert decoded.by_key[digest_of_key(b"k2")] is organisation
+    bare = decoded.by_id["bare"]
     assert (bare.priority, bare.allowed_regions, bare.quota) == (None, set(), None)
 
 
-def test_a_configuration_without_organisations_asks_for_no_keys():
-    assert item("op/config", configuration(3)).configuration.organisations is None
-    assert item("op/config", with_tenants()).configuration.organisations is not None
+def test_only_a_configuration_without_tenants_requires_no_keys():
+    assert decode("op/config", configuration(3)).configuration.organisations is None
+    assert decode("op/config", with_tenants()).configuration.organisations is not None
 
 
-def test_a_route_with_a_split_and_homes():
+def test_a_route_is_decoded_with_its_split_and_home_regions():
     routes = {
         "/a/": {
             "service": None,
@@ -143,16 +145,16 @@
     }
     for route in routes.values():
         route["kind"] = "safe"
-    held = item("op/config", configuration(3, routes)).configuration
-    route = held.find("host.example", "/a/c")
+    decoded = decode("op/config", configuration(3, routes)).configuration
+    route = decoded.find("host.example", "/a/c")
     assert [(share.service, share.weight) for share in route.shares] == [("x", 9), ("y", 1)]
     assert route.allows(RegionName("north")) and not route.allows(RegionName("south"))
-    assert held.find("host.example", "/a/b/c").path_start == "/a/b/"
-    assert held.find("host.example", "/b/") is None
-    assert held.find("other.example", "/a/c") is None
+    assert decoded.find("host.example", "/a/b/c").path_start == "/a/b/"
+    assert decoded.find("host.example", "/b/") is None
+    assert decoded.find("other.example", "/a/c") is None
 
 
-SERVERS = [
+SERVER_FIELDS = [
     ({}, "leaving", False),
     ({"state": "draining"}, "leaving", True),
     ({"state": "draining", "time_left_ms": 2000}, "leaving", True),
@@ -161,21 +163,21 @@
 ]
 
 
-@pytest.mark.parametrize(("changes", "name", "value"), SERVERS)
-def test_a_servers_entry(changes, name, value):
-    assert getattr(item("servers/i-1", ENTRY | changes).server, name) == value
+@pytest.mark.parametrize(("changes", "name", "value"), SERVER_FIELDS)
+def test_a_backend_server_entry_is_decoded(changes, name, value):
+    assert getattr(decode("servers/i-1", ENTRY | changes).server, name) == value
 
 
-def test_a_cold_server_is_cold_for_what_it_tells():
-    server = item("servers/i-1", ENTRY | {"cold_remaining_ms": 60_000}).server
+def test_a_server_is_cold_for_the_time_that_its_entry_states():
+    server = decode("servers/i-1", ENTRY | {"cold_remaining_ms": 60_000}).server
     assert 50_000 < server.cold_until_ms - now_ms() <= 60_000
 
 
-def test_an_engines_figures_are_read():
-    found = item("op/config", configuration(3))
-    engine = found.configuration.services[ServiceName("engines")].engine
+def test_the_parameters_of_an_engine_are_decoded():
+    decoded = decode("op/config", configuration(3))
+    engine = decoded.configuration.services[ServiceName("engines")].engine
     assert engine == EngineSpec(8, 300_000, 163_840, 550_000.0, True)
-    # 163,840 bytes a token over 550 Gbit/s: 2.4 microseconds a token.
+    # 163,840 bytes per token at 550 Gbit/s: 2.4 microseconds per token.
     assert round(engine.fetch_ms(13_000), 1) == 31.0
 
 
@@ -184,36 +186,39 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
     max_leaves=6,
 )
-MOST_TOLD_BYTES = 1_000
+MAX_MESSAGE_CHARS = 1_000
 
 
-def is_a_usable_server(read: Any) -> bool:
-    server = read.server
-    whole = isinstance(server.born_ms, int) and isinstance(server.slots, int)
+def is_usable_server(item: Any) -> bool:
+    server = item.server
+    has_integers = isinstance(server.born_ms, int) and isinstance(server.slots, int)
     return (
-        whole and server.slots >= 1 and server.region == "north" and 0 < server.address[1] < 65_536
+        has_integers
+        and server.slots >= 1
+        and server.region == "north"
+        and 0 < server.address[1] < 65_536
     )
 
 
 @settings(max_examples=300, deadline=None)
 @given(st.sampled_from(sorted(ENTRY) + ["born"]), JSON)
-def test_an_entry_of_another_writer_names_a_usable_server_or_none(name, value):
-    read = item("servers/i-1", ENTRY | {name: value})
-    if isinstance(read, BadItem):
-        assert len(read.text) < MOST_TOLD_BYTES
+def test_an_entry_with_an_arbitrary_field_value_gives_a_usable_server_or_a_bad_item(name, value):
+    item = decode("servers/i-1", ENTRY | {name: value})
+    if isinstance(item, BadItem):
+        assert len(item.text) < MAX_MESSAGE_CHARS
     else:
-        assert is_a_usable_server(read)
+        assert is_usable_server(item)
 
 
 @settings(max_examples=200, deadline=None)
 @given(st.binary(max_size=400) | JSON.map(lambda value: json.dumps(value).encode()))
-def test_any_bytes_of_another_writer_are_read_or_told_as_bad(value):
-    read = item("servers/i-1", value)
-    assert isinstance(read, BadItem) and len(read.text) < MOST_TOLD_BYTES
+def test_arbitrary_content_gives_a_bad_item_with_a_short_message(value):
+    item = decode("servers/i-1", value)
+    assert isinstance(item, BadItem) and len(item.text) < MAX_MESSAGE_CHARS
 
 
-def test_each_start_under_one_key_has_a_name_of_its_own():
-    starts = [item("servers/i-1", ENTRY | {"born": born}).server for born in (5_000, 5_001)]
-    assert [one.born_ms for one in starts] == [5_000, 5_001]
-    assert starts[0].id != starts[1].id
-    assert {listed_id(one.id) for one in starts} == {"i-1"}
+def test_each_incarnation_under_one_key_has_a_unique_id():
+    incarnations = [decode("servers/i-1", ENTRY | {"born": born}).server for born in (5_000, 5_001)]
+    assert [incarnation.born_ms for incarnation in incarnations] == [5_000, 5_001]
+    assert incarnations[0].id != incarnations[1].id
+    assert {listed_id(incarnation.id) for incarnation in incarnations} == {"i-1"}
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -22,7 +22,7 @@
 from sparline.tests.routed import make_request, make_route
 
 
-def http(**headers: str) -> HttpRequest:
+def http_request(**headers: str) -> HttpRequest:
     fields = {"attempt-id": "r1", "host": "Host.Example:80"} | {
         name.replace("_", "-"): value for name, value in headers.items()
     }
@@ -30,16 +30,16 @@
     return HttpRequest(b"POST", b"/a/b?c=/d", pairs)
 
 
-PARTS = "5c1e:800,91bd:410,e440:250"
-MARKS = [
+PROMPT_PARTS = "5c1e:800,91bd:410,e440:250"
+PARSED_HEADERS = [
     ("plain", {}, "path", "/a/b"),
     ("host without port, in lower case", {}, "host", "host.example"),
     ("no deadline", {}, "deadline_ms", None),
     ("deadline", {"deadline_milliseconds": "2500"}, "deadline_ms", 2500.0),
-    ("no prompt", {"prompt_prefix": PARTS}, "prompt", None),
+    ("no prompt", {"prompt_prefix": PROMPT_PARTS}, "prompt", None),
     (
         "the last part is the request's own",
-        {"token_counts": "1460,80", "prompt_prefix": PARTS},
+        {"token_counts": "1460,80", "prompt_prefix": PROMPT_PARTS},
         "prompt",
         Prompt(1460, 80, (PromptPrefix("/5c1e", 800), PromptPrefix("/5c1e/91bd", 410))),
     ),
@@ -50,13 +50,15 @@
 
 
 @pytest.mark.parametrize(
-    ("headers", "name", "value"), [row[1:] for row in MARKS], ids=[row[0] for row in MARKS]
+    ("headers", "name", "value"),
+    [row[1:] for row in PARSED_HEADERS],
+    ids=[row[0] for row in PARSED_HEADERS],
 )
-def test_marks_are_read(headers, name, value):
-    assert getattr(read_marks(http(**headers)).unwrap(), name) == value
+def test_each_header_of_a_request_is_parsed(headers, name, value):
+    assert getattr(read_marks(http_request(**headers)).unwrap(), name) == value
 
 
-WRONG = [
+INVALID_HEADERS = [
     ({"attempt_id": ""}, "Attempt-Id"),
     ({"host": ""}, "Host"),
     ({"deadline_milliseconds": "soon"}, "Deadline-Milliseconds"),
@@ -68,12 +70,12 @@
 ]
 
 
-@pytest.mark.parametrize(("headers", "place"), WRONG)
-def test_marks_that_are_wrong_are_told_with_their_header(headers, place):
-    assert read_marks(http(**headers)).unwrap_err().startswith(place)
+@pytest.mark.parametrize(("headers", "header"), INVALID_HEADERS)
+def test_the_error_for_an_invalid_header_starts_with_its_name(headers, header):
+    assert read_marks(http_request(**headers)).unwrap_err().startswith(header)
 
 
-KEYS = [
+PRESENTED_KEYS = [
     ("a key", [("authorization", "Bearer k1")], PresentedKey(digest_of_key(b"k1"))),
     ("the scheme in another case", [("authorization", "bEARER  k1 ")], PresentedKey(digest_of_key(b"k1"))),
     ("none", [], PresentedKey(None, KeyFault.MISSING)),
@@ -86,55 +88,57 @@
 
 
 @pytest.mark.parametrize(
-    ("headers", "shown"), [row[1:] for row in KEYS], ids=[row[0] for row in KEYS]
+    ("headers", "expected"),
+    [row[1:] for row in PRESENTED_KEYS],
+    ids=[row[0] for row in PRESENTED_KEYS],
 )
-def test_the_key_that_is_shown(headers, shown):
-    request = http()
+def test_the_presented_key_is_parsed(headers, expected):
+    request = http_request()
     request.headers += [(name.encode(), value.encode()) for name, value in headers]
-    assert read_marks(request).unwrap().key == shown
+    assert read_marks(request).unwrap().key == expected
 
 
-def test_neither_the_key_nor_a_callers_word_of_its_organisation_is_passed_on():
-    request = http()
-    mine = [(b"tenant", b"a"), (b"tenant", b"b"), (b"authorization", b"Bearer k"), (b"x-y", b"z")]
-    request.headers += [*mine, (b"sparline-caller", b"9 ab ore"), (b"sparline-service", b"s")]
+def test_a_callers_key_and_gateway_only_headers_are_not_passed_on():
+    request = http_request()
+    sent = [(b"tenant", b"a"), (b"tenant", b"b"), (b"authorization", b"Bearer k"), (b"x-y", b"z")]
+    request.headers += [*sent, (b"sparline-caller", b"9 ab ore"), (b"sparline-service", b"s")]
     passed = headers_to_pass(request, shows_key=True)
     assert [pair for pair in passed if pair[0] not in (b"attempt-id", b"host")] == [(b"x-y", b"z")]
     assert (b"authorization", b"Bearer k") in headers_to_pass(request, shows_key=False)
 
 
-TOLD = [
+RELAYED_CALLERS = [
     ("7 00ff ore", RelayedCaller(7, "ore", b"\x00\xff")),
     ("7 00ff ore and more", RelayedCaller(7, "ore and more", b"\x00\xff")),
 ]
 
 
-@pytest.mark.parametrize(("text", "told"), TOLD)
-def test_what_an_instance_tells_of_a_caller(text, told):
-    assert read_marks(http(sparline_caller=text)).unwrap().relay_caller == told
+@pytest.mark.parametrize(("text", "expected"), RELAYED_CALLERS)
+def test_the_relayed_caller_is_parsed(text, expected):
+    assert read_marks(http_request(sparline_caller=text)).unwrap().relay_caller == expected
 
 
 @pytest.mark.parametrize("text", ["7", "x 00ff ore", "7 zz ore", "7 00ff", "7 00ff "])
-def test_what_an_instance_can_not_have_told_of_a_caller(text):
-    assert "sparline-caller" in read_marks(http(sparline_caller=text)).unwrap_err()
+def test_an_invalid_relayed_caller_is_rejected(text):
+    assert "sparline-caller" in read_marks(http_request(sparline_caller=text)).unwrap_err()
 
 
-def test_a_hop_carries_the_organisation_and_a_server_gets_it_as_its_own():
+def test_peers_and_backend_servers_get_the_organisation_but_not_the_key():
     key = digest_of_key(b"k1")
     ore = Organisation("ore", frozenset((key,)), 3, frozenset(), None)
     request = make_request(caller=KnownCaller(7, ore, key))
-    terms = AttemptParameters(BackendServerId("s1"), 1234.6, None, 1)
-    to_server = ServerWire().send_head(request, terms)
+    parameters = AttemptParameters(BackendServerId("s1"), 1234.6, None, 1)
+    to_server = ServerWire().send_head(request, parameters)
     assert b"\r\ntenant: ore\r\n" in to_server
     assert b"\r\nrequest-priority: 3\r\n" in to_server
     assert b"sparline" not in to_server
-    to_peer = InstanceWire().send_head(request, terms)
+    to_peer = InstanceWire().send_head(request, parameters)
     assert b"\r\nsparline-caller: 7 %b ore\r\n" % key.hex().encode() in to_peer
     assert b"k1" not in to_peer + to_server
 
 
 ANSWERS = [
-    # status, headers, meaning from a server, belongs to r1 from a server
+    # status, headers, kind, whether the response belongs to request r1
     (200, {"attempt-id": "r1", "response-seal": "s"}, AnswerKind.RESULT, True),
     (200, {"attempt-id": "r1"}, AnswerKind.UNKNOWN, True),
     (200, {"attempt-id": "r0", "response-seal": "s"}, AnswerKind.RESULT, False),
@@ -153,13 +157,14 @@
 
 
 @pytest.mark.parametrize(("status", "headers", "kind", "belongs"), ANSWERS)
-def test_what_a_servers_answer_means(status, headers, kind, belongs):
+def test_a_backend_servers_response_is_interpreted(status, headers, kind, belongs):
     wire = ServerWire()
     assert wire.meaning(answer(status, headers)).kind is kind
     assert wire.belongs(RequestId("r1"), answer(status, headers)) is belongs
 
 
-PEERS = [
+PEER_ANSWERS = [
+    # status, headers, kind, whether the response belongs to request r1
     (200, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
     (500, {"attempt-id": "r1"}, AnswerKind.RESULT, True),
     (503, {"sparline-outcome": "not-run", "retry-after": "0.250"}, AnswerKind.NOT_RUN, True),
@@ -176,18 +181,18 @@
 ]
 
 
-@pytest.mark.parametrize(("status", "headers", "kind", "belongs"), PEERS)
-def test_what_a_peers_answer_means(status, headers, kind, belongs):
+@pytest.mark.parametrize(("status", "headers", "kind", "belongs"), PEER_ANSWERS)
+def test_a_peers_response_is_interpreted(status, headers, kind, belongs):
     wire = InstanceWire()
     assert wire.meaning(answer(status, headers)).kind is kind
     assert wire.belongs(RequestId("r1"), answer(status, headers)) is belongs
 
 
 @pytest.mark.parametrize("is_full", (True, False))
-def test_a_peer_tells_whether_its_region_has_room(is_full):
+def test_a_peers_refusal_states_whether_its_region_is_full(is_full):
     headers = relayed_refusal_headers(OwnAnswer(False, 200.0, is_region_full=is_full))
-    told = {name.decode(): value.decode() for name, value in headers}
-    assert InstanceWire().meaning(answer(503, told)).is_region_full is is_full
+    decoded = {name.decode(): value.decode() for name, value in headers}
+    assert InstanceWire().meaning(answer(503, decoded)).is_region_full is is_full
 
 
 RETRY_AFTER = [
@@ -202,7 +207,7 @@
 
 
 @pytest.mark.parametrize(("text", "expected_ms"), RETRY_AFTER)
-def test_when_to_come_back(text, expected_ms):
+def test_retry_after_is_parsed_as_seconds(text, expected_ms):
     refused = answer(503, {"not-executed": "1", "retry-after": text})
     assert ServerWire().meaning(refused).retry_after_ms == expected_ms
 
@@ -217,14 +222,16 @@
     (200, {"response-seal": "s", "server-limit": "-1"}, None),
     (200, {"response-seal": "s", "server-limit": "inf"}, None),
     (200, {"response-seal": "s", "server-limit": "few"}, None),
-    # Misdirected answer and unsigned success: may come from another server.
+    # Misdirected responses and unsigned successes may come from another server.
     (421, {"server-limit": "3"}, None),
     (200, {"server-limit": "3"}, None),
 ]
 
 
 @pytest.mark.parametrize(("status", "headers", "expected_per_s"), SERVER_LIMITS)
-def test_server_limit_is_read_from_answers_of_the_server(status, headers, expected_per_s):
+def test_server_limit_is_read_only_from_the_addressed_servers_responses(
+    status, headers, expected_per_s
+):
     assert ServerWire().meaning(answer(status, headers)).limit_per_s == expected_per_s
 
 
@@ -234,18 +241,18 @@
     (503, {"not-executed": "1", "server-leaving": "1"}, True),
     (200, {"response-seal": "s", "server-leaving": "0"}, False),
     (200, {"response-seal": "s"}, False),
-    # Misdirected answers and unsigned successes may come from another server.
+    # Misdirected responses and unsigned successes may come from another server.
     (421, {"server-leaving": "1"}, False),
     (200, {"server-leaving": "1"}, False),
 ]
 
 
 @pytest.mark.parametrize(("status", "headers", "is_leaving"), LEAVING)
-def test_leaving_is_read_from_answers_of_the_server(status, headers, is_leaving):
+def test_leaving_is_read_only_from_the_addressed_servers_responses(status, headers, is_leaving):
     assert ServerWire().meaning(answer(status, headers)).is_leaving is is_leaving
 
 
-SENDS = [
+RESUMPTIONS = [
     ("resumed", make_route(), 7, True),
     ("not resumed", make_route(), None, False),
     ("may not be resumed", make_route(resumable=False), 7, False),
@@ -253,34 +260,36 @@
 
 
 @pytest.mark.parametrize(
-    ("route", "resume_after", "told"), [row[1:] for row in SENDS], ids=[row[0] for row in SENDS]
+    ("route", "resume_after", "is_resumed"),
+    [row[1:] for row in RESUMPTIONS],
+    ids=[row[0] for row in RESUMPTIONS],
 )
-def test_the_head_of_a_send(route, resume_after, told):
+def test_a_request_head_is_encoded_with_deadline_and_last_event(route, resume_after, is_resumed):
     request = make_request(route, body=b"abc")
-    terms = AttemptParameters(BackendServerId("s1"), 1234.6, resume_after, 1)
+    parameters = AttemptParameters(BackendServerId("s1"), 1234.6, resume_after, 1)
     for wire in (ServerWire(), InstanceWire()):
-        head = wire.send_head(request, terms)
+        head = wire.send_head(request, parameters)
         assert head.startswith(b"POST /a/1 HTTP/1.1\r\nhost: host.example\r\n")
         assert b"\r\ndeadline-milliseconds: 1234\r\n" in head
         assert b"\r\ncontent-length: 3\r\n" in head
-        assert (b"\r\nlast-event-id: 7\r\n" in head) is told
-    assert b"\r\nexpected-instance: s1\r\n" in ServerWire().send_head(request, terms)
-    assert b"\r\nsparline-service: engines\r\n" in InstanceWire().send_head(request, terms)
+        assert (b"\r\nlast-event-id: 7\r\n" in head) is is_resumed
+    assert b"\r\nexpected-instance: s1\r\n" in ServerWire().send_head(request, parameters)
+    assert b"\r\nsparline-service: engines\r\n" in InstanceWire().send_head(request, parameters)
 
 
 SOURCES = [(None, b""), (("10.1.0.7", 80), b"\r\nkv-fetch: 10.1.0.7:80\r\n")]
 
 
 @pytest.mark.parametrize(("source", "line"), SOURCES)
-def test_a_server_is_told_where_a_start_is_kept(source, line):
-    terms = AttemptParameters(BackendServerId("s1"), 1_000.0, None, 1, source)
-    head = ServerWire().send_head(make_request(make_route()), terms)
+def test_a_backend_server_gets_the_engine_with_the_cached_prefix(source, line):
+    parameters = AttemptParameters(BackendServerId("s1"), 1_000.0, None, 1, source)
+    head = ServerWire().send_head(make_request(make_route()), parameters)
     assert line in head
     assert (b"kv-fetch" in head) is (source is not None)
 
 
-def test_first_of_repeated_headers_counts():
-    request = http(deadline_milliseconds="2500")
+def test_the_first_of_repeated_headers_is_used():
+    request = http_request(deadline_milliseconds="2500")
     request.headers += [(b"deadline-milliseconds", b"9"), (b"attempt-id", b"r2")]
     marks = read_marks(request).unwrap()
     assert (marks.deadline_ms, marks.request_id) == (2500.0, "r1")
