Split sparline/fleet/_gossip.py by job

The methods _is_representative, _ips_by_other_region, _peers, _siblings_for_round, _missing_peers, _sample_members and _limit_randomly are is_region_representative, ips_by_other_region, classify_peers, siblings_for_round, find_missing_peers, sample_members and limit_randomly; _ips is ips_of. fake_fleet.py and _decide_world.py replace the clock and hash of the new module.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -35,6 +35,7 @@
     ServerLoad,
     UnknownItem,
     _gossip,
+    _gossip_peers,
     make_member_note,
     sum_loads,
 )
@@ -492,7 +493,7 @@
     world = World(draw, time, engines, servers, known=known)
     with (
         patch.object(_gossip.socket, "socket", lambda *_kind: _WorldSocket(world)),
-        patch.object(_gossip, "hash", hash64, create=True),
+        patch.object(_gossip_peers, "hash", hash64, create=True),
     ):
         _run(world, arrivals, make, settle_ms)
     return world
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TypeVar
 
 import gevent
 import msgspec
@@ -12,11 +11,22 @@
 
 from sparline._cbor import TaggedReader, pack
 from sparline._clock import now_ms
-from sparline._hashing import hash64
 from sparline._ids import RegionName
 from sparline._logging import log
 from sparline.fleet._admission_exchange import AdmissionDatagram, AdmissionExchange
 from sparline.fleet._crash_exchange import CrashExchange
+from sparline.fleet._gossip_peers import (
+    MAX_DESCRIBED_MEMBERS,
+    REPRESENTATIVES_PER_REGION,
+    classify_peers,
+    find_missing_peers,
+    ips_by_other_region,
+    ips_of,
+    is_region_representative,
+    limit_randomly,
+    sample_members,
+    siblings_for_round,
+)
 from sparline.fleet._load_exchange import LoadDatagram, LoadExchange
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
@@ -41,21 +51,9 @@
 
 # Interval between gossip rounds (ms). It makes load data about as old as a prompt's prefill takes.
 ROUND_MS = 250.0
-# Number of siblings (other instances of this region) that get a datagram in each round; if there
-# are more, they take turns, so that an instance sends the same number of datagrams in a fleet of
-# any size.
-SIBLINGS_PER_ROUND = 4
-# Number of those siblings that are in other availability zones: traffic between zones is billed,
-# and one datagram in four is enough to spread news to the other zones.
-OTHER_ZONE_SIBLINGS_PER_ROUND = 1
-# Number of instances per region that gossip with other regions: traffic between regions is billed.
-# Two, so that the exchange continues when one of them stops.
-REPRESENTATIVES_PER_REGION = 2
 # Number of rounds between probes. A probe queries a seed or a silent member, which reconnects the
 # fleet after a network partition.
 PROBE_INTERVAL_ROUNDS = 4
-# A member without a heartbeat for this long is contacted only by probes (ms).
-PROBE_ONLY_AFTER_MS = 6_000.0
 # Number of initial rounds in which an instance queries all seeds: after a power failure the seeds
 # start at the same time, and the first datagrams arrive before they listen.
 SEED_QUERY_ROUNDS = 20
@@ -64,8 +62,6 @@
 MAX_RELAYED_HEARTBEATS = 14
 # Maximum number of heartbeats of the own region relayed in a datagram to another region.
 MAX_CROSS_REGION_HEARTBEATS = 12
-# Maximum number of members described in a reply to a member query: what fits into 1,400 bytes.
-MAX_DESCRIBED_MEMBERS = 16
 # Delay before the description of an unknown instance is requested again (ms): one round.
 DESCRIPTION_RETRY_MS = 250.0
 # Maximum number of peers in an immediate broadcast: larger than any supported region.
@@ -74,7 +70,6 @@
 RECEIVE_BUFFER_BYTES = 65_536
 
 
-Item = TypeVar("Item")
 # Messages that instances send each other in datagrams.
 Datagram = (
     Gossip
@@ -188,7 +183,7 @@
             log.bind(peer=gossip.sender.name, phase=gossip.sender.phase.value).info("member_heard")
         same_region = gossip.sender.region == self._members.own.region
         if gossip.wants_members:
-            sample = self._sample_members(gossip.sender.region)
+            sample = sample_members(self._members, gossip.sender.region, self._rng)
             self._send([gossip.sender.ip], self._gossip_message(same_region, sample, is_new=True))
         elif is_new and same_region:
             # Instances of other regions learn of this one from the region's representatives.
@@ -238,39 +233,20 @@
         self._round += 1
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
-        siblings, remote, silent = self._peers()
+        siblings, remote, silent = classify_peers(self._members)
         for one in (*self._loads.round(), *self._quotas.round(), *self._admission.round()):
             self._send(one.peers, one.message)
-        round_siblings = self._siblings_for_round(siblings)
+        round_siblings = siblings_for_round(self._members, siblings, self._round)
         if round_siblings:
             self._send(round_siblings, self._gossip_message(True))
-        is_representative = self._is_representative()
+        is_representative = is_region_representative(self._members)
         if is_representative:
             self._send_to_other_region()
-        self._probe(_ips(siblings + remote), silent, is_representative)
-
-    def _is_representative(self) -> bool:
-        """Return whether this instance is one of its region's representatives to other regions."""
-        own = self._members.own
-        siblings = [one.note.ip for one in self._members.live(RegionName(own.region))]
-        order = sorted([*siblings, own.ip], key=lambda ip: hash64(f"teller/{ip}"), reverse=True)
-        return own.ip in order[:REPRESENTATIVES_PER_REGION]
-
-    def _ips_by_other_region(self) -> list[list[str]]:
-        """Return the addresses in each other region, with the regions sorted by name.
-
-        Starting instances are included: if regions that start together sent to live instances only,
-        they would not discover each other for 6 s, until they probe silent members.
-        """
-        by_region: dict[str, list[str]] = {}
-        for one in self._members.starting_or_live():
-            if one.note.region != self._members.own.region:
-                by_region.setdefault(one.note.region, []).append(one.note.ip)
-        return [by_region[region] for region in sorted(by_region)]
+        self._probe(ips_of(siblings + remote), silent, is_representative)
 
     def _send_to_other_region(self) -> None:
         """Send gossip to a random instance of one other region, with the regions in rotation."""
-        regions = self._ips_by_other_region()
+        regions = ips_by_other_region(self._members)
         if regions:
             ips = regions[self._round % len(regions)]
             self._send([self._rng.choice(ips)], self._gossip_message(False))
@@ -280,11 +256,12 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, phase=phase, counter=own.counter + 1)
         self._members.own_phase_at_ms = now_ms()
-        siblings, _, _ = self._peers()
+        siblings, _, _ = classify_peers(self._members)
         self._send(
-            self._limit_randomly(_ips(siblings), MAX_BROADCAST_PEERS), self._gossip_message(True)
+            limit_randomly(ips_of(siblings), MAX_BROADCAST_PEERS, self._rng),
+            self._gossip_message(True),
         )
-        remote = [self._rng.choice(ips) for ips in self._ips_by_other_region()]
+        remote = [self._rng.choice(ips) for ips in ips_by_other_region(self._members)]
         self._send(remote, self._gossip_message(False))
 
     def send_immediately(
@@ -292,7 +269,7 @@
     ) -> None:
         """Send load, quota or admission datagrams immediately."""
         for one in outgoing:
-            self._send(self._limit_randomly(one.peers, MAX_BROADCAST_PEERS), one.message)
+            self._send(limit_randomly(one.peers, MAX_BROADCAST_PEERS, self._rng), one.message)
 
     def broadcast_crash(self, change: CrashChange) -> None:
         """Broadcast an urgent crash report to siblings and some instances of each other region."""
@@ -301,59 +278,19 @@
         if news is None:
             return
         self._broadcast_to_siblings(news)
-        for ips in self._ips_by_other_region():
-            self._send(self._limit_randomly(ips, REPRESENTATIVES_PER_REGION), news)
+        for ips in ips_by_other_region(self._members):
+            self._send(limit_randomly(ips, REPRESENTATIVES_PER_REGION, self._rng), news)
 
     def _broadcast_to_siblings(self, news: CrashNews) -> None:
-        siblings, _, _ = self._peers()
+        siblings, _, _ = classify_peers(self._members)
         message = CrashNews(news.crashes, pass_on=False)
-        self._send(self._limit_randomly(_ips(siblings), MAX_BROADCAST_PEERS), message)
+        self._send(limit_randomly(ips_of(siblings), MAX_BROADCAST_PEERS, self._rng), message)
 
     def close(self) -> None:
         """Close the port, which ends `read`."""
         self._closed = True
         self._socket.close()
 
-    def _peers(self) -> tuple[list[Member], list[Member], list[Member]]:
-        """Return siblings, peers in other regions, and silent members."""
-        siblings: list[Member] = []
-        remote: list[Member] = []
-        silent: list[Member] = []
-        now = now_ms()
-        own_region = self._members.own.region
-        for member in self._members.others():
-            if _is_silent(member, now):
-                silent.append(member)
-            elif member.note.region == own_region:
-                siblings.append(member)
-            else:
-                remote.append(member)
-        return siblings, remote, silent
-
-    def _siblings_for_round(self, siblings: list[Member]) -> list[str]:
-        """Return the siblings that get a datagram in this round, mostly in the own zone."""
-        if len(siblings) <= SIBLINGS_PER_ROUND:
-            return _ips(siblings)
-        zone = self._members.own.availability_zone
-        same_zone = _ips(one for one in siblings if one.note.availability_zone == zone)
-        other_zones = _ips(one for one in siblings if one.note.availability_zone != zone)
-        other_zone_count = (
-            max(OTHER_ZONE_SIBLINGS_PER_ROUND, SIBLINGS_PER_ROUND - len(same_zone))
-            if other_zones
-            else 0
-        )
-        return self._rotate(same_zone, SIBLINGS_PER_ROUND - other_zone_count) + self._rotate(
-            other_zones, other_zone_count
-        )
-
-    def _rotate(self, peers: list[str], limit: int) -> list[str]:
-        if len(peers) <= limit:
-            return peers
-        # Each instance starts at a different offset, so that a peer is not contacted by all at
-        # once.
-        start = (self._round * limit + hash(self._members.own.ip)) % len(peers)
-        return [peers[(start + step) % len(peers)] for step in range(limit)]
-
     def _probe(self, known: list[str], silent: list[Member], is_representative: bool) -> None:
         """Query all seeds in the first rounds, later one missing peer, or all seeds if alone."""
         own = self._members.own
@@ -361,24 +298,13 @@
         if self._round <= SEED_QUERY_ROUNDS:
             self._send(unknown_seeds, self._gossip_message(False, wants_members=True))
         elif self._round % PROBE_INTERVAL_ROUNDS == 1:
-            missing_peers = self._missing_peers(silent, is_representative)
+            missing_peers = find_missing_peers(self._members, silent, is_representative)
             silent_ips = {one.note.ip for one in silent}
             missing_peers += [ip for ip in unknown_seeds if ip not in silent_ips]
             if missing_peers:
                 chosen = [self._rng.choice(missing_peers)] if known else unknown_seeds
                 self._send(chosen, self._gossip_message(False, wants_members=True))
 
-    def _missing_peers(self, silent: list[Member], is_representative: bool) -> list[str]:
-        """Return silent siblings and, for a representative, members of unreachable regions."""
-        own_region = self._members.own.region
-        reached = {one.note.region for one in self._members.live()}
-        return [
-            one.note.ip
-            for one in silent
-            if one.note.region == own_region
-            or (is_representative and one.note.region not in reached)
-        ]
-
     def _gossip_message(
         self,
         same_region: bool,
@@ -407,22 +333,7 @@
         region = None if same_region else RegionName(self._members.own.region)
         limit = MAX_RELAYED_HEARTBEATS if same_region else MAX_CROSS_REGION_HEARTBEATS
         heard = self._members.recently_heard(region)
-        return [one.heartbeat() for one in self._limit_randomly(heard, limit)]
-
-    def _sample_members(self, region: str) -> list[MemberNote]:
-        """Return a sample of the members that are not silent, preferring those of a region."""
-        now = now_ms()
-        known = [one.note for one in self._members.others() if not _is_silent(one, now)]
-        in_region = self._limit_randomly(
-            [one for one in known if one.region == region], MAX_DESCRIBED_MEMBERS
-        )
-        remaining = [one for one in known if one.region != region]
-        return in_region + self._limit_randomly(remaining, MAX_DESCRIBED_MEMBERS - len(in_region))
-
-    def _limit_randomly(self, items: list[Item], limit: int) -> list[Item]:
-        if len(items) <= limit:
-            return items
-        return self._rng.sample(items, limit)
+        return [one.heartbeat() for one in limit_randomly(heard, limit, self._rng)]
 
     def _send(self, peers: list[str], message: Datagram) -> None:
         data = pack(message)
@@ -433,15 +344,6 @@
                 log.debug("gossip: send to {} failed: {}", ip, error)
 
 
-def _ips(members: Iterable[Member]) -> list[str]:
-    return sorted(one.note.ip for one in members)
-
-
-def _is_silent(member: Member, now: float) -> bool:
-    """Return whether a member is contacted only by periodic probes."""
-    return now - member.heard_at_ms > PROBE_ONLY_AFTER_MS
-
-
 def make_member_note(
     ip: str, name: str, region: RegionName, zone: str, started_ms: int
 ) -> MemberNote:
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -23,6 +23,7 @@
     ServerLoad,
     _admission_exchange,
     _gossip,
+    _gossip_peers,
     _load_board,
     _load_exchange,
     _load_shares,
@@ -107,6 +108,7 @@
         """Put this fleet's clock and network in the place of the real ones, and log nothing."""
         for module in (
             _gossip,
+            _gossip_peers,
             _members,
             _load_board,
             _load_exchange,
@@ -121,7 +123,7 @@
             _admission_exchange,
         ):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
-        monkeypatch.setattr(_gossip, "hash", hash64, raising=False)
+        monkeypatch.setattr(_gossip_peers, "hash", hash64, raising=False)
         monkeypatch.setattr(_gossip, "log", _SilentLog())
         monkeypatch.setattr(_gossip.socket, "socket", lambda *_kind: _FakeSocket(self))
 
