--- a/benchmarks/_choice_cost.py
+++ b/benchmarks/_choice_cost.py
@@ -72,7 +72,7 @@
     return Route(
         name=RouteName(name),
         host="host.example",
-        path_start=f"/{name}/",
+        path_prefix=f"/{name}/",
         kind=RequestKind.STREAM,
         timeout_ms=10_000.0,
         wanted_latency_ms=target_ms,
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -401,7 +401,7 @@
     return Route(
         name=RouteName(kind.name),
         host="host.example",
-        path_start=f"/{kind.name}/",
+        path_prefix=f"/{kind.name}/",
         kind=RequestKind.STREAM,
         timeout_ms=kind.deadline_ms,
         wanted_latency_ms=kind.wanted_ms,
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -36,7 +36,7 @@
 from standins import PROMPT, SealedFaults, configuration
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
-URGENT, USUAL = make_route(path_start="/a/"), make_route(path_start="/b/", priority=2)
+URGENT, USUAL = make_route(path_prefix="/a/"), make_route(path_prefix="/b/", priority=2)
 COST = credit_of(make_request().prompt)
 
 
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -48,7 +48,7 @@
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
@@ -65,7 +65,7 @@
     members._others["n1"].phase_at_ms -= 10_000
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
@@ -102,7 +102,7 @@
     members.take(Gossip(LEAVING, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -251,7 +251,7 @@
     return Route(
         name=RouteName(node.name),
         host=node.host.lower(),
-        path_start=node.path_prefix,
+        path_prefix=node.path_prefix,
         kind=kind,
         timeout_ms=node.timeout_ms,
         wanted_latency_ms=node.target_latency_ms,
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -38,7 +38,7 @@
 
     name: RouteName  # name given by the operators
     host: str  # host in lower case, without port
-    path_start: str  # path prefix; begins and ends with a slash
+    path_prefix: str  # begins and ends with a slash
     kind: RequestKind  # whether requests may run again
     timeout_ms: float  # longest time that a request may take
     wanted_latency_ms: float  # target time to the answer, or to the first event of a stream
@@ -115,7 +115,7 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the matching route with the longest path prefix."""
         for route in self.by_host.get(host, ()):
-            if path.startswith(route.path_start):
+            if path.startswith(route.path_prefix):
                 return route
         return None
 
@@ -129,7 +129,7 @@
 ) -> Configuration:
     """Create a configuration with its routes indexed by host, longest path prefix first."""
     by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda item: -len(item.path_start)):
+    for route in sorted(routes, key=lambda item: -len(item.path_prefix)):
         by_host.setdefault(route.host, []).append(route)
     routes_by_host = {host: tuple(found) for host, found in by_host.items()}
     return Configuration(version, routes, services, limits, routes_by_host, organisations)
--- a/sparline/tests/routed.py
+++ b/sparline/tests/routed.py
@@ -32,7 +32,7 @@
     values: dict[str, Any] = {
         "name": RouteName("route"),
         "host": "host.example",
-        "path_start": "/a/",
+        "path_prefix": "/a/",
         "kind": RequestKind.STREAM,
         "timeout_ms": 4_000.0,
         "wanted_latency_ms": 800.0,
