--- a/benchmarks/_choice_cost.py
+++ b/benchmarks/_choice_cost.py
@@ -75,7 +75,7 @@
         path_prefix=f"/{name}/",
         kind=RequestKind.STREAM,
         timeout_ms=10_000.0,
-        wanted_latency_ms=target_ms,
+        target_latency_ms=target_ms,
         pause_target_ms=400.0,
         priority=rank,
         shares=(ServiceShare(ENGINES, 1.0),),
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -404,7 +404,7 @@
         path_prefix=f"/{kind.name}/",
         kind=RequestKind.STREAM,
         timeout_ms=kind.deadline_ms,
-        wanted_latency_ms=kind.wanted_ms,
+        target_latency_ms=kind.wanted_ms,
         pause_target_ms=kind.pause_ms,
         priority=2 if kind.name == "long" else 1,
         shares=(ServiceShare(ENGINES, 1.0),),
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -176,7 +176,7 @@
         expected_ms = way.network_ms + self._server_time_ms(
             request, service, server, load, work, pace, common
         )
-        loss = (expected_ms / request.route.wanted_latency_ms) ** 2
+        loss = (expected_ms / request.route.target_latency_ms) ** 2
         loss += self._server_loss(server, common)
         if request.prompt is not None and service.engine is not None:
             loss += self._prompt_loss(request, service.engine, load, work, pace, common)
@@ -266,7 +266,7 @@
     """Return the loss of the requests that queue behind a prefill."""
     queue_ms = load.unread_tokens * pace.token_ms
     prefill_ms = work.effort_tokens * pace.token_ms
-    queue_ratio = queue_ms / request.route.wanted_latency_ms
+    queue_ratio = queue_ms / request.route.target_latency_ms
     return DISPLACEMENT_WEIGHT * common.demand * prefill_ms * queue_ratio**2
 
 
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -298,7 +298,7 @@
 
 def test_plain_request_avoids_full_server():
     route = make_route(
-        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), wanted_latency_ms=400.0
+        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), target_latency_ms=400.0
     )
     near = make_server("p1", service=PLAIN, slots=2)
     far = make_server("p2", "south", service=PLAIN, slots=2)
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -254,7 +254,7 @@
         path_prefix=node.path_prefix,
         kind=kind,
         timeout_ms=node.timeout_ms,
-        wanted_latency_ms=node.target_latency_ms,
+        target_latency_ms=node.target_latency_ms,
         pause_target_ms=node.gap_target_ms,
         priority=node.priority,
         shares=tuple(ServiceShare(ServiceName(share.service), share.weight) for share in split),
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -41,7 +41,7 @@
     path_prefix: str  # begins and ends with a slash
     kind: RequestKind  # whether requests may run again
     timeout_ms: float  # longest time that a request may take
-    wanted_latency_ms: float  # target time to the answer, or to the first event of a stream
+    target_latency_ms: float  # target time to the answer, or to the first event of a stream
     pause_target_ms: float  # target for the longest pause between events of a stream, 0 for none
     priority: int  # 0 is the most urgent
     shares: tuple[ServiceShare, ...]  # services that handle the requests
