Rename Route.pause_target_ms to gap_target_ms

The wire's name, see _RouteNode in sparline/platform/_items.py; the glossary calls the time between two events a gap.

--- a/benchmarks/_choice_cost.py
+++ b/benchmarks/_choice_cost.py
@@ -76,7 +76,7 @@
         kind=RequestKind.STREAM,
         timeout_ms=10_000.0,
         target_latency_ms=target_ms,
-        pause_target_ms=400.0,
+        gap_target_ms=400.0,
         priority=rank,
         shares=(ServiceShare(ENGINES, 1.0),),
         max_backends=2,
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -405,7 +405,7 @@
         kind=RequestKind.STREAM,
         timeout_ms=kind.deadline_ms,
         target_latency_ms=kind.wanted_ms,
-        pause_target_ms=kind.pause_ms,
+        gap_target_ms=kind.pause_ms,
         priority=2 if kind.name == "long" else 1,
         shares=(ServiceShare(ENGINES, 1.0),),
         max_backends=2,
--- a/sparline/forwarding/_resume_wait.py
+++ b/sparline/forwarding/_resume_wait.py
@@ -48,5 +48,5 @@
     return max(
         MIN_CALLER_PATIENCE_MS,
         PATIENCE_LATENCY_FACTOR * route.target_latency_ms,
-        PATIENCE_PAUSE_FACTOR * route.pause_target_ms,
+        PATIENCE_PAUSE_FACTOR * route.gap_target_ms,
     )
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -117,7 +117,7 @@
     ) -> CommonFacts:
         tables = self._tables
         prompt = request.prompt
-        gap_target_ms = request.route.pause_target_ms
+        target_ms = request.route.gap_target_ms
         return CommonFacts(
             healthy=frozenset(one.id for one in shortlisted.healthy),
             cached_prefix=find_cached_prefix(
@@ -137,8 +137,8 @@
             usual=tables.pace.service(service.name),
             answer_ms=tables.pace.answer_ms(service.name),
             late=(
-                tables.gaps.late_shares(request.service, gap_target_ms)
-                if prompt is not None and gap_target_ms
+                tables.gaps.late_shares(request.service, target_ms)
+                if prompt is not None and target_ms
                 else None
             ),
         )
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -123,7 +123,7 @@
 RELAYED = {"origin": Origin.RELAY}
 # An engine whose queue makes a request later than its target of 800 ms.
 LATE = ServerLoad(3, 60_000, 41_000)
-NO_PAUSES = make_route(pause_target_ms=0.0)
+NO_GAP_TARGET = make_route(gap_target_ms=0.0)
 LEAVING = make_server("n1", leaving=True)
 OTHER_ZONE = make_server("n3", zone=ZoneName("north-2"))
 COLD = make_server("n1", cold_until_ms=now_ms() + 1e9)
@@ -154,8 +154,8 @@
     ("short request avoids queued long prefill", (N1, N2), set_load(n1=ServerLoad(1, 17_000, 17_000)), make_request(prompt=SHORT), "n2"),
     ("very long prompt beside running requests", (N1,), set_load(n1=ServerLoad(10, 100_000, 0)), make_request(prompt=VERY_LONG), "n1"),
     ("very long prompt behind a long queue", (N1,), set_load(n1=BUSY), make_request(prompt=VERY_LONG), "refused: deadline_unreachable"),
-    ("relayed request is refused earlier", (N1,), set_load(n1=LATE), make_request(NO_PAUSES, **RELAYED), "refused: deadline_unreachable"),
-    ("caller's request is accepted at the same load", (N1,), set_load(n1=LATE), make_request(NO_PAUSES), "n1"),
+    ("relayed request is refused earlier", (N1,), set_load(n1=LATE), make_request(NO_GAP_TARGET, **RELAYED), "refused: deadline_unreachable"),
+    ("caller's request is accepted at the same load", (N1,), set_load(n1=LATE), make_request(NO_GAP_TARGET), "n1"),
     ("relayed request in time is accepted", (N1,), set_load(n1=ServerLoad(3, 30_000, 22_000)), make_request(**RELAYED), "n1"),
 ]  # fmt: skip
 
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -62,7 +62,7 @@
     priority: int = 0
     max_attempts: int = 1  # maximum number of backend servers; retries by the caller do not count
     allow_resume: bool = False
-    gap_target_ms: float = 0.0  # target for the longest pause between events of a stream
+    gap_target_ms: float = 0.0  # target for the longest gap between events of a stream
     home_regions: list[str] | None = None  # none or empty: all regions
     allow_anonymous: bool = False  # whether callers need no key
 
@@ -255,7 +255,7 @@
         kind=kind,
         timeout_ms=node.timeout_ms,
         target_latency_ms=node.target_latency_ms,
-        pause_target_ms=node.gap_target_ms,
+        gap_target_ms=node.gap_target_ms,
         priority=node.priority,
         shares=tuple(ServiceShare(ServiceName(share.service), share.weight) for share in split),
         max_backends=node.max_attempts,
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -42,7 +42,7 @@
     kind: RequestKind  # whether requests may run again
     timeout_ms: float  # longest time that a request may take
     target_latency_ms: float  # target time to the answer, or to the first event of a stream
-    pause_target_ms: float  # target for the longest pause between events of a stream, 0 for none
+    gap_target_ms: float  # target for the longest gap between events of a stream, 0 for none
     priority: int  # 0 is the most urgent
     shares: tuple[ServiceShare, ...]  # services that handle the requests
     max_backends: int  # most backend servers on which one request may run
--- a/sparline/tests/routed.py
+++ b/sparline/tests/routed.py
@@ -36,7 +36,7 @@
         "kind": RequestKind.STREAM,
         "timeout_ms": 4_000.0,
         "target_latency_ms": 800.0,
-        "pause_target_ms": 400.0,
+        "gap_target_ms": 400.0,
         "priority": 0,
         "shares": (ServiceShare(ENGINES, 1.0),),
         "max_backends": 2,
