--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -261,7 +261,7 @@
         max_backends=node.max_attempts,
         resumable=node.allow_resume,
         allowed_regions=frozenset(RegionName(region) for region in node.home_regions or ()),
-        allows_anonymous=node.allow_anonymous,
+        allow_anonymous=node.allow_anonymous,
     )
 
 
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -48,7 +48,7 @@
     max_backends: int  # most backend servers on which one request may run
     resumable: bool  # whether a stream may resume on another backend server
     allowed_regions: frozenset[RegionName]  # regions that may run it, empty for all
-    allows_anonymous: bool = False  # whether callers need no key
+    allow_anonymous: bool = False  # whether callers need no key
 
     def allows(self, region: RegionName) -> bool:
         """Tell whether requests may run in a region."""
