--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -32,7 +32,7 @@
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.http import HttpRequest
 from sparline.placement import Placement, credit_of
-from sparline.platform import RequestMarks
+from sparline.platform import RequestHead
 from sparline.quotas import quota_key
 from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
 from sparline.routes import Configuration, Route, ServiceName
@@ -62,7 +62,7 @@
     """Hold what is known of a request before it is admitted."""
 
     http: HttpRequest  # as it was received
-    marks: RequestMarks  # what its head says
+    marks: RequestHead  # what its head says
     route: Route  # route that matches it
     service: ServiceName  # service of the route that handles it
     caller: KnownCaller | None  # authenticated caller, if any
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -27,7 +27,7 @@
 )
 from sparline.placement import PaceTable
 from sparline.platform import (
-    RequestMarks,
+    RequestHead,
     headers_to_pass,
     read_marks,
     refusal_headers,
@@ -176,7 +176,7 @@
         self._log.note_end(routed, end, version)
 
     def _route(
-        self, caller: CallerConnection, http: HttpRequest, marks: RequestMarks, origin: Origin
+        self, caller: CallerConnection, http: HttpRequest, marks: RequestHead, origin: Origin
     ) -> RoutedRequest | None:
         """Return the request with its route; None once it is answered."""
         configuration = self._fleet.configuration
@@ -257,14 +257,14 @@
         self._log.count_rejected(Reason.ADMISSION_LEVEL)
 
     def _whose(
-        self, configuration: Configuration, route: Route, marks: RequestMarks, origin: Origin
+        self, configuration: Configuration, route: Route, marks: RequestHead, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
         if origin is Origin.RELAY:
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
     def _turn_away(
-        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, why: UnknownCaller
+        self, caller: CallerConnection, marks: RequestHead, origin: Origin, why: UnknownCaller
     ) -> None:
         """Answer a request for which no organisation stands.
 
@@ -284,7 +284,7 @@
             text = f"{text}; it was withdrawn by version {withdrawn_at}"
         self._reject(caller, request_id, 401, why.reason, text)
 
-    def _has_time(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
+    def _has_time(self, route: Route, service: ServiceName, marks: RequestHead) -> bool:
         """Tell whether this instance stays long enough for a request."""
         if self.leave_plan is None:
             return True
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -8,7 +8,7 @@
 from sparline.platform._items import ItemReader
 from sparline.platform._requests import (
     InstanceWire,
-    RequestMarks,
+    RequestHead,
     ServerWire,
     headers_to_pass,
     read_marks,
@@ -21,7 +21,7 @@
     "DirectoryQuestion",
     "InstanceWire",
     "ItemReader",
-    "RequestMarks",
+    "RequestHead",
     "ServerWire",
     "StoreHttpClient",
     "headers_to_pass",
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestMarks:
+class RequestHead:
     """Hold the values parsed from the head of a request."""
 
     request_id: RequestId  # id of this try of the caller
@@ -57,7 +57,7 @@
     admission_key: int | None = None  # computed by the first instance, ignored if sent by a caller
 
 
-def read_marks(request: HttpRequest) -> Result[RequestMarks, str]:
+def read_marks(request: HttpRequest) -> Result[RequestHead, str]:
     """Parse the head of a request; an error names the invalid header."""
     values = first_values(request.headers)
     request_id = values.get(names.REQUEST_ID, b"")
@@ -77,7 +77,7 @@
     if relay_caller.is_err():
         return Err(relay_caller.unwrap_err())
     return Ok(
-        RequestMarks(
+        RequestHead(
             request_id=RequestId(request_id.decode("latin-1")),
             host=host.decode("latin-1").lower().partition(":")[0],
             path=request.target.decode("latin-1").partition("?")[0],
