--- a/benchmarks/_cpu_child.py
+++ b/benchmarks/_cpu_child.py
@@ -35,7 +35,7 @@
 from sparline.gateway._log_output import LogOutput, configure  # noqa: E402
 from sparline.gateway._metrics import GatewayMetrics  # noqa: E402
 from sparline.http import BackendConnection, HttpRequest  # noqa: E402
-from sparline.platform import read_marks  # noqa: E402
+from sparline.platform import parse_request_head  # noqa: E402
 from sparline.requests import Reason  # noqa: E402
 from sparline.schema._gossip import (  # noqa: E402
     BackendLoadNote,
@@ -155,7 +155,7 @@
     news = pack(LoadNews(BackendLoadNote("s", 1, 2, 3)))
     found["load news decoded"] = _least_us(lambda: decode(news))
     head = HttpRequest(b"GET", b"/x", HEADERS)
-    found["head of a request read"] = _least_us(lambda: read_marks(head))
+    found["head of a request read"] = _least_us(lambda: parse_request_head(head))
     found["gossip merged into members"] = _least_us(lambda: members.take(_gossip(0, next(counter))))
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -29,7 +29,7 @@
 from sparline.platform import (
     RequestHead,
     headers_to_pass,
-    read_marks,
+    parse_request_head,
     refusal_headers,
     relayed_refusal_headers,
 )
@@ -155,7 +155,7 @@
         if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
             self._answer_copy(caller, http)
             return
-        marks = read_marks(http)
+        marks = parse_request_head(http)
         if marks.is_err():
             self._reject(caller, "", 400, Reason.BAD_REQUEST, marks.unwrap_err())
             return
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -20,7 +20,7 @@
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.http import HttpRequest
 from sparline.placement import Doubt, Placement, credit_of
-from sparline.platform import read_marks
+from sparline.platform import parse_request_head
 from sparline.quotas import quota_key
 from sparline.requests import KnownCaller, Origin, Reason
 from sparline.routes import KeyDigest, Organisation, make_organisations
@@ -73,7 +73,7 @@
         if key is not None:
             headers.append((b"sparline-admission-key", str(key).encode()))
         http = HttpRequest(b"POST", b"/a/1", headers, bytearray(body))
-        marks = read_marks(http).unwrap()
+        marks = parse_request_head(http).unwrap()
         return self.gate.admit(Arrival(http, marks, route, ENGINES, caller, 3_000.0), origin)
 
     def counted(self) -> tuple[int, int, int]:
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -11,7 +11,7 @@
     RequestHead,
     ServerWire,
     headers_to_pass,
-    read_marks,
+    parse_request_head,
     refusal_headers,
     relayed_refusal_headers,
 )
@@ -27,7 +27,7 @@
     "headers_to_pass",
     "make_directory_app",
     "make_readiness_app",
-    "read_marks",
+    "parse_request_head",
     "refusal_headers",
     "relayed_refusal_headers",
 ]
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -57,7 +57,7 @@
     admission_key: int | None = None  # computed by the first instance, ignored if sent by a caller
 
 
-def read_marks(request: HttpRequest) -> Result[RequestHead, str]:
+def parse_request_head(request: HttpRequest) -> Result[RequestHead, str]:
     """Parse the head of a request; an error names the invalid header."""
     values = first_values(request.headers)
     request_id = values.get(names.REQUEST_ID, b"")
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -7,7 +7,7 @@
     InstanceWire,
     ServerWire,
     headers_to_pass,
-    read_marks,
+    parse_request_head,
     relayed_refusal_headers,
 )
 from sparline.requests import (
@@ -55,7 +55,7 @@
     ids=[row[0] for row in PARSED_HEADERS],
 )
 def test_each_header_of_a_request_is_parsed(headers, name, value):
-    assert getattr(read_marks(http_request(**headers)).unwrap(), name) == value
+    assert getattr(parse_request_head(http_request(**headers)).unwrap(), name) == value
 
 
 INVALID_HEADERS = [
@@ -72,7 +72,7 @@
 
 @pytest.mark.parametrize(("headers", "header"), INVALID_HEADERS)
 def test_the_error_for_an_invalid_header_starts_with_its_name(headers, header):
-    assert read_marks(http_request(**headers)).unwrap_err().startswith(header)
+    assert parse_request_head(http_request(**headers)).unwrap_err().startswith(header)
 
 
 PRESENTED_KEYS = [
@@ -95,7 +95,7 @@
 def test_the_presented_key_is_parsed(headers, expected):
     request = http_request()
     request.headers += [(name.encode(), value.encode()) for name, value in headers]
-    assert read_marks(request).unwrap().key == expected
+    assert parse_request_head(request).unwrap().key == expected
 
 
 def test_a_callers_key_and_gateway_only_headers_are_not_passed_on():
@@ -115,12 +115,12 @@
 
 @pytest.mark.parametrize(("text", "expected"), RELAYED_CALLERS)
 def test_the_relayed_caller_is_parsed(text, expected):
-    assert read_marks(http_request(sparline_caller=text)).unwrap().relay_caller == expected
+    assert parse_request_head(http_request(sparline_caller=text)).unwrap().relay_caller == expected
 
 
 @pytest.mark.parametrize("text", ["7", "x 00ff ore", "7 zz ore", "7 00ff", "7 00ff "])
 def test_an_invalid_relayed_caller_is_rejected(text):
-    assert "sparline-caller" in read_marks(http_request(sparline_caller=text)).unwrap_err()
+    assert "sparline-caller" in parse_request_head(http_request(sparline_caller=text)).unwrap_err()
 
 
 def test_peers_and_backend_servers_get_the_organisation_but_not_the_key():
@@ -291,5 +291,5 @@
 def test_the_first_of_repeated_headers_is_used():
     request = http_request(deadline_milliseconds="2500")
     request.headers += [(b"deadline-milliseconds", b"9"), (b"attempt-id", b"r2")]
-    marks = read_marks(request).unwrap()
+    marks = parse_request_head(request).unwrap()
     assert (marks.deadline_ms, marks.request_id) == (2500.0, "r1")
