--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -234,7 +234,7 @@
             service=service,
             method=http.method,
             target=http.target,
-            headers=headers_to_pass(http, shows_key=configuration.organisations is not None),
+            headers=headers_to_pass(http, keys_required=configuration.organisations is not None),
             body=bytes(http.body),
             prompt=marks.prompt,
             resume_after=resume_after,
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -159,12 +159,12 @@
     return Ok(Prompt(tokens, max_output_tokens, tuple(prefixes)))
 
 
-def headers_to_pass(request: HttpRequest, shows_key: bool) -> Headers:
+def headers_to_pass(request: HttpRequest, keys_required: bool) -> Headers:
     """Return a caller's headers without its key and without those only the gateway may set."""
     excluded_names = (
         names.DEADLINE,
         names.LAST_EVENT,
-        *((names.AUTHORIZATION,) if shows_key else ()),
+        *((names.AUTHORIZATION,) if keys_required else ()),
     )
     return [
         header
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -102,9 +102,9 @@
     request = http_request()
     sent = [(b"tenant", b"a"), (b"tenant", b"b"), (b"authorization", b"Bearer k"), (b"x-y", b"z")]
     request.headers += [*sent, (b"sparline-caller", b"9 ab ore"), (b"sparline-service", b"s")]
-    passed = headers_to_pass(request, shows_key=True)
+    passed = headers_to_pass(request, keys_required=True)
     assert [pair for pair in passed if pair[0] not in (b"attempt-id", b"host")] == [(b"x-y", b"z")]
-    assert (b"authorization", b"Bearer k") in headers_to_pass(request, shows_key=False)
+    assert (b"authorization", b"Bearer k") in headers_to_pass(request, keys_required=False)
 
 
 RELAYED_CALLERS = [
