Rename DirectoryQuestion to DirectoryQuery

Also the local names in sparline/platform: question -> query, query -> fields, and marks -> head in test_requests.py.

--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -5,7 +5,7 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName, ZoneName
 from sparline.fleet import FleetState, Members
-from sparline.platform import DirectoryQuestion
+from sparline.platform import DirectoryQuery
 from sparline.schema._gossip import MemberPhase
 
 # Most instances named in one answer (count); callers take no more.
@@ -45,7 +45,7 @@
         self._chance = random.Random()
         self._started_ms = now_ms()
 
-    def find(self, question: DirectoryQuestion) -> list[str]:
+    def find(self, question: DirectoryQuery) -> list[str]:
         """Return addresses for a caller, none where nothing is known yet."""
         if not any(True for _ in self._members.others()) and self._is_new():
             return []
@@ -74,7 +74,7 @@
             found.append(own.ip)
         return found
 
-    def _elsewhere(self, question: DirectoryQuestion, region: RegionName) -> list[str]:
+    def _elsewhere(self, question: DirectoryQuery, region: RegionName) -> list[str]:
         """Return instances of the regions that may run most of the caller's routes."""
         found: dict[RegionName, list[str]] = {}
         for other in dict.fromkeys(self._fleet.zones.values()):
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -3,7 +3,7 @@
 from sparline._ids import RegionName, ZoneName
 from sparline.fleet import FleetState, Members, UnknownItem
 from sparline.gateway._directory import Directory
-from sparline.platform import DirectoryQuestion
+from sparline.platform import DirectoryQuery
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 from sparline.tests.routed import make_route, make_rules
 
@@ -52,7 +52,7 @@
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
-    question = DirectoryQuestion("host.example", RegionName(region), ZoneName(""))
+    question = DirectoryQuery("host.example", RegionName(region), ZoneName(""))
     assert set(directory.find(question)) == named
 
 
@@ -68,7 +68,7 @@
         make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    question = DirectoryQuery("host.example", NORTH, ZoneName(""))
     assert Directory(members, fleet, 80, 6_000.0).find(question) == ["own:80"]
 
 
@@ -88,7 +88,7 @@
     for other in others:
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName("north-2"))
+    question = DirectoryQuery("host.example", NORTH, ZoneName("north-2"))
     assert set(Directory(members, fleet, 80, 6_000.0).find(question)) == named
 
 
@@ -106,7 +106,7 @@
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    question = DirectoryQuery("host.example", NORTH, ZoneName(""))
     named = {}
     for ago_ms in (1_900, 3_900, 4_100):
         at[0] = 1_000.0 + ago_ms
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -1,7 +1,7 @@
 """Adapter to the users' platform: decodes its names, formats and calls into internal types."""
 
 from sparline.platform._directory import (
-    DirectoryQuestion,
+    DirectoryQuery,
     make_directory_app,
     make_readiness_app,
 )
@@ -18,7 +18,7 @@
 from sparline.platform._store_client import StoreHttpClient
 
 __all__ = [
-    "DirectoryQuestion",
+    "DirectoryQuery",
     "InstanceWire",
     "ItemReader",
     "RequestHead",
--- a/sparline/platform/_directory.py
+++ b/sparline/platform/_directory.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DirectoryQuestion:
+class DirectoryQuery:
     """Hold a caller's query for the instances to use."""
 
     host: str  # host that the caller wants to reach
@@ -21,7 +21,7 @@
     zone: ZoneName  # availability zone of the caller
 
 
-FindInstances = Callable[[DirectoryQuestion], list[str]]
+FindInstances = Callable[[DirectoryQuery], list[str]]
 
 
 def make_directory_app(
@@ -33,13 +33,13 @@
         if environ["PATH_INFO"] != names.RESOLVE:
             error = {"error": f"expected {names.RESOLVE}, found {environ['PATH_INFO']}"}
             return answer_json(start_response, error, "404 Not Found")
-        query = query_of(environ)
-        question = DirectoryQuestion(
-            host=query.get("name", "").lower(),
-            region=RegionName(query.get("region", "")),
-            zone=ZoneName(query.get("zone", "")),
+        fields = query_of(environ)
+        query = DirectoryQuery(
+            host=fields.get("name", "").lower(),
+            region=RegionName(fields.get("region", "")),
+            zone=ZoneName(fields.get("zone", "")),
         )
-        addresses = find_instances(question)
+        addresses = find_instances(query)
         if not addresses:
             error = {"error": "no instance is known to be ready"}
             return answer_json(start_response, error, "503 Service Unavailable")
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -291,5 +291,5 @@
 def test_the_first_of_repeated_headers_is_used():
     request = http_request(deadline_milliseconds="2500")
     request.headers += [(b"deadline-milliseconds", b"9"), (b"attempt-id", b"r2")]
-    marks = parse_request_head(request).unwrap()
-    assert (marks.deadline_ms, marks.request_id) == (2500.0, "r1")
+    head = parse_request_head(request).unwrap()
+    assert (head.deadline_ms, head.request_id) == (2500.0, "r1")
