--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -35,6 +35,7 @@
     ServerLoad,
     UnknownItem,
     _gossip,
+    _gossip_peers,
     make_member_note,
     sum_loads,
 )
@@ -402,11 +403,11 @@
     return Route(
         name=RouteName(kind.name),
         host="host.example",
-        path_start=f"/{kind.name}/",
+        path_prefix=f"/{kind.name}/",
         kind=RequestKind.STREAM,
         timeout_ms=kind.deadline_ms,
-        wanted_latency_ms=kind.wanted_ms,
-        pause_target_ms=kind.pause_ms,
+        target_latency_ms=kind.wanted_ms,
+        gap_target_ms=kind.pause_ms,
         priority=kind.rank,
         shares=(ServiceShare(ENGINES, 1.0),),
         max_backends=2,
@@ -494,7 +495,7 @@
     world = World(draw, time, engines, servers, known=known)
     with (
         patch.object(_gossip.socket, "socket", lambda *_kind: _WorldSocket(world)),
-        patch.object(_gossip, "hash", hash64, create=True),
+        patch.object(_gossip_peers, "hash", hash64, create=True),
     ):
         _run(world, arrivals, make, settle_ms)
     return world
--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -31,7 +31,7 @@
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.http import HttpRequest
 from sparline.placement import Placement, credit_of
-from sparline.platform import RequestMarks
+from sparline.platform import RequestHead
 from sparline.quotas import quota_key
 from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
 from sparline.routes import Configuration, Organisation, Route, ServiceName
@@ -61,7 +61,7 @@
     """Describe a request before admission."""
 
     http: HttpRequest  # request as received
-    marks: RequestMarks  # fields parsed from its head
+    marks: RequestHead  # fields parsed from its head
     route: Route  # route that matches it
     service: ServiceName  # service of the route that handles it
     caller: KnownCaller | None  # authenticated caller, if any
@@ -285,7 +285,7 @@
         if request.admission_level is None or progress.first_at_ms is None:
             return
         self._exchange.note_answered(request.service, _cost(request.prompt))
-        target_ms = request.route.wanted_latency_ms
+        target_ms = request.route.target_latency_ms
         first_ms = progress.first_at_ms - request.arrived_at_ms
         if progress.may_have_run or target_ms <= 0:
             # The delay was caused by a failed server, not by a lack of capacity.
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -5,7 +5,7 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName, ZoneName
 from sparline.fleet import FleetState, Members
-from sparline.platform import DirectoryQuestion
+from sparline.platform import DirectoryQuery
 from sparline.schema._gossip import MemberPhase
 
 # Maximum number of instances in one answer; callers accept no more.
@@ -46,7 +46,7 @@
         self._rng = random.Random()
         self._started_ms = now_ms()
 
-    def find(self, question: DirectoryQuestion) -> list[str]:
+    def find(self, question: DirectoryQuery) -> list[str]:
         """Return addresses for a caller; none while the members are still unknown."""
         if not any(True for _ in self._members.others()) and self._is_discovering():
             return []
@@ -75,7 +75,7 @@
             found.append(own.ip)
         return found
 
-    def _in_other_regions(self, question: DirectoryQuestion, region: RegionName) -> list[str]:
+    def _in_other_regions(self, question: DirectoryQuery, region: RegionName) -> list[str]:
         """Return instances of the other regions that may run most routes of the caller's host.
 
         Leaving instances of the caller's region are preferred if no other region may run all.
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -27,9 +27,9 @@
 )
 from sparline.placement import PaceTable
 from sparline.platform import (
-    RequestMarks,
+    RequestHead,
     headers_to_pass,
-    read_marks,
+    parse_request_head,
     refusal_headers,
     relayed_refusal_headers,
 )
@@ -161,7 +161,7 @@
         if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
             self._answer_store_copy(caller, http)
             return
-        marks = read_marks(http)
+        marks = parse_request_head(http)
         if marks.is_err():
             self._reject(caller, "", 400, Reason.BAD_REQUEST, marks.unwrap_err())
             return
@@ -182,7 +182,7 @@
         self._log.note_end(routed, end, version)
 
     def _route(
-        self, caller: CallerConnection, http: HttpRequest, marks: RequestMarks, origin: Origin
+        self, caller: CallerConnection, http: HttpRequest, marks: RequestHead, origin: Origin
     ) -> RoutedRequest | None:
         """Route and admit a request; return None if it was answered instead."""
         configuration = self._fleet.configuration
@@ -240,7 +240,7 @@
             service=service,
             method=http.method,
             target=http.target,
-            headers=headers_to_pass(http, shows_key=configuration.organisations is not None),
+            headers=headers_to_pass(http, keys_required=configuration.organisations is not None),
             body=bytes(http.body),
             prompt=marks.prompt,
             resume_after=resume_after,
@@ -264,14 +264,14 @@
         self._log.count_rejected(Reason.ADMISSION_LEVEL)
 
     def _find_caller(
-        self, configuration: Configuration, route: Route, marks: RequestMarks, origin: Origin
+        self, configuration: Configuration, route: Route, marks: RequestHead, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
         if origin is Origin.RELAY:
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
     def _answer_unknown_caller(
-        self, caller: CallerConnection, marks: RequestMarks, origin: Origin, unknown: UnknownCaller
+        self, caller: CallerConnection, marks: RequestHead, origin: Origin, unknown: UnknownCaller
     ) -> None:
         """Answer a request without a known organisation.
 
@@ -293,7 +293,7 @@
             text = f"{text}; it was withdrawn by version {withdrawn_at}"
         self._reject(caller, request_id, 401, unknown.reason, text)
 
-    def _can_complete(self, route: Route, service: ServiceName, marks: RequestMarks) -> bool:
+    def _can_complete(self, route: Route, service: ServiceName, marks: RequestHead) -> bool:
         """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -5,7 +5,7 @@
 from sparline._ids import RegionName, ZoneName
 from sparline.fleet import FleetState, Members, UnknownItem
 from sparline.gateway._directory import Directory
-from sparline.platform import DirectoryQuestion
+from sparline.platform import DirectoryQuery
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 from sparline.tests.routed import make_route, make_rules
 
@@ -50,11 +50,11 @@
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
-    question = DirectoryQuestion("host.example", RegionName(region), ZoneName(""))
+    question = DirectoryQuery("host.example", RegionName(region), ZoneName(""))
     assert set(directory.find(question)) == named
 
 
@@ -67,10 +67,10 @@
     members._others["n1"].phase_at_ms -= 10_000
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    question = DirectoryQuery("host.example", NORTH, ZoneName(""))
     assert Directory(members, fleet, 80, 6_000.0).find(question) == ["own:80"]
 
 
@@ -90,7 +90,7 @@
     for other in others:
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName("north-2"))
+    question = DirectoryQuery("host.example", NORTH, ZoneName("north-2"))
     assert set(Directory(members, fleet, 80, 6_000.0).find(question)) == named
 
 
@@ -104,11 +104,11 @@
     members.take(Gossip(LEAVING, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
-    question = DirectoryQuestion("host.example", NORTH, ZoneName(""))
+    question = DirectoryQuery("host.example", NORTH, ZoneName(""))
     named = {}
     for ago_ms in (1_900, 3_900, 4_100):
         at[0] = 1_000.0 + ago_ms
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -1,33 +1,33 @@
-"""The users' platform: names, formats and calls, decoded into the product's types."""
+"""Adapter to the users' platform: decodes its names, formats and calls into internal types."""
 
 from sparline.platform._directory import (
-    DirectoryQuestion,
+    DirectoryQuery,
     make_directory_app,
     make_readiness_app,
 )
 from sparline.platform._items import ItemReader
 from sparline.platform._requests import (
     InstanceWire,
-    RequestMarks,
+    RequestHead,
     ServerWire,
     headers_to_pass,
-    read_marks,
+    parse_request_head,
     refusal_headers,
     relayed_refusal_headers,
 )
 from sparline.platform._store_client import StoreHttpClient
 
 __all__ = [
-    "DirectoryQuestion",
+    "DirectoryQuery",
     "InstanceWire",
     "ItemReader",
-    "RequestMarks",
+    "RequestHead",
     "ServerWire",
     "StoreHttpClient",
     "headers_to_pass",
     "make_directory_app",
     "make_readiness_app",
-    "read_marks",
+    "parse_request_head",
     "refusal_headers",
     "relayed_refusal_headers",
 ]
--- a/sparline/platform/_directory.py
+++ b/sparline/platform/_directory.py
@@ -1,4 +1,4 @@
-"""The calls of the users' callers and checks that ask about this fleet."""
+"""HTTP applications for callers that look up instances, and for readiness checks."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -7,37 +7,39 @@
 from sparline._wsgi import Environ, StartResponse, answer_json, query_of
 from sparline.platform import _names as names
 
-# Callers are told to ask again after this long (s): short, so that an instance that leaves
-# is unknown to them before its grace period ends.
+# How long callers may use a list of addresses (s). It is short, so that callers drop an instance
+# that is leaving before its grace period ends.
 TTL_S = 1
 
 
 @dataclass(frozen=True, slots=True)
-class DirectoryQuestion:
-    """Ask which instances a caller should use."""
+class DirectoryQuery:
+    """Hold a caller's query for the instances to use."""
 
-    host: str  # host that it wants to reach
-    region: RegionName  # where the caller is
-    zone: ZoneName  # where the caller is
+    host: str  # host that the caller wants to reach
+    region: RegionName  # region of the caller
+    zone: ZoneName  # availability zone of the caller
 
 
-FindInstances = Callable[[DirectoryQuestion], list[str]]
+FindInstances = Callable[[DirectoryQuery], list[str]]
 
 
-def make_directory_app(find: FindInstances) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
-    """Return the application that names instances."""
+def make_directory_app(
+    find_instances: FindInstances,
+) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    """Return the WSGI application that lists instances for callers."""
 
     def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         if environ["PATH_INFO"] != names.RESOLVE:
             error = {"error": f"expected {names.RESOLVE}, found {environ['PATH_INFO']}"}
             return answer_json(start_response, error, "404 Not Found")
-        query = query_of(environ)
-        question = DirectoryQuestion(
-            host=query.get("name", "").lower(),
-            region=RegionName(query.get("region", "")),
-            zone=ZoneName(query.get("zone", "")),
+        fields = query_of(environ)
+        query = DirectoryQuery(
+            host=fields.get("name", "").lower(),
+            region=RegionName(fields.get("region", "")),
+            zone=ZoneName(fields.get("zone", "")),
         )
-        addresses = find(question)
+        addresses = find_instances(query)
         if not addresses:
             error = {"error": "no instance is known to be ready"}
             return answer_json(start_response, error, "503 Service Unavailable")
@@ -49,7 +51,7 @@
 def make_readiness_app(
     is_ready: Callable[[], bool],
 ) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
-    """Return the application that tells whether this instance takes requests."""
+    """Return the WSGI application that reports whether this instance accepts requests."""
 
     def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         if environ["PATH_INFO"] != names.READINESS:
