Select members anew when a heartbeat is older than the one before

Cause: after a step back of the clock a member's newest heartbeat can be older than the one that a kept selection was made with, so that the member stayed selected 0.1 ms too long.

Change: such a heartbeat clears the selections; the case is an example of the property test.

--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -178,7 +178,7 @@
             or known.note.region != note.region
             or now - known.heard_at_ms > self._timeout_ms(note.region)
             # The clock was stepped back: the heartbeat may be older than the selections assume.
-            or now < self._selected_at_ms
+            or now < max(self._selected_at_ms, known.heard_at_ms)
         )
 
     def requested_notes(self, keys: Iterable[int]) -> list[MemberNote]:
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from sparline._ids import RegionName
@@ -147,7 +147,18 @@
     ]
 
 
+# A heartbeat after a step back of the clock is older than the one before it.
+STEPPED_BACK = [
+    ("heartbeat", "a", MemberPhase.starting),
+    ("clock", -0.1),
+    ("datagram", "a", False, MemberPhase.starting),
+    ("heartbeat", "a", MemberPhase.starting),
+    ("clock", 3_000.1),
+]
+
+
 @settings(max_examples=400, deadline=None)
+@example(events=STEPPED_BACK, others=0)
 @given(events=EVENTS, others=st.sampled_from((0, 130)))
 def test_kept_selections_equal_a_plain_search(events, others):
     # A selection that is kept too long offers callers an instance that is gone, or hides a new one.
