--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -37,7 +37,7 @@
     liveness,
     may_be_shown_later,
 )
-from sparline.decisions._fair_shares import DemandSketch, OrganisationDemand, fair_shares
+from sparline.decisions._fair_shares import fair_shares
 from sparline.decisions._occupancy import ServerUse, region_occupancy
 from sparline.decisions._region_refusals import RegionRefusals
 from sparline.decisions._return_time import (
@@ -58,12 +58,10 @@
     "POSITIONS",
     "UNPROVEN_EXIT",
     "AdmissionFacts",
-    "DemandSketch",
     "EndEvidence",
     "InterruptionFacts",
     "LevelController",
     "Liveness",
-    "OrganisationDemand",
     "ProbeResult",
     "RefusalFacts",
     "RefusalReason",
--- a/sparline/decisions/tests/test_fair_shares.py
+++ b/sparline/decisions/tests/test_fair_shares.py
@@ -1,19 +1,13 @@
 """Fair shares between organisations, and the demand that they are computed from."""
 
 import math
-import sys
+from collections import Counter
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sparline.decisions import DemandSketch, fair_shares
-from sparline.decisions._fair_shares import (
-    MAX_COST,
-    MAX_LARGEST,
-    MAX_ORGANISATIONS_PER_SLOT,
-    SLOT_MS,
-)
+from sparline.decisions import fair_shares
 
 SHARES = [
     ("no organisations", {}, {}, 5.0, {}),
@@ -95,89 +89,6 @@
         assert rescaled.get(organisation, 1.0) == expected
 
 
-@given(st.lists(st.tuples(st.integers(0, 60), st.floats(0.0, 1e6))), st.floats(0.0, 1e6))
-def test_largest_and_rest_are_those_of_a_full_account(additions, rest):
-    """Guards against cost that is lost, doubled or charged to another organisation."""
-    sketch = DemandSketch()
-    totals: dict[int, float] = {}
-    for key, cost in additions:
-        sketch.add(key, cost, 750.0)
-        totals[key] = totals.get(key, 0.0) + cost
-    sketch.take_report({7: 5.0}, rest, 760.0)
-    totals[7] = totals.get(7, 0.0) + 5.0
-    found = sketch.largest(1_000.0 - 1e-9)
-    expected = sorted((cost for cost in totals.values() if cost), reverse=True)
-    assert list(found.largest.values()) == pytest.approx(expected[:MAX_LARGEST])
-    assert all(cost == pytest.approx(totals[key]) for key, cost in found.largest.items())
-    others = rest + math.fsum(expected[MAX_LARGEST:])
-    assert found.rest == pytest.approx(others, rel=1e-9, abs=1e-6)
-
-
-@pytest.mark.parametrize("window_ms", [500.0, 1_000.0])
-@pytest.mark.parametrize("phase_ms", [0.0, 60.0, 249.0])
-def test_constant_demand_gives_its_rate_until_it_ends(window_ms, phase_ms):
-    """Guards against a rate that depends on where in a slot it is read, and against a long memory."""
-    sketch = DemandSketch(window_ms)
-    for now in range(3_000):
-        sketch.add(1, 2.0, now + phase_ms)
-    end_ms = 3_000.0 + phase_ms
-    assert sketch.largest(end_ms).largest[1] == pytest.approx(2_000.0, rel=0.01)
-    sketch.add(2, 1.0, end_ms - 900.0)
-    assert 2 in sketch.largest(end_ms).largest  # the clock of a report was behind
-    assert sketch.largest(end_ms + window_ms).largest == {}
-    assert sketch.entry_count == 0
-
-
-def test_report_with_a_meaningless_cost_adds_nothing():
-    """Guards against one instance's report that makes all sums infinite, or counts in part."""
-    sketch = DemandSketch()
-    for cost in (-1.0, math.nan, math.inf, 2 * MAX_COST):
-        with pytest.raises(ValueError):
-            sketch.take_report({1: 1.0, 2: cost}, 0.0, 0.0)
-        with pytest.raises(ValueError):
-            sketch.take_report({1: 1.0}, cost, 0.0)
-    assert sketch.largest(0.0).largest == {}
-
-
-def lines_of_addition(organisations: int) -> int:
-    """Return how many lines an addition runs after so many organisations, over a full window."""
-    sketch = DemandSketch()
-    for now in range(0, 1_000, 250):
-        for key in range(organisations):
-            sketch.add(key, 1.0, now)
-    lines = 0
-
-    def trace(frame, event, _):
-        nonlocal lines
-        lines += event == "line"
-        return trace
-
-    before = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        sketch.add(organisations, 1.0, 1_000.0)
-    finally:
-        sys.settrace(before)
-    return lines
-
-
-def test_state_and_additions_are_bounded_whatever_the_number_of_organisations():
-    """Guards against memory and processor time that grow with the organisations."""
-    assert 0 < lines_of_addition(5_000) == lines_of_addition(10) < 40
-    sketch = DemandSketch()
-    for now in range(0, 5_000, 100):
-        for key in range(5_000):
-            sketch.add(key, 1.0 if key else 100.0, now)
-    assert sketch.entry_count <= 5_000 * 1_000 / SLOT_MS
-    found = sketch.largest(4_999.0)
-    assert next(iter(found.largest)) == 0
-    assert found.rest == pytest.approx((5_000 - MAX_LARGEST) * 10.0, rel=0.05)
-    for key in range(2 * MAX_ORGANISATIONS_PER_SLOT):
-        sketch.add(key, 1.0, 9_000.0 - key % 2 * 400.0)  # the clock of every other one is behind
-    assert sketch.entry_count == MAX_ORGANISATIONS_PER_SLOT
-    assert sum(sketch.largest(9_999.0).largest.values()) + sketch.largest(9_999.0).rest > 16_000
-
-
 USUAL = 128  # requests of cost 1 that an organisation usually sends in a second
 SURGING, ORGANISATIONS = 0, 16
 CAPACITY = 20 * USUAL
@@ -185,17 +96,14 @@
 
 def lost(ranks: dict[int, list[int]], with_shares: bool) -> dict[tuple[int, int], float]:
     """Return the part refused of each (organisation, rank), admitting by key until all is used."""
-    sketch = DemandSketch()
     asked = []
     for organisation in range(ORGANISATIONS):
         surge = 7.5 if organisation == SURGING else 1.0
         for rank in ranks[organisation]:
             count = int(USUAL * surge) // len(ranks[organisation])
             asked += [(organisation, rank, index * 128 // count) for index in range(count)]
-    for organisation, _, _ in asked:
-        sketch.add(organisation, 1.0, 0.0)
-    demand = sketch.largest(1_000.0 - 1e-9)
-    shares = fair_shares(demand.largest, {}, CAPACITY) if with_shares else {}
+    demands = Counter(organisation for organisation, _, _ in asked)
+    shares = fair_shares(demands, {}, CAPACITY) if with_shares else {}
     parts = {key: int(share * 128) for key, share in shares.items()}
 
     def key_of(request: tuple[int, int, int]) -> int:
