Keep the users' names of route fields inside the platform package

Change: Route has path_start, wanted_latency_ms, pause_target_ms and allows_anonymous again. Nothing else changes.

--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -88,7 +88,7 @@
 SERVER = make_server("s1")
 ITEMS = {
     b"new": ConfigurationItem(make_rules(version=5)),
-    b"old": ConfigurationItem(make_rules(make_route(path_prefix="/old/"), version=3)),
+    b"old": ConfigurationItem(make_rules(make_route(path_start="/old/"), version=3)),
     b"bad": BadItem("wrong"),
     b"server": BackendServerItem(SERVER),
     b"start 1": BackendServerItem(make_server("s1@1", born_ms=1)),
--- a/sparline/forwarding/_resume_wait.py
+++ b/sparline/forwarding/_resume_wait.py
@@ -24,7 +24,7 @@
     if not progress.began and request.resume_after is None:
         return False
     queue_ms = placement.expected_ms - placement.prefill_ms
-    if queue_ms <= MAX_RESUME_QUEUE_FRACTION * request.route.target_latency_ms:
+    if queue_ms <= MAX_RESUME_QUEUE_FRACTION * request.route.wanted_latency_ms:
         return False
     return _pause_ms(request, progress) < MAX_RESUME_WAIT_FRACTION * caller_patience_ms(
         request.route
@@ -47,6 +47,6 @@
     """Return the pause after which callers give up on a stream (ms)."""
     return max(
         MIN_CALLER_PATIENCE_MS,
-        PATIENCE_LATENCY_FACTOR * route.target_latency_ms,
-        PATIENCE_PAUSE_FACTOR * route.gap_target_ms,
+        PATIENCE_LATENCY_FACTOR * route.wanted_latency_ms,
+        PATIENCE_PAUSE_FACTOR * route.pause_target_ms,
     )
--- a/sparline/forwarding/tests/test_resume_wait.py
+++ b/sparline/forwarding/tests/test_resume_wait.py
@@ -61,6 +61,6 @@
 @pytest.mark.parametrize(("wanted_ms", "pause_ms", "expected_ms"), PATIENCE)
 def test_pause_after_which_callers_give_up(wanted_ms, pause_ms, expected_ms):
     assert (
-        caller_patience_ms(make_route(target_latency_ms=wanted_ms, gap_target_ms=pause_ms))
+        caller_patience_ms(make_route(wanted_latency_ms=wanted_ms, pause_target_ms=pause_ms))
         == expected_ms
     )
--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -285,7 +285,7 @@
         if request.admission_level is None or progress.first_at_ms is None:
             return
         self._exchange.note_answered(request.service, _cost(request.prompt))
-        target_ms = request.route.target_latency_ms
+        target_ms = request.route.wanted_latency_ms
         first_ms = progress.first_at_ms - request.arrived_at_ms
         if progress.may_have_run or target_ms <= 0:
             # The delay was caused by a failed server, not by a lack of capacity.
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -63,6 +63,6 @@
 def _expected_ms(route: Route, prompt: Prompt | None, output_token_ms: float) -> float:
     """Return the longest time that a request usually takes."""
     if route.kind is not RequestKind.STREAM or prompt is None:
-        return route.target_latency_ms
+        return route.wanted_latency_ms
     output_ms = prompt.max_output_tokens * output_token_ms
-    return min(FIRST_EVENT_TARGETS * route.target_latency_ms + output_ms, route.timeout_ms)
+    return min(FIRST_EVENT_TARGETS * route.wanted_latency_ms + output_ms, route.timeout_ms)
--- a/sparline/gateway/_occupancy.py
+++ b/sparline/gateway/_occupancy.py
@@ -40,7 +40,7 @@
             return None
         target_ms = min(
             (
-                route.target_latency_ms
+                route.wanted_latency_ms
                 for route in configuration.routes
                 if any(share.service == name for share in route.shares)
             ),
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -37,8 +37,8 @@
 
 NORTH, SOUTH = RegionName("north"), RegionName("south")
 URGENT_ROUTE, LESS_URGENT_ROUTE = (
-    make_route(path_prefix="/a/"),
-    make_route(path_prefix="/b/", priority=2),
+    make_route(path_start="/a/"),
+    make_route(path_start="/b/", priority=2),
 )
 COST = credit_of(make_request().prompt)
 
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -50,7 +50,7 @@
         members.take(Gossip(other, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
@@ -67,7 +67,7 @@
     members._others["n1"].phase_at_ms -= 10_000
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     question = DirectoryQuery("host.example", NORTH, ZoneName(""))
@@ -104,7 +104,7 @@
     members.take(Gossip(LEAVING, 0, True, [], [], [], [], False))
     fleet = FleetState(lambda _change: UnknownItem(), lambda: None, lambda: 0.0, ZONES)
     routes = [
-        make_route(path_prefix=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
+        make_route(path_start=f"/{place}/", allowed_regions=of) for place, of in enumerate(HOMES)
     ]
     fleet.configuration = make_rules(*routes)
     directory = Directory(members, fleet, 80, 6_000.0)
--- a/sparline/gateway/tests/test_keys.py
+++ b/sparline/gateway/tests/test_keys.py
@@ -118,7 +118,7 @@
         priorities.append(int(runs[-1].headers["request-priority"]))
     configuration = fleet.gateways["g0"].fleet.configuration
     ranks = configuration.ranks.by_priorities
-    route = next(one for one in configuration.routes if one.path_prefix == "/stream/")
+    route = next(one for one in configuration.routes if one.path_start == "/stream/")
     assert priorities == [ranks[4, route.priority], ranks[route.priority, route.priority]]
     assert priorities[0] > priorities[1]
 
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -9,11 +9,11 @@
 from sparline.tests.routed import make_route
 
 GRACE_MS = 8_000.0
-STREAM = make_route(kind=RequestKind.STREAM, target_latency_ms=1_000, timeout_ms=8_000)
+STREAM = make_route(kind=RequestKind.STREAM, wanted_latency_ms=1_000, timeout_ms=8_000)
 ONCE = make_route(
-    kind=RequestKind.STREAM, target_latency_ms=1_000, timeout_ms=8_000, resumable=False
+    kind=RequestKind.STREAM, wanted_latency_ms=1_000, timeout_ms=8_000, resumable=False
 )
-PLAIN = make_route(kind=RequestKind.UNSAFE, target_latency_ms=400, timeout_ms=1_200)
+PLAIN = make_route(kind=RequestKind.UNSAFE, wanted_latency_ms=400, timeout_ms=1_200)
 
 ROWS = [
     ("a long answer at once", STREAM, Prompt(17_000, 120, ()), 0, True),
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -118,7 +118,7 @@
     ) -> CommonFacts:
         tables = self._tables
         prompt = request.prompt
-        target_ms = request.route.gap_target_ms
+        target_ms = request.route.pause_target_ms
         return CommonFacts(
             healthy=frozenset(one.id for one in shortlisted.healthy),
             cached_prefix=find_cached_prefix(
@@ -239,7 +239,7 @@
         """Return a refusal for a request that would be too late or cost others too much."""
         why = refusal_reason(
             AdmissionFacts(
-                target_ms=request.route.target_latency_ms,
+                target_ms=request.route.wanted_latency_ms,
                 left_ms=request.left_ms(),
                 expected_ms=best.expected_ms,
                 prefill_ms=best.prefill_ms,
@@ -251,7 +251,7 @@
         if why is None:
             return None
         wait_ms = refusal_retry_after_ms(
-            RefusalFacts(request.route.target_latency_ms, best.expected_ms, request.left_ms())
+            RefusalFacts(request.route.wanted_latency_ms, best.expected_ms, request.left_ms())
         )
         return Refusal(Reason.DEADLINE_UNREACHABLE, wait_ms, candidates, best, why)
 
--- a/sparline/placement/_demand.py
+++ b/sparline/placement/_demand.py
@@ -67,7 +67,7 @@
         size = credit_of(prompt)
         by_class = self._arrivals.setdefault(request.service, {})
         arrivals = by_class.setdefault(_class_of(request), _Arrivals(size, 0.0))
-        arrivals.target_ms = request.route.target_latency_ms
+        arrivals.target_ms = request.route.wanted_latency_ms
         arrivals.usual_size += USUAL_WEIGHT * (size - arrivals.usual_size)
         now = now_ms()
         arrivals.arrived_value = arrivals.decayed(now) + self.request_value(request, prompt)
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -191,7 +191,7 @@
         expected_ms = way.network_ms + self._server_time_ms(
             request, service, server, load, queue, work, pace, common
         )
-        loss = (expected_ms / request.route.target_latency_ms) ** 2
+        loss = (expected_ms / request.route.wanted_latency_ms) ** 2
         loss += self._server_loss(server, common)
         if request.prompt is not None and service.engine is not None:
             loss += self._prompt_loss(request, service.engine, load, queue, work, pace, common)
--- a/sparline/placement/_stream_watch.py
+++ b/sparline/placement/_stream_watch.py
@@ -70,7 +70,7 @@
             self._reservation.note_first_event(log_factor)
         elif self._was_suspended_since(self._event_at_ms):
             self._gap_prefill = None
-        elif self._request.route.gap_target_ms:
+        elif self._request.route.pause_target_ms:
             self._note_gap(now_ms() - self._event_at_ms)
         self._event_at_ms = now_ms()
 
@@ -107,7 +107,7 @@
     def _note_gap(self, gap_ms: float) -> None:
         """Learn from a gap in which this instance sent a prompt, and from the next one."""
         service = self._request.service
-        target_ms = self._request.route.gap_target_ms
+        target_ms = self._request.route.pause_target_ms
         gaps = self._tables.gaps
         if self._gap_prefill is not None:
             if self._gap_prefill.busy_until_ms >= now_ms():
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -123,7 +123,7 @@
 RELAYED = {"origin": Origin.RELAY}
 # An engine whose queue makes a request later than its target of 800 ms.
 LATE = ServerLoad(3, 60_000, 41_000)
-NO_GAP_TARGET = make_route(gap_target_ms=0.0)
+NO_GAP_TARGET = make_route(pause_target_ms=0.0)
 LEAVING = make_server("n1", leaving=True)
 OTHER_ZONE = make_server("n3", zone=ZoneName("north-2"))
 COLD = make_server("n1", cold_until_ms=now_ms() + 1e9)
@@ -298,7 +298,7 @@
 
 def test_plain_request_avoids_full_server():
     route = make_route(
-        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), target_latency_ms=400.0
+        kind=RequestKind.SAFE, shares=(ServiceShare(PLAIN, 1.0),), wanted_latency_ms=400.0
     )
     near = make_server("p1", service=PLAIN, slots=2)
     far = make_server("p2", "south", service=PLAIN, slots=2)
--- a/sparline/placement/tests/test_observed.py
+++ b/sparline/placement/tests/test_observed.py
@@ -234,7 +234,7 @@
         self.gaps = GapTable()
         self.pace = PaceTable()
         reservation = self.loads.reserve(N1, 450, 400)
-        request = make_request(make_route(gap_target_ms=GAP_TARGET_MS))
+        request = make_request(make_route(pause_target_ms=GAP_TARGET_MS))
         tables = WatchTables(self.pace, self.gaps, self.loads, process_resumed_at_ms)
         self.watch = StreamWatch(tables, request, make_placement(**changes), reservation)
 
--- a/sparline/placement/tests/test_ranks.py
+++ b/sparline/placement/tests/test_ranks.py
@@ -12,8 +12,8 @@
 SLOTS = 16
 SHORT = Prompt(628, 26, ())
 LONG = Prompt(12_000, 35, ())
-URGENT = make_route(priority=0, target_latency_ms=500.0, gap_target_ms=0.0)
-PATIENT = make_route(priority=2, target_latency_ms=1_500.0, gap_target_ms=0.0)
+URGENT = make_route(priority=0, wanted_latency_ms=500.0, pause_target_ms=0.0)
+PATIENT = make_route(priority=2, wanted_latency_ms=1_500.0, pause_target_ms=0.0)
 
 QUEUES = [
     ("free slot", 0, 15, 9_000, (0, 0, 0, 0, 4, 8_000), Queue(0, 9_000)),
@@ -73,7 +73,7 @@
     for target_ms in (250.0, 500.0, 2_000.0):
         world = World(N1)
         world.loads["n1"] = ServerLoad(4, 20_000, 8_000)
-        urgent = make_route(priority=0, target_latency_ms=target_ms, gap_target_ms=0.0)
+        urgent = make_route(priority=0, wanted_latency_ms=target_ms, pause_target_ms=0.0)
         for _ in range(20):
             world.tables.demand.note(make_request(urgent), SHORT)
         place = world.chooser.choose(make_request(PATIENT, prompt=LONG), frozenset(), True)
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -251,17 +251,17 @@
     return Route(
         name=RouteName(node.name),
         host=node.host.lower(),
-        path_prefix=node.path_prefix,
+        path_start=node.path_prefix,
         kind=kind,
         timeout_ms=node.timeout_ms,
-        target_latency_ms=node.target_latency_ms,
-        gap_target_ms=node.gap_target_ms,
+        wanted_latency_ms=node.target_latency_ms,
+        pause_target_ms=node.gap_target_ms,
         priority=node.priority,
         shares=tuple(ServiceShare(ServiceName(share.service), share.weight) for share in split),
         max_backends=node.max_attempts,
         resumable=node.allow_resume,
         allowed_regions=frozenset(RegionName(region) for region in node.home_regions or ()),
-        allow_anonymous=node.allow_anonymous,
+        allows_anonymous=node.allow_anonymous,
     )
 
 
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -149,7 +149,7 @@
     route = decoded.find("host.example", "/a/c")
     assert [(share.service, share.weight) for share in route.shares] == [("x", 9), ("y", 1)]
     assert route.allows(RegionName("north")) and not route.allows(RegionName("south"))
-    assert decoded.find("host.example", "/a/b/c").path_prefix == "/a/b/"
+    assert decoded.find("host.example", "/a/b/c").path_start == "/a/b/"
     assert decoded.find("host.example", "/b/") is None
     assert decoded.find("other.example", "/a/c") is None
 
--- a/sparline/requests/_callers.py
+++ b/sparline/requests/_callers.py
@@ -63,7 +63,7 @@
     if known is None:
         return Ok(None)
     if presented.digest is None:
-        if route.allow_anonymous and presented.fault is KeyFault.MISSING:
+        if route.allows_anonymous and presented.fault is KeyFault.MISSING:
             return Ok(None)
         assert presented.fault is not None, "a missing key must have a fault"
         text = f"Authorization: expected Bearer KEY, found {presented.fault.value}"
@@ -86,7 +86,7 @@
     """
     known = configuration.organisations
     if relayed is None:
-        if known is None or route.allow_anonymous:
+        if known is None or route.allows_anonymous:
             return Ok(None)
         return Err(UnknownCaller(Reason.NO_KEY, "expected an organisation, found none"))
     organisation = known.by_id.get(relayed.organisation) if known else None
--- a/sparline/requests/tests/test_callers.py
+++ b/sparline/requests/tests/test_callers.py
@@ -38,7 +38,7 @@
 
 
 CURRENT = version(5, organisation("ore", MINE), organisation("peat", OTHERS))
-OPEN = make_route(allow_anonymous=True)
+OPEN = make_route(allows_anonymous=True)
 CLOSED = make_route()
 
 PRESENTED = [
--- a/sparline/routes/_types.py
+++ b/sparline/routes/_types.py
@@ -39,17 +39,17 @@
 
     name: RouteName  # name given by the operators
     host: str  # host in lower case, without port
-    path_prefix: str  # begins and ends with a slash
+    path_start: str  # begins and ends with a slash
     kind: RequestKind  # whether requests may run again
     timeout_ms: float  # longest time that a request may take
-    target_latency_ms: float  # target time to the answer, or to the first event of a stream
-    gap_target_ms: float  # target for the longest gap between events of a stream, 0 for none
+    wanted_latency_ms: float  # target time to the answer, or to the first event of a stream
+    pause_target_ms: float  # target for the longest gap between events of a stream, 0 for none
     priority: int  # 0 is the most urgent
     shares: tuple[ServiceShare, ...]  # services that handle the requests
     max_backends: int  # most backend servers on which one request may run
     resumable: bool  # whether a stream may resume on another backend server
     allowed_regions: frozenset[RegionName]  # regions that may run it, empty for all
-    allow_anonymous: bool = False  # whether callers need no key
+    allows_anonymous: bool = False  # whether callers need no key
 
     def allows(self, region: RegionName) -> bool:
         """Tell whether requests may run in a region."""
@@ -121,7 +121,7 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the matching route with the longest path prefix."""
         for route in self.by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.path_start):
                 return route
         return None
 
@@ -135,7 +135,7 @@
 ) -> Configuration:
     """Create a configuration with its routes indexed by host, longest path prefix first."""
     by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda item: -len(item.path_prefix)):
+    for route in sorted(routes, key=lambda item: -len(item.path_start)):
         by_host.setdefault(route.host, []).append(route)
     routes_by_host = {host: tuple(found) for host, found in by_host.items()}
     ranks = make_ranks(
