Log the store's era, and answers with less than the copy of it holds

Cause: not settled yet. The logs showed a 410 and a full read two to three times a second for five to eight seconds, but neither what the reads answered nor that they were ignored.

Change: the client reads Store-Era (0 where a store names none; anything but a number is a bad answer), an answer carries a position (era and revision), and the reader writes store_era and store_answer_older. What is taken from the store, and in which order, is as before: the copy still goes by the revision alone.

Evidence: 185 tests of fleet's store, platform and the leaving server pass; tests of the reader build answers with a position instead of a bare revision, the checks are the same.

--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -20,7 +20,7 @@
 from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaExchange
-from sparline.fleet._store_copy import StoreChange, StoreCopyTable
+from sparline.fleet._store_copy import StoreChange, StoreCopyTable, StorePosition
 from sparline.fleet._store_reader import (
     StoreAnswer,
     StoreClient,
@@ -64,6 +64,7 @@
     "StoreFault",
     "StoreFaultKind",
     "StoreItem",
+    "StorePosition",
     "StoreReader",
     "UnknownItem",
     "add_pending",
--- a/sparline/fleet/_store_copy.py
+++ b/sparline/fleet/_store_copy.py
@@ -9,6 +9,14 @@
 MAX_TOMBSTONES = 2_000
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """Locate a state of the store; a greater position is a newer state."""
+
+    era: int  # number of times that the store has come back from an older copy
+    revision: int  # store revision, which is ordered within the era only
+
+
 @dataclass(frozen=True, slots=True)
 class StoreChange:
     """Hold one change of one store item."""
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -11,7 +11,7 @@
 
 from sparline._clock import now_ms
 from sparline._logging import log
-from sparline.fleet._store_copy import StoreChange, StoreCopyTable
+from sparline.fleet._store_copy import StoreChange, StoreCopyTable, StorePosition
 
 # Maximum wait of a watch (ms), and the minimum fraction of it; the wait is random in between. A
 # change ends the watches of all instances at the same time, so their next watches start together,
@@ -74,7 +74,7 @@
     """Hold the result of one call to the store."""
 
     changes: list[StoreChange]  # current items of a full read, or changes from a watch
-    revision: int  # store revision up to which the response is complete
+    position: StorePosition  # state of the store up to which the response is complete
 
 
 class StoreClient(Protocol):
@@ -112,6 +112,7 @@
         """
         self.answered_at_ms = 0.0  # time of the store's last response, 0 for never
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
+        self.era = 0  # era of the store's last response
         self._client = client
         self._copy = copy
         self._on_call = on_call
@@ -171,13 +172,25 @@
                 self._on_call(call, "answered")
                 self._record_answer()
                 self._needs_full_read = False
-                apply(news.changes, news.revision)
+                self._log_position(call, news.position)
+                apply(news.changes, news.position.revision)
                 if news.changes:
                     gevent.sleep(self._watch_delay_ms() / 1000)
             case Err(fault):
                 self._on_call(call, fault.kind.value)
                 self._record_fault(call, fault)
 
+    def _log_position(self, call: str, position: StorePosition) -> None:
+        """Log a change of the store's era, and a response with less than the copy holds."""
+        line = log.bind(
+            call=call, era=position.era, revision=position.revision, held=self._copy.revision
+        )
+        if position.era != self.era:
+            line.bind(before=self.era).info("store_era")
+            self.era = position.era
+        if position.revision < self._copy.revision:
+            line.warning("store_answer_older")
+
     def _watch_delay_ms(self) -> float:
         if now_ms() - self.last_fault_at_ms < RECOVERY_MS:
             return MIN_WATCH_DELAY_MS
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -12,6 +12,7 @@
     StoreCopyTable,
     StoreFault,
     StoreFaultKind,
+    StorePosition,
     StoreReader,
     UnknownItem,
     _fleet_state,
@@ -22,6 +23,11 @@
 A1, A3, B2 = StoreChange("a", 1, b"1"), StoreChange("a", 3, b"3"), StoreChange("b", 2, b"2")
 A_GONE = StoreChange("a", 4, None)
 
+
+def at(revision: int, era: int = 0) -> StorePosition:
+    return StorePosition(era, revision)
+
+
 ORDERS = [
     ("in order", [([A1], 1), ([B2, A3], 3)], {"a": b"3", "b": b"2"}, 3),
     ("in reverse order", [([A3], 3), ([B2, A1], 2)], {"a": b"3", "b": b"2"}, 3),
@@ -216,10 +222,10 @@
 
 
 READS = [
-    ("read, then watch", [Ok(StoreAnswer([A1], 1)), Ok(StoreAnswer([B2], 2))], ["read", "watch 1"]),
-    ("a failed read is retried", [fault(StoreFaultKind.REFUSED), Ok(StoreAnswer([], 1))], ["read", "read"]),
-    ("a failed watch resumes at its revision", [Ok(StoreAnswer([A1], 1)), fault(StoreFaultKind.SILENT), Ok(StoreAnswer([], 1))], ["read", "watch 1", "watch 1"]),
-    ("lost history causes a full read", [Ok(StoreAnswer([A1], 1)), fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([], 7)), Ok(StoreAnswer([], 8))], ["read", "watch 1", "read", "watch 7"]),
+    ("read, then watch", [Ok(StoreAnswer([A1], at(1))), Ok(StoreAnswer([B2], at(2)))], ["read", "watch 1"]),
+    ("a failed read is retried", [fault(StoreFaultKind.REFUSED), Ok(StoreAnswer([], at(1)))], ["read", "read"]),
+    ("a failed watch resumes at its revision", [Ok(StoreAnswer([A1], at(1))), fault(StoreFaultKind.SILENT), Ok(StoreAnswer([], at(1)))], ["read", "watch 1", "watch 1"]),
+    ("lost history causes a full read", [Ok(StoreAnswer([A1], at(1))), fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([], at(7))), Ok(StoreAnswer([], at(8)))], ["read", "watch 1", "read", "watch 7"]),
 ]  # fmt: skip
 
 
@@ -254,7 +260,7 @@
     monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
     waits = []
     for _ in range(50):
-        store = ScriptedStore(Ok(StoreAnswer([A1], 1)), Ok(StoreAnswer([], 1)))
+        store = ScriptedStore(Ok(StoreAnswer([A1], at(1))), Ok(StoreAnswer([], at(1))))
         reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: 0)
         with pytest.raises(IndexError):
             reader.run()
@@ -279,7 +285,7 @@
     waits: list[float] = []
     monkeypatch.setattr(_store_reader, "now_ms", lambda: 2e9)
     monkeypatch.setattr(_store_reader.gevent, "sleep", lambda s: waits.append(s * 1000))
-    store = ScriptedStore(Ok(StoreAnswer([A1], 1)))
+    store = ScriptedStore(Ok(StoreAnswer([A1], at(1))))
     reader = StoreReader(
         store, copy_of({}), lambda _call, _result: None, lambda: 0, lambda: instances
     )
@@ -353,7 +359,9 @@
     clock = [1_000.0]
     monkeypatch.setattr(_store_reader, "now_ms", lambda: clock[0])
     monkeypatch.setattr(_store_reader.gevent, "sleep", FakeSleep(clock, steps))
-    store = ScriptedStore(Ok(StoreAnswer([], 1)), *[Ok(StoreAnswer([], 1))] * (len(calls) - 1))
+    store = ScriptedStore(
+        Ok(StoreAnswer([], at(1))), *[Ok(StoreAnswer([], at(1)))] * (len(calls) - 1)
+    )
     reader = StoreReader(
         store,
         copy_of({}),
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -36,6 +36,9 @@
 SERVER_LEAVING = b"server-leaving"  # "1" if the backend server is shutting down
 SERVER_LIMIT = b"server-limit"  # requests per second, from all instances together
 
+# Header of the store's responses: rises by one each time it comes back from an older copy.
+STORE_ERA = b"store-era"
+
 # Headers between instances; they are removed from callers' requests.
 INSTANCE_HEADER_PREFIX = b"sparline-"
 RELAY_SERVICE = b"sparline-service"  # service that the first instance chose
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -1,13 +1,14 @@
 """HTTP client of the users' store: its two read calls, on one persistent connection."""
 
 import base64
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import gevent
 import msgspec
 from result import Err, Ok, Result
 
-from sparline.fleet import StoreAnswer, StoreChange, StoreFault, StoreFaultKind
+from sparline.fleet import StoreAnswer, StoreChange, StoreFault, StoreFaultKind, StorePosition
 from sparline.http import Address, BackendConnection, ConnectionBroken, HttpAnswer
 from sparline.platform import _names as names
 
@@ -16,6 +17,12 @@
 ALL_KEYS = ""
 
 
+# Era of a store whose responses name none.
+FIRST_ERA = 0
+# Maximum length of an invalid value quoted in an error message.
+MAX_QUOTED_CHARS = 80
+
+
 class _ItemNode(msgspec.Struct):
     private_key: str  # name of the item; it is not secret
     revision: int  # store revision of the last change
@@ -34,6 +41,14 @@
     timestamp: int  # the store's revision, not a time
 
 
+@dataclass(frozen=True, slots=True)
+class _StoreContent:
+    """Hold the body of a successful response."""
+
+    era: int  # number of times that the store has come back from an older copy
+    body: bytes  # JSON document
+
+
 class StoreHttpClient:
     """Call the store; a connection is not reused after a failure."""
 
@@ -45,29 +60,33 @@
     def read_all(self, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
         """Return the newest version of every item."""
         changes: list[StoreChange] = []
-        first_revision: int | None = None
+        first_page: StorePosition | None = None
         after = ""
         while True:
             query = {"path_prefix": ALL_KEYS} | ({"after": after} if after else {})
-            body = self._call(names.READ_KEY_RANGE, query, timeout_ms)
-            page = body.and_then(lambda content: _decode(content, _RangeNode))
+            content = self._call(names.READ_KEY_RANGE, query, timeout_ms)
+            page = content.and_then(lambda found: _decode(found.body, _RangeNode))
             if page.is_err():
                 return Err(page.unwrap_err())
             node = page.unwrap()
+            position = StorePosition(content.unwrap().era, node.timestamp)
             changes += [_decode_change(item) for item in node.items]
             # Pages are not a snapshot, so the watch starts at the revision of the first page.
-            first_revision = node.timestamp if first_revision is None else first_revision
+            first_page = position if first_page is None else first_page
             if not node.has_more or not node.items:
-                return Ok(StoreAnswer(changes, first_revision))
+                return Ok(StoreAnswer(changes, first_page))
             after = node.items[-1].private_key
 
     def watch(self, after: int, wait_ms: int, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
         """Wait for changes after a revision and return them."""
         query = {"path_prefix": ALL_KEYS, "after": after, "wait_ms": wait_ms}
-        body = self._call(names.WATCH_KEYS, query, timeout_ms)
-        return body.and_then(lambda content: _decode(content, _WatchNode)).map(
-            lambda node: StoreAnswer([_decode_change(item) for item in node.events], node.timestamp)
-        )
+        content = self._call(names.WATCH_KEYS, query, timeout_ms)
+        page = content.and_then(lambda found: _decode(found.body, _WatchNode))
+        if page.is_err():
+            return Err(page.unwrap_err())
+        node = page.unwrap()
+        position = StorePosition(content.unwrap().era, node.timestamp)
+        return Ok(StoreAnswer([_decode_change(item) for item in node.events], position))
 
     def interrupt(self) -> None:
         """Abort the pending call, if any."""
@@ -77,7 +96,7 @@
 
     def _call(
         self, path: str, query: dict[str, str | int], timeout_ms: float
-    ) -> Result[bytes, StoreFault]:
+    ) -> Result[_StoreContent, StoreFault]:
         timer = gevent.Timeout(timeout_ms / 1000)
         try:
             with timer:
@@ -93,7 +112,7 @@
             self._close_connection()
             return Err(StoreFault(StoreFaultKind.UNREACHABLE, str(error)))
 
-    def _exchange(self, target: str) -> Result[bytes, StoreFault]:
+    def _exchange(self, target: str) -> Result[_StoreContent, StoreFault]:
         connection = self._connection
         if connection is None or not connection.reusable:
             self._close_connection()
@@ -109,14 +128,24 @@
             self._connection = None
 
 
-def _check_status(answer: HttpAnswer, body: bytes) -> Result[bytes, StoreFault]:
+def _check_status(answer: HttpAnswer, body: bytes) -> Result[_StoreContent, StoreFault]:
     if answer.status == 200:
-        return Ok(body)
+        return _decode_era(answer).map(lambda era: _StoreContent(era, body))
     history_gone = answer.status == 410
     kind = StoreFaultKind.HISTORY_GONE if history_gone else StoreFaultKind.REFUSED
     return Err(StoreFault(kind, f"expected status 200, found {answer.status}"))
 
 
+def _decode_era(answer: HttpAnswer) -> Result[int, StoreFault]:
+    value = answer.header(names.STORE_ERA)
+    if value is None:
+        return Ok(FIRST_ERA)
+    if not value.isdigit():
+        text = f"{names.STORE_ERA.decode()}: expected a number, found {value[:MAX_QUOTED_CHARS]!r}"
+        return Err(StoreFault(StoreFaultKind.BAD_ANSWER, text))
+    return Ok(int(value))
+
+
 def _decode(content: bytes, kind: type) -> Result:
     try:
         return Ok(msgspec.json.decode(content, type=kind))
