Reproduce that what a restored store confirms at reissued revisions is never in force

The stand-in of the store names its era in all answers and can come back from the state of an earlier revision: later writes are gone, revisions are given out again, and a watch after one that it doesn't have gets 410.

--- a/standins/_key_store.py
+++ b/standins/_key_store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the users' store: items with revisions, watches, history, outages."""
+"""Stand-in for the users' store: items with revisions, watches, history, outages, restorations."""
 
 import base64
 import json
@@ -42,6 +42,8 @@
         self.turned_away: set[str] = set()  # addresses of callers that get 503
         self.calls: list[str] = []  # paths that were called
         self.revision = 0
+        self.era = 1  # rises by one at each restoration
+        self._writes: list[_Item] = []  # all that lead to the current state
         self._items: dict[str, _Item] = {}
         self._history: list[_Item] = []
         self._oldest = 0  # changes up to here are forgotten
@@ -76,6 +78,7 @@
     def _write(self, key: str, value: bytes | None) -> int:
         self.revision += 1
         item = _Item(key, self.revision, value)
+        self._writes.append(item)
         self._history.append(item)
         if value is None:
             self._items.pop(key, None)
@@ -92,6 +95,18 @@
         self._changed.set()
         self._changed.clear()
 
+    def restore(self, revision: int) -> None:
+        """Come back from a copy that is as old as a revision; later writes are lost."""
+        self.era += 1
+        self.revision = revision
+        self._writes = [item for item in self._writes if item.revision <= revision]
+        self._history = [item for item in self._history if item.revision <= revision]
+        self._oldest = min(self._oldest, revision)
+        newest = {item.key: item for item in self._writes}
+        self._items = {key: item for key, item in newest.items() if item.value is not None}
+        self._changed.set()
+        self._changed.clear()
+
     def _fail(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes] | None:
         self.calls.append(environ["PATH_INFO"])
         if self.mode is StoreMode.SILENT:
@@ -99,7 +114,7 @@
         if self.mode is StoreMode.RESET:
             close_now(environ)
         if self.mode is StoreMode.REFUSING or environ["REMOTE_ADDR"] in self.turned_away:
-            return answer_json(start_response, {}, "503 Service Unavailable")
+            return self._answer(start_response, {}, "503 Service Unavailable")
         return None
 
     def _range(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -118,7 +133,7 @@
             "has_more": len(keys) > MOST_IN_A_PAGE,
             "timestamp": self.revision,
         }
-        return answer_json(start_response, body)
+        return self._answer(start_response, body)
 
     def _watch(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         failed = self._fail(environ, start_response)
@@ -126,15 +141,24 @@
             return failed
         query = query_of(environ)
         after = int(query["after"])
+        era = self.era
         with gevent.Timeout(int(query["wait_ms"]) / 1000, False):
-            while after >= self._oldest and not self._since(after):
+            while self._has(after) and era == self.era and not self._since(after):
                 self._changed.wait()
-        if self.mode is not StoreMode.OK:
+        if self.mode is not StoreMode.OK or era != self.era:
             raise AnswerCut
-        if after < self._oldest:
-            return answer_json(start_response, {}, "410 Gone")
+        if not self._has(after):
+            return self._answer(start_response, {}, "410 Gone")
         events = [_as_json(item) for item in self._since(after)]
-        return answer_json(start_response, {"events": events, "timestamp": self.revision})
+        return self._answer(start_response, {"events": events, "timestamp": self.revision})
+
+    def _has(self, revision: int) -> bool:
+        return self._oldest <= revision <= self.revision
+
+    def _answer(
+        self, start_response: StartResponse, body: Any, status: str = "200 OK"
+    ) -> Iterable[bytes]:
+        return answer_json(start_response, body, status, [("Store-Era", str(self.era))])
 
     def _since(self, revision: int) -> list[_Item]:
         return [item for item in self._history if item.revision > revision]
