Write the lines of the store's era with the log of a process

What callers would have seen: an instance before a store that names its era never became ready. Change: one bind a line.

--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -182,14 +182,16 @@
 
     def _log_position(self, call: str, position: StorePosition) -> None:
         """Log a change of the store's era, and a response with less than the copy holds."""
-        line = log.bind(
-            call=call, era=position.era, revision=position.revision, held=self._copy.revision
-        )
+        held = self._copy.revision
         if position.era != self.era:
-            line.bind(before=self.era).info("store_era")
+            log.bind(
+                call=call, era=position.era, before=self.era, revision=position.revision, held=held
+            ).info("store_era")
             self.era = position.era
-        if position.revision < self._copy.revision:
-            line.warning("store_answer_older")
+        if position.revision < held:
+            log.bind(call=call, era=position.era, revision=position.revision, held=held).warning(
+                "store_answer_older"
+            )
 
     def _watch_delay_ms(self) -> float:
         if now_ms() - self.last_fault_at_ms < RECOVERY_MS:
