Order what the store says by its era first, then by its revision

Cause: a store that comes back from an older copy gives out revisions again, and an instance ordered all it knew of it by the revision alone, as an upper bound that only rises. A full read with a lower revision was ignored; the next watch asked after the old revision and got 410, over and over; once the store's revision had passed the held one the watch went on from there, and what was written at the numbers in between was never seen. Siblings compared the same numbers.

Change: a position is era and revision. A list of a newer era replaces all items and reports those that differ; changes of another era are not applied but cause a full read; a list or a peer's copy of an older era is ignored; pages of two eras are no list. Gossip and copies between instances name the era (0 from an older version, as from a store without eras), and an instance asks a sibling of another era for all items. A new era counts as a disturbance: what the copy lacks may be written again, so missing servers are kept for the grace period as after an outage.

The API of the table takes a position instead of a revision: tests of it say at(3) where they said 3, with the same checks.

Instances of the version before take no copy across eras from a new one and are not asked by it; they order by revision as before until they are replaced.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -33,6 +33,7 @@
     Members,
     QuotaExchange,
     ServerLoad,
+    StorePosition,
     UnknownItem,
     _gossip,
     _gossip_peers,
@@ -223,7 +224,7 @@
                 merge_prefix_uses=self._cache.merge_prefix_uses,
                 server_limits=list,
                 take_server_limits=lambda _notes: None,
-                store_revision=lambda: 1,
+                store_position=lambda: StorePosition(0, 1),
                 store_reached=lambda: True,
             ),
         )
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -20,7 +20,7 @@
 from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaExchange
-from sparline.fleet._store_copy import StoreChange, StoreCopyTable, StorePosition
+from sparline.fleet._store_copy import NO_POSITION, StoreChange, StoreCopyTable, StorePosition
 from sparline.fleet._store_reader import (
     StoreAnswer,
     StoreClient,
@@ -32,6 +32,7 @@
 
 __all__ = [
     "NO_ADMISSION",
+    "NO_POSITION",
     "WATCHERS_PER_ZONE",
     "AdmissionExchange",
     "AdmissionSources",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -30,6 +30,7 @@
 from sparline.fleet._load_exchange import LoadDatagram, LoadExchange
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
+from sparline.fleet._store_copy import StorePosition
 from sparline.quarantine import CrashChange
 from sparline.schema._gossip import (
     AdmissionLevels,
@@ -96,7 +97,7 @@
     merge_prefix_uses: Callable[[list[PromptReadNote]], None]  # merges a peer's prefixes
     server_limits: Callable[[], list[ServerLimitNote]]  # sample of the known server rate limits
     take_server_limits: Callable[[list[ServerLimitNote]], None]  # merges a peer's limits
-    store_revision: Callable[[], int]  # store revision that this instance holds
+    store_position: Callable[[], StorePosition]  # state of the store that this instance holds
     store_reached: Callable[[], bool]  # whether the store responded recently
 
 
@@ -314,9 +315,10 @@
         is_new: bool = False,
     ) -> Gossip:
         """Return a message for a peer of the own region or another; `is_new` if it just started."""
+        position = self._sources.store_position()
         return Gossip(
             sender=self._members.own,
-            store_revision=self._sources.store_revision(),
+            store_revision=position.revision,
             store_reached=self._sources.store_reached(),
             loads=self._loads.readings_for(same_region),
             reads=self._sources.recent_prefix_uses(),
@@ -327,6 +329,7 @@
             crashes=self._crashes.notes_for(same_region, is_new),
             server_limits=self._sources.server_limits(),
             levels=self._admission.notes(),
+            store_era=position.era,
         )
 
     def _heartbeats(self, same_region: bool) -> list[MemberBeat]:
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -8,6 +8,7 @@
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline._ids import RegionName
+from sparline.fleet._store_copy import NO_POSITION, StorePosition
 from sparline.schema._gossip import Gossip, MemberBeat, MemberNote, MemberPhase
 
 # A member without a new heartbeat for this long gets no work and is not offered to callers (ms):
@@ -42,7 +43,7 @@
     phase_at_ms: float  # when its current phase was first seen
     sharer_since_ms: float = 0.0  # since when it counts among those that divide a limit
     has_contacted: bool = False  # whether it has sent a datagram to this instance
-    store_revision: int = 0  # store revision that it holds
+    store_position: StorePosition = NO_POSITION  # state of the store that it holds
     store_reached: bool = False  # whether the store recently responded to it
     datagram_at_ms: float = 0.0  # when it last sent a datagram to this instance
     key: int = field(init=False)  # key of its relayed heartbeats
@@ -106,7 +107,7 @@
         now = now_ms()
         member = self._update(note, now)
         member.has_contacted = True
-        member.store_revision = gossip.store_revision
+        member.store_position = StorePosition(gossip.store_era, gossip.store_revision)
         member.store_reached = gossip.store_reached
         member.datagram_at_ms = now
         self.discovered_siblings = [
--- a/sparline/fleet/_store_copy.py
+++ b/sparline/fleet/_store_copy.py
@@ -17,6 +17,10 @@
     revision: int  # store revision, which is ordered within the era only
 
 
+# Position of an instance that holds nothing of the store.
+NO_POSITION = StorePosition(0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class StoreChange:
     """Hold one change of one store item."""
@@ -34,28 +38,58 @@
 
     def __init__(self, on_change: OnChange) -> None:
         """Create an empty copy; `on_change` is called with each effective change."""
-        self.revision = 0  # the copy is complete up to this revision
+        self.position = NO_POSITION  # the copy is complete up to this position
         self._items: dict[str, StoreChange] = {}
         self._tombstones: dict[str, StoreChange] = {}
         # Lowest revision from which an incremental copy is possible.
         self._oldest_delta_revision = 0
         self._on_change = on_change
 
-    def apply(self, changes: list[StoreChange], revision: int) -> None:
-        """Apply changes that are complete up to a revision."""
+    @property
+    def revision(self) -> int:
+        """Return the revision of the position, which counts within its era only."""
+        return self.position.revision
+
+    def apply(self, changes: list[StoreChange], position: StorePosition) -> bool:
+        """Apply changes that are complete up to a position of the era held, else return False."""
+        if position.era != self.position.era:
+            return False
         for change in sorted(changes, key=lambda one: one.revision):
             self._apply_one(change)
-        self.revision = max(self.revision, revision)
-
-    def replace(self, changes: list[StoreChange], revision: int) -> None:
-        """Apply a complete list of items; items that it lacks are deleted."""
-        if revision < self.revision:
-            return
+        self.position = max(self.position, position)
+        return True
+
+    def replace(self, changes: list[StoreChange], position: StorePosition) -> bool:
+        """Apply a complete list of items, and delete those that it lacks.
+
+        An older list is ignored, which is returned as False.
+        """
+        if position < self.position:
+            return False
+        if position.era != self.position.era:
+            self._start_era(changes, position)
+            return True
         named = {change.key for change in changes}
         gone = [key for key, one in self._items.items() if key not in named]
-        self.apply([*changes, *(StoreChange(key, revision, None) for key in gone)], revision)
+        deletions = [StoreChange(key, position.revision, None) for key in gone]
+        self.apply([*changes, *deletions], position)
         # The list has no earlier deletions, so peers at an older revision need a complete copy.
-        self._oldest_delta_revision = max(self._oldest_delta_revision, revision)
+        self._oldest_delta_revision = max(self._oldest_delta_revision, position.revision)
+        return True
+
+    def _start_era(self, changes: list[StoreChange], position: StorePosition) -> None:
+        """Replace all items; revisions of another era say nothing of which state is newer."""
+        before = self._items
+        self._items = {change.key: change for change in changes}
+        self._tombstones.clear()
+        self._oldest_delta_revision = position.revision
+        self.position = position
+        for change in sorted(changes, key=lambda one: one.revision):
+            known = before.get(change.key)
+            if known is None or known.value != change.value:
+                self._on_change(change)
+        for key in before.keys() - self._items.keys():
+            self._on_change(StoreChange(key, position.revision, None))
 
     def _apply_one(self, change: StoreChange) -> None:
         known = self._items.get(change.key) or self._tombstones.get(change.key)
@@ -79,20 +113,19 @@
             self._oldest_delta_revision = oldest.revision
 
     def since(self, revision: int) -> StoreCopy:
-        """Return the changes after a revision, or all items if some of them are not known."""
+        """Return the changes after a revision of this era, or all items if some are not known."""
         whole = revision < self._oldest_delta_revision or revision <= 0
         changes = list(self._items.values()) if whole else self._changes_after(revision)
         notes = [StoreItemNote(one.key, one.revision, one.value) for one in changes]
-        return StoreCopy(self.revision, whole, notes)
+        return StoreCopy(self.revision, whole, notes, era=self.position.era)
 
     def _changes_after(self, revision: int) -> list[StoreChange]:
         both = [*self._items.values(), *self._tombstones.values()]
         return [one for one in both if one.revision > revision]
 
-    def take_copy(self, copy: StoreCopy) -> None:
-        """Apply a peer's copy."""
+    def take_copy(self, copy: StoreCopy) -> bool:
+        """Apply a peer's copy; return False if it is older, or not complete in another era."""
         changes = [StoreChange(one.key, one.revision, one.value) for one in copy.items]
-        if copy.whole:
-            self.replace(changes, copy.revision)
-        else:
-            self.apply(changes, copy.revision)
+        position = StorePosition(copy.era, copy.revision)
+        apply = self.replace if copy.whole else self.apply
+        return apply(changes, position)
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -58,9 +58,19 @@
     SILENT = "silent"  # no response in time
     REFUSED = "refused"  # rejected without effect
     HISTORY_GONE = "history_gone"  # the store no longer has the changes after the revision
+    ERA_CHANGED = "era_changed"  # the store has come back from an older copy
+    OUTDATED = "outdated"  # response of an era before the one already known
     BAD_ANSWER = "bad_answer"  # response violates the protocol
 
 
+# Log events of the faults after which only a full read tells the store's state. They are no failures
+# of the store.
+FULL_READ_EVENTS = {
+    StoreFaultKind.HISTORY_GONE: "store_history_gone",
+    StoreFaultKind.ERA_CHANGED: "store_era_changed",
+}
+
+
 @dataclass(frozen=True, slots=True)
 class StoreFault:
     """Describe why a call to the store failed."""
@@ -101,7 +111,7 @@
         client: StoreClient,
         copy: StoreCopyTable,
         on_call: Callable[[str, str], None],
-        newest_peer_revision: Callable[[], int],
+        newest_peer_position: Callable[[], StorePosition],
         watcher_count: Callable[[], int] = lambda: 1,
         is_watcher: Callable[[], bool] = lambda: True,
     ) -> None:
@@ -116,7 +126,7 @@
         self._client = client
         self._copy = copy
         self._on_call = on_call
-        self._newest_peer_revision = newest_peer_revision
+        self._newest_peer_position = newest_peer_position
         self._watcher_count = watcher_count
         self._is_watcher = is_watcher
         self._needs_full_read = True
@@ -137,16 +147,35 @@
         """Synchronise with the store for the lifetime of the process."""
         while True:
             if self._needs_full_read:
-                answer = self._client.read_all(READ_TIMEOUT_MS)
-                self._handle_answer(answer, "read", self._copy.replace)
+                self._read_all()
             elif self._is_watcher():
                 self._watch(round(self._rng.uniform(WATCH_MIN_FRACTION, 1.0) * WATCH_WAIT_MS))
             else:
                 self._wait_as_non_watcher()
 
+    def _read_all(self) -> None:
+        answer = self._client.read_all(READ_TIMEOUT_MS).and_then(self._require_known_era)
+        self._handle_answer(answer, "read", self._copy.replace)
+
+    def _require_known_era(self, news: StoreAnswer) -> Result[StoreAnswer, StoreFault]:
+        """Reject the list of an era before the one held, which a peer may have told."""
+        held = self._copy.position.era
+        if news.position.era >= held:
+            return Ok(news)
+        text = f"expected era {held} or later, found {news.position.era}"
+        return Err(StoreFault(StoreFaultKind.OUTDATED, text))
+
     def _watch(self, wait_ms: int) -> None:
         answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
-        self._handle_answer(answer, "watch", self._copy.apply)
+        self._handle_answer(answer.and_then(self._require_same_era), "watch", self._copy.apply)
+
+    def _require_same_era(self, news: StoreAnswer) -> Result[StoreAnswer, StoreFault]:
+        """Reject changes of another era: they don't follow the revision asked for."""
+        held = self._copy.position.era
+        if news.position.era == held:
+            return Ok(news)
+        text = f"expected era {held}, found {news.position.era}"
+        return Err(StoreFault(StoreFaultKind.ERA_CHANGED, text))
 
     def _wait_as_non_watcher(self) -> None:
         """Wait until this instance becomes a watcher; query the store at random intervals."""
@@ -165,33 +194,43 @@
         self,
         answer: Result[StoreAnswer, StoreFault],
         call: str,
-        apply: Callable[[list[StoreChange], int], None],
+        apply: Callable[[list[StoreChange], StorePosition], bool],
     ) -> None:
         match answer:
             case Ok(news):
                 self._on_call(call, "answered")
                 self._record_answer()
                 self._needs_full_read = False
-                self._log_position(call, news.position)
-                apply(news.changes, news.position.revision)
+                self._note_position(call, news.position)
+                apply(news.changes, news.position)
                 if news.changes:
                     gevent.sleep(self._watch_delay_ms() / 1000)
             case Err(fault):
                 self._on_call(call, fault.kind.value)
                 self._record_fault(call, fault)
 
-    def _log_position(self, call: str, position: StorePosition) -> None:
-        """Log a change of the store's era, and a response with less than the copy holds."""
-        held = self._copy.revision
+    def _note_position(self, call: str, position: StorePosition) -> None:
+        """Log and record a new era, and log a response with less than the copy holds."""
+        held = self._copy.position
         if position.era != self.era:
             log.bind(
-                call=call, era=position.era, before=self.era, revision=position.revision, held=held
+                call=call,
+                era=position.era,
+                before=self.era,
+                revision=position.revision,
+                held=held.revision,
             ).info("store_era")
-            self.era = position.era
-        if position.revision < held:
-            log.bind(call=call, era=position.era, revision=position.revision, held=held).warning(
-                "store_answer_older"
-            )
+            self._record_new_era(position.era)
+        elif position < held:
+            log.bind(
+                call=call, era=position.era, revision=position.revision, held=held.revision
+            ).warning("store_answer_older")
+
+    def _record_new_era(self, era: int) -> None:
+        """Count a restoration as a disturbance: what it lost is written again after it."""
+        if self._copy.position.revision:
+            self.last_fault_at_ms = now_ms()
+        self.era = era
 
     def _watch_delay_ms(self) -> float:
         if now_ms() - self.last_fault_at_ms < RECOVERY_MS:
@@ -206,8 +245,8 @@
         self.answered_at_ms = now_ms()
 
     def _record_fault(self, call: str, fault: StoreFault) -> None:
-        if fault.kind is StoreFaultKind.HISTORY_GONE:
-            log.bind(revision=self._copy.revision).info("store_history_gone")
+        if fault.kind in FULL_READ_EVENTS:
+            log.bind(revision=self._copy.revision).info(FULL_READ_EVENTS[fault.kind])
             self._needs_full_read = True
             return
         self._failures += 1
@@ -218,8 +257,8 @@
         gevent.sleep(self._rng.uniform(0.5, 1.0) * backoff_ms / 1000)
 
     def interrupt_stale_watch(self) -> bool:
-        """Abort a stale watch if peers hold newer revisions; return whether it was aborted."""
-        if not self._is_watcher() or self._newest_peer_revision() <= self._copy.revision:
+        """Abort a stale watch if peers hold a newer position; return whether it was aborted."""
+        if not self._is_watcher() or self._newest_peer_position() <= self._copy.position:
             self._behind_since_ms = None
             return False
         if self._behind_since_ms is None:
@@ -227,7 +266,8 @@
         if now_ms() - self._behind_since_ms < STALE_WATCH_MS + self._watch_delay_ms():
             return False
         self._behind_since_ms = None
-        log.bind(revision=self._copy.revision, peers=self._newest_peer_revision()).info(
+        newest = self._newest_peer_position()
+        log.bind(revision=self._copy.revision, era=newest.era, peers=newest.revision).info(
             "store_watch_behind"
         )
         self.last_fault_at_ms = now_ms()
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -14,6 +14,7 @@
     Members,
     QuotaExchange,
     ServerLoad,
+    StorePosition,
     _gossip,
 )
 from sparline.quarantine import CrashTable
@@ -26,7 +27,7 @@
     merge_prefix_uses=lambda _reads: None,
     server_limits=list,
     take_server_limits=lambda _notes: None,
-    store_revision=lambda: 1,
+    store_position=lambda: StorePosition(0, 1),
     store_reached=lambda: True,
 )
 LOADS = LoadSources(
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -53,17 +53,17 @@
     state: dict[str, bytes] = {}
     copy = copy_of(state)
     for changes, up_to in steps:
-        copy.apply(changes, up_to)
+        copy.apply(changes, at(up_to))
     assert (state, copy.revision) == (held, revision)
 
 
 def test_complete_list_deletes_missing_items_but_never_reverts():
     state: dict[str, bytes] = {}
     copy = copy_of(state)
-    copy.apply([A1, B2], 2)
-    copy.replace([A3], 3)
+    copy.apply([A1, B2], at(2))
+    copy.replace([A3], at(3))
     assert state == {"a": b"3"}
-    copy.replace([A1, B2], 2)
+    copy.replace([A1, B2], at(2))
     assert state == {"a": b"3"}
 
 
@@ -73,19 +73,73 @@
     copy = copy_of(state)
     steps = [([A1], 1), ([B2], 2), ([A3], 3), ([A_GONE], 4)]
     for changes, up_to in steps:
-        copy.apply(changes, up_to)
+        copy.apply(changes, at(up_to))
     theirs: dict[str, bytes] = {}
     peer = copy_of(theirs)
     for changes, up_to in steps[:since]:
-        peer.apply(changes, up_to)
+        peer.apply(changes, at(up_to))
     peer.take_copy(copy.since(peer.revision))
     assert theirs == state == {"b": b"2"}
     assert peer.revision == 4
 
 
+# Positions and items of a copy before and after a list: position, items, whether the list is taken.
+RESTORED = [
+    ("a newer era at a lower revision", at(2, era=2), [B2], True, {"b": b"2"}),
+    ("a newer era without items", at(1, era=2), [], True, {}),
+    ("an older era at a higher revision", at(9, era=0), [B2], False, {"a": b"3"}),
+    ("the same era at a lower revision", at(2, era=1), [B2], False, {"a": b"3"}),
+    ("the same era at a higher revision", at(4, era=1), [B2], True, {"b": b"2"}),
+]
+
+
+@pytest.mark.parametrize(
+    ("position", "changes", "is_taken", "held"),
+    [row[1:] for row in RESTORED],
+    ids=[row[0] for row in RESTORED],
+)
+def test_list_of_a_newer_era_replaces_all_items(position, changes, is_taken, held):
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    copy.replace([A3], at(3, era=1))
+    assert copy.replace(changes, position) is is_taken
+    assert state == held
+    assert copy.position == (position if is_taken else at(3, era=1))
+
+
+def test_item_at_a_reissued_revision_replaces_the_one_of_the_earlier_era():
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    copy.replace([A3], at(3, era=1))
+    copy.replace([], at(1, era=2))
+    copy.apply([StoreChange("a", 2, b"new")], at(2, era=2))
+    assert state == {"a": b"new"}
+
+
+def test_changes_of_another_era_are_not_applied():
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    copy.replace([A3], at(3, era=1))
+    assert not copy.apply([B2], at(4, era=2))
+    assert state == {"a": b"3"}
+
+
+def test_peer_behind_a_restoration_needs_a_complete_copy():
+    state: dict[str, bytes] = {}
+    copy = copy_of(state)
+    copy.replace([A1], at(1, era=2))
+    copy.apply([B2], at(2, era=2))
+    peer = copy_of(theirs := {})
+    peer.replace([A3], at(3, era=1))
+    assert not peer.take_copy(copy.since(1))
+    assert peer.take_copy(copy.since(0))
+    assert theirs == state == {"a": b"1", "b": b"2"}
+    assert peer.position == at(2, era=2)
+
+
 def test_copy_from_before_the_first_read_is_complete():
     copy = copy_of({})
-    copy.replace([B2], 9)
+    copy.replace([B2], at(9))
     assert copy.since(5).whole
     assert not copy.since(9).whole
 
@@ -225,6 +279,8 @@
     ("read, then watch", [Ok(StoreAnswer([A1], at(1))), Ok(StoreAnswer([B2], at(2)))], ["read", "watch 1"]),
     ("a failed read is retried", [fault(StoreFaultKind.REFUSED), Ok(StoreAnswer([], at(1)))], ["read", "read"]),
     ("a failed watch resumes at its revision", [Ok(StoreAnswer([A1], at(1))), fault(StoreFaultKind.SILENT), Ok(StoreAnswer([], at(1)))], ["read", "watch 1", "watch 1"]),
+    ("a watch of a newer era is dropped for a full read", [Ok(StoreAnswer([A1], at(1))), Ok(StoreAnswer([B2], at(1, era=1))), Ok(StoreAnswer([], at(1, era=1))), Ok(StoreAnswer([], at(1, era=1)))], ["read", "watch 1", "read", "watch 1"]),
+    ("a watch of an older era is dropped for a full read", [Ok(StoreAnswer([A1], at(1, era=1))), Ok(StoreAnswer([B2], at(2))), Ok(StoreAnswer([], at(1))), Ok(StoreAnswer([], at(1, era=1)))], ["read", "watch 1", "read", "read"]),
     ("lost history causes a full read", [Ok(StoreAnswer([A1], at(1))), fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([], at(7))), Ok(StoreAnswer([], at(8)))], ["read", "watch 1", "read", "watch 7"]),
 ]  # fmt: skip
 
@@ -235,7 +291,7 @@
 def test_store_calls_follow_the_results(monkeypatch, answers, calls):
     store = ScriptedStore(*answers)
     monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
-    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: 0)
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: at(0))
     with pytest.raises(IndexError):
         reader.run()
     assert store.calls[: len(calls)] == calls
@@ -246,7 +302,7 @@
     monkeypatch.setattr(_store_reader, "now_ms", lambda: clock[0])
     store = ScriptedStore()
     newest = [5]
-    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: newest[0])
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: at(newest[0]))
     assert not reader.interrupt_stale_watch()
     clock[0] += _store_reader.STALE_WATCH_MS + _store_reader.MIN_WATCH_DELAY_MS + 1
     assert reader.interrupt_stale_watch()
@@ -261,7 +317,7 @@
     waits = []
     for _ in range(50):
         store = ScriptedStore(Ok(StoreAnswer([A1], at(1))), Ok(StoreAnswer([], at(1))))
-        reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: 0)
+        reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: at(0))
         with pytest.raises(IndexError):
             reader.run()
         waits.append(store.waits[0])
@@ -287,7 +343,7 @@
     monkeypatch.setattr(_store_reader.gevent, "sleep", lambda s: waits.append(s * 1000))
     store = ScriptedStore(Ok(StoreAnswer([A1], at(1))))
     reader = StoreReader(
-        store, copy_of({}), lambda _call, _result: None, lambda: 0, lambda: instances
+        store, copy_of({}), lambda _call, _result: None, lambda: at(0), lambda: instances
     )
     reader.last_fault_at_ms = 2e9 - since_fault_ms
     with pytest.raises(IndexError):
@@ -366,7 +422,7 @@
         store,
         copy_of({}),
         lambda _call, _result: None,
-        lambda: 0,
+        lambda: at(0),
         is_watcher=lambda: watches(clock[0]),
     )
     with pytest.raises((StopIteration, IndexError)):
@@ -379,7 +435,7 @@
     clock = [100_000.0]
     for module in (_fleet_state, _store_reader):
         monkeypatch.setattr(module, "now_ms", lambda: clock[0])
-    reader = StoreReader(ScriptedStore(), copy_of({}), lambda _call, _result: None, lambda: 0)
+    reader = StoreReader(ScriptedStore(), copy_of({}), lambda _call, _result: None, lambda: at(0))
     state._fault_age_ms = lambda: clock[0] - reader.last_fault_at_ms
     put(state, b"server", key="servers/s1")
     reader.record_peer_fault(1_000.0)
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -10,6 +10,7 @@
 from sparline._logging import log
 from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.fleet import (
+    NO_POSITION,
     WATCHERS_PER_ZONE,
     AdmissionExchange,
     BackendServer,
@@ -23,6 +24,7 @@
     QuotaExchange,
     ServerLoad,
     StoreCopyTable,
+    StorePosition,
     StoreReader,
     is_store_watcher,
     make_member_note,
@@ -115,7 +117,7 @@
             StoreHttpClient(split_address(settings.store)),
             self.copy,
             lambda call, result: self.metrics.store_calls.labels(call, result).inc(),
-            self._newest_peer_revision,
+            self._newest_peer_position,
             lambda: WATCHERS_PER_ZONE * len(zones),
             lambda: is_store_watcher(self.members),
         )
@@ -180,7 +182,7 @@
                 self.cache.merge_prefix_uses,
                 self.server_limits.limits_to_send,
                 self.server_limits.merge_limits,
-                lambda: self.copy.revision,
+                lambda: self.copy.position,
                 self.reader.reached,
             ),
         )
@@ -327,11 +329,11 @@
     def _store_fault_age_ms(self) -> float:
         return now_ms() - self.reader.last_fault_at_ms
 
-    def _newest_peer_revision(self) -> int:
-        return max((one.store_revision for one in self.members.live()), default=0)
+    def _newest_peer_position(self) -> StorePosition:
+        return max((one.store_position for one in self.members.live()), default=NO_POSITION)
 
     def _may_be_outdated(self) -> bool:
         """Return whether a newer configuration than this instance's may be in force."""
-        if self._newest_peer_revision() > self.copy.revision:
+        if self._newest_peer_position() > self.copy.position:
             return True
         return not self.reader.reached() and not self.members.is_store_reached()
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -82,7 +82,7 @@
         self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
         self.metrics.region_settled.set(self.members.are_sharers_settled(own_region))
         self.metrics.store_revision.set(self.copy.revision)
-        self.metrics.store_era.set(self.reader.era)
+        self.metrics.store_era.set(self.copy.position.era)
         self.metrics.lines_left_out.set(self.request_log.left_out())
         configuration = self.fleet.configuration
         self.metrics.configuration_version.set(configuration.version if configuration else 0)
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -61,7 +61,7 @@
             "region_settled", "Whether those have been the same for long enough to share."
         )
         self.store_revision = self._gauge("store_revision", "Revision of the store held here.")
-        self.store_era = self._gauge("store_era", "Era of the store's last answer.")
+        self.store_era = self._gauge("store_era", "Era of the store held here.")
         self.configuration_version = self._gauge("configuration_version", "Version in force.")
         self.first_s = self._histogram("first_seconds", "Time to the first event or answer.")
         self.total_s = self._histogram("total_seconds", "Time to the end of the answer.")
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -13,14 +13,14 @@
 from sparline.http import BackendConnection, ConnectionBroken
 from sparline.schema._gossip import MemberNote, StoreCopy
 
-# Interval at which this instance compares its store copy with the revisions of its peers (ms).
+# Interval at which this instance compares its store copy with the positions of its peers (ms).
 COMPARE_INTERVAL_MS = 400.0
 # Timeout of a copy from a peer (ms): a round trip between regions and a transfer of one megabyte.
 COPY_TIMEOUT_MS = 2_500.0
 
 
 class StoreSync:
-    """Copy from peers with a newer revision, unless the store itself answers."""
+    """Copy from peers with a newer position, unless the store itself answers."""
 
     def __init__(
         self,
@@ -47,7 +47,8 @@
                 self._copy_from_peer()
 
     def _copy_from_peer(self) -> None:
-        newer = [one for one in self._members.live() if one.store_revision > self._copy.revision]
+        held = self._copy.position
+        newer = [one for one in self._members.live() if one.store_position > held]
         if not newer:
             return
         peer = self._rng.choice(nearest_peers(newer, self._members.own))
@@ -68,13 +69,18 @@
     def _fetch(self, peer: Member) -> bytes:
         connection = BackendConnection((peer.note.ip, self._relay_port), COPY_TIMEOUT_MS / 1000)
         try:
-            target = STORE_COPY_TARGET + b"%d" % self._copy.revision
+            target = STORE_COPY_TARGET + b"%d" % self._revision_to_follow(peer)
             connection.send(b"GET " + target + b" HTTP/1.1\r\nhost: peer\r\n\r\n", b"")
             answer = connection.read_head(lambda _answer: True)
             return connection.read_body(answer)
         finally:
             connection.close()
 
+    def _revision_to_follow(self, peer: Member) -> int:
+        """Return the revision after which changes are wanted, 0 for all items."""
+        held = self._copy.position
+        return held.revision if peer.store_position.era == held.era else 0
+
     def _apply(self, peer: Member, content: bytes) -> None:
         match unpack(content, StoreCopy):
             case Err(reason):
@@ -84,8 +90,9 @@
                     # Recorded before the items are applied, so that entries that lapsed during the
                     # store's outage are kept.
                     self._reader.record_peer_fault(copy.disturbed_ago_ms)
-                self._copy.take_copy(copy)
-                self._record_result(peer, "taken", f"revision {copy.revision}")
+                is_taken = self._copy.take_copy(copy)
+                text = f"era {copy.era}, revision {copy.revision}"
+                self._record_result(peer, "taken" if is_taken else "ignored", text)
 
     def _record_result(self, peer: Member, result: str, text: str = "") -> None:
         self._metrics.store_copies.labels(result).inc()
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -73,6 +73,9 @@
             changes += [_decode_change(item) for item in node.items]
             # Pages are not a snapshot, so the watch starts at the revision of the first page.
             first_page = position if first_page is None else first_page
+            if position.era != first_page.era:
+                text = f"expected pages of era {first_page.era}, found era {position.era}"
+                return Err(StoreFault(StoreFaultKind.ERA_CHANGED, text))
             if not node.has_more or not node.items:
                 return Ok(StoreAnswer(changes, first_page))
             after = node.items[-1].private_key
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -389,6 +389,9 @@
         ]
         | None
     ) = None
+    era: Annotated[
+        int, Meta(description="Era of the store in which all revisions of the copy count.")
+    ] = 0
 
 
 class Gossip(WireMessage):
@@ -435,6 +438,9 @@
         list[AdmissionLevelNote],
         Meta(description="Admission levels that are not open, or opened lately."),
     ] = field(default_factory=list)
+    store_era: Annotated[
+        int, Meta(description="Era of the store in which that revision counts.")
+    ] = 0
 
 
 class GossipSchema(WireMessage):
--- a/sparline/schema/tests/test_older_peers.py
+++ b/sparline/schema/tests/test_older_peers.py
@@ -10,6 +10,14 @@
 # What an older version sends, and a field that it does not know with its default.
 OLDER = [
     ("a copy of the store", StoreCopy, ["StoreCopy", 7, True, []], "disturbed_ago_ms", None),
+    ("a copy of the store, by revision alone", StoreCopy, ["StoreCopy", 7, True, []], "era", 0),
+    (
+        "a datagram, by revision alone",
+        Gossip,
+        ["Gossip", NOTE, 1, True, [], [], [], [], False],
+        "store_era",
+        0,
+    ),
     (
         "a datagram",
         Gossip,
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -21,6 +21,7 @@
     Members,
     QuotaExchange,
     ServerLoad,
+    StorePosition,
     _admission_exchange,
     _gossip,
     _gossip_peers,
@@ -207,7 +208,7 @@
             merge_prefix_uses=lambda _reads: None,
             server_limits=server_limits.limits_to_send,
             take_server_limits=server_limits.merge_limits,
-            store_revision=lambda: 1,
+            store_position=lambda: StorePosition(0, 1),
             store_reached=lambda: True,
         )
         crashes = CrashTable(lambda change: gossip.broadcast_crash(change))
