Let an older copy of the store revive no server that left or ended

What callers would see: with the order by eras, the list of a restored store replaces what is known, and for a second or more it is older than that: a server that had said that it leaves is ready again and gets requests, as does one whose entry had gone; a server that registered after the copy is dropped at once where no fault was noticed, and its requests go elsewhere or are refused.

Cause: the list of a newer era is the newest state of the store, not of the world: what was written since the copy comes again.

Change: the copy of the store marks the changes that only that list shows. From such a change a server that leaves stays so; one that was removed is held back until its entry is written in this era, or for 6 s (its entry expires again after three heartbeats, some 4 s, if it has ended), longer while nobody reaches the store; a missing one is kept for the grace period of 2.2 s, also if this instance met no fault of the store. Line server_reappears, change_unconfirmed.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -16,6 +16,7 @@
     StoreItem,
 )
 from sparline.fleet._store_copy import StoreChange
+from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
 from sparline.routes import Configuration, ConfigurationVersion, KeyDigest, ServiceName
 
 # How long an entry that expired during a store outage is kept after its deletion (ms): servers
@@ -24,6 +25,11 @@
 # A deletion this soon after a store fault may be an expiry caused by the outage (ms): three server
 # heartbeats plus the grace period.
 RECENT_FAULT_MS = 6_000.0
+# How long an entry that reappears with an older copy of the store is ignored if its server had been
+# removed (ms): the entry of a server that has ended expires again after three heartbeats.
+REAPPEARANCE_GRACE_MS = 6_000.0
+# Maximum number of remembered removed servers; the oldest is evicted first.
+MAX_REMOVED = 4_096
 # How long a removed server is remembered (ms): if its entry reappears by then, it is not cold.
 KNOWN_SERVER_RETENTION_MS = 120_000.0
 # Maximum number of remembered keys of unreadable items; further ones are logged at each change.
@@ -72,12 +78,15 @@
         self._lapsed: dict[BackendServerId, float] = {}
         self._known_at_ms: dict[BackendServerId, float] = {}
         self._reported_leaving: OrderedDict[BackendServerId, None] = OrderedDict()
+        self._removed: OrderedDict[BackendServerId, None] = OrderedDict()
+        self._unconfirmed = UnconfirmedChanges()
         self._evacuations: dict[str, ZoneName] = {}
         self._server_keys: dict[str, BackendServerId] = {}
         self._withdrawn: OrderedDict[KeyDigest, ConfigurationVersion] = OrderedDict()
 
     def take(self, change: StoreChange) -> None:
         """Apply one change of a store item."""
+        self._unconfirmed.drop(change.key)
         if change.value is None:
             self._apply_deletion(change)
             return
@@ -86,7 +95,7 @@
                 self._apply_configuration(configuration, change.revision)
             case BackendServerItem(server):
                 self._bad_keys.discard(change.key)
-                self._apply_server_entry(change.key, server, change.revision)
+                self._take_server_entry(change, server)
             case EvacuationItem(zone):
                 self._evacuations[change.key] = zone
                 self._update_evacuated(change.revision)
@@ -100,8 +109,8 @@
         server_id = self._server_keys.get(change.key)
         if server_id is None:
             return
-        is_fault_recent = self._fault_age_ms() < RECENT_FAULT_MS
-        if is_fault_recent and not self.servers[server_id].leaving:
+        may_be_renewed = change.after_restoration or self._fault_age_ms() < RECENT_FAULT_MS
+        if may_be_renewed and not self.servers[server_id].leaving:
             self._lapsed[server_id] = now_ms() + LAPSE_GRACE_MS
             log.bind(backend_server=server_id, revision=change.revision).info("server_lapsed")
             return
@@ -119,6 +128,20 @@
             self._bad_keys.add(change.key)
         log.bind(key=change.key, revision=change.revision, text=text).warning("bad_item")
 
+    def _take_server_entry(self, change: StoreChange, server: BackendServer) -> None:
+        """Apply a server's entry; one from an older copy revives no server that left or ended."""
+        if not change.after_restoration:
+            self._apply_server_entry(change.key, server, change.revision)
+            return
+        if server.id in self._removed:
+            self._unconfirmed.hold(change, REAPPEARANCE_GRACE_MS, now_ms())
+            log.bind(backend_server=server.id, revision=change.revision).info("server_reappears")
+            return
+        held = self.servers.get(server.id)
+        if held is not None and held.leaving:
+            server = replace(server, leaving=True)
+        self._apply_server_entry(change.key, server, change.revision)
+
     def _apply_server_entry(self, key: str, server: BackendServer, revision: int) -> None:
         """Apply a server's entry, which replaces an earlier start under the same key."""
         held_id = self._server_keys.get(key)
@@ -162,6 +185,7 @@
 
     def _update_server(self, server: BackendServer, revision: int) -> None:
         self._lapsed.pop(server.id, None)
+        self._removed.pop(server.id, None)
         held = self.servers.get(server.id)
         if held is None:
             server = self._mark_cold_if_new(server)
@@ -219,6 +243,9 @@
         for key in [key for key, of in self._server_keys.items() if of == server_id]:
             del self._server_keys[key]
         self._is_indexed = False
+        self._removed[server_id] = None
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
         log.bind(backend_server=server_id, why=why).info("server_gone")
         if server is not None and not server.leaving:
             self._on_gone(server)
@@ -244,6 +271,15 @@
             self._by_service.setdefault(server.service, []).append(server)
             self._ids_in.setdefault(server.region, []).append(server.id)
 
+    def apply_unconfirmed(self, is_store_unreachable: bool) -> None:
+        """Apply the changes of a restored store whose grace period has ended."""
+        if is_store_unreachable:
+            self._unconfirmed.restart(now_ms())
+            return
+        for change in self._unconfirmed.take_overdue(now_ms()):
+            log.bind(key=change.key, revision=change.revision).info("change_unconfirmed")
+            self.take(replace(change, after_restoration=False))
+
     def remove_lapsed(self, is_store_unreachable: bool) -> None:
         """Remove servers whose expired entries were not renewed, and forget old server ids."""
         now = now_ms()
--- a/sparline/fleet/_store_copy.py
+++ b/sparline/fleet/_store_copy.py
@@ -1,7 +1,7 @@
 """A copy of the store's items, versioned by revision, that instances can copy to peers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sparline.schema._gossip import StoreCopy, StoreItemNote
 
@@ -28,6 +28,7 @@
     key: str  # key of the item
     revision: int  # store revision of the change
     value: bytes | None  # new content, None if deleted
+    after_restoration: bool = False  # whether the list of a newer era showed it, not a write
 
 
 OnChange = Callable[[StoreChange], None]
@@ -87,9 +88,9 @@
         for change in sorted(changes, key=lambda one: one.revision):
             known = before.get(change.key)
             if known is None or known.value != change.value:
-                self._on_change(change)
+                self._on_change(replace(change, after_restoration=True))
         for key in before.keys() - self._items.keys():
-            self._on_change(StoreChange(key, position.revision, None))
+            self._on_change(StoreChange(key, position.revision, None, after_restoration=True))
 
     def _apply_one(self, change: StoreChange) -> None:
         known = self._items.get(change.key) or self._tombstones.get(change.key)
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -151,6 +151,7 @@
     b"old": ConfigurationItem(make_rules(make_route(path_start="/old/"), version=3)),
     b"bad": BadItem("wrong"),
     b"server": BackendServerItem(SERVER),
+    b"leaving server": BackendServerItem(make_server("s1", leaving=True)),
     b"start 1": BackendServerItem(make_server("s1@1", born_ms=1)),
     b"start 2": BackendServerItem(make_server("s1@2", born_ms=2)),
     b"zone": EvacuationItem(SERVER.zone),
@@ -247,6 +248,64 @@
     assert SERVER.id in state.servers
 
 
+def restore(state: FleetState, key: str, value: bytes | None) -> None:
+    state.take(StoreChange(key, 1, value, after_restoration=True))
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    at_ms = [100_000.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: at_ms[0])
+    return at_ms
+
+
+def test_server_that_leaves_stays_so_when_an_older_copy_says_otherwise(state, clock):
+    put(state, b"server", b"leaving server", key="servers/s1")
+    restore(state, "servers/s1", b"server")
+    assert state.servers[SERVER.id].leaving
+
+
+def test_server_that_an_older_copy_lacks_is_kept_for_the_grace_period(state, clock):
+    put(state, b"server", key="servers/s1")
+    restore(state, "servers/s1", None)
+    assert SERVER.id in state.servers
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(False)
+    assert SERVER.id not in state.servers
+
+
+REAPPEARANCES = [
+    # change of the reappeared entry, time since then (ms), store unreachable, server used
+    ("nothing is written", [], 5_000.0, False, False),
+    ("nothing is written for long", [], 6_001.0, False, True),
+    ("nothing can be written", [], 6_001.0, True, False),
+    ("it is written", [b"server"], 0.0, False, True),
+    ("it expires", [None], 6_001.0, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("written", "later_ms", "is_unreachable", "is_used"),
+    [row[1:] for row in REAPPEARANCES],
+    ids=[row[0] for row in REAPPEARANCES],
+)
+def test_removed_server_in_an_older_copy_is_used_once_it_is_confirmed(
+    state, clock, written, later_ms, is_unreachable, is_used
+):
+    put(state, b"server", None, key="servers/s1")
+    restore(state, "servers/s1", b"server")
+    assert SERVER.id not in state.servers
+    put(state, *written, key="servers/s1")
+    clock[0] += later_ms
+    state.apply_unconfirmed(is_unreachable)
+    assert (SERVER.id in state.servers) is is_used
+
+
+def test_unknown_server_in_an_older_copy_is_used(state, clock):
+    restore(state, "servers/s1", b"server")
+    assert SERVER.id in state.servers
+
+
 class ScriptedStore:
     """Stub store client that returns scripted answers."""
 
--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -21,7 +21,9 @@
             log.bind(pace=components.pace.learned(), pauses=components.gaps.learned()).info(
                 "learned"
             )
-        components.fleet.remove_lapsed(_is_store_unreachable(components))
+        is_store_unreachable = _is_store_unreachable(components)
+        components.fleet.remove_lapsed(is_store_unreachable)
+        components.fleet.apply_unconfirmed(is_store_unreachable)
         server_ids = set(components.fleet.servers)
         components.health.forget_all_but(server_ids)
         components.cache.forget_all_but(server_ids)
