Keep evacuations as they were known until a restored store confirms otherwise

What callers would see: requests go to the servers of a zone under evacuation from the moment the store comes back from a copy without the evacuation until the operator has written it again; or a zone that had been taken back gets nothing.

Change: an evacuation that only the list of a newer era lacks lasts for 2.2 s longer, one that was taken back and is listed again at its old revision is ignored for 6 s; a write of the item ends either at once. Nothing is awaited for an evacuation that this instance never knew.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, RegionName, ZoneName
@@ -28,6 +28,8 @@
 # How long an entry that reappears with an older copy of the store is ignored if its server had been
 # removed (ms): the entry of a server that has ended expires again after three heartbeats.
 REAPPEARANCE_GRACE_MS = 6_000.0
+# Maximum number of remembered evacuations that were taken back; the oldest is evicted first.
+MAX_TAKEN_BACK = 256
 # Maximum number of remembered removed servers; the oldest is evicted first.
 MAX_REMOVED = 4_096
 # How long a removed server is remembered (ms): if its entry reappears by then, it is not cold.
@@ -43,6 +45,12 @@
 ReadItem = Callable[[StoreChange], StoreItem]
 
 
+@dataclass(frozen=True, slots=True)
+class _Evacuation:
+    zone: ZoneName
+    revision: int  # store revision at which it was asked for
+
+
 class FleetState:
     """Hold the state in force; an unreadable item never replaces a valid configuration."""
 
@@ -80,7 +88,9 @@
         self._reported_leaving: OrderedDict[BackendServerId, None] = OrderedDict()
         self._removed: OrderedDict[BackendServerId, None] = OrderedDict()
         self._unconfirmed = UnconfirmedChanges()
-        self._evacuations: dict[str, ZoneName] = {}
+        self._evacuations: dict[str, _Evacuation] = {}
+        # Revision of each evacuation that was taken back, by key.
+        self._taken_back: OrderedDict[str, int] = OrderedDict()
         self._server_keys: dict[str, BackendServerId] = {}
         self._withdrawn: OrderedDict[KeyDigest, ConfigurationVersion] = OrderedDict()
 
@@ -97,15 +107,13 @@
                 self._bad_keys.discard(change.key)
                 self._take_server_entry(change, server)
             case EvacuationItem(zone):
-                self._evacuations[change.key] = zone
-                self._update_evacuated(change.revision)
+                self._take_evacuation(change, zone)
             case BadItem(text):
                 self._apply_bad_item(change, text)
 
     def _apply_deletion(self, change: StoreChange) -> None:
         if change.key in self._evacuations:
-            del self._evacuations[change.key]
-            self._update_evacuated(change.revision)
+            self._take_back_evacuation(change)
         server_id = self._server_keys.get(change.key)
         if server_id is None:
             return
@@ -116,6 +124,29 @@
             return
         self._remove(server_id, "entry_gone")
 
+    def _take_evacuation(self, change: StoreChange, zone: ZoneName) -> None:
+        """Apply an evacuation; one from an older copy that was taken back must be confirmed."""
+        is_reissued = self._taken_back.get(change.key) == change.revision
+        if change.after_restoration and is_reissued:
+            self._unconfirmed.hold(change, REAPPEARANCE_GRACE_MS, now_ms())
+            log.bind(zone=zone, revision=change.revision).info("evacuation_reappears")
+            return
+        self._taken_back.pop(change.key, None)
+        self._evacuations[change.key] = _Evacuation(zone, change.revision)
+        self._update_evacuated(change.revision)
+
+    def _take_back_evacuation(self, change: StoreChange) -> None:
+        """End an evacuation; one that an older copy lacks may be written again first."""
+        if change.after_restoration:
+            self._unconfirmed.hold(change, LAPSE_GRACE_MS, now_ms())
+            log.bind(key=change.key, revision=change.revision).info("evacuation_lapsed")
+            return
+        evacuation = self._evacuations.pop(change.key)
+        self._taken_back[change.key] = evacuation.revision
+        if len(self._taken_back) > MAX_TAKEN_BACK:
+            self._taken_back.popitem(last=False)
+        self._update_evacuated(change.revision)
+
     def _apply_bad_item(self, change: StoreChange, text: str) -> None:
         """Drop the server of an unreadable item; log the key once until it is readable again."""
         self._on_bad_item()
@@ -234,7 +265,7 @@
         return replace(server, cold_until_ms=max(server.cold_until_ms, now_ms() + cold_ms))
 
     def _update_evacuated(self, revision: int) -> None:
-        self.evacuated = set(self._evacuations.values())
+        self.evacuated = {one.zone for one in self._evacuations.values()}
         log.bind(zones=sorted(self.evacuated), revision=revision).info("evacuated_zones")
 
     def _remove(self, server_id: BackendServerId, why: str) -> None:
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -306,6 +306,35 @@
     assert SERVER.id in state.servers
 
 
+EVACUATIONS = [
+    # changes before the restoration, value in the older copy, change after it, evacuated at once, and
+    # after a time (ms) without further changes
+    ("an older copy lacks it", [b"zone"], None, [], True, 2_201.0, False),
+    ("an older copy lacks it, written again", [b"zone"], None, [b"zone"], True, 9_000.0, True),
+    ("taken back, in an older copy", [b"zone", None], b"zone", [], False, 5_000.0, False),
+    ("taken back, still there long after", [b"zone", None], b"zone", [], False, 6_001.0, True),
+    ("taken back once more", [b"zone", None], b"zone", [None], False, 9_000.0, False),
+    ("never known", [], b"zone", [], True, 9_000.0, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("before", "restored", "written", "at_once", "later_ms", "later"),
+    [row[1:] for row in EVACUATIONS],
+    ids=[row[0] for row in EVACUATIONS],
+)
+def test_evacuation_that_an_older_copy_contradicts_holds_until_confirmed(
+    state, clock, before, restored, written, at_once, later_ms, later
+):
+    put(state, *before)
+    restore(state, "k", restored)
+    assert bool(state.evacuated) is at_once
+    put(state, *written)
+    clock[0] += later_ms
+    state.apply_unconfirmed(False)
+    assert bool(state.evacuated) is later
+
+
 class ScriptedStore:
     """Stub store client that returns scripted answers."""
 
