Take a newer configuration from siblings where the restored store lacks it

What callers would see: an instance that starts after the store has come back older serves by a version that is older than the one confirmed, while its siblings, which go by versions, keep the newer one, until the operator has written it again.

Cause: a started instance reads the store, and siblings were asked for news only where their position was newer.

Change: gossip names the version that the sender follows; an instance whose position is not behind that of such a sender asks it for the configuration alone. Where positions differ the copy of all items is taken as before. Callers of an unknown key or route get 503 instead of 401 or 404 while a peer follows a newer version, as they did while a peer's position was newer.

Evidence: the new test of a gateway that starts beside three failed before (version 1 after 20 s) and passes; 167 tests of the store, gossip, members, schema, keys and sync pass.

--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -226,6 +226,7 @@
                 take_server_limits=lambda _notes: None,
                 store_position=lambda: StorePosition(0, 1),
                 store_reached=lambda: True,
+                configuration_version=lambda: 1,
             ),
         )
         self.port._rng = random.Random(f"gossip/{world.draw.seed}/{ip}")
--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -14,6 +14,7 @@
     ConfigurationItem,
     EvacuationItem,
     StoreItem,
+    UnknownItem,
 )
 from sparline.fleet._store_copy import StoreChange
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
@@ -70,6 +71,7 @@
         server removed without having announced that it leaves.
         """
         self.configuration: Configuration | None = None  # newest version, None before the first
+        self.configuration_change: StoreChange | None = None  # change that it comes from
         self.servers: dict[BackendServerId, BackendServer] = {}  # all current servers
         self.evacuated: set[ZoneName] = set()  # zones whose servers get no requests
         self.zones = zones  # region of each availability zone
@@ -102,7 +104,7 @@
             return
         match self._read_item(change):
             case ConfigurationItem(configuration):
-                self._apply_configuration(configuration, change.revision)
+                self._apply_configuration(configuration, change)
             case BackendServerItem(server):
                 self._bad_keys.discard(change.key)
                 self._take_server_entry(change, server)
@@ -188,17 +190,33 @@
         self._server_keys[key] = server.id
         self._update_server(server, revision)
 
-    def _apply_configuration(self, configuration: Configuration, revision: int) -> None:
+    def _apply_configuration(self, configuration: Configuration, change: StoreChange) -> None:
         held = self.configuration
         if held is not None and held.version >= configuration.version:
             return
         if held is not None:
             self._record_withdrawn_keys(held, configuration)
         self.configuration = configuration
+        self.configuration_change = change
         log.bind(
-            version=configuration.version, revision=revision, routes=len(configuration.routes)
+            version=configuration.version,
+            revision=change.revision,
+            routes=len(configuration.routes),
         ).info("configuration_in_force")
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    def take_configuration(self, change: StoreChange) -> None:
+        """Apply the configuration that a peer follows, unless it is older than the one in force."""
+        item = self._read_item(change) if change.value is not None else UnknownItem()
+        if isinstance(item, ConfigurationItem):
+            self._apply_configuration(item.configuration, change)
+            return
+        log.bind(key=change.key, item=type(item).__name__).warning("no_configuration")
+
     def _record_withdrawn_keys(self, held: Configuration, newer: Configuration) -> None:
         """Record the version that withdrew each API key, for error messages to callers."""
         before = held.organisations.by_key if held.organisations else {}
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -99,6 +99,7 @@
     take_server_limits: Callable[[list[ServerLimitNote]], None]  # merges a peer's limits
     store_position: Callable[[], StorePosition]  # state of the store that this instance holds
     store_reached: Callable[[], bool]  # whether the store responded recently
+    configuration_version: Callable[[], int]  # version that this instance follows, 0 for none
 
 
 class GossipPort:
@@ -330,6 +331,7 @@
             server_limits=self._sources.server_limits(),
             levels=self._admission.notes(),
             store_era=position.era,
+            configuration_version=self._sources.configuration_version(),
         )
 
     def _heartbeats(self, same_region: bool) -> list[MemberBeat]:
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -44,6 +44,7 @@
     sharer_since_ms: float = 0.0  # since when it counts among those that divide a limit
     has_contacted: bool = False  # whether it has sent a datagram to this instance
     store_position: StorePosition = NO_POSITION  # state of the store that it holds
+    configuration_version: int = 0  # version that it follows, 0 for none
     store_reached: bool = False  # whether the store recently responded to it
     datagram_at_ms: float = 0.0  # when it last sent a datagram to this instance
     key: int = field(init=False)  # key of its relayed heartbeats
@@ -108,6 +109,7 @@
         member = self._update(note, now)
         member.has_contacted = True
         member.store_position = StorePosition(gossip.store_era, gossip.store_revision)
+        member.configuration_version = gossip.configuration_version
         member.store_reached = gossip.store_reached
         member.datagram_at_ms = now
         self.discovered_siblings = [
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -29,6 +29,7 @@
     take_server_limits=lambda _notes: None,
     store_position=lambda: StorePosition(0, 1),
     store_reached=lambda: True,
+    configuration_version=lambda: 1,
 )
 LOADS = LoadSources(
     own_loads=dict,
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -184,11 +184,14 @@
                 self.server_limits.merge_limits,
                 lambda: self.copy.position,
                 self.reader.reached,
+                lambda: self.fleet.configuration_version,
             ),
         )
         callers_port = split_address(settings.listen.callers)[1]
         self.directory = Directory(self.members, self.fleet, callers_port, last_instance_accept_ms)
-        self.sync = StoreSync(self.members, self.copy, self.reader, self.metrics, self._relay_port)
+        self.sync = StoreSync(
+            self.members, self.copy, self.reader, self.fleet, self.metrics, self._relay_port
+        )
 
     def _build_placement(self, region: RegionName) -> None:
         self.health = HealthTable(self.pause_watch.process_resumed_at_ms)
@@ -336,4 +339,7 @@
         """Return whether a newer configuration than this instance's may be in force."""
         if self._newest_peer_position() > self.copy.position:
             return True
+        own_version = self.fleet.configuration_version
+        if any(one.configuration_version > own_version for one in self.members.live()):
+            return True
         return not self.reader.reached() and not self.members.is_store_reached()
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -43,6 +43,7 @@
     find_relayed_caller,
 )
 from sparline.routes import DEFAULT_LIMITS, Configuration, Organisation, Route, ServiceName
+from sparline.schema._gossip import StoreCopy, StoreItemNote
 
 # Deadline assumed for requests without one when they are refused before a route's timeout
 # applies (ms).
@@ -63,8 +64,11 @@
 # How long remaining input is read after an error response (s), so that a connection reset does not
 # discard the response.
 LINGER_S = 0.5
+CBOR_HEADERS = [(b"Content-Type", b"application/cbor")]
 # Request target under which peers fetch store copies, without the revision.
 STORE_COPY_TARGET = b"/sparline/store-copy?after="
+# Request target under which peers fetch the configuration in force.
+CONFIGURATION_TARGET = b"/sparline/configuration"
 
 
 class Service:
@@ -161,6 +165,9 @@
         if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
             self._answer_store_copy(caller, http)
             return
+        if origin is Origin.RELAY and http.target == CONFIGURATION_TARGET:
+            self._answer_configuration(caller)
+            return
         marks = parse_request_head(http)
         if marks.is_err():
             self._reject(caller, "", 400, Reason.BAD_REQUEST, marks.unwrap_err())
@@ -338,8 +345,15 @@
             self._copy.since(int(after)),
             disturbed_ago_ms=None if fault_age_ms is None else round(fault_age_ms),
         )
-        content = pack(copy)
-        caller.answer(200, [(b"Content-Type", b"application/cbor")], content)
+        caller.answer(200, CBOR_HEADERS, pack(copy))
+
+    def _answer_configuration(self, caller: CallerConnection) -> None:
+        """Answer with the configuration in force, which the store may have lost."""
+        change = self._fleet.configuration_change
+        notes = [StoreItemNote(change.key, change.revision, change.value)] if change else []
+        position = self._copy.position
+        copy = StoreCopy(position.revision, False, notes, era=position.era)
+        caller.answer(200, CBOR_HEADERS, pack(copy))
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -7,9 +7,16 @@
 
 from sparline._cbor import unpack
 from sparline._logging import log
-from sparline.fleet import Member, Members, StoreCopyTable, StoreReader
+from sparline.fleet import (
+    FleetState,
+    Member,
+    Members,
+    StoreChange,
+    StoreCopyTable,
+    StoreReader,
+)
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.gateway._service import STORE_COPY_TARGET
+from sparline.gateway._service import CONFIGURATION_TARGET, STORE_COPY_TARGET
 from sparline.http import BackendConnection, ConnectionBroken
 from sparline.schema._gossip import MemberNote, StoreCopy
 
@@ -27,6 +34,7 @@
         members: Members,
         copy: StoreCopyTable,
         reader: StoreReader,
+        fleet: FleetState,
         metrics: GatewayMetrics,
         relay_port: int,
     ) -> None:
@@ -34,6 +42,7 @@
         self._members = members
         self._copy = copy
         self._reader = reader
+        self._fleet = fleet
         self._metrics = metrics
         self._relay_port = relay_port
         self._rng = random.Random()
@@ -45,6 +54,7 @@
             is_outdated = self._reader.interrupt_stale_watch()
             if is_outdated or self._reader.needs_peers():
                 self._copy_from_peer()
+            self._follow_newer_configuration()
 
     def _copy_from_peer(self) -> None:
         held = self._copy.position
@@ -52,47 +62,75 @@
         if not newer:
             return
         peer = self._rng.choice(nearest_peers(newer, self._members.own))
+        target = STORE_COPY_TARGET + b"%d" % self._revision_to_follow(peer)
+        copy = self._fetch(peer, target)
+        if copy is not None:
+            self._apply(peer, copy)
+
+    def _revision_to_follow(self, peer: Member) -> int:
+        """Return the revision after which changes are wanted, 0 for all items."""
+        held = self._copy.position
+        return held.revision if peer.store_position.era == held.era else 0
+
+    def _follow_newer_configuration(self) -> None:
+        """Copy the configuration of a peer if it is newer than that of a store not behind the peer.
+
+        A store that came back from an older copy may have lost a version that peers follow.
+        """
+        version = self._fleet.configuration_version
+        newer = [
+            one
+            for one in self._members.live()
+            if one.configuration_version > version and one.store_position <= self._copy.position
+        ]
+        if not newer:
+            return
+        peer = self._rng.choice(nearest_peers(newer, self._members.own))
+        copy = self._fetch(peer, CONFIGURATION_TARGET)
+        if copy is None:
+            return
+        for note in copy.items:
+            self._fleet.take_configuration(StoreChange(note.key, note.revision, note.value))
+        self._record_result(peer, "configuration", f"version {self._fleet.configuration_version}")
+
+    def _fetch(self, peer: Member, target: bytes) -> StoreCopy | None:
+        """Return a peer's answer, or None after recording why there is none."""
         limit = gevent.Timeout(COPY_TIMEOUT_MS / 1000)
         try:
             with limit:
-                content = self._fetch(peer)
+                content = self._exchange(peer, target)
         except gevent.Timeout as timeout:
             if timeout is not limit:
                 raise
             self._record_result(peer, "silent")
-            return
+            return None
         except (OSError, ConnectionBroken) as error:
             self._record_result(peer, "unreachable", str(error))
-            return
-        self._apply(peer, content)
+            return None
+        match unpack(content, StoreCopy):
+            case Ok(copy):
+                return copy
+            case Err(reason):
+                self._record_result(peer, "bad_answer", reason)
+                return None
 
-    def _fetch(self, peer: Member) -> bytes:
+    def _exchange(self, peer: Member, target: bytes) -> bytes:
         connection = BackendConnection((peer.note.ip, self._relay_port), COPY_TIMEOUT_MS / 1000)
         try:
-            target = STORE_COPY_TARGET + b"%d" % self._revision_to_follow(peer)
             connection.send(b"GET " + target + b" HTTP/1.1\r\nhost: peer\r\n\r\n", b"")
             answer = connection.read_head(lambda _answer: True)
             return connection.read_body(answer)
         finally:
             connection.close()
 
-    def _revision_to_follow(self, peer: Member) -> int:
-        """Return the revision after which changes are wanted, 0 for all items."""
-        held = self._copy.position
-        return held.revision if peer.store_position.era == held.era else 0
-
-    def _apply(self, peer: Member, content: bytes) -> None:
-        match unpack(content, StoreCopy):
-            case Err(reason):
-                self._record_result(peer, "bad_answer", reason)
-            case Ok(copy):
-                if copy.disturbed_ago_ms is not None:
-                    # Recorded before the items are applied, so that entries that lapsed during the
-                    # store's outage are kept.
-                    self._reader.record_peer_fault(copy.disturbed_ago_ms)
-                is_taken = self._copy.take_copy(copy)
-                text = f"era {copy.era}, revision {copy.revision}"
-                self._record_result(peer, "taken" if is_taken else "ignored", text)
+    def _apply(self, peer: Member, copy: StoreCopy) -> None:
+        if copy.disturbed_ago_ms is not None:
+            # Recorded before the items are applied, so that entries that lapsed during the
+            # store's outage are kept.
+            self._reader.record_peer_fault(copy.disturbed_ago_ms)
+        is_taken = self._copy.take_copy(copy)
+        text = f"era {copy.era}, revision {copy.revision}"
+        self._record_result(peer, "taken" if is_taken else "ignored", text)
 
     def _record_result(self, peer: Member, result: str, text: str = "") -> None:
         self._metrics.store_copies.labels(result).inc()
--- a/sparline/gateway/tests/test_restored_store.py
+++ b/sparline/gateway/tests/test_restored_store.py
@@ -29,6 +29,18 @@
     wait_for_answers(fleet)
 
 
+def test_started_gateway_takes_the_version_that_its_siblings_hold(fleet):
+    # The store has come back from a copy without version 2, and nobody has written that again.
+    before = fleet.store.revision
+    publish(fleet.store, 2)
+    wait_for_version(fleet, 2)
+    fleet.store.restore(before)
+    wait_for_answers(fleet)
+    started = fleet.add_gateway("g3", "127.0.1.4", "north-1")
+    fleet.until(started.is_ready, "the gateway is live")
+    wait_for_version(fleet, 2)
+
+
 def wait_for_version(fleet: RoutedFleet, version: int) -> None:
     fleet.until(
         lambda: all(one.fleet.configuration.version == version for one in fleet.gateways.values()),
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -441,6 +441,10 @@
     store_era: Annotated[
         int, Meta(description="Era of the store in which that revision counts.")
     ] = 0
+    configuration_version: Annotated[
+        int,
+        Meta(description="Version of the configuration that the sender follows, 0 for none."),
+    ] = 0
 
 
 class GossipSchema(WireMessage):
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -210,6 +210,7 @@
             take_server_limits=server_limits.merge_limits,
             store_position=lambda: StorePosition(0, 1),
             store_reached=lambda: True,
+            configuration_version=lambda: 1,
         )
         crashes = CrashTable(lambda change: gossip.broadcast_crash(change))
         gossip = GossipPort(
