Ask the store at once after a fault whether it has been restored

What callers would see: a version or a leaving server that a restored store confirmed before an instance reached it again is not in force there until the next change, for up to 10 s.

Cause: after a fault the next call was a watch of 4 to 10 s after the old revision. Where that number had been given out again by then, the store has no reason to answer: no 410, no event, and so no era.

Change: the first watch after a fault waits for nothing: its answer names the era. It costs a call for each watcher and fault.

--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -149,7 +149,7 @@
             if self._needs_full_read:
                 self._read_all()
             elif self._is_watcher():
-                self._watch(round(self._rng.uniform(WATCH_MIN_FRACTION, 1.0) * WATCH_WAIT_MS))
+                self._watch(self._watch_wait_ms())
             else:
                 self._wait_as_non_watcher()
 
@@ -165,6 +165,16 @@
         text = f"expected era {held} or later, found {news.position.era}"
         return Err(StoreFault(StoreFaultKind.OUTDATED, text))
 
+    def _watch_wait_ms(self) -> int:
+        """Return how long the next watch waits for changes.
+
+        The first one after a fault returns at once, to tell whether the store has been restored: one
+        that waits after a reissued revision would tell it only at the next change.
+        """
+        if self._failures:
+            return 0
+        return round(self._rng.uniform(WATCH_MIN_FRACTION, 1.0) * WATCH_WAIT_MS)
+
     def _watch(self, wait_ms: int) -> None:
         answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
         self._handle_answer(answer.and_then(self._require_same_era), "watch", self._copy.apply)
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -413,6 +413,17 @@
     assert max(waits) - min(waits) > 2_000
 
 
+def test_first_watch_after_a_fault_does_not_wait(monkeypatch):
+    # A watch after a revision that a restored store has given out again would only wait.
+    monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
+    unreachable = fault(StoreFaultKind.UNREACHABLE)
+    store = ScriptedStore(Ok(StoreAnswer([A1], at(1))), unreachable, unreachable, Ok(StoreAnswer([], at(1))), Ok(StoreAnswer([], at(1))))  # fmt: skip
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: at(0))
+    with pytest.raises(IndexError):
+        reader.run()
+    assert [wait_ms > 0 for wait_ms in store.waits] == [True, False, False, True, True]
+
+
 WATCH_DELAYS = [
     # number of watchers, time since the last fault (ms), delay after a response (ms)
     (9, 1e9, 400.0),
