Restore the store from older copies in the soak of gateways

After the faults every instance has to follow the newest confirmed version within the 15 s of recovery.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from benchmarks._fleet import ROOT, PortPool
-from benchmarks._gateway_settings import gateway_settings
+from benchmarks._gateway_settings import PORTS, gateway_settings
 from benchmarks._loopback_proxy import LoopbackProxy
 from sparline._clock import now_ms
 from standins import Caller, KeyStore, SealedServer, list_server, publish
@@ -22,6 +22,9 @@
 GRACE_S = 8.0
 # A backend server that has ended is back after this long (s).
 BACK_S = 0.5
+# Place of the listener for metrics among the ports of an instance.
+METRICS_PORT = PORTS.index("metrics")
+VERSION_METRIC = "sparline_configuration_version "
 PLACES = ("north-1", "north-1", "south-1", "south-1")
 # Availability zone, service and events of each backend server.
 SERVERS = {
@@ -163,6 +166,22 @@
         finally:
             caller.close()
 
+    def version_at(self, name: str) -> int:
+        """Return the configuration version that an instance follows, 0 for none or no answer."""
+        try:
+            caller = Caller((self.gateways[name].ip, self._listen[METRICS_PORT]))
+        except OSError:
+            return 0
+        try:
+            caller.send_raw("GET", "/metrics", {"Host": "x"}, b"")
+            lines = caller.read().body.decode().splitlines()
+        except OSError:
+            return 0
+        finally:
+            caller.close()
+        values = [one.rpartition(" ")[2] for one in lines if one.startswith(VERSION_METRIC)]
+        return int(float(values[0])) if values else 0
+
     def until_ready(self) -> float:
         """Wait until all instances are ready; return how long it took in milliseconds."""
         began_ms = now_ms()
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -36,6 +36,10 @@
 MOST_LATER_SENDS = 3
 # Upper bound of Retry-After in 503 responses from backend servers (s).
 MOST_RETRY_AFTER_S = 2.0
+# Upper bound of the writes that a restored store has lost (count).
+MOST_LOST_WRITES = 30
+# Upper bound of the time in which what was lost is written again (s).
+MOST_REWRITE_S = 1.0
 TARGETS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x", "/home/x")
 ONCE = ("/unsafe/x", "/once/x")
 
@@ -58,9 +62,12 @@
     chance: random.Random
     # Separate generator for server states, so that they take no draws from the other faults.
     server_chance: random.Random = field(default_factory=random.Random)
+    store_chance: random.Random = field(default_factory=random.Random)  # for restorations alone
     records: list[Record] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     version: int = 1
+    _leaving: set[str] = field(default_factory=set)  # backend servers whose entry says so
+    _is_evacuated: bool = False  # whether north-1 is evacuated
     _callers: Pool = field(default_factory=lambda: Pool(200))
 
     def drive(self, seconds: float) -> None:
@@ -69,6 +76,7 @@
         faults = [
             gevent.spawn(self._trouble, end_ms),
             gevent.spawn(self._change_server_states, end_ms),
+            gevent.spawn(self._restore_store, end_ms, self.fleet.store.revision),
         ]
         while now_ms() < end_ms:
             self.send_one()
@@ -126,6 +134,42 @@
             gevent.sleep(self.server_chance.uniform(0.5, 2 * PAUSE_S))
         pending.join()
 
+    def _restore_store(self, end_ms: float, first_revision: int) -> None:
+        """Let the store come back from older copies; what they lack is written again."""
+        store = self.fleet.store
+        while now_ms() < end_ms:
+            gevent.sleep(self.store_chance.uniform(PAUSE_S, 3 * PAUSE_S))
+            self.faults["restore_store"] += 1
+            store.mode = StoreMode.RESET
+            gevent.sleep(self.store_chance.uniform(0.1, HOLD_S))
+            lost = self.store_chance.randint(0, MOST_LOST_WRITES)
+            store.restore(max(first_revision, store.revision - lost))
+            store.mode = StoreMode.OK
+            gevent.sleep(self.store_chance.uniform(0.0, MOST_REWRITE_S))
+            self._write_again()
+        # Confirmed at a revision that may have been given out before.
+        self._configure()
+
+    def _write_again(self) -> None:
+        """Write what the restored store lacks, and nothing else: its revision stays low."""
+        store = self.fleet.store
+        if store.value("op/config")["version"] != self.version:
+            publish(store, self.version)
+        for name in sorted(SERVERS):
+            entry = store.value(f"servers/{name}")
+            state = "draining" if name in self._leaving else "ready"
+            if entry is None or (entry["born"], entry["state"]) != (self.fleet.starts[name], state):
+                self._list_server(name)
+        is_evacuated = store.value("op/evacuate/north-1") is not None
+        if self._is_evacuated and not is_evacuated:
+            evacuate(store, "north-1")
+        if is_evacuated and not self._is_evacuated:
+            take_back(store, "north-1")
+
+    def _list_server(self, name: str) -> None:
+        changes = {"state": "draining"} if name in self._leaving else {}
+        self.fleet.list_server(name, **changes)
+
     def _limit_server(self, name: str) -> None:
         server = self.fleet.servers[name]
         server.limit_per_s = self.server_chance.uniform(1.0, REQUESTS_PER_S)
@@ -218,9 +262,11 @@
 
     def _drain_server(self) -> None:
         name = self.chance.choice(sorted(SERVERS))
-        self.fleet.list_server(name, state="draining")
+        self._leaving.add(name)
+        self._list_server(name)
         self._hold()
-        self.fleet.list_server(name)
+        self._leaving.discard(name)
+        self._list_server(name)
 
     def _configure(self) -> None:
         self.version += self.chance.randint(1, 3)
@@ -230,8 +276,10 @@
         self.fleet.store.forget_history()
 
     def _evacuate(self) -> None:
+        self._is_evacuated = True
         evacuate(self.fleet.store, "north-1")
         self._hold()
+        self._is_evacuated = False
         take_back(self.fleet.store, "north-1")
 
     def _crash(self) -> None:
@@ -256,7 +304,20 @@
                         broken.append(f"{at} answers {target} with {status} after the faults")
                         break
                     gevent.sleep(0.3)
-        return broken
+        return broken + self._judge_versions(began_ms + RECOVERY_S * 1000)
+
+    def _judge_versions(self, until_ms: float) -> list[str]:
+        """Wait until all instances follow the newest version; return those that don't."""
+        while True:
+            versions = {name: self.fleet.version_at(name) for name in sorted(self.fleet.gateways)}
+            behind = {name: one for name, one in versions.items() if one != self.version}
+            if not behind or now_ms() > until_ms:
+                break
+            gevent.sleep(0.3)
+        return [
+            f"{name} follows version {one}, confirmed is {self.version}"
+            for name, one in behind.items()
+        ]
 
     def _probe(self, at: str, target: str) -> int:
         record = Record(f"r{len(self.records)}", target)
@@ -324,7 +385,8 @@
     """Run one seed and return an exit code."""
     with GatewayFleet() as fleet:
         server_chance = random.Random(f"servers/{options.seed}")
-        run = SoakRun(fleet, random.Random(options.seed), server_chance)
+        store_chance = random.Random(f"store/{options.seed}")
+        run = SoakRun(fleet, random.Random(options.seed), server_chance, store_chance)
         for server in fleet.servers.values():
             server.ends_on = CRASHING
         run.drive(options.seconds)
--- a/standins/_key_store.py
+++ b/standins/_key_store.py
@@ -75,6 +75,11 @@
         """Delete an item."""
         return self._write(key, None)
 
+    def value(self, key: str) -> Any:
+        """Return the content of an item that holds JSON, None without one."""
+        item = self._items.get(key)
+        return json.loads(item.value) if item and item.value is not None else None
+
     def _write(self, key: str, value: bytes | None) -> int:
         self.revision += 1
         item = _Item(key, self.revision, value)
