Treat a store value that is not base64 as an invalid item

Cause: the error went through the client, which turns faults into values, and ended the task that follows the store. Change: the item counts as invalid, as one with wrong JSON does: it is logged and counted, the others are taken.

Evidence: the new test failed before (binascii.Error: Incorrect padding) and passes.

--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the users' store: its two read calls, on one persistent connection."""
 
 import base64
+import binascii
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -8,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from sparline._logging import log
 from sparline.fleet import StoreAnswer, StoreChange, StoreFault, StoreFaultKind, StorePosition
 from sparline.http import Address, BackendConnection, ConnectionBroken, HttpAnswer
 from sparline.platform import _names as names
@@ -157,5 +159,16 @@
 
 
 def _decode_change(item: _ItemNode) -> StoreChange:
-    value = None if item.deleted else base64.b64decode(item.value or "")
+    value = None if item.deleted else _decode_value(item)
     return StoreChange(item.private_key, item.revision, value)
+
+
+def _decode_value(item: _ItemNode) -> bytes:
+    """Return the content of an item, empty and thus invalid if it is not base64."""
+    try:
+        return base64.b64decode(item.value or "")
+    except binascii.Error as error:
+        log.bind(key=item.private_key, revision=item.revision, text=str(error)).warning(
+            "store_value_invalid"
+        )
+        return b""
--- a/sparline/platform/tests/test_store_client.py
+++ b/sparline/platform/tests/test_store_client.py
@@ -4,6 +4,7 @@
 
 from sparline.fleet import StoreFaultKind
 from sparline.platform import StoreHttpClient
+from sparline.platform._store_client import _decode_change, _ItemNode
 from sparline.tests.routed_fleet import RoutedFleet
 
 
@@ -37,3 +38,9 @@
     monkeypatch.setattr(client, "_exchange", restore_after_first_page)
     fault = client.read_all(1_000.0).unwrap_err()
     assert fault.kind is StoreFaultKind.ERA_CHANGED
+
+
+def test_value_that_is_not_base64_becomes_an_invalid_item():
+    # Before, the error ended the task that follows the store, for good.
+    change = _decode_change(_ItemNode("servers/s1", 3, value="abc"))
+    assert (change.key, change.revision, change.value) == ("servers/s1", 3, b"")
