Split the forwarding of answers and the liveness checks from attempts

No behaviour changes. _attempt.py (451 lines) did three jobs: it sent a request and judged how it ended, waited for the answer beside checks of the server, and passed the answer on. Now _attempt.py (319), _liveness_checks.py (78) and _answer_forwarding.py (130); lines were moved, and private names that became a module's own lost their underscore. Evidence: 70 tests of forwarding, requests and reset connections pass.

--- /dev/null
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -0,0 +1,130 @@
+"""Forwarding of a backend server's response to the caller: buffered, unbuffered or as a stream."""
+
+from sparline._clock import now_ms
+from sparline.forwarding._attempt_types import (
+    AttemptDependencies,
+    AttemptEnd,
+    AttemptResult,
+    Progress,
+)
+from sparline.forwarding._liveness_checks import LivenessChecks
+from sparline.http import (
+    BackendConnection,
+    CallerConnection,
+    ConnectionBroken,
+    HttpAnswer,
+    end_to_end,
+)
+from sparline.placement import Placement, StreamWatch
+from sparline.requests import Reason, RoutedRequest
+from sparline.routes import RequestKind
+
+# Non-streaming responses up to this size are buffered completely before they are sent on (bytes).
+MAX_BUFFERED_BYTES = 1_048_576
+# Maximum size of a server-sent event (bytes). Typical events are a few hundred bytes long.
+MAX_EVENT_BYTES = 1_048_576
+# Lowest status code that reports a failure of the backend server.
+MIN_SERVER_ERROR_STATUS = 500
+
+
+class AnswerForwarding:
+    """Forward the response of one attempt, and record its timing and outcome."""
+
+    def __init__(
+        self,
+        dependencies: AttemptDependencies,
+        request: RoutedRequest,
+        placement: Placement,
+        caller: CallerConnection,
+        progress: Progress,
+        watch: StreamWatch,
+        checks: LivenessChecks,
+    ) -> None:
+        """Set the attempt whose response is forwarded."""
+        self._dependencies = dependencies
+        self._request = request
+        self._placement = placement
+        self._caller = caller
+        self._progress = progress
+        self._watch = watch
+        self._checks = checks
+
+    def forward(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
+        is_stream = self._request.route.kind is RequestKind.STREAM
+        if is_stream and answer.status < MIN_SERVER_ERROR_STATUS:
+            return self._forward_stream(connection, answer)
+        return self._forward_buffered(connection, answer)
+
+    def _forward_buffered(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
+        """Buffer the complete response so that a truncated one never reaches the caller."""
+        body = bytearray()
+        while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
+            body += piece
+            if len(body) > MAX_BUFFERED_BYTES:
+                return self._forward_unbuffered(connection, answer, bytes(body))
+        elapsed_ms = now_ms() - self._progress.sent_at_ms
+        if answer.status >= MIN_SERVER_ERROR_STATUS:
+            self._dependencies.health.note_failure(self._placement.server.id, "failed")
+            self._progress.failed_answer = (answer, bytes(body))
+            return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
+        self._note_plain_success(elapsed_ms)
+        self._note_first(now_ms())
+        self._caller.answer(answer.status, end_to_end(answer.headers), bytes(body))
+        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+
+    def _forward_unbuffered(
+        self, connection: BackendConnection, answer: HttpAnswer, first: bytes
+    ) -> AttemptEnd:
+        """Forward a large response as it arrives, finishing it only if it is complete."""
+        self._begin_answer(answer)
+        self._caller.send(first)
+        while (piece := connection.read_piece(answer)) is not None:
+            self._caller.send(piece)
+        self._caller.finish()
+        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+
+    def _note_plain_success(self, elapsed_ms: float) -> None:
+        self._dependencies.health.note_success(self._placement.server.id)
+        was_suspended = self._dependencies.watch.process_resumed_at_ms() > self._progress.sent_at_ms
+        if self._placement.peer is not None or was_suspended:
+            return
+        typical_ms = self._dependencies.pace.answer_ms(self._request.service)
+        self._dependencies.health.note_time(self._placement.server.id, elapsed_ms, typical_ms)
+        self._dependencies.pace.note_answer(self._request.service, elapsed_ms)
+
+    def _begin_answer(self, answer: HttpAnswer) -> None:
+        if self._progress.began:
+            return
+        self._progress.began = True
+        self._caller.begin(answer.status, end_to_end(answer.headers), None)
+
+    def _forward_stream(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
+        while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
+            self._dependencies.health.note_event(self._placement.server.id)
+            complete_events = self._progress.splitter.feed(piece)
+            if self._progress.splitter.pending_bytes() > MAX_EVENT_BYTES:
+                raise ConnectionBroken(f"server-sent event exceeds {MAX_EVENT_BYTES} bytes")
+            if complete_events:
+                self._note_event()
+                self._begin_answer(answer)
+                self._caller.send(complete_events)
+        self._begin_answer(answer)
+        self._caller.send(self._progress.splitter.rest())
+        self._caller.finish()
+        self._dependencies.health.note_success(self._placement.server.id)
+        self._watch.note_end()
+        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+
+    def _note_event(self) -> None:
+        self._watch.note_event()
+        now = now_ms()
+        if self._progress.last_event_at_ms is not None:
+            pause_ms = now - self._progress.last_event_at_ms
+            self._progress.longest_pause_ms = max(self._progress.longest_pause_ms, pause_ms)
+        self._progress.last_event_at_ms = now
+        if self._progress.first_at_ms is None:
+            self._note_first(now)
+
+    def _note_first(self, now: float) -> None:
+        self._progress.first_at_ms = now
+        self._dependencies.note_first(self._request, self._placement, self._progress)
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -1,10 +1,5 @@
 """A single attempt at a request, sent to a backend server directly or through a peer instance."""
 
-from collections.abc import Callable
-from typing import TypeVar
-
-import gevent
-
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
 from sparline.decisions import (
@@ -16,12 +11,18 @@
     liveness,
     may_be_shown_later,
 )
+from sparline.forwarding._answer_forwarding import MIN_SERVER_ERROR_STATUS, AnswerForwarding
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
     AttemptEnd,
     AttemptResult,
     Progress,
 )
+from sparline.forwarding._liveness_checks import (
+    DeadlinePassed,
+    LivenessChecks,
+    ServerUnresponsive,
+)
 from sparline.forwarding._wire import AnswerKind, AnswerMeaning, AttemptParameters, Wire
 from sparline.forwarding._witnesses import find_witnesses
 from sparline.http import (
@@ -29,41 +30,18 @@
     CallerConnection,
     ConnectionBroken,
     HttpAnswer,
-    end_to_end,
 )
 from sparline.placement import Placement, Reservation, StreamWatch
 from sparline.requests import Reason, RoutedRequest
-from sparline.routes import RequestKind
 
 # Connection timeout within a region (ms). A connection opens in a few milliseconds there. A lost
 # SYN is retransmitted after one second, so retrying on another server is faster than waiting.
 BACKEND_CONNECT_TIMEOUT_MS = 600.0
 # Connection timeout between regions, where the round trip alone takes over 100 ms (ms).
 PEER_CONNECT_TIMEOUT_MS = 1_200.0
-# Interval at which a pending read checks whether the server is still alive (ms).
-LIVENESS_CHECK_INTERVAL_MS = 400.0
-# Timeout of a non-streaming response that can be retried elsewhere, as a multiple of the service's
-# typical response time. Healthy services answer nearly all requests within seven times their mean.
-PLAIN_ANSWER_TIMEOUT_FACTOR = 8.0
-# Non-streaming responses up to this size are buffered completely before they are sent on (bytes).
-MAX_BUFFERED_BYTES = 1_048_576
-# Maximum size of a server-sent event (bytes). Typical events are a few hundred bytes long.
-MAX_EVENT_BYTES = 1_048_576
-# Lowest status code that reports a failure of the backend server.
-MIN_SERVER_ERROR_STATUS = 500
 # Responses that come from the addressed server itself, unlike misdirected and unsigned ones.
 SERVER_ANSWER_KINDS = (AnswerKind.RESULT, AnswerKind.NOT_RUN)
 
-ReadResult = TypeVar("ReadResult")
-
-
-class _ServerUnresponsive(Exception):
-    """Signal that a backend server has become unresponsive."""
-
-
-class _DeadlinePassed(Exception):
-    """Signal that the deadline passed while the machine was suspended, so that no timer fired."""
-
 
 class Attempt:
     """Send a request once and forward its response to the caller."""
@@ -81,14 +59,22 @@
         self._dependencies = dependencies
         self._request = request
         self._placement = placement
-        self._caller = caller
         self._progress = progress
         self._answer_received = False
         self._witnesses: tuple[BackendConnection, ...] = ()
         self._began_at_ms = 0.0  # when the attempt began
         self._exited_at_ms = 0.0  # last known exit of the server before the request was sent
         self._was_received = True  # whether the other side acknowledged the whole request
-        self._watch = StreamWatch(dependencies.watch, request, placement, reservation)
+        self._checks = LivenessChecks(dependencies, request, placement, progress)
+        self._forwarding = AnswerForwarding(
+            dependencies,
+            request,
+            placement,
+            caller,
+            progress,
+            StreamWatch(dependencies.watch, request, placement, reservation),
+            self._checks,
+        )
         self._server_id = placement.server.id
 
     def run(self, parameters: AttemptParameters) -> AttemptEnd:
@@ -111,7 +97,7 @@
         except ConnectionBroken:
             self._note_interruption()
             return self._interrupted_end(connection, parameters)
-        except _ServerUnresponsive:
+        except ServerUnresponsive:
             self._dependencies.health.note_failure(self._server_id, "silent")
             facts = self._interruption_facts(connection)
             return AttemptEnd(
@@ -120,7 +106,7 @@
                 may_have_ended=may_be_shown_later(facts),
                 liveness=liveness(facts),
             )
-        except _DeadlinePassed:
+        except DeadlinePassed:
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         finally:
             self._dependencies.health.note_done(self._server_id)
@@ -243,14 +229,12 @@
             self._progress.splitter.begin_attempt()
             self._progress.sent_at_ms = now_ms()
             connection.send(head, self._request.body)
-            answer = self._read_with_liveness_checks(
-                lambda: connection.read_head(self._is_answer_to_request)
-            )
+            answer = self._checks.read(lambda: connection.read_head(self._is_answer_to_request))
             meaning = self._interpret(answer)
             if self._placement.peer is None and _is_from_server(meaning, answer):
                 connection.note_proven()
             if meaning.kind is AnswerKind.RESULT:
-                end = self._forward_answer(connection, answer)
+                end = self._forwarding.forward(connection, answer)
             else:
                 end = self._handle_refusal(connection, answer, meaning)
             answered = True
@@ -290,38 +274,6 @@
         if meaning.is_leaving:
             self._dependencies.note_leaving(self._server_id)
 
-    def _read_with_liveness_checks(self, read: Callable[[], ReadResult]) -> ReadResult:
-        """Retry the read until it returns, checking at intervals that the server is still alive."""
-        started_at_ms = now_ms()
-        while True:
-            check_timeout = gevent.Timeout(LIVENESS_CHECK_INTERVAL_MS / 1000)
-            try:
-                with check_timeout:
-                    return read()
-            except gevent.Timeout as timeout:
-                if timeout is not check_timeout:
-                    raise
-                self._check_liveness(now_ms() - started_at_ms)
-
-    def _check_liveness(self, waited_ms: float) -> None:
-        """Raise if the server has exited, or is unresponsive and the request can be moved."""
-        if self._placement.peer is None and self._dependencies.has_ended(self._server_id):
-            raise ConnectionBroken("the backend server restarted and lost this request")
-        if self._request.left_ms() <= 0:
-            # Timers stop while the machine is suspended, but the clock does not.
-            raise _DeadlinePassed
-        if not self._request.route.repeatable:
-            return
-        if not self._dependencies.may_send_elsewhere(self._request, self._progress):
-            return
-        if self._request.route.kind is RequestKind.STREAM:
-            is_overdue = self._dependencies.health.is_unresponsive(self._server_id)
-        else:
-            typical_ms = self._dependencies.pace.answer_ms(self._request.service)
-            is_overdue = waited_ms > PLAIN_ANSWER_TIMEOUT_FACTOR * typical_ms
-        if is_overdue:
-            raise _ServerUnresponsive
-
     def _handle_refusal(
         self, connection: BackendConnection, answer: HttpAnswer, meaning: AnswerMeaning
     ) -> AttemptEnd:
@@ -359,90 +311,6 @@
             ended_server=meaning.ended_server,
         )
 
-    def _forward_answer(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
-        is_stream = self._request.route.kind is RequestKind.STREAM
-        if is_stream and answer.status < MIN_SERVER_ERROR_STATUS:
-            return self._forward_stream(connection, answer)
-        return self._forward_buffered(connection, answer)
-
-    def _forward_buffered(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
-        """Buffer the complete response so that a truncated one never reaches the caller."""
-        body = bytearray()
-        while (
-            piece := self._read_with_liveness_checks(lambda: connection.read_piece(answer))
-        ) is not None:
-            body += piece
-            if len(body) > MAX_BUFFERED_BYTES:
-                return self._forward_unbuffered(connection, answer, bytes(body))
-        elapsed_ms = now_ms() - self._progress.sent_at_ms
-        if answer.status >= MIN_SERVER_ERROR_STATUS:
-            self._dependencies.health.note_failure(self._server_id, "failed")
-            self._progress.failed_answer = (answer, bytes(body))
-            return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
-        self._note_plain_success(elapsed_ms)
-        self._note_first(now_ms())
-        self._caller.answer(answer.status, end_to_end(answer.headers), bytes(body))
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
-
-    def _forward_unbuffered(
-        self, connection: BackendConnection, answer: HttpAnswer, first: bytes
-    ) -> AttemptEnd:
-        """Forward a large response as it arrives, finishing it only if it is complete."""
-        self._begin_answer(answer)
-        self._caller.send(first)
-        while (piece := connection.read_piece(answer)) is not None:
-            self._caller.send(piece)
-        self._caller.finish()
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
-
-    def _note_plain_success(self, elapsed_ms: float) -> None:
-        self._dependencies.health.note_success(self._server_id)
-        was_suspended = self._dependencies.watch.process_resumed_at_ms() > self._progress.sent_at_ms
-        if self._placement.peer is not None or was_suspended:
-            return
-        typical_ms = self._dependencies.pace.answer_ms(self._request.service)
-        self._dependencies.health.note_time(self._server_id, elapsed_ms, typical_ms)
-        self._dependencies.pace.note_answer(self._request.service, elapsed_ms)
-
-    def _begin_answer(self, answer: HttpAnswer) -> None:
-        if self._progress.began:
-            return
-        self._progress.began = True
-        self._caller.begin(answer.status, end_to_end(answer.headers), None)
-
-    def _forward_stream(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
-        while (
-            piece := self._read_with_liveness_checks(lambda: connection.read_piece(answer))
-        ) is not None:
-            self._dependencies.health.note_event(self._server_id)
-            complete_events = self._progress.splitter.feed(piece)
-            if self._progress.splitter.pending_bytes() > MAX_EVENT_BYTES:
-                raise ConnectionBroken(f"server-sent event exceeds {MAX_EVENT_BYTES} bytes")
-            if complete_events:
-                self._note_event()
-                self._begin_answer(answer)
-                self._caller.send(complete_events)
-        self._begin_answer(answer)
-        self._caller.send(self._progress.splitter.rest())
-        self._caller.finish()
-        self._dependencies.health.note_success(self._server_id)
-        self._watch.note_end()
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
-
-    def _note_event(self) -> None:
-        self._watch.note_event()
-        now = now_ms()
-        if self._progress.last_event_at_ms is not None:
-            pause_ms = now - self._progress.last_event_at_ms
-            self._progress.longest_pause_ms = max(self._progress.longest_pause_ms, pause_ms)
-        self._progress.last_event_at_ms = now
-        if self._progress.first_at_ms is None:
-            self._note_first(now)
-
-    def _note_first(self, now: float) -> None:
-        self._progress.first_at_ms = now
-        self._dependencies.note_first(self._request, self._placement, self._progress)
-
 
 def _is_from_server(meaning: AnswerMeaning, answer: HttpAnswer) -> bool:
     """Tell whether an answer must come from a backend server itself, not from a proxy before it."""
