--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -12,9 +12,10 @@
 import gevent
 import msgspec
 
-from benchmarks._fleet import ROOT, PortPool
+from benchmarks._fleet import ROOT
 from benchmarks._gateway_settings import PORTS, gateway_settings
 from benchmarks._loopback_proxy import LoopbackProxy
+from benchmarks._port_pool import PortPool
 from sparline._clock import now_ms
 from standins import Caller, KeyStore, SealedServer, list_server, publish
 
--- a/benchmarks/tests/test_port_pool.py
+++ b/benchmarks/tests/test_port_pool.py
@@ -5,15 +5,16 @@
 
 import pytest
 
-from benchmarks import _fleet
-from benchmarks._fleet import ROOT, PortPool
+from benchmarks import _port_pool
+from benchmarks._fleet import ROOT
+from benchmarks._port_pool import PortPool
 
-BLOCKS = _fleet.PORT_BLOCKS
-PORTS = 2 * _fleet.PORTS_IN_BLOCK
+BLOCKS = _port_pool.PORT_BLOCKS
+PORTS = 2 * _port_pool.PORTS_IN_BLOCK
 # Prints ports, and holds them until its standard input ends.
 TAKE = f"""
 import sys
-from benchmarks._fleet import PortPool
+from benchmarks._port_pool import PortPool
 print(*[PortPool().take() for _ in range({PORTS})], flush=True)
 sys.stdin.read()
 """
@@ -44,7 +45,7 @@
 @pytest.fixture
 def exhausted(monkeypatch):
     """Leave no block to claim, and none claimed."""
-    monkeypatch.setattr(_fleet, "PORT_BLOCKS", 0)
+    monkeypatch.setattr(_port_pool, "PORT_BLOCKS", 0)
     for name, value in (("_claims", []), ("_next", 0), ("_end", 0)):
         monkeypatch.setattr(PortPool, name, value)
 
@@ -52,10 +53,10 @@
 def test_own_ports_are_used_again_where_no_block_is_left(monkeypatch, exhausted):
     # A run of many fleets would end although its first ports are free again.
     with monkeypatch.context() as one_block:
-        one_block.setattr(_fleet, "PORT_BLOCKS", BLOCKS)
+        one_block.setattr(_port_pool, "PORT_BLOCKS", BLOCKS)
         first = PortPool().take()
     ports = [PortPool().take() for _ in range(PORTS)]
-    assert set(ports) <= set(range(first, first + _fleet.PORTS_IN_BLOCK))
+    assert set(ports) <= set(range(first, first + _port_pool.PORTS_IN_BLOCK))
 
 
 def test_missing_ports_are_an_error(exhausted):
--- a/sparline/tests/local_fleet.py
+++ b/sparline/tests/local_fleet.py
@@ -12,7 +12,7 @@
 from gevent.monkey import get_original
 
 from benchmarks._callers import Caller, Job, Report
-from benchmarks._fleet import PortPool
+from benchmarks._port_pool import PortPool
 from benchmarks._shapes import (
     OrganisationShape,
     Shape,
--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -6,8 +6,8 @@
 
 import gevent
 
-from benchmarks._fleet import PortPool
 from benchmarks._gateway_settings import gateway_settings
+from benchmarks._port_pool import PortPool
 from sparline._clock import now_ms
 from sparline.gateway._gateway import Gateway
 from standins import Caller, Got, KeyStore, SealedServer, list_server, publish
