--- a/benchmarks/_decide.py
+++ b/benchmarks/_decide.py
@@ -14,7 +14,8 @@
     draw_deployment,
     work_ms,
 )
-from benchmarks._decide_world import World, play
+from benchmarks._decide_play import play
+from benchmarks._decide_world import World
 from sparline.placement import Chooser, Placement
 
 # Requests that come in one of these windows are to be read within it or the wanted time (ms).
--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -5,7 +5,7 @@
 
 from benchmarks._decide import POLICIES, DayResult, result_of
 from benchmarks._decide_known import Known
-from benchmarks._decide_world import play
+from benchmarks._decide_play import play
 from benchmarks._load_patterns import (
     SHOWN_SEEDS,
     UNSEEN_SEEDS,
--- a/benchmarks/tests/test_decide.py
+++ b/benchmarks/tests/test_decide.py
@@ -11,7 +11,7 @@
     draw_deployment,
 )
 from benchmarks._decide_engine import Job, ModelEngine
-from benchmarks._decide_world import play
+from benchmarks._decide_play import play
 from sparline.placement import PaceTable
 
 KIND = EngineKind(
