Take a server for gone if its entry goes five seconds after an outage

What callers would see: requests reach a server up to 3.2 s after it has left, without a word of its own, 4.5 to 6 s after a fault of the store: 0.4 s until the watch is asked again, 2.2 s of grace, up to 0.5 s until that is looked at. 3 s are allowed, as the store counts as stable after 5 s.

Cause: an entry that goes up to 6 s after a fault counted as expired in the outage, and is awaited. Servers write every 1.2 s and expire after three beats, so that what an outage has made expire goes within 3.6 s of the store's return.

Change: 4.5 s. Evidence: the new row failed before (kept at 5.0 s) and passes; 74 tests of the store pass.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -24,8 +24,9 @@
 # renew expired entries within about two seconds of the store's recovery.
 LAPSE_GRACE_MS = 2_200.0
 # A deletion this soon after a store fault may be an expiry caused by the outage (ms): three server
-# heartbeats plus the grace period.
-RECENT_FAULT_MS = 6_000.0
+# heartbeats plus the delay of a watch. Below the 5 s after which the store counts as stable: from
+# then on a server whose entry goes has left, and has to get no requests after 3 s.
+RECENT_FAULT_MS = 4_500.0
 # How long an entry that reappears with an older copy of the store is ignored if its server had been
 # removed (ms): the entry of a server that has ended expires again after three heartbeats.
 REAPPEARANCE_GRACE_MS = 6_000.0
--- a/sparline/fleet/tests/test_store.py
+++ b/sparline/fleet/tests/test_store.py
@@ -214,6 +214,7 @@
     ("no recent fault", 1e9, False, False, False),
     ("store recovered, entry not renewed in time", 100.0, False, True, False),
     ("store still away", 100.0, True, True, True),
+    ("deleted as soon as the store counts as stable again", 5_000.0, False, False, False),
 ]
 
 
