--- a/benchmarks/_decide_play.py
+++ b/benchmarks/_decide_play.py
@@ -45,14 +45,18 @@
     make: MakeChooser,
     settle_ms: float = SETTLE_MS,
     known: frozenset[Known] = frozenset(),
+    choice_seed: int = 0,
 ) -> World:
-    """Play one day of a deployment; `known` is what instances share without delay."""
+    """Play one day of a deployment; `known` is what instances share without delay.
+
+    With another `choice_seed`, choices draw other servers and ties at the same arrivals.
+    """
     time = SimulatedTime()
     held_clock = sparline._clock.time
     sparline._clock.time = time  # type: ignore[assignment]
     logger.disable("sparline")
     try:
-        return _played(draw, arrivals, make, time, settle_ms, known)
+        return _played(draw, arrivals, make, time, settle_ms, known, choice_seed)
     finally:
         logger.enable("sparline")
         sparline._clock.time = held_clock
@@ -65,6 +69,7 @@
     time: SimulatedTime,
     settle_ms: float,
     known: frozenset[Known],
+    choice_seed: int,
 ) -> World:
     servers = [
         BackendServer(
@@ -83,7 +88,7 @@
         server.id: ModelEngine(draw.engine, engine.speed)
         for server, engine in zip(servers, draw.engines, strict=True)
     }
-    world = World(draw, time, engines, servers, known=known)
+    world = World(draw, time, engines, servers, known=known, choice_seed=choice_seed)
     with (
         patch.object(_gossip.socket, "socket", lambda *_kind: _WorldSocket(world)),
         patch.object(_gossip_peers, "hash", hash64, create=True),
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -39,6 +39,7 @@
     by_ip: dict[str, "Node"] = field(default_factory=dict)  # the same
     views: list[CallerView] = field(default_factory=list)  # all callers
     known: frozenset[Known] = frozenset()  # what instances share without delay
+    choice_seed: int = 0  # seed of what the choice draws at random, beside the deployment's
     tables: dict[tuple[str, Known], object] = field(default_factory=dict)  # these, by region
 
     def table(self, region: str, name: Known, make: Callable[[], Table]) -> Table:
--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -25,11 +25,13 @@
     seed: int,
     policy: str = "ours",
     known: frozenset[Known] = frozenset(),
+    choice_seed: int = 0,
 ) -> DayResult:
     """Return what a policy earns of one pattern on one deployment."""
     draw = deployment_of(pattern, instances, seed)
     arrivals = arrivals_of(pattern, draw)
-    return result_of(play(draw, arrivals, POLICIES[policy], pattern.settle_ms, known))
+    world = play(draw, arrivals, POLICIES[policy], pattern.settle_ms, known, choice_seed)
+    return result_of(world)
 
 
 def replay(options: argparse.Namespace) -> int:
