--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -48,6 +48,9 @@
     # Failed 2 of 5 times: SIGHUP met a process that was starting and ended it. Later 2 of 4 times beside
     # busy processes: resets after crashes counted as further crashes under a request.
     (133, 10.0),
+    # Failed 1 of 4 times, beside a hunt: a request that ran on each of three engines as another request
+    # ended them is quarantined with it, and nothing excuses it for two minutes.
+    (431, 8.0),
 ]
 
 
