--- /dev/null
+++ b/sparline/fleet/tests/test_fleet_state.py
@@ -0,0 +1,257 @@
+"""Tests of the state that is derived from the store's items."""
+
+import pytest
+
+from sparline.fleet import (
+    BackendServerItem,
+    BadItem,
+    ConfigurationItem,
+    EvacuationItem,
+    FleetState,
+    StoreChange,
+    StoreReader,
+    UnknownItem,
+    _fleet_state,
+    _store_reader,
+)
+from sparline.fleet.tests.store_stubs import ScriptedStore, at, copy_of
+from sparline.tests.routed import make_route, make_rules, make_server
+
+ZONES = {"north-1": "north"}
+SERVER = make_server("s1")
+ITEMS = {
+    b"new": ConfigurationItem(make_rules(version=5)),
+    b"old": ConfigurationItem(make_rules(make_route(path_start="/old/"), version=3)),
+    b"bad": BadItem("wrong"),
+    b"server": BackendServerItem(SERVER),
+    b"leaving server": BackendServerItem(make_server("s1", leaving=True)),
+    b"start 1": BackendServerItem(make_server("s1@1", born_ms=1)),
+    b"start 2": BackendServerItem(make_server("s1@2", born_ms=2)),
+    b"zone": EvacuationItem(SERVER.zone),
+    b"other": UnknownItem(),
+}
+
+
+class LastFault:
+    """Stub for the time since the store's last fault."""
+
+    ago_ms = 1e9
+
+    def __call__(self) -> float:
+        return self.ago_ms
+
+
+@pytest.fixture
+def state():
+    bad: list[int] = []
+    one = FleetState(lambda change: ITEMS[change.value], lambda: bad.append(1), LastFault(), ZONES)
+    one.bad = bad
+    return one
+
+
+def put(state: FleetState, *values: bytes | None, key: str = "k") -> None:
+    for revision, value in enumerate(values, 1):
+        state.take(StoreChange(key, revision, value))
+
+
+CONFIGURATIONS = [
+    ("first", [b"new"], 5),
+    ("an older version later", [b"new", b"old"], 5),
+    ("a newer version later", [b"old", b"new"], 5),
+    ("an unreadable item later", [b"new", b"bad"], 5),
+    ("deleted", [b"new", None], 5),
+    ("unknown item", [b"new", b"other"], 5),
+]
+
+
+@pytest.mark.parametrize(
+    ("values", "version"),
+    [row[1:] for row in CONFIGURATIONS],
+    ids=[row[0] for row in CONFIGURATIONS],
+)
+def test_newest_configuration_stays_in_force(state, values, version):
+    put(state, *values)
+    assert state.configuration.version == version
+
+
+def test_evacuation_lasts_until_its_item_is_deleted(state):
+    put(state, b"zone")
+    assert state.evacuated == {SERVER.zone}
+    put(state, None)
+    assert state.evacuated == set()
+
+
+LAPSES = [
+    # time since the last store fault (ms), store still away, server kept at once, server kept after
+    # the grace
+    ("no recent fault", 1e9, False, False, False),
+    ("store recovered, entry not renewed in time", 100.0, False, True, False),
+    ("store still away", 100.0, True, True, True),
+    ("deleted as soon as the store counts as stable again", 5_000.0, False, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("ago_ms", "away", "at_once", "after"),
+    [row[1:] for row in LAPSES],
+    ids=[row[0] for row in LAPSES],
+)
+def test_expired_entry_is_kept_for_the_grace_period(
+    state, monkeypatch, ago_ms, away, at_once, after
+):
+    clock = [0.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: clock[0])
+    put(state, b"server", key="servers/s1")
+    state._fault_age_ms.ago_ms = ago_ms
+    state.take(StoreChange("servers/s1", 9, None))
+    assert (SERVER.id in state.servers) is at_once
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(away)
+    assert (SERVER.id in state.servers) is after
+
+
+def test_entry_renewed_within_the_grace_period_stays(state, monkeypatch):
+    clock = [0.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: clock[0])
+    put(state, b"server", key="servers/s1")
+    state._fault_age_ms.ago_ms = 0.0
+    state.take(StoreChange("servers/s1", 9, None))
+    state.take(StoreChange("servers/s1", 10, b"server"))
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(False)
+    assert SERVER.id in state.servers
+
+
+def restore(state: FleetState, key: str, value: bytes | None) -> None:
+    state.take(StoreChange(key, 1, value, after_restoration=True))
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    at_ms = [100_000.0]
+    monkeypatch.setattr(_fleet_state, "now_ms", lambda: at_ms[0])
+    return at_ms
+
+
+def test_server_that_leaves_stays_so_when_an_older_copy_says_otherwise(state, clock):
+    put(state, b"server", b"leaving server", key="servers/s1")
+    restore(state, "servers/s1", b"server")
+    assert state.servers[SERVER.id].leaving
+
+
+def test_server_that_an_older_copy_lacks_is_kept_for_the_grace_period(state, clock):
+    put(state, b"server", key="servers/s1")
+    restore(state, "servers/s1", None)
+    assert SERVER.id in state.servers
+    clock[0] += _fleet_state.LAPSE_GRACE_MS + 1
+    state.remove_lapsed(False)
+    assert SERVER.id not in state.servers
+
+
+REAPPEARANCES = [
+    # change of the reappeared entry, time since then (ms), store unreachable, server used
+    ("nothing is written", [], 5_000.0, False, False),
+    ("nothing is written for long", [], 6_001.0, False, True),
+    ("nothing can be written", [], 6_001.0, True, False),
+    ("it is written", [b"server"], 0.0, False, True),
+    ("it expires", [None], 6_001.0, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("written", "later_ms", "is_unreachable", "is_used"),
+    [row[1:] for row in REAPPEARANCES],
+    ids=[row[0] for row in REAPPEARANCES],
+)
+def test_removed_server_in_an_older_copy_is_used_once_it_is_confirmed(
+    state, clock, written, later_ms, is_unreachable, is_used
+):
+    put(state, b"server", None, key="servers/s1")
+    restore(state, "servers/s1", b"server")
+    assert SERVER.id not in state.servers
+    put(state, *written, key="servers/s1")
+    clock[0] += later_ms
+    state.apply_unconfirmed(is_unreachable)
+    assert (SERVER.id in state.servers) is is_used
+
+
+def test_unknown_server_in_an_older_copy_is_used(state, clock):
+    restore(state, "servers/s1", b"server")
+    assert SERVER.id in state.servers
+
+
+EVACUATIONS = [
+    # changes before the restoration, value in the older copy, change after it, evacuated at once, and
+    # after a time (ms) without further changes
+    ("an older copy lacks it", [b"zone"], None, [], True, 2_201.0, False),
+    ("an older copy lacks it, written again", [b"zone"], None, [b"zone"], True, 9_000.0, True),
+    ("taken back, in an older copy", [b"zone", None], b"zone", [], False, 5_000.0, False),
+    ("taken back, still there long after", [b"zone", None], b"zone", [], False, 6_001.0, True),
+    ("taken back once more", [b"zone", None], b"zone", [None], False, 9_000.0, False),
+    ("never known", [], b"zone", [], True, 9_000.0, True),
+]
+
+
+@pytest.mark.parametrize(
+    ("before", "restored", "written", "at_once", "later_ms", "later"),
+    [row[1:] for row in EVACUATIONS],
+    ids=[row[0] for row in EVACUATIONS],
+)
+def test_evacuation_that_an_older_copy_contradicts_holds_until_confirmed(
+    state, clock, before, restored, written, at_once, later_ms, later
+):
+    put(state, *before)
+    restore(state, "k", restored)
+    assert bool(state.evacuated) is at_once
+    put(state, *written)
+    clock[0] += later_ms
+    state.apply_unconfirmed(False)
+    assert bool(state.evacuated) is later
+
+
+STARTS = [
+    ("one after the other", [b"start 1", b"start 2"], {"s1@2"}, ["s1@1"]),
+    ("an entry of an earlier start", [b"start 2", b"start 1"], {"s1@2"}, []),
+    ("an entry without a start time", [b"start 2", b"server"], {"s1@2"}, []),
+    ("the same start again", [b"start 1", b"start 1"], {"s1@1"}, []),
+    ("deleted and started again", [b"start 1", None, b"start 2"], {"s1@2"}, []),
+    ("an unreadable entry", [b"start 1", b"bad"], set(), []),
+    ("readable again", [b"start 1", b"bad", b"start 1"], {"s1@1"}, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("values", "held", "replaced"), [row[1:] for row in STARTS], ids=[row[0] for row in STARTS]
+)
+def test_key_refers_to_the_newest_start_of_its_server(values, held, replaced):
+    restarted: list[str] = []
+    one = FleetState(
+        lambda change: ITEMS[change.value],
+        lambda: None,
+        LastFault(),
+        ZONES,
+        lambda server: restarted.append(server.id),
+    )
+    put(one, *values, key="servers/s1")
+    assert set(one.servers) == held
+    assert restarted == replaced
+
+
+def test_new_start_replaces_an_expired_earlier_start(state):
+    put(state, b"start 1", key="servers/s1")
+    state._fault_age_ms.ago_ms = 0.0
+    state.take(StoreChange("servers/s1", 2, None))
+    state.take(StoreChange("servers/s1", 3, b"start 2"))
+    assert set(state.servers) == {"s1@2"}
+
+
+def test_fault_seen_by_a_peer_keeps_expired_entries(state, monkeypatch):
+    clock = [100_000.0]
+    for module in (_fleet_state, _store_reader):
+        monkeypatch.setattr(module, "now_ms", lambda: clock[0])
+    reader = StoreReader(ScriptedStore(), copy_of({}), lambda _call, _result: None, lambda: at(0))
+    state._fault_age_ms = lambda: clock[0] - reader.last_fault_at_ms
+    put(state, b"server", key="servers/s1")
+    reader.record_peer_fault(1_000.0)
+    state.take(StoreChange("servers/s1", 9, None))
+    assert SERVER.id in state.servers
