--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -15,7 +15,19 @@
 from benchmarks._gateway_fleet import SERVERS, GatewayFleet
 from benchmarks._loopback_proxy import LoopbackProxy
 from sparline._clock import now_ms
-from standins import PROMPT, SEAL, Got, SealedFaults, StoreMode, evacuate, publish, take_back
+from standins import (
+    PROMPT,
+    SEAL,
+    Got,
+    SealedFaults,
+    StoreMode,
+    evacuate,
+    is_evacuated,
+    listed_server,
+    publish,
+    published_version,
+    take_back,
+)
 
 REQUESTS_PER_S = 20.0
 # Longest pause between two faults (s).
@@ -153,22 +165,24 @@
     def _write_again(self) -> None:
         """Write what the restored store lacks, and nothing else: its revision stays low."""
         store = self.fleet.store
-        if store.value("op/config")["version"] != self.version:
+        if published_version(store) != self.version:
             publish(store, self.version)
         for name in sorted(SERVERS):
-            entry = store.value(f"servers/{name}")
-            state = "draining" if name in self._leaving else "ready"
-            if entry is None or (entry["born"], entry["state"]) != (self.fleet.starts[name], state):
+            entry = listed_server(store, name)
+            expected = (self.fleet.starts[name], self._state_of(name))
+            if (entry.get("born"), entry.get("state")) != expected:
                 self._list_server(name)
-        is_evacuated = store.value("op/evacuate/north-1") is not None
-        if self._is_evacuated and not is_evacuated:
+        is_listed = is_evacuated(store, "north-1")
+        if self._is_evacuated and not is_listed:
             evacuate(store, "north-1")
-        if is_evacuated and not self._is_evacuated:
+        if is_listed and not self._is_evacuated:
             take_back(store, "north-1")
 
+    def _state_of(self, name: str) -> str:
+        return "draining" if name in self._leaving else "ready"
+
     def _list_server(self, name: str) -> None:
-        changes = {"state": "draining"} if name in self._leaving else {}
-        self.fleet.list_server(name, **changes)
+        self.fleet.list_server(name, state=self._state_of(name))
 
     def _limit_server(self, name: str) -> None:
         server = self.fleet.servers[name]
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -5,7 +5,16 @@
 from standins._key_store import KeyStore, StoreMode
 from standins._plain_service import PlainService
 from standins._platform import Platform
-from standins._publisher import configuration, evacuate, list_server, publish, take_back
+from standins._publisher import (
+    configuration,
+    evacuate,
+    is_evacuated,
+    list_server,
+    listed_server,
+    publish,
+    published_version,
+    take_back,
+)
 from standins._routed_caller import HOST, PROMPT, SEAL, Caller, Got
 from standins._sealed_server import SealedFaults, SealedRun, SealedServer
 from standins._wide_area import Forward, Place, WideArea
@@ -18,8 +27,11 @@
     "SEAL",
     "configuration",
     "evacuate",
+    "is_evacuated",
     "list_server",
+    "listed_server",
     "publish",
+    "published_version",
     "take_back",
     "Engine",
     "EngineShape",
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -5,6 +5,7 @@
 from standins._key_store import KeyStore
 from standins._routed_caller import HOST
 
+CONFIGURATION_KEY = "op/config"
 ROUTES: dict[str, dict[str, Any]] = {
     "/stream/": {"kind": "streaming", "allow_resume": True, "max_attempts": 2},
     "/once/": {"kind": "streaming", "allow_resume": False, "max_attempts": 1},
@@ -70,7 +71,12 @@
     more_services: tuple[str, ...] = (),
 ) -> int:
     """Put a version into force; return the store's revision."""
-    return store.put("op/config", configuration(version, routes, more_services))
+    return store.put(CONFIGURATION_KEY, configuration(version, routes, more_services))
+
+
+def published_version(store: KeyStore) -> int:
+    """Return the version that the store holds."""
+    return store.value(CONFIGURATION_KEY)["version"]
 
 
 def list_server(
@@ -90,11 +96,21 @@
     return store.put(f"servers/{name}", entry | changes)
 
 
+def listed_server(store: KeyStore, name: str) -> dict[str, Any]:
+    """Return the entry of a backend server, empty without one."""
+    return store.value(f"servers/{name}") or {}
+
+
 def evacuate(store: KeyStore, zone: str) -> int:
     """Ask that a zone's servers get nothing."""
     return store.put(f"op/evacuate/{zone}", {})
 
 
+def is_evacuated(store: KeyStore, zone: str) -> bool:
+    """Tell whether the store holds an evacuation of a zone."""
+    return store.value(f"op/evacuate/{zone}") is not None
+
+
 def take_back(store: KeyStore, zone: str) -> int:
     """Take an evacuation back."""
     return store.delete(f"op/evacuate/{zone}")
