--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -129,8 +129,8 @@
 
     def _take_evacuation(self, change: StoreChange, zone: ZoneName) -> None:
         """Apply an evacuation; one from an older copy that was taken back must be confirmed."""
-        is_reissued = self._taken_back.get(change.key) == change.revision
-        if change.after_restoration and is_reissued:
+        was_taken_back = self._taken_back.get(change.key) == change.revision
+        if change.after_restoration and was_taken_back:
             self._unconfirmed.hold(change, REAPPEARANCE_GRACE_MS, now_ms())
             log.bind(zone=zone, revision=change.revision).info("evacuation_reappears")
             return
