Count a store that names a new era as reached

What callers would see: after a restoration, until the next answer of a watch (up to 10 s), every instance tells the others that the store doesn't answer it: all instances of a zone watch instead of three, each copies from peers as well, and callers of an unknown key or route get 503 instead of 401 or 404. The same where an instance has a peer's copy before the store's first answer.

Found on reading the diff.

Change: a restoration has a time of its own; what asks how long ago the store was disturbed takes the later of both. Only an era that differs from that of the copy held is one.

Evidence: two new tests failed before (reached() False; the second for want of the property) and pass; 76 tests of the store and of restorations pass.

--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -123,6 +123,7 @@
         self.answered_at_ms = 0.0  # time of the store's last response, 0 for never
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
         self.era = 0  # era of the store's last response
+        self._restored_at_ms = 0.0  # when a new era was met, 0 for never
         self._client = client
         self._copy = copy
         self._on_call = on_call
@@ -139,6 +140,11 @@
         fresh = now_ms() - self.answered_at_ms < REACHED_MS
         return self.answered_at_ms > self.last_fault_at_ms and fresh
 
+    @property
+    def disturbed_at_ms(self) -> float:
+        """Return the time of the last failed call or restoration, 0 for never."""
+        return max(self.last_fault_at_ms, self._restored_at_ms)
+
     def needs_peers(self) -> bool:
         """Return whether this instance gets store changes from peers instead of the store."""
         return not self.reached() or not self._is_watcher()
@@ -238,12 +244,13 @@
 
     def _record_new_era(self, era: int) -> None:
         """Count a restoration as a disturbance: what it lost is written again after it."""
-        if self._copy.position.revision:
-            self.last_fault_at_ms = now_ms()
+        held = self._copy.position
+        if held.revision and held.era != era:
+            self._restored_at_ms = now_ms()
         self.era = era
 
     def _watch_delay_ms(self) -> float:
-        if now_ms() - self.last_fault_at_ms < RECOVERY_MS:
+        if now_ms() - self.disturbed_at_ms < RECOVERY_MS:
             return MIN_WATCH_DELAY_MS
         delay_ms = WATCH_DELAY_PER_WATCHER_MS * self._watcher_count()
         return min(max(delay_ms, MIN_WATCH_DELAY_MS), MAX_WATCH_DELAY_MS)
--- a/sparline/fleet/tests/test_store_reader.py
+++ b/sparline/fleet/tests/test_store_reader.py
@@ -81,6 +81,34 @@
     assert [wait_ms > 0 for wait_ms in store.waits] == [True, False, False, True, True]
 
 
+def test_store_counts_as_reached_and_disturbed_after_a_restoration(monkeypatch):
+    # A store that names a new era has answered; its items may still be written again.
+    monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
+    monkeypatch.setattr(_store_reader, "now_ms", lambda: 50_000.0)
+    store = ScriptedStore(
+        Ok(StoreAnswer([A1], at(1, era=1))),
+        fault(StoreFaultKind.HISTORY_GONE),
+        Ok(StoreAnswer([A1], at(1, era=2))),
+    )
+    reader = StoreReader(store, copy_of({}), lambda _call, _result: None, lambda: at(0))
+    with pytest.raises(IndexError):
+        reader.run()
+    assert reader.reached()
+    assert reader.disturbed_at_ms == 50_000.0
+
+
+def test_first_answer_of_the_store_is_no_disturbance(monkeypatch):
+    monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
+    store = ScriptedStore(Ok(StoreAnswer([A1], at(1, era=1))))
+    copy = copy_of({})
+    reader = StoreReader(store, copy, lambda _call, _result: None, lambda: at(0))
+    # A peer's copy arrives before the store answers.
+    copy.replace([A1], at(1, era=1))
+    with pytest.raises(IndexError):
+        reader.run()
+    assert reader.disturbed_at_ms == 0.0
+
+
 WATCH_DELAYS = [
     # number of watchers, time since the last fault (ms), delay after a response (ms)
     (9, 1e9, 400.0),
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -326,11 +326,11 @@
         self.gossip.broadcast_crash(change)
 
     def _known_store_fault_age_ms(self) -> float | None:
-        at_ms = self.reader.last_fault_at_ms
+        at_ms = self.reader.disturbed_at_ms
         return now_ms() - at_ms if at_ms else None
 
     def _store_fault_age_ms(self) -> float:
-        return now_ms() - self.reader.last_fault_at_ms
+        return now_ms() - self.reader.disturbed_at_ms
 
     def _newest_peer_position(self) -> StorePosition:
         return max((one.store_position for one in self.members.live()), default=NO_POSITION)
