List that a server that takes its leaving back may be kept as leaving for good

What callers would see: an instance sends nothing more to a live server and, where no other is allowed, answers 503 (/home/x at one of four gateways).

On the users' platform a server that has said that it leaves ends.

No code changes.

--- a/sparline/fleet/tests/test_fleet_state.py
+++ b/sparline/fleet/tests/test_fleet_state.py
@@ -139,6 +139,15 @@
     assert state.servers[SERVER.id].leaving
 
 
+def test_server_that_no_longer_leaves_is_used_though_only_an_older_copy_says_so(state, clock):
+    # It took its leaving back unseen by this instance; the older copy says so, and nothing is written.
+    put(state, b"server", b"leaving server", key="servers/s1")
+    restore(state, "servers/s1", b"server")
+    clock[0] += _fleet_state.REAPPEARANCE_GRACE_MS + 1
+    state.apply_unconfirmed(False)
+    assert not state.servers[SERVER.id].leaving
+
+
 def test_server_that_an_older_copy_lacks_is_kept_for_the_grace_period(state, clock):
     put(state, b"server", key="servers/s1")
     restore(state, "servers/s1", None)
