Drive gateway processes into the situations that three rules bound

What ran real processes so far judged neither repeats in a window, nor what reaches a server after it has left, nor what reaches a cold one in a second. `scripts/bounds` does: gateway processes before the stand-ins, whose servers note each arrival, in one of nine situations, with up to dozens of gateways and busy processes beside.

No logic of the product changed.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 import sys
 
 from benchmarks._baselines import POLICIES
+from benchmarks._bounds_run import SITUATIONS, bounds
 from benchmarks._choice_cost import choice_cost
 from benchmarks._control import control
 from benchmarks._cpu import cpu
@@ -91,6 +92,15 @@
     command.add_argument("--seed", type=int, required=True)
     command.add_argument("--seconds", type=float, default=20.0)
     command.set_defaults(run=gateway_soak)
+    command = commands.add_parser(
+        "bounds", help="gateway processes in a situation that the operators bound"
+    )
+    command.add_argument("--situation", choices=sorted(SITUATIONS), required=True)
+    command.add_argument("--seed", type=int, default=1)
+    command.add_argument("--gateways", type=int, default=8, help="instances, half in each region")
+    command.add_argument("--rate", type=float, default=120.0, help="requests per second")
+    command.add_argument("--busy", type=int, default=0, help="busy processes beside")
+    command.set_defaults(run=bounds)
     command = commands.add_parser("serve", help="an instance with one of the compared routings")
     command.add_argument("--policy", choices=sorted(POLICIES), required=True)
     command.add_argument("--settings", required=True)
--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -38,6 +39,16 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class FleetShape:
+    """Say how many instances and backend servers there are, and where."""
+
+    gateway_zones: tuple[str, ...] = PLACES  # availability zone of each instance
+    # Availability zone, service and events of each backend server.
+    servers: Mapping[str, tuple[str, str, int]] = field(default_factory=lambda: SERVERS)
+    has_server_proxies: bool = True  # whether instances reach servers through a proxy
+
+
 @dataclass(slots=True)
 class GatewayProcess:
     """Hold one instance and what lies before its store."""
@@ -85,6 +96,7 @@
 class GatewayFleet:
     """Start and stop everything."""
 
+    shape: FleetShape = field(default_factory=FleetShape)
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="sparline-")))
     store: KeyStore = field(init=False)
     servers: dict[str, SealedServer] = field(default_factory=dict)
@@ -98,18 +110,15 @@
         """Start all and wait until every instance is ready."""
         self.store = KeyStore("127.0.0.1", self._ports.take())
         self.store.start()
-        for name, (_, _, events) in SERVERS.items():
-            server = SealedServer("127.0.0.1", self._ports.take(), name, events=events)
-            server.on_end = lambda name=name: gevent.spawn_later(BACK_S, self._come_back, name)
-            server.start()
-            proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), (server.ip, server.port))
-            proxy.start()
-            self.servers[name], self.proxies[name] = server, proxy
-            self.list_server(name)
+        for name, (_, _, events) in self.shape.servers.items():
+            self._add_server(name, events)
         publish(self.store, 1)
         self._listen = [self._ports.take() for _ in range(6)]
-        for number, zone in enumerate(PLACES):
-            self._add_gateway(f"g{number}", f"127.0.2.{number + 1}", zone)
+        zones = self.shape.gateway_zones
+        # The first instance of the first and of the last zone.
+        seeds = [_gateway_ip(0), _gateway_ip(zones.index(zones[-1]))]
+        for number, zone in enumerate(zones):
+            self._add_gateway(f"g{number}", _gateway_ip(number), zone, seeds)
         try:
             self.until_ready()
         except BaseException:
@@ -121,11 +130,26 @@
         """Stop all."""
         self.stop()
 
+    def _add_server(self, name: str, events: int) -> None:
+        server = SealedServer("127.0.0.1", self._ports.take(), name, events=events)
+        server.on_end = lambda: gevent.spawn_later(BACK_S, self._come_back, name)
+        server.start()
+        self.servers[name] = server
+        if self.shape.has_server_proxies:
+            proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), (server.ip, server.port))
+            proxy.start()
+            self.proxies[name] = proxy
+        self.list_server(name)
+
     def list_server(self, name: str, **changes: object) -> None:
         """Write the entry of a backend server."""
-        zone, service, _ = SERVERS[name]
+        zone, service, _ = self.shape.servers[name]
+        server = self.servers[name]
+        address = (server.ip, server.port)
+        if self.shape.has_server_proxies:
+            address = self.proxies[name].address
         born = {"born": self.starts.setdefault(name, 1)}
-        list_server(self.store, name, self.proxies[name].address, service, zone, **born, **changes)
+        list_server(self.store, name, address, service, zone, **born, **changes)
 
     def _come_back(self, name: str) -> None:
         """Start a backend server again under its id; it holds nothing of before."""
@@ -133,10 +157,9 @@
         self.starts[name] += 1
         self.list_server(name)
 
-    def _add_gateway(self, name: str, ip: str, zone: str) -> None:
+    def _add_gateway(self, name: str, ip: str, zone: str, seeds: list[str]) -> None:
         proxy = LoopbackProxy(("127.0.0.1", self._ports.take()), self.store.address)
         proxy.start()
-        seeds = ["127.0.2.1", "127.0.2.3"]
         settings = gateway_settings(name, ip, zone, self._listen, seeds, proxy.address, GRACE_S)
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -213,3 +236,7 @@
         path = self.gateways[name].settings_path
         document = json.loads(path.read_text()) | {"log_level": log_level}
         path.write_text(json.dumps(document))
+
+
+def _gateway_ip(number: int) -> str:
+    return f"127.0.2.{number + 1}"
--- a/benchmarks/_loopback_proxy.py
+++ b/benchmarks/_loopback_proxy.py
@@ -33,6 +33,7 @@
     faults: ProxyFaults = field(default_factory=ProxyFaults)
     _server: StreamServer | None = None
     _open: set[GeventSocket] = field(default_factory=set)
+    _silent: set[GeventSocket] = field(default_factory=set)  # open ones that pass nothing on
 
     def start(self) -> None:
         """Open the port."""
@@ -50,6 +51,10 @@
         for one in list(self._open):
             _reset(one)
 
+    def silence_open(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        self._silent |= self._open
+
     def _serve(self, near: GeventSocket, _address: object) -> None:
         if self.faults.refuse:
             _reset(near)
@@ -67,6 +72,7 @@
             back.join()
         finally:
             self._open -= {near, far}
+            self._silent -= {near, far}
             near.close()
             far.close()
 
@@ -77,6 +83,8 @@
                     gevent.sleep(self.faults.delay_ms / 1000)
                 while self.faults.silent_to if towards else self.faults.silent_from:
                     gevent.sleep(SILENT_STEP_S)
+                if sink in self._silent:
+                    continue
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -16,7 +16,7 @@
     take_back,
 )
 from standins._routed_caller import HOST, PROMPT, SEAL, Caller, Got
-from standins._sealed_server import SealedFaults, SealedRun, SealedServer
+from standins._sealed_server import SealedArrival, SealedFaults, SealedRun, SealedServer
 from standins._wide_area import Forward, Place, WideArea
 
 __all__ = [
@@ -41,6 +41,7 @@
     "Place",
     "PlainService",
     "Platform",
+    "SealedArrival",
     "SealedFaults",
     "SealedRun",
     "SealedServer",
--- a/standins/_key_store.py
+++ b/standins/_key_store.py
@@ -48,6 +48,7 @@
         self._history: list[_Item] = []
         self._oldest = 0  # changes up to here are forgotten
         self._changed = Event()
+        self._cut_number = 0  # rises by one each time all waiting watches are cut
         routes = Routes()
         routes.add("GET", "/v1/kv-range", self._range)
         routes.add("GET", "/v1/kv-watch", self._watch)
@@ -100,6 +101,12 @@
         self._changed.set()
         self._changed.clear()
 
+    def cut_watches(self) -> None:
+        """Cut all waiting watches, as the store may do at any time; further calls are answered."""
+        self._cut_number += 1
+        self._changed.set()
+        self._changed.clear()
+
     def restore(self, revision: int) -> None:
         """Come back from a copy that is as old as a revision; later writes are lost."""
         self.era += 1
@@ -146,11 +153,14 @@
             return failed
         query = query_of(environ)
         after = int(query["after"])
-        era = self.era
+        era, cut_number = self.era, self._cut_number
         with gevent.Timeout(int(query["wait_ms"]) / 1000, False):
             while self._has(after) and era == self.era and not self._since(after):
                 self._changed.wait()
-        if self.mode is not StoreMode.OK or era != self.era:
+                if cut_number != self._cut_number:
+                    break
+        is_cut = cut_number != self._cut_number and not self._since(after)
+        if self.mode is not StoreMode.OK or era != self.era or is_cut:
             raise AnswerCut
         if not self._has(after):
             return self._answer(start_response, {}, "410 Gone")
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -19,8 +19,12 @@
     version: int,
     routes: dict[str, dict[str, Any]] | None = None,
     more_services: tuple[str, ...] = (),
+    plain: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
-    """Return a configuration in the users' format; `more_services` are plain ones."""
+    """Return a configuration in the users' format; `more_services` are plain ones.
+
+    `plain` changes fields of the plain services.
+    """
     return {
         "version": version,
         "routes": [
@@ -51,7 +55,7 @@
                 },
             },
             *(
-                {"name": name, "cold_start_s": 0.0, "cold_per_s": 0.0}
+                {"name": name, "cold_start_s": 0.0, "cold_per_s": 0.0, **(plain or {})}
                 for name in ("plain", *more_services)
             ),
         ],
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -48,6 +48,14 @@
     abandoned: bool = False  # whether the connection closed before the end
 
 
+@dataclass(frozen=True, slots=True)
+class SealedArrival:
+    """Hold one request that reached the server and was meant for it, run or refused."""
+
+    request_id: str  # as it arrived
+    at_ms: float  # when its head was read
+
+
 @dataclass(slots=True)
 class SealedServer:
     """Answer requests with a signature and note each run."""
@@ -59,6 +67,7 @@
     work_ms: float = 5.0  # time to the answer, and between events
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
+    arrivals: list[SealedArrival] = field(default_factory=list)
     refused_at_ms: list[float] = field(default_factory=list)  # times at which requests were refused
     connections: int = 0  # connections that were opened
     ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
@@ -130,6 +139,8 @@
         if expected != self.server_id:
             connection.sendall(self._head(421, request, [("Instance-Id", self.server_id)], 0))
             return True
+        request_id = (request.header(b"attempt-id") or b"").decode()
+        self.arrivals.append(SealedArrival(request_id, now_ms()))
         if faults.refuse or faults.early:
             self.refused_at_ms.append(now_ms())
             connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
