Log the use of retry budgets, the age of the fault behind a lapse, and how long copies take

So that the hypotheses of the record can be told apart: a line `retry_budget` every 10 s for each service with retries (requests, retries, allowed, instances, settled), `fault_age_ms` in `server_lapsed`, `took_ms` in `store_copy`. For cold servers `cold_server_used`, `server_changed` and `evacuated_zones` tell them apart already. No decision changes.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -123,7 +123,11 @@
         may_be_renewed = change.after_restoration or self._fault_age_ms() < RECENT_FAULT_MS
         if may_be_renewed and not self.servers[server_id].leaving:
             self._lapsed[server_id] = now_ms() + LAPSE_GRACE_MS
-            log.bind(backend_server=server_id, revision=change.revision).info("server_lapsed")
+            log.bind(
+                backend_server=server_id,
+                revision=change.revision,
+                fault_age_ms=round(self._fault_age_ms()),
+            ).info("server_lapsed")
             return
         self._remove(server_id, "entry_gone")
 
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -14,7 +14,7 @@
     RequestEnd,
     may_send_elsewhere,
 )
-from sparline.forwarding._retry_window import RetryRule, RetryWindow
+from sparline.forwarding._retry_window import RetryRule, RetryUsage, RetryWindow
 from sparline.forwarding._wire import (
     AnswerKind,
     AnswerMeaning,
@@ -38,6 +38,7 @@
     "Progress",
     "RequestEnd",
     "RetryRule",
+    "RetryUsage",
     "RetryWindow",
     "Wire",
     "may_send_elsewhere",
--- a/sparline/forwarding/_retry_window.py
+++ b/sparline/forwarding/_retry_window.py
@@ -24,6 +24,18 @@
     window_ms: float  # length of the sliding window
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUsage:
+    """Describe the use of one service's retry budget by this instance in the current window."""
+
+    service: ServiceName
+    requests: int  # requests that allow retries
+    retries: int  # retries used
+    allowed: float  # retries allowed to this instance
+    instances: int  # instances that share the slack
+    is_settled: bool  # whether all instances are likely to be among them
+
+
 class RetryWindow:
     """Enforce the retry budget per service over a sliding window."""
 
@@ -51,14 +63,30 @@
     def spend(self, service: ServiceName) -> bool:
         """Use up one retry; return False if the budget is exhausted."""
         retry_times = self._times_in_window(self._retry_times, service)
-        request_allowance = self._rule.ratio * len(
-            self._times_in_window(self._request_times, service)
-        )
-        if len(retry_times) + 1 > BUDGET_FRACTION * (request_allowance + self._slack()):
+        if len(retry_times) + 1 > self._allowed(service):
             return False
         retry_times.append(now_ms())
         return True
 
+    def usage(self) -> list[RetryUsage]:
+        """Return the use of the budget of each service with retries in the window."""
+        return [
+            RetryUsage(
+                service,
+                len(self._times_in_window(self._request_times, service)),
+                len(self._times_in_window(self._retry_times, service)),
+                self._allowed(service),
+                self._instance_count(),
+                self._is_settled(),
+            )
+            for service in sorted(self._retry_times)
+            if self._times_in_window(self._retry_times, service)
+        ]
+
+    def _allowed(self, service: ServiceName) -> float:
+        requests = len(self._times_in_window(self._request_times, service))
+        return BUDGET_FRACTION * (self._rule.ratio * requests + self._slack())
+
     def _slack(self) -> float:
         """Return this instance's share of the slack."""
         share = self._rule.slack / max(self._instance_count(), 1)
--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -7,20 +7,18 @@
 from sparline.gateway._components import GatewayComponents
 
 HOUSEKEEPING_INTERVAL_MS = 500.0
-# Interval at which the learned timings of the services are logged (ms).
-LEARNED_LOG_INTERVAL_MS = 10_000.0
+# Interval at which learned timings and the use of retry budgets are logged (ms).
+SUMMARY_LOG_INTERVAL_MS = 10_000.0
 
 
 def run_housekeeping(components: GatewayComponents) -> None:
-    """Log learned timings and remove expired state until the process ends."""
+    """Log summaries and remove expired state until the process ends."""
     logged_at_ms = now_ms()
     while True:
         components.pause_watch.tick()
-        if now_ms() - logged_at_ms >= LEARNED_LOG_INTERVAL_MS:
+        if now_ms() - logged_at_ms >= SUMMARY_LOG_INTERVAL_MS:
             logged_at_ms = now_ms()
-            log.bind(pace=components.pace.learned(), pauses=components.gaps.learned()).info(
-                "learned"
-            )
+            _log_summaries(components)
         is_store_unreachable = _is_store_unreachable(components)
         components.fleet.remove_lapsed(is_store_unreachable)
         components.fleet.apply_unconfirmed(is_store_unreachable)
@@ -36,6 +34,19 @@
         gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
 
 
+def _log_summaries(components: GatewayComponents) -> None:
+    log.bind(pace=components.pace.learned(), pauses=components.gaps.learned()).info("learned")
+    for usage in components.retries.usage():
+        log.bind(
+            service=usage.service,
+            requests=usage.requests,
+            retries=usage.retries,
+            allowed=round(usage.allowed, 1),
+            instances=usage.instances,
+            settled=usage.is_settled,
+        ).info("retry_budget")
+
+
 def _is_store_unreachable(components: GatewayComponents) -> bool:
     """Return whether the store answers neither this instance nor any known one."""
     if components.reader.reached():
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from sparline._cbor import unpack
+from sparline._clock import now_ms
 from sparline._logging import log
 from sparline.fleet import (
     FleetState,
@@ -46,6 +47,7 @@
         self._metrics = metrics
         self._relay_port = relay_port
         self._rng = random.Random()
+        self._fetch_began_at_ms = 0.0  # when the latest request to a peer began
 
     def run(self) -> None:
         """Compare until the process ends."""
@@ -95,6 +97,7 @@
 
     def _fetch(self, peer: Member, target: bytes) -> StoreCopy | None:
         """Return a peer's answer, or None after recording why there is none."""
+        self._fetch_began_at_ms = now_ms()
         limit = gevent.Timeout(COPY_TIMEOUT_MS / 1000)
         try:
             with limit:
@@ -134,7 +137,8 @@
 
     def _record_result(self, peer: Member, result: str, text: str = "") -> None:
         self._metrics.store_copies.labels(result).inc()
-        log.bind(peer=peer.note.name, result=result, text=text).info("store_copy")
+        took_ms = round(now_ms() - self._fetch_began_at_ms)
+        log.bind(peer=peer.note.name, result=result, text=text, took_ms=took_ms).info("store_copy")
 
 
 def nearest_peers(peers: list[Member], own: MemberNote) -> list[Member]:
