Count a request towards the retry budget at the instance that its caller asked, and nowhere else

Cause: every instance that handled a request counted it, so that one passed to another region counted twice, and allowed two fifths of a retry where a fifth is. The 0.3 of the budget that is never used hides that as long as under half of the requests are passed on; when a region's servers are away or turn work away, most are. Class: a bound for all instances is divided by a count that is no partition. Ruled out by the lines `retry_budget`: instances that divide by too few (8 of 8, settled) and arrivals that nobody counts (the retries counted are those that arrived).

An instance that relays still retries out of what its own callers' requests allow, and otherwise hands the refusal back to the first one, which does.

--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -95,7 +95,9 @@
     ) -> RequestEnd:
         """Respond to a request; at most `sends_left` backend servers may run it."""
         progress = Progress(EventSplitter(request.resume_after))
-        self._dependencies.retries.note_request(request.service)
+        if request.origin is Origin.CALLER:
+            # The instance that relayed it has counted it already.
+            self._dependencies.retries.note_request(request.service)
         handler = gevent.getcurrent()
         caller.watch(lambda: handler.kill(CallerGone, block=False))
         limit = gevent.Timeout(max(request.left_ms(), 1.0) / 1000)
