Give an instance its share of the retry slack only once it has run for a whole window

Cause: the retries used are kept in the process. Each start had its share of the slack anew, as soon as the instances were settled, so that starts in a row within ten seconds allowed a multiple of it. Change: in its first window a process that had one before it uses one retry of the slack, as it does before the instances are settled; the very first start of the whole fleet is exempt. Retries that requests allow don't change.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -60,9 +60,13 @@
     store_proxy: LoopbackProxy
     log_path: Path
     process: subprocess.Popen | None = None
+    _was_started: bool = False
 
     def start(self) -> None:
         """Start the process; its log is appended to the instance's file."""
+        if self._was_started:
+            self.change_settings(first_start=False)
+        self._was_started = True
         # Others run while the process is made: whoever saw the earlier one end must not start a second.
         self.process = None
         environment = os.environ | {"SPARLINE_NODE_FILE": str(self.settings_path)}
@@ -75,6 +79,11 @@
                 stderr=log,
             )
 
+    def change_settings(self, **changes: object) -> None:
+        """Change the settings file."""
+        document = json.loads(self.settings_path.read_text()) | changes
+        self.settings_path.write_text(json.dumps(document))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process lives."""
         if self.is_running():
@@ -233,9 +242,7 @@
 
     def rewrite_settings(self, name: str, log_level: str) -> None:
         """Change an instance's settings file."""
-        path = self.gateways[name].settings_path
-        document = json.loads(path.read_text()) | {"log_level": log_level}
-        path.write_text(json.dumps(document))
+        self.gateways[name].change_settings(log_level=log_level)
 
 
 def _gateway_ip(number: int) -> str:
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -65,7 +65,9 @@
 def test_an_instance_that_ended_is_started_once(tmp_path):
     # Two faults that wait for the same process to end both start it again.
     starts = []
-    gateway = GatewayProcess("g0", "north-1", "127.0.2.1", tmp_path / "s", None, tmp_path / "log")
+    settings = tmp_path / "s"
+    settings.write_text("{}")
+    gateway = GatewayProcess("g0", "north-1", "127.0.2.1", settings, None, tmp_path / "log")
 
     class SlowProcess:
         def __init__(self, *_arguments, **_options) -> None:
--- a/sparline/forwarding/_retry_window.py
+++ b/sparline/forwarding/_retry_window.py
@@ -3,15 +3,17 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 from sparline._clock import now_ms
 from sparline.routes import ServiceName
 
 # Fraction of the budget that is used; the rest absorbs instances that join late.
 BUDGET_FRACTION = 0.7
-# Maximum share of the slack that an instance uses while it may not know all other instances
-# (count). Multiplied by BUDGET_FRACTION it allows one retry. Without this limit, instances that
-# start together would each use the whole slack.
+# Maximum share of the slack that an instance uses while it may not know all other instances, or
+# what its process before it has used (count). Multiplied by BUDGET_FRACTION it allows one retry.
+# Without this limit, instances that start together would each use the whole slack, and each time
+# they start again.
 MAX_UNSETTLED_SLACK = 1.5
 
 
@@ -44,15 +46,19 @@
         rule: RetryRule,
         instance_count: Callable[[], int],
         is_settled: Callable[[], bool] = lambda: True,
+        is_first_start: bool = True,
     ) -> None:
         """Limit retries by a rule.
 
         `instance_count` returns how many instances share the slack, and `is_settled` whether all
-        instances are likely to be among them.
+        instances are likely to be among them. `is_first_start` says that no process of this
+        instance has run before.
         """
         self._rule = rule
         self._instance_count = instance_count
         self._is_settled = is_settled
+        # Until then, retries of the process before this one may still count.
+        self._predecessor_until_ms = -inf if is_first_start else now_ms() + rule.window_ms
         self._request_times: dict[ServiceName, deque[float]] = {}
         self._retry_times: dict[ServiceName, deque[float]] = {}
 
@@ -90,7 +96,8 @@
     def _slack(self) -> float:
         """Return this instance's share of the slack."""
         share = self._rule.slack / max(self._instance_count(), 1)
-        return share if self._is_settled() else min(share, MAX_UNSETTLED_SLACK)
+        may_use_all = self._is_settled() and now_ms() >= self._predecessor_until_ms
+        return share if may_use_all else min(share, MAX_UNSETTLED_SLACK)
 
     def _times_in_window(
         self, table: dict[ServiceName, deque[float]], service: ServiceName
--- a/sparline/forwarding/tests/test_retry_window.py
+++ b/sparline/forwarding/tests/test_retry_window.py
@@ -38,6 +38,29 @@
     assert window.spend(ONE)
 
 
+def test_instances_that_start_again_and_again_use_the_slack_once(monkeypatch):
+    # Each start forgot what had been used; three starts in a window allowed twice the slack.
+    clock = [0.0]
+    monkeypatch.setattr(_retry_window, "now_ms", lambda: clock[0])
+    instances = 8
+    retries_made = 0
+    for is_first_start in (True, False, False):
+        for _ in range(instances):
+            window = RetryWindow(RULE, lambda: instances, is_first_start=is_first_start)
+            while window.spend(ONE):
+                retries_made += 1
+        clock[0] += 3_000
+    assert retries_made <= RULE.slack
+
+
+def test_an_instance_up_for_a_whole_window_uses_its_share_of_the_slack(monkeypatch):
+    clock = [0.0]
+    monkeypatch.setattr(_retry_window, "now_ms", lambda: clock[0])
+    window = RetryWindow(RULE, lambda: 4, is_first_start=False)
+    clock[0] += RULE.window_ms
+    assert sum(window.spend(ONE) for _ in range(200)) == 7
+
+
 # Requests pending at each instance when it starts (count): the arrivals of 1.5 s.
 PENDING_REQUESTS = 12
 
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -246,7 +246,10 @@
         retries = self.settings.retries
         rule = RetryRule(retries.ratio, retries.slack, retries.window_s * 1000)
         self.retries = RetryWindow(
-            rule, lambda: len(self.members.sharers()), self.members.are_sharers_settled
+            rule,
+            lambda: len(self.members.sharers()),
+            self.members.are_sharers_settled,
+            self.settings.first_start,
         )
 
     def _make_forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
