Take the servers of a zone for cold when its evacuation ends

Cause: that a server had turned cold during the evacuation was learned from its entry alone. Where the entry comes after the word that the zone is back, all instances send to empty, near servers without any bound. Class: silence about a state counts as the good state. Ruled out on real processes: a common restart beside cold servers (4 in a second, 9 allowed).

Change: from the moment an instance learns that an evacuation has ended, the zone's servers count as cold for their service's cold_start_s, longer if an entry says so. Cost: a zone that is still warm gets its traffic back 3 s later.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -281,14 +281,25 @@
     def _mark_cold_if_new(self, server: BackendServer) -> BackendServer:
         """Mark a server that appears after the initial read as cold for its warm-up time."""
         known_at_ms = self._known_at_ms.get(server.id)
-        if not self.started or known_at_ms is not None or self.configuration is None:
+        if not self.started or known_at_ms is not None:
+            return server
+        return self._mark_cold(server)
+
+    def _mark_cold(self, server: BackendServer) -> BackendServer:
+        """Return a server as cold for its warm-up time from now on, or longer if its entry says so."""
+        if self.configuration is None:
             return server
         service = self.configuration.services.get(server.service)
         cold_ms = service.cold_start_ms if service else 0.0
         return replace(server, cold_until_ms=max(server.cold_until_ms, now_ms() + cold_ms))
 
     def _update_evacuated(self, revision: int) -> None:
-        self.evacuated = {one.zone for one in self._evacuations.values()}
+        evacuated = {one.zone for one in self._evacuations.values()}
+        # Without requests, servers turn cold; their entries may say so too late.
+        for server in list(self.servers.values()):
+            if server.zone in self.evacuated - evacuated:
+                self._put_server(self._mark_cold(server))
+        self.evacuated = evacuated
         log.bind(zones=sorted(self.evacuated), revision=revision).info("evacuated_zones")
 
     def _remove(self, server_id: BackendServerId, why: str) -> None:
--- a/sparline/fleet/tests/test_fleet_state.py
+++ b/sparline/fleet/tests/test_fleet_state.py
@@ -24,6 +24,7 @@
     b"old": ConfigurationItem(make_rules(make_route(path_start="/old/"), version=3)),
     b"bad": BadItem("wrong"),
     b"server": BackendServerItem(SERVER),
+    b"server elsewhere": BackendServerItem(make_server("s2", "south")),
     b"leaving server": BackendServerItem(make_server("s1", leaving=True)),
     b"start 1": BackendServerItem(make_server("s1@1", born_ms=1)),
     b"start 2": BackendServerItem(make_server("s1@2", born_ms=2)),
@@ -133,6 +134,17 @@
     return at_ms
 
 
+def test_servers_of_a_returned_zone_count_as_cold(state, clock):
+    # Their entries still said that they were warm, and all instances sent them their requests at once.
+    put(state, b"new")
+    put(state, b"server", key="servers/s1")
+    put(state, b"server elsewhere", key="servers/s2")
+    put(state, b"zone", None, key="zone")
+    cold_ms = {one.id: one.cold_until_ms - clock[0] for one in state.servers.values()}
+    assert cold_ms[SERVER.id] == 3_000.0
+    assert cold_ms["s2"] < 0
+
+
 def test_server_that_leaves_stays_so_when_an_older_copy_says_otherwise(state, clock):
     put(state, b"server", b"leaving server", key="servers/s1")
     restore(state, "servers/s1", b"server")
