Wait for the renewal of an entry from the end of the store's outage, not from its deletion

Cause: any failed call within the last 4.5 s (a watch that the store cut, one that the instance itself had aborted, one that failed a peer) made a deletion count as an entry that had expired in an outage. It was kept for 2.2 s from when it was seen, and up to 0.5 s more until the next housekeeping; with the 0.4 s between two watches that is over 3 s. Class: a trouble of one's own connection counts as trouble of the other side, and a grace that belongs to an event is counted from when it is noticed.

Change: an entry that goes is kept until 2.2 s after the outage ended, as far as this instance or the peer it copies from knows: servers renew theirs within two seconds of the store's return. A call that the instance aborted is no outage. Checked every 100 ms while any entry has expired. An instance that copies no longer counts a peer's trouble as its own.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -20,13 +20,10 @@
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
 from sparline.routes import Configuration, ConfigurationVersion, KeyDigest, ServiceName
 
-# How long an entry that expired during a store outage is kept after its deletion (ms): servers
-# renew expired entries within about two seconds of the store's recovery.
+# How long after a store outage an entry that expired in it may still be renewed (ms): servers do so
+# within about two seconds of the store's recovery. Counted from the deletion instead, it would keep
+# a server that has left for over the 3 s in which it may get requests.
 LAPSE_GRACE_MS = 2_200.0
-# A deletion this soon after a store fault may be an expiry caused by the outage (ms): three server
-# heartbeats plus the delay of a watch. Below the 5 s after which the store counts as stable: from
-# then on a server whose entry goes has left, and has to get no requests after 3 s.
-RECENT_FAULT_MS = 4_500.0
 # How long an entry that reappears with an older copy of the store is ignored if its server had been
 # removed (ms): the entry of a server that has ended expires again after three heartbeats.
 REAPPEARANCE_GRACE_MS = 6_000.0
@@ -60,16 +57,16 @@
         self,
         read_item: ReadItem,
         on_bad_item: Callable[[], None],
-        fault_age_ms: Callable[[], float],
+        outage_age_ms: Callable[[], float],
         zones: dict[ZoneName, RegionName],
         on_restart: Callable[[BackendServer], None] = lambda _server: None,
         on_gone: Callable[[BackendServer], None] = lambda _server: None,
     ) -> None:
         """Create an empty state.
 
-        `fault_age_ms` returns the time since the store's last fault. `on_restart` is called
-        with each server replaced by a later start under the same key, and `on_gone` with each
-        server removed without having announced that it leaves.
+        `outage_age_ms` returns the time since the store's last outage ended, 0 during one.
+        `on_restart` is called with each server replaced by a later start under the same key, and
+        `on_gone` with each server removed without having announced that it leaves.
         """
         self.configuration: Configuration | None = None  # newest version, None before the first
         self.configuration_change: StoreChange | None = None  # change that it comes from
@@ -82,7 +79,7 @@
         self._is_indexed = True
         self._read_item = read_item
         self._on_bad_item = on_bad_item
-        self._fault_age_ms = fault_age_ms
+        self._outage_age_ms = outage_age_ms
         self._on_restart = on_restart
         self._on_gone = on_gone
         self._bad_keys: set[str] = set()
@@ -120,13 +117,14 @@
         server_id = self._server_keys.get(change.key)
         if server_id is None:
             return
-        may_be_renewed = change.after_restoration or self._fault_age_ms() < RECENT_FAULT_MS
-        if may_be_renewed and not self.servers[server_id].leaving:
-            self._lapsed[server_id] = now_ms() + LAPSE_GRACE_MS
+        outage_age_ms = 0.0 if change.after_restoration else self._outage_age_ms()
+        grace_ms = LAPSE_GRACE_MS - outage_age_ms
+        if grace_ms > 0 and not self.servers[server_id].leaving:
+            self._lapsed[server_id] = now_ms() + grace_ms
             log.bind(
                 backend_server=server_id,
                 revision=change.revision,
-                fault_age_ms=round(self._fault_age_ms()),
+                outage_age_ms=round(outage_age_ms),
             ).info("server_lapsed")
             return
         self._remove(server_id, "entry_gone")
@@ -346,7 +344,7 @@
             self.take(replace(change, after_restoration=False))
 
     def remove_lapsed(self, is_store_unreachable: bool) -> None:
-        """Remove servers whose expired entries were not renewed, and forget old server ids."""
+        """Remove servers whose expired entries were not renewed."""
         now = now_ms()
         for server_id in [one for one, until in self._lapsed.items() if now >= until]:
             # While no instance reaches the store, no entry can be renewed.
@@ -354,6 +352,15 @@
                 self._lapsed[server_id] = now + LAPSE_GRACE_MS
             else:
                 self._remove(server_id, "not_back_after_lapse")
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Return whether any server's entry has expired and may be renewed."""
+        return bool(self._lapsed)
+
+    def forget_old_ids(self) -> None:
+        """Forget the ids of servers that were removed long ago."""
+        now = now_ms()
         for server_id in self.servers:
             self._known_at_ms[server_id] = now
         self._known_at_ms = {
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Protocol
 
 import gevent
@@ -124,6 +125,9 @@
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
         self.era = 0  # era of the store's last response
         self._restored_at_ms = 0.0  # when a new era was met, 0 for never
+        self._has_outage = False  # whether the last call failed, other than by an interruption
+        self._is_interrupted = False  # whether this instance itself aborted the pending call
+        self._recovered_at_ms = -inf  # end of the last outage, as far as is known
         self._client = client
         self._copy = copy
         self._on_call = on_call
@@ -145,6 +149,12 @@
         """Return the time of the last failed call or restoration, 0 for never."""
         return max(self.last_fault_at_ms, self._restored_at_ms)
 
+    def outage_age_ms(self) -> float:
+        """Return the time since the store's last outage ended, 0 during one, infinite for none."""
+        if self._has_outage:
+            return 0.0
+        return now_ms() - max(self._recovered_at_ms, self._restored_at_ms or -inf)
+
     def needs_peers(self) -> bool:
         """Return whether this instance gets store changes from peers instead of the store."""
         return not self.reached() or not self._is_watcher()
@@ -202,9 +212,9 @@
                 return
             gevent.sleep(WATCHER_CHECK_MS / 1000)
 
-    def record_peer_fault(self, ago_ms: float) -> None:
-        """Record a store fault seen by the peer whose copy was applied."""
-        self.last_fault_at_ms = max(self.last_fault_at_ms, now_ms() - ago_ms)
+    def record_peer_outage(self, age_ms: float) -> None:
+        """Record a store outage seen by the peer whose copy is applied, and when it ended."""
+        self._recovered_at_ms = max(self._recovered_at_ms, now_ms() - age_ms)
 
     def _handle_answer(
         self,
@@ -215,6 +225,7 @@
         match answer:
             case Ok(news):
                 self._on_call(call, "answered")
+                self._is_interrupted = False
                 self._record_answer()
                 self._needs_full_read = False
                 self._note_position(call, news.position)
@@ -258,6 +269,9 @@
     def _record_answer(self) -> None:
         if self._failures or not self.answered_at_ms:
             log.bind(failures=self._failures, revision=self._copy.revision).info("store_reached")
+        if self._has_outage:
+            self._recovered_at_ms = now_ms()
+        self._has_outage = False
         self._failures = 0
         self.answered_at_ms = now_ms()
 
@@ -268,6 +282,9 @@
             return
         self._failures += 1
         self.last_fault_at_ms = now_ms()
+        # A call that this instance aborted says nothing of the store, which answers its peers.
+        self._has_outage = self._has_outage or not self._is_interrupted
+        self._is_interrupted = False
         if self._failures == 1:
             log.bind(call=call, fault=fault.kind.value, text=fault.text).warning("store_lost")
         backoff_ms = min(BASE_BACKOFF_MS * 2**self._failures, MAX_BACKOFF_MS)
@@ -288,5 +305,6 @@
             "store_watch_behind"
         )
         self.last_fault_at_ms = now_ms()
+        self._is_interrupted = True
         self._client.interrupt()
         return True
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from sparline._clock import PauseWatch, now_ms
+from sparline._clock import PauseWatch
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
 from sparline.decisions import EndEvidence, Liveness, counted_exit
@@ -105,7 +105,7 @@
         self.fleet = FleetState(
             ItemReader(zones),
             self.metrics.bad_items.inc,
-            self._store_fault_age_ms,
+            lambda: self.reader.outage_age_ms(),
             zones,
             self._on_server_restart,
             self._on_server_gone,
@@ -160,7 +160,7 @@
             self.copy,
             self.request_log,
             self.pace,
-            self._known_store_fault_age_ms,
+            self.reader.outage_age_ms,
             self._may_be_outdated,
             self.quotas,
             self.admission,
@@ -328,13 +328,6 @@
         self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
         self.gossip.broadcast_crash(change)
 
-    def _known_store_fault_age_ms(self) -> float | None:
-        at_ms = self.reader.disturbed_at_ms
-        return now_ms() - at_ms if at_ms else None
-
-    def _store_fault_age_ms(self) -> float:
-        return now_ms() - self.reader.disturbed_at_ms
-
     def _newest_peer_position(self) -> StorePosition:
         return max((one.store_position for one in self.members.live()), default=NO_POSITION)
 
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -12,7 +12,7 @@
 from sparline._logging import log
 from sparline._wsgi import Environ, StartResponse, make_server
 from sparline.gateway._components import GatewayComponents
-from sparline.gateway._housekeeping import run_housekeeping
+from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._settings import split_address
 from sparline.platform import (
@@ -57,6 +57,7 @@
             self.reader.run,
             self.sync.run,
             lambda: run_housekeeping(self),
+            lambda: remove_lapsed_servers(self),
         )
         self._tasks += [gevent.spawn(task) for task in tasks]
 
--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -7,6 +7,9 @@
 from sparline.gateway._components import GatewayComponents
 
 HOUSEKEEPING_INTERVAL_MS = 500.0
+# Interval at which expired entries are checked (ms): shorter, because a server that has left gets
+# requests until then.
+LAPSE_CHECK_INTERVAL_MS = 100.0
 # Interval at which learned timings and the use of retry budgets are logged (ms).
 SUMMARY_LOG_INTERVAL_MS = 10_000.0
 
@@ -20,8 +23,8 @@
             logged_at_ms = now_ms()
             _log_summaries(components)
         is_store_unreachable = _is_store_unreachable(components)
-        components.fleet.remove_lapsed(is_store_unreachable)
         components.fleet.apply_unconfirmed(is_store_unreachable)
+        components.fleet.forget_old_ids()
         server_ids = set(components.fleet.servers)
         components.health.forget_all_but(server_ids)
         components.cache.forget_all_but(server_ids)
@@ -34,6 +37,14 @@
         gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
 
 
+def remove_lapsed_servers(components: GatewayComponents) -> None:
+    """Remove servers whose expired entries were not renewed until the process ends."""
+    while True:
+        if components.fleet.has_lapsed:
+            components.fleet.remove_lapsed(_is_store_unreachable(components))
+        gevent.sleep(LAPSE_CHECK_INTERVAL_MS / 1000)
+
+
 def _log_summaries(components: GatewayComponents) -> None:
     log.bind(pace=components.pace.learned(), pauses=components.gaps.learned()).info("learned")
     for usage in components.retries.usage():
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from math import isfinite
 
 import msgspec
 from gevent.socket import socket as GeventSocket
@@ -80,14 +81,14 @@
         copy: StoreCopyTable,
         request_log: RequestLog,
         pace: PaceTable,
-        store_fault_age_ms: Callable[[], float | None],
+        store_outage_age_ms: Callable[[], float],
         may_be_outdated: Callable[[], bool],
         quotas: Quotas,
         admission: AdmissionGate,
     ) -> None:
         """Create a service that follows the configuration of a fleet.
 
-        `store_fault_age_ms` returns the time since the store's last fault, None if there was none.
+        `store_outage_age_ms` returns the time since the store's last outage ended.
         `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
         self.in_flight = 0  # requests being forwarded
@@ -96,7 +97,7 @@
         self._copy = copy
         self._log = request_log
         self._pace = pace
-        self._store_fault_age_ms = store_fault_age_ms
+        self._store_outage_age_ms = store_outage_age_ms
         self._may_be_outdated = may_be_outdated
         self._quotas = quotas
         self._admission = admission
@@ -340,10 +341,10 @@
             text = f"expected a revision, found {after!r}"
             self._reject(caller, "", 400, Reason.BAD_REQUEST, text)
             return
-        fault_age_ms = self._store_fault_age_ms()
+        outage_age_ms = self._store_outage_age_ms()
         copy = msgspec.structs.replace(
             self._copy.since(int(after)),
-            disturbed_ago_ms=None if fault_age_ms is None else round(fault_age_ms),
+            disturbed_ago_ms=round(outage_age_ms) if isfinite(outage_age_ms) else None,
         )
         caller.answer(200, CBOR_HEADERS, pack(copy))
 
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -384,7 +384,7 @@
         Annotated[
             int,
             Meta(
-                description="How long ago the store last failed whoever gives the copy, milliseconds; null for never."
+                description="How long ago the store's last outage ended for whoever gives the copy, 0 during one, milliseconds; null for none."
             ),
         ]
         | None
