Notice within two seconds that connections to the store went silent

Cause: a watch on a silent connection ends after its wait, 4 to 10 s, and 1.5 s more. That siblings notice sooner was left to the luck of the first wait that ends; and an instance that hears from a sibling of news gave its own watch 0.7 s and a whole delay between two watches (0.4 to 1.5 s) before it took the sibling's copy. Class: silence counts as no news.

Change: the first of a region's watchers (by the same hash as before, over all its zones) waits 1.2 s a watch and 1 s for its answer; whichever instances are left, one is the first. A watch counts as stale 0.7 s after a sibling was ahead, and the delay between watches counts only while it lasts. Cost: some 50 calls of the store a minute and region. A keep-alive of TCP was not taken: the kernel of a process that hangs answers it.

--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -23,3 +23,8 @@
 def test_server_whose_entry_goes_after_a_cut_watch_gets_late_requests(capsys):
     # The cut counted as an outage of the store, in which the entry might have expired.
     assert_bounds_hold(capsys, "gone-after-cut", "--gateways", "12")
+
+
+def test_silent_watches_hide_that_a_server_has_left(capsys):
+    # Nothing showed that the connections to the store were silent, until a watch ended.
+    assert_bounds_hold(capsys, "silent-watches", "--gateways", "6", "--rate", "60")
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -28,7 +28,7 @@
     StoreFaultKind,
     StoreReader,
 )
-from sparline.fleet._store_watchers import WATCHERS_PER_ZONE, is_store_watcher
+from sparline.fleet._store_watchers import WATCHERS_PER_ZONE, is_first_watcher, is_store_watcher
 
 __all__ = [
     "NO_ADMISSION",
@@ -72,5 +72,6 @@
     "make_member_note",
     "pending_of",
     "sum_loads",
+    "is_first_watcher",
     "is_store_watcher",
 ]
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -20,6 +20,11 @@
 # the store recovered, and the other instances notice that its copy is newer.
 WATCH_WAIT_MS = 10_000
 WATCH_MIN_FRACTION = 0.4
+# Wait of the watches of the first watcher of a region, and additional time for their responses (ms).
+# A connection can go silent without a reset, and all may at the same time: then nothing else shows
+# for seconds that the store has news.
+FIRST_WATCHER_WAIT_MS = 1_200
+FIRST_WATCHER_SLACK_MS = 1_000
 # Minimum delay after a response before the next watch (ms): changes that arrive together cost each
 # instance only one call. A change takes effect this much later; 3,000 ms are allowed.
 MIN_WATCH_DELAY_MS = 400.0
@@ -45,8 +50,8 @@
 # store's rate limit too.
 BASE_BACKOFF_MS = 150.0
 MAX_BACKOFF_MS = 1_000.0
-# A watch is considered stale once a peer's copy has been newer for this long, plus the delay after a
-# response (ms).
+# A watch is considered stale once a peer's copy has been newer for this long (ms), not counting the
+# delay after a response.
 STALE_WATCH_MS = 700.0
 # How long the store counts as reachable after a response (ms): the longest watch and its response.
 REACHED_MS = WATCH_WAIT_MS + WATCH_SLACK_MS
@@ -115,11 +120,13 @@
         newest_peer_position: Callable[[], StorePosition],
         watcher_count: Callable[[], int] = lambda: 1,
         is_watcher: Callable[[], bool] = lambda: True,
+        is_first_watcher: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a reader that starts with a full read.
 
         `on_call` counts calls by kind and result; `watcher_count` returns how many instances watch
-        the store, and `is_watcher` whether this one does.
+        the store, `is_watcher` whether this one does, and `is_first_watcher` whether it is the
+        first of its region to do so.
         """
         self.answered_at_ms = 0.0  # time of the store's last response, 0 for never
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
@@ -134,6 +141,8 @@
         self._newest_peer_position = newest_peer_position
         self._watcher_count = watcher_count
         self._is_watcher = is_watcher
+        self._is_first_watcher = is_first_watcher
+        self._delay_until_ms = 0.0  # end of the delay after the last response
         self._needs_full_read = True
         self._failures = 0
         self._behind_since_ms: float | None = None
@@ -165,7 +174,7 @@
             if self._needs_full_read:
                 self._read_all()
             elif self._is_watcher():
-                self._watch(self._watch_wait_ms())
+                self._watch(self._watch_wait_ms(), self._watch_slack_ms())
             else:
                 self._wait_as_non_watcher()
 
@@ -189,10 +198,15 @@
         """
         if self._failures:
             return 0
+        if self._is_first_watcher():
+            return FIRST_WATCHER_WAIT_MS
         return round(self._rng.uniform(WATCH_MIN_FRACTION, 1.0) * WATCH_WAIT_MS)
 
-    def _watch(self, wait_ms: int) -> None:
-        answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + WATCH_SLACK_MS)
+    def _watch_slack_ms(self) -> int:
+        return FIRST_WATCHER_SLACK_MS if self._is_first_watcher() else WATCH_SLACK_MS
+
+    def _watch(self, wait_ms: int, slack_ms: int = WATCH_SLACK_MS) -> None:
+        answer = self._client.watch(self._copy.revision, wait_ms, wait_ms + slack_ms)
         self._handle_answer(answer.and_then(self._require_same_era), "watch", self._copy.apply)
 
     def _require_same_era(self, news: StoreAnswer) -> Result[StoreAnswer, StoreFault]:
@@ -231,11 +245,16 @@
                 self._note_position(call, news.position)
                 apply(news.changes, news.position)
                 if news.changes:
-                    gevent.sleep(self._watch_delay_ms() / 1000)
+                    self._delay_next_call()
             case Err(fault):
                 self._on_call(call, fault.kind.value)
                 self._record_fault(call, fault)
 
+    def _delay_next_call(self) -> None:
+        delay_ms = self._watch_delay_ms()
+        self._delay_until_ms = now_ms() + delay_ms
+        gevent.sleep(delay_ms / 1000)
+
     def _note_position(self, call: str, position: StorePosition) -> None:
         """Log and record a new era, and log a response with less than the copy holds."""
         held = self._copy.position
@@ -297,7 +316,8 @@
             return False
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms()
-        if now_ms() - self._behind_since_ms < STALE_WATCH_MS + self._watch_delay_ms():
+        # During the delay no watch is pending that could be stale.
+        if now_ms() - max(self._behind_since_ms, self._delay_until_ms) < STALE_WATCH_MS:
             return False
         self._behind_since_ms = None
         newest = self._newest_peer_position()
--- a/sparline/fleet/_store_watchers.py
+++ b/sparline/fleet/_store_watchers.py
@@ -1,5 +1,7 @@
 """Choice of the instances that watch the store; the others copy its items from them."""
 
+from collections.abc import Iterable
+
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline.fleet._members import STORE_REPORT_MAX_AGE_MS, Member, Members
@@ -17,14 +19,28 @@
 def is_store_watcher(members: Members) -> bool:
     """Return whether this instance is one of its availability zone's store watchers."""
     own = members.own
-    zone = [one.note.ip for one in members.others() if _may_watch(one, own.availability_zone)]
-    order = sorted([*zone, own.ip], key=lambda ip: hash64(f"store/{ip}"), reverse=True)
-    return own.ip in order[:WATCHERS_PER_ZONE]
+    siblings = (
+        one for one in members.others() if one.note.availability_zone == own.availability_zone
+    )
+    return own.ip in _watching_order(own.ip, siblings)[:WATCHERS_PER_ZONE]
+
+
+def is_first_watcher(members: Members) -> bool:
+    """Return whether this instance is the first of its region's store watchers."""
+    own = members.own
+    siblings = (one for one in members.others() if one.note.region == own.region)
+    return own.ip == _watching_order(own.ip, siblings)[0]
+
+
+def _watching_order(own_ip: str, siblings: Iterable[Member]) -> list[str]:
+    """Return the addresses of those that may watch, the own one included, in a fixed order."""
+    ips = [one.note.ip for one in siblings if _may_watch(one)]
+    return sorted([*ips, own_ip], key=lambda ip: hash64(f"store/{ip}"), reverse=True)
 
 
-def _may_watch(member: Member, zone: str) -> bool:
+def _may_watch(member: Member) -> bool:
     now = now_ms()
-    if member.note.availability_zone != zone or member.note.phase is not MemberPhase.live:
+    if member.note.phase is not MemberPhase.live:
         return False
     if now - member.heard_at_ms > WATCHER_TIMEOUT_MS:
         return False
--- a/sparline/fleet/tests/store_stubs.py
+++ b/sparline/fleet/tests/store_stubs.py
@@ -27,6 +27,7 @@
         self.answers = list(answers)
         self.calls: list[str] = []
         self.waits: list[int] = []
+        self.timeouts: list[int] = []
 
     def _next(self, call: str):
         self.calls.append(call)
@@ -38,6 +39,7 @@
     def watch(self, after: int, wait_ms: int, timeout_ms: float):
         assert wait_ms < timeout_ms
         self.waits.append(wait_ms)
+        self.timeouts.append(timeout_ms)
         return self._next(f"watch {after}")
 
     def interrupt(self) -> None:
--- a/sparline/fleet/tests/test_store_watchers.py
+++ b/sparline/fleet/tests/test_store_watchers.py
@@ -1,6 +1,13 @@
 import pytest
 
-from sparline.fleet import WATCHERS_PER_ZONE, Members, _members, _store_watchers, is_store_watcher
+from sparline.fleet import (
+    WATCHERS_PER_ZONE,
+    Members,
+    _members,
+    _store_watchers,
+    is_first_watcher,
+    is_store_watcher,
+)
 from sparline.schema._gossip import Gossip, MemberNote, MemberPhase
 
 SIZE = 12
@@ -52,6 +59,16 @@
     assert len(zone.watching()) == WATCHERS_PER_ZONE
 
 
+def test_a_region_has_one_first_watcher_whichever_are_left(zone, clock):
+    first = [ip for ip, members in zone.members.items() if is_first_watcher(members)]
+    assert len(first) == 1
+    others = [ip for ip in zone.ips if ip not in first]
+    clock.now += _store_watchers.WATCHER_TIMEOUT_MS + 1
+    zone.hear(others)
+    left = [ip for ip in others if is_first_watcher(zone.members[ip])]
+    assert len(left) == 1
+
+
 def test_instances_of_another_zone_do_not_affect_the_watchers(zone):
     for members in zone.members.values():
         for number in range(SIZE):
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -26,6 +26,7 @@
     StoreCopyTable,
     StorePosition,
     StoreReader,
+    is_first_watcher,
     is_store_watcher,
     make_member_note,
 )
@@ -120,6 +121,7 @@
             self._newest_peer_position,
             lambda: WATCHERS_PER_ZONE * len(zones),
             lambda: is_store_watcher(self.members),
+            lambda: is_first_watcher(self.members),
         )
         self._relay_port = split_address(settings.listen.relay)[1]
         last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
