Copy the store from another sibling when one gives no answer

Cause: the sibling was drawn anew each time, whether or not it had answered, and each draw waited for as long as a megabyte takes between regions. Class: a wait whose length suits the worst good case, spent on one peer.

Change: a copy from a sibling may take 0.7 s, twice as long after each that times out in a row, up to 2.5 s as before; a peer that gave none is avoided for 3 s where others can give one.

--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -25,6 +25,12 @@
 COMPARE_INTERVAL_MS = 400.0
 # Timeout of a copy from a peer (ms): a round trip between regions and a transfer of one megabyte.
 COPY_TIMEOUT_MS = 2_500.0
+# Timeout of the first copy from a sibling after one that succeeded (ms), doubled with each that
+# times out: most copies hold a few items, and a sibling that has just died must not delay them.
+SIBLING_COPY_TIMEOUT_MS = 700.0
+# How long a peer that gave no copy is avoided while others can give one (ms): until it has timed out
+# as a member.
+FAILED_PEER_MS = 3_000.0
 
 
 class StoreSync:
@@ -47,6 +53,8 @@
         self._metrics = metrics
         self._relay_port = relay_port
         self._rng = random.Random()
+        self._timeouts = 0  # copies in a row that timed out
+        self._failed_at_ms: dict[str, float] = {}  # last failure of each peer, by address
         self._fetch_began_at_ms = 0.0  # when the latest request to a peer began
 
     def run(self) -> None:
@@ -63,7 +71,7 @@
         newer = [one for one in self._members.live() if one.store_position > held]
         if not newer:
             return
-        peer = self._rng.choice(nearest_peers(newer, self._members.own))
+        peer = self._choose_peer(newer)
         target = STORE_COPY_TARGET + b"%d" % self._revision_to_follow(peer)
         copy = self._fetch(peer, target)
         if copy is not None:
@@ -87,7 +95,7 @@
         ]
         if not newer:
             return
-        peer = self._rng.choice(nearest_peers(newer, self._members.own))
+        peer = self._choose_peer(newer)
         copy = self._fetch(peer, CONFIGURATION_TARGET)
         if copy is None:
             return
@@ -95,21 +103,37 @@
             self._fleet.take_configuration(StoreChange(note.key, note.revision, note.value))
         self._record_result(peer, "configuration", f"version {self._fleet.configuration_version}")
 
+    def _choose_peer(self, newer: list[Member]) -> Member:
+        """Return one of the nearest peers, avoiding those that have failed to give a copy."""
+        since = now_ms() - FAILED_PEER_MS
+        self._failed_at_ms = {ip: at for ip, at in self._failed_at_ms.items() if at >= since}
+        reliable = [one for one in newer if one.note.ip not in self._failed_at_ms]
+        return self._rng.choice(nearest_peers(reliable or newer, self._members.own))
+
+    def _timeout_ms(self, peer: Member) -> float:
+        if peer.note.region != self._members.own.region:
+            return COPY_TIMEOUT_MS
+        return min(SIBLING_COPY_TIMEOUT_MS * 2**self._timeouts, COPY_TIMEOUT_MS)
+
     def _fetch(self, peer: Member, target: bytes) -> StoreCopy | None:
         """Return a peer's answer, or None after recording why there is none."""
         self._fetch_began_at_ms = now_ms()
-        limit = gevent.Timeout(COPY_TIMEOUT_MS / 1000)
+        limit = gevent.Timeout(self._timeout_ms(peer) / 1000)
         try:
             with limit:
                 content = self._exchange(peer, target)
         except gevent.Timeout as timeout:
             if timeout is not limit:
                 raise
+            self._timeouts += 1
+            self._failed_at_ms[peer.note.ip] = now_ms()
             self._record_result(peer, "silent")
             return None
         except (OSError, ConnectionBroken) as error:
+            self._failed_at_ms[peer.note.ip] = now_ms()
             self._record_result(peer, "unreachable", str(error))
             return None
+        self._timeouts = 0
         match unpack(content, StoreCopy):
             case Ok(copy):
                 return copy
