--- /dev/null
+++ b/benchmarks/_soak_judge.py
@@ -0,0 +1,80 @@
+"""What callers got and servers ran in a soak, held against what is promised."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from benchmarks._gateway_fleet import SERVERS
+from standins import SEAL, Got, SealedServer
+
+# A request with this body ends each engine that runs it.
+CRASHING = b"whoever runs this ends"
+# Once three engines have ended under it and an operator's time to hear of that is over (ms), so many
+# more may be sent it.
+MOST_ENDS = 3
+CONTACT_MS = 5_000.0
+MOST_LATER_SENDS = 3
+ONCE = ("/unsafe/x", "/once/x")
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold one request and what its caller got."""
+
+    request_id: str
+    target: str
+    body: bytes = b"abc"
+    got: Got | None = None  # None where no connection came up or it broke before the head
+
+
+def judge_records(records: Iterable[Record], servers: Mapping[str, SealedServer]) -> list[str]:
+    """Return every promise to a caller that was broken."""
+    runs: dict[str, list[str]] = {}
+    for name, server in servers.items():
+        for run in server.runs:
+            runs.setdefault(run.request_id, []).append(name)
+    return [text for record in records for text in _broken(record, runs.get(record.request_id, []))]
+
+
+def crashes_ms(servers: Mapping[str, SealedServer]) -> list[float]:
+    """Return when engines ran the request that ends them, in order."""
+    runs = [run for one in servers.values() for run in one.runs]
+    return sorted(run.at_ms for run in runs if run.body == CRASHING)
+
+
+def judge_crashes(servers: Mapping[str, SealedServer]) -> list[str]:
+    """Return what was sent on although it had ended the engines that ran it."""
+    at_ms = crashes_ms(servers)
+    known_ms = at_ms[MOST_ENDS - 1] + CONTACT_MS if len(at_ms) >= MOST_ENDS else 0.0
+    later = [one for one in at_ms if known_ms and one > known_ms]
+    if len(later) <= MOST_LATER_SENDS:
+        return []
+    return [f"{len(at_ms)} engines ended under one request, {len(later)} of them late"]
+
+
+def _broken(record: Record, ran_at: list[str]) -> list[str]:
+    broken = []
+    got = record.got
+    if record.target in ONCE and len(ran_at) > 1:
+        broken.append(f"{record.request_id} {record.target} ran at {ran_at}")
+    if record.target == "/home/x" and any(SERVERS[one][0] != "south-1" for one in ran_at):
+        broken.append(f"{record.request_id} ran outside its home at {ran_at}")
+    if got is None or not got.status:
+        return broken
+    if got.status in (429, 503) and ran_at:
+        broken.append(f"{record.request_id} was called not run and ran at {ran_at}")
+    if got.status == 200 and got.whole and got.body != _expected(record):
+        broken.append(f"{record.request_id} got {got.body!r}")
+    if got.status == 200 and not _expected(record).startswith(got.body):
+        broken.append(f"{record.request_id} got a wrong part: {got.body!r}")
+    if got.status == 200 and SEAL not in got.headers:
+        broken.append(f"{record.request_id} got a success without its signature")
+    return broken
+
+
+def _expected(record: Record) -> bytes:
+    if record.target in ("/stream/x", "/once/x"):
+        events = range(1, SERVERS["en1"][2] + 1)
+        return b"".join(
+            f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode() for number in events
+        )
+    return f"{record.request_id} {record.target} 3".encode()
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -7,7 +7,8 @@
 
 from benchmarks.__main__ import main
 from benchmarks._gateway_fleet import GatewayProcess
-from benchmarks._gateway_soak import Record, SoakRun, _broken
+from benchmarks._soak_faults import SoakFaults
+from benchmarks._soak_judge import Record, _broken
 from standins import Got
 
 SEAL = {"response-seal": "s"}
@@ -79,6 +80,7 @@
 
     with patch("benchmarks._gateway_fleet.subprocess.Popen", SlowProcess):
         gateway.start()
-        run = SoakRun(None, SimpleNamespace(uniform=lambda _least, _most: 0.0))
-        gevent.joinall([gevent.spawn(run._restart, gateway) for _ in range(3)], timeout=20)
+        chance = SimpleNamespace(uniform=lambda _least, _most: 0.0)
+        faults = SoakFaults(None, chance, chance, chance, lambda _record, _at: None)
+        gevent.joinall([gevent.spawn(faults._restart, gateway) for _ in range(3)], timeout=20)
     assert len(starts) == 2
