--- a/benchmarks/_bounds_run.py
+++ b/benchmarks/_bounds_run.py
@@ -23,13 +23,14 @@
     worst_repeat_window,
 )
 from benchmarks._gateway_fleet import FleetShape, GatewayFleet
+from benchmarks._gateway_settings import RETRIES
 from sparline._clock import now_ms
 from standins import SealedFaults, configuration, evacuate, take_back
 
 NORTH, SOUTH = "north-1", "south-1"
 TARGET = "/safe/x"
 CALLER_TIMEOUT_S = 8.0
-REPEATS = RepeatRule(ratio=0.2, slack=60.0, window_ms=10_000.0)
+REPEATS = RepeatRule(RETRIES.ratio, RETRIES.slack, RETRIES.window_s * 1000.0)
 COLD = ColdRule(per_s=4.0, excess=1.5, slack=3.0)
 COLD_START_S = 3.0
 # Time that a leaving server may still get requests after the store has taken its word (ms).
--- a/benchmarks/_gateway_settings.py
+++ b/benchmarks/_gateway_settings.py
@@ -3,6 +3,7 @@
 from sparline.schema._gateway import GatewaySettings, ListenPorts, LogLevel, RetrySettings
 
 REGIONS = {"north-1": "north", "south-1": "south"}
+RETRIES = RetrySettings(ratio=0.2, slack=60, window_s=10)
 # Listeners of an instance.
 PORTS = ("callers", "readiness", "directory", "gossip", "relay", "metrics")
 
@@ -27,7 +28,7 @@
         listen=ListenPorts(**{one: f"{ip}:{port}" for one, port in by_name.items()}),
         seeds=[f"{seed}:{by_name['gossip']}" for seed in seed_ips],
         store=f"{store[0]}:{store[1]}",
-        retries=RetrySettings(ratio=0.2, slack=60, window_s=10),
+        retries=RETRIES,
         grace_s=grace_s,
         first_start=True,
         log_level=LogLevel.INFO,
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -12,7 +12,14 @@
 
 from benchmarks._gateway_fleet import GatewayFleet
 from benchmarks._soak_faults import SoakFaults
-from benchmarks._soak_judge import CRASHING, Record, crashes_ms, judge_crashes, judge_records
+from benchmarks._soak_judge import (
+    CRASHING,
+    Record,
+    crashes_ms,
+    judge_crashes,
+    judge_records,
+    judge_repeats,
+)
 from sparline._clock import now_ms
 from standins import PROMPT
 
@@ -115,7 +122,11 @@
     def judge(self) -> list[str]:
         """Return every promise that was broken."""
         servers = self.fleet.servers
-        return judge_crashes(servers) + judge_records(self.records, servers)
+        return [
+            *judge_crashes(servers),
+            *judge_repeats(self.records, servers),
+            *judge_records(self.records, servers),
+        ]
 
 
 def gateway_soak(options: argparse.Namespace) -> int:
--- a/benchmarks/_soak_judge.py
+++ b/benchmarks/_soak_judge.py
@@ -1,9 +1,12 @@
 """What callers got and servers ran in a soak, held against what is promised."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from benchmarks._bounds import RepeatRule, SeenArrival, SentRequest, worst_repeat_window
 from benchmarks._gateway_fleet import SERVERS
+from benchmarks._gateway_settings import RETRIES
+from sparline._clock import now_ms
 from standins import SEAL, Got, SealedServer
 
 # A request with this body ends each engine that runs it.
@@ -14,6 +17,8 @@
 CONTACT_MS = 5_000.0
 MOST_LATER_SENDS = 3
 ONCE = ("/unsafe/x", "/once/x")
+ENGINE_TARGETS = ("/stream/x", "/once/x")
+REPEATS = RepeatRule(RETRIES.ratio, RETRIES.slack, RETRIES.window_s * 1000.0)
 
 
 @dataclass(slots=True)
@@ -24,6 +29,7 @@
     target: str
     body: bytes = b"abc"
     got: Got | None = None  # None where no connection came up or it broke before the head
+    sent_at_ms: float = field(default_factory=now_ms)
 
 
 def judge_records(records: Iterable[Record], servers: Mapping[str, SealedServer]) -> list[str]:
@@ -35,6 +41,26 @@
     return [text for record in records for text in _broken(record, runs.get(record.request_id, []))]
 
 
+def judge_repeats(records: Iterable[Record], servers: Mapping[str, SealedServer]) -> list[str]:
+    """Return the services that got more repeats in some window than are allowed."""
+    sent: dict[str, list[SentRequest]] = {}
+    for record in records:
+        service = "engines" if record.target in ENGINE_TARGETS else "plain"
+        sent.setdefault(service, []).append(SentRequest(record.request_id, record.sent_at_ms))
+    broken = []
+    for service, requests in sent.items():
+        arrivals = [
+            SeenArrival(one.request_id, name, one.at_ms)
+            for name, server in servers.items()
+            if SERVERS[name][1] == service
+            for one in server.arrivals
+        ]
+        worst = worst_repeat_window(requests, arrivals, REPEATS)
+        if worst.repeats > worst.allowed:
+            broken.append(f"{service} got {worst.repeats} repeats, {worst.allowed:.1f} are allowed")
+    return broken
+
+
 def crashes_ms(servers: Mapping[str, SealedServer]) -> list[float]:
     """Return when engines ran the request that ends them, in order."""
     runs = [run for one in servers.values() for run in one.runs]
@@ -72,7 +98,7 @@
 
 
 def _expected(record: Record) -> bytes:
-    if record.target in ("/stream/x", "/once/x"):
+    if record.target in ENGINE_TARGETS:
         events = range(1, SERVERS["en1"][2] + 1)
         return b"".join(
             f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode() for number in events
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -8,8 +8,8 @@
 from benchmarks.__main__ import main
 from benchmarks._gateway_fleet import GatewayProcess
 from benchmarks._soak_faults import SoakFaults
-from benchmarks._soak_judge import Record, _broken
-from standins import Got
+from benchmarks._soak_judge import REPEATS, Record, _broken, judge_repeats
+from standins import Got, SealedArrival, SealedServer
 
 SEAL = {"response-seal": "s"}
 WHOLE = b"".join(f"id: {number}\ndata: r1-{number}\n\n".encode() for number in range(1, 7))
@@ -43,6 +43,16 @@
     assert said in " ".join(broken)
 
 
+@pytest.mark.parametrize(("target", "server"), [("/safe/x", "pn1"), ("/stream/x", "en1")])
+def test_the_judge_sees_too_many_repeats_of_a_service(target, server):
+    records = [Record("r1", target, sent_at_ms=0.0)]
+    most = int(REPEATS.slack + REPEATS.ratio)
+    for repeats, is_broken in ((most, False), (most + 1, True)):
+        arrivals = [SealedArrival("r1", 1.0)] * (1 + repeats)
+        servers = {server: SealedServer("127.0.0.1", 1, server, arrivals=arrivals)}
+        assert bool(judge_repeats(records, servers)) is is_broken
+
+
 # Seeds of the run in CI, and each seed that ever failed with a line on its cause.
 SEEDS = [
     (11, 8.0),
