--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -11,9 +11,9 @@
 from sparline.forwarding._forwarder import (
     Forwarder,
     ForwarderDependencies,
-    RequestEnd,
     may_send_elsewhere,
 )
+from sparline.forwarding._request_end import RequestEnd
 from sparline.forwarding._retry_window import RetryRule, RetryUsage, RetryWindow
 from sparline.forwarding._wire import (
     AnswerKind,
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -18,20 +18,17 @@
     Progress,
 )
 from sparline.forwarding._events import EventSplitter
+from sparline.forwarding._request_end import MIN_TIME_LEFT_MS, RequestEnd, RequestEnder
 from sparline.forwarding._resume_wait import is_caller_waiting, should_delay_resume
 from sparline.forwarding._retry_window import RetryWindow
 from sparline.forwarding._wire import AttemptParameters, OwnAnswer
-from sparline.http import CallerConnection, CallerGone, Headers, end_to_end
+from sparline.http import CallerConnection, CallerGone, Headers
 from sparline.placement import Chooser, LoadTable, Placement, Refusal
 from sparline.quarantine import CrashTable, FactSource, RequestDigest, Verdict
 from sparline.requests import Origin, Reason, RoutedRequest
 
 # A request is given up after this many attempts that are proven not to have run (count).
 MAX_NOT_RUN_ATTEMPTS = 3
-# With less time than this left, another attempt can't complete (ms).
-MIN_TIME_LEFT_MS = 10.0
-# Retry delay requested of the caller if no server has requested one (ms).
-DEFAULT_RETRY_AFTER_MS = 300.0
 # Interval at which an interrupted stream looks for a server with a shorter queue (ms).
 RESUME_POLL_INTERVAL_MS = 40.0
 # Delay before an interrupted stream is retried after no server could be selected, or the selected
@@ -43,26 +40,6 @@
 # Maximum number of servers that may still run a suspected request (count). A request is suspected
 # once several servers have exited while running it.
 MAX_SUSPECT_SENDS = 1
-# Refusal reasons that apply to every server in the region.
-REGION_FULL_REASONS = (Reason.DEADLINE_UNREACHABLE, Reason.NO_BACKEND)
-WITHDRAWN_KEY_BODY = b"Authorization: expected a key in force, found one that was just withdrawn\n"
-TEXT_CONTENT_TYPE = (b"Content-Type", b"text/plain; charset=utf-8")
-QUARANTINED_BODY = (
-    b"expected a backend server to answer this request, found that each one that ran it ended; "
-    b"it is not sent again for some minutes\n"
-)
-
-
-@dataclass(frozen=True, slots=True)
-class RequestEnd:
-    """Describe the outcome of a request for the log and metrics."""
-
-    status: int  # status that the caller received, 0 if none or aborted
-    reason: Reason  # why it did not get a complete backend response
-    ran: bool  # whether it may have run
-    placement: Placement | None  # last selected server
-    refusal: Refusal | None  # why no server could be selected, if so
-    progress: Progress  # state shared by the attempts
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,10 +85,10 @@
         except gevent.Timeout as timeout:
             if timeout is not limit:
                 raise
-            return run.end_timed_out()
+            return run.ender.end_timed_out()
         except CallerGone:
             caller.closing = True
-            return RequestEnd(0, Reason.CALLER_GONE, True, run.placement, run.refusal, progress)
+            return run.ender.make_end(0, Reason.CALLER_GONE)
         finally:
             caller.unwatch()
 
@@ -134,18 +111,15 @@
         self._not_run_count = 0
         self._progress = progress
         self._digest: RequestDigest | None = None
-        self._ended_server: BackendServerId | None = None
-        self._region_full_end: AttemptEnd | None = None  # last refusal by a region without capacity
-        self.placement: Placement | None = None
-        self.refusal: Refusal | None = None
+        self.ender = RequestEnder(request, caller, progress, dependencies.refusal_headers)
 
     def run_to_end(self) -> RequestEnd:
         while True:
             if self._dependencies.is_key_withdrawn(self._request):
-                return self._end_key_withdrawn()
+                return self.ender.end_key_withdrawn()
             verdict = self._quarantine_verdict()
             if verdict is Verdict.QUARANTINED:
-                return self._end_quarantined()
+                return self.ender.end_quarantined()
             is_suspect = verdict is Verdict.SUSPECT
             if is_suspect:
                 self._sends_left = min(self._sends_left, MAX_SUSPECT_SENDS)
@@ -158,24 +132,24 @@
                 frozenset() if self._progress.began else self._request.closed_regions,
             )
             if isinstance(selected, Refusal):
-                self.refusal = selected
+                self.ender.refusal = selected
                 if not is_caller_waiting(self._request, self._progress):
-                    return self._end_unplaced(selected)
+                    return self.ender.end_unplaced(selected)
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
                 continue
             if should_delay_resume(self._request, self._progress, selected):
                 self._sleep_with_jitter(RESUME_POLL_INTERVAL_MS)
                 continue
-            self.placement = selected
+            self.ender.placement = selected
             end = self._attempt(selected)
             if end.result is AttemptResult.DELIVERED:
                 self._note_complete_answer()
-                return self._make_end(200, Reason.NONE)
+                return self.ender.make_end(200, Reason.NONE)
             if end.reason is Reason.QUARANTINED:
-                return self._end_quarantined()
+                return self.ender.end_quarantined()
             stop = self._stop_reason(selected, end)
             if stop is not None:
-                return self._end_failed(stop, end)
+                return self.ender.end_failed(stop, end)
             self._dependencies.note_retry(self._request, selected, end)
             if end.result is AttemptResult.NOT_RUN and self._progress.began:
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
@@ -281,7 +255,7 @@
         ids = self._dependencies.chooser.note_region_full(self._request, placement)
         if not self._progress.began:
             self._progress.excluded.update(ids)
-            self._region_full_end = end
+            self.ender.region_full_end = end
 
     def _note_crash(self, placement: Placement, end: AttemptEnd) -> None:
         """Record a server exit during the request and stop retrying a suspected request."""
@@ -291,7 +265,7 @@
             )
         if end.ended_server is None:
             return
-        self._ended_server = end.ended_server
+        self.ender.ended_server = end.ended_server
         learnt = FactSource.HERE if placement.peer is None else FactSource.PEER
         self._dependencies.crashes.note_end(self._request_digest(), end.ended_server, learnt)
         if self._quarantine_verdict() is not Verdict.CLEAR:
@@ -316,90 +290,6 @@
         """Tell whether the request is repeatable and has attempts left."""
         return self._request.route.repeatable and self._sends_left > 0
 
-    def _end_unplaced(self, refusal: Refusal) -> RequestEnd:
-        if self._progress.failed_answer is not None and not self._progress.began:
-            return self._forward_server_error()
-        if self._region_full_end is not None and refusal.reason is Reason.NO_BACKEND:
-            # Servers exist but have no capacity, so the full region's Retry-After applies.
-            return self._end_with_own_answer(
-                self._region_full_end.reason, self._region_full_end.retry_after_ms
-            )
-        return self._end_with_own_answer(refusal.reason, refusal.retry_after_ms)
-
-    def _end_failed(self, stop: Reason, end: AttemptEnd) -> RequestEnd:
-        if self._progress.failed_answer is not None and not self._progress.began:
-            return self._forward_server_error()
-        return self._end_with_own_answer(stop, end.retry_after_ms or DEFAULT_RETRY_AFTER_MS)
-
-    def _forward_server_error(self) -> RequestEnd:
-        """Forward the backend server's own error response to the caller."""
-        assert self._progress.failed_answer is not None
-        answer, body = self._progress.failed_answer
-        self._caller.answer(answer.status, end_to_end(answer.headers), body)
-        return self._make_end(answer.status, Reason.BACKEND_FAILED)
-
-    def _end_quarantined(self) -> RequestEnd:
-        """Reject a quarantined request that servers have run and must not run again."""
-        if self._progress.began:
-            return self._abort_answer(Reason.QUARANTINED)
-        headers = self._dependencies.refusal_headers(OwnAnswer(ran=True, quarantined=True))
-        self._caller.answer(502, [*headers, TEXT_CONTENT_TYPE], QUARANTINED_BODY)
-        return self._make_end(502, Reason.QUARANTINED)
-
-    def _end_key_withdrawn(self) -> RequestEnd:
-        """End a request whose API key was withdrawn without sending it again."""
-        if self._progress.began:
-            return self._abort_answer(Reason.KEY_WITHDRAWN)
-        if self._progress.may_have_run or self._request.origin is Origin.RELAY:
-            return self._end_with_own_answer(Reason.KEY_WITHDRAWN, DEFAULT_RETRY_AFTER_MS)
-        self._caller.answer(
-            401, [(b"WWW-Authenticate", b"Bearer"), TEXT_CONTENT_TYPE], WITHDRAWN_KEY_BODY
-        )
-        return self._make_end(401, Reason.KEY_WITHDRAWN, ran=False)
-
-    def _end_with_own_answer(self, reason: Reason, retry_after_ms: float) -> RequestEnd:
-        """End with a response generated here, reporting "not run" only if that is certain."""
-        if self._progress.began:
-            return self._abort_answer(reason)
-        ran = self._progress.may_have_run
-        status = 503
-        if ran:
-            status = 504 if reason is Reason.DEADLINE_PASSED else 502
-        return self._send_own_answer(status, reason, ran, retry_after_ms)
-
-    def end_timed_out(self) -> RequestEnd:
-        """End a request whose time limit has expired."""
-        elapsed_ms = now_ms() - self._request.arrived_at_ms
-        is_route_timeout = elapsed_ms >= self._request.route.timeout_ms - MIN_TIME_LEFT_MS
-        reason = Reason.ROUTE_TIMEOUT if is_route_timeout else Reason.DEADLINE_PASSED
-        if self._progress.began or self._caller.started:
-            return self._abort_answer(reason)
-        ran = self._progress.sends > 0
-        return self._send_own_answer(504 if ran else 503, reason, ran, DEFAULT_RETRY_AFTER_MS)
-
-    def _send_own_answer(
-        self, status: int, reason: Reason, ran: bool, retry_after_ms: float
-    ) -> RequestEnd:
-        sent = self._progress.sends > 0
-        own_answer = OwnAnswer(
-            ran,
-            retry_after_ms,
-            sent,
-            self._ended_server,
-            is_region_full=not sent and reason in REGION_FULL_REASONS,
-        )
-        headers = self._dependencies.refusal_headers(own_answer)
-        self._caller.answer(status, headers, b"")
-        return self._make_end(status, reason, ran)
-
-    def _abort_answer(self, reason: Reason) -> RequestEnd:
-        """Close the connection without the final chunk so that the truncation is visible."""
-        self._caller.closing = True
-        return self._make_end(0, reason)
-
-    def _make_end(self, status: int, reason: Reason, ran: bool = True) -> RequestEnd:
-        return RequestEnd(status, reason, ran, self.placement, self.refusal, self._progress)
-
 
 def may_send_elsewhere(request: RoutedRequest, progress: Progress) -> bool:
     """Tell whether a request waiting for an unresponsive server may be sent elsewhere."""
