--- a/benchmarks/_decide_world.py
+++ b/benchmarks/_decide_world.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 from benchmarks._decide_caller import CallerView
 from benchmarks._decide_draws import Draw
@@ -11,15 +11,8 @@
 from benchmarks._decide_time import SimulatedTime
 from sparline._cbor import unpack
 from sparline._ids import BackendServerId
-from sparline.fleet import (
-    BackendServer,
-    Datagram,
-    ServerLoad,
-    sum_loads,
-)
-
-if TYPE_CHECKING:
-    from benchmarks._decide_node import Node
+from sparline.fleet import BackendServer, Datagram, GossipPort, ServerLoad, sum_loads
+from sparline.placement import LoadTable
 
 IN_REGION_MS = 0.3
 SEEDS_A_REGION = 2
@@ -27,16 +20,27 @@
 Table = TypeVar("Table")
 
 
+class Instance(Protocol):
+    """Define what the deployment needs of an instance in it."""
+
+    region: str
+    loads: LoadTable  # its requests in flight by server
+    port: GossipPort  # takes datagrams
+
+
+InstanceType = TypeVar("InstanceType", bound=Instance)
+
+
 @dataclass(slots=True)
-class World:
+class World(Generic[InstanceType]):
     """Hold one deployment while it is played."""
 
     draw: Draw  # what it is
     time: SimulatedTime  # its clock
     engines: dict[str, ModelEngine]  # by id
     servers: list[BackendServer]  # the same, as instances know them
-    nodes: dict[str, list["Node"]] = field(default_factory=dict)  # instances, by region
-    by_ip: dict[str, "Node"] = field(default_factory=dict)  # the same
+    nodes: dict[str, list[InstanceType]] = field(default_factory=dict)  # instances, by region
+    by_ip: dict[str, InstanceType] = field(default_factory=dict)  # the same
     views: list[CallerView] = field(default_factory=list)  # all callers
     known: frozenset[Known] = frozenset()  # what instances share without delay
     choice_seed: int = 0  # seed of what the choice draws at random, beside the deployment's
