--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -291,12 +291,18 @@
         cold_ms = service.cold_start_ms if service else 0.0
         return replace(server, cold_until_ms=max(server.cold_until_ms, now_ms() + cold_ms))
 
-    def _update_evacuated(self, revision: int) -> None:
-        evacuated = {one.zone for one in self._evacuations.values()}
-        # Without requests, servers turn cold; their entries may say so too late.
+    def _mark_cold_in(self, returned_zones: set[ZoneName]) -> None:
+        """Mark the servers of zones that were evacuated as cold.
+
+        Without requests they turn cold, and their entries may say so too late.
+        """
         for server in list(self.servers.values()):
-            if server.zone in self.evacuated - evacuated:
+            if server.zone in returned_zones:
                 self._put_server(self._mark_cold(server))
+
+    def _update_evacuated(self, revision: int) -> None:
+        evacuated = {one.zone for one in self._evacuations.values()}
+        self._mark_cold_in(self.evacuated - evacuated)
         self.evacuated = evacuated
         log.bind(zones=sorted(self.evacuated), revision=revision).info("evacuated_zones")
 
