--- a/benchmarks/_bounds_run.py
+++ b/benchmarks/_bounds_run.py
@@ -32,7 +32,7 @@
 CALLER_TIMEOUT_S = 8.0
 REPEATS = RepeatRule(RETRIES.ratio, RETRIES.slack, RETRIES.window_s * 1000.0)
 COLD = ColdRule(per_s=4.0, excess=1.5, slack=3.0)
-COLD_START_S = 3.0
+COLD_START_S = 6.0
 # Time that a leaving server may still get requests after the store has taken its word (ms).
 DRAIN_MS = 3_000.0
 # Time without a fault after which an instance is bound by that (s).
@@ -255,6 +255,20 @@
     return [_cold_finding(run, names, cold_since_ms, cold_since_ms + COLD_START_S * 1000)]
 
 
+def _return_and_restart(run: BoundsRun) -> list[Finding]:
+    """The same, and all instances are killed as the zone is taken back and start again."""
+    names = [name for name, (zone, _, _) in run.fleet.shape.servers.items() if zone == NORTH]
+    evacuate(run.fleet.store, NORTH)
+    run.start()
+    gevent.sleep(SETTLE_S)
+    take_back(run.fleet.store, NORTH)
+    cold_since_ms = now_ms()
+    run.restart_all()
+    gevent.sleep(COLD_START_S)
+    run.stop()
+    return [_cold_finding(run, names, cold_since_ms, cold_since_ms + COLD_START_S * 1000)]
+
+
 def _cold_restart(run: BoundsRun) -> list[Finding]:
     """Servers say that they are cold; all instances are killed and start again at once."""
     run.start()
@@ -262,7 +276,7 @@
     for one in run.fleet.gateways.values():
         one.signal(signal.SIGKILL)
     since_ms = now_ms()
-    cold_ms = 3 * COLD_START_S * 1000
+    cold_ms = 1.5 * COLD_START_S * 1000
     for name in run.fleet.shape.servers:
         run.fleet.list_server(name, cold_remaining_ms=cold_ms)
     run.restart_all()
@@ -280,6 +294,7 @@
     "silent-watches": _silent_watches,
     "frozen-sibling": _frozen_sibling,
     "zone-returns": _zone_returns,
+    "return-and-restart": _return_and_restart,
     "cold-restart": _cold_restart,
 }
 
--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -28,3 +28,8 @@
 def test_silent_watches_hide_that_a_server_has_left(capsys):
     # Nothing showed that the connections to the store were silent, until a watch ended.
     assert_bounds_hold(capsys, "silent-watches", "--gateways", "6", "--rate", "60")
+
+
+def test_restarted_instances_flood_the_servers_of_a_zone_that_returned_before(capsys):
+    # They had not seen that the zone was evacuated, and nothing else told that its servers were cold.
+    assert_bounds_hold(capsys, "return-and-restart", "--rate", "200")
