Ask the store's history at a restart whether a zone has just returned

Callers of instances that started again met cold servers that all instances flooded: nothing in the store's items says that a zone was evacuated until a moment ago.

Change: a process that had one before it asks, right after its first full read, for the last 16 changes (4 or 1 where the history is shorter); an evacuation that was deleted there makes the zone's servers cold for their service's cold_start_s. Requests are served meanwhile; one to three calls of the store a start.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -129,6 +129,18 @@
             return
         self._remove(server_id, "entry_gone")
 
+    def note_recent_change(self, change: StoreChange) -> None:
+        """Take account of a change made before this process started.
+
+        Only the end of an evacuation leaves no trace in the current items.
+        """
+        if change.value is not None:
+            return
+        item = self._read_item(replace(change, value=b""))
+        if isinstance(item, EvacuationItem) and item.zone not in self.evacuated:
+            log.bind(zone=item.zone, revision=change.revision).info("zone_returned_before_start")
+            self._mark_cold_in({item.zone})
+
     def _take_evacuation(self, change: StoreChange, zone: ZoneName) -> None:
         """Apply an evacuation; one from an older copy that was taken back must be confirmed."""
         was_taken_back = self._taken_back.get(change.key) == change.revision
--- a/sparline/fleet/tests/test_fleet_state.py
+++ b/sparline/fleet/tests/test_fleet_state.py
@@ -146,6 +146,21 @@
     assert cold_ms["s2"] < 0
 
 
+def test_servers_of_a_zone_that_returned_before_the_start_count_as_cold(state, clock):
+    # Only the deletion in the store's history tells; a change that left its item there is no end.
+    evacuation = EvacuationItem(SERVER.zone)
+    state._read_item = lambda change: (
+        evacuation if change.key == "zone" else ITEMS.get(change.value, UnknownItem())
+    )
+    put(state, b"new")
+    put(state, b"server", key="servers/s1")
+    state.note_recent_change(StoreChange("servers/s9", 3, None))
+    state.note_recent_change(StoreChange("zone", 4, b"zone"))
+    assert state.servers[SERVER.id].cold_until_ms < clock[0]
+    state.note_recent_change(StoreChange("zone", 5, None))
+    assert state.servers[SERVER.id].cold_until_ms == clock[0] + 3_000.0
+
+
 def test_server_that_leaves_stays_so_when_an_older_copy_says_otherwise(state, clock):
     put(state, b"server", b"leaving server", key="servers/s1")
     restore(state, "servers/s1", b"server")
--- a/sparline/fleet/tests/test_store_reader.py
+++ b/sparline/fleet/tests/test_store_reader.py
@@ -111,6 +111,37 @@
     assert reader.outage_age_ms() == 0.0
 
 
+HISTORIES = [
+    ("the longest that is held", [Ok(StoreAnswer([B2], at(20)))], ["watch 4"], [B2]),
+    ("a shorter one", [fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([B2], at(20)))], ["watch 4", "watch 16"], [B2]),
+    ("none", [fault(StoreFaultKind.HISTORY_GONE)] * 3, ["watch 4", "watch 16", "watch 19"], []),
+    ("the store fails", [fault(StoreFaultKind.REFUSED)], ["watch 4"], []),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("answers", "calls", "reported"),
+    [row[1:] for row in HISTORIES],
+    ids=[row[0] for row in HISTORIES],
+)
+def test_restarted_process_asks_for_recent_changes_once(monkeypatch, answers, calls, reported):
+    monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
+    after_start = [fault(StoreFaultKind.HISTORY_GONE), Ok(StoreAnswer([A1], at(21)))]
+    store = ScriptedStore(Ok(StoreAnswer([A1], at(20))), *answers, *after_start)
+    recent: list[StoreChange] = []
+    reader = StoreReader(
+        store,
+        copy_of({}),
+        lambda _call, _result: None,
+        lambda: at(0),
+        on_recent_change=recent.append,
+    )
+    with pytest.raises(IndexError):
+        reader.run()
+    assert store.calls == ["read", *calls, "watch 20", "read", "watch 21"]
+    assert recent == reported
+
+
 def test_watches_that_start_together_time_out_at_different_times(monkeypatch):
     monkeypatch.setattr(_store_reader.gevent, "sleep", lambda _s: None)
     waits = []
