Ask the store's history for evacuations alone, the latest first

The commit before asked for the last 16, 4 or 1 changes of any kind. It would also have read large configurations again.

Change: watches of the evacuations' prefix alone, which answer with a few bytes, over 2, 4, 8, 16 and 32 revisions until the history ends.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -129,10 +129,10 @@
             return
         self._remove(server_id, "entry_gone")
 
-    def note_recent_change(self, change: StoreChange) -> None:
-        """Take account of a change made before this process started.
+    def note_past_evacuation(self, change: StoreChange) -> None:
+        """Take account of a change of an evacuation before this process started.
 
-        Only the end of an evacuation leaves no trace in the current items.
+        The current items tell which evacuations hold, but not which have just ended.
         """
         if change.value is not None:
             return
--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -45,10 +45,9 @@
 READ_TIMEOUT_MS = 4_000
 # Additional time allowed for the response of a watch after its wait (ms).
 WATCH_SLACK_MS = 1_500
-# How many revisions back a process that starts again asks for recent changes (count): the first of
-# these that the store's history still holds. Requests are served meanwhile, and each call takes a
-# round trip.
-HISTORY_STEPS = (16, 4, 1)
+# How many revisions back a process that starts again asks for evacuations (count), until the store's
+# history is too short: the latest first, because requests are served meanwhile.
+HISTORY_STEPS = (2, 4, 8, 16, 32)
 # Base and maximum backoff after a fault (ms). The base is doubled at each failure in a row, and the
 # pause has random jitter: all instances meet the same outage, and rejected calls count against the
 # store's rate limit too.
@@ -108,6 +107,10 @@
         """Wait up to `wait_ms` for changes after a revision."""
         ...
 
+    def evacuation_changes(self, after: int, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
+        """Return the changes of evacuations after a revision, without waiting for any."""
+        ...
+
     def interrupt(self) -> None:
         """Abort the pending call, if any."""
         ...
@@ -125,14 +128,14 @@
         watcher_count: Callable[[], int] = lambda: 1,
         is_watcher: Callable[[], bool] = lambda: True,
         is_first_watcher: Callable[[], bool] = lambda: False,
-        on_recent_change: Callable[[StoreChange], None] | None = None,
+        on_past_evacuation: Callable[[StoreChange], None] | None = None,
     ) -> None:
         """Create a reader that starts with a full read.
 
         `on_call` counts calls by kind and result; `watcher_count` returns how many instances watch
         the store, `is_watcher` whether this one does, and `is_first_watcher` whether it is the
-        first of its region to do so. `on_recent_change`, if given, is called with each change that
-        the store's history holds when this process starts.
+        first of its region to do so. `on_past_evacuation`, if given, is called with each change
+        of an evacuation that the store's history holds when this process starts.
         """
         self.answered_at_ms = 0.0  # time of the store's last response, 0 for never
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
@@ -148,7 +151,7 @@
         self._watcher_count = watcher_count
         self._is_watcher = is_watcher
         self._is_first_watcher = is_first_watcher
-        self._on_recent_change = on_recent_change
+        self._on_past_evacuation = on_past_evacuation
         self._delay_until_ms = 0.0  # end of the delay after the last response
         self._needs_full_read = True
         self._failures = 0
@@ -191,25 +194,27 @@
 
     def _apply_full_read(self, changes: list[StoreChange], position: StorePosition) -> bool:
         is_applied = self._copy.replace(changes, position)
-        on_recent_change, self._on_recent_change = self._on_recent_change, None
-        if on_recent_change is not None:
-            for change in self._read_history(position):
-                on_recent_change(change)
+        if self._on_past_evacuation is not None:
+            self._read_past_evacuations(position, self._on_past_evacuation)
+            self._on_past_evacuation = None
         return is_applied
 
-    def _read_history(self, position: StorePosition) -> list[StoreChange]:
-        """Return the changes that led to a position, as far back as the history goes."""
+    def _read_past_evacuations(
+        self, position: StorePosition, report: Callable[[StoreChange], None]
+    ) -> None:
+        """Report the changes of evacuations that led to a position, as far as the history goes."""
         for step in HISTORY_STEPS:
             after = max(position.revision - step, 0)
-            match self._client.watch(after, 0, READ_TIMEOUT_MS):
+            match self._client.evacuation_changes(after, READ_TIMEOUT_MS):
                 case Ok(news):
                     self._on_call("history", "answered")
-                    return news.changes
+                    for change in news.changes:
+                        report(change)
                 case Err(fault):
                     self._on_call("history", fault.kind.value)
-                    if fault.kind is not StoreFaultKind.HISTORY_GONE:
-                        return []
-        return []
+                    return
+            if not after:
+                return
 
     def _require_known_era(self, news: StoreAnswer) -> Result[StoreAnswer, StoreFault]:
         """Reject the list of an era before the one held, which a peer may have told."""
--- a/sparline/fleet/tests/store_stubs.py
+++ b/sparline/fleet/tests/store_stubs.py
@@ -42,5 +42,8 @@
         self.timeouts.append(timeout_ms)
         return self._next(f"watch {after}")
 
+    def evacuation_changes(self, after: int, timeout_ms: float):
+        return self._next(f"evacuations {after}")
+
     def interrupt(self) -> None:
         self.calls.append("interrupt")
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -122,7 +122,7 @@
             lambda: WATCHERS_PER_ZONE * len(zones),
             lambda: is_store_watcher(self.members),
             lambda: is_first_watcher(self.members),
-            None if settings.first_start else self.fleet.note_recent_change,
+            None if settings.first_start else self.fleet.note_past_evacuation,
         )
         self._relay_port = split_address(settings.listen.relay)[1]
         last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -84,7 +84,16 @@
 
     def watch(self, after: int, wait_ms: int, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
         """Wait for changes after a revision and return them."""
-        query = {"path_prefix": ALL_KEYS, "after": after, "wait_ms": wait_ms}
+        return self._watch(ALL_KEYS, after, wait_ms, timeout_ms)
+
+    def evacuation_changes(self, after: int, timeout_ms: float) -> Result[StoreAnswer, StoreFault]:
+        """Return the changes of evacuations after a revision, without waiting for any."""
+        return self._watch(names.EVACUATION_PREFIX, after, 0, timeout_ms)
+
+    def _watch(
+        self, prefix: str, after: int, wait_ms: int, timeout_ms: float
+    ) -> Result[StoreAnswer, StoreFault]:
+        query = {"path_prefix": prefix, "after": after, "wait_ms": wait_ms}
         content = self._call(names.WATCH_KEYS, query, timeout_ms)
         page = content.and_then(lambda found: _decode(found.body, _WatchNode))
         if page.is_err():
