--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,8 @@
 import sys
 
 from benchmarks._baselines import POLICIES
-from benchmarks._bounds_run import SITUATIONS, bounds
+from benchmarks._bounds_command import bounds
+from benchmarks._bounds_situations import SITUATIONS
 from benchmarks._choice_cost import choice_cost
 from benchmarks._control import control
 from benchmarks._cpu import cpu
--- a/benchmarks/_bounds_run.py
+++ b/benchmarks/_bounds_run.py
@@ -1,49 +1,24 @@
-"""Gateway processes driven into situations that the operators bound, with the figures seen."""
+"""Requests at a steady rate to gateway processes, and what reached the backend servers."""
 
-import argparse
-import json
 import random
 import signal
-import subprocess
-import sys
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
 from gevent.pool import Pool
 
-from benchmarks._bounds import (
-    ColdRule,
-    RepeatRule,
-    SeenArrival,
-    SentRequest,
-    latest_after_ms,
-    most_in_a_second,
-    worst_repeat_window,
-)
-from benchmarks._gateway_fleet import FleetShape, GatewayFleet
-from benchmarks._gateway_settings import RETRIES
+from benchmarks._bounds import SeenArrival, SentRequest
+from benchmarks._gateway_fleet import GatewayFleet
 from sparline._clock import now_ms
-from standins import SealedFaults, configuration, evacuate, take_back
 
 NORTH, SOUTH = "north-1", "south-1"
-TARGET = "/safe/x"
-CALLER_TIMEOUT_S = 8.0
-REPEATS = RepeatRule(RETRIES.ratio, RETRIES.slack, RETRIES.window_s * 1000.0)
-COLD = ColdRule(per_s=4.0, excess=1.5, slack=3.0)
-COLD_START_S = 6.0
-# Time that a leaving server may still get requests after the store has taken its word (ms).
-DRAIN_MS = 3_000.0
-# Time without a fault after which an instance is bound by that (s).
-CONTACT_S = 5.0
-# Time in which instances come to know and to serve each other after their start (s).
-SETTLE_S = 4.0
-BUSY_LOOP = "while True: pass"
 # Plain servers: three in the north, three in the south.
 SERVERS = {
     f"p{zone[0]}{number}": (zone, "plain", 0) for zone in (NORTH, SOUTH) for number in range(3)
 }
+TARGET = "/safe/x"
+CALLER_TIMEOUT_S = 8.0
 
 
 @dataclass(slots=True)
@@ -114,225 +89,3 @@
         for one in self.fleet.gateways.values():
             one.process.wait()
             one.start()
-
-
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """Hold a bounded figure."""
-
-    what: str
-    seen: float
-    allowed: float
-
-    @property
-    def is_broken(self) -> bool:
-        """Tell whether the bound is exceeded."""
-        return self.seen > self.allowed
-
-
-def _repeats(run: BoundsRun) -> Finding:
-    worst = worst_repeat_window(run.sent, run.arrivals(), REPEATS)
-    return Finding("arrivals beyond the first in 10 s", worst.repeats, round(worst.allowed, 1))
-
-
-def _passed_on(run: BoundsRun) -> list[Finding]:
-    """All callers are in the north, whose servers are evacuated; the south's turn work away."""
-    run.zones = (NORTH,)
-    evacuate(run.fleet.store, NORTH)
-    gevent.sleep(SETTLE_S)
-    for name, (zone, _, _) in run.fleet.shape.servers.items():
-        if zone == SOUTH:
-            run.fleet.servers[name].faults = SealedFaults(refuse=True)
-    run.start()
-    gevent.sleep(2.2 * REPEATS.window_ms / 1000)
-    run.stop()
-    return [_repeats(run)]
-
-
-def _restarted(run: BoundsRun) -> list[Finding]:
-    """All servers turn work away; twice in a window all instances are killed and start again."""
-    for server in run.fleet.servers.values():
-        server.faults = SealedFaults(refuse=True)
-    run.start()
-    gevent.sleep(0.6 * REPEATS.window_ms / 1000)
-    for _ in range(2):
-        run.restart_all()
-        gevent.sleep(0.4 * REPEATS.window_ms / 1000)
-    run.stop()
-    return [_repeats(run)]
-
-
-def _leave(
-    run: BoundsRun, leave: Callable[[str], None], before: Callable[[], None]
-) -> list[Finding]:
-    run.start()
-    gevent.sleep(SETTLE_S)
-    before()
-    at_ms = now_ms()
-    leave("pn0")
-    gevent.sleep(2.5 * DRAIN_MS / 1000)
-    run.stop()
-    late_ms = latest_after_ms(run.times_at("pn0"), at_ms)
-    return [Finding("ms from a server's leaving to its last request", round(late_ms), DRAIN_MS)]
-
-
-def _says_draining(run: BoundsRun) -> Callable[[str], None]:
-    return lambda name: run.fleet.list_server(name, state="draining")
-
-
-def _entry_goes(run: BoundsRun) -> Callable[[str], None]:
-    return lambda name: run.fleet.store.delete(f"servers/{name}")
-
-
-def _draining(run: BoundsRun) -> list[Finding]:
-    """A server says that it leaves."""
-    return _leave(run, _says_draining(run), lambda: None)
-
-
-def _gone(run: BoundsRun) -> list[Finding]:
-    """A server's entry goes, without a word."""
-    return _leave(run, _entry_goes(run), lambda: None)
-
-
-def _gone_after_cut(run: BoundsRun) -> list[Finding]:
-    """The store cuts the waiting watches, as it may; soon one entry changes and another one goes."""
-
-    def cut() -> None:
-        run.fleet.store.cut_watches()
-        gevent.sleep(run.rng.uniform(0.3, 2.0))
-        run.fleet.list_server("pn1", sequence=2)
-        gevent.sleep(0.05)
-
-    return _leave(run, _entry_goes(run), cut)
-
-
-def _silent_watches(run: BoundsRun) -> list[Finding]:
-    """All connections to the store go silent; when that is over for the rules, an entry goes."""
-
-    def silence() -> None:
-        for gateway in run.fleet.gateways.values():
-            gateway.store_proxy.silence_open()
-        gevent.sleep(CONTACT_S)
-
-    return _leave(run, _entry_goes(run), silence)
-
-
-def _frozen_sibling(run: BoundsRun) -> list[Finding]:
-    """Half of the instances freeze just as a server's leaving is told to the others."""
-    frozen = run.rng.sample(sorted(run.fleet.gateways), len(run.fleet.gateways) // 2)
-
-    def leave(name: str) -> None:
-        run.fleet.list_server(name, state="draining")
-        gevent.spawn_later(run.rng.uniform(0.02, 0.6), freeze)
-
-    def freeze() -> None:
-        for one in frozen:
-            run.fleet.gateways[one].signal(signal.SIGSTOP)
-
-    try:
-        return _leave(run, leave, lambda: None)
-    finally:
-        for one in frozen:
-            run.fleet.gateways[one].signal(signal.SIGCONT)
-
-
-def _cold_finding(run: BoundsRun, names: list[str], since_ms: float, until_ms: float) -> Finding:
-    most = max(most_in_a_second(run.times_at(one), since_ms, until_ms) for one in names)
-    return Finding("requests to a cold server in a second", most, COLD.most_in_a_second)
-
-
-def _zone_returns(run: BoundsRun) -> list[Finding]:
-    """An evacuated zone is taken back; its servers have turned cold and not said so."""
-    names = [name for name, (zone, _, _) in run.fleet.shape.servers.items() if zone == NORTH]
-    evacuate(run.fleet.store, NORTH)
-    run.start()
-    gevent.sleep(SETTLE_S)
-    cold_since_ms = now_ms()
-    gevent.sleep(1.0)
-    take_back(run.fleet.store, NORTH)
-    gevent.sleep(COLD_START_S)
-    run.stop()
-    return [_cold_finding(run, names, cold_since_ms, cold_since_ms + COLD_START_S * 1000)]
-
-
-def _return_and_restart(run: BoundsRun) -> list[Finding]:
-    """The same, and all instances are killed as the zone is taken back and start again."""
-    names = [name for name, (zone, _, _) in run.fleet.shape.servers.items() if zone == NORTH]
-    evacuate(run.fleet.store, NORTH)
-    run.start()
-    gevent.sleep(SETTLE_S)
-    take_back(run.fleet.store, NORTH)
-    cold_since_ms = now_ms()
-    run.restart_all()
-    gevent.sleep(COLD_START_S)
-    run.stop()
-    return [_cold_finding(run, names, cold_since_ms, cold_since_ms + COLD_START_S * 1000)]
-
-
-def _cold_restart(run: BoundsRun) -> list[Finding]:
-    """Servers say that they are cold; all instances are killed and start again at once."""
-    run.start()
-    gevent.sleep(SETTLE_S)
-    for one in run.fleet.gateways.values():
-        one.signal(signal.SIGKILL)
-    since_ms = now_ms()
-    cold_ms = 1.5 * COLD_START_S * 1000
-    for name in run.fleet.shape.servers:
-        run.fleet.list_server(name, cold_remaining_ms=cold_ms)
-    run.restart_all()
-    gevent.sleep(cold_ms / 1000)
-    run.stop()
-    return [_cold_finding(run, sorted(run.fleet.servers), since_ms, since_ms + cold_ms)]
-
-
-SITUATIONS: dict[str, Callable[[BoundsRun], list[Finding]]] = {
-    "passed-on": _passed_on,
-    "restarted": _restarted,
-    "draining": _draining,
-    "gone": _gone,
-    "gone-after-cut": _gone_after_cut,
-    "silent-watches": _silent_watches,
-    "frozen-sibling": _frozen_sibling,
-    "zone-returns": _zone_returns,
-    "return-and-restart": _return_and_restart,
-    "cold-restart": _cold_restart,
-}
-
-
-def bounds(options: argparse.Namespace) -> int:
-    """Play one situation and return an exit code."""
-    half = options.gateways // 2
-    shape = FleetShape((NORTH,) * (options.gateways - half) + (SOUTH,) * half, SERVERS, False)
-    busy = [subprocess.Popen([sys.executable, "-c", BUSY_LOOP]) for _ in range(options.busy)]
-    try:
-        with GatewayFleet(shape) as fleet:
-            findings, run = _play(fleet, options)
-            folder = fleet.folder
-    finally:
-        for process in busy:
-            process.kill()
-            process.wait()
-    result = {
-        "situation": options.situation,
-        "seed": options.seed,
-        "gateways": options.gateways,
-        "busy": options.busy,
-        "requests": len(run.sent),
-        "statuses": dict(sorted(run.statuses.items())),
-        "findings": [
-            {"what": one.what, "seen": one.seen, "allowed": one.allowed} for one in findings
-        ],
-    }
-    is_broken = any(one.is_broken for one in findings)
-    if is_broken:
-        print(f"logs in {folder}", file=sys.stderr)
-    print(json.dumps(result))
-    return 1 if is_broken else 0
-
-
-def _play(fleet: GatewayFleet, options: argparse.Namespace) -> tuple[list[Finding], BoundsRun]:
-    cold = {"cold_start_s": COLD_START_S, "cold_per_s": COLD.per_s}
-    fleet.store.put("op/config", configuration(2, plain=cold))
-    gevent.sleep(SETTLE_S)
-    run = BoundsRun(fleet, random.Random(options.seed), options.rate)
-    return SITUATIONS[options.situation](run), run
