--- a/sparline/fleet/_store_reader.py
+++ b/sparline/fleet/_store_reader.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from math import inf
 from typing import Protocol
 
 import gevent
@@ -13,6 +12,7 @@
 from sparline._clock import now_ms
 from sparline._logging import log
 from sparline.fleet._store_copy import StoreChange, StoreCopyTable, StorePosition
+from sparline.fleet._store_outage import StoreOutage
 
 # Maximum wait of a watch (ms), and the minimum fraction of it; the wait is random in between. A
 # change ends the watches of all instances at the same time, so their next watches start together,
@@ -141,9 +141,7 @@
         self.last_fault_at_ms = 0.0  # time of the last failed call, 0 for never
         self.era = 0  # era of the store's last response
         self._restored_at_ms = 0.0  # when a new era was met, 0 for never
-        self._has_outage = False  # whether the last call failed, other than by an interruption
-        self._is_interrupted = False  # whether this instance itself aborted the pending call
-        self._recovered_at_ms = -inf  # end of the last outage, as far as is known
+        self.outage = StoreOutage()  # decides whether a missing entry may be renewed
         self._client = client
         self._copy = copy
         self._on_call = on_call
@@ -168,12 +166,6 @@
         """Return the time of the last failed call or restoration, 0 for never."""
         return max(self.last_fault_at_ms, self._restored_at_ms)
 
-    def outage_age_ms(self) -> float:
-        """Return the time since the store's last outage ended, 0 during one, infinite for none."""
-        if self._has_outage:
-            return 0.0
-        return now_ms() - max(self._recovered_at_ms, self._restored_at_ms or -inf)
-
     def needs_peers(self) -> bool:
         """Return whether this instance gets store changes from peers instead of the store."""
         return not self.reached() or not self._is_watcher()
@@ -260,10 +252,6 @@
                 return
             gevent.sleep(WATCHER_CHECK_MS / 1000)
 
-    def record_peer_outage(self, age_ms: float) -> None:
-        """Record a store outage seen by the peer whose copy is applied, and when it ended."""
-        self._recovered_at_ms = max(self._recovered_at_ms, now_ms() - age_ms)
-
     def _handle_answer(
         self,
         answer: Result[StoreAnswer, StoreFault],
@@ -273,7 +261,6 @@
         match answer:
             case Ok(news):
                 self._on_call(call, "answered")
-                self._is_interrupted = False
                 self._record_answer()
                 self._needs_full_read = False
                 self._note_position(call, news.position)
@@ -311,6 +298,7 @@
         held = self._copy.position
         if held.revision and held.era != era:
             self._restored_at_ms = now_ms()
+            self.outage.note_end()
         self.era = era
 
     def _watch_delay_ms(self) -> float:
@@ -322,9 +310,7 @@
     def _record_answer(self) -> None:
         if self._failures or not self.answered_at_ms:
             log.bind(failures=self._failures, revision=self._copy.revision).info("store_reached")
-        if self._has_outage:
-            self._recovered_at_ms = now_ms()
-        self._has_outage = False
+        self.outage.note_answer()
         self._failures = 0
         self.answered_at_ms = now_ms()
 
@@ -335,9 +321,7 @@
             return
         self._failures += 1
         self.last_fault_at_ms = now_ms()
-        # A call that this instance aborted says nothing of the store, which answers its peers.
-        self._has_outage = self._has_outage or not self._is_interrupted
-        self._is_interrupted = False
+        self.outage.note_failed_call()
         if self._failures == 1:
             log.bind(call=call, fault=fault.kind.value, text=fault.text).warning("store_lost")
         backoff_ms = min(BASE_BACKOFF_MS * 2**self._failures, MAX_BACKOFF_MS)
@@ -359,6 +343,6 @@
             "store_watch_behind"
         )
         self.last_fault_at_ms = now_ms()
-        self._is_interrupted = True
+        self.outage.note_abort()
         self._client.interrupt()
         return True
--- a/sparline/fleet/tests/test_fleet_state.py
+++ b/sparline/fleet/tests/test_fleet_state.py
@@ -12,6 +12,7 @@
     StoreReader,
     UnknownItem,
     _fleet_state,
+    _store_outage,
     _store_reader,
 )
 from sparline.fleet.tests.store_stubs import ScriptedStore, at, copy_of
@@ -282,11 +283,11 @@
 
 def test_outage_seen_by_a_peer_keeps_expired_entries(state, monkeypatch):
     clock = [100_000.0]
-    for module in (_fleet_state, _store_reader):
+    for module in (_fleet_state, _store_outage, _store_reader):
         monkeypatch.setattr(module, "now_ms", lambda: clock[0])
     reader = StoreReader(ScriptedStore(), copy_of({}), lambda _call, _result: None, lambda: at(0))
-    state._outage_age_ms = reader.outage_age_ms
+    state._outage_age_ms = reader.outage.age_ms
     put(state, b"server", key="servers/s1")
-    reader.record_peer_outage(1_000.0)
+    reader.outage.note_end(1_000.0)
     state.take(StoreChange("servers/s1", 9, None))
     assert SERVER.id in state.servers
--- a/sparline/fleet/tests/test_store_reader.py
+++ b/sparline/fleet/tests/test_store_reader.py
@@ -106,9 +106,9 @@
     clock[0] += _store_reader.STALE_WATCH_MS + 1
     assert reader.interrupt_stale_watch()
     reader._record_fault("watch", StoreFault(StoreFaultKind.UNREACHABLE, "closed"))
-    assert reader.outage_age_ms() == inf
+    assert reader.outage.age_ms() == inf
     reader._record_fault("watch", StoreFault(StoreFaultKind.UNREACHABLE, "refused"))
-    assert reader.outage_age_ms() == 0.0
+    assert reader.outage.age_ms() == 0.0
 
 
 HISTORIES = [
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -106,7 +106,7 @@
         self.fleet = FleetState(
             ItemReader(zones),
             self.metrics.bad_items.inc,
-            lambda: self.reader.outage_age_ms(),
+            lambda: self.reader.outage.age_ms(),
             zones,
             self._on_server_restart,
             self._on_server_gone,
@@ -163,7 +163,7 @@
             self.copy,
             self.request_log,
             self.pace,
-            self.reader.outage_age_ms,
+            self.reader.outage.age_ms,
             self._may_be_outdated,
             self.quotas,
             self.admission,
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -154,7 +154,7 @@
         if copy.disturbed_ago_ms is not None:
             # Recorded before the items are applied, so that entries that lapsed during the
             # store's outage are kept.
-            self._reader.record_peer_outage(copy.disturbed_ago_ms)
+            self._reader.outage.note_end(copy.disturbed_ago_ms)
         is_taken = self._copy.take_copy(copy)
         text = f"era {copy.era}, revision {copy.revision}"
         self._record_result(peer, "taken" if is_taken else "ignored", text)
