Let no run on the bounds hold because nothing was sent

Found on reading the diff: a server that got no request before it left, or a service without a repeat, held the bound trivially; both are now failed assertions. The configuration is written by `publish`, so that no wire name stands in the runs.

--- a/benchmarks/_bounds_command.py
+++ b/benchmarks/_bounds_command.py
@@ -11,7 +11,7 @@
 from benchmarks._bounds_run import NORTH, SERVERS, SOUTH, BoundsRun
 from benchmarks._bounds_situations import COLD, COLD_START_S, SETTLE_S, SITUATIONS, Finding
 from benchmarks._gateway_fleet import FleetShape, GatewayFleet
-from standins import configuration
+from standins import publish
 
 BUSY_LOOP = "while True: pass"
 
@@ -49,7 +49,7 @@
 
 def _play(fleet: GatewayFleet, options: argparse.Namespace) -> tuple[list[Finding], BoundsRun]:
     cold = {"cold_start_s": COLD_START_S, "cold_per_s": COLD.per_s}
-    fleet.store.put("op/config", configuration(2, plain=cold))
+    publish(fleet.store, 2, plain=cold)
     gevent.sleep(SETTLE_S)
     run = BoundsRun(fleet, random.Random(options.seed), options.rate)
     return SITUATIONS[options.situation](run), run
--- a/benchmarks/_bounds_situations.py
+++ b/benchmarks/_bounds_situations.py
@@ -46,6 +46,7 @@
 
 def _repeats(run: BoundsRun) -> Finding:
     worst = worst_repeat_window(run.sent, run.arrivals(), REPEATS)
+    assert worst.repeats, "expected repeats, found none"
     return Finding("arrivals beyond the first in 10 s", worst.repeats, round(worst.allowed, 1))
 
 
@@ -79,10 +80,12 @@
 def _leave(
     run: BoundsRun, leave: Callable[[str], None], before: Callable[[], None]
 ) -> list[Finding]:
+    """Let a server in use leave, after what happens before that."""
     run.start()
     gevent.sleep(SETTLE_S)
     before()
     at_ms = now_ms()
+    assert run.times_at("pn0"), "expected requests to the server before it leaves, found none"
     leave("pn0")
     gevent.sleep(2.5 * DRAIN_MS / 1000)
     run.stop()
@@ -170,7 +173,7 @@
 
 
 def _return_and_restart(run: BoundsRun) -> list[Finding]:
-    """The same, and all instances are killed as the zone is taken back and start again."""
+    """All instances are killed as an evacuated zone is taken back, and start again."""
     names = [name for name, (zone, _, _) in run.fleet.shape.servers.items() if zone == NORTH]
     evacuate(run.fleet.store, NORTH)
     run.start()
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -73,9 +73,10 @@
     version: int,
     routes: dict[str, dict[str, Any]] | None = None,
     more_services: tuple[str, ...] = (),
+    plain: dict[str, Any] | None = None,
 ) -> int:
     """Put a version into force; return the store's revision."""
-    return store.put(CONFIGURATION_KEY, configuration(version, routes, more_services))
+    return store.put(CONFIGURATION_KEY, configuration(version, routes, more_services, plain))
 
 
 def published_version(store: KeyStore) -> int:
