Log and count the end of answers that only their connection ends

Neither a line nor a counter told how a server's answer was framed, so that the hypotheses on the answer that was framed as complete could not be told apart. Adds the line unframed_answer_ended (request, end, whole events, server, peer) and sparline_unframed_answers_total{end}.

--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -6,6 +6,7 @@
     AttemptResult,
     InterruptedAttempt,
     Progress,
+    UnframedEnd,
 )
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._forwarder import (
@@ -40,6 +41,7 @@
     "RetryRule",
     "RetryUsage",
     "RetryWindow",
+    "UnframedEnd",
     "Wire",
     "may_send_elsewhere",
 ]
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -6,6 +6,7 @@
     AttemptEnd,
     AttemptResult,
     Progress,
+    UnframedEnd,
 )
 from sparline.forwarding._liveness_checks import LivenessChecks
 from sparline.http import (
@@ -62,6 +63,7 @@
             body += piece
             if len(body) > MAX_BUFFERED_BYTES:
                 return self._forward_unbuffered(connection, answer, bytes(body))
+        self._note_unframed_end(answer)
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
@@ -80,6 +82,7 @@
         self._caller.send(first)
         while (piece := connection.read_piece(answer)) is not None:
             self._caller.send(piece)
+        self._note_unframed_end(answer)
         self._caller.finish()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
@@ -108,6 +111,7 @@
                 self._note_event()
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
+        self._note_unframed_end(answer)
         self._begin_answer(answer)
         self._caller.send(self._progress.splitter.rest())
         self._caller.finish()
@@ -115,6 +119,14 @@
         self._watch.note_end()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
+    def _note_unframed_end(self, answer: HttpAnswer) -> None:
+        if not answer.ends_with_connection:
+            return
+        splitter = self._progress.splitter
+        is_cut = splitter.pending_bytes() > 0
+        end = UnframedEnd.WITHIN_EVENT if is_cut else UnframedEnd.UNREFUTED
+        self._dependencies.note_unframed_end(self._request, self._placement, end, splitter.events)
+
     def _note_event(self) -> None:
         self._watch.note_event()
         now = now_ms()
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -42,6 +42,13 @@
     liveness: Liveness = Liveness.PROVEN  # whether the server was known to run at the start
 
 
+class UnframedEnd(Enum):
+    """Classify how a response that only the end of its connection ends has ended."""
+
+    UNREFUTED = "unrefuted"  # nothing shows that it was cut short
+    WITHIN_EVENT = "within_event"  # cut short within a server-sent event
+
+
 @dataclass(frozen=True, slots=True)
 class InterruptedAttempt:
     """Describe the end of an attempt whose request may have run."""
@@ -95,3 +102,6 @@
     note_first: Callable[
         [RoutedRequest, Placement, Progress], None
     ]  # records the first event or response
+    note_unframed_end: Callable[
+        [RoutedRequest, Placement, UnframedEnd, int], None
+    ]  # logs and counts the end of an unframed response, with its number of complete events
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -274,6 +274,7 @@
             ends=self.end_detector,
             has_ended=self._ended_starts.__contains__,
             note_first=self.admission.note_first,
+            note_unframed_end=self.request_log.note_unframed_end,
         )
         return Forwarder(
             ForwarderDependencies(
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -35,6 +35,9 @@
         self.interrupted_answers = self._counter(
             "answers_broken", "Answers that broke off.", ("reason",)
         )
+        self.unframed_answers = self._counter(
+            "unframed_answers", "Answers that only their connection ended.", ("end",)
+        )
         self.evicted_suspects = self._counter(
             "suspects_pushed_out", "Suspects forgotten for want of room.", ()
         )
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -4,7 +4,7 @@
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId
 from sparline._logging import LineLevel, log
-from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd
+from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd, UnframedEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.placement import ColdRequest, Placement, Refusal, ServerLimit
@@ -69,6 +69,20 @@
                 **_placement_fields(placement),
             ).info("answer_broken")
 
+    def note_unframed_end(
+        self, request: RoutedRequest, placement: Placement, end: UnframedEnd, events: int
+    ) -> None:
+        """Record how an answer ended that only its connection ended."""
+        self._metrics.unframed_answers.labels(end.value).inc()
+        if self._interrupted.take() and log.is_written(LineLevel.INFO):
+            log.bind(
+                request_id=request.request_id,
+                end=end.value,
+                events=events,
+                backend_server=placement.server.id,
+                peer=placement.peer.note.name if placement.peer else None,
+            ).info("unframed_answer_ended")
+
     def note_server_end(self, server_id: BackendServerId, evidence: EndEvidence) -> None:
         """Record that a server ended while it ran requests of this instance."""
         self._metrics.server_ends.labels(evidence.value).inc()
