Reproduce a stream that was broken off within an event and reaches its caller as complete

What callers saw: 200, signature and a short body, framed as complete. The stand-in server can now leave a stream unframed, cut it cleanly or by a reset, within an event or behind one, or let its whole process end; a caller tells an unframed answer that was closed from one that was reset.

--- a/standins/_routed_caller.py
+++ b/standins/_routed_caller.py
@@ -18,7 +18,8 @@
     status: int  # 0 where the connection ended without a head
     headers: dict[str, str]  # names in lower case
     body: bytes  # as far as it arrived
-    whole: bool  # whether the framed end arrived
+    whole: bool  # whether the framed end arrived, or without framing a clean end
+    framed: bool = True  # whether it has a length or chunks
 
 
 class Caller:
@@ -43,12 +44,16 @@
         """Read one answer to its end."""
         parser = AnswerParser()
         while not parser.answers or not parser.answers[0].complete:
+            was_reset = False
             try:
                 data = self.socket.recv(65_536)
             except OSError:
                 data = b""
+                was_reset = True
             if not data:
-                return _got(parser.answers[0] if parser.answers else None, False)
+                answer = parser.answers[0] if parser.answers else None
+                is_unframed = answer is not None and answer.ends_with_connection
+                return _got(answer, is_unframed and not was_reset)
             parser.feed(data)
         return _got(parser.answers[0], True)
 
@@ -61,4 +66,4 @@
     if answer is None or not answer.head_done:
         return Got(0, {}, b"", False)
     headers = {name.decode(): value.decode() for name, value in answer.headers}
-    return Got(answer.status, headers, answer.take(), whole)
+    return Got(answer.status, headers, answer.take(), whole, not answer.ends_with_connection)
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -26,6 +26,9 @@
     close_after_run: bool = False  # run, then close without an answer
     hang: bool = False  # run, and never answer
     break_within_event: int = 0  # cut the stream within this event
+    break_after_event: int = 0  # cut the stream after this event
+    exit_after_event: int = 0  # end the process after this event of a stream
+    breaks_cleanly: bool = False  # a cut closes the connection instead of resetting it
     stop_after_event: int = 0  # fall silent after this event
     surplus_answer: bytes = b""  # bytes sent before the answer
     garbage: bytes = b""  # bytes sent after the whole answer
@@ -75,6 +78,7 @@
     rest_s: float = 0.0  # Retry-After value of 503 answers in seconds, 0 to omit it
     limit_per_s: float | None = None  # limit that its answers state, None for no limit
     keeps_port: bool = False  # whether something else goes on listening once it has ended
+    ends_cleanly: bool = False  # whether its connections are closed instead of reset as it ends
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
     _server: StreamServer | None = None
     _open: set[GeventSocket] = field(default_factory=set)
@@ -94,12 +98,13 @@
         return self._server is not None and self._server.started
 
     def end(self) -> None:
-        """End as a process that is lost does: the port closes and every connection is reset."""
+        """End as a process that is lost does: the port closes and every connection ends."""
         if not self.keeps_port:
             self.stop()
         for connection in list(self._open):
-            with contextlib.suppress(OSError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            if not self.ends_cleanly:
+                with contextlib.suppress(OSError):
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             connection.close()
         self.on_end()
 
@@ -178,25 +183,38 @@
         self, connection: GeventSocket, request: HttpRequest, run: SealedRun, faults: SealedFaults
     ) -> bool:
         first = int(run.headers.get("last-event-id", "0")) + 1
-        connection.sendall(self._head(200, request, [("Content-Type", "text/event-stream")], -1))
+        length = None if faults.unframed else -1
+        head = self._head(200, request, [("Content-Type", "text/event-stream")], length)
+        connection.sendall(head)
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
             if number == faults.break_within_event:
-                connection.sendall(b"%x\r\n%b\r\n" % (len(event) - 4, event[:-4]))
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                return False
+                connection.sendall(_framed(event[:-4], faults))
+                return self._cut(connection, faults)
             try:
-                connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+                connection.sendall(_framed(event, faults))
             except OSError:
                 run.abandoned = True
                 raise
             if number == faults.stop_after_event:
                 run.abandoned = connection.recv(1) == b""
                 return False
+            if number == faults.break_after_event:
+                return self._cut(connection, faults)
+            if number == faults.exit_after_event:
+                self.end()
+                return False
             gevent.sleep(self.work_ms / 1000)
-        connection.sendall(b"0\r\n\r\n")
+        if not faults.unframed:
+            connection.sendall(b"0\r\n\r\n")
         run.finished = True
-        return True
+        return not faults.unframed
+
+    def _cut(self, connection: GeventSocket, faults: SealedFaults) -> bool:
+        """Let the connection end in the middle of an answer."""
+        if not faults.breaks_cleanly:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        return False
 
     def _head(
         self,
@@ -224,3 +242,8 @@
                 f"Content-Length: {length}" if length >= 0 else "Transfer-Encoding: chunked"
             )
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def _framed(data: bytes, faults: SealedFaults) -> bytes:
+    """Return a part of a stream as it is sent."""
+    return data if faults.unframed else b"%x\r\n%b\r\n" % (len(data), data)
