Treat a stream that ends within an event as broken off

Cause: an answer with neither a length nor chunks counted as whole wherever its connection ended cleanly; what was left of an event was sent on, and our own last chunk called that complete. Change: a successful answer on a stream route, framed or not, that ends within an event is a broken connection like any other: it is resumed where the route allows, else the caller's answer is cut. Failures on stream routes, whose bodies are no events, are buffered like all others. Line ends after the last event begin none. Tests of gateway, forwarding and platform pass.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -24,6 +24,8 @@
 MAX_BUFFERED_BYTES = 1_048_576
 # Maximum size of a server-sent event (bytes). Typical events are a few hundred bytes long.
 MAX_EVENT_BYTES = 1_048_576
+# Lowest status code of a response that is not a success. Only a success holds events.
+MIN_REDIRECT_STATUS = 300
 # Lowest status code that reports a failure of the backend server.
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -52,7 +54,7 @@
 
     def forward(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         is_stream = self._request.route.kind is RequestKind.STREAM
-        if is_stream and answer.status < MIN_SERVER_ERROR_STATUS:
+        if is_stream and answer.status < MIN_REDIRECT_STATUS:
             return self._forward_stream(connection, answer)
         return self._forward_buffered(connection, answer)
 
@@ -89,7 +91,8 @@
     def _note_plain_success(self, elapsed_ms: float) -> None:
         self._dependencies.health.note_success(self._placement.server.id)
         was_suspended = self._dependencies.watch.process_resumed_at_ms() > self._progress.sent_at_ms
-        if self._placement.peer is not None or was_suspended:
+        is_stream = self._request.route.kind is RequestKind.STREAM
+        if self._placement.peer is not None or was_suspended or is_stream:
             return
         typical_ms = self._dependencies.pace.answer_ms(self._request.service)
         self._dependencies.health.note_time(self._placement.server.id, elapsed_ms, typical_ms)
@@ -112,6 +115,8 @@
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
         self._note_unframed_end(answer)
+        if self._progress.splitter.is_within_event():
+            raise ConnectionBroken("expected the end of an event, found the end of the stream")
         self._begin_answer(answer)
         self._caller.send(self._progress.splitter.rest())
         self._caller.finish()
@@ -123,8 +128,7 @@
         if not answer.ends_with_connection:
             return
         splitter = self._progress.splitter
-        is_cut = splitter.pending_bytes() > 0
-        end = UnframedEnd.WITHIN_EVENT if is_cut else UnframedEnd.UNREFUTED
+        end = UnframedEnd.WITHIN_EVENT if splitter.is_within_event() else UnframedEnd.UNREFUTED
         self._dependencies.note_unframed_end(self._request, self._placement, end, splitter.events)
 
     def _note_event(self) -> None:
--- a/sparline/forwarding/_events.py
+++ b/sparline/forwarding/_events.py
@@ -36,6 +36,10 @@
         """Return the number of buffered bytes of the incomplete event."""
         return len(self._pending)
 
+    def is_within_event(self) -> bool:
+        """Tell whether an event has begun and is not complete; line ends alone begin none."""
+        return bool(self._pending.strip())
+
     def rest(self) -> bytes:
         """Return the bytes after the last complete event of a response that ended normally."""
         rest, self._pending = self._pending, b""
--- a/sparline/forwarding/tests/test_events.py
+++ b/sparline/forwarding/tests/test_events.py
@@ -42,3 +42,12 @@
     splitter = EventSplitter(None)
     splitter.feed(ONE + b"x" * 500)
     assert splitter.pending_bytes() == 500
+
+
+@pytest.mark.parametrize(
+    ("rest", "is_within"), [(b"", False), (b"\r\n", False), (TWO[:9], True), (b"data: end", True)]
+)
+def test_only_the_beginning_of_an_event_counts_as_within_one(rest, is_within):
+    splitter = EventSplitter(None)
+    splitter.feed(ONE + rest)
+    assert splitter.is_within_event() is is_within
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -13,6 +13,7 @@
 from sparline.http import HttpRequest, RequestParser
 
 READ_BYTES = 65_536
+LAST_CHUNK = b"0\r\n\r\n"
 # Closing with this set resets the connection instead of ending it.
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
@@ -28,7 +29,8 @@
     break_within_event: int = 0  # cut the stream within this event
     break_after_event: int = 0  # cut the stream after this event
     exit_after_event: int = 0  # end the process after this event of a stream
-    breaks_cleanly: bool = False  # a cut closes the connection instead of resetting it
+    # A cut closes the connection instead of resetting it; chunks then get their end all the same.
+    breaks_cleanly: bool = False
     stop_after_event: int = 0  # fall silent after this event
     surplus_answer: bytes = b""  # bytes sent before the answer
     garbage: bytes = b""  # bytes sent after the whole answer
@@ -206,7 +208,7 @@
                 return False
             gevent.sleep(self.work_ms / 1000)
         if not faults.unframed:
-            connection.sendall(b"0\r\n\r\n")
+            connection.sendall(LAST_CHUNK)
         run.finished = True
         return not faults.unframed
 
@@ -214,6 +216,8 @@
         """Let the connection end in the middle of an answer."""
         if not faults.breaks_cleanly:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        elif not faults.unframed:
+            connection.sendall(LAST_CHUNK)
         return False
 
     def _head(
