Frame an answer to the caller no more firmly than its server framed it

What callers saw: an answer that its server ended by closing the connection came with our own length or last chunk, so that one cut between two events, or a plain body, looked proven to be complete. Cause: every answer was framed anew here, and again at a hop, whatever the server had claimed. Change: an answer with neither a length nor chunks reaches its caller, or the instance that passed the request on, the same way, with Connection: close. Until it is finished the connection is set to be reset when it is closed, so that a cut by us, a time limit, or the end of our process shows as a reset and not as the end. One class of answer, so plain, buffered, large and failed ones alike. Price: the connection isn't kept, once a hop and once at the caller.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -73,7 +73,7 @@
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(elapsed_ms)
         self._note_first(now_ms())
-        self._caller.answer(answer.status, end_to_end(answer.headers), bytes(body))
+        forward_complete(self._caller, answer, bytes(body))
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
     def _forward_unbuffered(
@@ -102,7 +102,11 @@
         if self._progress.began:
             return
         self._progress.began = True
-        self._caller.begin(answer.status, end_to_end(answer.headers), None)
+        headers = end_to_end(answer.headers)
+        if answer.ends_with_connection:
+            self._caller.begin_unframed(answer.status, headers)
+        else:
+            self._caller.begin(answer.status, headers, None)
 
     def _forward_stream(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
@@ -144,3 +148,12 @@
     def _note_first(self, now: float) -> None:
         self._progress.first_at_ms = now
         self._dependencies.note_first(self._request, self._placement, self._progress)
+
+
+def forward_complete(caller: CallerConnection, answer: HttpAnswer, body: bytes) -> None:
+    """Forward a buffered response; one without framing must not look more complete than it did."""
+    headers = end_to_end(answer.headers)
+    if answer.ends_with_connection:
+        caller.answer_unframed(answer.status, headers, body)
+    else:
+        caller.answer(answer.status, headers, body)
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -5,9 +5,10 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
+from sparline.forwarding._answer_forwarding import forward_complete
 from sparline.forwarding._attempt_types import AttemptEnd, Progress
 from sparline.forwarding._wire import OwnAnswer
-from sparline.http import CallerConnection, Headers, end_to_end
+from sparline.http import CallerConnection, Headers
 from sparline.placement import Placement, Refusal
 from sparline.requests import Origin, Reason, RoutedRequest
 
@@ -78,7 +79,7 @@
         """Forward the backend server's own error response to the caller."""
         assert self._progress.failed_answer is not None
         answer, body = self._progress.failed_answer
-        self._caller.answer(answer.status, end_to_end(answer.headers), body)
+        forward_complete(self._caller, answer, body)
         return self.make_end(answer.status, Reason.BACKEND_FAILED)
 
     def end_quarantined(self) -> RequestEnd:
@@ -136,7 +137,7 @@
         return self.make_end(status, reason, ran)
 
     def _abort_answer(self, reason: Reason) -> RequestEnd:
-        """Close the connection without the final chunk so that the truncation is visible."""
+        """Close the connection without the end of the response so that the truncation is visible."""
         self._caller.closing = True
         return self.make_end(0, reason)
 
--- a/sparline/gateway/tests/test_unframed_answers.py
+++ b/sparline/gateway/tests/test_unframed_answers.py
@@ -1,5 +1,6 @@
 """Tests of answers with neither a length nor chunks, which end with their connection."""
 
+import gevent
 import pytest
 
 from sparline.tests.routed_fleet import RoutedFleet
@@ -52,3 +53,31 @@
     fail_once(fleet, **UNFRAMED, break_within_event=3)
     got = ask(fleet, "/stream/x")
     assert (got.whole, got.body) == (True, stream_of("r1"))
+
+
+def test_answer_that_nothing_shows_to_be_cut_claims_no_more_than_the_servers(fleet):
+    fail_once(fleet, **UNFRAMED, break_after_event=3)
+    got = ask(fleet, "/once/x")
+    assert not got.framed
+    assert got.body == stream_of("r1", 3)
+
+
+@pytest.mark.parametrize(
+    ("target", "body"), [("/stream/x", stream_of("r1")), ("/unsafe/x", b"r1 /unsafe/x 3")]
+)
+def test_whole_unframed_answer_reaches_its_caller(fleet, target, body):
+    for server in fleet.servers.values():
+        server.faults = SealedFaults(**UNFRAMED)
+    got = ask(fleet, target)
+    assert (got.status, got.whole, got.framed, got.body) == (200, True, False, body)
+    assert got.headers["connection"] == "close"
+
+
+def test_unframed_answer_cut_by_this_instance_is_reset(fleet):
+    fail_once(fleet, **UNFRAMED, stop_after_event=3)
+    caller = fleet.caller()
+    caller.send("/once/x", "r1", b"abc", **PROMPT)
+    gevent.spawn_later(0.3, fleet.gateways["g0"].service.close_all)
+    got = caller.read()
+    assert not got.framed
+    assert not got.whole
--- a/sparline/http/_caller_connection.py
+++ b/sparline/http/_caller_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: requests in, answers out, and a watch for callers who leave."""
 
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -12,6 +13,9 @@
 
 READ_BYTES = 65_536
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Values of SO_LINGER: closing, or the end of the process, resets the connection, or ends it cleanly.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class CallerGone(Exception):
@@ -47,6 +51,7 @@
         self.started = False  # whether the head of the current answer has left
         self.closing = False  # whether the connection ends after the current answer
         self._chunked = False
+        self._unframed = False  # whether only the end of the connection ends the current answer
         self._resting = False
 
     def next_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | None:
@@ -140,18 +145,39 @@
 
     def begin(self, status: int, headers: Headers, length: int | None, first: bytes = b"") -> None:
         """Send the head; without a length the body goes in chunks."""
-        lines = [b"HTTP/1.1 %d %s" % (status, phrase(status))]
-        lines += [name + b": " + value for name, value in headers]
         self._chunked = length is None
-        lines.append(
+        framing = (
             b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
         )
+        self._begin(status, headers, [framing], first)
+
+    def begin_unframed(self, status: int, headers: Headers, first: bytes = b"") -> None:
+        """Send the head of an answer that ends with the connection.
+
+        Until the answer is finished, closing resets the connection, so that a cut shows.
+        """
+        self._chunked = False
+        self._unframed = True
+        self.closing = True
+        self._set_linger(RESET_ON_CLOSE)
+        self._begin(status, headers, [], first)
+
+    def _begin(self, status: int, headers: Headers, framing: list[bytes], first: bytes) -> None:
+        lines = [b"HTTP/1.1 %d %s" % (status, phrase(status))]
+        lines += [name + b": " + value for name, value in headers]
+        lines += framing
         if self.closing:
             lines.append(b"Connection: close")
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         self.started = True
         self._write(head + (self._frame(first) if first else b""))
 
+    def _set_linger(self, value: bytes) -> None:
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+        except OSError as error:
+            raise CallerGone from error
+
     def _frame(self, data: bytes) -> bytes:
         return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
 
@@ -161,9 +187,19 @@
             self._write(self._frame(data))
 
     def finish(self) -> None:
-        """Send the framed end of the body."""
+        """Send the end of the body."""
         if self._chunked:
             self._write(b"0\r\n\r\n")
+        if self._unframed:
+            self._set_linger(END_ON_CLOSE)
+            self._end_output()
+
+    def _end_output(self) -> None:
+        """Let the caller see the end of the connection although bytes of it may be unread here."""
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise CallerGone from error
 
     def _write(self, data: bytes) -> None:
         try:
@@ -175,6 +211,11 @@
         """Send a whole answer."""
         self.begin(status, headers, len(body), body)
 
+    def answer_unframed(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer that ends with the connection."""
+        self.begin_unframed(status, headers, body)
+        self.finish()
+
     def close(self) -> None:
         """Close the connection."""
         self.unwatch()
