Take an unframed answer for broken off where its server exits with it

What callers saw: a server process that ends closes its connections cleanly, so that a stream without length or chunks that is cut between two events looked as if it had ended. Cause: nothing but the bytes was asked. Real servers write whole events, so that their exits fall between events more often than within one. Change: at such an end the evidence for exits that broken answers already use is asked: the store's entry, a connection attempt (refused shows an exit; one that opens is kept in the place of the one that has ended), and the other connections on which the server had answered. With evidence the answer is broken: resumed, sent again, or cut by a reset. An instance that passes on leaves this to the one that reached the server.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -1,5 +1,7 @@
 """Forwarding of a backend server's response to the caller: buffered, unbuffered or as a stream."""
 
+from collections.abc import Callable
+
 from sparline._clock import now_ms
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
@@ -42,8 +44,13 @@
         progress: Progress,
         watch: StreamWatch,
         checks: LivenessChecks,
+        has_exited: Callable[[BackendConnection], bool],
     ) -> None:
-        """Set the attempt whose response is forwarded."""
+        """Set the attempt whose response is forwarded.
+
+        `has_exited` returns whether the server process is known to have exited when a connection
+        ended.
+        """
         self._dependencies = dependencies
         self._request = request
         self._placement = placement
@@ -51,6 +58,7 @@
         self._progress = progress
         self._watch = watch
         self._checks = checks
+        self._has_exited = has_exited
 
     def forward(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         is_stream = self._request.route.kind is RequestKind.STREAM
@@ -65,7 +73,7 @@
             body += piece
             if len(body) > MAX_BUFFERED_BYTES:
                 return self._forward_unbuffered(connection, answer, bytes(body))
-        self._note_unframed_end(answer)
+        self._verify_end(connection, answer)
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
@@ -84,7 +92,7 @@
         self._caller.send(first)
         while (piece := connection.read_piece(answer)) is not None:
             self._caller.send(piece)
-        self._note_unframed_end(answer)
+        self._verify_end(connection, answer)
         self._caller.finish()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
@@ -118,9 +126,7 @@
                 self._note_event()
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
-        self._note_unframed_end(answer)
-        if self._progress.splitter.is_within_event():
-            raise ConnectionBroken("expected the end of an event, found the end of the stream")
+        self._verify_end(connection, answer)
         self._begin_answer(answer)
         self._caller.send(self._progress.splitter.rest())
         self._caller.finish()
@@ -128,12 +134,25 @@
         self._watch.note_end()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
-    def _note_unframed_end(self, answer: HttpAnswer) -> None:
-        if not answer.ends_with_connection:
-            return
-        splitter = self._progress.splitter
-        end = UnframedEnd.WITHIN_EVENT if splitter.is_within_event() else UnframedEnd.UNREFUTED
-        self._dependencies.note_unframed_end(self._request, self._placement, end, splitter.events)
+    def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
+        """Raise `ConnectionBroken` if a response that has ended was cut short."""
+        if answer.ends_with_connection:
+            end = self._unframed_end(connection)
+            self._dependencies.note_unframed_end(
+                self._request, self._placement, end, self._progress.splitter.events
+            )
+            if end is not UnframedEnd.UNREFUTED:
+                connection.note_cut()
+                raise ConnectionBroken(f"expected the end of the response, found: {end.value}")
+        elif self._progress.splitter.is_within_event():
+            raise ConnectionBroken("expected the end of an event, found the end of the stream")
+
+    def _unframed_end(self, connection: BackendConnection) -> UnframedEnd:
+        if self._progress.splitter.is_within_event():
+            return UnframedEnd.WITHIN_EVENT
+        if self._has_exited(connection):
+            return UnframedEnd.SERVER_EXITED
+        return UnframedEnd.UNREFUTED
 
     def _note_event(self) -> None:
         self._watch.note_event()
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -1,5 +1,7 @@
 """A single attempt at a request, sent to a backend server directly or through a peer instance."""
 
+from dataclasses import replace
+
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
 from sparline.decisions import (
@@ -74,6 +76,7 @@
             progress,
             StreamWatch(dependencies.watch, request, placement, reservation),
             self._checks,
+            self._has_exited,
         )
         self._server_id = placement.server.id
 
@@ -133,14 +136,7 @@
         if self._placement.peer is not None:
             # The peer itself determines whether its backend server has exited.
             return AttemptEnd(AttemptResult.MAY_HAVE_RUN, reason)
-        is_replaced = self._dependencies.has_ended(self._server_id)
-        probe = ProbeResult.UNKNOWN
-        if not is_replaced:
-            probe = self._dependencies.ends.probe(
-                self._server_id, self._placement.server.address, self._progress.sent_at_ms
-            )
-        # The connections are looked at after the probe, which gives their resets time to arrive.
-        facts = self._interruption_facts(connection, probe, is_replaced)
+        facts = self._probed_facts(connection)
         return AttemptEnd(
             AttemptResult.MAY_HAVE_RUN,
             reason,
@@ -149,6 +145,25 @@
             liveness=liveness(facts),
         )
 
+    def _has_exited(self, connection: BackendConnection) -> bool:
+        """Tell whether the server process exited as it ended the connection of a response."""
+        if self._placement.peer is not None:
+            # The peer itself resets the connection in that case.
+            return False
+        facts = replace(self._probed_facts(connection), was_closed=True)
+        return exit_evidence(facts) is not None
+
+    def _probed_facts(self, connection: BackendConnection) -> InterruptionFacts:
+        """Return what is known of the server, asking whether it still accepts connections."""
+        is_replaced = self._dependencies.has_ended(self._server_id)
+        probe = ProbeResult.UNKNOWN
+        if not is_replaced:
+            probe = self._dependencies.ends.probe(
+                self._server_id, self._placement.server.address, self._progress.sent_at_ms
+            )
+        # The connections are looked at after the probe, which gives their resets time to arrive.
+        return self._interruption_facts(connection, probe, is_replaced)
+
     def _interruption_facts(
         self,
         connection: BackendConnection,
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -47,6 +47,7 @@
 
     UNREFUTED = "unrefuted"  # nothing shows that it was cut short
     WITHIN_EVENT = "within_event"  # cut short within a server-sent event
+    SERVER_EXITED = "server_exited"  # the server process exited with it
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/gateway/tests/test_unframed_answers.py
+++ b/sparline/gateway/tests/test_unframed_answers.py
@@ -28,9 +28,9 @@
         yield one.ready()
 
 
-def ask(fleet, target):
+def ask(fleet, target, request_id="r1"):
     prompt = {} if target.startswith("/unsafe") else PROMPT
-    return fleet.ask(target, body=b"abc", **prompt)
+    return fleet.ask(target, request_id, body=b"abc", **prompt)
 
 
 def fail_once(fleet, **faults):
@@ -55,6 +55,44 @@
     assert (got.whole, got.body) == (True, stream_of("r1"))
 
 
+@pytest.mark.parametrize(("target", "is_whole"), [("/once/x", False), ("/stream/x", True)])
+def test_stream_of_a_server_that_exits_between_events_is_not_taken_for_complete(
+    fleet, target, is_whole
+):
+    for server in fleet.servers.values():
+        server.ends_cleanly = True
+    fail_once(fleet, **UNFRAMED, exit_after_event=3)
+    got = ask(fleet, target)
+    assert got.whole is is_whole
+    assert got.body == stream_of("r1", EVENTS if is_whole else 3)
+
+
+def test_exit_shows_although_something_else_keeps_the_servers_port(fleet):
+    for server in fleet.servers.values():
+        server.ends_cleanly = server.keeps_port = True
+    # Leaves several connections to each server on which it has answered.
+    before = [gevent.spawn(ask, fleet, "/stream/x", f"before-{number}") for number in range(12)]
+    gevent.joinall(before)
+    fail_once(fleet, **UNFRAMED, exit_after_event=3)
+    got = ask(fleet, "/once/x", "r1")
+    assert not got.whole
+
+
+def test_proper_end_of_one_unframed_answer_refutes_no_other(fleet):
+    engine = fleet.servers["e1"]
+    fleet.servers["e2"].faults = SealedFaults(refuse=True)
+    first = [gevent.spawn(ask, fleet, "/once/x", f"before-{number}") for number in range(2)]
+    gevent.joinall(first)
+    engine.faults = SealedFaults(**UNFRAMED)
+    engine.work_ms = 100.0
+    long = gevent.spawn(ask, fleet, "/once/x", "long")
+    fleet.until(lambda: engine.runs[-1].request_id == "long", "the long stream runs")
+    engine.work_ms = 1.0
+    assert ask(fleet, "/once/x", "short").whole
+    got = long.get()
+    assert (got.whole, got.body) == (True, stream_of("long"))
+
+
 def test_answer_that_nothing_shows_to_be_cut_claims_no_more_than_the_servers(fleet):
     fail_once(fleet, **UNFRAMED, break_after_event=3)
     got = ask(fleet, "/once/x")
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -39,9 +39,12 @@
         """Connect; `OSError` where that fails, and then nothing was sent."""
         self.address = address
         self.reusable = True  # whether another request may follow
-        self._lost = False  # whether the other side has ended it
+        self._lost = (
+            False  # whether the other side has ended it, other than as the end of an answer
+        )
         self._is_way_broken = False  # whether the way to the other side has failed
         self._in_use = False  # whether an answer is awaited
+        self._has_ended_answer = False  # whether its end was the end of an answer
         self.proven_at_ms = 0.0  # when the server itself last answered on it, 0 if never
         self.uses = 0  # requests sent
         self.idle_until_ms = 0.0  # when a kept connection is too old to use
@@ -63,7 +66,7 @@
     def is_lost(self) -> bool:
         """Tell whether the other side has ended the connection; False where this side did.
 
-        False also where the way has failed, and where the connection has rested so long, for example
+        False also where that ended an answer, where the way has failed, and where the connection has rested so long, for example
         while this process was suspended, that the other side closes it as a matter of course.
         """
         if not self._lost and not self._socket.closed and not self._has_expired():
@@ -85,6 +88,10 @@
             return True
         return struct.unpack("i", unacknowledged)[0] == 0
 
+    def note_cut(self) -> None:
+        """Record that the end of the connection was not the end of its answer."""
+        self._lost = True
+
     def note_proven(self) -> None:
         """Record that the server itself, not something on the way, has answered on it."""
         self.proven_at_ms = now_ms()
@@ -101,9 +108,15 @@
             return b""
         finally:
             self._socket.settimeout(None)
-        self._lost = self._lost or not found
+        if not found and not self._ends_answer():
+            self._lost = True
         return found
 
+    def _ends_answer(self) -> bool:
+        """Tell whether a clean end of the connection is the end of an answer."""
+        answer = self._newest_head()
+        return self._has_ended_answer or (answer is not None and answer.ends_with_connection)
+
     def _note_error(self, error: OSError) -> None:
         if error.errno in WAY_ERRORS:
             self._is_way_broken = True
@@ -205,9 +218,10 @@
             raise ConnectionBroken(f"expected an answer, found: {error}") from error
         if not data:
             self.reusable = False
-            self._lost = True
             if answer is not None and answer.head_done and answer.ends_with_connection:
+                self._has_ended_answer = True
                 return False
+            self._lost = True
             raise ConnectionBroken("expected an answer, found the end of the connection")
         try:
             self._parser.feed(data)
