Serve callers of an instance without a way to its servers through a sibling

Cause: servers of the own region had one way, the direct one; that an instance reaches none of them was no one's knowledge. Change: after a failure to reach a server, up to three of the region are asked on new connections (a request that every server rejects without running it). If none answers, the instance is isolated until one does, asked every 0.5 s: it forgets what failed on the direct way, tells siblings and one instance of each other region at once, and sends its callers' requests through a sibling that reaches servers, one hop, counted in loads by that one alone. Requests relayed to an isolated instance are refused as such, and their senders use another instance of the region. Without a connected sibling all is as before.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -255,9 +255,19 @@
 
     def announce(self, phase: MemberPhase) -> None:
         """Set this instance's phase; notify all siblings and one instance of each other region."""
-        own = self._members.own
-        self._members.own = msgspec.structs.replace(own, phase=phase, counter=own.counter + 1)
+        self._members.own = msgspec.structs.replace(self._members.own, phase=phase)
         self._members.own_phase_at_ms = now_ms()
+        self._announce_own_note()
+
+    def announce_servers_reached(self, are_reached: bool) -> None:
+        """Tell the same peers whether this instance reaches the backend servers of its region."""
+        own = self._members.own
+        self._members.own = msgspec.structs.replace(own, servers_reached=are_reached)
+        self._announce_own_note()
+
+    def _announce_own_note(self) -> None:
+        own = self._members.own
+        self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
         siblings, _, _ = classify_peers(self._members)
         self._send(
             limit_randomly(ips_of(siblings), MAX_BROADCAST_PEERS, self._rng),
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -23,6 +23,7 @@
     OwnAnswer,
     Wire,
 )
+from sparline.forwarding._witnesses import answers_presence_check
 
 __all__ = [
     "AnswerKind",
@@ -43,5 +44,6 @@
     "RetryWindow",
     "UnframedEnd",
     "Wire",
+    "answers_presence_check",
     "may_send_elsewhere",
 ]
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -102,6 +102,8 @@
             return self._interrupted_end(connection, parameters)
         except ServerUnresponsive:
             self._dependencies.health.note_failure(self._server_id, "silent")
+            if self._placement.peer is None:
+                self._dependencies.note_way_failure()
             facts = self._interruption_facts(connection)
             return AttemptEnd(
                 AttemptResult.MAY_HAVE_RUN,
@@ -225,6 +227,7 @@
             self._dependencies.note_peer(self._placement.peer.note.ip, False)
         else:
             self._dependencies.health.note_unreachable(self._server_id)
+            self._dependencies.note_way_failure()
 
     def _note_interruption(self) -> None:
         """Record the failure, against a peer only if it sent no response.
@@ -235,6 +238,8 @@
             self._dependencies.note_peer(self._placement.peer.note.ip, False)
         else:
             self._dependencies.health.note_failure(self._server_id, "broken")
+        if self._placement.peer is None and not self._answer_received:
+            self._dependencies.note_way_failure()
 
     def _exchange(self, connection: BackendConnection, parameters: AttemptParameters) -> AttemptEnd:
         answered = False
@@ -304,6 +309,9 @@
                 self._dependencies.health.note_full(self._server_id, server_retry_after_ms)
                 reason = Reason.PEER_NOT_RUN if via_peer else Reason.BACKEND_REFUSED
                 return AttemptEnd(AttemptResult.NOT_RUN, reason, meaning.retry_after_ms)
+            case AnswerKind.NOT_SENT if meaning.is_isolated:
+                self._note_unreachable()
+                return AttemptEnd(AttemptResult.NOT_RUN, Reason.PEER_ISOLATED)
             case AnswerKind.NOT_SENT:
                 if not meaning.is_region_full:
                     self._dependencies.health.note_full(self._server_id)
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -97,6 +97,7 @@
         [RoutedRequest, Progress], bool
     ]  # whether a waiting request may be sent elsewhere
     note_peer: Callable[[str, bool], None]  # records whether a peer was reachable
+    note_way_failure: Callable[[], None]  # records that a server could not be reached directly
     note_round_trip: Callable[[RegionName, float], None]  # records a connection's opening time
     ends: ServerEndDetector  # detects whether servers have exited
     has_ended: Callable[[BackendServerId], bool]  # whether that incarnation has exited
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -40,6 +40,8 @@
 # Maximum number of servers that may still run a suspected request (count). A request is suspected
 # once several servers have exited while running it.
 MAX_SUSPECT_SENDS = 1
+# Reasons of attempts that reached no backend server, which need no part of the retry budget.
+REASONS_WITHOUT_ARRIVAL = (Reason.CONNECT_FAILED, Reason.PEER_NO_ROOM, Reason.PEER_ISOLATED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +189,7 @@
             reserved_tokens,
             placement.effort_tokens,
             request.priority if request.prompt else None,
+            is_relayed=placement.peer is not None,
         )
         self._dependencies.chooser.note_sent(request, placement)
         parameters = AttemptParameters(
@@ -236,6 +239,9 @@
                 self._note_region_full(placement, end)
             if end.reason is not Reason.CONNECT_FAILED:
                 self._progress.sends_not_run += 1
+            if end.reason is Reason.PEER_ISOLATED:
+                # Another instance of the region may reach the server.
+                return
             if self._progress.began:
                 # The stream may return to this server once it has capacity. Until then the health
                 # table excludes the server from selection.
@@ -273,7 +279,7 @@
 
     def _stop_reason(self, placement: Placement, end: AttemptEnd) -> Reason | None:
         """Return the reason to stop retrying, or None to retry."""
-        reached_a_server = end.reason not in (Reason.CONNECT_FAILED, Reason.PEER_NO_ROOM)
+        reached_a_server = end.reason not in REASONS_WITHOUT_ARRIVAL
         if end.result is AttemptResult.NOT_RUN:
             may_wait = not reached_a_server and is_caller_waiting(self._request, self._progress)
             if self._not_run_count >= MAX_NOT_RUN_ATTEMPTS and not may_wait:
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -131,6 +131,7 @@
             sent,
             self.ended_server,
             is_region_full=not sent and reason in REGION_FULL_REASONS,
+            is_isolated=reason is Reason.ISOLATED,
         )
         headers = self._refusal_headers(own_answer)
         self._caller.answer(status, headers, b"")
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -29,6 +29,7 @@
     retry_after_ms: float = 0.0  # requested retry delay, 0 if none
     ended_server: BackendServerId | None = None  # server that exited while running it for a peer
     is_region_full: bool = False  # no server in the peer's region has capacity
+    is_isolated: bool = False  # the peer reaches no server of its region
     limit_per_s: float | None = None  # server's rate limit, None if unlimited
     is_leaving: bool = False  # whether the server reports that it is leaving the fleet
 
@@ -43,6 +44,7 @@
     ended_server: BackendServerId | None = None  # server that exited while running it
     quarantined: bool = False  # whether it is rejected because servers exited running it
     is_region_full: bool = False  # no server in this region has capacity
+    is_isolated: bool = False  # this instance reaches no server of its region
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/forwarding/_witnesses.py
+++ b/sparline/forwarding/_witnesses.py
@@ -4,8 +4,8 @@
 
 from sparline._logging import log
 from sparline.forwarding._attempt_types import AttemptDependencies
-from sparline.forwarding._wire import AnswerKind
-from sparline.http import Address, BackendConnection, ConnectionBroken
+from sparline.forwarding._wire import AnswerKind, BackendWire
+from sparline.http import Address, BackendConnection, ConnectionBroken, ConnectionPool
 
 # A watched request is delayed by at most this long to open a connection beside it on which the
 # server answers (ms). A server in the own region answers within a few milliseconds.
@@ -28,15 +28,23 @@
 
 
 def _open_witness(dependencies: AttemptDependencies, address: Address) -> None:
-    """Open a connection and let the server answer on it, so that it is known to lead there.
+    """Open a connection and let the server answer on it, so that it is known to lead there."""
+    answers_presence_check(
+        dependencies.pool, dependencies.backend_wire, address, WITNESS_TIMEOUT_MS
+    )
+
+
+def answers_presence_check(
+    pool: ConnectionPool, wire: BackendWire, address: Address, timeout_ms: float
+) -> bool:
+    """Tell whether a server answers on a new connection, which is then kept for use.
 
     A proxy or supervisor that accepts connections without the server gives no such answer.
     """
-    wire = dependencies.backend_wire
     connection = None
-    with gevent.Timeout(WITNESS_TIMEOUT_MS / 1000, False):
+    with gevent.Timeout(timeout_ms / 1000, False):
         try:
-            connection = dependencies.pool.open(address, WITNESS_TIMEOUT_MS / 1000)
+            connection = pool.open(address, timeout_ms / 1000)
             connection.send(wire.presence_check(), b"")
             answer = connection.read_head(lambda _answer: True)
             # Both kinds come from the server itself, and neither runs anything.
@@ -44,14 +52,13 @@
                 connection.skip_body(answer)
                 connection.note_proven()
         except (OSError, ConnectionBroken) as error:
-            log.debug("no witness at {}: {}", address, error)
-        finally:
-            if connection is not None:
-                _keep_proven(dependencies, connection)
+            log.debug("no presence of a server at {}: {}", address, error)
+    return connection is not None and _keep_proven(pool, connection)
 
 
-def _keep_proven(dependencies: AttemptDependencies, connection: BackendConnection) -> None:
+def _keep_proven(pool: ConnectionPool, connection: BackendConnection) -> bool:
     if connection.proven_at_ms:
-        dependencies.pool.give_back(connection)
-    else:
-        connection.close()
+        pool.give_back(connection)
+        return True
+    connection.close()
+    return False
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -37,6 +37,7 @@
     OwnAnswer,
     RetryRule,
     RetryWindow,
+    answers_presence_check,
     may_send_elsewhere,
 )
 from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
@@ -47,10 +48,11 @@
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._quotas import QuotaParameterTable, Quotas
 from sparline.gateway._request_log import RequestLog
+from sparline.gateway._server_connectivity import ConnectivitySources, ServerConnectivity
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
-from sparline.http import ConnectionPool, Headers
+from sparline.http import Address, ConnectionPool, Headers
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -128,6 +130,11 @@
         last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
         self.peers = PeerTable(self.members, last_instance_accept_ms)
         self.pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
+        self.connectivity = ServerConnectivity(
+            ConnectivitySources(
+                self._sample_servers, self._is_server_present, self._on_connectivity_change
+            )
+        )
         self._build_placement(region)
         self.end_detector = ServerEndDetector(
             ServerEndCallbacks(
@@ -243,6 +250,7 @@
             round_trip_ms=self.peers.round_trip_ms,
             load_age_ms=load_table.age_ms,
             is_doubted_by_region=load_table.is_doubted,
+            is_isolated=lambda: self.connectivity.is_isolated,
         )
         place = InstanceLocation(region, ZoneName(self.settings.availability_zone))
         self.chooser = Chooser(place, tables, random.Random())
@@ -270,6 +278,7 @@
             ),
             may_send_elsewhere=may_send_elsewhere,
             note_peer=self.peers.note_reachability,
+            note_way_failure=self.connectivity.note_failure,
             note_round_trip=self.peers.note_round_trip,
             ends=self.end_detector,
             has_ended=self._ended_starts.__contains__,
@@ -293,6 +302,23 @@
             )
         )
 
+    def _servers_in_region(self) -> list[BackendServer]:
+        servers = (self.fleet.servers[one] for one in self.fleet.ids_in(self.members.own.region))
+        return [one for one in servers if not one.leaving]
+
+    def _sample_servers(self, count: int) -> list[BackendServer]:
+        servers = self._servers_in_region()
+        return random.sample(servers, min(count, len(servers)))
+
+    def _is_server_present(self, address: Address, timeout_ms: float) -> bool:
+        return answers_presence_check(self.pool, ServerWire(), address, timeout_ms)
+
+    def _on_connectivity_change(self, is_isolated: bool) -> None:
+        """Use the other way to the region's servers from now on, and tell the other instances."""
+        self.metrics.isolated.set(is_isolated)
+        self.health.forget_failures(self.fleet.ids_in(self.members.own.region))
+        self.gossip.announce_servers_reached(not is_isolated)
+
     def _on_load_change(
         self, server: BackendServer, change: ServerLoad, log_factor: float | None
     ) -> None:
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -56,6 +56,7 @@
             self.gossip.run,
             self.reader.run,
             self.sync.run,
+            self.connectivity.run,
             lambda: run_housekeeping(self),
             lambda: remove_lapsed_servers(self),
         )
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -63,6 +63,9 @@
         self.region_settled = self._gauge(
             "region_settled", "Whether those have been the same for long enough to share."
         )
+        self.isolated = self._gauge(
+            "isolated", "Whether this instance reaches no backend server of its region."
+        )
         self.store_revision = self._gauge("store_revision", "Revision of the store held here.")
         self.store_era = self._gauge("store_era", "Era of the store held here.")
         self.configuration_version = self._gauge("configuration_version", "Version in force.")
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -8,6 +8,8 @@
 # Round-trip time to another region before the first measurement (ms): the first request has to be
 # placed without one.
 INITIAL_ROUND_TRIP_MS = 112.0
+# The same to a sibling (ms).
+INITIAL_SIBLING_ROUND_TRIP_MS = 4.0
 # Weight of one more measured round-trip time.
 ROUND_TRIP_WEIGHT = 0.2
 # How long a peer that could not be reached is skipped (ms).
@@ -29,7 +31,7 @@
         self._round_trip_ms: dict[RegionName, float] = {}
 
     def usable(self, region: RegionName) -> list[Member]:
-        """Return the instances of a region that are not skipped as unreachable.
+        """Return the instances of a region that reach its servers and are not skipped.
 
         If none is live, returns the leaving ones that still accept requests, because no others
         can reach the backend servers there.
@@ -37,9 +39,17 @@
         live = self._reachable(self._members.live(region))
         return live or self._reachable(self._members.leaving(region, self._last_instance_accept_ms))
 
+    def has_connected_sibling(self) -> bool:
+        """Tell whether any other instance of the own region reaches its servers."""
+        return bool(self.usable(RegionName(self._members.own.region)))
+
     def _reachable(self, members: list[Member]) -> list[Member]:
         now = now_ms()
-        return [one for one in members if self._skip_until_ms.get(one.note.ip, 0.0) <= now]
+        return [
+            one
+            for one in members
+            if one.note.servers_reached and self._skip_until_ms.get(one.note.ip, 0.0) <= now
+        ]
 
     def note_reachability(self, ip: str, reached: bool) -> None:
         """Record whether a peer was reachable."""
@@ -52,7 +62,9 @@
 
     def round_trip_ms(self, region: RegionName) -> float:
         """Return the estimated round-trip time to a region."""
-        return self._round_trip_ms.get(region, INITIAL_ROUND_TRIP_MS)
+        is_own = region == self._members.own.region
+        initial_ms = INITIAL_SIBLING_ROUND_TRIP_MS if is_own else INITIAL_ROUND_TRIP_MS
+        return self._round_trip_ms.get(region, initial_ms)
 
     def note_round_trip(self, region: RegionName, took_ms: float) -> None:
         """Update the estimate with the time that a connection took to open."""
--- a/sparline/gateway/tests/test_peer_table.py
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -1,5 +1,6 @@
 """Tests of the peers to which requests may be relayed."""
 
+import msgspec
 import pytest
 
 from sparline._ids import RegionName
@@ -17,6 +18,7 @@
 
 LIVE_1, LIVE_2 = (note(ip, MemberPhase.live) for ip in ("s1", "s2"))
 LEAVING_1, LEAVING_2 = (note(ip, MemberPhase.leaving) for ip in ("s1", "s2"))
+ISOLATED_2 = msgspec.structs.replace(LIVE_2, servers_reached=False)
 
 # Known instances of region south, addresses that could not be reached, time since then (ms), and
 # peers to which a request may be relayed.
@@ -28,6 +30,8 @@
     ("not one out of reach", [LIVE_1, LIVE_2], ("s1",), 0, {"s2"}),
     ("one that leaves, where the live one is out of reach", [LIVE_1, LEAVING_2], ("s1",), 0, {"s2"}),
     ("one that was out of reach long ago", [LIVE_1], ("s1",), PEER_SKIP_MS + 1, {"s1"}),
+    ("not one that reaches no server", [LIVE_1, ISOLATED_2], (), 0, {"s1"}),
+    ("nobody, where none reaches a server", [ISOLATED_2], (), 0, set()),
     ("nobody", [], (), 0, set()),
 ]  # fmt: skip
 
--- a/sparline/gateway/tests/test_unreachable_servers.py
+++ b/sparline/gateway/tests/test_unreachable_servers.py
@@ -1,6 +1,7 @@
 """Tests of an instance that reaches no backend server while its siblings do."""
 
 import gevent
+import msgspec
 import pytest
 
 from sparline.http import ConnectionPool
@@ -51,3 +52,62 @@
             ask(fleet, target, f"before-{number}")
         statuses = [ask(fleet, target, f"r{number}") for number in range(REQUESTS)]
         assert statuses == [200] * REQUESTS, target
+
+
+def isolate(fleet: RoutedFleet, at: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Cut a gateway off and wait until it and its siblings know."""
+    cut_off(fleet, at, monkeypatch)
+    gateway = fleet.gateways[at]
+    others = [one for name, one in fleet.gateways.items() if name != at]
+
+    def is_known() -> bool:
+        ask(fleet, "/safe/x", "before", at)
+        return all(not member_of(one, gateway).note.servers_reached for one in others)
+
+    fleet.until(is_known, "all know that it reaches no server")
+
+
+def member_of(gateway, other):
+    """Return how a gateway knows another."""
+    return next(one for one in gateway.members.others() if one.note.ip == other.members.own.ip)
+
+
+def test_instance_that_reaches_its_servers_again_uses_them(fleet, monkeypatch):
+    with monkeypatch.context() as cut:
+        isolate(fleet, "g0", cut)
+    g0 = fleet.gateways["g0"]
+    fleet.until(lambda: not g0.connectivity.is_isolated, "the servers are reached")
+    fleet.servers["p1"].runs.clear()
+    opened = g0.pool.kept((fleet.servers["p1"].ip, fleet.servers["p1"].port))
+    assert opened is not None
+    opened.close()
+    assert ask(fleet, "/safe/x", "after") == 200
+    g1 = fleet.gateways["g1"]
+    fleet.until(lambda: member_of(g1, g0).note.servers_reached, "the sibling knows")
+
+
+def test_request_relayed_through_a_sibling_is_counted_once(fleet, monkeypatch):
+    isolate(fleet, "g0", monkeypatch)
+    engine = fleet.servers["e1"]
+    engine.work_ms = 300.0
+    caller = fleet.caller()
+    caller.send("/once/x", "long", b"abc", **PROMPT)
+    fleet.until(lambda: engine.runs and engine.runs[-1].request_id == "long", "it runs")
+    loads = [one.loads.own("e1").running for one in fleet.gateways.values()]
+    assert loads == [0, 1]
+    assert caller.read().whole
+
+
+def test_relay_to_an_isolated_instance_leaves_its_region_usable(monkeypatch):
+    with RoutedFleet(("south-1", "north-1", "north-1")) as fleet:
+        fleet.add_server("p1")
+        fleet.add_server("p2")
+        fleet.ready()
+        g0 = fleet.gateways["g0"]
+        cut_off(fleet, "g1", monkeypatch)
+        fleet.gateways["g1"].connectivity.check()
+        # The other region has not heard of it yet.
+        stale = member_of(g0, fleet.gateways["g1"])
+        stale.note = msgspec.structs.replace(stale.note, servers_reached=True)
+        statuses = [ask(fleet, "/unsafe/x", f"r{number}") for number in range(REQUESTS)]
+    assert statuses == [200] * REQUESTS
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -71,6 +71,9 @@
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
             return Refusal(Reason.NO_BACKEND, unserved_retry_after_ms(request.left_ms()), 0)
+        if request.origin is Origin.RELAY and self._tables.is_isolated():
+            # The instance that relayed it can use another one of this region.
+            return Refusal(Reason.ISOLATED, unserved_retry_after_ms(request.left_ms()), 0)
         all_servers = self._tables.fleet.by_service.get(request.service, [])
         has_begun = has_begun or request.resume_after is not None
         now = now_ms()
@@ -194,7 +197,7 @@
                 return Standing.BARRED
             is_healthy = health.is_usable_at(server.id, now)
             standing = best
-            if region == own_region:
+            if ways.is_direct(region):
                 if not self._may_send(server, service):
                     return Standing.BARRED
             else:
--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -1,6 +1,6 @@
 """Health of backend servers as observed on requests: refusals, failures, silence and speed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -138,6 +138,16 @@
         observed = self._observations.get(server_id)
         return 0.0 if observed is None else max(observed.backoff_until_ms - now_ms(), 0.0)
 
+    def forget_failures(self, server_ids: Iterable[BackendServerId]) -> None:
+        """Forget what failed on a way to servers that is no longer used."""
+        for server_id in server_ids:
+            observed = self._observations.get(server_id)
+            if observed is not None:
+                observed.failing = 0.0
+                observed.skip_ms = 0.0
+                observed.skip_until_ms = 0.0
+                observed.waiting_since_ms = now_ms()
+
     def note_misdirected(self, server_id: BackendServerId) -> None:
         """Record that the address belongs to another server."""
         self._of(server_id).misdirected_until_ms = now_ms() + MISDIRECTED_SKIP_MS
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -123,13 +123,18 @@
         held_tokens: int,
         unread_tokens: int,
         rank: int | None = None,
+        is_relayed: bool = False,
     ) -> Reservation:
         """Count a request on a backend server.
 
+        One that is relayed to a sibling (`is_relayed`) is counted and reported by that one alone.
+
         `held_tokens` is the cache memory that it takes, `unread_tokens` its prefill, as tokens at
         the start of a prompt that take as long. `rank` is its urgency, 0 for the most urgent, None
         where the server does not admit requests by rank.
         """
+        if is_relayed and server.region == self._region:
+            return Reservation(OwnLoad(), held_tokens, unread_tokens, rank, lambda *_change: None)
         load = self._own.get(server.id)
         if load is None:
             load = self._own[server.id] = OwnLoad(region=server.region)
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -79,6 +79,8 @@
     load_age_ms: Callable[[BackendServerId], float | None]  # age of the known load of a server
     # Whether instances of a server's region reported that it failed recently.
     is_doubted_by_region: Callable[[BackendServerId], bool]
+    # Whether this instance reaches no server of its region.
+    is_isolated: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,23 +103,36 @@
 
 
 class Ways:
-    """Ways of one request, through one random instance of each other region."""
+    """Ways of one request, through one random instance of each region that is not reached directly.
+
+    An isolated instance uses its siblings like instances of other regions. Without one that reaches
+    the servers it tries them itself.
+    """
 
     def __init__(self, own_region: RegionName, tables: PlacementTables, rng: random.Random) -> None:
         """Find ways when they are asked for."""
         self._tables = tables
         self._rng = rng
-        self._known: dict[RegionName, _Way | None] = {own_region: HERE}
+        self._known: dict[RegionName, _Way | None] = {
+            own_region: (self._through_peer(own_region) if tables.is_isolated() else None) or HERE
+        }
 
     def to(self, region: RegionName) -> _Way | None:
         """Return the way to the servers of a region, None without a live instance there."""
         if region not in self._known:
-            peers = self._tables.peers(region)
-            self._known[region] = (
-                _Way(self._rng.choice(peers), self._tables.round_trip_ms(region)) if peers else None
-            )
+            self._known[region] = self._through_peer(region)
         return self._known[region]
 
+    def is_direct(self, region: RegionName) -> bool:
+        """Tell whether this instance sends requests to the servers of a region itself."""
+        return self.to(region) is HERE
+
+    def _through_peer(self, region: RegionName) -> _Way | None:
+        peers = self._tables.peers(region)
+        if not peers:
+            return None
+        return _Way(self._rng.choice(peers), self._tables.round_trip_ms(region))
+
 
 @dataclass(slots=True)
 class CommonFacts:
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -252,6 +252,7 @@
                 AnswerKind.NOT_SENT,
                 _retry_after_ms(answer),
                 is_region_full=answer.header(names.RELAY_NO_ROOM) is not None,
+                is_isolated=answer.header(names.RELAY_ISOLATED) is not None,
             )
         if outcome == b"quarantined":
             return AnswerMeaning(AnswerKind.QUARANTINED)
@@ -323,6 +324,8 @@
     added_headers = [(names.RELAY_OUTCOME, _outcome(answer)), *refusal_headers(answer)]
     if answer.is_region_full:
         added_headers.append((names.RELAY_NO_ROOM, b"region"))
+    if answer.is_isolated:
+        added_headers.append((names.RELAY_ISOLATED, b"1"))
     if answer.ended_server is not None:
         added_headers.append((names.RELAY_ENDED, answer.ended_server.encode("latin-1")))
     return added_headers
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -29,6 +29,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
+    ISOLATED = "isolated"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
     # Why one attempt did not run.
@@ -37,6 +38,7 @@
     CANCELLED_UNSTARTED = "cancelled_unstarted"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_NO_ROOM = "peer_no_room"
+    PEER_ISOLATED = "peer_isolated"
     PEER_NO_GRANT = "peer_no_grant"
     PEER_NOT_RUN = "peer_not_run"
     MISDIRECTED = "misdirected"
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -38,6 +38,12 @@
     phase: MemberPhase
     region: str
     availability_zone: str
+    servers_reached: Annotated[
+        bool,
+        Meta(
+            description="Whether it reaches any backend server of its region; true where there are none."
+        ),
+    ] = True
 
 
 class MemberBeat(WireNode):
