Direct callers to instances that reach the servers of their region

What callers saw: the directory named instances that could not serve them first, and each request there took one more hop. Change: of the live instances of a region, those that reach its servers are named; where none does, all are, as before, since they still reach other regions. Evidence: test_callers_are_directed_to_instances_that_reach_servers fails without the change (both instances named) and passes; tests of the directory pass.

--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -69,11 +69,13 @@
         return in_zone if len(in_zone) >= MIN_ZONE_INSTANCES else in_region
 
     def _in_region(self, region: RegionName) -> list[str]:
-        found = [one.note.ip for one in self._members.live(region)]
+        """Return the live instances of a region, those that reach its servers if there are any."""
+        found = [one.note for one in self._members.live(region)]
         own = self._members.own
         if own.region == region and own.phase is MemberPhase.live:
-            found.append(own.ip)
-        return found
+            found.append(own)
+        connected = [one.ip for one in found if one.servers_reached]
+        return connected or [one.ip for one in found]
 
     def _in_other_regions(self, question: DirectoryQuery, region: RegionName) -> list[str]:
         """Return instances of the other regions that may run most routes of the caller's host.
--- a/sparline/gateway/tests/test_unreachable_servers.py
+++ b/sparline/gateway/tests/test_unreachable_servers.py
@@ -4,7 +4,9 @@
 import msgspec
 import pytest
 
+from sparline._ids import RegionName, ZoneName
 from sparline.http import ConnectionPool
+from sparline.platform import DirectoryQuery
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT
 
@@ -98,6 +100,14 @@
     assert caller.read().whole
 
 
+def test_callers_are_directed_to_instances_that_reach_servers(fleet, monkeypatch):
+    isolate(fleet, "g0", monkeypatch)
+    query = DirectoryQuery("host.example", RegionName("north"), ZoneName("north-1"))
+    for gateway in fleet.gateways.values():
+        (found,) = gateway.directory.find(query)
+        assert found.startswith(fleet.gateways["g1"].settings.ip)
+
+
 def test_relay_to_an_isolated_instance_leaves_its_region_usable(monkeypatch):
     with RoutedFleet(("south-1", "north-1", "north-1")) as fleet:
         fleet.add_server("p1")
