Take refused connections for no exit of a server where no server is reached

What callers saw: none in the record; found in asking where else a cut instance believes its own view. Each broken answer there has its server probed, the probe is refused by the cut, and counts as an exit under the request: three of these quarantine it for two minutes, everywhere. Change: after a refused or reset probe, an instance of a region with several servers asks whether it reaches any (shared with the check that decides isolation); if not, the probe says nothing. Evidence: test_refused_connections_show_no_exit... fails without the change and passes; tests of crashing requests and reset connections pass.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -8,7 +8,7 @@
 from sparline._clock import PauseWatch
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
-from sparline.decisions import EndEvidence, Liveness, counted_exit
+from sparline.decisions import EndEvidence, Liveness, ProbeResult, counted_exit
 from sparline.fleet import (
     NO_POSITION,
     WATCHERS_PER_ZONE,
@@ -138,7 +138,7 @@
         self._build_placement(region)
         self.end_detector = ServerEndDetector(
             ServerEndCallbacks(
-                self.pool.probe,
+                self._probe_server,
                 self.health.heard_at_ms,
                 self.health.note_unreachable,
                 self.request_log.note_server_end,
@@ -319,6 +319,14 @@
         self.health.forget_failures(self.fleet.ids_in(self.members.own.region))
         self.gossip.announce_servers_reached(not is_isolated)
 
+    def _probe_server(self, address: Address, timeout_s: float) -> ProbeResult:
+        """Tell whether something listens at an address; an isolated instance can't know."""
+        result = self.pool.probe(address, timeout_s)
+        is_refused = result in (ProbeResult.REFUSED, ProbeResult.RESET)
+        if is_refused and len(self._servers_in_region()) > 1 and self.connectivity.check():
+            return ProbeResult.UNKNOWN
+        return result
+
     def _on_load_change(
         self, server: BackendServer, change: ServerLoad, log_factor: float | None
     ) -> None:
--- a/sparline/gateway/tests/test_unreachable_servers.py
+++ b/sparline/gateway/tests/test_unreachable_servers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sparline._ids import RegionName, ZoneName
+from sparline.decisions import ProbeResult
 from sparline.http import ConnectionPool
 from sparline.platform import DirectoryQuery
 from sparline.tests.routed_fleet import RoutedFleet
@@ -108,6 +109,15 @@
         assert found.startswith(fleet.gateways["g1"].settings.ip)
 
 
+def test_refused_connections_show_no_exit_to_an_instance_that_reaches_no_server(fleet, monkeypatch):
+    cut_off(fleet, "g0", monkeypatch)
+    g0 = fleet.gateways["g0"]
+    server = fleet.servers["p1"]
+    found = g0.end_detector.probe("p1", (server.ip, server.port))
+    assert found is ProbeResult.UNKNOWN
+    assert g0.end_detector.ended_at_ms("p1") == 0.0
+
+
 def test_relay_to_an_isolated_instance_leaves_its_region_usable(monkeypatch):
     with RoutedFleet(("south-1", "north-1", "north-1")) as fleet:
         fleet.add_server("p1")
