--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -13,6 +13,7 @@
 from sparline.http import HttpRequest, RequestParser
 
 READ_BYTES = 65_536
+MS_PER_S = 1000.0
 LAST_CHUNK = b"0\r\n\r\n"
 # Closing with this set resets the connection instead of ending it.
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -79,6 +80,11 @@
     reports_leaving: bool = False  # whether answers carry Server-Leaving: 1
     rest_s: float = 0.0  # Retry-After value of 503 answers in seconds, 0 to omit it
     limit_per_s: float | None = None  # limit that its answers state, None for no limit
+    falls: int = 0  # times that it ended because it refused too many requests
+    places: int | None = None  # requests that run at once, more are refused; None for any number
+    # Refusals per second for want of places beyond which the process ends, None for any number. All
+    # answers state it.
+    brittle_per_s: int | None = None
     keeps_port: bool = False  # whether something else goes on listening once it has ended
     ends_cleanly: bool = False  # whether its connections are closed instead of reset as it ends
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
@@ -152,6 +158,11 @@
             self.refused_at_ms.append(now_ms())
             connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
             return True
+        running = sum(not one.finished and not one.abandoned for one in self.runs)
+        if self.places is not None and running >= self.places:
+            self.refused_at_ms.append(now_ms())
+            connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
+            return not self._fall_if_brittle()
         run = self._start_run(request)
         gevent.sleep(self.work_ms / 1000)
         if self.ends_on and self.ends_on in run.body:
@@ -173,6 +184,16 @@
         connection.sendall(self._head(status, request, [], length, faults) + body + faults.garbage)
         return not faults.unframed
 
+    def _fall_if_brittle(self) -> bool:
+        """End the process if it refused too many requests within a second; tell whether it did."""
+        since_ms = now_ms() - MS_PER_S
+        refused = sum(at_ms > since_ms for at_ms in self.refused_at_ms)
+        if self.brittle_per_s is None or refused <= self.brittle_per_s:
+            return False
+        self.falls += 1
+        self.end()
+        return True
+
     def _start_run(self, request: HttpRequest) -> SealedRun:
         headers = {name.decode(): value.decode() for name, value in request.headers}
         run = SealedRun(
@@ -238,6 +259,8 @@
             lines.append("Server-Leaving: 1")
         if self.rest_s and status == 503:
             lines.append(f"Retry-After: {self.rest_s}")
+        if self.brittle_per_s is not None and status != 421:
+            lines.append(f"Server-Brittle: {self.brittle_per_s}")
         if self.limit_per_s is not None and status != 421:
             lines.append(f"Server-Limit: {self.limit_per_s}")
         lines += [f"{name}: {value}" for name, value in headers]
