Send brittle servers nothing that may have to wait, and little after a refusal

What callers would see: servers that state Server-Brittle: N end when they turn away more than N requests in a second for want of room, and take with them what they run. Nothing read the header. Change: the newest answer of each server counts, for 10 s. Of its free slots, as far as known, each instance of the region takes its part within 50 ms, a fraction with that probability; after a refusal it sends that server nothing for as long as keeps the refusals of all at half of N. Callers that find no slot are told to come back in 0.15 s.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -289,8 +289,9 @@
         return meaning
 
     def _note_server_state(self, meaning: AnswerMeaning) -> None:
-        """Record the rate limit and leaving state reported by a server's response."""
+        """Record the limits and leaving state reported by a server's response."""
         self._dependencies.server_limits.note_answer(self._server_id, meaning.limit_per_s)
+        self._dependencies.refusal_limits.note_answer(self._server_id, meaning.refusal_limit_per_s)
         if meaning.is_leaving:
             self._dependencies.note_leaving(self._server_id)
 
@@ -304,9 +305,9 @@
                 self._dependencies.health.note_misdirected(self._server_id)
                 return AttemptEnd(AttemptResult.NOT_RUN, Reason.MISDIRECTED)
             case AnswerKind.NOT_RUN:
-                # The Retry-After of a peer does not apply to the backend server.
-                server_retry_after_ms = 0.0 if via_peer else meaning.retry_after_ms
-                self._dependencies.health.note_full(self._server_id, server_retry_after_ms)
+                self._dependencies.health.note_full(
+                    self._server_id, 0.0 if via_peer else self._backoff_ms(meaning)
+                )
                 reason = Reason.PEER_NOT_RUN if via_peer else Reason.BACKEND_REFUSED
                 return AttemptEnd(AttemptResult.NOT_RUN, reason, meaning.retry_after_ms)
             case AnswerKind.NOT_SENT if meaning.is_isolated:
@@ -334,6 +335,11 @@
             ended_server=meaning.ended_server,
         )
 
+    def _backoff_ms(self, meaning: AnswerMeaning) -> float:
+        """Return how long a server that has refused a request gets none, 0 if it did not ask."""
+        pause_ms = self._dependencies.refusal_limits.pause_ms(self._server_id)
+        return max(meaning.retry_after_ms, pause_ms)
+
 
 def _is_from_server(meaning: AnswerMeaning, answer: HttpAnswer) -> bool:
     """Tell whether an answer must come from a backend server itself, not from a proxy before it."""
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -13,6 +13,7 @@
     HealthTable,
     PaceTable,
     Placement,
+    RefusalLimitTable,
     ServerLimitTable,
     WatchTables,
 )
@@ -90,6 +91,7 @@
     peer_port: int  # port on which instances accept relayed requests
     health: HealthTable  # server health observed by this instance
     server_limits: ServerLimitTable  # request rate limits set by servers
+    refusal_limits: RefusalLimitTable  # limits on refusals set by servers
     note_leaving: Callable[[BackendServerId], None]  # marks a server as leaving
     pace: PaceTable  # typical response times
     watch: WatchTables  # timing statistics learned from streams
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -31,6 +31,8 @@
     is_region_full: bool = False  # no server in the peer's region has capacity
     is_isolated: bool = False  # the peer reaches no server of its region
     limit_per_s: float | None = None  # server's rate limit, None if unlimited
+    # Refusals per second beyond which the server fails, None if it stated no such limit.
+    refusal_limit_per_s: float | None = None
     is_leaving: bool = False  # whether the server reports that it is leaving the fleet
 
 
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -66,6 +66,7 @@
     PlacementTables,
     PromptCache,
     RateShares,
+    RefusalLimitTable,
     ServerLimitShares,
     ServerLimitTable,
     WatchTables,
@@ -219,6 +220,9 @@
         load_table = self.load_exchange.load_table
         self.loads = LoadTable(region, load_table.load, self._on_load_change)
         self.server_limits = ServerLimitTable(self.request_log.note_server_limit)
+        self.refusal_limits = RefusalLimitTable(
+            lambda: len(self.members.sharers(region)), self.request_log.note_refusal_limit
+        )
         self.cache = PromptCache(
             owners_have_cached=not self.settings.first_start,
             sharing=lambda: len(self.members.live(region)) + 1,
@@ -250,6 +254,7 @@
             round_trip_ms=self.peers.round_trip_ms,
             load_age_ms=load_table.age_ms,
             is_doubted_by_region=load_table.is_doubted,
+            refusal_limits=self.refusal_limits,
             is_isolated=lambda: self.connectivity.is_isolated,
         )
         place = InstanceLocation(region, ZoneName(self.settings.availability_zone))
@@ -271,6 +276,7 @@
             peer_port=self._relay_port,
             health=self.health,
             server_limits=self.server_limits,
+            refusal_limits=self.refusal_limits,
             note_leaving=self.fleet.note_leaving,
             pace=self.pace,
             watch=WatchTables(
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -79,6 +79,7 @@
         self.metrics.quotas_kept.set(len(self.quota_exchange.quota_coordinator))
         self.metrics.quarantined.set(self.crashes.quarantined())
         self.metrics.limited_servers.set(self.server_limits.limited_count())
+        self.metrics.refusal_limited.set(self.refusal_limits.limited_count())
         self.metrics.members.set(len(self.members.live()))
         own_region = RegionName(self.settings.region)
         self.metrics.region_sharers.set(len(self.members.sharers(own_region)))
--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -31,6 +31,7 @@
         components.pace.forget_all_but(server_ids)
         components.loads.forget_old()
         components.server_limits.forget_old()
+        components.refusal_limits.forget_all_but(server_ids)
         components.crashes.forget_old()
         components.members.forget_old()
         components.pool.sweep()
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -50,6 +50,9 @@
         self.limited_servers = self._gauge(
             "limited_servers", "Backend servers whose answers name a limit."
         )
+        self.refusal_limited = self._gauge(
+            "refusal_limited_servers", "Backend servers whose answers limit refusals."
+        )
         self.store_calls = self._counter("store_calls", "Calls of the store.", ("call", "result"))
         self.bad_items = self._counter("bad_items", "Items of the store not understood.", ())
         self.store_copies = self._counter("store_copies", "Copies of the store.", ("result",))
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -7,7 +7,7 @@
 from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd, UnframedEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.placement import ColdRequest, Placement, Refusal, ServerLimit
+from sparline.placement import ColdRequest, Placement, Refusal, RefusalLimit, ServerLimit
 from sparline.quarantine import (
     MIN_QUARANTINE_ENDS,
     CrashChange,
@@ -137,6 +137,13 @@
                 age_ms=round(now_ms() - limit.at_ms),
             ).info("server_limit_changed")
 
+    def note_refusal_limit(self, limit: RefusalLimit) -> None:
+        """Record that a server added, changed or removed its limit on refusals."""
+        if self._other.take() and log.is_written(LineLevel.INFO):
+            log.bind(backend_server=limit.server_id, per_s=limit.per_s).info(
+                "refusal_limit_changed"
+            )
+
     def count_rejected(self, reason: Reason) -> None:
         """Count a request that was rejected before routing and is logged elsewhere."""
         self._metrics.refusals.labels(reason.value).inc()
--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -13,6 +13,7 @@
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, prefix_owner
 from sparline.placement._rate_shares import RateShares
+from sparline.placement._refusal_limits import RefusalLimit, RefusalLimitTable
 from sparline.placement._server_limits import ServerLimit, ServerLimitTable
 from sparline.placement._stream_watch import StreamWatch, WatchTables
 
@@ -34,6 +35,8 @@
     "PromptCache",
     "RateShares",
     "Refusal",
+    "RefusalLimit",
+    "RefusalLimitTable",
     "Reservation",
     "ServerLimit",
     "ServerLimitTable",
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -215,20 +215,30 @@
     def _shortest_backoff_ms(
         self, request: RoutedRequest, servers: Sequence[BackendServer]
     ) -> float | None:
-        """Return the time until the first backoff of a suitable server ends, None without one."""
+        """Return the time until a suitable server may take requests again, None if unknown."""
         left = [
             self._tables.health.backoff_left_ms(one.id)
+            or self._tables.refusal_limits.retry_ms(one.id)
             for one in servers
             if _is_suitable(request, one) and one.zone not in self._tables.fleet.evacuated
         ]
         return min((one for one in left if one), default=None)
 
     def _may_send(self, server: BackendServer, service: Service) -> bool:
-        """Tell whether the rates of a server of this region allow one more request now."""
+        """Tell whether the limits of a server of this region allow one more request now."""
         if not self._tables.limits.may_send(server.id):
             return False
+        if not self._tables.refusal_limits.may_send(
+            server.id, lambda: self._free_slots(server, service)
+        ):
+            return False
         return self._tables.cold.may_send(server, service.cold_requests_per_s)
 
+    def _free_slots(self, server: BackendServer, service: Service) -> int:
+        """Return the number of requests that a server could start at once, as far as is known."""
+        slots = service.engine.slots if service.engine is not None else server.slots
+        return max(slots - self._tables.loads.of(server).running, 0)
+
     def _best(self, placements: list[Placement], prefer_few_running: bool) -> Placement:
         min_doubt = min(one.doubt.value for one in placements)
         trusted = [one for one in placements if one.doubt.value == min_doubt]
@@ -277,6 +287,7 @@
         if placement.peer is None:
             self._tables.cold.note_sent(placement.server, service.cold_requests_per_s)
             self._tables.limits.note_sent(placement.server.id)
+            self._tables.refusal_limits.note_sent(placement.server.id)
         if request.prompt is not None and service.engine is not None:
             self._tables.credit.note(request.service, request.prompt)
             self._tables.cache.note(
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -19,6 +19,7 @@
 from sparline.placement._pauses import GapTable, LateShares
 from sparline.placement._placement import Doubt, Placement
 from sparline.placement._prompt_cache import PromptCache
+from sparline.placement._refusal_limits import RefusalLimitTable
 from sparline.requests import RoutedRequest
 from sparline.routes import EngineSpec, Service
 
@@ -79,6 +80,8 @@
     load_age_ms: Callable[[BackendServerId], float | None]  # age of the known load of a server
     # Whether instances of a server's region reported that it failed recently.
     is_doubted_by_region: Callable[[BackendServerId], bool]
+    # Limits on refusals set by servers.
+    refusal_limits: RefusalLimitTable = field(default_factory=lambda: RefusalLimitTable(lambda: 1))
     # Whether this instance reaches no server of its region.
     is_isolated: Callable[[], bool] = lambda: False
 
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -35,6 +35,7 @@
 RETRY_AFTER = b"retry-after"  # seconds, may have a fraction
 SERVER_LEAVING = b"server-leaving"  # "1" if the backend server is shutting down
 SERVER_LIMIT = b"server-limit"  # requests per second, from all instances together
+SERVER_BRITTLE = b"server-brittle"  # refusals per second beyond which the server fails
 
 # Header of the store's responses: rises by one each time it comes back from an older copy.
 STORE_ERA = b"store-era"
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -288,6 +288,7 @@
         kind,
         _retry_after_ms(answer),
         limit_per_s=_parse_decimal(answer.header(names.SERVER_LIMIT)),
+        refusal_limit_per_s=_parse_decimal(answer.header(names.SERVER_BRITTLE)),
         is_leaving=answer.header(names.SERVER_LEAVING) == b"1",
     )
 
