--- /dev/null
+++ b/sparline/gateway/_own_answers.py
@@ -0,0 +1,97 @@
+"""Responses to requests that are answered before they are forwarded."""
+
+from collections.abc import Callable
+
+from sparline.fleet import FleetState
+from sparline.forwarding import OwnAnswer
+from sparline.gateway._admission import NotAdmitted
+from sparline.gateway._request_log import RequestLog
+from sparline.http import CallerConnection, Headers
+from sparline.platform import RequestHead, refusal_headers, relayed_refusal_headers
+from sparline.requests import Origin, Reason, UnknownCaller
+
+# Retry delay for a relayed request that has no route here (ms). The instance that relayed it
+# then tries elsewhere.
+NO_ROUTE_RETRY_AFTER_MS = 500.0
+# Retry delay for callers whose key may belong to a newer configuration (ms). Instances that are
+# connected receive a new version within a second or two.
+OUTDATED_RETRY_AFTER_MS = 400.0
+
+
+class OwnAnswers:
+    """Refuse and reject requests, and log that."""
+
+    def __init__(
+        self, fleet: FleetState, request_log: RequestLog, may_be_outdated: Callable[[], bool]
+    ) -> None:
+        """Answer for one instance.
+
+        `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
+        """
+        self._fleet = fleet
+        self._log = request_log
+        self._may_be_outdated = may_be_outdated
+
+    def refuse_not_admitted(
+        self, caller: CallerConnection, origin: Origin, decision: NotAdmitted
+    ) -> None:
+        """Refuse a request that no allowed region admits; `AdmissionGate` has logged it."""
+        headers = _headers_for(origin)
+        # Tells a relaying instance not to try another instance of this region.
+        answer = OwnAnswer(False, decision.retry_after_ms, is_region_full=True)
+        caller.answer(503, headers(answer), b"")
+        self._log.count_rejected(Reason.ADMISSION_LEVEL)
+
+    def answer_unknown_caller(
+        self, caller: CallerConnection, marks: RequestHead, origin: Origin, unknown: UnknownCaller
+    ) -> None:
+        """Answer a request without a known organisation.
+
+        An unknown key may be new: if a newer configuration may be in force, the caller is told to
+        retry, which 401 would not do.
+        """
+        request_id = marks.request_id
+        if origin is Origin.RELAY:
+            self.refuse(caller, request_id, origin, unknown.reason, NO_ROUTE_RETRY_AFTER_MS)
+            return
+        if unknown.reason is Reason.UNKNOWN_KEY and self._may_be_outdated():
+            self.refuse(
+                caller, request_id, origin, Reason.CONFIGURATION_BEHIND, OUTDATED_RETRY_AFTER_MS
+            )
+            return
+        text = unknown.text
+        withdrawn_at = self._fleet.withdrawn_at(marks.key.digest) if marks.key.digest else None
+        if withdrawn_at is not None:
+            text = f"{text}; it was withdrawn by version {withdrawn_at}"
+        self.reject(caller, request_id, 401, unknown.reason, text)
+
+    def refuse(
+        self,
+        caller: CallerConnection,
+        request_id: str,
+        origin: Origin,
+        reason: Reason,
+        retry_after_ms: float,
+    ) -> None:
+        """Refuse a request that has not run and may be retried after a delay."""
+        headers = _headers_for(origin)
+        status = 429 if reason is Reason.LIMIT else 503
+        caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
+        self._log.note_rejected(request_id, status, reason, "not run")
+
+    def reject(
+        self, caller: CallerConnection, request_id: str, status: int, reason: Reason, text: str
+    ) -> None:
+        """Reject an invalid or unauthorised request with an error text, without Retry-After."""
+        if status not in (401, 404):
+            caller.closing = True
+        body = text.encode() + b"\n"
+        headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        if status == 401:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
+        caller.answer(status, headers, body)
+        self._log.note_rejected(request_id, status, reason, text)
+
+
+def _headers_for(origin: Origin) -> Callable[[OwnAnswer], Headers]:
+    return relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -14,9 +14,10 @@
 from sparline._ids import RequestId
 from sparline.decisions import unserved_retry_after_ms
 from sparline.fleet import FleetState, StoreCopyTable
-from sparline.forwarding import Forwarder, OwnAnswer
+from sparline.forwarding import Forwarder
 from sparline.gateway._admission import AdmissionGate, Admitted, Arrival, NotAdmitted
 from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._own_answers import NO_ROUTE_RETRY_AFTER_MS, OwnAnswers
 from sparline.gateway._quotas import Quotas
 from sparline.gateway._request_log import RequestLog
 from sparline.http import (
@@ -31,8 +32,6 @@
     RequestHead,
     headers_to_pass,
     parse_request_head,
-    refusal_headers,
-    relayed_refusal_headers,
 )
 from sparline.requests import (
     KnownCaller,
@@ -49,12 +48,6 @@
 # Deadline assumed for requests without one when they are refused before a route's timeout
 # applies (ms).
 DEFAULT_DEADLINE_MS = 3_000.0
-# Retry delay for a relayed request that has no route here (ms). The instance that relayed it
-# then tries elsewhere.
-NO_ROUTE_RETRY_AFTER_MS = 500.0
-# Retry delay for callers whose key may belong to a newer configuration (ms). Instances that are
-# connected receive a new version within a second or two.
-OUTDATED_RETRY_AFTER_MS = 400.0
 # Retry delay for callers of an instance that is about to exit (ms): they can use another at once.
 LEAVING_RETRY_AFTER_MS = 50.0
 # Idle timeout of persistent connections of peers (ms).
@@ -98,7 +91,7 @@
         self._log = request_log
         self._pace = pace
         self._store_outage_age_ms = store_outage_age_ms
-        self._may_be_outdated = may_be_outdated
+        self._own_answers = OwnAnswers(fleet, request_log, may_be_outdated)
         self._quotas = quotas
         self._admission = admission
         self._connections: set[CallerConnection] = set()
@@ -128,7 +121,9 @@
                 if request is None:
                     return
                 if isinstance(request, BadRequest):
-                    self._reject(caller, "", request.status, Reason.BAD_REQUEST, request.text)
+                    self._own_answers.reject(
+                        caller, "", request.status, Reason.BAD_REQUEST, request.text
+                    )
                     caller.linger(LINGER_S)
                     return
                 self._answer(caller, request, origin)
@@ -171,7 +166,7 @@
             return
         marks = parse_request_head(http)
         if marks.is_err():
-            self._reject(caller, "", 400, Reason.BAD_REQUEST, marks.unwrap_err())
+            self._own_answers.reject(caller, "", 400, Reason.BAD_REQUEST, marks.unwrap_err())
             return
         routed = self._route(caller, http, marks.unwrap(), origin)
         if routed is None:
@@ -197,30 +192,34 @@
         request_id = marks.request_id
         if configuration is None:
             wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
-            self._refuse(caller, request_id, origin, Reason.NO_CONFIGURATION, wait_ms)
+            self._own_answers.refuse(caller, request_id, origin, Reason.NO_CONFIGURATION, wait_ms)
             return None
         route = configuration.find(marks.host, marks.path)
         if route is None and origin is Origin.RELAY:
             # The instance that relayed it may have another version and decides on the answer.
-            self._refuse(caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_AFTER_MS)
+            self._own_answers.refuse(
+                caller, request_id, origin, Reason.NO_ROUTE, NO_ROUTE_RETRY_AFTER_MS
+            )
             return None
         if route is None:
             text = f"expected a route for host {marks.host} and path {marks.path}"
-            self._reject(caller, request_id, 404, Reason.NO_ROUTE, text)
+            self._own_answers.reject(caller, request_id, 404, Reason.NO_ROUTE, text)
             return None
         found = self._find_caller(configuration, route, marks, origin)
         if found.is_err():
-            self._answer_unknown_caller(caller, marks, origin, found.unwrap_err())
+            self._own_answers.answer_unknown_caller(caller, marks, origin, found.unwrap_err())
             return None
         known_caller = found.unwrap()
         if known_caller is not None and not _has_allowed_region(route, known_caller.organisation):
             wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
-            self._refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
+            self._own_answers.refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
             return None
         relayed = ServiceName(marks.relay_service) if origin is Origin.RELAY else None
         service = relayed or choose_service(route, request_id)
         if not self._can_complete(route, service, marks):
-            self._refuse(caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS)
+            self._own_answers.refuse(
+                caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
+            )
             return None
         limit_ms = route.timeout_ms
         if marks.deadline_ms is not None:
@@ -233,14 +232,14 @@
                 Arrival(http, marks, route, service, known_caller, limit_ms), origin
             )
             if isinstance(decision, NotAdmitted):
-                self._answer_not_admitted(caller, origin, decision)
+                self._own_answers.refuse_not_admitted(caller, origin, decision)
                 return None
             admitted = decision
         wait_ms = None
         if origin is Origin.CALLER:
             wait_ms = self._quotas.admit(request_id, known_caller, marks.prompt)
         if wait_ms is not None:
-            self._refuse(caller, request_id, origin, Reason.LIMIT, wait_ms)
+            self._own_answers.refuse(caller, request_id, origin, Reason.LIMIT, wait_ms)
             return None
         return RoutedRequest(
             request_id=request_id,
@@ -261,16 +260,6 @@
             rank=configuration.rank_of(route, known_caller.organisation if known_caller else None),
         )
 
-    def _answer_not_admitted(
-        self, caller: CallerConnection, origin: Origin, decision: NotAdmitted
-    ) -> None:
-        """Refuse a request that no allowed region admits; `AdmissionGate` has logged it."""
-        headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
-        # Tells a relaying instance not to try another instance of this region.
-        answer = OwnAnswer(False, decision.retry_after_ms, is_region_full=True)
-        caller.answer(503, headers(answer), b"")
-        self._log.count_rejected(Reason.ADMISSION_LEVEL)
-
     def _find_caller(
         self, configuration: Configuration, route: Route, marks: RequestHead, origin: Origin
     ) -> Result[KnownCaller | None, UnknownCaller]:
@@ -278,29 +267,6 @@
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
-    def _answer_unknown_caller(
-        self, caller: CallerConnection, marks: RequestHead, origin: Origin, unknown: UnknownCaller
-    ) -> None:
-        """Answer a request without a known organisation.
-
-        An unknown key may be new: if a newer configuration may be in force, the caller is told to
-        retry, which 401 would not do.
-        """
-        request_id = marks.request_id
-        if origin is Origin.RELAY:
-            self._refuse(caller, request_id, origin, unknown.reason, NO_ROUTE_RETRY_AFTER_MS)
-            return
-        if unknown.reason is Reason.UNKNOWN_KEY and self._may_be_outdated():
-            self._refuse(
-                caller, request_id, origin, Reason.CONFIGURATION_BEHIND, OUTDATED_RETRY_AFTER_MS
-            )
-            return
-        text = unknown.text
-        withdrawn_at = self._fleet.withdrawn_at(marks.key.digest) if marks.key.digest else None
-        if withdrawn_at is not None:
-            text = f"{text}; it was withdrawn by version {withdrawn_at}"
-        self._reject(caller, request_id, 401, unknown.reason, text)
-
     def _can_complete(self, route: Route, service: ServiceName, marks: RequestHead) -> bool:
         """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
@@ -308,38 +274,11 @@
         token_ms = self._pace.max_output_token_ms(service)
         return self.leave_plan.accepts(route, marks.prompt, token_ms)
 
-    def _refuse(
-        self,
-        caller: CallerConnection,
-        request_id: str,
-        origin: Origin,
-        reason: Reason,
-        retry_after_ms: float,
-    ) -> None:
-        """Refuse a request that has not run and may be retried after a delay."""
-        headers = relayed_refusal_headers if origin is Origin.RELAY else refusal_headers
-        status = 429 if reason is Reason.LIMIT else 503
-        caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
-        self._log.note_rejected(request_id, status, reason, "not run")
-
-    def _reject(
-        self, caller: CallerConnection, request_id: str, status: int, reason: Reason, text: str
-    ) -> None:
-        """Reject an invalid or unauthorised request with an error text, without Retry-After."""
-        if status not in (401, 404):
-            caller.closing = True
-        body = text.encode() + b"\n"
-        headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
-        if status == 401:
-            headers.append((b"WWW-Authenticate", b"Bearer"))
-        caller.answer(status, headers, body)
-        self._log.note_rejected(request_id, status, reason, text)
-
     def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
         after = http.target.removeprefix(STORE_COPY_TARGET)
         if not after.isdigit():
             text = f"expected a revision, found {after!r}"
-            self._reject(caller, "", 400, Reason.BAD_REQUEST, text)
+            self._own_answers.reject(caller, "", 400, Reason.BAD_REQUEST, text)
             return
         outage_age_ms = self._store_outage_age_ms()
         copy = msgspec.structs.replace(
