--- a/sparline/gateway/_server_connectivity.py
+++ b/sparline/gateway/_server_connectivity.py
@@ -11,8 +11,9 @@
 from sparline.fleet import BackendServer
 from sparline.http import Address
 
-# Number of servers that one check asks: the first answer decides.
-MAX_CHECKED_SERVERS = 3
+# Number of servers that one check asks: the first answer decides. With fewer, an instance that is
+# cut off from some servers only may ask none of the others.
+MAX_CHECKED_SERVERS = 6
 # Servers of the own region answer within a few milliseconds (ms).
 CHECK_TIMEOUT_MS = 300.0
 # The result of a check is used for this long, and an isolated instance checks as often (ms).
