--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -20,6 +20,7 @@
     AnswerKind,
     AnswerMeaning,
     AttemptParameters,
+    BackendWire,
     OwnAnswer,
     Wire,
 )
@@ -32,6 +33,7 @@
     "AttemptEnd",
     "AttemptParameters",
     "AttemptResult",
+    "BackendWire",
     "EventSplitter",
     "Forwarder",
     "ForwarderDependencies",
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -8,7 +8,7 @@
 from sparline._clock import PauseWatch
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
-from sparline.decisions import EndEvidence, Liveness, ProbeResult, counted_exit
+from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.fleet import (
     NO_POSITION,
     WATCHERS_PER_ZONE,
@@ -37,7 +37,6 @@
     OwnAnswer,
     RetryRule,
     RetryWindow,
-    answers_presence_check,
     may_send_elsewhere,
 )
 from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
@@ -47,12 +46,13 @@
 from sparline.gateway._occupancy import RegionOccupancy
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._quotas import QuotaParameterTable, Quotas
+from sparline.gateway._region_servers import RegionServers
 from sparline.gateway._request_log import RequestLog
 from sparline.gateway._server_connectivity import ConnectivitySources, ServerConnectivity
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
-from sparline.http import Address, ConnectionPool, Headers
+from sparline.http import ConnectionPool, Headers
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -133,13 +133,18 @@
         self.pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
         self.connectivity = ServerConnectivity(
             ConnectivitySources(
-                self._sample_servers, self._is_server_present, self._on_connectivity_change
+                lambda count: self.region_servers.sample(count),
+                lambda address, timeout_ms: self.region_servers.is_present(address, timeout_ms),
+                self._on_connectivity_change,
             )
         )
+        self.region_servers = RegionServers(
+            region, self.fleet, self.pool, ServerWire(), self.connectivity.check
+        )
         self._build_placement(region)
         self.end_detector = ServerEndDetector(
             ServerEndCallbacks(
-                self._probe_server,
+                self.region_servers.probe,
                 self.health.heard_at_ms,
                 self.health.note_unreachable,
                 self.request_log.note_server_end,
@@ -308,31 +313,12 @@
             )
         )
 
-    def _servers_in_region(self) -> list[BackendServer]:
-        servers = (self.fleet.servers[one] for one in self.fleet.ids_in(self.members.own.region))
-        return [one for one in servers if not one.leaving]
-
-    def _sample_servers(self, count: int) -> list[BackendServer]:
-        servers = self._servers_in_region()
-        return random.sample(servers, min(count, len(servers)))
-
-    def _is_server_present(self, address: Address, timeout_ms: float) -> bool:
-        return answers_presence_check(self.pool, ServerWire(), address, timeout_ms)
-
     def _on_connectivity_change(self, is_isolated: bool) -> None:
         """Use the other way to the region's servers from now on, and tell the other instances."""
         self.metrics.isolated.set(is_isolated)
         self.health.forget_failures(self.fleet.ids_in(self.members.own.region))
         self.gossip.announce_servers_reached(not is_isolated)
 
-    def _probe_server(self, address: Address, timeout_s: float) -> ProbeResult:
-        """Tell whether something listens at an address; an isolated instance can't know."""
-        result = self.pool.probe(address, timeout_s)
-        is_refused = result in (ProbeResult.REFUSED, ProbeResult.RESET)
-        if is_refused and len(self._servers_in_region()) > 1 and self.connectivity.check():
-            return ProbeResult.UNKNOWN
-        return result
-
     def _on_load_change(
         self, server: BackendServer, change: ServerLoad, log_factor: float | None
     ) -> None:
