Close the connection of a presence check that is killed

Found in reading the diff: the check was taken out of the search for witnesses without its finally, so that a request whose caller left in it kept a connection open until it was collected. Also two comments wrapped.

--- a/sparline/forwarding/_witnesses.py
+++ b/sparline/forwarding/_witnesses.py
@@ -42,6 +42,7 @@
     A proxy or supervisor that accepts connections without the server gives no such answer.
     """
     connection = None
+    is_kept = False
     with gevent.Timeout(timeout_ms / 1000, False):
         try:
             connection = pool.open(address, timeout_ms / 1000)
@@ -53,7 +54,11 @@
                 connection.note_proven()
         except (OSError, ConnectionBroken) as error:
             log.debug("no presence of a server at {}: {}", address, error)
-    return connection is not None and _keep_proven(pool, connection)
+        finally:
+            # Runs also when this greenlet is killed.
+            if connection is not None:
+                is_kept = _keep_proven(pool, connection)
+    return is_kept
 
 
 def _keep_proven(pool: ConnectionPool, connection: BackendConnection) -> bool:
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -39,9 +39,8 @@
         """Connect; `OSError` where that fails, and then nothing was sent."""
         self.address = address
         self.reusable = True  # whether another request may follow
-        self._lost = (
-            False  # whether the other side has ended it, other than as the end of an answer
-        )
+        # Whether the other side has ended it, other than as the end of an answer.
+        self._lost = False
         self._is_way_broken = False  # whether the way to the other side has failed
         self._in_use = False  # whether an answer is awaited
         self._has_ended_answer = False  # whether its end was the end of an answer
@@ -66,8 +65,9 @@
     def is_lost(self) -> bool:
         """Tell whether the other side has ended the connection; False where this side did.
 
-        False also where that ended an answer, where the way has failed, and where the connection has rested so long, for example
-        while this process was suspended, that the other side closes it as a matter of course.
+        False also where that ended an answer, where the way has failed, and where the connection
+        has rested so long, for example while this process was suspended, that the other side closes
+        it as a matter of course.
         """
         if not self._lost and not self._socket.closed and not self._has_expired():
             self._peek()
