--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -314,7 +314,7 @@
         )
 
     def _on_connectivity_change(self, is_isolated: bool) -> None:
-        """Use the other way to the region's servers from now on, and tell the other instances."""
+        """Forget failures on the way to servers that is no longer used, and tell the other instances."""
         self.metrics.isolated.set(is_isolated)
         self.health.forget_failures(self.fleet.ids_in(self.members.own.region))
         self.gossip.announce_servers_reached(not is_isolated)
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -39,10 +39,6 @@
         live = self._reachable(self._members.live(region))
         return live or self._reachable(self._members.leaving(region, self._last_instance_accept_ms))
 
-    def has_connected_sibling(self) -> bool:
-        """Tell whether any other instance of the own region reaches its servers."""
-        return bool(self.usable(RegionName(self._members.own.region)))
-
     def _reachable(self, members: list[Member]) -> list[Member]:
         now = now_ms()
         return [
--- a/sparline/gateway/_server_connectivity.py
+++ b/sparline/gateway/_server_connectivity.py
@@ -88,5 +88,5 @@
         if is_isolated is self.is_isolated:
             return
         self.is_isolated = is_isolated
-        log.bind(isolated=is_isolated).warning("servers_unreachable_changed")
+        log.bind(isolated=is_isolated).warning("isolation_changed")
         self._sources.on_change(is_isolated)
