Name software versions and resumed streams in the log

No line named the version of a server, nor whether a request goes on from an earlier answer, so that the hypotheses could not be told apart. Change: an entry's version is decoded and written with server_known, server_changed and each place; request_retried says whether the answer had begun; request_ended of a stream that is taken up names the try that brought its first event and the last event that the caller has. No choice depends on it yet. Evidence: the rows of test_items.py; sparline/platform, test_requests.py, test_fleet.py and test_fleet_state.py pass.

--- a/sparline/_ids.py
+++ b/sparline/_ids.py
@@ -11,6 +11,8 @@
 RequestId = NewType("RequestId", str)
 RecordName = NewType("RecordName", str)
 Revision = NewType("Revision", int)
+# Version of a backend server's software, not of a model's weights; empty where none is named.
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 # A model's or a service's name as requests give it.
 TargetName = NewType("TargetName", str)
--- a/sparline/fleet/_backend_servers.py
+++ b/sparline/fleet/_backend_servers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion, ZoneName
 from sparline.routes import Configuration, ServiceName
 
 Address = tuple[str, int]
@@ -20,6 +20,7 @@
     slots: int  # number of requests that it processes concurrently
     leaving: bool  # whether it accepts no new requests
     cold_until_ms: float  # end of its warm-up, when it can handle few requests (process clock)
+    software_version: SoftwareVersion = SoftwareVersion("")  # version that writes its answers
     born_ms: int = 0  # start time by its wall clock (ms); orders starts under one key; 0 if unknown
 
 
--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -265,6 +265,7 @@
             backend_server=server.id,
             service=server.service,
             zone=server.zone,
+            software_version=server.software_version,
             leaving=server.leaving,
             cold_ms=round(max(server.cold_until_ms - now_ms(), 0)),
             revision=revision,
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -53,7 +53,9 @@
     loads: LoadTable  # requests in flight by server
     retries: RetryWindow  # retry budget
     attempt_dependencies: AttemptDependencies  # dependencies of attempts
-    note_retry: Callable[[RoutedRequest, Placement, AttemptEnd], None]  # logs and counts a retry
+    note_retry: Callable[
+        [RoutedRequest, Placement, AttemptEnd, bool], None
+    ]  # logs and counts a retry, with whether the answer has begun
     note_broken: Callable[
         [RoutedRequest, Placement, InterruptedAttempt], None
     ]  # logs and counts an interrupted attempt
@@ -152,7 +154,7 @@
             stop = self._stop_reason(selected, end)
             if stop is not None:
                 return self.ender.end_failed(stop, end)
-            self._dependencies.note_retry(self._request, selected, end)
+            self._dependencies.note_retry(self._request, selected, end, self._progress.began)
             if end.result is AttemptResult.NOT_RUN and self._progress.began:
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
 
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -39,14 +39,17 @@
         self._interrupted = LineBudget(INTERRUPTED_LINES_PER_S)
         self._server_ends = LineBudget(SERVER_END_LINES_PER_S)
 
-    def note_retry(self, request: RoutedRequest, placement: Placement, end: AttemptEnd) -> None:
-        """Record that an attempt is followed by another."""
+    def note_retry(
+        self, request: RoutedRequest, placement: Placement, end: AttemptEnd, has_begun: bool
+    ) -> None:
+        """Record that an attempt is followed by another, in the same answer if that has begun."""
         self._metrics.retries.labels(end.reason.value).inc()
         if self._other.take() and log.is_written(LineLevel.INFO):
             log.bind(
                 request_id=request.request_id,
                 reason=end.reason.value,
                 result=end.result.value,
+                has_begun=has_begun,
                 **_placement_fields(placement),
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
@@ -193,6 +196,7 @@
             first_ms=None if first_ms is None else round(first_ms),
             total_ms=round(total_ms),
             pause_ms=round(end.progress.longest_pause_ms),
+            **(_resumption_fields(request) if request.is_resumption else {}),
             **({"content": short_hex(request.digest())} if _needs_digest(end) else {}),
             **(_prompt_fields(request.prompt) if request.prompt else {}),
             **(_placement_fields(end.placement) if end.placement else {}),
@@ -222,6 +226,10 @@
     }
 
 
+def _resumption_fields(request: RoutedRequest) -> dict[str, object]:
+    return {"resumes": request.resumes, "resume_after": request.resume_after}
+
+
 def _refusal_fields(refusal: Refusal) -> dict[str, object]:
     fields: dict[str, object] = {
         "candidates": refusal.candidates,
@@ -237,6 +245,7 @@
 def _placement_fields(placement: Placement) -> dict[str, object]:
     return {
         "backend_server": placement.server.id,
+        "software_version": placement.server.software_version,
         "peer": placement.peer.note.name if placement.peer else None,
         "expected_ms": round(placement.expected_ms),
         "unread_tokens": placement.unread_tokens,
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -251,6 +251,7 @@
             body=bytes(http.body),
             prompt=marks.prompt,
             resume_after=resume_after,
+            resumes=marks.resumes if route.resumable else None,
             deadline_at_ms=now_ms() + limit_ms,
             origin=origin,
             caller=known_caller,
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sparline._clock import now_ms
-from sparline._ids import OrganisationId, RegionName, ZoneName
+from sparline._ids import OrganisationId, RegionName, SoftwareVersion, ZoneName
 from sparline.fleet import (
     BackendServer,
     BackendServerItem,
@@ -43,6 +43,8 @@
 # Maximum length of an invalid value quoted in an error message.
 MAX_QUOTED_CHARS = 80
 MAX_PORT = 65_535
+# Maximum length of a software version, which instances tell each other in datagrams.
+MAX_VERSION_CHARS = 128
 
 
 class _SplitNode(msgspec.Struct):
@@ -117,6 +119,8 @@
     address: str
     zone: str
     state: Literal["ready", "draining"]
+    # Version of its software. Not a fraction: 1.10 and 1.1 would be the same.
+    version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARS)] | int | None = None
     slots: Annotated[int, msgspec.Meta(ge=1)] = 1
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # time until it is warm
     born: Annotated[int, msgspec.Meta(ge=0)] = 0  # start time in Unix ms, 0 if unknown
@@ -166,11 +170,16 @@
             slots=node.slots,
             leaving=node.state != "ready",
             cold_until_ms=now_ms() + node.cold_remaining_ms,
+            software_version=_software_version(node.version),
             born_ms=node.born,
         )
         return BackendServerItem(server)
 
 
+def _software_version(version: str | int | None) -> SoftwareVersion:
+    return SoftwareVersion("" if version is None else str(version))
+
+
 def _address(text: str) -> tuple[str, int] | None:
     """Parse IP:PORT; return None if the text has another form."""
     ip, _, port = text.rpartition(":")
--- a/sparline/platform/_names.py
+++ b/sparline/platform/_names.py
@@ -12,6 +12,7 @@
 TOKEN_COUNTS = b"token-counts"  # tokens of the prompt, and maximum number of output tokens
 PROMPT_PARTS = b"prompt-prefix"  # all parts of the prompt, the last one included; not a prefix
 LAST_EVENT = b"last-event-id"  # id of the last event that the caller received
+RESUMES = b"resumes"  # id of the caller's try that brought the first event of a resumed stream
 AUTHORIZATION = b"authorization"  # scheme and key of the caller
 ORGANISATION = b"tenant"  # organisation that owns the caller's key
 # Headers that only the gateway may set; they are removed from callers' requests.
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -50,6 +50,7 @@
     deadline_ms: float | None  # time until the deadline, None if not stated
     prompt: Prompt | None  # only for requests to model engines
     resume_after: int | None  # id of the last event that the caller received
+    resumes: RequestId | None  # try of the caller that brought the first event
     relay_service: str  # service chosen by the first instance, empty if sent by a caller
     key: PresentedKey  # key that a caller presents
     relay_caller: RelayedCaller | None  # stated by the first instance, None if sent by a caller
@@ -83,6 +84,7 @@
             deadline_ms=None if deadline is None else float(deadline),
             prompt=prompt.unwrap(),
             resume_after=_parse_integer(values.get(names.LAST_EVENT, b"")),
+            resumes=_parse_request_id(values.get(names.RESUMES)),
             relay_service=values.get(names.RELAY_SERVICE, b"").decode("latin-1"),
             key=_presented_key(request),
             relay_caller=relay_caller.unwrap(),
@@ -91,6 +93,11 @@
     )
 
 
+def _parse_request_id(text: bytes | None) -> RequestId | None:
+    """Return the id of a try; an empty one is treated as absent."""
+    return RequestId(text.decode("latin-1")) if text else None
+
+
 def _presented_key(request: HttpRequest) -> PresentedKey:
     """Return the digest of the presented key; several keys are a fault."""
     values = [value for name, value in request.headers if name == names.AUTHORIZATION]
--- a/sparline/platform/tests/test_items.py
+++ b/sparline/platform/tests/test_items.py
@@ -91,6 +91,8 @@
     ("servers/i-1", ENTRY | {"address": "front:80"}, BadItem),
     ("servers/i-1", ENTRY | {"address": "10.0.0.1:99999"}, BadItem),
     ("servers/i-1", ENTRY | {"born": 1_764_700_000_000}, BackendServerItem),
+    ("servers/i-1", ENTRY | {"version": 1.5}, BadItem),
+    ("servers/i-1", ENTRY | {"version": "v" * 129}, BadItem),
     ("servers/i-1", ENTRY | {"born": 1.5}, BadItem),
     ("servers/i-1", ENTRY | {"born": "1764700000000"}, BadItem),
     ("servers/i-1", ENTRY | {"born": True}, BadItem),
@@ -160,6 +162,9 @@
     ({"state": "draining", "time_left_ms": 2000}, "leaving", True),
     ({}, "address", ("10.0.0.1", 80)),
     ({}, "region", "north"),
+    ({}, "software_version", "v1"),
+    ({"version": 7}, "software_version", "7"),
+    ({"version": None}, "software_version", ""),
 ]
 
 
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -55,6 +55,8 @@
     resume_after: int | None  # ID of the last event that the caller has of an earlier answer
     deadline_at_ms: float  # deadline, on this process's clock
     origin: Origin  # received from a caller or from a peer
+    # Earlier request of the caller whose answer brought the stream's first event, None if not stated.
+    resumes: RequestId | None = None
     caller: KnownCaller | None = None  # authenticated caller, None where no key was required
     admission_key: int | None = None  # key compared with admission levels, None where none apply
     # Admission level of the own region that admitted it, None where other regions did or none apply.
@@ -67,6 +69,11 @@
         """Return the time left before the deadline."""
         return self.deadline_at_ms - now_ms()
 
+    @property
+    def is_resumption(self) -> bool:
+        """Tell whether the caller has events of the stream from an earlier answer."""
+        return self.resume_after is not None or self.resumes is not None
+
     @property
     def priority(self) -> int:
         """Return its priority, 0 for the most urgent: its rank, if it is known."""
