--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -48,13 +48,18 @@
         return gateway
 
     def add_server(
-        self, name: str, service: str = "plain", zone: str = "north-1", events: int = 0
+        self,
+        name: str,
+        service: str = "plain",
+        zone: str = "north-1",
+        events: int = 0,
+        **entry: Any,
     ) -> SealedServer:
-        """Start a backend server and list it."""
+        """Start a backend server and list it; `entry` holds fields of its entry."""
         server = SealedServer("127.0.0.1", self._ports.take(), name, events=events)
         server.start()
         self.servers[name] = server
-        self.list_server(name, service, zone)
+        self.list_server(name, service, zone, **entry)
         return server
 
     def list_server(self, name: str, service: str, zone: str = "north-1", **changes: Any) -> int:
