Let a broken stream go on only at the software version that began it

Cause: the choice knew no software version; whatever went on after a break went to the best server of the service. Change: the version of the server whose event came first is kept with the answer, taken from the entry as it was when the server was chosen, so that it outlives the entry. From then on servers of other versions are no candidates. What waits for room waits for room there. Where no server of that version can get requests any more, the answer ends at once (software_version_gone) instead of at the end of its caller's patience. An attempt that ends before its first event binds nothing. Streams over a hop are not bound yet.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -123,6 +123,7 @@
             if self._progress.splitter.pending_bytes() > MAX_EVENT_BYTES:
                 raise ConnectionBroken(f"server-sent event exceeds {MAX_EVENT_BYTES} bytes")
             if complete_events:
+                self._bind_software_version()
                 self._note_event()
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
@@ -134,6 +135,11 @@
         self._watch.note_end()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
+    def _bind_software_version(self) -> None:
+        """Bind the stream to the software version that its first event comes from."""
+        if self._progress.software_version is None and self._placement.peer is None:
+            self._progress.software_version = self._placement.server.software_version
+
     def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
         """Raise `ConnectionBroken` if a response that has ended was cut short."""
         if answer.ends_with_connection:
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from sparline._ids import BackendServerId, RegionName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.decisions import Liveness
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import BackendWire, Wire
@@ -70,6 +70,8 @@
     sent_at_ms: float = 0.0  # when the last attempt was sent
     may_have_run: bool = False  # whether any attempt may have run
     began: bool = False  # whether a response head was sent to the caller
+    # Version that the first event came from, at which alone the stream can go on; None before.
+    software_version: SoftwareVersion | None = None
     first_at_ms: float | None = None  # when the first event or response arrived
     last_event_at_ms: float | None = None  # when the latest event arrived
     longest_pause_ms: float = 0.0  # longest interval between two events
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -134,10 +134,12 @@
                 is_suspect,
                 # A stream that has begun is never refused by the admission level.
                 frozenset() if self._progress.began else self._request.closed_regions,
+                self._progress.software_version,
             )
             if isinstance(selected, Refusal):
                 self.ender.refusal = selected
-                if not is_caller_waiting(self._request, self._progress):
+                is_final = selected.reason is Reason.SOFTWARE_VERSION_GONE
+                if is_final or not is_caller_waiting(self._request, self._progress):
                     return self.ender.end_unplaced(selected)
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
                 continue
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId, RegionName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.decisions import (
     AdmissionFacts,
     RefusalFacts,
@@ -60,13 +60,15 @@
         has_begun: bool = False,
         prefer_few_running: bool = False,
         closed_regions: frozenset[RegionName] = frozenset(),
+        software_version: SoftwareVersion | None = None,
     ) -> Placement | Refusal:
         """Return the placement with the lowest loss.
 
         `excluded` are servers that were tried already; `has_begun` says that the caller has
         received part of the answer; `prefer_few_running` selects the server with the fewest running
         requests, because this request may crash it. `closed_regions` are regions whose servers are not
-        evaluated, because their admission level refuses the request.
+        evaluated, because their admission level refuses the request. `software_version` is the only one
+        at which a stream that has begun can go on, None for any.
         """
         service = self._tables.fleet.configuration.services.get(request.service)  # type: ignore[union-attr]
         if service is None:
@@ -75,6 +77,9 @@
             # The instance that relayed it can use another one of this region.
             return Refusal(Reason.ISOLATED, unserved_retry_after_ms(request.left_ms()), 0)
         all_servers = self._tables.fleet.by_service.get(request.service, [])
+        if software_version is not None and not _has_version(all_servers, software_version):
+            wait_ms = unserved_retry_after_ms(request.left_ms())
+            return Refusal(Reason.SOFTWARE_VERSION_GONE, wait_ms, 0)
         has_begun = has_begun or request.resume_after is not None
         now = now_ms()
         ways = Ways(self._region, self._tables, self._rng)
@@ -82,7 +87,9 @@
             request.service,
             all_servers,
             request.prompt,
-            self._judge(request, service, excluded, closed_regions, has_begun, ways, now),
+            self._judge(
+                request, service, excluded, closed_regions, has_begun, software_version, ways, now
+            ),
             lambda: self._tables.cache.holders(request.prompt) if request.prompt else (),
             lambda server: self._tables.loads.of(server).unread_tokens,
         )
@@ -162,6 +169,7 @@
         excluded: frozenset[BackendServerId],
         closed_regions: frozenset[RegionName],
         has_begun: bool,
+        software_version: SoftwareVersion | None,
         ways: Ways,
         now: float,
     ) -> Callable[[BackendServer], Standing]:
@@ -190,6 +198,7 @@
             if (
                 best is Standing.BARRED
                 or server.leaving
+                or software_version not in (None, server.software_version)
                 or server.zone in evacuated
                 or server.id in excluded
                 or health.is_barred_at(server.id, now)
@@ -295,6 +304,11 @@
             )
 
 
+def _has_version(servers: Sequence[BackendServer], version: SoftwareVersion) -> bool:
+    """Tell whether any server of a software version may still get requests."""
+    return any(one.software_version == version and not one.leaving for one in servers)
+
+
 def _is_suitable(request: RoutedRequest, server: BackendServer) -> bool:
     return not server.leaving and request.allows(server.region)
 
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -30,6 +30,7 @@
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
     ISOLATED = "isolated"
+    SOFTWARE_VERSION_GONE = "software_version_gone"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
     # Why one attempt did not run.
