Reproduce that a stream passed on by another instance changes its software version

Callers see one answer with events of two software versions where their instance passes requests to another region: with all engines in the south, one of the first three streams that broke went on at another version.

--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -72,3 +72,24 @@
     assert not got.whole
     assert got.body.count(b"data: ") == 3
     assert fleet.runs() == ["r1"]
+
+
+@pytest.fixture
+def two_regions():
+    """Run a gateway without servers of its own, and one before all of them."""
+    with RoutedFleet(("north-1", "south-1")) as one:
+        one.add_server("p1")
+        for name, version in VERSIONS.items():
+            one.add_server(name, "engines", "south-1", events=EVENTS, version=version)
+        yield one.ready()
+
+
+# Guards against: the instance that passes a stream on forgets the version that began it.
+def test_stream_goes_on_at_its_version_through_another_instance(two_regions):
+    for number in range(STREAMS):
+        break_next_run(two_regions, break_within_event=3, breaks_cleanly=True)
+        got = two_regions.ask("/stream/x", f"r{number}", body=b"%d" % number, **PROMPT)
+        assert got.whole
+        assert got.body.count(b"data: ") == EVENTS
+        assert len(versions_of(two_regions, f"r{number}")) == 1
+        assert not [name for name in got.headers if name.startswith("sparline-")]
