Split the index of servers from the state of the fleet

No behaviour changes: the index is rebuilt as before, when it is next used after a change. test_admission.py and test_fleet_state.py pass.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -16,6 +16,7 @@
     StoreItem,
     UnknownItem,
 )
+from sparline.fleet._server_index import ServerIndex
 from sparline.fleet._store_copy import StoreChange
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
 from sparline.routes import Configuration, ConfigurationVersion, KeyDigest, ServiceName
@@ -74,9 +75,7 @@
         self.evacuated: set[ZoneName] = set()  # zones whose servers get no requests
         self.zones = zones  # region of each availability zone
         self.started = False  # whether the initial read of the store is complete
-        self._by_service: dict[ServiceName, list[BackendServer]] = {}
-        self._ids_in: dict[RegionName, list[BackendServerId]] = {}
-        self._is_indexed = True
+        self.index = ServerIndex(self.servers)  # these servers by service and region
         self._read_item = read_item
         self._on_bad_item = on_bad_item
         self._outage_age_ms = outage_age_ms
@@ -287,7 +286,7 @@
 
     def _put_server(self, server: BackendServer) -> None:
         self.servers[server.id] = server
-        self._is_indexed = False
+        self.index.note_change()
 
     def _mark_cold_if_new(self, server: BackendServer) -> BackendServer:
         """Mark a server that appears after the initial read as cold for its warm-up time."""
@@ -324,7 +323,7 @@
         self._lapsed.pop(server_id, None)
         for key in [key for key, of in self._server_keys.items() if of == server_id]:
             del self._server_keys[key]
-        self._is_indexed = False
+        self.index.note_change()
         self._removed[server_id] = None
         if len(self._removed) > MAX_REMOVED:
             self._removed.popitem(last=False)
@@ -334,24 +333,12 @@
 
     @property
     def by_service(self) -> dict[ServiceName, list[BackendServer]]:
-        """Return the servers by service; the index is rebuilt at most once per batch of changes."""
-        self._index()
-        return self._by_service
+        """Return the servers by service."""
+        return self.index.by_service
 
     def ids_in(self, region: RegionName) -> list[BackendServerId]:
         """Return the ids of the servers in a region."""
-        self._index()
-        return self._ids_in.get(region, [])
-
-    def _index(self) -> None:
-        if self._is_indexed:
-            return
-        self._is_indexed = True
-        self._by_service = {}
-        self._ids_in = {}
-        for server in self.servers.values():
-            self._by_service.setdefault(server.service, []).append(server)
-            self._ids_in.setdefault(server.region, []).append(server.id)
+        return self.index.ids_in(region)
 
     def apply_unconfirmed(self, is_store_unreachable: bool) -> None:
         """Apply the changes of a restored store whose grace period has ended."""
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -60,7 +60,7 @@
         self.fleet.configuration = make_rules(*routes, organisations=known)
         for server in (make_server("n"), make_server("s", "south")):
             self.fleet.servers[server.id] = server
-        self.fleet._is_indexed = False
+        self.fleet.index.note_change()
         ranks = RankTable(self.fleet, enabled)
         own = MemberNote("1.1.1.1", "own", 1, 1, MemberPhase.live, NORTH, "north-1")
         sources = make_admission_sources(self.fleet, ranks, lambda _service: None)
