Let a stream keep its software version over a hop

Cause: the instance behind the hop chooses the server anew, and said nothing of its version; the first one bound nothing to such answers. Change: the head of a stream that goes to another instance names the version of its first event, and a request passed on names the version at which alone it can go on. The second instance chooses among servers of that version; the first checks the answer before it passes anything on, and closes it otherwise (peer_other_version). That a region has no room at one version says nothing of the region. Headers between instances no longer reach callers of streams.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -17,6 +17,7 @@
     UnknownItem,
 )
 from sparline.fleet._server_index import ServerIndex
+from sparline.fleet._software_versions import SoftwareVersions
 from sparline.fleet._store_copy import StoreChange
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
 from sparline.routes import Configuration, ConfigurationVersion, KeyDigest, ServiceName
@@ -76,6 +77,7 @@
         self.zones = zones  # region of each availability zone
         self.started = False  # whether the initial read of the store is complete
         self.index = ServerIndex(self.servers)  # these servers by service and region
+        self.software_versions = SoftwareVersions(self.index)  # versions of their software
         self._read_item = read_item
         self._on_bad_item = on_bad_item
         self._outage_age_ms = outage_age_ms
@@ -285,6 +287,9 @@
         ).info("server_says_leaving")
 
     def _put_server(self, server: BackendServer) -> None:
+        held = self.servers.get(server.id)
+        if held is not None and held.software_version != server.software_version:
+            self.software_versions.note_left(held)
         self.servers[server.id] = server
         self.index.note_change()
 
@@ -328,6 +333,8 @@
         if len(self._removed) > MAX_REMOVED:
             self._removed.popitem(last=False)
         log.bind(backend_server=server_id, why=why).info("server_gone")
+        if server is not None:
+            self.software_versions.note_left(server)
         if server is not None and not server.leaving:
             self._on_gone(server)
 
--- a/sparline/fleet/_server_index.py
+++ b/sparline/fleet/_server_index.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from sparline._ids import BackendServerId, RegionName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.fleet._backend_servers import BackendServer
 from sparline.routes import ServiceName
 
@@ -15,6 +15,7 @@
         self._servers = servers
         self._by_service: dict[ServiceName, list[BackendServer]] = {}
         self._ids_in: dict[RegionName, list[BackendServerId]] = {}
+        self._versions: dict[ServiceName, frozenset[SoftwareVersion]] = {}
         self._is_current = False
 
     def note_change(self) -> None:
@@ -32,6 +33,11 @@
         self._rebuild_if_changed()
         return self._ids_in.get(region, [])
 
+    def software_versions(self, service: ServiceName) -> frozenset[SoftwareVersion]:
+        """Return the software versions of a service's servers."""
+        self._rebuild_if_changed()
+        return self._versions.get(service, frozenset())
+
     def _rebuild_if_changed(self) -> None:
         if self._is_current:
             return
@@ -41,3 +47,7 @@
         for server in self._servers.values():
             self._by_service.setdefault(server.service, []).append(server)
             self._ids_in.setdefault(server.region, []).append(server.id)
+        self._versions = {
+            service: frozenset(one.software_version for one in servers)
+            for service, servers in self._by_service.items()
+        }
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sparline._clock import now_ms
+from sparline._ids import SoftwareVersion
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
     AttemptEnd,
@@ -60,10 +61,12 @@
         self._checks = checks
         self._has_exited = has_exited
 
-    def forward(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
-        is_stream = self._request.route.kind is RequestKind.STREAM
-        if is_stream and answer.status < MIN_REDIRECT_STATUS:
-            return self._forward_stream(connection, answer)
+    def forward(
+        self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
+    ) -> AttemptEnd:
+        """Forward a response that comes from a software version, None if that is unknown."""
+        if is_stream_answer(self._request, answer):
+            return self._forward_stream(connection, answer, version)
         return self._forward_buffered(connection, answer)
 
     def _forward_buffered(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
@@ -110,20 +113,22 @@
         if self._progress.began:
             return
         self._progress.began = True
-        headers = end_to_end(answer.headers)
+        headers = self._dependencies.answer_headers(answer, self._progress.software_version)
         if answer.ends_with_connection:
             self._caller.begin_unframed(answer.status, headers)
         else:
             self._caller.begin(answer.status, headers, None)
 
-    def _forward_stream(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
+    def _forward_stream(
+        self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
+    ) -> AttemptEnd:
         while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
             self._dependencies.health.note_event(self._placement.server.id)
             complete_events = self._progress.splitter.feed(piece)
             if self._progress.splitter.pending_bytes() > MAX_EVENT_BYTES:
                 raise ConnectionBroken(f"server-sent event exceeds {MAX_EVENT_BYTES} bytes")
             if complete_events:
-                self._bind_software_version()
+                self._bind_software_version(version)
                 self._note_event()
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
@@ -135,10 +140,10 @@
         self._watch.note_end()
         return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
 
-    def _bind_software_version(self) -> None:
+    def _bind_software_version(self, version: SoftwareVersion | None) -> None:
         """Bind the stream to the software version that its first event comes from."""
-        if self._progress.software_version is None and self._placement.peer is None:
-            self._progress.software_version = self._placement.server.software_version
+        if not self._progress.began:
+            self._progress.software_version = version
 
     def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
         """Raise `ConnectionBroken` if a response that has ended was cut short."""
@@ -175,6 +180,11 @@
         self._dependencies.note_first(self._request, self._placement, self._progress)
 
 
+def is_stream_answer(request: RoutedRequest, answer: HttpAnswer) -> bool:
+    """Tell whether a response holds events."""
+    return request.route.kind is RequestKind.STREAM and answer.status < MIN_REDIRECT_STATUS
+
+
 def forward_complete(caller: CallerConnection, answer: HttpAnswer, body: bytes) -> None:
     """Forward a buffered response; one without framing must not look more complete than it did."""
     headers = end_to_end(answer.headers)
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId
+from sparline._ids import BackendServerId, SoftwareVersion
 from sparline.decisions import (
     EndEvidence,
     InterruptionFacts,
@@ -13,7 +13,11 @@
     liveness,
     may_be_shown_later,
 )
-from sparline.forwarding._answer_forwarding import MIN_SERVER_ERROR_STATUS, AnswerForwarding
+from sparline.forwarding._answer_forwarding import (
+    MIN_SERVER_ERROR_STATUS,
+    AnswerForwarding,
+    is_stream_answer,
+)
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
     AttemptEnd,
@@ -254,7 +258,10 @@
             if self._placement.peer is None and _is_from_server(meaning, answer):
                 connection.note_proven()
             if meaning.kind is AnswerKind.RESULT:
-                end = self._forwarding.forward(connection, answer)
+                version = self._software_version(meaning)
+                if is_stream_answer(self._request, answer) and not parameters.allows(version):
+                    return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.PEER_OTHER_VERSION)
+                end = self._forwarding.forward(connection, answer, version)
             else:
                 end = self._handle_refusal(connection, answer, meaning)
             answered = True
@@ -265,6 +272,14 @@
                 # Closing the connection makes the server abort any remaining work.
                 connection.close()
 
+    def _software_version(self, meaning: AnswerMeaning) -> SoftwareVersion | None:
+        """Return the software version that a response comes from, None if that is unknown."""
+        if self._placement.peer is None:
+            return self._placement.server.software_version
+        if meaning.software_version is not None:
+            return meaning.software_version
+        return self._dependencies.only_version(self._request.service)
+
     def _request_head(self, parameters: AttemptParameters) -> bytes:
         return self._wire().send_head(self._request, parameters)
 
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -8,7 +8,7 @@
 from sparline.decisions import Liveness
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import BackendWire, Wire
-from sparline.http import ConnectionPool, HttpAnswer
+from sparline.http import ConnectionPool, Headers, HttpAnswer
 from sparline.placement import (
     HealthTable,
     PaceTable,
@@ -19,6 +19,7 @@
 )
 from sparline.quarantine import ServerEndDetector
 from sparline.requests import Reason, RoutedRequest
+from sparline.routes import ServiceName
 
 
 class AttemptResult(Enum):
@@ -108,6 +109,10 @@
     note_first: Callable[
         [RoutedRequest, Placement, Progress], None
     ]  # records the first event or response
+    # Headers of a stream by those of its answer and its software version, None if that is unknown.
+    answer_headers: Callable[[HttpAnswer, SoftwareVersion | None], Headers]
+    # Software version of all servers of a service, None if there are several.
+    only_version: Callable[[ServiceName], SoftwareVersion | None]
     note_unframed_end: Callable[
         [RoutedRequest, Placement, UnframedEnd, int], None
     ]  # logs and counts the end of an unframed response, with its number of complete events
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -8,7 +8,7 @@
 import gevent
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId
+from sparline._ids import BackendServerId, SoftwareVersion
 from sparline.forwarding._attempt import Attempt
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
@@ -26,6 +26,7 @@
 from sparline.placement import Chooser, LoadTable, Placement, Refusal
 from sparline.quarantine import CrashTable, FactSource, RequestDigest, Verdict
 from sparline.requests import Origin, Reason, RoutedRequest
+from sparline.routes import RequestKind
 
 # A request is given up after this many attempts that are proven not to have run (count).
 MAX_NOT_RUN_ATTEMPTS = 3
@@ -134,7 +135,7 @@
                 is_suspect,
                 # A stream that has begun is never refused by the admission level.
                 frozenset() if self._progress.began else self._request.closed_regions,
-                self._progress.software_version,
+                self._required_version(),
             )
             if isinstance(selected, Refusal):
                 self.ender.refusal = selected
@@ -160,6 +161,12 @@
             if end.result is AttemptResult.NOT_RUN and self._progress.began:
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
 
+    def _required_version(self) -> SoftwareVersion | None:
+        """Return the software version at which alone the stream can go on, None for any."""
+        if self._progress.began:
+            return self._progress.software_version
+        return self._request.software_version
+
     def _request_digest(self) -> RequestDigest:
         if self._digest is None:
             self._digest = self._request.digest()
@@ -201,6 +208,7 @@
             left_ms=request.left_ms(),
             resume_after=self._progress.splitter.last_id,
             sends_left=self._sends_left,
+            software_version=self._required_version(),
             source=placement.source.address if placement.source else None,
             **self._crash_parameters(placement),
         )
@@ -261,7 +269,12 @@
             self._dependencies.note_broken(self._request, placement, interrupted)
 
     def _note_region_full(self, placement: Placement, end: AttemptEnd) -> None:
-        """Exclude the whole region, since every instance in it would refuse the request."""
+        """Exclude the whole region, since every instance in it would refuse the request.
+
+        A region without capacity at one software version may have some at others.
+        """
+        if self._required_version() is not None:
+            return
         ids = self._dependencies.chooser.note_region_full(self._request, placement)
         if not self._progress.began:
             self._progress.excluded.update(ids)
@@ -298,8 +311,15 @@
 
     def may_repeat(self) -> bool:
         """Tell whether the request is repeatable and has attempts left."""
+        if self._has_unknown_version():
+            return False
         return self._request.route.repeatable and self._sends_left > 0
 
+    def _has_unknown_version(self) -> bool:
+        """Tell whether a stream has begun at a software version that this instance does not know."""
+        is_stream = self._request.route.kind is RequestKind.STREAM
+        return is_stream and self._progress.began and self._progress.software_version is None
+
 
 def may_send_elsewhere(request: RoutedRequest, progress: Progress) -> bool:
     """Tell whether a request waiting for an unresponsive server may be sent elsewhere."""
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
-from sparline._ids import BackendServerId, RequestId
+from sparline._ids import BackendServerId, RequestId, SoftwareVersion
 from sparline.http import Address, HttpAnswer
 from sparline.requests import RoutedRequest
 
@@ -33,6 +33,8 @@
     limit_per_s: float | None = None  # server's rate limit, None if unlimited
     # Refusals per second beyond which the server fails, None if it stated no such limit.
     refusal_limit_per_s: float | None = None
+    # Version that a peer's stream comes from, None if the peer does not state it.
+    software_version: SoftwareVersion | None = None
     is_leaving: bool = False  # whether the server reports that it is leaving the fleet
 
 
@@ -60,8 +62,13 @@
     source: Address | None = None  # engine to fetch the cached prompt prefix from, if any
     is_watched: bool = False  # whether a second connection must detect an exit of the server
     earlier_exits: int = 0  # known exits of the server under this request
+    software_version: SoftwareVersion | None = None  # version that must run it, None for any
     exited_at_ms: float = 0.0  # newest exit under this request if the server has exited, else 0
 
+    def allows(self, version: SoftwareVersion | None) -> bool:
+        """Tell whether a response may come from a software version, None if that is unknown."""
+        return self.software_version is None or self.software_version == version
+
 
 class Wire(Protocol):
     """Implement the protocol used with backend servers or with other instances."""
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from sparline._clock import PauseWatch
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion, ZoneName
 from sparline._logging import log
 from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.fleet import (
@@ -52,7 +52,7 @@
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
-from sparline.http import ConnectionPool, Headers
+from sparline.http import ConnectionPool, Headers, HttpAnswer
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -76,7 +76,9 @@
     ItemReader,
     ServerWire,
     StoreHttpClient,
+    answer_headers,
     refusal_headers,
+    relayed_answer_headers,
     relayed_refusal_headers,
 )
 from sparline.quarantine import CrashChange, CrashTable, ServerEndCallbacks, ServerEndDetector
@@ -182,7 +184,8 @@
             self.admission,
         )
         self.service.set_forwarders(
-            self._make_forwarder(refusal_headers), self._make_forwarder(relayed_refusal_headers)
+            self._make_forwarder(refusal_headers, answer_headers),
+            self._make_forwarder(relayed_refusal_headers, relayed_answer_headers),
         )
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
@@ -273,7 +276,11 @@
             self.settings.first_start,
         )
 
-    def _make_forwarder(self, headers: Callable[[OwnAnswer], Headers]) -> Forwarder:
+    def _make_forwarder(
+        self,
+        own_headers: Callable[[OwnAnswer], Headers],
+        stream_headers: Callable[[HttpAnswer, SoftwareVersion | None], Headers],
+    ) -> Forwarder:
         dependencies = AttemptDependencies(
             pool=self.pool,
             backend_wire=ServerWire(),
@@ -294,6 +301,8 @@
             ends=self.end_detector,
             has_ended=self._ended_starts.__contains__,
             note_first=self.admission.note_first,
+            answer_headers=stream_headers,
+            only_version=self.fleet.software_versions.only,
             note_unframed_end=self.request_log.note_unframed_end,
         )
         return Forwarder(
@@ -309,7 +318,7 @@
                 is_key_withdrawn=lambda request: is_withdrawn(
                     self.fleet.configuration, request.caller
                 ),
-                refusal_headers=headers,
+                refusal_headers=own_headers,
             )
         )
 
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -252,6 +252,7 @@
             prompt=marks.prompt,
             resume_after=resume_after,
             resumes=marks.resumes if route.resumable else None,
+            software_version=marks.relay_software_version if origin is Origin.RELAY else None,
             deadline_at_ms=now_ms() + limit_ms,
             origin=origin,
             caller=known_caller,
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -3,6 +3,8 @@
 import pytest
 
 from sparline.forwarding import RetryWindow
+from sparline.gateway import _components
+from sparline.platform import answer_headers
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, SealedFaults
 
@@ -93,3 +95,28 @@
         assert got.body.count(b"data: ") == EVENTS
         assert len(versions_of(two_regions, f"r{number}")) == 1
         assert not [name for name in got.headers if name.startswith("sparline-")]
+
+
+def test_stream_behind_an_instance_that_names_no_version_is_cut_rather_than_mixed(monkeypatch):
+    monkeypatch.setattr(_components, "relayed_answer_headers", answer_headers)
+    with RoutedFleet(("north-1", "south-1")) as fleet:
+        for name, version in VERSIONS.items():
+            fleet.add_server(name, "engines", "south-1", events=EVENTS, version=version)
+        fleet.ready()
+        for number in range(STREAMS):
+            break_next_run(fleet, break_within_event=3, breaks_cleanly=True)
+            got = fleet.ask("/stream/x", f"r{number}", body=b"%d" % number, **PROMPT)
+            assert not got.whole
+            assert len(versions_of(fleet, f"r{number}")) == 1
+
+
+def test_stream_behind_an_instance_that_names_no_version_goes_on_at_the_only_one(monkeypatch):
+    monkeypatch.setattr(_components, "relayed_answer_headers", answer_headers)
+    with RoutedFleet(("north-1", "south-1")) as fleet:
+        for name in ("a1", "a2"):
+            fleet.add_server(name, "engines", "south-1", events=EVENTS)
+        fleet.ready()
+        break_next_run(fleet, break_within_event=3, breaks_cleanly=True)
+        got = fleet.ask("/stream/x", body=b"abc", **PROMPT)
+    assert got.whole
+    assert got.body.count(b"data: ") == EVENTS
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId, RegionName, ZoneName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion, ZoneName
 from sparline.fleet import BackendServer, FleetState, Member, ServerLoad, UnknownItem
 from sparline.placement import (
     Chooser,
@@ -82,9 +82,9 @@
         )
         self.chooser = Chooser(LOCATION, self.tables, random.Random(1))
 
-    def choose(self, request, excluded=()) -> str:
+    def choose(self, request, excluded=(), **conditions) -> str:
         placement = self.chooser.choose(
-            request, frozenset(BackendServerId(one) for one in excluded)
+            request, frozenset(BackendServerId(one) for one in excluded), **conditions
         )
         if isinstance(placement, Refusal):
             return f"refused: {placement.reason.value}"
@@ -241,6 +241,24 @@
     assert world.choose(request, *excluded) in (chosen if isinstance(chosen, tuple) else (chosen,))
 
 
+V2 = SoftwareVersion("v2")
+N2_NEW = make_server("n2", software_version=V2)
+S1_NEW = make_server("s1", "south", software_version=V2)
+VERSIONED = [
+    # name, servers, expected; the stream began at v2
+    ("the only server of its version", (N1, N2_NEW, N3), "n2"),
+    ("in another region", (N1, N3, S1_NEW), "s1"),
+    ("servers of another version alone", (N1, N3), "refused: software_version_gone"),
+    ("its last server leaves", (N1, make_server("n2", software_version=V2, leaving=True)), "refused: software_version_gone"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("row", VERSIONED, ids=[row[0] for row in VERSIONED])
+def test_begun_stream_goes_on_at_its_software_version(row):
+    _, servers, expected = row
+    assert World(*servers).choose(make_request(), has_begun=True, software_version=V2) == expected
+
+
 FETCHING = EngineSpec(64, 300_000, token_bytes=163_840, link_mbit_per_s=550_000.0, fetches=True)
 FETCHES = [
     # name, engines, engine with the prefix, for how long (ms), loads, (server, source, tokens to
--- a/sparline/platform/__init__.py
+++ b/sparline/platform/__init__.py
@@ -10,9 +10,11 @@
     InstanceWire,
     RequestHead,
     ServerWire,
+    answer_headers,
     headers_to_pass,
     parse_request_head,
     refusal_headers,
+    relayed_answer_headers,
     relayed_refusal_headers,
 )
 from sparline.platform._store_client import StoreHttpClient
@@ -24,10 +26,12 @@
     "RequestHead",
     "ServerWire",
     "StoreHttpClient",
+    "answer_headers",
     "headers_to_pass",
     "make_directory_app",
     "make_readiness_app",
     "parse_request_head",
     "refusal_headers",
+    "relayed_answer_headers",
     "relayed_refusal_headers",
 ]
--- a/sparline/platform/_requests.py
+++ b/sparline/platform/_requests.py
@@ -2,10 +2,11 @@
 
 import re
 from dataclasses import dataclass
+from urllib.parse import quote, unquote_to_bytes
 
 from result import Err, Ok, Result
 
-from sparline._ids import BackendServerId, OrganisationId, RequestId
+from sparline._ids import BackendServerId, OrganisationId, RequestId, SoftwareVersion
 from sparline.decisions import OPEN_LEVEL
 from sparline.forwarding import AnswerKind, AnswerMeaning, AttemptParameters, OwnAnswer
 from sparline.http import (
@@ -54,6 +55,8 @@
     relay_service: str  # service chosen by the first instance, empty if sent by a caller
     key: PresentedKey  # key that a caller presents
     relay_caller: RelayedCaller | None  # stated by the first instance, None if sent by a caller
+    # Stated by the first instance, ignored if sent by a caller.
+    relay_software_version: SoftwareVersion | None = None
     admission_key: int | None = None  # computed by the first instance, ignored if sent by a caller
 
 
@@ -88,6 +91,9 @@
             relay_service=values.get(names.RELAY_SERVICE, b"").decode("latin-1"),
             key=_presented_key(request),
             relay_caller=relay_caller.unwrap(),
+            relay_software_version=_parse_software_version(
+                values.get(names.RELAY_SOFTWARE_VERSION)
+            ),
             admission_key=_parse_admission_key(request),
         )
     )
@@ -137,6 +143,18 @@
     return key if key is not None and key < OPEN_LEVEL else None
 
 
+def _parse_software_version(text: bytes | None) -> SoftwareVersion | None:
+    """Decode a version that another instance states; bytes that are no text are replaced."""
+    if text is None:
+        return None
+    return SoftwareVersion(unquote_to_bytes(text.strip()).decode(errors="replace"))
+
+
+def _encode_software_version(version: SoftwareVersion) -> bytes:
+    """Encode a version for a header, which holds no text beyond ASCII."""
+    return quote(version, safe="").encode()
+
+
 def _parse_integer(text: bytes) -> int | None:
     """Parse a non-negative integer; return None if the text is anything else."""
     text = text.strip()
@@ -239,6 +257,9 @@
             added_headers.append((names.RELAY_CALLER, _encode_caller(request.caller)))
         if request.admission_key is not None:
             added_headers.append((names.RELAY_ADMISSION_KEY, b"%d" % request.admission_key))
+        if parameters.software_version is not None:
+            version = _encode_software_version(parameters.software_version)
+            added_headers.append((names.RELAY_SOFTWARE_VERSION, version))
         return _encode_head(request, added_headers)
 
     def belongs(self, request_id: RequestId, answer: HttpAnswer) -> bool:
@@ -251,7 +272,8 @@
         """Interpret the head of a peer's response."""
         outcome = answer.header(names.RELAY_OUTCOME)
         if outcome is None:
-            return AnswerMeaning(AnswerKind.RESULT)
+            version = _parse_software_version(answer.header(names.RELAY_SOFTWARE_VERSION))
+            return AnswerMeaning(AnswerKind.RESULT, software_version=version)
         if outcome == b"not-run":
             return AnswerMeaning(AnswerKind.NOT_RUN, _retry_after_ms(answer))
         if outcome == b"not-sent":
@@ -317,6 +339,23 @@
     return None if value is None else BackendServerId(value.decode("latin-1"))
 
 
+def answer_headers(answer: HttpAnswer, _version: SoftwareVersion | None) -> Headers:
+    """Return the headers of a stream for a caller, whom its software version does not concern."""
+    return [
+        header
+        for header in end_to_end(answer.headers)
+        if not header[0].startswith(names.INSTANCE_HEADER_PREFIX)
+    ]
+
+
+def relayed_answer_headers(answer: HttpAnswer, version: SoftwareVersion | None) -> Headers:
+    """Return the headers of a stream for the instance that relayed the request."""
+    headers = answer_headers(answer, version)
+    if version is not None:
+        headers.append((names.RELAY_SOFTWARE_VERSION, _encode_software_version(version)))
+    return headers
+
+
 def refusal_headers(answer: OwnAnswer) -> Headers:
     """Return the headers of a response generated here for a caller.
 
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -6,8 +6,10 @@
 from sparline.platform import (
     InstanceWire,
     ServerWire,
+    answer_headers,
     headers_to_pass,
     parse_request_head,
+    relayed_answer_headers,
     relayed_refusal_headers,
 )
 from sparline.requests import (
@@ -277,6 +279,24 @@
     assert b"\r\nsparline-service: engines\r\n" in InstanceWire().send_head(request, parameters)
 
 
+VERSIONS = ["v1.2", "", "v 1,\r\nx: y", "\N{GREEK SMALL LETTER PHI}%2f"]
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+def test_instances_tell_each_other_any_software_version(version):
+    parameters = AttemptParameters(BackendServerId("s1"), 1.0, 7, 1, software_version=version)
+    head = InstanceWire().send_head(make_request(make_route()), parameters).decode()
+    (value,) = (
+        line[26:] for line in head.split("\r\n") if line.startswith("sparline-software-version:")
+    )
+    parsed = parse_request_head(http_request(sparline_software_version=value or " "))
+    assert parsed.unwrap().relay_software_version == version
+    headers = relayed_answer_headers(answer(200, {"response-seal": "s"}), version)
+    relayed = HttpAnswer(200, headers)
+    assert InstanceWire().meaning(relayed).software_version == version
+    assert answer_headers(relayed, version) == [(b"response-seal", b"s")]
+
+
 SOURCES = [(None, b""), (("10.1.0.7", 80), b"\r\nkv-fetch: 10.1.0.7:80\r\n")]
 
 
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from sparline._clock import now_ms
-from sparline._ids import RegionName, RequestId
+from sparline._ids import RegionName, RequestId, SoftwareVersion
 from sparline.quarantine import RequestDigest, digest_of
 from sparline.requests._callers import KnownCaller
 from sparline.requests._types import Origin
@@ -57,6 +57,8 @@
     origin: Origin  # received from a caller or from a peer
     # Earlier request of the caller whose answer brought the stream's first event, None if not stated.
     resumes: RequestId | None = None
+    # Version at which alone the stream can go on, by the instance that relayed it; None if not stated.
+    software_version: SoftwareVersion | None = None
     caller: KnownCaller | None = None  # authenticated caller, None where no key was required
     admission_key: int | None = None  # key compared with admission levels, None where none apply
     # Admission level of the own region that admitted it, None where other regions did or none apply.
