--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -1,12 +1,13 @@
 """Tests of streams before backend servers of several software versions."""
 
+import gevent
 import pytest
 
 from sparline.forwarding import RetryWindow
 from sparline.gateway import _components
 from sparline.platform import answer_headers
-from sparline.tests.routed_fleet import RoutedFleet
-from standins import PROMPT, SealedFaults
+from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
+from standins import PROMPT, Caller, Got, SealedFaults
 
 EVENTS = 6
 STREAMS = 12
@@ -120,3 +121,62 @@
         got = fleet.ask("/stream/x", body=b"abc", **PROMPT)
     assert got.whole
     assert got.body.count(b"data: ") == EVENTS
+
+
+def begin_stream(fleet: RoutedFleet, request_id: str, events: int = 3) -> Caller:
+    """Begin a stream whose server falls silent, and read its first events."""
+    break_next_run(fleet, stop_after_event=events)
+    caller = fleet.caller("g0")
+    caller.send("/stream/x", request_id, request_id.encode(), **PROMPT)
+    received = b""
+    with gevent.Timeout(PATIENCE_MS / 1000):
+        while received.count(b"data: ") < events:
+            received += caller.socket.recv(65_536)
+    return caller
+
+
+def resume(fleet: RoutedFleet, resumes: str, at: str, request_id: str) -> Got:
+    return fleet.ask(
+        "/stream/x",
+        request_id,
+        at,
+        body=resumes.encode(),
+        Last_Event_Id="3",
+        Resumes=resumes,
+        **PROMPT,
+    )
+
+
+@pytest.fixture
+def three_instances():
+    with RoutedFleet(("north-1", "north-1", "south-1")) as one:
+        for name, version in VERSIONS.items():
+            zone = "south-1" if name.endswith("2") else "north-1"
+            one.add_server(name, "engines", zone, events=EVENTS, version=version)
+        yield one.ready()
+
+
+def restart(fleet: RoutedFleet, name: str) -> None:
+    """Kill an instance and start another process in its place."""
+    killed = fleet.gateways[name]
+    killed.stop()
+    gevent.joinall(killed._tasks)  # its ports are free then
+    fleet.add_gateway(name, killed.settings.ip, killed.settings.availability_zone)
+    fleet.until(fleet.is_ready, "all are live again")
+
+
+# Guards against: a caller that takes a stream up gets the rest of it from another software version.
+def test_stream_that_its_caller_takes_up_keeps_its_version(three_instances):
+    fleet = three_instances
+    callers = {f"r{number}": begin_stream(fleet, f"r{number}") for number in range(2 * STREAMS)}
+    ids = iter(callers)
+    for at in ("g0", "g1", "g2") * (STREAMS // 3):
+        request_id = next(ids)
+        callers[request_id].close()
+        assert resume(fleet, request_id, at, f"again-{request_id}").whole
+    restart(fleet, "g0")
+    for at in ("g0", "g1", "g2") * (STREAMS // 3):
+        request_id = next(ids)
+        assert resume(fleet, request_id, at, f"again-{request_id}").whole
+    for request_id in callers:
+        assert len(versions_of(fleet, request_id, f"again-{request_id}")) == 1
--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -71,10 +71,11 @@
     def ready(self, version: int = 1) -> "RoutedFleet":
         """Publish a configuration and wait until all hold everything."""
         publish(self.store, version)
-        self.until(self._all_ready, "all gateways are live and hold the store's state")
+        self.until(self.is_ready, "all gateways are live and hold the store's state")
         return self
 
-    def _all_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Tell whether all gateways are live, know each other and hold the store's state."""
         others = len(self.gateways) - 1
         return all(
             one.is_ready()
