Let a stream keep its software version when its caller takes it up

Cause: Resumes was read nowhere, and whoever gets such a request holds nothing of the answer before. Change: each instance records the version of a stream's first event before it sends that on, under the id of the try that brought it. Where a service has several versions (now, or within 120 s), it tells two others at once, one of its region and one of another, picked by rendezvous hashing; streams that began before the second version came are told in the next round. Whoever is to resume a stream that it does not know asks the instances that may have been told, then all others (at most 64), and waits 0.3 s for each. Where nobody knows, it goes on only if all that replied know one version, and somebody replied or the store is reached; else 503 at once (software_version_unknown) with a wait. A stream whose service has changed with its route is refused, too. What was weighed: telling all at the first event costs 339 datagrams a stream at 340 instances, telling at the break tells nothing when an instance is killed, asking alone loses what the killed one knew. With one version nothing is sent. Bytes: at most 80 a stream and holder.

--- a/benchmarks/_decide_node.py
+++ b/benchmarks/_decide_node.py
@@ -25,6 +25,7 @@
     QuotaExchange,
     ServerLoad,
     StorePosition,
+    StreamVersionExchange,
     make_member_note,
 )
 from sparline.placement import (
@@ -95,6 +96,7 @@
             lambda: PromptCache(owners_have_cached=False, sharing=lambda: sends),
         )
         self._cache._rng = random.Random(f"cache/{world.draw.seed}/{ip}")
+        fleet = make_fleet_state(world)
         self.port = GossipPort(
             GOSSIP_PORT,
             world.seeds(),
@@ -105,6 +107,7 @@
                 self.members, QuotaLimiter(NO_TOLERANCE, random.Random(ip)), lambda _key: None
             ),
             AdmissionExchange(self.members, NO_ADMISSION),
+            StreamVersionExchange(self.members, fleet.software_versions, lambda _reply: None),
             GossipSources(
                 recent_prefix_uses=self._cache.recent_prefix_uses,
                 merge_prefix_uses=self._cache.merge_prefix_uses,
@@ -121,7 +124,7 @@
         asks = 1 if Known.DEMAND in world.known else instances
         self._watch_tables = WatchTables(self._pace, gaps, self.loads)
         tables = PlacementTables(
-            fleet=make_fleet_state(world),
+            fleet=fleet,
             loads=self.loads,
             health=HealthTable(),
             cold=ColdShares(ip, lambda: [ip]),
--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -36,6 +36,7 @@
     "AdmissionDemandNote",
     "OrganisationShareNote",
     "AdmissionLevelNote",
+    "StreamVersionNote",
 )
 
 
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -20,6 +20,7 @@
 from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaExchange
+from sparline.fleet._software_versions import VERSION_RETENTION_MS, SoftwareVersions
 from sparline.fleet._store_copy import NO_POSITION, StoreChange, StoreCopyTable, StorePosition
 from sparline.fleet._store_reader import (
     StoreAnswer,
@@ -29,10 +30,14 @@
     StoreReader,
 )
 from sparline.fleet._store_watchers import WATCHERS_PER_ZONE, is_first_watcher, is_store_watcher
+from sparline.fleet._stream_holders import likely_holders, other_instances
+from sparline.fleet._stream_version_exchange import StreamVersionDatagram, StreamVersionExchange
+from sparline.fleet._stream_versions import StreamKey, service_key, stream_key
 
 __all__ = [
     "NO_ADMISSION",
     "NO_POSITION",
+    "VERSION_RETENTION_MS",
     "WATCHERS_PER_ZONE",
     "AdmissionExchange",
     "AdmissionSources",
@@ -58,6 +63,7 @@
     "LoadDatagram",
     "QuotaExchange",
     "ServiceRanks",
+    "SoftwareVersions",
     "StoreAnswer",
     "StoreChange",
     "StoreClient",
@@ -67,10 +73,17 @@
     "StoreItem",
     "StorePosition",
     "StoreReader",
+    "StreamKey",
+    "StreamVersionDatagram",
+    "StreamVersionExchange",
     "UnknownItem",
     "add_pending",
+    "likely_holders",
     "make_member_note",
+    "other_instances",
     "pending_of",
+    "service_key",
+    "stream_key",
     "sum_loads",
     "is_first_watcher",
     "is_store_watcher",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -31,6 +31,7 @@
 from sparline.fleet._members import Member, Members
 from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
 from sparline.fleet._store_copy import StorePosition
+from sparline.fleet._stream_version_exchange import StreamVersionDatagram, StreamVersionExchange
 from sparline.quarantine import CrashChange
 from sparline.schema._gossip import (
     AdmissionLevels,
@@ -48,6 +49,9 @@
     QuotaTotals,
     QuotaWord,
     ServerLimitNote,
+    StreamVersionNews,
+    StreamVersionQuery,
+    StreamVersionReply,
 )
 
 # Interval between gossip rounds (ms). It makes load data about as old as a prompt's prefill takes.
@@ -83,6 +87,9 @@
     | QuotaTotals
     | AdmissionReport
     | AdmissionLevels
+    | StreamVersionNews
+    | StreamVersionQuery
+    | StreamVersionReply
 )
 DATAGRAM_READER = TaggedReader(Datagram)
 
@@ -114,6 +121,7 @@
         crashes: CrashExchange,
         quotas: QuotaExchange,
         admission: AdmissionExchange,
+        streams: StreamVersionExchange,
         sources: GossipSources,
     ) -> None:
         """Bind the port, the same on all instances; `seeds` are the initial peer addresses."""
@@ -124,6 +132,7 @@
         self._crashes = crashes
         self._quotas = quotas
         self._admission = admission
+        self._streams = streams
         self._sources = sources
         self._round = 0
         self._rng = random.Random()
@@ -163,6 +172,8 @@
                 self.send_immediately(self._quotas.take(message))
             case AdmissionReport() | AdmissionLevels():
                 self.send_immediately(self._admission.take(message))
+            case StreamVersionNews() | StreamVersionQuery() | StreamVersionReply():
+                self.send_immediately(self._streams.take(message))
             case Gossip():
                 self._handle_gossip(message)
 
@@ -236,7 +247,8 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
         siblings, remote, silent = classify_peers(self._members)
-        for one in (*self._loads.round(), *self._quotas.round(), *self._admission.round()):
+        exchanges = (self._loads, self._quotas, self._admission, self._streams)
+        for one in (datagram for exchange in exchanges for datagram in exchange.round()):
             self._send(one.peers, one.message)
         round_siblings = siblings_for_round(self._members, siblings, self._round)
         if round_siblings:
@@ -277,9 +289,12 @@
         self._send(remote, self._gossip_message(False))
 
     def send_immediately(
-        self, outgoing: Iterable[LoadDatagram | QuotaDatagram | AdmissionDatagram]
+        self,
+        outgoing: Iterable[
+            LoadDatagram | QuotaDatagram | AdmissionDatagram | StreamVersionDatagram
+        ],
     ) -> None:
-        """Send load, quota or admission datagrams immediately."""
+        """Send datagrams of an exchange immediately."""
         for one in outgoing:
             self._send(limit_randomly(one.peers, MAX_BROADCAST_PEERS, self._rng), one.message)
 
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -15,12 +15,13 @@
     QuotaExchange,
     ServerLoad,
     StorePosition,
+    StreamVersionExchange,
     _gossip,
 )
 from sparline.quarantine import CrashTable
 from sparline.quotas import NO_TOLERANCE, QuotaLimiter
 from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberNote, MemberPhase
-from sparline.tests.fake_fleet import FakeFleet
+from sparline.tests.fake_fleet import FakeFleet, FakeVersions
 
 SOURCES = GossipSources(
     recent_prefix_uses=list,
@@ -48,6 +49,10 @@
     return QuotaExchange(members, QuotaLimiter(NO_TOLERANCE, random.Random(0)), lambda _key: None)
 
 
+def no_streams(members: Members) -> StreamVersionExchange:
+    return StreamVersionExchange(members, FakeVersions(), lambda _reply: None)
+
+
 @pytest.fixture
 def port(monkeypatch):
     own = MemberNote("127.0.3.1", "own", 1, 1, MemberPhase.starting, "north", "north-1")
@@ -60,6 +65,7 @@
         CRASHES,
         no_quotas(members),
         AdmissionExchange(members, NO_ADMISSION),
+        no_streams(members),
         SOURCES,
     )
     one.sent = []
@@ -145,6 +151,7 @@
         CRASHES,
         no_quotas(members),
         AdmissionExchange(members, NO_ADMISSION),
+        no_streams(members),
         SOURCES,
     )
     faults: list[int] = []
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -142,8 +142,11 @@
 
     def _bind_software_version(self, version: SoftwareVersion | None) -> None:
         """Bind the stream to the software version that its first event comes from."""
-        if not self._progress.began:
-            self._progress.software_version = version
+        if self._progress.began:
+            return
+        self._progress.software_version = version
+        if version is not None:
+            self._dependencies.note_stream_version(self._request, version)
 
     def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
         """Raise `ConnectionBroken` if a response that has ended was cut short."""
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -109,6 +109,8 @@
     note_first: Callable[
         [RoutedRequest, Placement, Progress], None
     ]  # records the first event or response
+    # Records the software version that the first event of a stream comes from.
+    note_stream_version: Callable[[RoutedRequest, SoftwareVersion], None]
     # Headers of a stream by those of its answer and its software version, None if that is unknown.
     answer_headers: Callable[[HttpAnswer, SoftwareVersion | None], Headers]
     # Software version of all servers of a service, None if there are several.
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -63,6 +63,8 @@
     crashes: CrashTable  # servers that exited while running requests
     is_key_withdrawn: Callable[[RoutedRequest], bool]  # whether its API key was withdrawn
     refusal_headers: Callable[[OwnAnswer], Headers]  # for responses generated here
+    # Software version at which a resumed stream began, None if that is unknown.
+    find_version: Callable[[RoutedRequest], SoftwareVersion | None]
 
 
 class Forwarder:
@@ -115,10 +117,16 @@
         self._sends_left = sends_left
         self._not_run_count = 0
         self._progress = progress
+        # Version at which alone a stream can go on that an earlier answer began, None for any.
+        self._resumed_version = request.software_version
         self._digest: RequestDigest | None = None
         self.ender = RequestEnder(request, caller, progress, dependencies.refusal_headers)
 
     def run_to_end(self) -> RequestEnd:
+        if self._request.is_resumption and self._resumed_version is None:
+            self._resumed_version = self._dependencies.find_version(self._request)
+            if self._resumed_version is None:
+                return self.ender.end_version_unknown()
         while True:
             if self._dependencies.is_key_withdrawn(self._request):
                 return self.ender.end_key_withdrawn()
@@ -165,7 +173,7 @@
         """Return the software version at which alone the stream can go on, None for any."""
         if self._progress.began:
             return self._progress.software_version
-        return self._request.software_version
+        return self._resumed_version
 
     def _request_digest(self) -> RequestDigest:
         if self._digest is None:
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -5,6 +5,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
+from sparline.decisions import unserved_retry_after_ms
 from sparline.forwarding._answer_forwarding import forward_complete
 from sparline.forwarding._attempt_types import AttemptEnd, Progress
 from sparline.forwarding._wire import OwnAnswer
@@ -69,6 +70,11 @@
             )
         return self._end_with_own_answer(refusal.reason, refusal.retry_after_ms)
 
+    def end_version_unknown(self) -> RequestEnd:
+        """End a resumed stream of which nobody knows the software version that began it."""
+        wait_ms = unserved_retry_after_ms(self._request.left_ms())
+        return self._end_with_own_answer(Reason.SOFTWARE_VERSION_UNKNOWN, wait_ms)
+
     def end_failed(self, stop: Reason, end: AttemptEnd) -> RequestEnd:
         """End a request whose last attempt failed and is not retried, for the reason `stop`."""
         if self._progress.failed_answer is not None and not self._progress.began:
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -52,6 +52,7 @@
 from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
+from sparline.gateway._stream_versions import StreamVersions, StreamVersionSources
 from sparline.http import ConnectionPool, Headers, HttpAnswer
 from sparline.placement import (
     Chooser,
@@ -173,6 +174,17 @@
         self.admission = AdmissionGate(
             region, self.fleet, ranks, self.admission_exchange, self.metrics
         )
+        self.stream_versions = StreamVersions(
+            self.members,
+            self.fleet.software_versions,
+            StreamVersionSources(
+                lambda datagrams: self.gossip.send_immediately(datagrams),
+                self._may_be_outdated,
+                self.reader.reached,
+                self.request_log.note_resumption,
+            ),
+            settings.first_start,
+        )
         self.service = Service(
             self.fleet,
             self.copy,
@@ -196,6 +208,7 @@
             CrashExchange(self.crashes),
             self.quota_exchange,
             self.admission_exchange,
+            self.stream_versions.exchange,
             GossipSources(
                 self.cache.recent_prefix_uses,
                 self.cache.merge_prefix_uses,
@@ -301,6 +314,7 @@
             ends=self.end_detector,
             has_ended=self._ended_starts.__contains__,
             note_first=self.admission.note_first,
+            note_stream_version=self.stream_versions.note_begun,
             answer_headers=stream_headers,
             only_version=self.fleet.software_versions.only,
             note_unframed_end=self.request_log.note_unframed_end,
@@ -319,6 +333,7 @@
                     self.fleet.configuration, request.caller
                 ),
                 refusal_headers=own_headers,
+                find_version=self.stream_versions.find,
             )
         )
 
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -32,6 +32,11 @@
         )
         self.quotas_kept = self._gauge("quotas_kept", "Quotas whose account is kept here.")
         self.retries = self._counter("retries", "Sends after the first.", ("reason",))
+        self.resumptions = self._counter(
+            "resumed_streams",
+            "Streams that callers resume, by who knew their version.",
+            ("source",),
+        )
         self.interrupted_answers = self._counter(
             "answers_broken", "Answers that broke off.", ("reason",)
         )
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -7,6 +7,7 @@
 from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd, UnframedEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
+from sparline.gateway._stream_versions import FoundVersion
 from sparline.placement import ColdRequest, Placement, Refusal, RefusalLimit, ServerLimit
 from sparline.quarantine import (
     MIN_QUARANTINE_ENDS,
@@ -54,6 +55,21 @@
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
 
+    def note_resumption(
+        self, request: RoutedRequest, found: FoundVersion, waited_ms: float
+    ) -> None:
+        """Record at which software version a caller's stream is resumed, and who knew it."""
+        self._metrics.resumptions.labels(found.source.value).inc()
+        if self._other.take() and log.is_written(LineLevel.INFO):
+            log.bind(
+                request_id=request.request_id,
+                resumes=request.resumes,
+                resume_after=request.resume_after,
+                software_version=found.version,
+                source=found.source.value,
+                waited_ms=round(waited_ms),
+            ).info("stream_resumed")
+
     def note_broken(
         self, request: RoutedRequest, placement: Placement, end: InterruptedAttempt
     ) -> None:
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -263,7 +263,7 @@
         one.add_server("e1", "engines", events=2)
         one.add_server("e2", "engines", "south-1", events=2)
         one.store.put("op/config", configuration(1, RANKED | LESS_URGENT))
-        one.until(one._all_ready, "all are ready")
+        one.until(one.is_ready, "all are ready")
         yield one
 
 
--- a/sparline/gateway/tests/test_keys.py
+++ b/sparline/gateway/tests/test_keys.py
@@ -40,7 +40,7 @@
         one.add_server("s1", zone="south-1")
         one.add_server("e1", "engines", events=4)
         publish_organisations(one, 1, ORE, PEAT, SLATE)
-        one.until(one._all_ready, "all are ready")
+        one.until(one.is_ready, "all are ready")
         yield one
 
 
--- a/sparline/gateway/tests/test_quotas.py
+++ b/sparline/gateway/tests/test_quotas.py
@@ -25,7 +25,7 @@
         one.add_server("e1", "engines", events=4)
         one.add_server("s1", "engines", "south-1", events=4)
         one.store.put("op/config", configuration(1) | {"tenants": [ORE, FREE]})
-        one.until(one._all_ready, "all are ready")
+        one.until(one.is_ready, "all are ready")
         yield one
 
 
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -180,3 +180,49 @@
         assert resume(fleet, request_id, at, f"again-{request_id}").whole
     for request_id in callers:
         assert len(versions_of(fleet, request_id, f"again-{request_id}")) == 1
+
+
+def test_stream_that_began_before_the_second_version_keeps_its_own():
+    with RoutedFleet(("north-1", "north-1")) as fleet:
+        for name in ("a1", "a2"):
+            fleet.add_server(name, "engines", events=EVENTS, version="v1")
+        fleet.ready()
+        for number in range(STREAMS):
+            begin_stream(fleet, f"r{number}")
+        for name in ("b1", "b2"):
+            fleet.add_server(name, "engines", events=EVENTS, version="v2")
+        holder = fleet.gateways["g1"].stream_versions.exchange.table
+        fleet.until(lambda: len(holder) == STREAMS, "the sibling was told of all streams")
+        fleet.gateways["g0"].stop()
+        for number in range(STREAMS):
+            assert resume(fleet, f"r{number}", "g1", f"t{number}").whole
+            assert versions_of(fleet, f"r{number}", f"t{number}") == {"v1"}
+
+
+def test_stream_that_nobody_knows_is_refused_at_once_between_two_versions(three_instances):
+    got = resume(three_instances, "never-seen", "g0", "r1")
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    assert three_instances.runs() == []
+
+
+def test_stream_that_nobody_knows_goes_on_where_there_is_one_version():
+    with RoutedFleet() as fleet:
+        fleet.add_server("a1", "engines", events=EVENTS)
+        fleet.ready()
+        got = resume(fleet, "never-seen", "g0", "r1")
+    assert got.whole
+    assert got.body.count(b"data: ") == EVENTS - 3
+
+
+def test_stream_taken_up_again_and_again_keeps_its_version(three_instances):
+    fleet = three_instances
+    begin_stream(fleet, "r1").close()
+    tries = ["r1"]
+    for number in range(STREAMS):
+        # Each try but the last breaks again after the event that the caller has.
+        break_next_run(fleet, break_after_event=4)
+        resume(fleet, "r1", f"g{number % 3}", f"t{number}")
+        tries.append(f"t{number}")
+    assert len(fleet.runs()) > STREAMS
+    assert len(versions_of(fleet, *tries)) == 1
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -31,6 +31,7 @@
     OVERLOADED = "overloaded"
     ISOLATED = "isolated"
     SOFTWARE_VERSION_GONE = "software_version_gone"
+    SOFTWARE_VERSION_UNKNOWN = "software_version_unknown"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
     # Why one attempt did not run.
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -7,7 +7,7 @@
 from sparline.quarantine import RequestDigest, digest_of
 from sparline.requests._callers import KnownCaller
 from sparline.requests._types import Origin
-from sparline.routes import Route, ServiceName
+from sparline.routes import RequestKind, Route, ServiceName
 
 # Headers that identify a caller, in lower case.
 CALLER_HEADERS = frozenset((b"host", b"authorization"))
@@ -74,8 +74,15 @@
     @property
     def is_resumption(self) -> bool:
         """Tell whether the caller has events of the stream from an earlier answer."""
+        if self.route.kind is not RequestKind.STREAM:
+            return False
         return self.resume_after is not None or self.resumes is not None
 
+    @property
+    def stream_id(self) -> RequestId:
+        """Return the id of the caller's try that brings or brought the stream's first event."""
+        return self.resumes or self.request_id
+
     @property
     def priority(self) -> int:
         """Return its priority, 0 for the most urgent: its rank, if it is known."""
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -151,6 +151,68 @@
     ]
 
 
+class StreamVersionNote(WireNode):
+    """
+    Tell at which software version a stream began.
+    """
+
+    stream: Annotated[
+        int,
+        Meta(description="Hash of the id of the request that brought its first event, 64 bits."),
+    ]
+    service: Annotated[int, Meta(description="Hash of the name of its service, 32 bits.")]
+    version: str
+    left_ms: Annotated[
+        int, Meta(description="How much longer the stream may be resumed, milliseconds.")
+    ]
+
+
+class StreamVersionNews(WireMessage):
+    """
+    Tell an instance that is to remember them at which software versions streams began.
+    """
+
+    streams: list[StreamVersionNote]
+
+
+class StreamVersionQuery(WireMessage):
+    """
+    Ask an instance at which software version a stream began.
+    """
+
+    ip: str
+    stream: Annotated[
+        int,
+        Meta(description="Hash of the id of the request that brought its first event, 64 bits."),
+    ]
+    service: str
+
+
+class StreamVersionReply(WireMessage):
+    """
+    Answer a query for the software version of a stream.
+    """
+
+    ip: str
+    stream: Annotated[
+        int,
+        Meta(description="Hash of the id of the request that brought its first event, 64 bits."),
+    ]
+    note: (
+        Annotated[
+            StreamVersionNote,
+            Meta(description="What the sender knows of the stream, null for nothing."),
+        ]
+        | None
+    )
+    versions: Annotated[
+        list[str],
+        Meta(
+            description="Versions that servers of the service have or had lately, as the sender knows."
+        ),
+    ]
+
+
 class LoadShares(WireMessage):
     """
     Tell the instance that adds up a backend server's load what the sender puts on it.
@@ -468,4 +530,7 @@
     quota_totals: QuotaTotals
     admission_report: AdmissionReport
     admission_levels: AdmissionLevels
+    stream_version_news: StreamVersionNews
+    stream_version_query: StreamVersionQuery
+    stream_version_reply: StreamVersionReply
     store_copy: StoreCopy
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -22,6 +22,7 @@
     QuotaExchange,
     ServerLoad,
     StorePosition,
+    StreamVersionExchange,
     _admission_exchange,
     _gossip,
     _gossip_peers,
@@ -31,6 +32,8 @@
     _members,
     _news_allowance,
     _quota_exchange,
+    _stream_version_exchange,
+    _stream_versions,
     sum_loads,
 )
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
@@ -53,7 +56,7 @@
     quota_key,
 )
 from sparline.routes import Organisation
-from sparline.schema._gossip import MemberNote, MemberPhase
+from sparline.schema._gossip import MemberNote, MemberPhase, StreamVersionReply
 
 STEP_MS = 5.0
 NEAR_MS = 1.0
@@ -78,11 +81,23 @@
     retries: RetryWindow
     quotas: QuotaExchange
     admission: AdmissionExchange
+    streams: StreamVersionExchange
     region: RegionName
     next_round_ms: float
     live_at_ms: float
 
 
+@dataclass(slots=True)
+class FakeVersions:
+    """Hold the software versions that each instance takes all services to have."""
+
+    versions: frozenset[str] = frozenset(("v1",))
+
+    def known(self, _service: str) -> frozenset[str]:
+        """Return the versions of any service."""
+        return self.versions
+
+
 @dataclass(slots=True)
 class FakeFleet:
     """Let instances start, end and hear each other; each step takes `STEP_MS`."""
@@ -99,6 +114,9 @@
     organisations: dict[str, Organisation] = field(default_factory=dict)  # by name
     quota_bytes: int = 0  # of datagrams about quotas
     admission: AdmissionSources = NO_ADMISSION
+    versions: "FakeVersions" = field(default_factory=lambda: FakeVersions())
+    replies: list[StreamVersionReply] = field(default_factory=list)  # to queries about streams
+    stream_bytes: int = 0  # of datagrams about streams
     admission_bytes: dict[str, int] = field(default_factory=dict)  # by sender
     admission_datagrams: dict[str, int] = field(default_factory=dict)  # by sender
     _starts: list[tuple[float, str, RegionName]] = field(default_factory=list)
@@ -122,6 +140,8 @@
             _crash_table,
             _quota_exchange,
             _admission_exchange,
+            _stream_version_exchange,
+            _stream_versions,
         ):
             monkeypatch.setattr(module, "now_ms", lambda: self.now_ms)
         monkeypatch.setattr(_gossip_peers, "hash", hash64, raising=False)
@@ -201,6 +221,7 @@
             members, QuotaLimiter(self.quota_bounds, self.chance), self.quota_terms
         )
         admission = AdmissionExchange(members, self.admission)
+        streams = StreamVersionExchange(members, self.versions, self.replies.append)
         server_limits = ServerLimitTable()
         server_limits._rng = random.Random(ip)
         sources = GossipSources(
@@ -214,7 +235,15 @@
         )
         crashes = CrashTable(lambda change: gossip.broadcast_crash(change))
         gossip = GossipPort(
-            PORT, self.seeds, members, loads, CrashExchange(crashes), quotas, admission, sources
+            PORT,
+            self.seeds,
+            members,
+            loads,
+            CrashExchange(crashes),
+            quotas,
+            admission,
+            streams,
+            sources,
         )
         gossip._rng = random.Random(self.chance.random())
 
@@ -241,6 +270,7 @@
             retries,
             quotas,
             admission,
+            streams,
             region,
             self.now_ms,
             self.now_ms + self.starting_ms,
@@ -251,6 +281,8 @@
         if b"Quota" in data:
             # The tag of a message names its type.
             self.quota_bytes += len(data)
+        if b"StreamVersion" in data:
+            self.stream_bytes += len(data)
         if b"Admission" in data:
             self.admission_bytes[sender] = self.admission_bytes.get(sender, 0) + len(data)
             self.admission_datagrams[sender] = self.admission_datagrams.get(sender, 0) + 1
