Reproduce that a resumed stream of a split route changes its service

A route's split picks the service by the id of the caller's try, and a take-up has another one. Callers of half of the streams of an even split would have got the rest from another service; since they are refused. The tests of resumed streams now ask for status 200 and the missing events, not for a whole answer alone, which a refusal is, too; the others pass so.

--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -7,7 +7,8 @@
 from sparline.gateway import _components
 from sparline.platform import answer_headers
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
-from standins import PROMPT, Caller, Got, SealedFaults
+from standins import PROMPT, Caller, Got, SealedFaults, publish
+from standins._publisher import ROUTES
 
 EVENTS = 6
 STREAMS = 12
@@ -147,6 +148,12 @@
     )
 
 
+def goes_on(fleet: RoutedFleet, resumes: str, at: str, request_id: str) -> bool:
+    """Resume a stream after its third event; tell whether the caller gets the rest."""
+    got = resume(fleet, resumes, at, request_id)
+    return got.status == 200 and got.whole and got.body.count(b"data: ") == EVENTS - 3
+
+
 @pytest.fixture
 def three_instances():
     with RoutedFleet(("north-1", "north-1", "south-1")) as one:
@@ -173,11 +180,11 @@
     for at in ("g0", "g1", "g2") * (STREAMS // 3):
         request_id = next(ids)
         callers[request_id].close()
-        assert resume(fleet, request_id, at, f"again-{request_id}").whole
+        assert goes_on(fleet, request_id, at, f"again-{request_id}")
     restart(fleet, "g0")
     for at in ("g0", "g1", "g2") * (STREAMS // 3):
         request_id = next(ids)
-        assert resume(fleet, request_id, at, f"again-{request_id}").whole
+        assert goes_on(fleet, request_id, at, f"again-{request_id}")
     for request_id in callers:
         assert len(versions_of(fleet, request_id, f"again-{request_id}")) == 1
 
@@ -195,7 +202,7 @@
         fleet.until(lambda: len(holder) == STREAMS, "the sibling was told of all streams")
         fleet.gateways["g0"].stop()
         for number in range(STREAMS):
-            assert resume(fleet, f"r{number}", "g1", f"t{number}").whole
+            assert goes_on(fleet, f"r{number}", "g1", f"t{number}")
             assert versions_of(fleet, f"r{number}", f"t{number}") == {"v1"}
 
 
@@ -210,9 +217,7 @@
     with RoutedFleet() as fleet:
         fleet.add_server("a1", "engines", events=EVENTS)
         fleet.ready()
-        got = resume(fleet, "never-seen", "g0", "r1")
-    assert got.whole
-    assert got.body.count(b"data: ") == EVENTS - 3
+        assert goes_on(fleet, "never-seen", "g0", "r1")
 
 
 def test_stream_taken_up_again_and_again_keeps_its_version(three_instances):
@@ -226,3 +231,22 @@
         tries.append(f"t{number}")
     assert len(fleet.runs()) > STREAMS
     assert len(versions_of(fleet, *tries)) == 1
+
+
+# Guards against: a caller that takes a stream up is sent to another service of a split route.
+def test_stream_of_a_split_route_goes_on_at_its_service():
+    split = [{"service": "engines", "weight": 1}, {"service": "others", "weight": 1}]
+    routes = {"/stream/": ROUTES["/stream/"] | {"split": split}}
+    with RoutedFleet() as fleet:
+        for service in ("engines", "others"):
+            for name in VERSIONS:
+                fleet.add_server(f"{service}-{name}", service, events=EVENTS)
+        publish(fleet.store, 1, routes, ("others",))
+        fleet.until(fleet.is_ready, "the instance is live")
+        for number in range(STREAMS):
+            begin_stream(fleet, f"r{number}").close()
+            assert goes_on(fleet, f"r{number}", "g0", f"t{number}")
+            ran = [name for name, one in fleet.servers.items() if one.runs]
+            assert len({name.partition("-")[0] for name in ran}) == 1
+            for server in fleet.servers.values():
+                server.runs.clear()
