Send a resumed stream of a split route to the service that began it

What callers saw: a stream of a route that is split between services, taken up by its caller, went on at another service, or since was refused there. Cause: the split is by the id of the try, and each try has its own. Change: the split of a resumed stream is by the try that brought its first event (Resumes). A split whose weights have changed since may still name another service; such a stream is refused.

--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -215,7 +215,9 @@
             self._own_answers.refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
             return None
         relayed = ServiceName(marks.relay_service) if origin is Origin.RELAY else None
-        service = relayed or choose_service(route, request_id)
+        # A resumed stream goes on at the service that began it.
+        began_by = (marks.resumes if route.resumable else None) or request_id
+        service = relayed or choose_service(route, began_by)
         if not self._can_complete(route, service, marks):
             self._own_answers.refuse(
                 caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
