Fetch cached prompts from engines of the same software version alone

What two versions write doesn't fit together, so an engine is no longer told to take a prompt's memory from one of another version. Evidence: the new row of test_long_prefix_is_fetched fails without the change.

--- a/sparline/placement/_kept_prompt.py
+++ b/sparline/placement/_kept_prompt.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from sparline._ids import BackendServerId, RegionName
+from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.fleet import BackendServer
 from sparline.placement._prompt_cache import PromptCache, is_fleet_wide
 from sparline.requests import Prompt
@@ -18,7 +18,8 @@
 
     tokens: dict[BackendServerId, int] = field(default_factory=dict)  # cached tokens by engine
     prefill_owner: BackendServerId | None = None  # engine that is to prefill it, None if one has
-    sources: dict[RegionName, BackendServer] = field(default_factory=dict)  # largest copy by region
+    # Largest copy by region and software version: no engine can read what another version wrote.
+    sources: dict[tuple[RegionName, SoftwareVersion], BackendServer] = field(default_factory=dict)
     fleet_wide: bool = False  # whether one engine of the whole fleet is to prefill it
     max_tokens: int = 0  # tokens in the largest copy
 
@@ -27,8 +28,8 @@
         return self.tokens.get(server.id, 0)
 
     def source_for(self, server: BackendServer) -> BackendServer | None:
-        """Return the engine of the same region from which a server should fetch the prefix."""
-        source = self.sources.get(server.region)
+        """Return the engine of the same region and software version from which a server should fetch the prefix."""
+        source = self.sources.get((server.region, server.software_version))
         if source is None or self.tokens_at(source) - self.tokens_at(server) < MIN_FETCH_TOKENS:
             return None
         return source
@@ -52,14 +53,15 @@
     tokens = cache.cached_tokens_at(prompt, [one.id for one in servers])
     if owner is not None and cache.owner_has_cached(prompt):
         tokens[owner] = prompt.shared_tokens
-    sources: dict[RegionName, BackendServer] = {}
+    sources: dict[tuple[RegionName, SoftwareVersion], BackendServer] = {}
     if fetches:
         holders = [one for one in healthy if tokens[one.id] >= MIN_FETCH_TOKENS]
         ready = cache.can_transfer_from(prompt, [one.id for one in holders])
         for server in holders:
-            largest = sources.get(server.region)
+            place = (server.region, server.software_version)
+            largest = sources.get(place)
             if ready[server.id] and (largest is None or tokens[server.id] > tokens[largest.id]):
-                sources[server.region] = server
+                sources[place] = server
     max_tokens = max(tokens.values(), default=0)
     is_cached = max_tokens >= prompt.shared_tokens
     return CachedPrefix(
--- a/sparline/placement/tests/test_choice.py
+++ b/sparline/placement/tests/test_choice.py
@@ -267,6 +267,14 @@
     ("not before its prefill has ended", (N1, N2), N1, 500.0, {"n1": BUSY}, ("n2", None, 17_000)),
     ("not if the engine with the prefix is free", (N1, N2), N1, 700.0, {}, ("n1", None, 4_000)),
     ("not from another region", (N1, S1), S1, 700.0, {"s1": BUSY}, ("n1", None, 17_000)),
+    (
+        "not from another software version",
+        (N1, N2_NEW),
+        N1,
+        700.0,
+        {"n1": BUSY},
+        ("n2", None, 17_000),
+    ),
     ("not from a failing engine", (N1, N2), N1, 700.0, "failing", ("n2", None, 17_000)),
 ]
 
