Let the soak take streams up, before engines of two software versions

Stand-ins wrote "v1" for every server, and no caller of the soak came back, so that no run could fail for mixed streams. Engines now have two versions; callers take a stream up that broke, or leave it after two events in one of five, at any instance, up to three times; each run notes the version of its server, and no stream may hold events of two. The first events of an answer are read by one function of the stand-in caller.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -39,6 +39,10 @@
 }
 
 
+# Software version of each engine.
+VERSIONS = {"en1": "v1", "en2": "v2", "es1": "v1"}
+
+
 @dataclass(frozen=True, slots=True)
 class FleetShape:
     """Say how many instances and backend servers there are, and where."""
@@ -46,6 +50,8 @@
     gateway_zones: tuple[str, ...] = PLACES  # availability zone of each instance
     # Availability zone, service and events of each backend server.
     servers: Mapping[str, tuple[str, str, int]] = field(default_factory=lambda: SERVERS)
+    # Software version of each backend server that has not the usual one.
+    versions: Mapping[str, str] = field(default_factory=lambda: VERSIONS)
     has_server_proxies: bool = True  # whether instances reach servers through a proxy
 
 
@@ -140,7 +146,8 @@
         self.stop()
 
     def _add_server(self, name: str, events: int) -> None:
-        server = SealedServer("127.0.0.1", self._ports.take(), name, events=events)
+        version = self.shape.versions.get(name, "v1")
+        server = SealedServer("127.0.0.1", self._ports.take(), name, events=events, version=version)
         server.on_end = lambda: gevent.spawn_later(BACK_S, self._come_back, name)
         server.start()
         self.servers[name] = server
@@ -157,8 +164,8 @@
         address = (server.ip, server.port)
         if self.shape.has_server_proxies:
             address = self.proxies[name].address
-        born = {"born": self.starts.setdefault(name, 1)}
-        list_server(self.store, name, address, service, zone, **born, **changes)
+        start = {"born": self.starts.setdefault(name, 1), "version": server.version}
+        list_server(self.store, name, address, service, zone, **start, **changes)
 
     def _come_back(self, name: str) -> None:
         """Start a backend server again under its id; it holds nothing of before."""
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -20,6 +20,7 @@
     judge_records,
     judge_repeats,
 )
+from benchmarks._soak_streams import events_wanted, judge_versions, next_try, resume_headers
 from sparline._clock import now_ms
 from standins import PROMPT
 
@@ -40,6 +41,7 @@
     server_chance: random.Random = field(default_factory=random.Random)
     store_chance: random.Random = field(default_factory=random.Random)
     stream_chance: random.Random = field(default_factory=random.Random)
+    resumption_chance: random.Random = field(default_factory=random.Random)
     records: list[Record] = field(default_factory=list)
     faults: SoakFaults = field(init=False)
     _callers: Pool = field(default_factory=lambda: Pool(200))
@@ -81,14 +83,23 @@
             with gevent.Timeout(CALLER_TIMEOUT_S, False):
                 caller = self.fleet.caller(at)
                 more = PROMPT if record.target in ("/stream/x", "/once/x") else {}
-                caller.send(record.target, record.request_id, record.body, **more)
-                record.got = caller.read()
+                headers = more | resume_headers(record)
+                caller.send(record.target, record.request_id, record.body, **headers)
+                record.got = caller.read_events(events_wanted(record, self.resumption_chance))
         except OSError:
             # The instance is down: nothing was promised.
             return
         finally:
             if caller is not None:
                 caller.close()
+        self._resume(record)
+
+    def _resume(self, record: Record) -> None:
+        """Take up a stream that was not received whole, at some instance."""
+        record = next_try(record)
+        if record is not None:
+            self.records.append(record)
+            self._ask(record, self.resumption_chance.choice(sorted(self.fleet.gateways)))
 
     def recover(self) -> list[str]:
         """Wait until all is well again; return what is not."""
@@ -132,6 +143,7 @@
             *judge_crashes(servers),
             *judge_repeats(self.records, servers),
             *judge_records(self.records, servers),
+            *judge_versions(self.records, servers),
         ]
 
 
@@ -141,8 +153,14 @@
         server_chance = random.Random(f"servers/{options.seed}")
         store_chance = random.Random(f"store/{options.seed}")
         stream_chance = random.Random(f"streams/{options.seed}")
+        resumption_chance = random.Random(f"resumptions/{options.seed}")
         run = SoakRun(
-            fleet, random.Random(options.seed), server_chance, store_chance, stream_chance
+            fleet,
+            random.Random(options.seed),
+            server_chance,
+            store_chance,
+            stream_chance,
+            resumption_chance,
         )
         for server in fleet.servers.values():
             server.ends_on = CRASHING
@@ -152,6 +170,8 @@
         result = {
             "seed": options.seed,
             "requests": len(run.records),
+            "resumed": sum(one.resumes is not None for one in run.records),
+            "went_on": sum(one.went_on() for one in run.records),
             "statuses": dict(sorted(statuses.items())),
             "faults": sum(run.faults.counts.values()),
             "engines_ended": len(crashes_ms(fleet.servers)),
--- a/benchmarks/_soak_judge.py
+++ b/benchmarks/_soak_judge.py
@@ -30,8 +30,15 @@
     target: str
     body: bytes = b"abc"
     got: Got | None = None  # None where no connection came up or it broke before the head
+    resumes: str | None = None  # request that began the stream, None if this one does
+    resume_after: int = 0  # last event that its caller has
+    resumptions: int = 0  # how often its caller has taken the stream up
     sent_at_ms: float = field(default_factory=now_ms)
 
+    def went_on(self) -> bool:
+        """Tell whether a stream that its caller took up went on."""
+        return self.resumes is not None and self.got is not None and self.got.status == 200
+
 
 def judge_records(records: Iterable[Record], servers: Mapping[str, SealedServer]) -> list[str]:
     """Return every promise to a caller that was broken."""
@@ -110,7 +117,7 @@
 
 def _expected(record: Record) -> bytes:
     if record.target in ENGINE_TARGETS:
-        events = range(1, SERVERS["en1"][2] + 1)
+        events = range(record.resume_after + 1, SERVERS["en1"][2] + 1)
         return b"".join(
             f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode() for number in events
         )
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -9,7 +9,8 @@
 from benchmarks._gateway_fleet import GatewayProcess
 from benchmarks._soak_faults import SoakFaults
 from benchmarks._soak_judge import REPEATS, Record, _broken, judge_repeats
-from standins import Got, SealedArrival, SealedServer
+from benchmarks._soak_streams import judge_versions, next_try
+from standins import Got, SealedArrival, SealedRun, SealedServer
 
 SEAL = {"response-seal": "s"}
 WHOLE = b"".join(f"id: {number}\ndata: r1-{number}\n\n".encode() for number in range(1, 7))
@@ -99,3 +100,48 @@
         faults = SoakFaults(None, chance, chance, chance, chance, lambda _record, _at: None)
         gevent.joinall([gevent.spawn(faults._restart, gateway) for _ in range(3)], timeout=20)
     assert len(starts) == 2
+
+
+def run_of(request_id: str, version: str, first_event: int = 1) -> SealedRun:
+    headers = {"last-event-id": str(first_event - 1)}
+    return SealedRun(request_id, headers, b"", "/stream/x", version, first_event)
+
+
+def stream(request_id: str, first: int, last: int) -> bytes:
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: %b-%d\n\n" % (one, request_id.encode(), one) for one in numbers)
+
+
+BEGUN = Record("r1", "/stream/x", got=Got(200, SEAL, stream("r1", 1, 3), False))
+RESUMED = Record(
+    "r1-1",
+    "/stream/x",
+    got=Got(200, SEAL, stream("r1-1", 4, 6), True),
+    resumes="r1",
+    resume_after=3,
+)
+STREAMS = [
+    # runs, requests, whether the stream holds events of two versions
+    ([run_of("r1", "v1")], [BEGUN], False),
+    ([run_of("r1", "v1"), run_of("r1", "v2", 3)], [BEGUN], True),
+    # The second run wrote nothing that arrived.
+    ([run_of("r1", "v1"), run_of("r1", "v2", 4)], [BEGUN], False),
+    ([run_of("r1", "v1"), run_of("r1-1", "v1", 4)], [BEGUN, RESUMED], False),
+    ([run_of("r1", "v1"), run_of("r1-1", "v2", 4)], [BEGUN, RESUMED], True),
+    ([run_of("r1", "v1"), run_of("r2", "v2")], [BEGUN], False),
+]
+
+
+@pytest.mark.parametrize(("runs", "records", "is_mixed"), STREAMS)
+def test_the_judge_sees_streams_of_two_software_versions(runs, records, is_mixed):
+    servers = {"en1": SealedServer("127.0.0.1", 1, "en1", runs=runs)}
+    assert bool(judge_versions(records, servers)) is is_mixed
+
+
+def test_a_caller_takes_up_a_stream_after_its_last_event_under_the_first_request():
+    second = next_try(BEGUN)
+    assert (second.request_id, second.resumes, second.resume_after) == ("r1-1", "r1", 3)
+    second.got = Got(200, SEAL, stream("r1-1", 4, 4), False)
+    third = next_try(second)
+    assert (third.request_id, third.resumes, third.resume_after) == ("r1-2", "r1", 4)
+    assert next_try(RESUMED) is None
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -6,7 +6,7 @@
 from sparline.forwarding import RetryWindow
 from sparline.gateway import _components
 from sparline.platform import answer_headers
-from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
+from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, Caller, Got, SealedFaults, publish
 from standins._publisher import ROUTES
 
@@ -129,10 +129,7 @@
     break_next_run(fleet, stop_after_event=events)
     caller = fleet.caller("g0")
     caller.send("/stream/x", request_id, request_id.encode(), **PROMPT)
-    received = b""
-    with gevent.Timeout(PATIENCE_MS / 1000):
-        while received.count(b"data: ") < events:
-            received += caller.socket.recv(65_536)
+    assert caller.read_events(events).status == 200
     return caller
 
 
--- a/standins/_routed_caller.py
+++ b/standins/_routed_caller.py
@@ -9,6 +9,7 @@
 # Headers of a request to an engine.
 PROMPT = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": "aa:100,bb:50,cc:250"}
 SEAL = "response-seal"
+EVENT_END = b"\n\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +43,12 @@
 
     def read(self) -> Got:
         """Read one answer to its end."""
+        return self.read_events(0)
+
+    def read_events(self, count: int) -> Got:
+        """Read one answer to its end, or until `count` events of it are in where that is not 0."""
         parser = AnswerParser()
-        while not parser.answers or not parser.answers[0].complete:
+        while not _is_read(parser, count):
             was_reset = False
             try:
                 data = self.socket.recv(65_536)
@@ -55,13 +60,20 @@
                 is_unframed = answer is not None and answer.ends_with_connection
                 return _got(answer, is_unframed and not was_reset)
             parser.feed(data)
-        return _got(parser.answers[0], True)
+        return _got(parser.answers[0], parser.answers[0].complete)
 
     def close(self) -> None:
         """Leave."""
         self.socket.close()
 
 
+def _is_read(parser: AnswerParser, events: int) -> bool:
+    if not parser.answers:
+        return False
+    answer = parser.answers[0]
+    return answer.complete or 0 < events <= b"".join(answer.pieces).count(EVENT_END)
+
+
 def _got(answer: HttpAnswer | None, whole: bool) -> Got:
     if answer is None or not answer.head_done:
         return Got(0, {}, b"", False)
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -49,10 +49,16 @@
     headers: dict[str, str]  # names in lower case
     body: bytes  # as it arrived
     target: str  # path and query as they arrived
+    version: str = ""  # software version of the server that ran it
     at_ms: float = field(default_factory=now_ms)  # when it began
     finished: bool = False  # whether the run came to its end
     abandoned: bool = False  # whether the connection closed before the end
 
+    @property
+    def first_event(self) -> int:
+        """Return the id of the first event that it writes."""
+        return int(self.headers.get("last-event-id", "0")) + 1
+
 
 @dataclass(frozen=True, slots=True)
 class SealedArrival:
@@ -70,6 +76,7 @@
     port: int
     server_id: str  # this incarnation
     events: int = 0  # events of a stream, 0 for a plain service
+    version: str = "v1"  # of its software
     work_ms: float = 5.0  # time to the answer, and between events
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
@@ -197,7 +204,11 @@
     def _start_run(self, request: HttpRequest) -> SealedRun:
         headers = {name.decode(): value.decode() for name, value in request.headers}
         run = SealedRun(
-            headers.get("attempt-id", ""), headers, bytes(request.body), request.target.decode()
+            headers.get("attempt-id", ""),
+            headers,
+            bytes(request.body),
+            request.target.decode(),
+            self.version,
         )
         self.runs.append(run)
         return run
@@ -205,11 +216,10 @@
     def _stream(
         self, connection: GeventSocket, request: HttpRequest, run: SealedRun, faults: SealedFaults
     ) -> bool:
-        first = int(run.headers.get("last-event-id", "0")) + 1
         length = None if faults.unframed else -1
         head = self._head(200, request, [("Content-Type", "text/event-stream")], length)
         connection.sendall(head)
-        for number in range(first, self.events + 1):
+        for number in range(run.first_event, self.events + 1):
             event = f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
             if number == faults.break_within_event:
                 connection.sendall(_framed(event[:-4], faults))
