Reproduce that streams end where the last servers of their version leave

Since a stream goes on at its own software version alone, and a leaving server gets nothing. When the last servers of a version leave one after the other, the streams that break meanwhile end, though these servers serve on for drain_ms and longer.

--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -78,6 +78,32 @@
     assert fleet.runs() == ["r1"]
 
 
+# Guards against: streams of a version whose last servers leave are cut, though these still serve.
+def test_stream_goes_on_at_a_leaving_server_where_no_other_has_its_version(fleet):
+    g0 = fleet.gateways["g0"]
+    for name in ("a1", "a2"):
+        fleet.servers[name].faults = SealedFaults(stop_after_event=3, remaining=1)
+    for name in ("b1", "b2"):
+        fleet.list_server(name, "engines", version="v2", state="draining")
+    fleet.until(lambda: sum(one.leaving for one in g0.fleet.servers.values()) == 2, "v2 leaves")
+    caller = fleet.caller()
+    caller.send("/stream/x", "r1", b"abc", **PROMPT)
+    fleet.until(lambda: fleet.runs() == ["r1"], "it runs")
+    began_by = next(one for one in fleet.servers.values() if one.runs)
+    for server in fleet.servers.values():
+        server.faults = SealedFaults()
+    for name in ("b1", "b2"):
+        fleet.list_server(name, "engines", version="v2")
+    for name in ("a1", "a2"):
+        fleet.list_server(name, "engines", version="v1", state="draining")
+    fleet.until(lambda: g0.fleet.servers["a2"].leaving, "v1 leaves")
+    began_by.end()
+    got = caller.read()
+    assert got.whole
+    assert got.body.count(b"data: ") == EVENTS
+    assert versions_of(fleet, "r1") == {"v1"}
+
+
 @pytest.fixture
 def two_regions():
     """Run a gateway without servers of its own, and one before all of them."""
