Let streams go on at leaving servers where no others have their version

What callers saw: since streams keep their software version, those that broke while the last servers of their version left, one after the other, ended, though these servers serve on for drain_ms and longer. Cause: a leaving server got nothing at all. Change: the settings tell drain_ms (server_drain_ms). For a third of it, from when this instance first heard that the server leaves, a stream that began at its version may go on there; servers that stay come first. A leaving server that has broken the same stream is no candidate, so that the answer still ends at once. Nothing else is sent to leaving servers.

--- a/benchmarks/_gateway_settings.py
+++ b/benchmarks/_gateway_settings.py
@@ -3,6 +3,7 @@
 from sparline.schema._gateway import GatewaySettings, ListenPorts, LogLevel, RetrySettings
 
 REGIONS = {"north-1": "north", "south-1": "south"}
+SERVER_DRAIN_MS = 3_000.0
 RETRIES = RetrySettings(ratio=0.2, slack=60, window_s=10)
 # Listeners of an instance.
 PORTS = ("callers", "readiness", "directory", "gossip", "relay", "metrics")
@@ -29,6 +30,7 @@
         seeds=[f"{seed}:{by_name['gossip']}" for seed in seed_ips],
         store=f"{store[0]}:{store[1]}",
         retries=RETRIES,
+        server_drain_ms=SERVER_DRAIN_MS,
         grace_s=grace_s,
         first_start=True,
         log_level=LogLevel.INFO,
--- a/sparline/fleet/_backend_servers.py
+++ b/sparline/fleet/_backend_servers.py
@@ -21,6 +21,7 @@
     leaving: bool  # whether it accepts no new requests
     cold_until_ms: float  # end of its warm-up, when it can handle few requests (process clock)
     software_version: SoftwareVersion = SoftwareVersion("")  # version that writes its answers
+    leaving_since_ms: float = 0.0  # when this instance first knew that it leaves (process clock)
     born_ms: int = 0  # start time by its wall clock (ms); orders starts under one key; 0 if unknown
 
 
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -90,6 +90,9 @@
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
 # seconds.
 MAX_ENDED_STARTS = 4_096
+# Fraction of the time for which a server that has announced that it leaves may get requests, from
+# when this instance hears of it: it hears of it late.
+LEAVING_USE_FRACTION = 1 / 3
 
 
 class GatewayComponents:
@@ -277,6 +280,7 @@
             is_doubted_by_region=load_table.is_doubted,
             refusal_limits=self.refusal_limits,
             is_isolated=lambda: self.connectivity.is_isolated,
+            leaving_use_ms=LEAVING_USE_FRACTION * self.settings.server_drain_ms,
         )
         place = InstanceLocation(region, ZoneName(self.settings.availability_zone))
         self.chooser = Chooser(place, tables, random.Random())
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -77,11 +77,13 @@
             # The instance that relayed it can use another one of this region.
             return Refusal(Reason.ISOLATED, unserved_retry_after_ms(request.left_ms()), 0)
         all_servers = self._tables.fleet.by_service.get(request.service, [])
-        if software_version is not None and not _has_version(all_servers, software_version):
-            wait_ms = unserved_retry_after_ms(request.left_ms())
-            return Refusal(Reason.SOFTWARE_VERSION_GONE, wait_ms, 0)
         has_begun = has_begun or request.resume_after is not None
         now = now_ms()
+        if software_version is not None and not any(
+            self._may_resume_at(one, software_version, excluded, now) for one in all_servers
+        ):
+            wait_ms = unserved_retry_after_ms(request.left_ms())
+            return Refusal(Reason.SOFTWARE_VERSION_GONE, wait_ms, 0)
         ways = Ways(self._region, self._tables, self._rng)
         shortlisted = self._shortlist.select(
             request.service,
@@ -197,15 +199,15 @@
                 best = by_region[region] = judge_region(region)
             if (
                 best is Standing.BARRED
-                or server.leaving
-                or software_version not in (None, server.software_version)
+                or (server.leaving and software_version is None)
+                or not self._may_resume_at(server, software_version, excluded, now)
                 or server.zone in evacuated
                 or server.id in excluded
                 or health.is_barred_at(server.id, now)
             ):
                 return Standing.BARRED
             is_healthy = health.is_usable_at(server.id, now)
-            standing = best
+            standing = Standing.LAST_RESORT if server.leaving else best
             if ways.is_direct(region):
                 if not self._may_send(server, service):
                     return Standing.BARRED
@@ -221,6 +223,26 @@
 
         return judge
 
+    def _may_resume_at(
+        self,
+        server: BackendServer,
+        version: SoftwareVersion | None,
+        excluded: frozenset[BackendServerId],
+        now: float,
+    ) -> bool:
+        """Tell whether a stream that began at a software version may ever go on at a server.
+
+        A leaving server may get it for a while: at others, of another version, it could not go on.
+        """
+        if version is None:
+            return True
+        if server.software_version != version:
+            return False
+        if not server.leaving:
+            return True
+        is_recent = now - server.leaving_since_ms < self._tables.leaving_use_ms
+        return is_recent and server.id not in excluded
+
     def _shortest_backoff_ms(
         self, request: RoutedRequest, servers: Sequence[BackendServer]
     ) -> float | None:
@@ -304,11 +326,6 @@
             )
 
 
-def _has_version(servers: Sequence[BackendServer], version: SoftwareVersion) -> bool:
-    """Tell whether any server of a software version may still get requests."""
-    return any(one.software_version == version and not one.leaving for one in servers)
-
-
 def _is_suitable(request: RoutedRequest, server: BackendServer) -> bool:
     return not server.leaving and request.allows(server.region)
 
--- a/sparline/placement/_place_judge.py
+++ b/sparline/placement/_place_judge.py
@@ -82,6 +82,8 @@
     is_doubted_by_region: Callable[[BackendServerId], bool]
     # Limits on refusals set by servers.
     refusal_limits: RefusalLimitTable = field(default_factory=lambda: RefusalLimitTable(lambda: 1))
+    # How long a leaving server still gets streams that began at its software version (ms).
+    leaving_use_ms: float = 0.0
     # Whether this instance reaches no server of its region.
     is_isolated: Callable[[], bool] = lambda: False
 
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -124,3 +124,10 @@
         ]
         | None
     ) = None
+    server_drain_ms: Annotated[
+        float,
+        Meta(
+            description="How long a backend server that has announced that it leaves may still get requests, milliseconds; 0 for not at all.",
+            ge=0.0,
+        ),
+    ] = 0.0
