Split the making of forwarders from the components of an instance

No behaviour changes: the two kinds of headers (for callers, for peers) are pairs now, where the forwarders are made. test_software_versions.py, test_unframed_answers.py and test_fleet.py pass.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -3,10 +3,9 @@
 import random
 import time
 from collections import OrderedDict
-from collections.abc import Callable
 
 from sparline._clock import PauseWatch
-from sparline._ids import BackendServerId, RegionName, SoftwareVersion, ZoneName
+from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline._logging import log
 from sparline.decisions import EndEvidence, Liveness, counted_exit
 from sparline.fleet import (
@@ -31,16 +30,12 @@
     make_member_note,
 )
 from sparline.forwarding import (
-    AttemptDependencies,
-    Forwarder,
-    ForwarderDependencies,
-    OwnAnswer,
     RetryRule,
     RetryWindow,
-    may_send_elsewhere,
 )
 from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
 from sparline.gateway._directory import Directory
+from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._occupancy import RegionOccupancy
@@ -53,7 +48,7 @@
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
 from sparline.gateway._stream_versions import StreamVersions, StreamVersionSources
-from sparline.http import ConnectionPool, Headers, HttpAnswer
+from sparline.http import ConnectionPool
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -70,21 +65,14 @@
     RefusalLimitTable,
     ServerLimitShares,
     ServerLimitTable,
-    WatchTables,
 )
 from sparline.platform import (
-    InstanceWire,
     ItemReader,
     ServerWire,
     StoreHttpClient,
-    answer_headers,
-    refusal_headers,
-    relayed_answer_headers,
-    relayed_refusal_headers,
 )
 from sparline.quarantine import CrashChange, CrashTable, ServerEndCallbacks, ServerEndDetector
 from sparline.quotas import NO_TOLERANCE, QuotaLimiter, QuotaTolerance
-from sparline.requests import is_withdrawn
 from sparline.schema._gateway import GatewaySettings
 
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
@@ -121,7 +109,7 @@
             self._on_server_gone,
         )
         self.crashes = CrashTable(self._on_crash_change, self.request_log.note_pushed_out)
-        self._ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
+        self.ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
         self.copy = StoreCopyTable(self.fleet.take)
         self.reader = StoreReader(
             StoreHttpClient(split_address(settings.store)),
@@ -133,7 +121,7 @@
             lambda: is_first_watcher(self.members),
             None if settings.first_start else self.fleet.note_past_evacuation,
         )
-        self._relay_port = split_address(settings.listen.relay)[1]
+        self.relay_port = split_address(settings.listen.relay)[1]
         last_instance_accept_ms = LAST_INSTANCE_ACCEPT_FRACTION * settings.grace_s * 1000
         self.peers = PeerTable(self.members, last_instance_accept_ms)
         self.pool = ConnectionPool(lambda _address: self.metrics.connections.inc())
@@ -199,8 +187,7 @@
             self.admission,
         )
         self.service.set_forwarders(
-            self._make_forwarder(refusal_headers, answer_headers),
-            self._make_forwarder(relayed_refusal_headers, relayed_answer_headers),
+            make_forwarder(self, FOR_CALLERS), make_forwarder(self, FOR_PEERS)
         )
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
@@ -225,7 +212,7 @@
         callers_port = split_address(settings.listen.callers)[1]
         self.directory = Directory(self.members, self.fleet, callers_port, last_instance_accept_ms)
         self.sync = StoreSync(
-            self.members, self.copy, self.reader, self.fleet, self.metrics, self._relay_port
+            self.members, self.copy, self.reader, self.fleet, self.metrics, self.relay_port
         )
 
     def _build_placement(self, region: RegionName) -> None:
@@ -293,54 +280,6 @@
             self.settings.first_start,
         )
 
-    def _make_forwarder(
-        self,
-        own_headers: Callable[[OwnAnswer], Headers],
-        stream_headers: Callable[[HttpAnswer, SoftwareVersion | None], Headers],
-    ) -> Forwarder:
-        dependencies = AttemptDependencies(
-            pool=self.pool,
-            backend_wire=ServerWire(),
-            peer_wire=InstanceWire(),
-            peer_port=self._relay_port,
-            health=self.health,
-            server_limits=self.server_limits,
-            refusal_limits=self.refusal_limits,
-            note_leaving=self.fleet.note_leaving,
-            pace=self.pace,
-            watch=WatchTables(
-                self.pace, self.gaps, self.loads, self.pause_watch.process_resumed_at_ms
-            ),
-            may_send_elsewhere=may_send_elsewhere,
-            note_peer=self.peers.note_reachability,
-            note_way_failure=self.connectivity.note_failure,
-            note_round_trip=self.peers.note_round_trip,
-            ends=self.end_detector,
-            has_ended=self._ended_starts.__contains__,
-            note_first=self.admission.note_first,
-            note_stream_version=self.stream_versions.note_begun,
-            answer_headers=stream_headers,
-            only_version=self.fleet.software_versions.only,
-            note_unframed_end=self.request_log.note_unframed_end,
-        )
-        return Forwarder(
-            ForwarderDependencies(
-                chooser=self.chooser,
-                rng=random.Random(),
-                loads=self.loads,
-                retries=self.retries,
-                attempt_dependencies=dependencies,
-                note_retry=self.request_log.note_retry,
-                note_broken=self.request_log.note_broken,
-                crashes=self.crashes,
-                is_key_withdrawn=lambda request: is_withdrawn(
-                    self.fleet.configuration, request.caller
-                ),
-                refusal_headers=own_headers,
-                find_version=self.stream_versions.find,
-            )
-        )
-
     def _on_connectivity_change(self, is_isolated: bool) -> None:
         """Forget failures on the way to servers that is no longer used, and tell the other instances."""
         self.metrics.isolated.set(is_isolated)
@@ -367,9 +306,9 @@
     def _on_server_restart(self, server: BackendServer) -> None:
         """Close idle connections to a replaced start, and record the end for requests on it."""
         self.pool.forget(server.address)
-        self._ended_starts[server.id] = None
-        if len(self._ended_starts) > MAX_ENDED_STARTS:
-            self._ended_starts.popitem(last=False)
+        self.ended_starts[server.id] = None
+        if len(self.ended_starts) > MAX_ENDED_STARTS:
+            self.ended_starts.popitem(last=False)
 
     def _on_process_pause(self, pause_ms: float) -> None:
         self.metrics.pauses.inc()
--- /dev/null
+++ b/sparline/gateway/_forwarders.py
@@ -0,0 +1,96 @@
+"""Forwarders of a gateway instance: one for requests of callers, one for those that peers relay."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sparline._ids import SoftwareVersion
+from sparline.forwarding import (
+    AttemptDependencies,
+    Forwarder,
+    ForwarderDependencies,
+    OwnAnswer,
+    may_send_elsewhere,
+)
+from sparline.http import Headers, HttpAnswer
+from sparline.placement import WatchTables
+from sparline.platform import (
+    InstanceWire,
+    ServerWire,
+    answer_headers,
+    refusal_headers,
+    relayed_answer_headers,
+    relayed_refusal_headers,
+)
+from sparline.requests import is_withdrawn
+
+if TYPE_CHECKING:
+    from sparline.gateway._components import GatewayComponents
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHeaders:
+    """Hold what makes the headers of answers to one kind of client."""
+
+    own: Callable[[OwnAnswer], Headers]  # of answers made here
+    # Of streams, with the software version that they come from, None if that is unknown.
+    stream: Callable[[HttpAnswer, SoftwareVersion | None], Headers]
+
+
+FOR_CALLERS = AnswerHeaders(refusal_headers, answer_headers)
+FOR_PEERS = AnswerHeaders(relayed_refusal_headers, relayed_answer_headers)
+
+
+def make_forwarder(components: "GatewayComponents", headers: AnswerHeaders) -> Forwarder:
+    """Create a forwarder on the components of an instance."""
+    return Forwarder(
+        ForwarderDependencies(
+            chooser=components.chooser,
+            rng=random.Random(),
+            loads=components.loads,
+            retries=components.retries,
+            attempt_dependencies=_attempt_dependencies(components, headers),
+            note_retry=components.request_log.note_retry,
+            note_broken=components.request_log.note_broken,
+            crashes=components.crashes,
+            is_key_withdrawn=lambda request: is_withdrawn(
+                components.fleet.configuration, request.caller
+            ),
+            refusal_headers=headers.own,
+            find_version=components.stream_versions.find,
+        )
+    )
+
+
+def _attempt_dependencies(
+    components: "GatewayComponents", headers: AnswerHeaders
+) -> AttemptDependencies:
+    return AttemptDependencies(
+        pool=components.pool,
+        backend_wire=ServerWire(),
+        peer_wire=InstanceWire(),
+        peer_port=components.relay_port,
+        health=components.health,
+        server_limits=components.server_limits,
+        refusal_limits=components.refusal_limits,
+        note_leaving=components.fleet.note_leaving,
+        pace=components.pace,
+        watch=WatchTables(
+            components.pace,
+            components.gaps,
+            components.loads,
+            components.pause_watch.process_resumed_at_ms,
+        ),
+        may_send_elsewhere=may_send_elsewhere,
+        note_peer=components.peers.note_reachability,
+        note_way_failure=components.connectivity.note_failure,
+        note_round_trip=components.peers.note_round_trip,
+        ends=components.end_detector,
+        has_ended=components.ended_starts.__contains__,
+        note_first=components.admission.note_first,
+        note_stream_version=components.stream_versions.note_begun,
+        answer_headers=headers.stream,
+        only_version=components.fleet.software_versions.only,
+        note_unframed_end=components.request_log.note_unframed_end,
+    )
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -1,10 +1,12 @@
 """Tests of streams before backend servers of several software versions."""
 
+from dataclasses import replace
+
 import gevent
 import pytest
 
 from sparline.forwarding import RetryWindow
-from sparline.gateway import _components
+from sparline.gateway import _components, _forwarders
 from sparline.platform import answer_headers
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, Caller, Got, SealedFaults, publish
@@ -126,7 +128,8 @@
 
 
 def test_stream_behind_an_instance_that_names_no_version_is_cut_rather_than_mixed(monkeypatch):
-    monkeypatch.setattr(_components, "relayed_answer_headers", answer_headers)
+    silent = replace(_forwarders.FOR_PEERS, stream=answer_headers)
+    monkeypatch.setattr(_components, "FOR_PEERS", silent)
     with RoutedFleet(("north-1", "south-1")) as fleet:
         for name, version in VERSIONS.items():
             fleet.add_server(name, "engines", "south-1", events=EVENTS, version=version)
@@ -139,7 +142,8 @@
 
 
 def test_stream_behind_an_instance_that_names_no_version_goes_on_at_the_only_one(monkeypatch):
-    monkeypatch.setattr(_components, "relayed_answer_headers", answer_headers)
+    silent = replace(_forwarders.FOR_PEERS, stream=answer_headers)
+    monkeypatch.setattr(_components, "FOR_PEERS", silent)
     with RoutedFleet(("north-1", "south-1")) as fleet:
         for name in ("a1", "a2"):
             fleet.add_server(name, "engines", "south-1", events=EVENTS)
