Keep the places of a fleet's arguments

The software versions of a fleet's servers had come before whether it has proxies, which is given by place in _bounds_command.py.

--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -50,9 +50,9 @@
     gateway_zones: tuple[str, ...] = PLACES  # availability zone of each instance
     # Availability zone, service and events of each backend server.
     servers: Mapping[str, tuple[str, str, int]] = field(default_factory=lambda: SERVERS)
+    has_server_proxies: bool = True  # whether instances reach servers through a proxy
     # Software version of each backend server that has not the usual one.
     versions: Mapping[str, str] = field(default_factory=lambda: VERSIONS)
-    has_server_proxies: bool = True  # whether instances reach servers through a proxy
 
 
 @dataclass(slots=True)
