--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -9,23 +9,25 @@
     RefusalReason,
     refusal_reason,
 )
-from sparline.decisions._admission_level import (
+from sparline.decisions._admission_keys import (
     ADJUSTMENT_MS,
     BUCKET_KEYS,
-    DEMAND_SMOOTHING_MS,
     FLOOR_POSITIONS,
     KEYS_PER_RANK,
     OPEN_LEVEL,
     OPENING_MS,
     POSITIONS,
-    LevelController,
-    RoundReport,
-    SmoothedRate,
     admission_key,
     is_admitted,
     is_telling,
     level_retry_after_ms,
 )
+from sparline.decisions._admission_level import (
+    DEMAND_SMOOTHING_MS,
+    LevelController,
+    RoundReport,
+    SmoothedRate,
+)
 from sparline.decisions._crash_evidence import (
     UNPROVEN_EXIT,
     EndEvidence,
--- a/sparline/decisions/tests/admission_plant.py
+++ b/sparline/decisions/tests/admission_plant.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sparline.decisions._admission_level import (
+from sparline.decisions import (
     ADJUSTMENT_MS,
     BUCKET_KEYS,
     LevelController,
--- a/sparline/decisions/tests/compare_admission.py
+++ b/sparline/decisions/tests/compare_admission.py
@@ -3,14 +3,8 @@
 from collections.abc import Callable
 from statistics import mean
 
-from sparline.decisions import LevelController
-from sparline.decisions._admission_level import (
-    MAX_BUDGET_FACTOR,
-    MAX_FALL,
-    OPEN_LEVEL,
-    OPENING_MS,
-    TOLERATED_MISSES,
-)
+from sparline.decisions import OPEN_LEVEL, OPENING_MS, LevelController
+from sparline.decisions._admission_level import MAX_BUDGET_FACTOR, MAX_FALL, TOLERATED_MISSES
 from sparline.decisions.tests.admission_plant import PATIENCE_MS, Plant
 
 CAPACITY, USUAL, SURGE = 1_000.0, 900.0, 3_000.0
--- a/sparline/decisions/tests/test_admission_level.py
+++ b/sparline/decisions/tests/test_admission_level.py
@@ -5,14 +5,16 @@
 import pytest
 
 from sparline.decisions import (
+    ADJUSTMENT_MS,
+    BUCKET_KEYS,
     OPEN_LEVEL,
+    OPENING_MS,
     LevelController,
     RoundReport,
     admission_key,
     is_admitted,
     level_retry_after_ms,
 )
-from sparline.decisions._admission_level import ADJUSTMENT_MS, BUCKET_KEYS, OPENING_MS
 from sparline.decisions.tests.admission_plant import PATIENCE_MS, Plant, PlantResult
 
 CAPACITY = 1_000.0
--- a/sparline/decisions/tests/test_occupancy.py
+++ b/sparline/decisions/tests/test_occupancy.py
@@ -3,13 +3,13 @@
 import pytest
 
 from sparline.decisions import (
+    ADJUSTMENT_MS,
     OPEN_LEVEL,
     LevelController,
     RoundReport,
     ServerUse,
     region_occupancy,
 )
-from sparline.decisions._admission_level import ADJUSTMENT_MS
 from sparline.decisions.tests.admission_plant import PATIENCE_MS
 
 USES = [
