Record versions of streams that may be resumed alone, and judge new requests as fast as before

Found in reading the diff: streams of routes that allow no resumption were recorded and told, too, and each server of each choice cost a call for what concerns streams that have begun.

--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/_gateway_soak.py
@@ -96,10 +96,10 @@
 
     def _resume(self, record: Record) -> None:
         """Take up a stream that was not received whole, at some instance."""
-        record = next_try(record)
-        if record is not None:
-            self.records.append(record)
-            self._ask(record, self.resumption_chance.choice(sorted(self.fleet.gateways)))
+        following = next_try(record)
+        if following is not None:
+            self.records.append(following)
+            self._ask(following, self.resumption_chance.choice(sorted(self.fleet.gateways)))
 
     def recover(self) -> list[str]:
         """Wait until all is well again; return what is not."""
--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -291,8 +291,7 @@
         if held is not None and held.software_version != server.software_version:
             self.software_versions.note_left(held)
         if server.leaving:
-            was_leaving = held is not None and held.leaving
-            since_ms = held.leaving_since_ms if was_leaving else now_ms()
+            since_ms = held.leaving_since_ms if held is not None and held.leaving else now_ms()
             server = replace(server, leaving_since_ms=since_ms)
         self.servers[server.id] = server
         self.index.note_change()
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -145,7 +145,7 @@
         if self._progress.began:
             return
         self._progress.software_version = version
-        if version is not None:
+        if version is not None and self._request.route.resumable:
             self._dependencies.note_stream_version(self._request, version)
 
     def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -197,10 +197,13 @@
             best = by_region.get(region)
             if best is None:
                 best = by_region[region] = judge_region(region)
+            if software_version is None:
+                is_unfit = server.leaving
+            else:
+                is_unfit = not self._may_resume_at(server, software_version, excluded, now)
             if (
                 best is Standing.BARRED
-                or (server.leaving and software_version is None)
-                or not self._may_resume_at(server, software_version, excluded, now)
+                or is_unfit
                 or server.zone in evacuated
                 or server.id in excluded
                 or health.is_barred_at(server.id, now)
@@ -226,7 +229,7 @@
     def _may_resume_at(
         self,
         server: BackendServer,
-        version: SoftwareVersion | None,
+        version: SoftwareVersion,
         excluded: frozenset[BackendServerId],
         now: float,
     ) -> bool:
@@ -234,8 +237,6 @@
 
         A leaving server may get it for a while: at others, of another version, it could not go on.
         """
-        if version is None:
-            return True
         if server.software_version != version:
             return False
         if not server.leaving:
