--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,15 +8,12 @@
 import sys
 
 from benchmarks._baselines import POLICIES
-from benchmarks._bounds_command import bounds
-from benchmarks._bounds_situations import SITUATIONS
 from benchmarks._choice_cost import choice_cost
 from benchmarks._control import control
 from benchmarks._cpu import cpu
 from benchmarks._decide import decide
 from benchmarks._decide_known import Known
 from benchmarks._demo import demo
-from benchmarks._gateway_soak import gateway_soak
 from benchmarks._limits import limits
 from benchmarks._replay import replay
 from benchmarks._routing import overload, peak, region_loss, routing, slow_link
@@ -24,6 +21,8 @@
 from benchmarks._shapes import SHAPES
 from benchmarks._soak import soak
 from benchmarks._views import views
+from benchmarks.bounds import SITUATIONS, bounds
+from benchmarks.gateway_soak import gateway_soak
 
 EXPERIMENTS = {
     "routing": routing,
--- a/benchmarks/_gateway_demo.py
+++ b/benchmarks/_gateway_demo.py
@@ -8,7 +8,7 @@
 import gevent
 
 from benchmarks._gateway_fleet import GatewayFleet
-from benchmarks._gateway_soak import SoakRun
+from benchmarks.gateway_soak import SoakRun
 
 REQUESTS = 200
 PAUSE_S = 0.03
--- a/benchmarks/_bounds_command.py
+++ b/benchmarks/bounds/_command.py
@@ -8,9 +8,9 @@
 
 import gevent
 
-from benchmarks._bounds_run import NORTH, SERVERS, SOUTH, BoundsRun
-from benchmarks._bounds_situations import COLD, COLD_START_S, SETTLE_S, SITUATIONS, Finding
 from benchmarks._gateway_fleet import FleetShape, GatewayFleet
+from benchmarks.bounds._run import NORTH, SERVERS, SOUTH, BoundsRun
+from benchmarks.bounds._situations import COLD, COLD_START_S, SETTLE_S, SITUATIONS, Finding
 from standins import publish
 
 BUSY_LOOP = "while True: pass"
--- a/benchmarks/_bounds_situations.py
+++ b/benchmarks/bounds/_situations.py
@@ -6,15 +6,15 @@
 
 import gevent
 
-from benchmarks._bounds import (
+from benchmarks._gateway_settings import RETRIES
+from benchmarks.bounds._rules import (
     ColdRule,
     RepeatRule,
     latest_after_ms,
     most_in_a_second,
     worst_repeat_window,
 )
-from benchmarks._bounds_run import NORTH, SOUTH, BoundsRun
-from benchmarks._gateway_settings import RETRIES
+from benchmarks.bounds._run import NORTH, SOUTH, BoundsRun
 from sparline._clock import now_ms
 from standins import SealedFaults, evacuate, take_back
 
--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/gateway_soak/_faults.py
@@ -11,7 +11,7 @@
 
 from benchmarks._gateway_fleet import SERVERS, GatewayFleet
 from benchmarks._loopback_proxy import LoopbackProxy
-from benchmarks._soak_judge import CRASHING, Record
+from benchmarks.gateway_soak._judge import CRASHING, Record
 from sparline._clock import now_ms
 from standins import (
     SealedFaults,
--- a/benchmarks/_gateway_soak.py
+++ b/benchmarks/gateway_soak/_run.py
@@ -11,8 +11,8 @@
 from gevent.pool import Pool
 
 from benchmarks._gateway_fleet import GatewayFleet
-from benchmarks._soak_faults import SoakFaults
-from benchmarks._soak_judge import (
+from benchmarks.gateway_soak._faults import SoakFaults
+from benchmarks.gateway_soak._judge import (
     CRASHING,
     Record,
     crashes_ms,
@@ -20,7 +20,7 @@
     judge_records,
     judge_repeats,
 )
-from benchmarks._soak_streams import events_wanted, judge_versions, next_try, resume_headers
+from benchmarks.gateway_soak._streams import events_wanted, judge_versions, next_try, resume_headers
 from sparline._clock import now_ms
 from standins import PROMPT
 
--- a/benchmarks/_soak_streams.py
+++ b/benchmarks/gateway_soak/_streams.py
@@ -4,7 +4,7 @@
 import re
 from collections.abc import Iterable, Mapping
 
-from benchmarks._soak_judge import CRASHING, Record
+from benchmarks.gateway_soak._judge import CRASHING, Record
 from standins import Got, SealedRun, SealedServer
 
 RESUMABLE_TARGET = "/stream/x"
--- a/benchmarks/tests/test_bounds.py
+++ b/benchmarks/tests/test_bounds.py
@@ -1,6 +1,6 @@
 import pytest
 
-from benchmarks._bounds import (
+from benchmarks.bounds._rules import (
     RepeatRule,
     SeenArrival,
     SentRequest,
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -7,9 +7,9 @@
 
 from benchmarks.__main__ import main
 from benchmarks._gateway_fleet import GatewayProcess
-from benchmarks._soak_faults import SoakFaults
-from benchmarks._soak_judge import REPEATS, Record, _broken, judge_repeats
-from benchmarks._soak_streams import judge_versions, next_try
+from benchmarks.gateway_soak._faults import SoakFaults
+from benchmarks.gateway_soak._judge import REPEATS, Record, _broken, judge_repeats
+from benchmarks.gateway_soak._streams import judge_versions, next_try
 from standins import Got, SealedArrival, SealedRun, SealedServer
 
 SEAL = {"response-seal": "s"}
