--- a/sparline/fleet/tests/test_crash_exchange.py
+++ b/sparline/fleet/tests/test_crash_exchange.py
@@ -1,13 +1,11 @@
 """Propagation speed, reach and cost of crash reports in the fleet."""
 
-import random
-
 import pytest
 
 from sparline.fleet import CrashExchange, _crash_exchange, _gossip
 from sparline.quarantine import CrashTable, RequestDigest, Verdict
 from sparline.schema._gossip import CrashNews
-from sparline.tests.fake_fleet import FAR_MS, FakeFleet, region_of
+from sparline.tests.fake_fleet import FAR_MS, FakeFleet, gossiping_fleet, region_of
 
 DIGEST = RequestDigest(b"1" * 16)
 # Time within which every connected instance has to know of the third crash (ms): the shortest time
@@ -18,18 +16,6 @@
 SIZES = [("small", 3, 3), ("middle", 26, 3), ("large", 65, 3), ("many regions", 4, 12)]
 
 
-def fleet_of(monkeypatch, instances: int, regions: int, lossy: float = 0.0) -> FakeFleet:
-    seeds = [f"10.{region}.0.1" for region in range(1, min(regions, 3) + 1)]
-    fleet = FakeFleet(random.Random(5), seeds=seeds)
-    fleet.install(monkeypatch)
-    for region in range(1, regions + 1):
-        for number in range(1, instances + 1):
-            fleet.start(f"10.{region}.0.{number}", str(region))
-    fleet.pass_ms(6_000)
-    fleet.lossy = lossy
-    return fleet
-
-
 def count_sent(monkeypatch) -> list[tuple[str, str, bytes]]:
     """Return a list that collects each datagram sent: sender, receiver, content."""
     sent: list[tuple[str, str, bytes]] = []
@@ -51,7 +37,7 @@
     ("instances", "regions"), [row[1:] for row in SIZES], ids=[row[0] for row in SIZES]
 )
 def test_third_crash_is_known_everywhere_immediately(monkeypatch, instances, regions):
-    fleet = fleet_of(monkeypatch, instances, regions)
+    fleet = gossiping_fleet(monkeypatch, instances, regions)
     crashes = fleet.instances["10.2.0.2"].crashes
     for server in ("a", "b", "c"):
         crashes.note_end(DIGEST, server)
@@ -64,7 +50,7 @@
 )
 @pytest.mark.parametrize("lossy", [0.0, 0.2])
 def test_crashes_seen_by_instances_in_three_regions_add_up(monkeypatch, instances, regions, lossy):
-    fleet = fleet_of(monkeypatch, instances, regions, lossy)
+    fleet = gossiping_fleet(monkeypatch, instances, regions, lossy)
     for region, server in ((1, "a"), (2, "b"), (3, "c")):
         fleet.instances[f"10.{region}.0.2"].crashes.note_end(DIGEST, server)
     fleet.pass_ms(PROPAGATION_LIMIT_MS)
@@ -73,7 +59,7 @@
 
 @pytest.mark.parametrize("lossy", [0.0, 0.2])
 def test_newly_started_instance_learns_of_suspects(monkeypatch, lossy):
-    fleet = fleet_of(monkeypatch, 5, 3, lossy)
+    fleet = gossiping_fleet(monkeypatch, 5, 3, lossy)
     for server in ("a", "b", "c"):
         fleet.instances["10.1.0.2"].crashes.note_end(DIGEST, server)
     fleet.pass_ms(60_000)
@@ -85,7 +71,7 @@
 @pytest.mark.parametrize("lossy", [0.0, 0.2])
 def test_many_concurrent_suspects_are_all_known_everywhere(monkeypatch, lossy):
     # 40 suspects exceed both the capacity of a datagram and the broadcast rate limit.
-    fleet = fleet_of(monkeypatch, 26, 3, lossy)
+    fleet = gossiping_fleet(monkeypatch, 26, 3, lossy)
     digests = [RequestDigest(number.to_bytes(16, "big")) for number in range(40)]
     for number, digest in enumerate(digests):
         crashes = fleet.instances[f"10.1.0.{number % 26 + 1}"].crashes
@@ -97,7 +83,7 @@
 
 
 def test_cleared_suspect_is_known_everywhere(monkeypatch):
-    fleet = fleet_of(monkeypatch, 5, 3)
+    fleet = gossiping_fleet(monkeypatch, 5, 3)
     for server in ("a", "b"):
         fleet.instances["10.1.0.2"].crashes.note_end(DIGEST, server)
     fleet.pass_ms(500)
@@ -122,7 +108,7 @@
 )
 @pytest.mark.parametrize("instances", [3, 26])
 def test_instances_catch_up_after_a_partition(monkeypatch, instances, is_isolated, isolated_ms):
-    fleet = fleet_of(monkeypatch, instances, 3)
+    fleet = gossiping_fleet(monkeypatch, instances, 3)
     fleet.far_side = frozenset(ip for ip in fleet.instances if is_isolated(ip))
     for server in ("a", "b", "c"):
         fleet.instances["10.1.0.2"].crashes.note_end(DIGEST, server)
@@ -134,7 +120,7 @@
 
 
 def test_cross_region_traffic_depends_on_the_number_of_regions_only(monkeypatch):
-    fleet = fleet_of(monkeypatch, 26, 3)
+    fleet = gossiping_fleet(monkeypatch, 26, 3)
     sent = count_sent(monkeypatch)
     for server in ("a", "b", "c"):
         fleet.instances["10.1.0.2"].crashes.note_end(DIGEST, server)
@@ -149,7 +135,7 @@
 
 
 def test_crash_of_many_servers_causes_little_traffic(monkeypatch):
-    fleet = fleet_of(monkeypatch, 26, 3)
+    fleet = gossiping_fleet(monkeypatch, 26, 3)
     sent = count_sent(monkeypatch)
     # The 14 engines of a region crash with 16 requests each; no request is hit by two crashes.
     for number in range(14 * 16):
--- a/sparline/fleet/tests/test_stream_versions.py
+++ b/sparline/fleet/tests/test_stream_versions.py
@@ -1,13 +1,11 @@
 """Who knows at which software version a stream began, and what it costs to tell."""
 
-import random
-
 import pytest
 
 from sparline.fleet import _stream_versions as streams
 from sparline.fleet import likely_holders, other_instances
 from sparline.schema._gossip import StreamVersionNews, StreamVersionNote
-from sparline.tests.fake_fleet import FAR_MS, FakeFleet, FakeInstance, region_of
+from sparline.tests.fake_fleet import FAR_MS, FakeFleet, FakeInstance, gossiping_fleet, region_of
 from sparline.tests.routed import ENGINES
 
 SIZES = [("small", 3, 3), ("one region", 9, 1), ("middle", 26, 3), ("many regions", 4, 12)]
@@ -18,13 +16,8 @@
 
 
 def fleet_of(monkeypatch, instances: int, regions: int) -> FakeFleet:
-    seeds = [f"10.{region}.0.1" for region in range(1, min(regions, 3) + 1)]
-    fleet = FakeFleet(random.Random(5), seeds=seeds)
-    fleet.install(monkeypatch)
-    for region in range(1, regions + 1):
-        for number in range(1, instances + 1):
-            fleet.start(f"10.{region}.0.{number}", str(region))
-    fleet.pass_ms(6_000)
+    """Return a fleet whose services have two software versions."""
+    fleet = gossiping_fleet(monkeypatch, instances, regions)
     fleet.versions.versions = frozenset(("v1", "v2"))
     return fleet
 
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -323,6 +323,21 @@
         """Write nothing."""
 
 
+def gossiping_fleet(
+    monkeypatch, instances: int, regions: int, lossy: float = 0.0, seed: int = 5
+) -> FakeFleet:
+    """Return a fleet with so many instances in each region, which know each other."""
+    seeds = [f"10.{region}.0.1" for region in range(1, min(regions, 3) + 1)]
+    fleet = FakeFleet(random.Random(seed), seeds=seeds)
+    fleet.install(monkeypatch)
+    for region in range(1, regions + 1):
+        for number in range(1, instances + 1):
+            fleet.start(f"10.{region}.0.{number}", str(region))
+    fleet.pass_ms(6_000)
+    fleet.lossy = lossy
+    return fleet
+
+
 def region_of(ip: str) -> str:
     """Return the region that an address says."""
     return ip.split(".")[1]
