Reproduce that an instance that stood still mixes software versions

An instance that was frozen while servers of a second version came still knows one version as it wakes. Callers that have waited in its queue with streams of the second version get the rest from the first. Found in reading; no play has shown it.

--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from sparline._clock import now_ms
 from sparline.forwarding import RetryWindow
 from sparline.gateway import _components, _forwarders
 from sparline.platform import answer_headers
@@ -277,3 +278,24 @@
             assert len({name.partition("-")[0] for name in ran}) == 1
             for server in fleet.servers.values():
                 server.runs.clear()
+
+
+# Guards against: an instance that stood still takes the one version that it saw before for the only.
+def test_stream_is_not_mixed_by_an_instance_that_stood_still_as_its_version_came():
+    with RoutedFleet(("north-1", "north-1")) as fleet:
+        for name in ("a1", "a2"):
+            fleet.add_server(name, "engines", events=EVENTS, version="v1")
+        fleet.ready()
+        g0, g1 = fleet.gateways.values()
+        g1.copy._on_change = lambda _change: None  # it hears of no further entry
+        for name in ("b1", "b2"):
+            fleet.add_server(name, "engines", events=EVENTS, version="v2")
+        fleet.until(lambda: len(g0.fleet.servers) == 4, "one instance knows the second version")
+        for name in ("a1", "a2"):
+            fleet.list_server(name, "engines", version="v1", state="draining")
+        fleet.until(lambda: sum(one.leaving for one in g0.fleet.servers.values()) == 2, "v1 leaves")
+        begin_stream(fleet, "r1").close()
+        g1.stream_versions.exchange.table._streams.clear()  # nor of the stream
+        g1.pause_watch._thawed_at_ms = now_ms()
+        resume(fleet, "r1", "g1", "t1")
+        assert versions_of(fleet, "r1", "t1") == {"v2"}
