--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -299,3 +299,14 @@
         g1.pause_watch._thawed_at_ms = now_ms() + PATIENCE_MS  # however slow this test is
         resume(fleet, "r1", "g1", "t1")
         assert versions_of(fleet, "r1", "t1") == {"v2"}
+
+
+def test_stream_of_unnamed_versions_goes_on_through_another_instance():
+    with RoutedFleet(("north-1", "south-1")) as fleet:
+        for name in ("a1", "a2"):
+            fleet.add_server(name, "engines", "south-1", events=EVENTS, version=None)
+        fleet.ready()
+        break_next_run(fleet, break_within_event=3, breaks_cleanly=True)
+        got = fleet.ask("/stream/x", body=b"abc", **PROMPT)
+    assert got.whole
+    assert got.body.count(b"data: ") == EVENTS
