--- a/benchmarks/gateway_soak/_streams.py
+++ b/benchmarks/gateway_soak/_streams.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from benchmarks.gateway_soak._judge import CRASHING, Record
-from standins import Got, SealedRun, SealedServer
+from standins import Got, SealedRun, SealedServer, resumption
 
 RESUMABLE_TARGET = "/stream/x"
 # A caller takes one stream up at most so often (count).
@@ -49,7 +49,7 @@
     """Return the headers by which a request takes up a stream, none for other requests."""
     if record.resumes is None:
         return {}
-    return {"Last_Event_Id": str(record.resume_after), "Resumes": record.resumes}
+    return resumption(record.resumes, record.resume_after)
 
 
 def event_ids(got: Got) -> list[int]:
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -10,7 +10,7 @@
 from sparline.gateway import _components, _forwarders
 from sparline.platform import answer_headers
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
-from standins import PROMPT, Caller, Got, SealedFaults, publish
+from standins import PROMPT, Caller, Got, SealedFaults, publish, resumption
 from standins._publisher import ROUTES
 
 EVENTS = 6
@@ -170,8 +170,7 @@
         request_id,
         at,
         body=resumes.encode(),
-        Last_Event_Id="3",
-        Resumes=resumes,
+        **resumption(resumes, 3),
         **PROMPT,
     )
 
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -15,7 +15,7 @@
     published_version,
     take_back,
 )
-from standins._routed_caller import HOST, PROMPT, SEAL, Caller, Got
+from standins._routed_caller import HOST, PROMPT, SEAL, Caller, Got, resumption
 from standins._sealed_server import SealedArrival, SealedFaults, SealedRun, SealedServer
 from standins._wide_area import Forward, Place, WideArea
 
@@ -32,6 +32,7 @@
     "listed_server",
     "publish",
     "published_version",
+    "resumption",
     "take_back",
     "Engine",
     "EngineShape",
--- a/standins/_routed_caller.py
+++ b/standins/_routed_caller.py
@@ -12,6 +12,11 @@
 EVENT_END = b"\n\n"
 
 
+def resumption(began_by: str, last_event: int) -> dict[str, str]:
+    """Return the headers of a request that takes up a stream, by the request that began it."""
+    return {"Last-Event-Id": str(last_event), "Resumes": began_by}
+
+
 @dataclass(frozen=True, slots=True)
 class Got:
     """Hold what a caller got."""
