--- a/sparline/fleet/tests/test_software_versions.py
+++ b/sparline/fleet/tests/test_software_versions.py
@@ -1,54 +1,43 @@
 """Tests of the software versions that a service's servers have or had lately."""
 
-from collections.abc import Callable
-
 import pytest
 
 from sparline.fleet import BackendServerItem, FleetState, StoreChange, _software_versions
 from sparline.tests.routed import ENGINES, make_server
 
-ZONES = {"north-1": "north"}
-
-
-def take(state: FleetState, server_id: str, version: str | None) -> None:
-    """List a server with a version, or remove it."""
-    value = None if version is None else version.encode()
-    state.take(StoreChange(server_id, 1, value))
 
+def state_after(*changes: tuple[str, str | None]) -> FleetState:
+    """Return the state after servers were listed with versions, or removed."""
 
-@pytest.fixture
-def state():
     def read(change: StoreChange) -> BackendServerItem:
         return BackendServerItem(make_server(change.key, software_version=change.value.decode()))
 
-    one = FleetState(read, lambda: None, lambda: 1e9, ZONES)
-    take(one, "s1", "v1")
-    return one
+    state = FleetState(read, lambda: None, lambda: 1e9, {"north-1": "north"})
+    for server_id, version in changes:
+        value = None if version is None else version.encode()
+        state.take(StoreChange(server_id, 1, value))
+    return state
 
 
-CHANGES: list[tuple[str, Callable[[FleetState], None], set[str]]] = [
-    ("one version", lambda state: take(state, "s2", "v1"), {"v1"}),
-    ("two versions", lambda state: take(state, "s2", "v2"), {"v1", "v2"}),
-    ("a server of another version has left", lambda state: (take(state, "s2", "v2"), take(state, "s2", None)), {"v1", "v2"}),
-    ("an entry changes its version", lambda state: take(state, "s1", "v2"), {"v1", "v2"}),
-    ("an entry without a version", lambda state: take(state, "s2", ""), {"v1", ""}),
-]  # fmt: skip
+LISTED = [
+    ("none", [], set()),
+    ("one version", [("s1", "v1"), ("s2", "v1")], {"v1"}),
+    ("two versions", [("s1", "v1"), ("s2", "v2")], {"v1", "v2"}),
+    ("one has left", [("s1", "v1"), ("s2", "v2"), ("s2", None)], {"v1", "v2"}),
+    ("an entry changes its version", [("s1", "v1"), ("s1", "v2")], {"v1", "v2"}),
+    ("an entry without a version", [("s1", "v1"), ("s2", "")], {"v1", ""}),
+]
 
 
-@pytest.mark.parametrize("row", CHANGES, ids=[row[0] for row in CHANGES])
-def test_versions_of_current_and_recent_servers_are_known(state, row):
-    _, change, versions = row
-    change(state)
-    assert state.software_versions.known(ENGINES) == versions
-    assert state.software_versions.only(ENGINES) == ("v1" if len(versions) == 1 else None)
+@pytest.mark.parametrize("row", LISTED, ids=[row[0] for row in LISTED])
+def test_versions_of_current_and_recent_servers_are_known(row):
+    _, changes, versions = row
+    found = state_after(*changes).software_versions
+    assert found.known(ENGINES) == versions
+    assert found.only(ENGINES) == ("v1" if versions == {"v1"} else None)
 
 
-def test_version_is_forgotten_long_after_its_last_server_has_left(state, monkeypatch):
-    take(state, "s2", "v2")
-    take(state, "s2", None)
+def test_version_is_forgotten_long_after_its_last_server_has_left(monkeypatch):
+    state = state_after(("s1", "v1"), ("s2", "v2"), ("s2", None))
     monkeypatch.setattr(_software_versions, "VERSION_RETENTION_MS", 0.0)
     assert state.software_versions.known(ENGINES) == {"v1"}
-
-
-def test_no_version_is_known_without_servers(state):
-    assert state.software_versions.only("other") is None
--- a/sparline/gateway/tests/test_stream_versions.py
+++ b/sparline/gateway/tests/test_stream_versions.py
@@ -31,13 +31,6 @@
 REQUEST = make_request(resume_after=3, resumes="r0")
 
 
-class Versions(FakeVersions):
-    """Stub for the versions of all services, as one instance knows them."""
-
-    def only(self, _service: str) -> str | None:
-        return next(iter(self.versions)) if len(self.versions) == 1 else None
-
-
 class Instance:
     """Run the lookup of one instance; its sibling replies with some versions, or not at all."""
 
@@ -62,7 +55,7 @@
             lambda: is_store_reached,
             lambda _request, found, _waited_ms: self.logged.append(found),
         )
-        versions = Versions(frozenset(known.split()))
+        versions = FakeVersions(frozenset(known.split()))
         self.streams = StreamVersions(members, versions, sources, is_first_start)
 
     def _send(self, datagrams: Iterable[StreamVersionDatagram]) -> None:
@@ -135,18 +128,14 @@
     assert instance.streams.find(REQUEST) is None
 
 
-def test_restarted_instance_asks_once_whether_there_is_one_version():
-    instance = Instance("v1", "v1", is_sibling_complete=True, **RESTARTED)
-    for _ in range(3):
-        assert instance.streams.find(REQUEST) == "v1"
-    assert len(instance.sent) == 1
-
-
-def test_restarted_instance_asks_each_time_while_no_other_knows_all_versions():
-    instance = Instance("v1", "v1", **RESTARTED)
+@pytest.mark.parametrize(("is_sibling_complete", "asked"), [(True, 1), (False, 3)])
+def test_restarted_instance_asks_until_one_that_knows_all_versions_replies(
+    is_sibling_complete, asked
+):
+    instance = Instance("v1", "v1", is_sibling_complete=is_sibling_complete, **RESTARTED)
     for _ in range(3):
         assert instance.streams.find(REQUEST) == "v1"
-    assert len(instance.sent) == 3
+    assert len(instance.sent) == asked
 
 
 def test_instance_tells_whether_it_knows_all_versions():
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -98,6 +98,10 @@
         """Return the versions of any service."""
         return self.versions
 
+    def only(self, _service: str) -> str | None:
+        """Return the only version of any service, None if there are several or none."""
+        return min(self.versions) if len(self.versions) == 1 else None
+
 
 @dataclass(slots=True)
 class FakeFleet:
