Use a server again that an older copy of the store says is ready

Cause: the store came back from an older copy that lacked both writes. A leaving that an instance has heard of is not ended by an entry of an older copy, and as nothing differs in the store, nothing is written again. Change: such an entry is held for 6 s, as that of a removed server is, and applied if no write has followed. A server that still leaves writes so within some two seconds (three heartbeats at most), and the entry of one that has ended expires before.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -187,7 +187,9 @@
             log.bind(backend_server=server.id, revision=change.revision).info("server_reappears")
             return
         held = self.servers.get(server.id)
-        if held is not None and held.leaving:
+        if held is not None and held.leaving and not server.leaving:
+            # It may have taken that back unseen; if it still leaves, it writes so again.
+            self._unconfirmed.hold(change, REAPPEARANCE_GRACE_MS, now_ms())
             server = replace(server, leaving=True)
         self._apply_server_entry(change.key, server, change.revision)
 
