--- a/sparline/placement/_shortlist.py
+++ b/sparline/placement/_shortlist.py
@@ -35,7 +35,7 @@
     """Whether a server may get a request; candidates of a higher standing are preferred."""
 
     BARRED = 0  # the request must not be sent there
-    LAST_RESORT = 1  # in doubt, and limited or in a region that is full
+    LAST_RESORT = 1  # leaving, or in doubt and limited or in a region that is full
     LIMITED = 2  # has a rate limit, which is left to the instances of its own region
     REGION_FULL = 3  # its region just refused such a request
     DOUBTED = 4  # failed, or was full or unresponsive a moment ago
