Name the parts of a prompt in the lines of answers that broke off

What on-call saw: servers ended one after the other, and each line answer_broken named another content. Whether the requests under the ends have something in common could not be told. Change: answer_broken lists the digests of the prompt's parts but the last. A part has the same digest behind any other parts, unlike PromptPrefix.key, which joins the names of all parts before it. Evidence: test_a_part_is_the_same_behind_other_parts. No decision has changed.

--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -79,6 +79,7 @@
             log.bind(
                 request_id=request.request_id,
                 content=short_hex(request.digest()),
+                parts=[short_hex(one) for one in request.shared_parts()],
                 reason=end.end.reason.value,
                 sent_ago_ms=round(end.sent_ago_ms),
                 has_begun=end.has_begun,
--- a/sparline/platform/tests/test_requests.py
+++ b/sparline/platform/tests/test_requests.py
@@ -12,6 +12,7 @@
     relayed_answer_headers,
     relayed_refusal_headers,
 )
+from sparline.quarantine import digest_of_part
 from sparline.requests import (
     KeyFault,
     KnownCaller,
@@ -60,6 +61,16 @@
     assert getattr(parse_request_head(http_request(**headers)).unwrap(), name) == value
 
 
+@pytest.mark.parametrize(
+    "prompt_prefix", ["aa:1,b/c:2,dd:3", "b/c:9,x/y:1,aa:4,e:1", "aa:1,b/c:1,b/c:1"]
+)
+def test_a_part_is_the_same_behind_other_parts(prompt_prefix):
+    head = parse_request_head(
+        http_request(token_counts="9,8", prompt_prefix=prompt_prefix)
+    ).unwrap()
+    assert {digest_of_part("aa"), digest_of_part("b/c")} <= set(head.prompt.shared_parts())
+
+
 INVALID_HEADERS = [
     ({"attempt_id": ""}, "Attempt-Id"),
     ({"host": ""}, "Host"),
--- a/sparline/quarantine/__init__.py
+++ b/sparline/quarantine/__init__.py
@@ -8,7 +8,13 @@
     FactSource,
     Verdict,
 )
-from sparline.quarantine._digest import RequestDigest, digest_of, short_hex
+from sparline.quarantine._digest import (
+    PartDigest,
+    RequestDigest,
+    digest_of,
+    digest_of_part,
+    short_hex,
+)
 from sparline.quarantine._notes import to_crash_fact, to_crash_note
 from sparline.quarantine._server_ends import (
     EndEvidence,
@@ -24,12 +30,14 @@
     "CrashTable",
     "EndEvidence",
     "FactSource",
+    "PartDigest",
     "ProbeResult",
     "RequestDigest",
     "ServerEndCallbacks",
     "ServerEndDetector",
     "Verdict",
     "digest_of",
+    "digest_of_part",
     "short_hex",
     "to_crash_fact",
     "to_crash_note",
--- a/sparline/quarantine/_digest.py
+++ b/sparline/quarantine/_digest.py
@@ -1,4 +1,4 @@
-"""Content digests that identify a request and its repeats."""
+"""Digests that identify a request and its repeats, and parts that prompts have in common."""
 
 import hashlib
 from collections.abc import Iterable
@@ -6,9 +6,13 @@
 
 # Identifies a request by its content: equal for each repeat and in each instance.
 RequestDigest = NewType("RequestDigest", bytes)
+# Identifies a part of a prompt: equal in each request that names it, whatever the other parts.
+PartDigest = NewType("PartDigest", bytes)
 
 # Long enough that nobody can construct two contents with the same digest.
 DIGEST_BYTES = 16
+# Long enough that nobody can find another name with the digest of a given part. Datagrams list many.
+PART_DIGEST_BYTES = 8
 # Hexadecimal digits of a digest in log lines.
 LOG_DIGITS = 16
 # Size of the length that is hashed before each part.
@@ -24,6 +28,12 @@
     return RequestDigest(hasher.digest())
 
 
-def short_hex(digest: RequestDigest) -> str:
+def digest_of_part(name: str) -> PartDigest:
+    """Return the digest of a part by the name that callers give it."""
+    content = name.encode(errors="surrogatepass")
+    return PartDigest(hashlib.blake2b(content, digest_size=PART_DIGEST_BYTES).digest())
+
+
+def short_hex(digest: RequestDigest | PartDigest) -> str:
     """Return the shortened digest for log lines."""
     return digest.hex()[:LOG_DIGITS]
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -1,10 +1,11 @@
 """Requests matched to a route, with what an instance needs to schedule and forward them."""
 
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from sparline._clock import now_ms
 from sparline._ids import RegionName, RequestId, SoftwareVersion
-from sparline.quarantine import RequestDigest, digest_of
+from sparline.quarantine import PartDigest, RequestDigest, digest_of, digest_of_part
 from sparline.requests._callers import KnownCaller
 from sparline.requests._types import Origin
 from sparline.routes import RequestKind, Route, ServiceName
@@ -17,7 +18,8 @@
 class PromptPrefix:
     """Identify a prompt prefix that other prompts share."""
 
-    key: str  # identifies the whole prefix up to and including its last part
+    # Identifies the whole prefix: the key of the prefix before it, a slash, the name of its last part.
+    key: str
     own_tokens: int  # tokens of the last part
 
 
@@ -34,6 +36,12 @@
         """Return the length of the longest shared prefix in tokens."""
         return sum(prefix.own_tokens for prefix in self.shared_prefixes)
 
+    def shared_parts(self) -> tuple[PartDigest, ...]:
+        """Return the parts that other prompts may share, each without those before it."""
+        keys = ("", *(prefix.key for prefix in self.shared_prefixes))
+        names = (key[len(before) + 1 :] for before, key in pairwise(keys))
+        return tuple(map(digest_of_part, names))
+
     @property
     def held_tokens(self) -> int:
         """Return the most cache tokens that a run can occupy."""
@@ -97,6 +105,10 @@
             return False
         return self.caller is None or self.caller.organisation.allows(region)
 
+    def shared_parts(self) -> tuple[PartDigest, ...]:
+        """Return the parts of its prompt that other prompts may share."""
+        return self.prompt.shared_parts() if self.prompt else ()
+
     def digest(self) -> RequestDigest:
         """Return a digest that is equal for all repeats of a request by one caller.
 
