Reproduce that requests with a part that ends servers are sent on and on

What callers saw: requests with one part in their prompts crashed engine after engine; each was sent to two, and sound requests beside were broken off or refused. The stand-in of backend servers ends on parts of prompts, wherever they stand but last.

--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -54,6 +54,12 @@
     finished: bool = False  # whether the run came to its end
     abandoned: bool = False  # whether the connection closed before the end
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Return the names of the prompt's parts but the last."""
+        parts = self.headers.get("prompt-prefix", "").split(",")
+        return [one.strip().rpartition(":")[0] for one in parts[:-1]]
+
     @property
     def first_event(self) -> int:
         """Return the id of the first event that it writes."""
@@ -84,6 +90,8 @@
     refused_at_ms: list[float] = field(default_factory=list)  # times at which requests were refused
     connections: int = 0  # connections that were opened
     ends_on: bytes = b""  # the process ends as it runs a request whose body holds this
+    # The process ends as it begins to answer a prompt with any of these parts, if not as its last.
+    ends_on_parts: frozenset[str] = frozenset()
     reports_leaving: bool = False  # whether answers carry Server-Leaving: 1
     rest_s: float = 0.0  # Retry-After value of 503 answers in seconds, 0 to omit it
     limit_per_s: float | None = None  # limit that its answers state, None for no limit
@@ -172,7 +180,7 @@
             return not self._fall_if_brittle()
         run = self._start_run(request)
         gevent.sleep(self.work_ms / 1000)
-        if self.ends_on and self.ends_on in run.body:
+        if self._is_ended_by(run):
             self.end()
             return False
         if faults.close_after_run:
@@ -191,6 +199,11 @@
         connection.sendall(self._head(status, request, [], length, faults) + body + faults.garbage)
         return not faults.unframed
 
+    def _is_ended_by(self, run: SealedRun) -> bool:
+        if self.ends_on and self.ends_on in run.body:
+            return True
+        return not self.ends_on_parts.isdisjoint(run.shared_parts)
+
     def _fall_if_brittle(self) -> bool:
         """End the process if it refused too many requests within a second; tell whether it did."""
         since_ms = now_ms() - MS_PER_S
