--- a/benchmarks/_decide_node.py
+++ b/benchmarks/_decide_node.py
@@ -22,6 +22,7 @@
     LoadSources,
     Member,
     Members,
+    PartExchange,
     QuotaExchange,
     ServerLoad,
     StorePosition,
@@ -49,7 +50,7 @@
     StreamWatch,
     WatchTables,
 )
-from sparline.quarantine import CrashTable
+from sparline.quarantine import CrashTable, PartTable
 from sparline.quotas import NO_TOLERANCE, QuotaLimiter
 from sparline.requests import Origin, RoutedRequest
 from sparline.schema._gossip import MemberPhase
@@ -106,6 +107,7 @@
             self.members,
             self.exchange,
             CrashExchange(CrashTable()),
+            PartExchange(self.members, PartTable()),
             QuotaExchange(
                 self.members, QuotaLimiter(NO_TOLERANCE, random.Random(ip)), lambda _key: None
             ),
--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -27,6 +27,7 @@
     "StoreItemNote",
     "PromptReadNote",
     "CrashNote",
+    "PartNote",
     "ServerLimitNote",
     "QuotaUseNote",
     "QuotaLevelNote",
--- a/sparline/_ids.py
+++ b/sparline/_ids.py
@@ -13,6 +13,8 @@
 Revision = NewType("Revision", int)
 # Version of a backend server's software, not of a model's weights; empty where none is named.
 SoftwareVersion = NewType("SoftwareVersion", str)
+# Identifies a part of a prompt: equal in each request that names it, whatever the other parts.
+PartDigest = NewType("PartDigest", bytes)
 
 # A model's or a service's name as requests give it.
 TargetName = NewType("TargetName", str)
--- a/sparline/decisions/_crash_evidence.py
+++ b/sparline/decisions/_crash_evidence.py
@@ -41,6 +41,14 @@
     WITNESSED = "witnessed"  # it lost all connections at once
 
 
+class ProcessState(Enum):
+    """Classify what is known of a server process whose connection has ended."""
+
+    EXITED = "exited"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+
 class Liveness(Enum):
     """Tell whether a server was known to run when a request was sent to it."""
 
@@ -88,6 +96,15 @@
     return None
 
 
+def process_state(facts: InterruptionFacts) -> ProcessState:
+    """Tell whether a server process runs on after one of its connections has ended."""
+    if exit_evidence(facts) is not None:
+        return ProcessState.EXITED
+    if facts.probe is ProbeResult.OPEN or not all(facts.witnesses_closed):
+        return ProcessState.RUNNING
+    return ProcessState.UNKNOWN
+
+
 def may_be_shown_later(facts: InterruptionFacts) -> bool:
     """Tell whether a later removal of the store entry shows an exit under the request.
 
--- /dev/null
+++ b/sparline/decisions/_part_blame.py
@@ -0,0 +1,111 @@
+"""Which parts of prompts are blamed for exits of the backend servers that answered them.
+
+Guards against requests of which no two are alike, and that crash each server because of one part that
+their prompts have in common. All requests that a server was running when it exited are suspected, with
+all their parts, and most of these are sound. The rules:
+
+- A complete answer excuses a part of the exits before it. Parts that many sound requests have are
+  answered all the time.
+- Where nothing is answered, the part that fewer of the interrupted requests have is blamed. Otherwise a
+  part that all prompts begin with would be blamed for each exit.
+- A part is not blamed for exits that other blamed parts explain.
+- A part that most of the interrupted requests have needs more exits, and is blamed for a limited time,
+  unless requests without it are answered: nothing else tells it from a fault of the servers themselves.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import log2
+
+from sparline._ids import PartDigest
+
+# Exits for which a part is blamed (count): one less than operators tolerate, since the instance that
+# could report one may be gone.
+MIN_BLAMED_EXITS = 4
+# Exits for which a part is blamed that most of the interrupted requests have (count).
+MIN_COMMON_EXITS = 8
+# Share of the interrupted requests above which a part counts as common.
+COMMON_SHARE = 0.5
+# Answers to requests without a part that show that the servers themselves are not at fault (count).
+MIN_ANSWERS_BESIDE = 8
+# Exits from which on requests with a part are sent once only, and to the emptiest server (count).
+MIN_SUSPECTED_EXITS = 2
+# Share of a part's exits that others must explain, so that it is not blamed.
+EXPLAINED_SHARE = 0.8
+# The same for a part that most of the interrupted requests have.
+COMMON_EXPLAINED_SHARE = 0.5
+# Time for which a common part is blamed after the exit that reached the count (ms), doubled with each
+# further exit.
+COMMON_BLAME_MS = 60_000.0
+MAX_COMMON_BLAME_MS = 3_600_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """Hold what is known against a part of prompts."""
+
+    exits: frozenset[int]  # keys of the exits under it that nothing has excused
+    carriers: float  # interrupted requests that have it (count, estimated)
+    bystanders: (
+        float  # requests that these exits interrupted, with it or without (count, estimated)
+    )
+    answers_beside: int  # complete answers to requests without it since the first of these exits
+
+    @property
+    def is_common(self) -> bool:
+        """Tell whether most of the interrupted requests have the part, and no others are answered."""
+        if self.answers_beside >= MIN_ANSWERS_BESIDE:
+            return False
+        return self.carriers > COMMON_SHARE * self.bystanders
+
+    @property
+    def is_sufficient(self) -> bool:
+        """Tell whether there are enough exits to blame the part."""
+        return len(self.exits) >= (MIN_COMMON_EXITS if self.is_common else MIN_BLAMED_EXITS)
+
+
+def blamed_parts(evidence: Mapping[PartDigest, PartEvidence]) -> frozenset[PartDigest]:
+    """Return the parts that explain the exits, none of which the others explain.
+
+    The least likely causes are left out first.
+    """
+    blamed = {part: one for part, one in evidence.items() if one.is_sufficient}
+    for part in sorted(blamed, key=lambda part: (*_likelihood(blamed[part]), part)):
+        others = (one.exits for other, one in blamed.items() if other != part)
+        if _is_explained(blamed[part], frozenset().union(*others)):
+            del blamed[part]
+    return frozenset(blamed)
+
+
+def _likelihood(evidence: PartEvidence) -> tuple[int, int, float]:
+    """Return a sort key that is higher for likelier causes.
+
+    One request suffices for an exit, so that a cause has few carriers under each. Sound parts of
+    requests that were moved from one exiting server to the next have few carriers too, but fewer exits.
+    """
+    exits = len(evidence.exits)
+    carriers_per_exit = max(evidence.carriers / exits, 1.0)
+    return -round(log2(carriers_per_exit)), exits, -evidence.carriers
+
+
+def _is_explained(evidence: PartEvidence, exits: frozenset[int]) -> bool:
+    """Tell whether exits that have another cause are nearly all that speaks against a part."""
+    share = COMMON_EXPLAINED_SHARE if evidence.is_common else EXPLAINED_SHARE
+    return len(evidence.exits & exits) > share * len(evidence.exits)
+
+
+def is_suspected(evidence: PartEvidence, explained: frozenset[int]) -> bool:
+    """Tell whether a part may be the cause of exits that no blamed part explains."""
+    return not evidence.is_common and len(evidence.exits - explained) >= MIN_SUSPECTED_EXITS
+
+
+def blame_ms(evidence: PartEvidence) -> float | None:
+    """Return how long after its newest exit a part is blamed (ms), None without a limit.
+
+    A trial of a part that few requests have would crash another server each time. It is blamed until
+    an operator or a complete answer excuses it.
+    """
+    if not evidence.is_common:
+        return None
+    further_exits = len(evidence.exits) - MIN_COMMON_EXITS
+    return min(COMMON_BLAME_MS * 2.0 ** max(further_exits, 0), MAX_COMMON_BLAME_MS)
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -29,6 +29,7 @@
 )
 from sparline.fleet._load_exchange import LoadDatagram, LoadExchange
 from sparline.fleet._members import Member, Members
+from sparline.fleet._part_exchange import PartDatagram, PartExchange
 from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
 from sparline.fleet._store_copy import StorePosition
 from sparline.fleet._stream_version_exchange import StreamVersionDatagram, StreamVersionExchange
@@ -44,6 +45,7 @@
     MemberBeat,
     MemberNote,
     MemberPhase,
+    PartNews,
     PromptReadNote,
     QuotaReport,
     QuotaTotals,
@@ -82,6 +84,7 @@
     | LoadNews
     | LoadWord
     | CrashNews
+    | PartNews
     | QuotaReport
     | QuotaWord
     | QuotaTotals
@@ -119,6 +122,7 @@
         members: Members,
         loads: LoadExchange,
         crashes: CrashExchange,
+        parts: PartExchange,
         quotas: QuotaExchange,
         admission: AdmissionExchange,
         streams: StreamVersionExchange,
@@ -130,6 +134,7 @@
         self._members = members
         self._loads = loads
         self._crashes = crashes
+        self._parts = parts
         self._quotas = quotas
         self._admission = admission
         self._streams = streams
@@ -162,6 +167,8 @@
         match message:
             case CrashNews():
                 self._handle_crash_news(message)
+            case PartNews():
+                self.send_immediately(self._parts.take(message))
             case LoadNews():
                 self._loads.take_news(message)
             case LoadShares():
@@ -247,7 +254,7 @@
         own = self._members.own
         self._members.own = msgspec.structs.replace(own, counter=own.counter + 1)
         siblings, remote, silent = classify_peers(self._members)
-        exchanges = (self._loads, self._quotas, self._admission, self._streams)
+        exchanges = (self._loads, self._parts, self._quotas, self._admission, self._streams)
         for one in (datagram for exchange in exchanges for datagram in exchange.round()):
             self._send(one.peers, one.message)
         round_siblings = siblings_for_round(self._members, siblings, self._round)
@@ -291,7 +298,7 @@
     def send_immediately(
         self,
         outgoing: Iterable[
-            LoadDatagram | QuotaDatagram | AdmissionDatagram | StreamVersionDatagram
+            LoadDatagram | PartDatagram | QuotaDatagram | AdmissionDatagram | StreamVersionDatagram
         ],
     ) -> None:
         """Send datagrams of an exchange immediately."""
--- a/sparline/fleet/tests/test_gossip.py
+++ b/sparline/fleet/tests/test_gossip.py
@@ -12,6 +12,7 @@
     LoadExchange,
     LoadSources,
     Members,
+    PartExchange,
     QuotaExchange,
     ServerLoad,
     StorePosition,
@@ -19,7 +20,7 @@
     StreamVersionExchange,
     _gossip,
 )
-from sparline.quarantine import CrashTable
+from sparline.quarantine import CrashTable, PartTable
 from sparline.quotas import NO_TOLERANCE, QuotaLimiter
 from sparline.schema._gossip import BackendLoadNote, Gossip, LoadNews, MemberNote, MemberPhase
 from sparline.tests.fake_fleet import FakeFleet, FakeVersions
@@ -65,6 +66,7 @@
         members,
         LoadExchange(members, LOADS),
         CRASHES,
+        PartExchange(members, PartTable()),
         no_quotas(members),
         AdmissionExchange(members, NO_ADMISSION),
         no_streams(members),
@@ -151,6 +153,7 @@
         members,
         LoadExchange(members, LOADS),
         CRASHES,
+        PartExchange(members, PartTable()),
         no_quotas(members),
         AdmissionExchange(members, NO_ADMISSION),
         no_streams(members),
--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -14,7 +14,8 @@
     ForwarderDependencies,
     may_send_elsewhere,
 )
-from sparline.forwarding._request_end import RequestEnd
+from sparline.forwarding._request_crashes import CrashTables
+from sparline.forwarding._request_end import RequestEnd, reject_quarantined
 from sparline.forwarding._retry_window import RetryRule, RetryUsage, RetryWindow
 from sparline.forwarding._wire import (
     AnswerKind,
@@ -34,6 +35,7 @@
     "AttemptParameters",
     "AttemptResult",
     "BackendWire",
+    "CrashTables",
     "EventSplitter",
     "Forwarder",
     "ForwarderDependencies",
@@ -48,4 +50,5 @@
     "Wire",
     "answers_presence_check",
     "may_send_elsewhere",
+    "reject_quarantined",
 ]
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -4,6 +4,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import SoftwareVersion
+from sparline.decisions import ProcessState
 from sparline.forwarding._attempt_types import (
     AttemptDependencies,
     AttemptEnd,
@@ -45,12 +46,11 @@
         progress: Progress,
         watch: StreamWatch,
         checks: LivenessChecks,
-        has_exited: Callable[[BackendConnection], bool],
+        process_state: Callable[[BackendConnection], ProcessState],
     ) -> None:
         """Set the attempt whose response is forwarded.
 
-        `has_exited` returns whether the server process is known to have exited when a connection
-        ended.
+        `process_state` returns what is known of the server process when a connection has ended.
         """
         self._dependencies = dependencies
         self._request = request
@@ -59,7 +59,7 @@
         self._progress = progress
         self._watch = watch
         self._checks = checks
-        self._has_exited = has_exited
+        self._process_state = process_state
 
     def forward(
         self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
@@ -76,7 +76,7 @@
             body += piece
             if len(body) > MAX_BUFFERED_BYTES:
                 return self._forward_unbuffered(connection, answer, bytes(body))
-        self._verify_end(connection, answer)
+        is_proven = self._verify_end(connection, answer) and bool(body)
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
@@ -85,7 +85,7 @@
         self._note_plain_success(elapsed_ms)
         self._note_first(now_ms())
         forward_complete(self._caller, answer, bytes(body))
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+        return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _forward_unbuffered(
         self, connection: BackendConnection, answer: HttpAnswer, first: bytes
@@ -95,9 +95,9 @@
         self._caller.send(first)
         while (piece := connection.read_piece(answer)) is not None:
             self._caller.send(piece)
-        self._verify_end(connection, answer)
+        is_proven = self._verify_end(connection, answer)
         self._caller.finish()
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+        return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _note_plain_success(self, elapsed_ms: float) -> None:
         self._dependencies.health.note_success(self._placement.server.id)
@@ -132,13 +132,13 @@
                 self._note_event()
                 self._begin_answer(answer)
                 self._caller.send(complete_events)
-        self._verify_end(connection, answer)
+        is_proven = self._verify_end(connection, answer) and self._progress.splitter.events > 0
         self._begin_answer(answer)
         self._caller.send(self._progress.splitter.rest())
         self._caller.finish()
         self._dependencies.health.note_success(self._placement.server.id)
         self._watch.note_end()
-        return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE)
+        return _delivered(is_proven)
 
     def _bind_software_version(self, version: SoftwareVersion | None) -> None:
         """Bind the stream to the software version that its first event comes from."""
@@ -148,25 +148,22 @@
         if version is not None and self._request.route.resumable:
             self._dependencies.note_stream_version(self._request, version)
 
-    def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> None:
-        """Raise `ConnectionBroken` if a response that has ended was cut short."""
-        if answer.ends_with_connection:
-            end = self._unframed_end(connection)
-            self._dependencies.note_unframed_end(
-                self._request, self._placement, end, self._progress.splitter.events
-            )
-            if end is not UnframedEnd.UNREFUTED:
-                connection.note_cut()
-                raise ConnectionBroken(f"expected the end of the response, found: {end.value}")
-        elif self._progress.splitter.is_within_event():
-            raise ConnectionBroken("expected the end of an event, found the end of the stream")
-
-    def _unframed_end(self, connection: BackendConnection) -> UnframedEnd:
-        if self._progress.splitter.is_within_event():
-            return UnframedEnd.WITHIN_EVENT
-        if self._has_exited(connection):
-            return UnframedEnd.SERVER_EXITED
-        return UnframedEnd.UNREFUTED
+    def _verify_end(self, connection: BackendConnection, answer: HttpAnswer) -> bool:
+        """Raise `ConnectionBroken` if a response was cut short; return whether it is surely whole."""
+        is_within_event = self._progress.splitter.is_within_event()
+        if not answer.ends_with_connection:
+            if is_within_event:
+                raise ConnectionBroken("expected the end of an event, found the end of the stream")
+            return True
+        state = ProcessState.UNKNOWN if is_within_event else self._process_state(connection)
+        end = _unframed_end(is_within_event, state)
+        self._dependencies.note_unframed_end(
+            self._request, self._placement, end, self._progress.splitter.events
+        )
+        if end is not UnframedEnd.UNREFUTED:
+            connection.note_cut()
+            raise ConnectionBroken(f"expected the end of the response, found: {end.value}")
+        return state is ProcessState.RUNNING
 
     def _note_event(self) -> None:
         self._watch.note_event()
@@ -183,6 +180,18 @@
         self._dependencies.note_first(self._request, self._placement, self._progress)
 
 
+def _delivered(proves_sound: bool) -> AttemptEnd:
+    return AttemptEnd(AttemptResult.DELIVERED, Reason.NONE, proves_sound=proves_sound)
+
+
+def _unframed_end(is_within_event: bool, state: ProcessState) -> UnframedEnd:
+    if is_within_event:
+        return UnframedEnd.WITHIN_EVENT
+    if state is ProcessState.EXITED:
+        return UnframedEnd.SERVER_EXITED
+    return UnframedEnd.UNREFUTED
+
+
 def is_stream_answer(request: RoutedRequest, answer: HttpAnswer) -> bool:
     """Tell whether a response holds events."""
     return request.route.kind is RequestKind.STREAM and answer.status < MIN_REDIRECT_STATUS
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -8,10 +8,12 @@
     EndEvidence,
     InterruptionFacts,
     ProbeResult,
+    ProcessState,
     counted_exit,
     exit_evidence,
     liveness,
     may_be_shown_later,
+    process_state,
 )
 from sparline.forwarding._answer_forwarding import (
     MIN_SERVER_ERROR_STATUS,
@@ -80,7 +82,7 @@
             progress,
             StreamWatch(dependencies.watch, request, placement, reservation),
             self._checks,
-            self._has_exited,
+            self._process_state,
         )
         self._server_id = placement.server.id
 
@@ -151,13 +153,12 @@
             liveness=liveness(facts),
         )
 
-    def _has_exited(self, connection: BackendConnection) -> bool:
+    def _process_state(self, connection: BackendConnection) -> ProcessState:
         """Tell whether the server process exited as it ended the connection of a response."""
         if self._placement.peer is not None:
             # The peer itself resets the connection in that case.
-            return False
-        facts = replace(self._probed_facts(connection), was_closed=True)
-        return exit_evidence(facts) is not None
+            return ProcessState.UNKNOWN
+        return process_state(replace(self._probed_facts(connection), was_closed=True))
 
     def _probed_facts(self, connection: BackendConnection) -> InterruptionFacts:
         """Return what is known of the server, asking whether it still accepts connections."""
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -42,6 +42,8 @@
     is_region_full: bool = False  # no server in the peer's region has capacity
     may_have_ended: bool = False  # the server may have exited, without evidence so far
     liveness: Liveness = Liveness.PROVEN  # whether the server was known to run at the start
+    # Whether a server has certainly completed a successful response.
+    proves_sound: bool = False
 
 
 class UnframedEnd(Enum):
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import gevent
 
@@ -18,13 +17,14 @@
     Progress,
 )
 from sparline.forwarding._events import EventSplitter
+from sparline.forwarding._request_crashes import CrashTables, RequestCrashes
 from sparline.forwarding._request_end import MIN_TIME_LEFT_MS, RequestEnd, RequestEnder
 from sparline.forwarding._resume_wait import is_caller_waiting, should_delay_resume
 from sparline.forwarding._retry_window import RetryWindow
 from sparline.forwarding._wire import AttemptParameters, OwnAnswer
 from sparline.http import CallerConnection, CallerGone, Headers
 from sparline.placement import Chooser, LoadTable, Placement, Refusal
-from sparline.quarantine import CrashTable, FactSource, RequestDigest, Verdict
+from sparline.quarantine import FactSource
 from sparline.requests import Origin, Reason, RoutedRequest
 from sparline.routes import RequestKind
 
@@ -60,7 +60,7 @@
     note_broken: Callable[
         [RoutedRequest, Placement, InterruptedAttempt], None
     ]  # logs and counts an interrupted attempt
-    crashes: CrashTable  # servers that exited while running requests
+    crashes: CrashTables  # servers that exited while running requests
     is_key_withdrawn: Callable[[RoutedRequest], bool]  # whether its API key was withdrawn
     refusal_headers: Callable[[OwnAnswer], Headers]  # for responses generated here
     # Software version at which a resumed stream began, None if that is unknown.
@@ -119,7 +119,7 @@
         self._progress = progress
         # Version at which alone a stream can go on that an earlier answer began, None for any.
         self._resumed_version = request.software_version
-        self._digest: RequestDigest | None = None
+        self._crashes = RequestCrashes(dependencies.crashes, request)
         self.ender = RequestEnder(request, caller, progress, dependencies.refusal_headers)
 
     def run_to_end(self) -> RequestEnd:
@@ -130,10 +130,10 @@
         while True:
             if self._dependencies.is_key_withdrawn(self._request):
                 return self.ender.end_key_withdrawn()
-            verdict = self._quarantine_verdict()
-            if verdict is Verdict.QUARANTINED:
-                return self.ender.end_quarantined()
-            is_suspect = verdict is Verdict.SUSPECT
+            quarantine_reason = self._crashes.quarantine_reason()
+            if quarantine_reason is not None:
+                return self.ender.end_quarantined(quarantine_reason)
+            is_suspect = self._crashes.is_suspect()
             if is_suspect:
                 self._sends_left = min(self._sends_left, MAX_SUSPECT_SENDS)
             selected = self._dependencies.chooser.choose(
@@ -158,10 +158,10 @@
             self.ender.placement = selected
             end = self._attempt(selected)
             if end.result is AttemptResult.DELIVERED:
-                self._note_complete_answer()
+                self._crashes.note_answered(selected.server, end.proves_sound)
                 return self.ender.make_end(200, Reason.NONE)
             if end.reason is Reason.QUARANTINED:
-                return self.ender.end_quarantined()
+                return self.ender.end_quarantined(self._crashes.quarantine_reason() or end.reason)
             stop = self._stop_reason(selected, end)
             if stop is not None:
                 return self.ender.end_failed(stop, end)
@@ -175,21 +175,6 @@
             return self._progress.software_version
         return self._resumed_version
 
-    def _request_digest(self) -> RequestDigest:
-        if self._digest is None:
-            self._digest = self._request.digest()
-        return self._digest
-
-    def _note_complete_answer(self) -> None:
-        digest = self._request_digest()
-        self._dependencies.crashes.note_complete_answer(digest)
-        self._dependencies.attempt_dependencies.ends.note_complete_answer(digest)
-
-    def _quarantine_verdict(self) -> Verdict:
-        """Return the quarantine verdict, computing the digest only if any crash is recorded."""
-        crashes = self._dependencies.crashes
-        return Verdict.CLEAR if crashes.is_empty else crashes.verdict(self._request_digest())
-
     def _sleep_with_jitter(self, delay_ms: float) -> None:
         """Sleep for a randomised delay before an interrupted stream is retried."""
         gevent.sleep(delay_ms * self._dependencies.rng.uniform(*RESUME_JITTER_RANGE) / 1000)
@@ -211,6 +196,7 @@
             is_relayed=placement.peer is not None,
         )
         self._dependencies.chooser.note_sent(request, placement)
+        earlier = self._crashes.earlier(placement.server)
         parameters = AttemptParameters(
             server_id=placement.server.id,
             left_ms=request.left_ms(),
@@ -218,7 +204,9 @@
             sends_left=self._sends_left,
             software_version=self._required_version(),
             source=placement.source.address if placement.source else None,
-            **self._crash_parameters(placement),
+            is_watched=earlier.is_watched,
+            earlier_exits=earlier.earlier_exits,
+            exited_at_ms=earlier.exited_at_ms,
         )
         attempt = Attempt(
             self._dependencies.attempt_dependencies,
@@ -235,23 +223,6 @@
         self._note_end(placement, end)
         return end
 
-    def _crash_parameters(self, placement: Placement) -> dict[str, Any]:
-        """Return the parameters that depend on earlier crashes under the request.
-
-        The digest is computed only if any crash or unexplained interruption is recorded.
-        """
-        ends = self._dependencies.attempt_dependencies.ends
-        crashes = self._dependencies.crashes
-        if crashes.is_empty and not ends.has_watched_requests:
-            return {}
-        digest = self._request_digest()
-        earlier_exits = crashes.earlier_exits(digest, placement.server.id)
-        return {
-            "is_watched": crashes.ends(digest) > 0 or ends.has_unexplained_interruption(digest),
-            "earlier_exits": earlier_exits,
-            "exited_at_ms": crashes.exited_at_ms(digest) if earlier_exits else 0.0,
-        }
-
     def _note_end(self, placement: Placement, end: AttemptEnd) -> None:
         if end.result is AttemptResult.NOT_RUN:
             self._not_run_count += 1
@@ -290,16 +261,15 @@
 
     def _note_crash(self, placement: Placement, end: AttemptEnd) -> None:
         """Record a server exit during the request and stop retrying a suspected request."""
+        server, sent_at_ms = placement.server, self._progress.sent_at_ms
         if end.may_have_ended:
-            self._dependencies.attempt_dependencies.ends.note_interrupted_answer(
-                self._request_digest(), placement.server.id, end.liveness
-            )
+            self._crashes.note_interrupted(server, sent_at_ms, end.liveness)
         if end.ended_server is None:
             return
         self.ender.ended_server = end.ended_server
         learnt = FactSource.HERE if placement.peer is None else FactSource.PEER
-        self._dependencies.crashes.note_end(self._request_digest(), end.ended_server, learnt)
-        if self._quarantine_verdict() is not Verdict.CLEAR:
+        self._crashes.note_exit(server, end.ended_server, sent_at_ms, learnt)
+        if self._crashes.quarantine_reason() is not None or self._crashes.is_suspect():
             self._sends_left = 0
 
     def _stop_reason(self, placement: Placement, end: AttemptEnd) -> Reason | None:
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -25,6 +25,10 @@
     b"expected a backend server to answer this request, found that each one that ran it ended; "
     b"it is not sent again for some minutes\n"
 )
+QUARANTINED_PART_BODY = (
+    b"expected a prompt that backend servers can answer, found one with a part under which each one "
+    b"ended; requests with this part are not sent until an operator releases it\n"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +92,12 @@
         forward_complete(self._caller, answer, body)
         return self.make_end(answer.status, Reason.BACKEND_FAILED)
 
-    def end_quarantined(self) -> RequestEnd:
-        """Reject a quarantined request that servers have run and must not run again."""
+    def end_quarantined(self, reason: Reason) -> RequestEnd:
+        """Reject a request that is in quarantine, or a part of which is."""
         if self._progress.began:
-            return self._abort_answer(Reason.QUARANTINED)
-        headers = self._refusal_headers(OwnAnswer(ran=True, quarantined=True))
-        self._caller.answer(502, [*headers, TEXT_CONTENT_TYPE], QUARANTINED_BODY)
-        return self.make_end(502, Reason.QUARANTINED)
+            return self._abort_answer(reason)
+        reject_quarantined(self._caller, self._refusal_headers, reason)
+        return self.make_end(502, reason)
 
     def end_key_withdrawn(self) -> RequestEnd:
         """End a request whose API key was withdrawn without sending it again."""
@@ -151,3 +154,13 @@
     def make_end(self, status: int, reason: Reason, ran: bool = True) -> RequestEnd:
         """Describe the outcome of a request whose response has been sent."""
         return RequestEnd(status, reason, ran, self.placement, self.refusal, self._progress)
+
+
+def reject_quarantined(
+    caller: CallerConnection, refusal_headers: Callable[[OwnAnswer], Headers], reason: Reason
+) -> None:
+    """Answer a request that must not be sent, so that its caller doesn't come back with it."""
+    is_part = reason is Reason.QUARANTINED_PART
+    body = QUARANTINED_PART_BODY if is_part else QUARANTINED_BODY
+    headers = refusal_headers(OwnAnswer(ran=True, quarantined=True))
+    caller.answer(502, [*headers, TEXT_CONTENT_TYPE], body)
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -20,6 +20,7 @@
     LoadExchange,
     LoadSources,
     Members,
+    PartExchange,
     QuotaExchange,
     ServerLoad,
     StoreCopyTable,
@@ -71,7 +72,14 @@
     ServerWire,
     StoreHttpClient,
 )
-from sparline.quarantine import CrashChange, CrashTable, ServerEndCallbacks, ServerEndDetector
+from sparline.quarantine import (
+    CrashChange,
+    CrashTable,
+    PartChange,
+    PartTable,
+    ServerEndCallbacks,
+    ServerEndDetector,
+)
 from sparline.quotas import NO_TOLERANCE, QuotaLimiter, QuotaTolerance
 from sparline.schema._gateway import GatewaySettings
 
@@ -111,7 +119,12 @@
             self._on_server_restart,
             self._on_server_gone,
         )
-        self.crashes = CrashTable(self._on_crash_change, self.request_log.note_pushed_out)
+        self.crashing_parts = PartTable(self._on_part_change, self.request_log.note_part_quarantine)
+        self.crashes = CrashTable(
+            self._on_crash_change,
+            self.request_log.note_pushed_out,
+            self.crashing_parts.explains,
+        )
         self.ended_starts: OrderedDict[BackendServerId, None] = OrderedDict()
         self.copy = StoreCopyTable(self.fleet.take)
         self.reader = StoreReader(
@@ -188,10 +201,12 @@
             self._may_be_outdated,
             self.quotas,
             self.admission,
+            self.crashing_parts,
         )
         self.service.set_forwarders(
             make_forwarder(self, FOR_CALLERS), make_forwarder(self, FOR_PEERS)
         )
+        self.part_exchange = PartExchange(self.members, self.crashing_parts)
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
             gossip_port,
@@ -199,6 +214,7 @@
             self.members,
             self.load_exchange,
             CrashExchange(self.crashes),
+            self.part_exchange,
             self.quota_exchange,
             self.admission_exchange,
             self.stream_versions.exchange,
@@ -321,13 +337,18 @@
         """Count the end of a removed server for the requests that were interrupted on it."""
         for liveness in Liveness:
             counted = counted_exit(server.id, EndEvidence.GONE, liveness)
-            for digest in self.end_detector.note_removed(server.id, liveness):
-                self.crashes.note_end(digest, counted)
+            for request in self.end_detector.note_removed(server.id, liveness):
+                self.crashes.note_end(request.digest, counted)
+                self.crashing_parts.note_exit(request, counted)
 
     def _on_crash_change(self, change: CrashChange) -> None:
         self.request_log.note_crash(change, self.crashes.quarantine_left_ms(change.fact.digest))
         self.gossip.broadcast_crash(change)
 
+    def _on_part_change(self, change: PartChange) -> None:
+        self.request_log.note_part_change(change)
+        self.gossip.send_immediately(self.part_exchange.urgent_news(change))
+
     def _may_lack_entries(self) -> bool:
         """Return whether the store may have newer entries than those known here."""
         resumed_ago_ms = now_ms() - self.pause_watch.process_resumed_at_ms()
--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -8,6 +8,7 @@
 from sparline._ids import SoftwareVersion
 from sparline.forwarding import (
     AttemptDependencies,
+    CrashTables,
     Forwarder,
     ForwarderDependencies,
     OwnAnswer,
@@ -53,7 +54,9 @@
             attempt_dependencies=_attempt_dependencies(components, headers),
             note_retry=components.request_log.note_retry,
             note_broken=components.request_log.note_broken,
-            crashes=components.crashes,
+            crashes=CrashTables(
+                components.crashes, components.crashing_parts, components.end_detector
+            ),
             is_key_withdrawn=lambda request: is_withdrawn(
                 components.fleet.configuration, request.caller
             ),
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -78,6 +78,7 @@
         self.admission.update_metrics()
         self.metrics.quotas_kept.set(len(self.quota_exchange.quota_coordinator))
         self.metrics.quarantined.set(self.crashes.quarantined())
+        self.metrics.quarantined_parts.set(len(self.crashing_parts.quarantined()))
         self.metrics.limited_servers.set(self.server_limits.limited_count())
         self.metrics.refusal_limited.set(self.refusal_limits.limited_count())
         self.metrics.members.set(len(self.members.live()))
--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -33,6 +33,7 @@
         components.server_limits.forget_old()
         components.refusal_limits.forget_all_but(server_ids)
         components.crashes.forget_old()
+        components.crashing_parts.forget_old()
         components.stream_versions.exchange.forget_old()
         components.members.forget_old()
         components.pool.sweep()
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -47,6 +47,14 @@
             "suspects_pushed_out", "Suspects forgotten for want of room.", ()
         )
         self.quarantined = self._gauge("quarantined_requests", "Requests that are sent nowhere.")
+        self.quarantined_parts = self._gauge(
+            "quarantined_parts", "Parts of prompts with which requests are sent nowhere."
+        )
+        self.part_exits = self._counter(
+            "part_exits",
+            "Changes in what is known of servers that exited under parts.",
+            ("learnt",),
+        )
         self.sends = self._counter("sends", "Sends by place.", ("place",))
         self.cold_sends = self._counter("cold_sends", "Sends to cold backend servers.", ())
         self.limit_changes = self._counter(
--- a/sparline/gateway/_own_answers.py
+++ b/sparline/gateway/_own_answers.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 
+from sparline._ids import PartDigest
 from sparline.fleet import FleetState
-from sparline.forwarding import OwnAnswer
+from sparline.forwarding import OwnAnswer, reject_quarantined
 from sparline.gateway._admission import NotAdmitted
 from sparline.gateway._request_log import RequestLog
 from sparline.http import CallerConnection, Headers
 from sparline.platform import RequestHead, refusal_headers, relayed_refusal_headers
+from sparline.quarantine import short_hex
 from sparline.requests import Origin, Reason, UnknownCaller
 
 # Retry delay for a relayed request that has no route here (ms). The instance that relayed it
@@ -79,6 +81,13 @@
         caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
         self._log.note_rejected(request_id, status, reason, "not run")
 
+    def reject_quarantined_part(
+        self, caller: CallerConnection, request_id: str, origin: Origin, part: PartDigest
+    ) -> None:
+        """Reject a request that has a part in quarantine, before it uses any limit."""
+        reject_quarantined(caller, _headers_for(origin), Reason.QUARANTINED_PART)
+        self._log.note_rejected(request_id, 502, Reason.QUARANTINED_PART, short_hex(part))
+
     def reject(
         self, caller: CallerConnection, request_id: str, status: int, reason: Reason, text: str
     ) -> None:
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -13,6 +13,8 @@
     MIN_QUARANTINE_ENDS,
     CrashChange,
     EndEvidence,
+    PartChange,
+    QuarantinedPart,
     RequestDigest,
     short_hex,
 )
@@ -136,6 +138,32 @@
         if self._server_ends.take() and log.is_written(LineLevel.WARNING):
             log.bind(content=short_hex(digest), ends=ends).warning("suspect_pushed_out")
 
+    def note_part_change(self, change: PartChange) -> None:
+        """Record a change of the exits counted for a part of prompts."""
+        self._metrics.part_exits.labels(change.learnt.value).inc()
+        if not change.is_urgent or not self._server_ends.take():
+            return
+        if log.is_written(LineLevel.INFO):
+            log.bind(
+                part=short_hex(change.fact.part),
+                exits=change.exits,
+                exits_before=change.exits_before,
+                learnt=change.learnt.value,
+                carriers=round(change.fact.carriers.count()),
+                bystanders=round(change.fact.bystanders.count()),
+                age_ms=round(change.fact.age_ms),
+            ).info("part_suspected" if change.exits else "part_cleared")
+
+    def note_part_quarantine(self, part: QuarantinedPart, is_quarantined: bool) -> None:
+        """Record that a part of prompts was put in quarantine, or released."""
+        log.bind(
+            part=short_hex(part.part),
+            exits=[f"{one:08x}" for one in sorted(part.exits)],
+            carriers=round(part.carriers),
+            bystanders=round(part.bystanders),
+            age_ms=round(part.age_ms),
+        ).warning("part_quarantined" if is_quarantined else "part_released")
+
     def note_cold_use(self, use: ColdRequest) -> None:
         """Record a send to a cold server, whose request rate is divided among instances."""
         self._metrics.cold_sends.inc()
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -33,6 +33,7 @@
     headers_to_pass,
     parse_request_head,
 )
+from sparline.quarantine import PartTable
 from sparline.requests import (
     KnownCaller,
     Origin,
@@ -78,6 +79,7 @@
         may_be_outdated: Callable[[], bool],
         quotas: Quotas,
         admission: AdmissionGate,
+        parts: PartTable,
     ) -> None:
         """Create a service that follows the configuration of a fleet.
 
@@ -94,6 +96,7 @@
         self._own_answers = OwnAnswers(fleet, request_log, may_be_outdated)
         self._quotas = quotas
         self._admission = admission
+        self._parts = parts
         self._connections: set[CallerConnection] = set()
         # Configuration of the cached read limits.
         self._limits_configuration: Configuration | None = None
@@ -214,6 +217,11 @@
             wait_ms = unserved_retry_after_ms(marks.deadline_ms or DEFAULT_DEADLINE_MS)
             self._own_answers.refuse(caller, request_id, origin, Reason.RESIDENCY, wait_ms)
             return None
+        if marks.prompt is not None and not self._parts.is_empty:
+            part = self._parts.quarantined_among(marks.prompt.shared_parts())
+            if part is not None:
+                self._own_answers.reject_quarantined_part(caller, request_id, origin, part)
+                return None
         relayed = ServiceName(marks.relay_service) if origin is Origin.RELAY else None
         # A resumed stream goes on at the service that began it.
         began_by = (marks.resumes if route.resumable else None) or request_id
--- a/sparline/quarantine/__init__.py
+++ b/sparline/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that repeatedly crash the backend servers that run them."""
+"""Quarantine of requests, and of parts of prompts, that crash the backend servers that run them."""
 
 from sparline.quarantine._crash_table import (
     MIN_QUARANTINE_ENDS,
@@ -9,13 +9,20 @@
     Verdict,
 )
 from sparline.quarantine._digest import (
-    PartDigest,
     RequestDigest,
     digest_of,
     digest_of_part,
     short_hex,
 )
-from sparline.quarantine._notes import to_crash_fact, to_crash_note
+from sparline.quarantine._interrupted_request import InterruptedRequest, ServerKind
+from sparline.quarantine._notes import (
+    to_crash_fact,
+    to_crash_note,
+    to_part_fact,
+    to_part_note,
+)
+from sparline.quarantine._part_table import PartChange, PartFact, PartTable, QuarantinedPart
+from sparline.quarantine._request_sample import RequestSample, make_sample, sample_of
 from sparline.quarantine._server_ends import (
     EndEvidence,
     ProbeResult,
@@ -30,15 +37,25 @@
     "CrashTable",
     "EndEvidence",
     "FactSource",
-    "PartDigest",
+    "InterruptedRequest",
+    "PartChange",
+    "PartFact",
+    "PartTable",
     "ProbeResult",
+    "QuarantinedPart",
     "RequestDigest",
+    "RequestSample",
     "ServerEndCallbacks",
     "ServerEndDetector",
+    "ServerKind",
     "Verdict",
     "digest_of",
     "digest_of_part",
+    "make_sample",
+    "sample_of",
     "short_hex",
     "to_crash_fact",
     "to_crash_note",
+    "to_part_fact",
+    "to_part_note",
 ]
--- a/sparline/quarantine/_crash_table.py
+++ b/sparline/quarantine/_crash_table.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -95,10 +95,6 @@
     ended_at_ms: float = 0.0  # time of the newest crash
     changed_at_ms: float = 0.0  # time of the last change in this instance
 
-    @property
-    def ends(self) -> int:
-        return len(self.ended - self.cleared)
-
     @property
     def was_suspect(self) -> bool:
         """Return whether the request was ever a suspect; peers are told when it is cleared."""
@@ -112,16 +108,19 @@
         self,
         on_change: Callable[[CrashChange], None] = lambda _change: None,
         on_evicted: Callable[[RequestDigest, int], None] = lambda _digest, _ends: None,
+        is_explained: Callable[[int], bool] = lambda _key: False,
     ) -> None:
         """Create an empty table.
 
         `on_change` is called with each change, `on_evicted` with the digest and crash count of
-        each evicted suspect.
+        each evicted suspect. `is_explained` tells whether the crash of an incarnation, given its key,
+        is known to have another cause; it then counts against no request.
         """
         self._records: dict[RequestDigest, _Record] = {}
         self._answered_at_ms: OrderedDict[RequestDigest, float] = OrderedDict()  # complete answers
         self._on_change = on_change
         self._on_evicted = on_evicted
+        self._is_explained = is_explained
 
     @property
     def is_empty(self) -> bool:
@@ -131,7 +130,10 @@
     def ends(self, digest: RequestDigest) -> int:
         """Return the number of a request's crashes that are not cleared."""
         record = self._records.get(digest)
-        return record.ends if record else 0
+        return self._ends(record) if record else 0
+
+    def _ends(self, record: _Record) -> int:
+        return sum(not self._is_explained(key) for key in record.ended - record.cleared)
 
     def exited_at_ms(self, digest: RequestDigest) -> float:
         """Return the time of the newest exit under a request, 0 if none is known (ms)."""
@@ -141,21 +143,12 @@
     def earlier_exits(self, digest: RequestDigest, server_id: BackendServerId) -> int:
         """Return how many exits of one server under a request are known, cleared or not."""
         record = self._records.get(digest)
-        count = 0
-        while (
-            record is not None
-            and server_incarnation_key(
-                counted_exit(server_id, EndEvidence.WITNESSED, Liveness.PROVEN, count)
-            )
-            in record.ended
-        ):
-            count += 1
-        return count
+        return count_exits(server_id, server_incarnation_key, record.ended) if record else 0
 
     def verdict(self, digest: RequestDigest) -> Verdict:
         """Return how a request may be sent now."""
         record = self._records.get(digest)
-        if record is None or record.ends < MIN_SUSPECT_ENDS:
+        if record is None or self._ends(record) < MIN_SUSPECT_ENDS:
             return Verdict.CLEAR
         if self._quarantine_left_ms(record) > 0:
             return Verdict.QUARANTINED
@@ -167,9 +160,10 @@
         return self._quarantine_left_ms(record) if record else 0.0
 
     def _quarantine_left_ms(self, record: _Record) -> float:
-        if record.ends < MIN_QUARANTINE_ENDS:
+        ends = self._ends(record)
+        if ends < MIN_QUARANTINE_ENDS:
             return 0.0
-        return max(record.ended_at_ms + _quarantine_ms(record.ends) - now_ms(), 0.0)
+        return max(record.ended_at_ms + _quarantine_ms(ends) - now_ms(), 0.0)
 
     def quarantined(self) -> int:
         """Return the number of requests in quarantine."""
@@ -220,7 +214,7 @@
         record = self._records.get(fact.digest)
         if record is None:
             record = self._records[fact.digest] = _Record()
-        ends_before_merge = record.ends
+        ends_before_merge = self._ends(record)
         known_keys = len(record.ended) + len(record.cleared)
         new_ends = fact.ended - record.ended
         if new_ends:
@@ -232,7 +226,7 @@
             return None
         record.changed_at_ms = now
         change = CrashChange(
-            _fact_of(fact.digest, record, now), record.ends, ends_before_merge, learnt
+            _fact_of(fact.digest, record, now), self._ends(record), ends_before_merge, learnt
         )
         self._on_change(change)
         self._evict(fact.digest)
@@ -244,10 +238,10 @@
             return
         order = sorted(
             (one for one in self._records if one != newest),
-            key=lambda one: (self._records[one].ends, self._records[one].ended_at_ms),
+            key=lambda one: (self._ends(self._records[one]), self._records[one].ended_at_ms),
         )
         for digest in order[: int(MAX_RECORDS * EVICTED_FRACTION)]:
-            ends = self._records.pop(digest).ends
+            ends = self._ends(self._records.pop(digest))
             if ends >= MIN_SUSPECT_ENDS:
                 self._on_evicted(digest, ends)
 
@@ -276,7 +270,7 @@
         self._records = {
             digest: one
             for digest, one in self._records.items()
-            if now - one.ended_at_ms < max(RECORD_TTL_MS, 2 * _quarantine_ms(one.ends))
+            if now - one.ended_at_ms < max(RECORD_TTL_MS, 2 * _quarantine_ms(self._ends(one)))
         }
 
 
@@ -285,6 +279,21 @@
     return hash64(server_id) & INCARNATION_KEY_MASK
 
 
+def count_exits(
+    server_id: BackendServerId,
+    key_of: Callable[[BackendServerId], int],
+    keys: Collection[int],
+) -> int:
+    """Return how many exits of one server are among some keys.
+
+    A server that is restarted under its id exits under a further counted id each time.
+    """
+    count = 0
+    while key_of(counted_exit(server_id, EndEvidence.WITNESSED, Liveness.PROVEN, count)) in keys:
+        count += 1
+    return count
+
+
 def _quarantine_ms(ends: int) -> float:
     if ends < MIN_QUARANTINE_ENDS:
         return 0.0
--- a/sparline/quarantine/_digest.py
+++ b/sparline/quarantine/_digest.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from typing import NewType
 
+from sparline._ids import PartDigest
+
 # Identifies a request by its content: equal for each repeat and in each instance.
 RequestDigest = NewType("RequestDigest", bytes)
-# Identifies a part of a prompt: equal in each request that names it, whatever the other parts.
-PartDigest = NewType("PartDigest", bytes)
 
 # Long enough that nobody can construct two contents with the same digest.
 DIGEST_BYTES = 16
--- a/sparline/quarantine/_server_ends.py
+++ b/sparline/quarantine/_server_ends.py
@@ -23,6 +23,7 @@
     exit_evidence,
 )
 from sparline.quarantine._digest import RequestDigest
+from sparline.quarantine._interrupted_request import InterruptedRequest
 
 # Timeout of a probe (ms). A server in the own region accepts or refuses a connection within a few
 # milliseconds; one that does neither within this time may be unreachable because of a network
@@ -49,7 +50,7 @@
 class InterruptedAnswer:
     """Represent an interrupted answer that no probe could explain."""
 
-    digest: RequestDigest  # request that was being answered
+    request: InterruptedRequest  # request that was being answered
     server_id: BackendServerId  # server that interrupted the answer
     interrupted_at_ms: float  # time of the interruption
     liveness: Liveness  # whether the server was known to run when the request was sent
@@ -169,22 +170,22 @@
 
     def note_interrupted_answer(
         self,
-        digest: RequestDigest,
+        request: InterruptedRequest,
         server_id: BackendServerId,
         known: Liveness = Liveness.PROVEN,
     ) -> None:
         """Remember an interrupted answer until the store shows whether the server has exited."""
-        self._watched[digest] = now_ms()
-        self._watched.move_to_end(digest)
+        self._watched[request.digest] = now_ms()
+        self._watched.move_to_end(request.digest)
         if len(self._watched) > MAX_WATCHED:
             self._watched.popitem(last=False)
-        self._unexplained[InterruptedAnswer(digest, server_id, now_ms(), known)] = None
+        self._unexplained[InterruptedAnswer(request, server_id, now_ms(), known)] = None
         if len(self._unexplained) > MAX_UNEXPLAINED:
             self._unexplained.popitem(last=False)
 
     def note_removed(
         self, server_id: BackendServerId, known: Liveness = Liveness.PROVEN
-    ) -> list[RequestDigest]:
+    ) -> list[InterruptedRequest]:
         """Return the requests whose interrupted answers are explained by the removal of a server.
 
         `known` selects those sent when the server was, or was not, known to run.
@@ -197,7 +198,7 @@
         since = now_ms() - MAX_REMOVAL_DELAY_MS
         heard_at_ms = self._callbacks.heard_at_ms(server_id)
         ended = [
-            one.digest
+            one.request
             for one in interrupted
             if one.interrupted_at_ms >= since and heard_at_ms < one.interrupted_at_ms
         ]
--- a/sparline/quarantine/tests/test_server_ends.py
+++ b/sparline/quarantine/tests/test_server_ends.py
@@ -3,14 +3,16 @@
 import gevent
 import pytest
 
-from sparline._ids import BackendServerId
+from sparline._ids import BackendServerId, PartDigest, RequestId
 from sparline.quarantine import (
     CrashTable,
     EndEvidence,
+    InterruptedRequest,
     ProbeResult,
     RequestDigest,
     ServerEndCallbacks,
     ServerEndDetector,
+    ServerKind,
     _server_ends,
 )
 
@@ -20,6 +22,11 @@
 INTERRUPTED_AT_MS = 1_000_000.0
 
 
+def request_of(digest: RequestDigest = DIGEST) -> InterruptedRequest:
+    kind = ServerKind("engines", None)
+    return InterruptedRequest(digest, RequestId("r1"), (PartDigest(b"p"),), kind, 0.0)
+
+
 class FakeEnvironment:
     """Fake the network, the server's last activity and the log."""
 
@@ -102,10 +109,10 @@
 
 
 REMOVALS = [
-    ("removed soon, never heard again", 3_000.0, 0.0, [DIGEST]),
+    ("removed soon, never heard again", 3_000.0, 0.0, [request_of()]),
     ("removed long after", _server_ends.MAX_REMOVAL_DELAY_MS + 1, 0.0, []),
     ("heard after the interruption", 3_000.0, INTERRUPTED_AT_MS + 1, []),
-    ("heard before the interruption", 3_000.0, INTERRUPTED_AT_MS - 1, [DIGEST]),
+    ("heard before the interruption", 3_000.0, INTERRUPTED_AT_MS - 1, [request_of()]),
 ]
 
 
@@ -117,7 +124,7 @@
 def test_store_removal_explains_interrupted_answers(clock, after_ms, heard_at_ms, ended):
     environment = FakeEnvironment(ProbeResult.UNKNOWN)
     detector = ServerEndDetector(environment.callbacks())
-    detector.note_interrupted_answer(DIGEST, SERVER)
+    detector.note_interrupted_answer(request_of(), SERVER)
     clock[0] += after_ms
     environment.heard_at_ms = heard_at_ms
     assert detector.note_removed(BackendServerId("another")) == []
@@ -130,7 +137,7 @@
     detector = ServerEndDetector(FakeEnvironment(ProbeResult.UNKNOWN).callbacks())
     for number in range(2 * _server_ends.MAX_UNEXPLAINED):
         clock[0] += 0.001
-        detector.note_interrupted_answer(DIGEST, BackendServerId(f"s{number}"))
+        detector.note_interrupted_answer(request_of(), BackendServerId(f"s{number}"))
     assert len(detector._unexplained) == _server_ends.MAX_UNEXPLAINED
 
 
@@ -190,14 +197,14 @@
 def test_request_is_watched_after_an_unexplained_interruption(clock):
     detector = ServerEndDetector(FakeEnvironment(ProbeResult.OPEN).callbacks())
     assert not detector.has_watched_requests
-    detector.note_interrupted_answer(DIGEST, SERVER)
+    detector.note_interrupted_answer(request_of(), SERVER)
     assert detector.has_watched_requests
     assert detector.has_unexplained_interruption(DIGEST)
     assert not detector.has_unexplained_interruption(RequestDigest(b"2" * 16))
     clock[0] += _server_ends.WATCH_MS + 1
     assert not detector.has_unexplained_interruption(DIGEST)
     assert not detector.has_watched_requests
-    detector.note_interrupted_answer(DIGEST, SERVER)
+    detector.note_interrupted_answer(request_of(), SERVER)
     detector.note_complete_answer(DIGEST)
     assert not detector.has_watched_requests
 
@@ -205,6 +212,6 @@
 def test_watched_requests_are_bounded(clock):
     detector = ServerEndDetector(FakeEnvironment(ProbeResult.OPEN).callbacks())
     for number in range(2 * _server_ends.MAX_WATCHED):
-        detector.note_interrupted_answer(RequestDigest(b"%d" % number), SERVER)
+        detector.note_interrupted_answer(request_of(RequestDigest(b"%d" % number)), SERVER)
     assert not detector.has_unexplained_interruption(RequestDigest(b"0"))
     assert len(detector._watched) == _server_ends.MAX_WATCHED
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -34,6 +34,7 @@
     SOFTWARE_VERSION_UNKNOWN = "software_version_unknown"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
+    QUARANTINED_PART = "quarantined_part"
     # Why one attempt did not run.
     CONNECT_FAILED = "connect_failed"
     BACKEND_REFUSED = "backend_refused"
--- a/sparline/requests/_routed.py
+++ b/sparline/requests/_routed.py
@@ -4,8 +4,8 @@
 from itertools import pairwise
 
 from sparline._clock import now_ms
-from sparline._ids import RegionName, RequestId, SoftwareVersion
-from sparline.quarantine import PartDigest, RequestDigest, digest_of, digest_of_part
+from sparline._ids import PartDigest, RegionName, RequestId, SoftwareVersion
+from sparline.quarantine import RequestDigest, digest_of, digest_of_part
 from sparline.requests._callers import KnownCaller
 from sparline.requests._types import Origin
 from sparline.routes import RequestKind, Route, ServiceName
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -151,6 +151,48 @@
     ]
 
 
+class PartNote(WireNode):
+    """
+    Tell which backend servers have ended while they ran requests with one part in their prompts.
+    """
+
+    part: Annotated[bytes, Meta(description="Digest of the part's name, 8 bytes.")]
+    ended: Annotated[
+        list[int],
+        Meta(
+            description="Hashes of the starts of the servers, 24 bits, and below them one of service and software version, 8 bits."
+        ),
+    ]
+    cleared: Annotated[
+        list[int],
+        Meta(description="Those of them that a whole answer or an operator has excused since."),
+    ]
+    carriers: Annotated[
+        list[int],
+        Meta(
+            description="Smallest hashes of the interrupted requests that have the part, 32 bits."
+        ),
+    ]
+    bystanders: Annotated[
+        list[int],
+        Meta(
+            description="Smallest hashes of all requests that were interrupted with them, 32 bits."
+        ),
+    ]
+    age_ms: Annotated[int, Meta(description="How long ago the newest of them ended, milliseconds.")]
+
+
+class PartNews(WireMessage):
+    """
+    Tell under which parts of prompts backend servers have ended.
+    """
+
+    parts: list[PartNote]
+    pass_on: Annotated[
+        bool, Meta(description="Whether the receiver is to tell the others of its region.")
+    ]
+
+
 class StreamVersionNote(WireNode):
     """
     Tell at which software version a stream began.
@@ -531,6 +573,7 @@
     load_news: LoadNews
     load_word: LoadWord
     crash_news: CrashNews
+    part_news: PartNews
     quota_report: QuotaReport
     quota_word: QuotaWord
     quota_totals: QuotaTotals
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -19,6 +19,7 @@
     LoadExchange,
     LoadSources,
     Members,
+    PartExchange,
     QuotaExchange,
     ServerLoad,
     StorePosition,
@@ -47,7 +48,7 @@
     _rate_shares,
     _server_limits,
 )
-from sparline.quarantine import CrashTable, _crash_table
+from sparline.quarantine import CrashTable, PartTable, _crash_table, _part_table
 from sparline.quotas import (
     NO_TOLERANCE,
     QuotaLimiter,
@@ -75,6 +76,7 @@
     gossip: GossipPort
     loads: LoadExchange
     crashes: CrashTable
+    parts: PartTable
     own_loads: dict[str, ServerLoad]  # what it has at each server of its region
     cold: ColdShares
     server_limits: ServerLimitTable
@@ -143,6 +145,7 @@
             _retry_window,
             _news_allowance,
             _crash_table,
+            _part_table,
             _quota_exchange,
             _admission_exchange,
             _stream_version_exchange,
@@ -243,12 +246,16 @@
             configuration_version=lambda: 1,
         )
         crashes = CrashTable(lambda change: gossip.broadcast_crash(change))
+        parts = PartTable(lambda change: gossip.send_immediately(part_exchange.urgent_news(change)))
+        part_exchange = PartExchange(members, parts)
+        part_exchange._rng = random.Random(ip)
         gossip = GossipPort(
             PORT,
             self.seeds,
             members,
             loads,
             CrashExchange(crashes),
+            part_exchange,
             quotas,
             admission,
             streams,
@@ -272,6 +279,7 @@
             gossip,
             loads,
             crashes,
+            parts,
             own_loads,
             cold,
             server_limits,
