Hold the bounds on parts that end engines against gateway processes

Bounds: three sends of each part later than 5 s after the fifth end; sound requests of instances in touch begin half as often as before.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -21,7 +21,7 @@
 from benchmarks._shapes import SHAPES
 from benchmarks._soak import soak
 from benchmarks._views import views
-from benchmarks.bounds import SITUATIONS, bounds
+from benchmarks.bounds import SITUATION_NAMES, bounds
 from benchmarks.gateway_soak import gateway_soak
 
 EXPERIMENTS = {
@@ -95,7 +95,7 @@
     command = commands.add_parser(
         "bounds", help="gateway processes in a situation that the operators bound"
     )
-    command.add_argument("--situation", choices=sorted(SITUATIONS), required=True)
+    command.add_argument("--situation", choices=sorted(SITUATION_NAMES), required=True)
     command.add_argument("--seed", type=int, default=1)
     command.add_argument("--gateways", type=int, default=8, help="instances, half in each region")
     command.add_argument("--rate", type=float, default=120.0, help="requests per second")
--- a/benchmarks/_gateway_fleet.py
+++ b/benchmarks/_gateway_fleet.py
@@ -53,6 +53,7 @@
     has_server_proxies: bool = True  # whether instances reach servers through a proxy
     # Software version of each backend server that has not the usual one.
     versions: Mapping[str, str] = field(default_factory=lambda: VERSIONS)
+    server_back_s: float = BACK_S  # time after which a backend server that has ended is back
 
 
 @dataclass(slots=True)
@@ -148,7 +149,7 @@
     def _add_server(self, name: str, events: int) -> None:
         version = self.shape.versions.get(name, "v1")
         server = SealedServer("127.0.0.1", self._ports.take(), name, events=events, version=version)
-        server.on_end = lambda: gevent.spawn_later(BACK_S, self._come_back, name)
+        server.on_end = lambda: gevent.spawn_later(self.shape.server_back_s, self._come_back, name)
         server.start()
         self.servers[name] = server
         if self.shape.has_server_proxies:
--- a/benchmarks/bounds/__init__.py
+++ b/benchmarks/bounds/__init__.py
@@ -1,11 +1,10 @@
-"""The operators' bounds on repeats, cold and leaving servers, held against gateway processes."""
+"""The operators' bounds, held against gateway processes: repeats, cold, leaving and crashing servers."""
 
-from benchmarks.bounds._command import bounds
+from benchmarks.bounds._command import SITUATION_NAMES, bounds
 from benchmarks.bounds._rules import RepeatRule, SeenArrival, SentRequest, worst_repeat_window
-from benchmarks.bounds._situations import SITUATIONS
 
 __all__ = [
-    "SITUATIONS",
+    "SITUATION_NAMES",
     "RepeatRule",
     "SeenArrival",
     "SentRequest",
--- a/benchmarks/bounds/_command.py
+++ b/benchmarks/bounds/_command.py
@@ -5,25 +5,46 @@
 import random
 import subprocess
 import sys
+from collections import Counter
+from dataclasses import dataclass
 
 import gevent
 
 from benchmarks._gateway_fleet import FleetShape, GatewayFleet
+from benchmarks.bounds._crashing_part import ENGINE_BACK_S, ENGINES, CrashDraw, CrashingRun
+from benchmarks.bounds._rules import Finding
 from benchmarks.bounds._run import NORTH, SERVERS, SOUTH, BoundsRun
-from benchmarks.bounds._situations import COLD, COLD_START_S, SETTLE_S, SITUATIONS, Finding
+from benchmarks.bounds._situations import COLD, COLD_START_S, SETTLE_S, SITUATIONS
 from standins import publish
 
 BUSY_LOOP = "while True: pass"
+# A situation with engines of its own.
+CRASHING_PART = "crashing-part"
+SITUATION_NAMES = (*SITUATIONS, CRASHING_PART)
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """Hold what was seen in a situation."""
+
+    findings: list[Finding]
+    requests: int
+    statuses: Counter
+    draw: dict[str, object]  # what the seed drew, empty where a situation draws nothing
 
 
 def bounds(options: argparse.Namespace) -> int:
     """Play one situation and return an exit code."""
     half = options.gateways // 2
-    shape = FleetShape((NORTH,) * (options.gateways - half) + (SOUTH,) * half, SERVERS, False)
+    zones = (NORTH,) * (options.gateways - half) + (SOUTH,) * half
+    if options.situation == CRASHING_PART:
+        shape = FleetShape(zones, ENGINES, False, {}, ENGINE_BACK_S)
+    else:
+        shape = FleetShape(zones, SERVERS, False)
     busy = [subprocess.Popen([sys.executable, "-c", BUSY_LOOP]) for _ in range(options.busy)]
     try:
         with GatewayFleet(shape) as fleet:
-            findings, run = _play(fleet, options)
+            played = _play(fleet, options)
             folder = fleet.folder
     finally:
         for process in busy:
@@ -34,22 +55,30 @@
         "seed": options.seed,
         "gateways": options.gateways,
         "busy": options.busy,
-        "requests": len(run.sent),
-        "statuses": dict(sorted(run.statuses.items())),
+        "requests": played.requests,
+        "statuses": dict(sorted(played.statuses.items())),
+        "draw": played.draw,
         "findings": [
-            {"what": one.what, "seen": one.seen, "allowed": one.allowed} for one in findings
+            {"what": one.what, "seen": one.seen, "allowed": one.allowed} for one in played.findings
         ],
     }
-    is_broken = any(one.is_broken for one in findings)
+    is_broken = any(one.is_broken for one in played.findings)
     if is_broken:
         print(f"logs in {folder}", file=sys.stderr)
     print(json.dumps(result))
     return 1 if is_broken else 0
 
 
-def _play(fleet: GatewayFleet, options: argparse.Namespace) -> tuple[list[Finding], BoundsRun]:
+def _play(fleet: GatewayFleet, options: argparse.Namespace) -> Played:
+    rng = random.Random(options.seed)
+    if options.situation == CRASHING_PART:
+        gevent.sleep(SETTLE_S)
+        crashing = CrashingRun(fleet, rng, options.rate, CrashDraw.make(rng))
+        findings = crashing.play()
+        return Played(findings, crashing.number, crashing.statuses, crashing.draw.described())
     cold = {"cold_start_s": COLD_START_S, "cold_per_s": COLD.per_s}
     publish(fleet.store, 2, plain=cold)
     gevent.sleep(SETTLE_S)
-    run = BoundsRun(fleet, random.Random(options.seed), options.rate)
-    return SITUATIONS[options.situation](run), run
+    run = BoundsRun(fleet, rng, options.rate)
+    findings = SITUATIONS[options.situation](run)
+    return Played(findings, len(run.sent), run.statuses, {})
--- a/benchmarks/bounds/_rules.py
+++ b/benchmarks/bounds/_rules.py
@@ -7,6 +7,20 @@
 SECOND_MS = 1_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Hold a bounded figure."""
+
+    what: str
+    seen: float
+    allowed: float
+
+    @property
+    def is_broken(self) -> bool:
+        """Tell whether the bound is exceeded."""
+        return self.seen > self.allowed
+
+
 @dataclass(frozen=True, slots=True)
 class SeenArrival:
     """Hold one request that reached a backend server."""
--- a/benchmarks/bounds/_situations.py
+++ b/benchmarks/bounds/_situations.py
@@ -2,13 +2,13 @@
 
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import gevent
 
 from benchmarks._gateway_settings import RETRIES
 from benchmarks.bounds._rules import (
     ColdRule,
+    Finding,
     RepeatRule,
     latest_after_ms,
     most_in_a_second,
@@ -30,20 +30,6 @@
 SETTLE_S = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """Hold a bounded figure."""
-
-    what: str
-    seen: float
-    allowed: float
-
-    @property
-    def is_broken(self) -> bool:
-        """Tell whether the bound is exceeded."""
-        return self.seen > self.allowed
-
-
 def _repeats(run: BoundsRun) -> Finding:
     worst = worst_repeat_window(run.sent, run.arrivals(), REPEATS)
     assert worst.repeats, "expected repeats, found none"
