Tell a newly started instance at once of the parts in quarantine

Change: whoever greets a new instance or answers its question for members sends the parts along. Evidence: test_a_new_instance_is_told_at_once.

--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -205,6 +205,7 @@
         if gossip.wants_members:
             sample = sample_members(self._members, gossip.sender.region, self._rng)
             self._send([gossip.sender.ip], self._gossip_message(same_region, sample, is_new=True))
+            self.send_immediately(self._parts.greeting([gossip.sender.ip]))
         elif is_new and same_region:
             # Instances of other regions learn of this one from the region's representatives.
             self._greet([gossip.sender.ip])
@@ -227,6 +228,7 @@
         self._greeted.update({ip: incarnations[ip] for ip in new if ip in incarnations})
         if new:
             self._send(new, self._gossip_message(True, is_new=True))
+            self.send_immediately(self._parts.greeting(new))
 
     def _not_yet_requested(self, keys: list[int]) -> list[int]:
         """Return the unknown instances whose description has not been requested recently."""
--- a/sparline/fleet/_part_exchange.py
+++ b/sparline/fleet/_part_exchange.py
@@ -70,6 +70,12 @@
             peers = [*peers, self._rng.choice(regions[self._round % len(regions)])]
         return [PartDatagram(peers, news)] if peers else []
 
+    def greeting(self, peers: list[str]) -> list[PartDatagram]:
+        """Return the datagram that tells newly started instances of the parts in quarantine."""
+        facts = self._table.facts(MAX_FACTS, 0.0)
+        notes = [to_part_note(one) for one in facts]
+        return [PartDatagram(peers, PartNews(notes, pass_on=False))] if notes else []
+
     def take(self, message: PartNews) -> list[PartDatagram]:
         """Merge a peer's facts; return the datagrams that forward those that are new here."""
         changes = self._table.take(map(to_part_fact, message.parts))
--- a/sparline/fleet/tests/test_part_exchange.py
+++ b/sparline/fleet/tests/test_part_exchange.py
@@ -64,6 +64,16 @@
     assert all(knowing(fleet))
 
 
+def test_a_new_instance_is_told_at_once(monkeypatch):
+    fleet = gossiping_fleet(monkeypatch, 5, 3)
+    for server in "abcd":
+        note_exit(fleet, "10.1.0.2", server)
+    fleet.pass_ms(60_000)
+    fleet.start("10.3.0.99", "3")
+    fleet.pass_ms(LATENCY_FACTOR * 2 * FAR_MS)
+    assert all(knowing(fleet))
+
+
 def test_many_suspected_parts_delay_no_quarantine(monkeypatch):
     fleet = gossiping_fleet(monkeypatch, 26, 3)
     sizes: list[int] = []
