Let operators see parts in quarantine and release one

What operators lacked: a part stays in quarantine while it is asked for, and nothing but a restart of all instances released it. Change: GET /quarantine and POST /quarantine/release?part=HEX on the metrics address of any instance, and the command sparline quarantine; a release is told to all instances like a complete answer. The records of parts and their facts are modules of their own.

--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -1,5 +1,7 @@
 import json
 
+import pytest
+
 from benchmarks.__main__ import main
 
 
@@ -33,3 +35,9 @@
 def test_restarted_instances_flood_the_servers_of_a_zone_that_returned_before(capsys):
     # They had not seen that the zone was evacuated, and nothing else told that its servers were cold.
     assert_bounds_hold(capsys, "return-and-restart", "--rate", "200")
+
+
+@pytest.mark.parametrize("seed", ["2", "10"])
+def test_requests_with_a_part_that_ends_engines_are_sent_on(capsys, seed):
+    # Each instance counted ends by whole requests, of which no two are alike.
+    assert_bounds_hold(capsys, "crashing-part", "--seed", seed, "--rate", "80")
--- a/sparline/cli/_http.py
+++ b/sparline/cli/_http.py
@@ -35,7 +35,18 @@
     address: BackendAddress, path: str, headers: dict[str, str] | None = None
 ) -> Result[HttpAnswer, str]:
     """Read one document."""
-    answer = call_json(address, "GET", path, b"", CALL_TIMEOUT_MS, headers or {})
+    return _call(address, "GET", path, headers or {})
+
+
+def post_json(address: BackendAddress, path: str) -> Result[HttpAnswer, str]:
+    """Ask for a change that the path describes, and read the document in answer."""
+    return _call(address, "POST", path, {})
+
+
+def _call(
+    address: BackendAddress, method: str, path: str, headers: dict[str, str]
+) -> Result[HttpAnswer, str]:
+    answer = call_json(address, method, path, b"", CALL_TIMEOUT_MS, headers)
     match answer:
         case Ok((status, content)):
             try:
--- a/sparline/cli/_main.py
+++ b/sparline/cli/_main.py
@@ -5,6 +5,7 @@
 from sparline.cli._call import KEY_VARIABLE, call, locate
 from sparline.cli._check import check
 from sparline.cli._gateway import gateway
+from sparline.cli._quarantine import quarantine
 from sparline.cli._serve import serve
 from sparline.cli._status import explain, status
 from sparline.cli._trace import trace
@@ -40,6 +41,7 @@
     _add_call(commands)
     _add_gateway(commands)
     _add_trace(commands)
+    _add_quarantine(commands)
     return parser
 
 
@@ -174,3 +176,17 @@
         "logs", nargs="*", metavar="LOG", help="log files; standard input without any"
     )
     command.set_defaults(run=trace)
+
+
+def _add_quarantine(commands: Commands) -> None:
+    command = _add(
+        commands,
+        "quarantine",
+        "print the parts of prompts with which requests are sent nowhere, or release one",
+    )
+    command.add_argument("metrics", metavar="IP:PORT", help="metrics address of any instance")
+    command.add_argument(
+        "--release", metavar="PART", help="part to send again, at all instances, as it is printed"
+    )
+    _add_json(command)
+    command.set_defaults(run=quarantine)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -10,10 +10,11 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline._logging import log
-from sparline._wsgi import Environ, StartResponse, make_server
+from sparline._wsgi import make_server
 from sparline.gateway._components import GatewayComponents
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
 from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._operator_app import make_operator_app
 from sparline.gateway._settings import split_address
 from sparline.platform import (
     make_directory_app,
@@ -49,7 +50,8 @@
         self._listen(listen.relay, self.service.serve_peer)
         self._serve_app(listen.readiness, make_readiness_app(self.is_ready))
         self._serve_app(listen.directory, make_directory_app(self.directory.find))
-        self._serve_app(listen.metrics, self._metrics_app)
+        operator_app = make_operator_app(self._render_metrics, self.crashing_parts)
+        self._serve_app(listen.metrics, operator_app)
         tasks = (
             self._go_live,
             self.gossip.read,
@@ -73,7 +75,7 @@
         server.start()
         self._apps.append(server)
 
-    def _metrics_app(self, _environ: Environ, start_response: StartResponse) -> list[bytes]:
+    def _render_metrics(self) -> bytes:
         self.metrics.in_flight.set(self.service.in_flight)
         self.admission.update_metrics()
         self.metrics.quotas_kept.set(len(self.quota_exchange.quota_coordinator))
@@ -90,15 +92,7 @@
         self.metrics.lines_left_out.set(self.request_log.left_out())
         configuration = self.fleet.configuration
         self.metrics.configuration_version.set(configuration.version if configuration else 0)
-        content = self.metrics.render()
-        start_response(
-            "200 OK",
-            [
-                ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
-                ("Content-Length", str(len(content))),
-            ],
-        )
-        return [content]
+        return self.metrics.render()
 
     def is_ready(self) -> bool:
         """Return whether callers should use this instance."""
--- a/sparline/quarantine/__init__.py
+++ b/sparline/quarantine/__init__.py
@@ -21,7 +21,8 @@
     to_part_fact,
     to_part_note,
 )
-from sparline.quarantine._part_table import PartChange, PartFact, PartTable, QuarantinedPart
+from sparline.quarantine._part_facts import PartChange, PartFact, QuarantinedPart
+from sparline.quarantine._part_table import PartTable
 from sparline.quarantine._request_sample import RequestSample, make_sample, sample_of
 from sparline.quarantine._server_ends import (
     EndEvidence,
--- /dev/null
+++ b/sparline/quarantine/_part_facts.py
@@ -0,0 +1,41 @@
+"""Facts and changes of backend server exits by the parts of prompts."""
+
+from dataclasses import dataclass
+
+from sparline._ids import PartDigest
+from sparline.quarantine._crash_table import FactSource
+from sparline.quarantine._request_sample import RequestSample
+
+
+@dataclass(frozen=True, slots=True)
+class PartFact:
+    """Represent the exits under one part."""
+
+    part: PartDigest
+    exits: frozenset[int]  # keys of the exits
+    cleared: frozenset[int]  # those of them that an answer or an operator has excused
+    carriers: RequestSample  # interrupted requests that have the part
+    bystanders: RequestSample  # requests that the exits interrupted, with the part or without
+    age_ms: float  # time since the newest exit
+
+
+@dataclass(frozen=True, slots=True)
+class PartChange:
+    """Represent a change in the record of one part."""
+
+    fact: PartFact  # state after the change
+    exits: int  # exits not excused after the change
+    exits_before: int  # exits not excused before the change
+    learnt: FactSource  # source of the change
+    is_urgent: bool  # whether every instance is to know it at once
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinedPart:
+    """Describe a part in quarantine."""
+
+    part: PartDigest
+    exits: frozenset[int]  # keys of the exits that are not excused
+    carriers: float  # interrupted requests that have it (count, estimated)
+    bystanders: float  # requests that the exits interrupted (count, estimated)
+    age_ms: float  # time since the newest exit
--- /dev/null
+++ b/sparline/quarantine/_part_record.py
@@ -0,0 +1,53 @@
+"""The exits known under one part of prompts, and the keys that identify them."""
+
+from dataclasses import dataclass, field
+
+from sparline._ids import BackendServerId
+from sparline.quarantine._crash_table import server_incarnation_key
+from sparline.quarantine._interrupted_request import KIND_BITS, ServerKind
+from sparline.quarantine._request_sample import RequestSample
+
+# Most exits remembered for a part: more than the longest blame of a common one needs.
+MAX_EXITS = 12
+
+
+@dataclass(slots=True)
+class PartRecord:
+    """Hold the exits under one part."""
+
+    exits: set[int] = field(default_factory=set)  # keys of the exits
+    cleared: set[int] = field(default_factory=set)  # those of them that are excused
+    carriers: RequestSample = RequestSample()  # interrupted requests that have the part
+    bystanders: RequestSample = RequestSample()  # as peers told: all interrupted requests
+    exited_at_ms: float = 0.0  # time of the newest exit
+    changed_at_ms: float = 0.0  # time of the last change in this instance
+    asked_at_ms: float = 0.0  # when a request with the part was last turned away
+    answers_before: int = 0  # complete answers here before the first exit that is not excused
+
+    @property
+    def counted(self) -> frozenset[int]:
+        """Return the exits that are not excused."""
+        return frozenset(self.exits - self.cleared)
+
+    def trim(self) -> None:
+        """Bound the exits remembered for a part, dropping excused ones first."""
+        excess = len(self.exits) - MAX_EXITS
+        if excess <= 0:
+            return
+        dropped = sorted(self.exits, key=lambda key: (key not in self.cleared, key))[:excess]
+        self.exits.difference_update(dropped)
+        self.cleared.difference_update(dropped)
+
+
+def exit_key(server_id: BackendServerId, kind: ServerKind) -> int:
+    """Return a compact key of an exit, equal in each instance.
+
+    The low bits identify the kind of server, the others its incarnation.
+    """
+    incarnation = server_incarnation_key(server_id) >> KIND_BITS
+    return incarnation << KIND_BITS | kind.key
+
+
+def kind_of(exit_key: int) -> int:
+    """Return the key of the kind of server that exited."""
+    return exit_key % (1 << KIND_BITS)
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -6,7 +6,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, PartDigest
@@ -18,16 +17,12 @@
     blamed_parts,
     is_suspected,
 )
-from sparline.quarantine._crash_table import (
-    FactSource,
-    count_exits,
-    server_incarnation_key,
-)
+from sparline.quarantine._crash_table import FactSource, count_exits
 from sparline.quarantine._interrupted_request import KIND_BITS, InterruptedRequest, ServerKind
+from sparline.quarantine._part_facts import PartChange, PartFact, QuarantinedPart
+from sparline.quarantine._part_record import PartRecord, exit_key, kind_of
 from sparline.quarantine._request_sample import RequestSample, sample_of
 
-# Most exits remembered for a part: more than the longest blame of a common one needs.
-MAX_EXITS = 12
 # Most parts with exits, at some 1 kB each. Above that a tenth is evicted at a time, those with the
 # fewest exits first.
 MAX_RECORDS = 2_048
@@ -44,57 +39,6 @@
 MAX_EXIT_SAMPLES = 1_024
 
 
-@dataclass(frozen=True, slots=True)
-class PartFact:
-    """Represent the exits under one part."""
-
-    part: PartDigest
-    exits: frozenset[int]  # keys of the exits
-    cleared: frozenset[int]  # those of them that an answer or an operator has excused
-    carriers: RequestSample  # interrupted requests that have the part
-    bystanders: RequestSample  # requests that the exits interrupted, with the part or without
-    age_ms: float  # time since the newest exit
-
-
-@dataclass(frozen=True, slots=True)
-class PartChange:
-    """Represent a change in the record of one part."""
-
-    fact: PartFact  # state after the change
-    exits: int  # exits not excused after the change
-    exits_before: int  # exits not excused before the change
-    learnt: FactSource  # source of the change
-    is_urgent: bool  # whether every instance is to know it at once
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantinedPart:
-    """Describe a part in quarantine."""
-
-    part: PartDigest
-    exits: frozenset[int]  # keys of the exits that are not excused
-    carriers: float  # interrupted requests that have it (count, estimated)
-    bystanders: float  # requests that the exits interrupted (count, estimated)
-    age_ms: float  # time since the newest exit
-
-
-@dataclass(slots=True)
-class _Record:
-    exits: set[int] = field(default_factory=set)
-    cleared: set[int] = field(default_factory=set)
-    carriers: RequestSample = RequestSample()
-    bystanders: RequestSample = RequestSample()
-    exited_at_ms: float = 0.0  # time of the newest exit
-    changed_at_ms: float = 0.0  # time of the last change in this instance
-    asked_at_ms: float = 0.0  # when a request with the part was last turned away
-    answers_before: int = 0  # complete answers here before the first exit that is not excused
-
-    @property
-    def counted(self) -> frozenset[int]:
-        """Return the exits that are not excused."""
-        return frozenset(self.exits - self.cleared)
-
-
 class PartTable:
     """Count server exits by part, with bounded memory, and tell which parts are in quarantine."""
 
@@ -108,7 +52,7 @@
         `on_change` is called with each change, `on_quarantine` with each part that is put in
         quarantine (True) or released (False).
         """
-        self._records: dict[PartDigest, _Record] = {}
+        self._records: dict[PartDigest, PartRecord] = {}
         # Times of complete answers, by part and kind of server.
         self._answered_at_ms: OrderedDict[tuple[PartDigest, int], float] = OrderedDict()
         self._exit_samples: OrderedDict[int, RequestSample] = OrderedDict()
@@ -136,7 +80,7 @@
         found = (self._records.get(part) for part in parts)
         return max(
             (
-                count_exits(server_id, lambda one: _exit_key(one, kind), record.exits)
+                count_exits(server_id, lambda one: exit_key(one, kind), record.exits)
                 for record in found
                 if record is not None
             ),
@@ -183,7 +127,7 @@
             if self._is_blamed_now(self._records[part])
         ]
 
-    def _is_blamed_now(self, record: _Record) -> bool:
+    def _is_blamed_now(self, record: PartRecord) -> bool:
         limit_ms = blame_ms(self._evidence(record))
         return limit_ms is None or now_ms() - record.exited_at_ms < limit_ms
 
@@ -200,7 +144,7 @@
         learnt: FactSource = FactSource.HERE,
     ) -> None:
         """Record that a server exited while it may have been running a request."""
-        key = _exit_key(server_id, request.kind)
+        key = exit_key(server_id, request.kind)
         sample = sample_of(request.request_id)
         known = self._exit_samples.setdefault(key, RequestSample())
         self._exit_samples[key] = known.merged(sample)
@@ -232,7 +176,7 @@
             if len(self._answered_at_ms) > MAX_ANSWERED:
                 self._answered_at_ms.popitem(last=False)
             if record := self._records.get(part):
-                self._clear(part, {one for one in record.counted if _kind_of(one) == kind.key})
+                self._clear(part, {one for one in record.counted if kind_of(one) == kind.key})
 
     def release(self, part: PartDigest) -> bool:
         """Excuse a part of all its exits; return False if none are known."""
@@ -259,7 +203,7 @@
 
     def _merge(self, fact: PartFact, learnt: FactSource) -> PartChange | None:
         now = now_ms()
-        record = self._records.setdefault(fact.part, _Record())
+        record = self._records.setdefault(fact.part, PartRecord())
         before = record.counted
         if not before:
             record.answers_before = self._answers
@@ -270,7 +214,7 @@
         known = (len(record.exits), len(record.cleared))
         record.exits |= fact.exits
         record.cleared |= fact.cleared & record.exits
-        _trim(record)
+        record.trim()
         self._update_quarantine(fact.part)
         if (len(record.exits), len(record.cleared)) == known:
             return None
@@ -290,7 +234,7 @@
         """Tell whether any kind of server has answered a part lately."""
         since = now_ms() - ANSWERED_TTL_MS
         return any(
-            self._answered_at_ms.get((part, _kind_of(one)), 0.0) > since
+            self._answered_at_ms.get((part, kind_of(one)), 0.0) > since
             for one in self._records[part].exits
         )
 
@@ -312,7 +256,7 @@
         for part in sorted(self._quarantined ^ before):
             self._on_quarantine(self._describe(part), part in self._quarantined)
 
-    def _evidence(self, record: _Record) -> PartEvidence:
+    def _evidence(self, record: PartRecord) -> PartEvidence:
         counted = record.counted
         return PartEvidence(
             exits=counted,
@@ -321,7 +265,7 @@
             answers_beside=self._answers - record.answers_before,
         )
 
-    def _bystanders(self, record: _Record, exits: Iterable[int]) -> RequestSample:
+    def _bystanders(self, record: PartRecord, exits: Iterable[int]) -> RequestSample:
         merged = record.bystanders.merged(record.carriers)
         for one in exits:
             merged = merged.merged(self._exit_samples.get(one, RequestSample()))
@@ -357,7 +301,7 @@
         )  # fmt: skip
         return [self._fact_of(part, one, now) for part, one in chosen[:limit]]
 
-    def _fact_of(self, part: PartDigest, record: _Record, now: float) -> PartFact:
+    def _fact_of(self, part: PartDigest, record: PartRecord, now: float) -> PartFact:
         return PartFact(
             part,
             frozenset(record.exits),
@@ -381,26 +325,3 @@
 
     def _ttl_ms(self, part: PartDigest) -> float:
         return QUARANTINED_RECORD_TTL_MS if part in self._quarantined else RECORD_TTL_MS
-
-
-def _exit_key(server_id: BackendServerId, kind: ServerKind) -> int:
-    """Return a compact key of an exit, equal in each instance.
-
-    The low bits identify the kind of server, the others its incarnation.
-    """
-    incarnation = server_incarnation_key(server_id) >> KIND_BITS
-    return incarnation << KIND_BITS | kind.key
-
-
-def _kind_of(exit_key: int) -> int:
-    return exit_key % (1 << KIND_BITS)
-
-
-def _trim(record: _Record) -> None:
-    """Bound the exits remembered for a part, dropping excused ones first."""
-    excess = len(record.exits) - MAX_EXITS
-    if excess <= 0:
-        return
-    dropped = sorted(record.exits, key=lambda key: (key not in record.cleared, key))[:excess]
-    record.exits.difference_update(dropped)
-    record.cleared.difference_update(dropped)
