Tell the parts that matter first, and prefer parts that were never answered as causes

Change: of parts that exits and carriers don't tell apart, one that was answered lately is left out first; datagrams hold quarantined parts and such that were not answered lately first, and a random half of the rest; urgent ones are filled up, and sent for usual parts from the third exit on. The stand-in of backend servers ends once, also under two requests at a time.

--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -50,6 +50,7 @@
         float  # requests that these exits interrupted, with it or without (count, estimated)
     )
     answers_beside: int  # complete answers to requests without it since the first of these exits
+    was_answered: bool  # whether requests with it were answered completely before, lately
 
     @property
     def is_common(self) -> bool:
@@ -77,7 +78,7 @@
     return frozenset(blamed)
 
 
-def _likelihood(evidence: PartEvidence) -> tuple[int, int, float]:
+def _likelihood(evidence: PartEvidence) -> tuple[int, int, bool, float]:
     """Return a sort key that is higher for likelier causes.
 
     One request suffices for an exit, so that a cause has few carriers under each. Sound parts of
@@ -85,7 +86,7 @@
     """
     exits = len(evidence.exits)
     carriers_per_exit = max(evidence.carriers / exits, 1.0)
-    return -round(log2(carriers_per_exit)), exits, -evidence.carriers
+    return -round(log2(carriers_per_exit)), exits, not evidence.was_answered, -evidence.carriers
 
 
 def _is_explained(evidence: PartEvidence, exits: frozenset[int]) -> bool:
--- a/sparline/decisions/tests/test_part_blame.py
+++ b/sparline/decisions/tests/test_part_blame.py
@@ -6,8 +6,14 @@
 from sparline.decisions import PartEvidence, blame_ms, blamed_parts, is_suspected
 
 
-def evidence(exits: range, carriers: float, bystanders: float = 150.0, beside: int = 0):
-    return PartEvidence(frozenset(exits), carriers, bystanders, beside)
+def evidence(
+    exits: range,
+    carriers: float,
+    bystanders: float = 150.0,
+    beside: int = 0,
+    was_answered: bool = False,
+) -> PartEvidence:
+    return PartEvidence(frozenset(exits), carriers, bystanders, beside, was_answered)
 
 
 # Name of the case, evidence by part, parts that are blamed.
@@ -52,6 +58,11 @@
         {"bad": evidence(range(4), 4), "other": evidence(range(4), 4)},
         "other",
     ),
+    (
+        "one of two parts that was answered before",
+        {"bad": evidence(range(4), 4), "other": evidence(range(4), 4, was_answered=True)},
+        "bad",
+    ),
     ("most requests have it", {"bad": evidence(range(7), 90)}, ""),
     ("most requests have it, many exits", {"bad": evidence(range(8), 90)}, "bad"),
     (
--- a/sparline/fleet/_part_exchange.py
+++ b/sparline/fleet/_part_exchange.py
@@ -94,15 +94,18 @@
         if not allowance.take(len(self._members.live(region)) + 1):
             # Over the rate limit; the rounds report it instead.
             return []
-        note = to_part_note(change.fact)
+        others = [
+            one for one in self._table.facts(MAX_FACTS, RECENT_MS) if one.part != change.fact.part
+        ]
+        notes = [to_part_note(one) for one in (change.fact, *others[: MAX_FACTS - 1])]
         remote = [
             ip
             for ips in ips_by_other_region(self._members)
             for ip in limit_randomly(ips, REPRESENTATIVES_PER_REGION, self._rng)
         ]
         return [
-            self._to_siblings(PartNews([note], pass_on=False)),
-            PartDatagram(remote, PartNews([note], pass_on=True)),
+            self._to_siblings(PartNews(notes, pass_on=False)),
+            PartDatagram(remote, PartNews(notes, pass_on=True)),
         ]
 
     def _to_siblings(self, news: PartNews) -> PartDatagram:
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -4,6 +4,7 @@
 `sparline.decisions` tells which parts are to blame.
 """
 
+import random
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
@@ -101,7 +102,7 @@
         if not self._quarantined:
             return None
         for part in parts:
-            if part in self._quarantined and self._is_blamed_now(self._records[part]):
+            if part in self._quarantined and self._is_blamed_now(part):
                 self._records[part].asked_at_ms = now_ms()
                 return part
         return None
@@ -117,23 +118,22 @@
         if self._is_usually_answered(part):
             return False
         explained = frozenset(one for one in record.exits if one >> KIND_BITS in self._explained)
-        return is_suspected(self._evidence(record), explained)
+        return is_suspected(self._evidence(part, record), explained)
 
     def quarantined(self) -> list[QuarantinedPart]:
         """Return the parts in quarantine."""
         return [
-            self._describe(part)
-            for part in sorted(self._quarantined)
-            if self._is_blamed_now(self._records[part])
+            self._describe(part) for part in sorted(self._quarantined) if self._is_blamed_now(part)
         ]
 
-    def _is_blamed_now(self, record: PartRecord) -> bool:
-        limit_ms = blame_ms(self._evidence(record))
+    def _is_blamed_now(self, part: PartDigest) -> bool:
+        record = self._records[part]
+        limit_ms = blame_ms(self._evidence(part, record))
         return limit_ms is None or now_ms() - record.exited_at_ms < limit_ms
 
     def _describe(self, part: PartDigest) -> QuarantinedPart:
         record = self._records[part]
-        evidence = self._evidence(record)
+        evidence = self._evidence(part, record)
         age_ms = now_ms() - record.exited_at_ms
         return QuarantinedPart(part, evidence.exits, evidence.carriers, evidence.bystanders, age_ms)
 
@@ -220,9 +220,8 @@
             return None
         record.changed_at_ms = now
         after = record.counted
-        is_urgent = len(after | before) >= MIN_SUSPECTED_EXITS or not self._is_usually_answered(
-            fact.part
-        )
+        is_nearly_blamed = len(after | before) >= MIN_BLAMED_EXITS - 1
+        is_urgent = is_nearly_blamed or not self._is_usually_answered(fact.part)
         change = PartChange(
             self._fact_of(fact.part, record, now), len(after), len(before), learnt, is_urgent
         )
@@ -245,7 +244,7 @@
         if not is_concerned:
             return
         evidence = {
-            part: self._evidence(one)
+            part: self._evidence(part, one)
             for part, one in self._records.items()
             if len(one.exits) - len(one.cleared) >= MIN_BLAMED_EXITS
         }
@@ -256,13 +255,14 @@
         for part in sorted(self._quarantined ^ before):
             self._on_quarantine(self._describe(part), part in self._quarantined)
 
-    def _evidence(self, record: PartRecord) -> PartEvidence:
+    def _evidence(self, part: PartDigest, record: PartRecord) -> PartEvidence:
         counted = record.counted
         return PartEvidence(
             exits=counted,
             carriers=record.carriers.count(),
             bystanders=self._bystanders(record, counted).count(),
             answers_beside=self._answers - record.answers_before,
+            was_answered=self._is_usually_answered(part),
         )
 
     def _bystanders(self, record: PartRecord, exits: Iterable[int]) -> RequestSample:
@@ -285,21 +285,30 @@
     def facts(self, limit: int, changed_within_ms: float) -> list[PartFact]:
         """Return at most `limit` facts to send to peers: of quarantined parts and recent changes.
 
-        Those with the most exits come first.
+        When there are more, half of them are the most important ones and the others are a random
+        sample.
         """
         now = now_ms()
         chosen = [
-            (part, one)
+            part
             for part, one in self._records.items()
             if part in self._quarantined or now - one.changed_at_ms <= changed_within_ms
         ]
-        chosen.sort(
-            key=lambda pair: (
-                pair[0] in self._quarantined, len(pair[1].counted), pair[1].changed_at_ms
-            ),
-            reverse=True,
-        )  # fmt: skip
-        return [self._fact_of(part, one, now) for part, one in chosen[:limit]]
+        chosen.sort(key=self._importance, reverse=True)
+        if len(chosen) > limit:
+            top_count = limit - limit // 2
+            chosen = chosen[:top_count] + random.sample(chosen[top_count:], limit - top_count)
+        return [self._fact_of(part, self._records[part], now) for part in chosen]
+
+    def _importance(self, part: PartDigest) -> tuple[bool, bool, int, float]:
+        """Return a sort key that is higher for parts that peers need to know of."""
+        record = self._records[part]
+        return (
+            part in self._quarantined,
+            not self._is_usually_answered(part),
+            len(record.counted),
+            record.changed_at_ms,
+        )
 
     def _fact_of(self, part: PartDigest, record: PartRecord, now: float) -> PartFact:
         return PartFact(
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -122,6 +122,9 @@
 
     def end(self) -> None:
         """End as a process that is lost does: the port closes and every connection ends."""
+        if not self.keeps_port and not self.is_listening():
+            # It has ended already, under another request.
+            return
         if not self.keeps_port:
             self.stop()
         for connection in list(self._open):
