--- a/sparline/quarantine/_part_record.py
+++ b/sparline/quarantine/_part_record.py
@@ -29,6 +29,13 @@
         """Return the exits that are not excused."""
         return frozenset(self.exits - self.cleared)
 
+    def add_requests(self, carriers: RequestSample, bystanders: RequestSample) -> bool:
+        """Add interrupted requests; return whether any of them is new in the samples."""
+        before = (self.carriers, self.bystanders)
+        self.carriers = self.carriers.merged(carriers)
+        self.bystanders = self.bystanders.merged(bystanders)
+        return (self.carriers, self.bystanders) != before
+
     def trim(self) -> None:
         """Bound the exits remembered for a part, dropping excused ones first."""
         excess = len(self.exits) - MAX_EXITS
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -209,14 +209,15 @@
             record.answers_before = self._answers
         if fact.exits - record.exits:
             record.exited_at_ms = max(record.exited_at_ms, now - max(fact.age_ms, 0.0))
-        record.carriers = record.carriers.merged(fact.carriers)
-        record.bystanders = record.bystanders.merged(fact.bystanders)
-        known = (len(record.exits), len(record.cleared))
+        counts = (len(record.exits), len(record.cleared))
+        has_new_requests = record.add_requests(fact.carriers, fact.bystanders)
         record.exits |= fact.exits
         record.cleared |= fact.cleared & record.exits
         record.trim()
-        self._update_quarantine(fact.part)
-        if (len(record.exits), len(record.cleared)) == known:
+        has_changed = (len(record.exits), len(record.cleared)) != counts
+        if has_changed or has_new_requests:
+            self._update_quarantine(fact.part)
+        if not has_changed:
             return None
         record.changed_at_ms = now
         after = record.counted
