Open the circle between the components of a gateway and its forwarders

_components.py made the forwarders and _forwarders.py takes the components: they imported each other, one of them for types alone. Gateway makes the forwarders now. Evidence: test_fleet.py, test_software_versions.py.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -36,7 +36,6 @@
 )
 from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
 from sparline.gateway._directory import Directory
-from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._occupancy import RegionOccupancy
@@ -203,9 +202,6 @@
             self.admission,
             self.crashing_parts,
         )
-        self.service.set_forwarders(
-            make_forwarder(self, FOR_CALLERS), make_forwarder(self, FOR_PEERS)
-        )
         self.part_exchange = PartExchange(self.members, self.crashing_parts)
         gossip_port = split_address(settings.listen.gossip)[1]
         self.gossip = GossipPort(
--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from sparline._ids import SoftwareVersion
 from sparline.forwarding import (
@@ -14,6 +13,7 @@
     OwnAnswer,
     may_send_elsewhere,
 )
+from sparline.gateway._components import GatewayComponents
 from sparline.http import Headers, HttpAnswer
 from sparline.placement import WatchTables
 from sparline.platform import (
@@ -26,9 +26,6 @@
 )
 from sparline.requests import is_withdrawn
 
-if TYPE_CHECKING:
-    from sparline.gateway._components import GatewayComponents
-
 
 @dataclass(frozen=True, slots=True)
 class AnswerHeaders:
@@ -43,7 +40,7 @@
 FOR_PEERS = AnswerHeaders(relayed_refusal_headers, relayed_answer_headers)
 
 
-def make_forwarder(components: "GatewayComponents", headers: AnswerHeaders) -> Forwarder:
+def make_forwarder(components: GatewayComponents, headers: AnswerHeaders) -> Forwarder:
     """Create a forwarder on the components of an instance."""
     return Forwarder(
         ForwarderDependencies(
@@ -67,7 +64,7 @@
 
 
 def _attempt_dependencies(
-    components: "GatewayComponents", headers: AnswerHeaders
+    components: GatewayComponents, headers: AnswerHeaders
 ) -> AttemptDependencies:
     return AttemptDependencies(
         pool=components.pool,
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from sparline._logging import log
 from sparline._wsgi import make_server
 from sparline.gateway._components import GatewayComponents
+from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._operator_app import make_operator_app
@@ -38,6 +39,9 @@
     def __init__(self, settings: GatewaySettings) -> None:
         """Create all components without opening any port."""
         super().__init__(settings)
+        self.service.set_forwarders(
+            make_forwarder(self, FOR_CALLERS), make_forwarder(self, FOR_PEERS)
+        )
         self._stopped = Event()
         self._servers: list[StreamServer] = []
         self._apps: list[WSGIServer] = []
--- a/sparline/gateway/tests/test_software_versions.py
+++ b/sparline/gateway/tests/test_software_versions.py
@@ -9,7 +9,7 @@
 
 from sparline._clock import now_ms
 from sparline.forwarding import RetryWindow
-from sparline.gateway import _components, _forwarders
+from sparline.gateway import _forwarders, _gateway
 from sparline.platform import answer_headers
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
 from standins import PROMPT, Caller, Got, SealedFaults, publish, resumption
@@ -159,7 +159,7 @@
 ):
     if not are_named:
         silent = replace(_forwarders.FOR_PEERS, stream=answer_headers)
-        monkeypatch.setattr(_components, "FOR_PEERS", silent)
+        monkeypatch.setattr(_gateway, "FOR_PEERS", silent)
     with engines_behind(*TWO_REGIONS, versions=versions, zone="south-1") as fleet:
         for number in range(STREAMS):
             assert is_whole(ask_broken(fleet, f"r{number}")) is go_on
