Group the simulation of choices in benchmarks

Ten flat modules _decide*.py are the package benchmarks/choice_simulation, with the surface that its users import. No behaviour changed. Evidence: test_decide.py, test_replay.py, test_replay_known.py pass.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,8 +11,6 @@
 from benchmarks._choice_cost import choice_cost
 from benchmarks._control import control
 from benchmarks._cpu import cpu
-from benchmarks._decide import decide
-from benchmarks._decide_known import Known
 from benchmarks._demo import demo
 from benchmarks._limits import limits
 from benchmarks._replay import replay
@@ -22,6 +20,7 @@
 from benchmarks._soak import soak
 from benchmarks._views import views
 from benchmarks.bounds import SITUATION_NAMES, bounds
+from benchmarks.choice_simulation import Known, decide
 from benchmarks.gateway_soak import gateway_soak
 
 EXPERIMENTS = {
--- a/benchmarks/_load_patterns.py
+++ b/benchmarks/_load_patterns.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from benchmarks._decide_draws import (
+from benchmarks.choice_simulation import (
     MOST_REQUESTS,
     Arrival,
     Draw,
--- a/benchmarks/_replay.py
+++ b/benchmarks/_replay.py
@@ -3,9 +3,6 @@
 import argparse
 import json
 
-from benchmarks._decide import POLICIES, DayResult, result_of
-from benchmarks._decide_known import Known
-from benchmarks._decide_play import play
 from benchmarks._load_patterns import (
     SHOWN_SEEDS,
     UNSEEN_SEEDS,
@@ -14,6 +11,7 @@
     deployment_of,
     load_patterns,
 )
+from benchmarks.choice_simulation import POLICIES, DayResult, Known, play, result_of
 
 # Instances of each of three regions: 9, 72 and 195 in all.
 SIZES = (3, 24, 65)
--- a/benchmarks/_decide_caller.py
+++ b/benchmarks/choice_simulation/_caller.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 import sparline._clock
-from benchmarks._decide_draws import Arrival
+from benchmarks.choice_simulation._draws import Arrival
 
 
 @dataclass(slots=True)
--- a/benchmarks/_decide.py
+++ b/benchmarks/choice_simulation/_command.py
@@ -4,8 +4,8 @@
 import json
 from dataclasses import dataclass
 
-from benchmarks._decide_caller import CallerView
-from benchmarks._decide_draws import (
+from benchmarks.choice_simulation._caller import CallerView
+from benchmarks.choice_simulation._draws import (
     SHOWN_SEEDS,
     UNSEEN_SEEDS,
     Arrival,
@@ -14,8 +14,8 @@
     draw_deployment,
     work_ms,
 )
-from benchmarks._decide_play import play
-from benchmarks._decide_world import World
+from benchmarks.choice_simulation._play import play
+from benchmarks.choice_simulation._world import World
 from sparline.placement import Chooser, Placement
 
 # Requests that come in one of these windows are to be read within it or the wanted time (ms).
--- a/benchmarks/_decide_engine.py
+++ b/benchmarks/choice_simulation/_engine.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks._decide_draws import EngineKind
+from benchmarks.choice_simulation._draws import EngineKind
 
 
 @dataclass(slots=True)
--- a/benchmarks/_decide_node.py
+++ b/benchmarks/choice_simulation/_node.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from benchmarks._decide_caller import CallerView
-from benchmarks._decide_engine import Job
-from benchmarks._decide_known import Known
-from benchmarks._decide_requests import make_fleet_state, make_request
-from benchmarks._decide_world import IN_REGION_MS, World
+from benchmarks.choice_simulation._caller import CallerView
+from benchmarks.choice_simulation._engine import Job
+from benchmarks.choice_simulation._known import Known
+from benchmarks.choice_simulation._requests import make_fleet_state, make_request
+from benchmarks.choice_simulation._world import IN_REGION_MS, World
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline.fleet import (
     NO_ADMISSION,
--- a/benchmarks/_decide_play.py
+++ b/benchmarks/choice_simulation/_play.py
@@ -5,14 +5,14 @@
 from loguru import logger
 
 import sparline._clock
-from benchmarks._decide_caller import CallerView
-from benchmarks._decide_draws import Arrival, Draw
-from benchmarks._decide_engine import ModelEngine
-from benchmarks._decide_known import Known
-from benchmarks._decide_node import ROUND_MS, MakeChooser, Node
-from benchmarks._decide_requests import ENGINES
-from benchmarks._decide_time import SimulatedTime
-from benchmarks._decide_world import World
+from benchmarks.choice_simulation._caller import CallerView
+from benchmarks.choice_simulation._draws import Arrival, Draw
+from benchmarks.choice_simulation._engine import ModelEngine
+from benchmarks.choice_simulation._known import Known
+from benchmarks.choice_simulation._node import ROUND_MS, MakeChooser, Node
+from benchmarks.choice_simulation._requests import ENGINES
+from benchmarks.choice_simulation._time import SimulatedTime
+from benchmarks.choice_simulation._world import World
 from sparline._hashing import hash64
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline.fleet import (
--- a/benchmarks/_decide_requests.py
+++ b/benchmarks/choice_simulation/_requests.py
@@ -1,8 +1,8 @@
 """Routes, requests and the fleet's state as instances of a simulated deployment hold them."""
 
 import sparline._clock
-from benchmarks._decide_draws import Arrival, KindDraw
-from benchmarks._decide_world import World
+from benchmarks.choice_simulation._draws import Arrival, KindDraw
+from benchmarks.choice_simulation._world import World
 from sparline._ids import RegionName, RequestId, ZoneName
 from sparline.fleet import (
     FleetState,
--- a/benchmarks/_decide_world.py
+++ b/benchmarks/choice_simulation/_world.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
-from benchmarks._decide_caller import CallerView
-from benchmarks._decide_draws import Draw
-from benchmarks._decide_engine import Job, ModelEngine
-from benchmarks._decide_known import Known
-from benchmarks._decide_time import SimulatedTime
+from benchmarks.choice_simulation._caller import CallerView
+from benchmarks.choice_simulation._draws import Draw
+from benchmarks.choice_simulation._engine import Job, ModelEngine
+from benchmarks.choice_simulation._known import Known
+from benchmarks.choice_simulation._time import SimulatedTime
 from sparline._cbor import unpack
 from sparline._ids import BackendServerId
 from sparline.fleet import BackendServer, Datagram, GossipPort, ServerLoad, sum_loads
--- a/benchmarks/tests/test_decide.py
+++ b/benchmarks/tests/test_decide.py
@@ -2,16 +2,18 @@
 
 import pytest
 
-from benchmarks._decide import POLICIES, bound_of
-from benchmarks._decide_draws import (
+from benchmarks.choice_simulation import (
+    POLICIES,
     SHOWN_SEEDS,
     UNSEEN_SEEDS,
     EngineKind,
+    Job,
+    ModelEngine,
+    bound_of,
     draw_arrivals,
     draw_deployment,
+    play,
 )
-from benchmarks._decide_engine import Job, ModelEngine
-from benchmarks._decide_play import play
 from sparline.placement import PaceTable
 
 KIND = EngineKind(
