Keep sound parts out of quarantine that were moved from one exiting server to the next

Cause: requests that were moved from one exiting server to the next counted each exit against their parts, although these are usually answered; and exits that were excused of the bad part explained nothing. Change: an exit that interrupts a request again adds nothing against a usual part. All exits under a blamed part explain, also excused ones, and a part is blamed only if two of its exits have no other explanation. Evidence: test_part_blame (two rows), test_a_request_that_is_moved_from_exit_to_exit_counts_once.

--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -30,9 +30,9 @@
 MIN_ANSWERS_BESIDE = 8
 # Exits from which on requests with a part are sent once only, and to the emptiest server (count).
 MIN_SUSPECTED_EXITS = 2
-# Share of a part's exits that others must explain, so that it is not blamed.
-EXPLAINED_SHARE = 0.8
-# The same for a part that most of the interrupted requests have.
+# Exits under a blamed part that no other blamed part explains (count).
+MIN_UNEXPLAINED_EXITS = 2
+# Share of the exits under a common part above which others explain them.
 COMMON_EXPLAINED_SHARE = 0.5
 # Time for which a common part is blamed after the exit that reached the count (ms), doubled with each
 # further exit.
@@ -45,6 +45,7 @@
     """Hold what is known against a part of prompts."""
 
     exits: frozenset[int]  # keys of the exits under it that nothing has excused
+    all_exits: frozenset[int]  # keys of all exits under it
     carriers: float  # interrupted requests that have it (count, estimated)
     bystanders: (
         float  # requests that these exits interrupted, with it or without (count, estimated)
@@ -72,13 +73,13 @@
     """
     blamed = {part: one for part, one in evidence.items() if one.is_sufficient}
     for part in sorted(blamed, key=lambda part: (*_likelihood(blamed[part]), part)):
-        others = (one.exits for other, one in blamed.items() if other != part)
+        others = (one.all_exits for other, one in blamed.items() if other != part)
         if _is_explained(blamed[part], frozenset().union(*others)):
             del blamed[part]
     return frozenset(blamed)
 
 
-def _likelihood(evidence: PartEvidence) -> tuple[int, int, bool, float]:
+def _likelihood(evidence: PartEvidence) -> tuple[int, int, bool, int, float]:
     """Return a sort key that is higher for likelier causes.
 
     One request suffices for an exit, so that a cause has few carriers under each. Sound parts of
@@ -86,13 +87,21 @@
     """
     exits = len(evidence.exits)
     carriers_per_exit = max(evidence.carriers / exits, 1.0)
-    return -round(log2(carriers_per_exit)), exits, not evidence.was_answered, -evidence.carriers
+    return (
+        -round(log2(carriers_per_exit)),
+        exits,
+        not evidence.was_answered,
+        len(evidence.all_exits),
+        -evidence.carriers,
+    )
 
 
-def _is_explained(evidence: PartEvidence, exits: frozenset[int]) -> bool:
+def _is_explained(evidence: PartEvidence, explained: frozenset[int]) -> bool:
     """Tell whether exits that have another cause are nearly all that speaks against a part."""
-    share = COMMON_EXPLAINED_SHARE if evidence.is_common else EXPLAINED_SHARE
-    return len(evidence.exits & exits) > share * len(evidence.exits)
+    unexplained = len(evidence.exits - explained)
+    if evidence.is_common:
+        return unexplained < (1 - COMMON_EXPLAINED_SHARE) * len(evidence.exits)
+    return unexplained < MIN_UNEXPLAINED_EXITS
 
 
 def is_suspected(evidence: PartEvidence, explained: frozenset[int]) -> bool:
--- a/sparline/decisions/tests/test_part_blame.py
+++ b/sparline/decisions/tests/test_part_blame.py
@@ -12,8 +12,10 @@
     bystanders: float = 150.0,
     beside: int = 0,
     was_answered: bool = False,
+    excused: frozenset[int] = frozenset(),
 ) -> PartEvidence:
-    return PartEvidence(frozenset(exits), carriers, bystanders, beside, was_answered)
+    counted = frozenset(exits)
+    return PartEvidence(counted, counted | excused, carriers, bystanders, beside, was_answered)
 
 
 # Name of the case, evidence by part, parts that are blamed.
@@ -63,6 +65,19 @@
         {"bad": evidence(range(4), 4), "other": evidence(range(4), 4, was_answered=True)},
         "bad",
     ),
+    (
+        "sound part under exits of a bad one and one more",
+        {"bad": evidence(range(5), 5), "sound": evidence(range(2, 6), 3)},
+        "bad",
+    ),
+    (
+        "sound part under exits that count once against the bad one",
+        {
+            "bad": evidence(range(4), 9, excused=frozenset((7, 8, 9))),
+            "sound": evidence(range(6, 10), 3),
+        },
+        "bad",
+    ),
     ("most requests have it", {"bad": evidence(range(7), 90)}, ""),
     ("most requests have it, many exits", {"bad": evidence(range(8), 90)}, "bad"),
     (
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -32,8 +32,8 @@
 # (ms).
 RECORD_TTL_MS = 600_000.0
 QUARANTINED_RECORD_TTL_MS = 86_400_000.0
-# A part that was answered completely here within this time is not blamed for exits that overlap (ms):
-# it may be running on each of several servers that fail at the same time without being the cause.
+# A part that was answered completely here within this time is usually answered (ms). It may be running
+# on each of several servers that fail at the same time without being the cause.
 ANSWERED_TTL_MS = 60_000.0
 # Most complete answers remembered for that, and most exits whose interrupted requests are sampled.
 MAX_ANSWERED = 4_096
@@ -152,19 +152,23 @@
             self._exit_samples.popitem(last=False)
         for part in request.parts:
             exits = frozenset((key,))
-            is_excused = learnt is FactSource.HERE and self._is_overlapping(part, key, request)
+            is_excused = learnt is FactSource.HERE and self._adds_nothing(part, key, request)
             cleared = exits if is_excused else frozenset()
             self._merge(PartFact(part, exits, cleared, sample, RequestSample(), 0.0), learnt)
 
-    def _is_overlapping(self, part: PartDigest, key: int, request: InterruptedRequest) -> bool:
+    def _adds_nothing(self, part: PartDigest, key: int, request: InterruptedRequest) -> bool:
         """Tell whether an exit adds nothing against a part that is usually answered.
 
-        That is so if the request was sent before another exit that counts against the part.
+        That is so if the request was sent before another exit that counts against the part, or if such
+        an exit interrupted it before.
         """
         record = self._records.get(part)
         if record is None or key in record.exits or not record.counted:
             return False
-        return request.sent_at_ms <= record.exited_at_ms and self._was_answered(part, request.kind)
+        if not self._was_answered(part, request.kind):
+            return False
+        is_repeat = sample_of(request.request_id).hashes <= record.carriers.hashes
+        return is_repeat or request.sent_at_ms <= record.exited_at_ms
 
     def note_answered(self, parts: Iterable[PartDigest], kind: ServerKind) -> None:
         """Record that a server has answered a request with some parts completely."""
@@ -251,7 +255,7 @@
         }
         before, self._quarantined = self._quarantined, blamed_parts(evidence)
         self._explained = frozenset(
-            one >> KIND_BITS for part in self._quarantined for one in evidence[part].exits
+            one >> KIND_BITS for part in self._quarantined for one in evidence[part].all_exits
         )
         for part in sorted(self._quarantined ^ before):
             self._on_quarantine(self._describe(part), part in self._quarantined)
@@ -260,6 +264,7 @@
         counted = record.counted
         return PartEvidence(
             exits=counted,
+            all_exits=frozenset(record.exits),
             carriers=record.carriers.count(),
             bystanders=self._bystanders(record, counted).count(),
             answers_beside=self._answers - record.answers_before,
--- a/sparline/quarantine/tests/test_part_table.py
+++ b/sparline/quarantine/tests/test_part_table.py
@@ -96,6 +96,16 @@
     assert quarantined(table) == {SOUND}
 
 
+def test_a_request_that_is_moved_from_exit_to_exit_counts_once_against_a_usual_part(clock):
+    table = PartTable()
+    table.note_answered([SOUND], ENGINES)
+    for server in "abcdef":
+        clock[0] += 1_000.0
+        moved = InterruptedRequest(DIGEST, RequestId("r1"), (SOUND,), ENGINES, clock[0] - 500.0)
+        table.note_exit(moved, BackendServerId(server))
+    assert table.exits(SOUND) == 1
+
+
 def test_facts_of_three_instances_add_up_in_any_order(clock):
     for order in ("abc", "cba"):
         tables = {"a": PartTable(), "b": PartTable(), "c": PartTable()}
