Blame the part that explains most exits, and tell exits that count once from excused ones

Change: exits that count as one with another are a set of their own, in records and datagrams. The likeliest cause is taken first: narrow parts before broad ones, then by the exits that it explains; a further one has to explain two that no other does.

--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import log2
 
 from sparline._ids import PartDigest
 
@@ -34,6 +33,8 @@
 MIN_UNEXPLAINED_EXITS = 2
 # Share of the exits under a common part above which others explain them.
 COMMON_EXPLAINED_SHARE = 0.5
+# A part with more carriers for each exit than another by this factor is considered after it.
+BROAD_FACTOR = 4.0
 # Time for which a common part is blamed after the exit that reached the count (ms), doubled with each
 # further exit.
 COMMON_BLAME_MS = 60_000.0
@@ -45,7 +46,7 @@
     """Hold what is known against a part of prompts."""
 
     exits: frozenset[int]  # keys of the exits under it that nothing has excused
-    all_exits: frozenset[int]  # keys of all exits under it
+    attributable: frozenset[int]  # the same, with those that count as one with another
     carriers: float  # interrupted requests that have it (count, estimated)
     bystanders: (
         float  # requests that these exits interrupted, with it or without (count, estimated)
@@ -65,33 +66,44 @@
         """Tell whether there are enough exits to blame the part."""
         return len(self.exits) >= (MIN_COMMON_EXITS if self.is_common else MIN_BLAMED_EXITS)
 
+    @property
+    def carriers_per_exit(self) -> float:
+        """Return how many requests have the part for each exit; one suffices for a cause."""
+        return max(self.carriers / max(len(self.attributable), 1), 1.0)
 
-def blamed_parts(evidence: Mapping[PartDigest, PartEvidence]) -> frozenset[PartDigest]:
-    """Return the parts that explain the exits, none of which the others explain.
 
-    The least likely causes are left out first.
-    """
-    blamed = {part: one for part, one in evidence.items() if one.is_sufficient}
-    for part in sorted(blamed, key=lambda part: (*_likelihood(blamed[part]), part)):
-        others = (one.all_exits for other, one in blamed.items() if other != part)
-        if _is_explained(blamed[part], frozenset().union(*others)):
-            del blamed[part]
+def blamed_parts(evidence: Mapping[PartDigest, PartEvidence]) -> frozenset[PartDigest]:
+    """Return the parts that explain the exits, each of which explains some that no other does."""
+    candidates = {part: one for part, one in evidence.items() if one.is_sufficient}
+    fewest = min((one.carriers_per_exit for one in candidates.values()), default=1.0)
+    blamed: set[PartDigest] = set()
+    explained: frozenset[int] = frozenset()
+    while candidates:
+        part = max(
+            candidates,
+            key=lambda part: (*_likelihood(candidates[part], explained, fewest), part),
+        )
+        likeliest = candidates.pop(part)
+        if not _is_explained(likeliest, explained):
+            blamed.add(part)
+            explained |= likeliest.attributable
     return frozenset(blamed)
 
 
-def _likelihood(evidence: PartEvidence) -> tuple[int, int, bool, int, float]:
-    """Return a sort key that is higher for likelier causes.
+def _likelihood(
+    evidence: PartEvidence, explained: frozenset[int], fewest: float
+) -> tuple[bool, bool, int, bool, float]:
+    """Return a sort key that is higher for likelier causes of the exits that are not explained.
 
-    One request suffices for an exit, so that a cause has few carriers under each. Sound parts of
-    requests that were moved from one exiting server to the next have few carriers too, but fewer exits.
+    `fewest` is the lowest number of carriers for each exit under any candidate. Sound parts of requests
+    that were moved from one exiting server to the next have few carriers too, but fewer exits.
     """
-    exits = len(evidence.exits)
-    carriers_per_exit = max(evidence.carriers / exits, 1.0)
+    is_broad = evidence.carriers_per_exit > BROAD_FACTOR * fewest
     return (
-        -round(log2(carriers_per_exit)),
-        exits,
+        not evidence.is_common,
+        not is_broad,
+        len(evidence.attributable - explained),
         not evidence.was_answered,
-        len(evidence.all_exits),
         -evidence.carriers,
     )
 
--- a/sparline/decisions/tests/test_part_blame.py
+++ b/sparline/decisions/tests/test_part_blame.py
@@ -12,10 +12,10 @@
     bystanders: float = 150.0,
     beside: int = 0,
     was_answered: bool = False,
-    excused: frozenset[int] = frozenset(),
+    overlapping: frozenset[int] = frozenset(),
 ) -> PartEvidence:
     counted = frozenset(exits)
-    return PartEvidence(counted, counted | excused, carriers, bystanders, beside, was_answered)
+    return PartEvidence(counted, counted | overlapping, carriers, bystanders, beside, was_answered)
 
 
 # Name of the case, evidence by part, parts that are blamed.
@@ -73,7 +73,7 @@
     (
         "sound part under exits that count once against the bad one",
         {
-            "bad": evidence(range(4), 9, excused=frozenset((7, 8, 9))),
+            "bad": evidence(range(4), 9, overlapping=frozenset((7, 8, 9))),
             "sound": evidence(range(6, 10), 3),
         },
         "bad",
--- a/sparline/quarantine/_part_facts.py
+++ b/sparline/quarantine/_part_facts.py
@@ -14,6 +14,7 @@
     part: PartDigest
     exits: frozenset[int]  # keys of the exits
     cleared: frozenset[int]  # those of them that an answer or an operator has excused
+    overlapping: frozenset[int]  # those of them that count as one with another
     carriers: RequestSample  # interrupted requests that have the part
     bystanders: RequestSample  # requests that the exits interrupted, with the part or without
     age_ms: float  # time since the newest exit
--- a/sparline/quarantine/_part_record.py
+++ b/sparline/quarantine/_part_record.py
@@ -17,6 +17,7 @@
 
     exits: set[int] = field(default_factory=set)  # keys of the exits
     cleared: set[int] = field(default_factory=set)  # those of them that are excused
+    overlapping: set[int] = field(default_factory=set)  # those that count as one with another
     carriers: RequestSample = RequestSample()  # interrupted requests that have the part
     bystanders: RequestSample = RequestSample()  # as peers told: all interrupted requests
     exited_at_ms: float = 0.0  # time of the newest exit
@@ -26,9 +27,19 @@
 
     @property
     def counted(self) -> frozenset[int]:
-        """Return the exits that are not excused."""
+        """Return the exits that count."""
+        return frozenset(self.exits - self.cleared - self.overlapping)
+
+    @property
+    def attributable(self) -> frozenset[int]:
+        """Return the exits that are not excused, with those that count as one with another."""
         return frozenset(self.exits - self.cleared)
 
+    @property
+    def size(self) -> tuple[int, int, int]:
+        """Return the numbers of exits, of excused ones and of overlapping ones."""
+        return len(self.exits), len(self.cleared), len(self.overlapping)
+
     def add_requests(self, carriers: RequestSample, bystanders: RequestSample) -> bool:
         """Add interrupted requests; return whether any of them is new in the samples."""
         before = (self.carriers, self.bystanders)
@@ -37,13 +48,18 @@
         return (self.carriers, self.bystanders) != before
 
     def trim(self) -> None:
-        """Bound the exits remembered for a part, dropping excused ones first."""
+        """Bound the exits remembered for a part, dropping excused and overlapping ones first."""
         excess = len(self.exits) - MAX_EXITS
         if excess <= 0:
             return
-        dropped = sorted(self.exits, key=lambda key: (key not in self.cleared, key))[:excess]
+        order = sorted(
+            self.exits,
+            key=lambda key: (key not in self.cleared, key not in self.overlapping, key),
+        )
+        dropped = order[:excess]
         self.exits.difference_update(dropped)
         self.cleared.difference_update(dropped)
+        self.overlapping.difference_update(dropped)
 
 
 def exit_key(server_id: BackendServerId, kind: ServerKind) -> int:
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -113,7 +113,7 @@
 
     def _is_suspect(self, part: PartDigest) -> bool:
         record = self._records.get(part)
-        if record is None or len(record.exits) - len(record.cleared) < MIN_SUSPECTED_EXITS:
+        if record is None or len(record.counted) < MIN_SUSPECTED_EXITS:
             return False
         if self._is_usually_answered(part):
             return False
@@ -152,9 +152,11 @@
             self._exit_samples.popitem(last=False)
         for part in request.parts:
             exits = frozenset((key,))
-            is_excused = learnt is FactSource.HERE and self._adds_nothing(part, key, request)
-            cleared = exits if is_excused else frozenset()
-            self._merge(PartFact(part, exits, cleared, sample, RequestSample(), 0.0), learnt)
+            adds_nothing = learnt is FactSource.HERE and self._adds_nothing(part, key, request)
+            overlapping = exits if adds_nothing else frozenset()
+            none = frozenset[int]()
+            fact = PartFact(part, exits, none, overlapping, sample, RequestSample(), 0.0)
+            self._merge(fact, learnt)
 
     def _adds_nothing(self, part: PartDigest, key: int, request: InterruptedRequest) -> bool:
         """Tell whether an exit adds nothing against a part that is usually answered.
@@ -180,21 +182,22 @@
             if len(self._answered_at_ms) > MAX_ANSWERED:
                 self._answered_at_ms.popitem(last=False)
             if record := self._records.get(part):
-                self._clear(part, {one for one in record.counted if kind_of(one) == kind.key})
+                self._clear(part, {one for one in record.attributable if kind_of(one) == kind.key})
 
     def release(self, part: PartDigest) -> bool:
         """Excuse a part of all its exits; return False if none are known."""
         record = self._records.get(part)
-        if record is None or not record.counted:
+        if record is None or not record.attributable:
             return False
-        self._clear(part, record.counted)
+        self._clear(part, record.attributable)
         return True
 
     def _clear(self, part: PartDigest, exits: Iterable[int]) -> None:
         cleared = frozenset(exits)
         if cleared:
             none = RequestSample()
-            self._merge(PartFact(part, cleared, cleared, none, none, 0.0), FactSource.HERE)
+            fact = PartFact(part, cleared, cleared, frozenset(), none, none, 0.0)
+            self._merge(fact, FactSource.HERE)
 
     def _was_answered(self, part: PartDigest, kind: ServerKind) -> bool:
         answered_at_ms = self._answered_at_ms.get((part, kind.key))
@@ -213,12 +216,13 @@
             record.answers_before = self._answers
         if fact.exits - record.exits:
             record.exited_at_ms = max(record.exited_at_ms, now - max(fact.age_ms, 0.0))
-        counts = (len(record.exits), len(record.cleared))
+        size = record.size
         has_new_requests = record.add_requests(fact.carriers, fact.bystanders)
         record.exits |= fact.exits
         record.cleared |= fact.cleared & record.exits
+        record.overlapping |= fact.overlapping & record.exits
         record.trim()
-        has_changed = (len(record.exits), len(record.cleared)) != counts
+        has_changed = record.size != size
         if has_changed or has_new_requests:
             self._update_quarantine(fact.part)
         if not has_changed:
@@ -251,11 +255,11 @@
         evidence = {
             part: self._evidence(part, one)
             for part, one in self._records.items()
-            if len(one.exits) - len(one.cleared) >= MIN_BLAMED_EXITS
+            if len(one.counted) >= MIN_BLAMED_EXITS
         }
         before, self._quarantined = self._quarantined, blamed_parts(evidence)
         self._explained = frozenset(
-            one >> KIND_BITS for part in self._quarantined for one in evidence[part].all_exits
+            one >> KIND_BITS for part in self._quarantined for one in evidence[part].attributable
         )
         for part in sorted(self._quarantined ^ before):
             self._on_quarantine(self._describe(part), part in self._quarantined)
@@ -264,7 +268,7 @@
         counted = record.counted
         return PartEvidence(
             exits=counted,
-            all_exits=frozenset(record.exits),
+            attributable=record.attributable,
             carriers=record.carriers.count(),
             bystanders=self._bystanders(record, counted).count(),
             answers_beside=self._answers - record.answers_before,
@@ -321,6 +325,7 @@
             part,
             frozenset(record.exits),
             frozenset(record.cleared),
+            frozenset(record.overlapping),
             record.carriers,
             self._bystanders(record, record.exits),
             now - record.exited_at_ms,
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -167,6 +167,9 @@
         list[int],
         Meta(description="Those of them that a whole answer or an operator has excused since."),
     ]
+    overlapping: Annotated[
+        list[int], Meta(description="Those of them that count as one with another of them.")
+    ]
     carriers: Annotated[
         list[int],
         Meta(
