Bound the size of facts on parts, and log the release of forgotten ones

Read in the diff: an exit that counts once and was excused later stood in two lists of a fact, so that six facts could exceed 1,400 bytes (1,650 at worst); and a part in quarantine that nobody asked for any more was dropped without a line. Change: excused exits are left out of the list of overlapping ones, which changes nothing for the receiver; the drop is logged as a release. Evidence: test_quarantine_lasts_while_the_part_is_asked_for.

--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -161,8 +161,8 @@
     def _adds_nothing(self, part: PartDigest, key: int, request: InterruptedRequest) -> bool:
         """Tell whether an exit adds nothing against a part that is usually answered.
 
-        That is so if the request was sent before another exit that counts against the part, or if such
-        an exit interrupted it before.
+        That is so if the request was sent before another exit that counts against the part, or if an
+        exit under the part has interrupted it before.
         """
         record = self._records.get(part)
         if record is None or key in record.exits or not record.counted:
@@ -325,7 +325,8 @@
             part,
             frozenset(record.exits),
             frozenset(record.cleared),
-            frozenset(record.overlapping),
+            # Excused ones are left out, which bounds the size of a datagram.
+            frozenset(record.overlapping - record.cleared),
             record.carriers,
             self._bystanders(record, record.exits),
             now - record.exited_at_ms,
@@ -340,8 +341,13 @@
             if now - max(one.exited_at_ms, one.asked_at_ms) > self._ttl_ms(part)
         ]
         for part in old:
+            self._release_forgotten(part)
             del self._records[part]
-        self._quarantined -= frozenset(old)
+
+    def _release_forgotten(self, part: PartDigest) -> None:
+        if part in self._quarantined:
+            self._on_quarantine(self._describe(part), False)
+            self._quarantined -= {part}
 
     def _ttl_ms(self, part: PartDigest) -> float:
         return QUARANTINED_RECORD_TTL_MS if part in self._quarantined else RECORD_TTL_MS
--- a/sparline/quarantine/tests/test_part_table.py
+++ b/sparline/quarantine/tests/test_part_table.py
@@ -118,7 +118,8 @@
 
 
 def test_quarantine_lasts_while_the_part_is_asked_for(clock):
-    table = PartTable()
+    changes: list[tuple[PartDigest, bool]] = []
+    table = PartTable(on_quarantine=lambda part, is_new: changes.append((part.part, is_new)))
     crash(table)
     for _ in range(3):
         clock[0] += _part_table.QUARANTINED_RECORD_TTL_MS - 1
@@ -127,6 +128,7 @@
     clock[0] += _part_table.QUARANTINED_RECORD_TTL_MS + 1
     table.forget_old()
     assert table.is_empty
+    assert changes == [(BAD, True), (BAD, False)]
 
 
 def test_release_reaches_peers_and_new_exits_count_from_the_start(clock):
