Keep a part in quarantine unless another explains more exits

Change: of parts with as many unexplained exits the one that is blamed already stays so. Evidence: test_part_blame, 'part that is blamed already, and another with as many exits'.

--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -53,6 +53,7 @@
     )
     answers_beside: int  # complete answers to requests without it since the first of these exits
     was_answered: bool  # whether requests with it were answered completely before, lately
+    is_blamed: bool  # whether it is blamed already, and stays so unless another explains more
 
     @property
     def is_common(self) -> bool:
@@ -92,7 +93,7 @@
 
 def _likelihood(
     evidence: PartEvidence, explained: frozenset[int], fewest: float
-) -> tuple[bool, bool, int, bool, float]:
+) -> tuple[bool, bool, int, bool, bool, float]:
     """Return a sort key that is higher for likelier causes of the exits that are not explained.
 
     `fewest` is the lowest number of carriers for each exit under any candidate. Sound parts of requests
@@ -103,6 +104,7 @@
         not evidence.is_common,
         not is_broad,
         len(evidence.attributable - explained),
+        evidence.is_blamed,
         not evidence.was_answered,
         -evidence.carriers,
     )
--- a/sparline/decisions/tests/test_part_blame.py
+++ b/sparline/decisions/tests/test_part_blame.py
@@ -12,10 +12,14 @@
     bystanders: float = 150.0,
     beside: int = 0,
     was_answered: bool = False,
+    is_blamed: bool = False,
     overlapping: frozenset[int] = frozenset(),
 ) -> PartEvidence:
     counted = frozenset(exits)
-    return PartEvidence(counted, counted | overlapping, carriers, bystanders, beside, was_answered)
+    attributable = counted | overlapping
+    return PartEvidence(
+        counted, attributable, carriers, bystanders, beside, was_answered, is_blamed
+    )
 
 
 # Name of the case, evidence by part, parts that are blamed.
@@ -60,6 +64,11 @@
         {"bad": evidence(range(4), 4), "other": evidence(range(4), 4)},
         "other",
     ),
+    (
+        "part that is blamed already, and another with as many exits",
+        {"bad": evidence(range(4), 6, is_blamed=True), "sound": evidence(range(1, 5), 3)},
+        "bad",
+    ),
     (
         "one of two parts that was answered before",
         {"bad": evidence(range(4), 4), "other": evidence(range(4), 4, was_answered=True)},
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -273,6 +273,7 @@
             bystanders=self._bystanders(record, counted).count(),
             answers_beside=self._answers - record.answers_before,
             was_answered=self._is_usually_answered(part),
+            is_blamed=part in self._quarantined,
         )
 
     def _bystanders(self, record: PartRecord, exits: Iterable[int]) -> RequestSample:
