--- a/benchmarks/bounds/_crashing_part.py
+++ b/benchmarks/bounds/_crashing_part.py
@@ -13,7 +13,7 @@
 from benchmarks._gateway_fleet import GatewayFleet
 from benchmarks.bounds._rules import Finding
 from sparline._clock import now_ms
-from standins import Caller, SealedFaults
+from standins import Caller, SealedFaults, prompt_headers
 
 # Engines: three in the north, three in the south.
 ENGINES = {
@@ -179,8 +179,7 @@
             self.sound.append(SoundRequest(sent_at_ms, status == 200))
 
     def _status(self, number: int, at: str, parts: list[str]) -> int:
-        prefix = ",".join(f"{one}:60" for one in (*parts, f"own{number}"))
-        headers = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": prefix}
+        headers = prompt_headers((*parts, f"own{number}"))
         caller: Caller | None = None
         try:
             with gevent.Timeout(CALLER_TIMEOUT_S, False):
--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -48,9 +48,7 @@
     exits: frozenset[int]  # keys of the exits under it that nothing has excused
     attributable: frozenset[int]  # the same, with those that count as one with another
     carriers: float  # interrupted requests that have it (count, estimated)
-    bystanders: (
-        float  # requests that these exits interrupted, with it or without (count, estimated)
-    )
+    bystanders: float  # all requests that these exits interrupted (count, estimated)
     answers_beside: int  # complete answers to requests without it since the first of these exits
     was_answered: bool  # whether requests with it were answered completely before, lately
     is_blamed: bool  # whether it is blamed already, and stays so unless another explains more
--- a/sparline/gateway/tests/test_crashing_part.py
+++ b/sparline/gateway/tests/test_crashing_part.py
@@ -10,6 +10,7 @@
 
 from sparline.cli import ExitCode, main
 from sparline.tests.routed_fleet import RoutedFleet
+from standins import prompt_headers
 
 GATEWAY_ZONES = ("north-1", "north-1", "south-1", "south-1")
 ENGINE_ZONES = ("north-1", "north-1", "north-1", "south-1", "south-1")
@@ -58,8 +59,7 @@
     def ask(self, *parts: str) -> bool:
         """Send a request like no other at the next instance; tell whether it was answered whole."""
         number = next(self.numbers)
-        prefix = ",".join(f"{one}:60" for one in (*parts, f"own{number}"))
-        headers = {"Model": "m", "Token-Counts": "400,50", "Prompt-Prefix": prefix}
+        headers = prompt_headers((*parts, f"own{number}"))
         at = f"g{number % len(GATEWAY_ZONES)}"
         got = self.fleet.ask("/stream/x", f"r{number}", at, body=b"%d" % number, **headers)
         return got.status == 200 and got.whole
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -15,7 +15,15 @@
     published_version,
     take_back,
 )
-from standins._routed_caller import HOST, PROMPT, SEAL, Caller, Got, resumption
+from standins._routed_caller import (
+    HOST,
+    PROMPT,
+    SEAL,
+    Caller,
+    Got,
+    prompt_headers,
+    resumption,
+)
 from standins._sealed_server import SealedArrival, SealedFaults, SealedRun, SealedServer
 from standins._wide_area import Forward, Place, WideArea
 
@@ -30,6 +38,7 @@
     "is_evacuated",
     "list_server",
     "listed_server",
+    "prompt_headers",
     "publish",
     "published_version",
     "resumption",
--- a/standins/_routed_caller.py
+++ b/standins/_routed_caller.py
@@ -1,6 +1,7 @@
 """A caller in the users' dialect, for tests and soaks."""
 
 import socket
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from sparline.http import AnswerParser, HttpAnswer
@@ -12,6 +13,11 @@
 EVENT_END = b"\n\n"
 
 
+def prompt_headers(parts: Sequence[str]) -> dict[str, str]:
+    """Return the headers of a request to an engine whose prompt has some parts, the last its own."""
+    return PROMPT | {"Prompt-Prefix": ",".join(f"{one}:60" for one in parts)}
+
+
 def resumption(began_by: str, last_event: int) -> dict[str, str]:
     """Return the headers of a request that takes up a stream, by the request that began it."""
     return {"Last-Event-Id": str(last_event), "Resumes": began_by}
