--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,6 +24,7 @@
     "max_attempts": 2,
 }
 SERVICE = {"name": "reports", "cold_start_s": 0.0, "cold_per_s": 0.0}
+REPLICAS = 6
 ANSWER_BYTES = 3_000_000
 REQUESTS = 12
 KILLED_IN = 5  # number of the request during whose answer its replica is killed
@@ -51,7 +52,7 @@
 
 def play(fleet: Fleet) -> list[str]:
     """Send the requests; return what is wrong with the answers."""
-    for number in (1, 2):
+    for number in range(1, REPLICAS + 1):
         fleet.add_replica(f"rep-{number}", "reports", "lisboa-hall-a")
     fleet.publish(1, [ROUTE], [SERVICE])
     fleet.add_gateway("gw-1", "lisboa-hall-a")
@@ -97,7 +98,7 @@
             time.sleep(3.6)
             # Three missed heartbeats.
             fleet.store.delete(f"servers/{gone}")
-            fleet.add_replica("rep-3", "reports", "lisboa-hall-a")
+            fleet.add_replica(f"rep-{REPLICAS + 1}", "reports", "lisboa-hall-a")
             time.sleep(1)
         if is_hit and not killed.is_set():
             raise CaseFailed("the replica was not killed in time")
