--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,9 +8,9 @@
 import traceback
 from pathlib import Path
 
-from review.common.client import Answer, Connection
-from review.common.fleet import CaseFailed, Fleet
-from review.common.replica import seal_of
+from review.client import Answer, Connection
+from review.fleet import CaseFailed, Fleet
+from review.replica import seal_of
 
 RECORD = Path(__file__).with_name("record.txt")
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,8 +10,8 @@
 from collections import Counter
 from pathlib import Path
 
-from review.common.client import Connection, resolve
-from review.common.fleet import GRACE_S, Fleet
+from review.client import Connection, resolve
+from review.fleet import GRACE_S, Fleet
 
 RECORD = Path(__file__).with_name("record.txt")
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -14,10 +14,10 @@
 from pathlib import Path
 from typing import Any
 
-from review.common.client import HOST
-from review.common.store import Store
+from review.client import HOST
+from review.store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 PORTS = ("callers", "readiness", "directory", "gossip", "relay", "metrics")
 GRACE_S = 8.0
 START_TIMEOUT_S = 30.0
@@ -103,7 +103,7 @@
     ) -> None:
         """Start a replica and write its entry."""
         address = ("127.0.0.1", self._free.pop())
-        command = [sys.executable, "-S", "-m", "review.common.replica", "--ip", address[0]]
+        command = [sys.executable, "-S", "-m", "review.replica", "--ip", address[0]]
         command += ["--port", str(address[1]), "--name", name, "--runs", str(self.runs_path)]
         process = subprocess.Popen([*command, *arguments], cwd=ROOT)
         self.replicas[name] = {"process": process, "address": address}
