Write a caller's answer in one place, and log who began it and how much was sent

Cause not touched yet: this changes no decision. What was spread over AnswerForwarding, RequestEnder and CallerConnection (a head sent, `began`, `started`) is one type, CallerAnswer, through which all parts of an answer are written. answer_broken and request_ended name the server that began the answer and the bytes sent.

--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -8,6 +8,7 @@
     Progress,
     UnframedEnd,
 )
+from sparline.forwarding._caller_answer import CallerAnswer
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._forwarder import (
     Forwarder,
@@ -35,6 +36,7 @@
     "AttemptParameters",
     "AttemptResult",
     "BackendWire",
+    "CallerAnswer",
     "CrashTables",
     "EventSplitter",
     "Forwarder",
--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -9,14 +9,16 @@
     AttemptDependencies,
     AttemptEnd,
     AttemptResult,
+    FailedAnswer,
     Progress,
     UnframedEnd,
 )
+from sparline.forwarding._caller_answer import AnswerOrigin, SentContent
 from sparline.forwarding._liveness_checks import LivenessChecks
 from sparline.http import (
     BackendConnection,
-    CallerConnection,
     ConnectionBroken,
+    Headers,
     HttpAnswer,
     end_to_end,
 )
@@ -42,7 +44,6 @@
         dependencies: AttemptDependencies,
         request: RoutedRequest,
         placement: Placement,
-        caller: CallerConnection,
         progress: Progress,
         watch: StreamWatch,
         checks: LivenessChecks,
@@ -55,7 +56,6 @@
         self._dependencies = dependencies
         self._request = request
         self._placement = placement
-        self._caller = caller
         self._progress = progress
         self._watch = watch
         self._checks = checks
@@ -80,23 +80,23 @@
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
-            self._progress.failed_answer = (answer, bytes(body))
+            self._progress.failed_answer = FailedAnswer(self._origin(answer), bytes(body))
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(elapsed_ms)
         self._note_first(now_ms())
-        forward_complete(self._caller, answer, bytes(body))
+        self._progress.answer.send_complete(self._origin(answer), bytes(body))
         return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _forward_unbuffered(
         self, connection: BackendConnection, answer: HttpAnswer, first: bytes
     ) -> AttemptEnd:
         """Forward a large response as it arrives, finishing it only if it is complete."""
-        self._begin_answer(answer)
-        self._caller.send(first)
+        self._begin_answer(answer, SentContent.BODY)
+        self._progress.answer.send(first)
         while (piece := connection.read_piece(answer)) is not None:
-            self._caller.send(piece)
+            self._progress.answer.send(piece)
         is_proven = self._verify_end(connection, answer)
-        self._caller.finish()
+        self._progress.answer.finish()
         return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _note_plain_success(self, elapsed_ms: float) -> None:
@@ -109,15 +109,20 @@
         self._dependencies.health.note_time(self._placement.server.id, elapsed_ms, typical_ms)
         self._dependencies.pace.note_answer(self._request.service, elapsed_ms)
 
-    def _begin_answer(self, answer: HttpAnswer) -> None:
-        if self._progress.began:
+    def _begin_answer(self, answer: HttpAnswer, content: SentContent) -> None:
+        if self._progress.answer.has_begun:
             return
-        self._progress.began = True
         headers = self._dependencies.answer_headers(answer, self._progress.software_version)
-        if answer.ends_with_connection:
-            self._caller.begin_unframed(answer.status, headers)
-        else:
-            self._caller.begin(answer.status, headers, None)
+        self._progress.answer.begin(self._origin(answer, headers), content)
+
+    def _origin(self, answer: HttpAnswer, headers: Headers | None = None) -> AnswerOrigin:
+        """Describe the head of the response; `headers` replaces those that would be passed on."""
+        return AnswerOrigin(
+            self._placement.server.id,
+            answer.status,
+            end_to_end(answer.headers) if headers is None else headers,
+            answer.ends_with_connection,
+        )
 
     def _forward_stream(
         self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
@@ -130,19 +135,19 @@
             if complete_events:
                 self._bind_software_version(version)
                 self._note_event()
-                self._begin_answer(answer)
-                self._caller.send(complete_events)
+                self._begin_answer(answer, SentContent.EVENTS)
+                self._progress.answer.send(complete_events)
         is_proven = self._verify_end(connection, answer) and self._progress.splitter.events > 0
-        self._begin_answer(answer)
-        self._caller.send(self._progress.splitter.rest())
-        self._caller.finish()
+        self._begin_answer(answer, SentContent.EVENTS)
+        self._progress.answer.send(self._progress.splitter.rest())
+        self._progress.answer.finish()
         self._dependencies.health.note_success(self._placement.server.id)
         self._watch.note_end()
         return _delivered(is_proven)
 
     def _bind_software_version(self, version: SoftwareVersion | None) -> None:
         """Bind the stream to the software version that its first event comes from."""
-        if self._progress.began:
+        if self._progress.answer.has_begun:
             return
         self._progress.software_version = version
         if version is not None and self._request.route.resumable:
@@ -195,12 +200,3 @@
 def is_stream_answer(request: RoutedRequest, answer: HttpAnswer) -> bool:
     """Tell whether a response holds events."""
     return request.route.kind is RequestKind.STREAM and answer.status < MIN_REDIRECT_STATUS
-
-
-def forward_complete(caller: CallerConnection, answer: HttpAnswer, body: bytes) -> None:
-    """Forward a buffered response; one without framing must not look more complete than it did."""
-    headers = end_to_end(answer.headers)
-    if answer.ends_with_connection:
-        caller.answer_unframed(answer.status, headers, body)
-    else:
-        caller.answer(answer.status, headers, body)
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -35,7 +35,6 @@
 from sparline.forwarding._witnesses import find_witnesses
 from sparline.http import (
     BackendConnection,
-    CallerConnection,
     ConnectionBroken,
     HttpAnswer,
 )
@@ -60,7 +59,6 @@
         request: RoutedRequest,
         placement: Placement,
         reservation: Reservation,
-        caller: CallerConnection,
         progress: Progress,
     ) -> None:
         """Prepare the attempt without sending anything."""
@@ -78,7 +76,6 @@
             dependencies,
             request,
             placement,
-            caller,
             progress,
             StreamWatch(dependencies.watch, request, placement, reservation),
             self._checks,
@@ -205,7 +202,8 @@
     def _interruption_reason(self) -> Reason:
         if self._placement.peer is not None:
             return Reason.PEER_LOST
-        return Reason.BROKEN_IN_ANSWER if self._progress.began else Reason.BROKEN_BEFORE_ANSWER
+        has_begun = self._progress.answer.has_begun
+        return Reason.BROKEN_IN_ANSWER if has_begun else Reason.BROKEN_BEFORE_ANSWER
 
     def _connect(self) -> BackendConnection | None:
         peer = self._placement.peer
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -6,6 +6,7 @@
 
 from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.decisions import Liveness
+from sparline.forwarding._caller_answer import AnswerOrigin, CallerAnswer
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import BackendWire, Wire
 from sparline.http import ConnectionPool, Headers, HttpAnswer
@@ -60,7 +61,16 @@
 
     end: AttemptEnd
     sent_ago_ms: float  # time since the request left this instance
-    has_begun: bool  # whether the caller received part of the response
+    begun_by: BackendServerId | None  # server that began the caller's answer, None if none did
+    sent_bytes: int  # bytes of that answer's body that the caller was sent
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """Hold the complete error response of a backend server."""
+
+    origin: AnswerOrigin  # its head
+    body: bytes  # its body
 
 
 @dataclass(slots=True)
@@ -68,17 +78,17 @@
     """Track state shared by the attempts at one request."""
 
     splitter: EventSplitter  # event parser that tracks what the caller received
+    answer: CallerAnswer  # answer that the caller is sent
     sends: int = 0  # attempts sent by this instance
     sends_not_run: int = 0  # sent attempts proven not to have run
     sent_at_ms: float = 0.0  # when the last attempt was sent
     may_have_run: bool = False  # whether any attempt may have run
-    began: bool = False  # whether a response head was sent to the caller
     # Version that the first event came from, at which alone the stream can go on; None before.
     software_version: SoftwareVersion | None = None
     first_at_ms: float | None = None  # when the first event or response arrived
     last_event_at_ms: float | None = None  # when the latest event arrived
     longest_pause_ms: float = 0.0  # longest interval between two events
-    failed_answer: tuple[HttpAnswer, bytes] | None = None  # server error response to forward
+    failed_answer: FailedAnswer | None = None  # server error response to forward
     excluded: set[str] = field(default_factory=set)  # backend servers that must not be tried again
 
     def runs(self) -> int:
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -16,6 +16,7 @@
     InterruptedAttempt,
     Progress,
 )
+from sparline.forwarding._caller_answer import CallerAnswer
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._request_crashes import CrashTables, RequestCrashes
 from sparline.forwarding._request_end import MIN_TIME_LEFT_MS, RequestEnd, RequestEnder
@@ -78,14 +79,14 @@
         self, request: RoutedRequest, caller: CallerConnection, sends_left: int
     ) -> RequestEnd:
         """Respond to a request; at most `sends_left` backend servers may run it."""
-        progress = Progress(EventSplitter(request.resume_after))
+        progress = Progress(EventSplitter(request.resume_after), CallerAnswer(caller))
         if request.origin is Origin.CALLER:
             # The instance that relayed it has counted it already.
             self._dependencies.retries.note_request(request.service)
         handler = gevent.getcurrent()
         caller.watch(lambda: handler.kill(CallerGone, block=False))
         limit = gevent.Timeout(max(request.left_ms(), 1.0) / 1000)
-        run = _RequestRun(self._dependencies, request, caller, sends_left, progress)
+        run = _RequestRun(self._dependencies, request, sends_left, progress)
         try:
             with limit:
                 return run.run_to_end()
@@ -94,7 +95,7 @@
                 raise
             return run.ender.end_timed_out()
         except CallerGone:
-            caller.closing = True
+            progress.answer.abort()
             return run.ender.make_end(0, Reason.CALLER_GONE)
         finally:
             caller.unwatch()
@@ -107,20 +108,18 @@
         self,
         dependencies: ForwarderDependencies,
         request: RoutedRequest,
-        caller: CallerConnection,
         sends_left: int,
         progress: Progress,
     ) -> None:
         self._dependencies = dependencies
         self._request = request
-        self._caller = caller
         self._sends_left = sends_left
         self._not_run_count = 0
         self._progress = progress
         # Version at which alone a stream can go on that an earlier answer began, None for any.
         self._resumed_version = request.software_version
         self._crashes = RequestCrashes(dependencies.crashes, request)
-        self.ender = RequestEnder(request, caller, progress, dependencies.refusal_headers)
+        self.ender = RequestEnder(request, progress, dependencies.refusal_headers)
 
     def run_to_end(self) -> RequestEnd:
         if self._request.is_resumption and self._resumed_version is None:
@@ -139,10 +138,10 @@
             selected = self._dependencies.chooser.choose(
                 self._request,
                 self._excluded(),
-                self._progress.began,
+                self._progress.answer.has_begun,
                 is_suspect,
                 # A stream that has begun is never refused by the admission level.
-                frozenset() if self._progress.began else self._request.closed_regions,
+                frozenset() if self._progress.answer.has_begun else self._request.closed_regions,
                 self._required_version(),
             )
             if isinstance(selected, Refusal):
@@ -165,13 +164,15 @@
             stop = self._stop_reason(selected, end)
             if stop is not None:
                 return self.ender.end_failed(stop, end)
-            self._dependencies.note_retry(self._request, selected, end, self._progress.began)
-            if end.result is AttemptResult.NOT_RUN and self._progress.began:
+            self._dependencies.note_retry(
+                self._request, selected, end, self._progress.answer.has_begun
+            )
+            if end.result is AttemptResult.NOT_RUN and self._progress.answer.has_begun:
                 self._sleep_with_jitter(RESUME_RETRY_DELAY_MS)
 
     def _required_version(self) -> SoftwareVersion | None:
         """Return the software version at which alone the stream can go on, None for any."""
-        if self._progress.began:
+        if self._progress.answer.has_begun:
             return self._progress.software_version
         return self._resumed_version
 
@@ -213,7 +214,6 @@
             request,
             placement,
             reservation,
-            self._caller,
             self._progress,
         )
         try:
@@ -233,7 +233,7 @@
             if end.reason is Reason.PEER_ISOLATED:
                 # Another instance of the region may reach the server.
                 return
-            if self._progress.began:
+            if self._progress.answer.has_begun:
                 # The stream may return to this server once it has capacity. Until then the health
                 # table excludes the server from selection.
                 return
@@ -244,7 +244,8 @@
         self._note_crash(placement, end)
         if end.result is AttemptResult.MAY_HAVE_RUN:
             sent_ago_ms = now_ms() - self._progress.sent_at_ms
-            interrupted = InterruptedAttempt(end, sent_ago_ms, self._progress.began)
+            answer = self._progress.answer
+            interrupted = InterruptedAttempt(end, sent_ago_ms, answer.begun_by, answer.sent_bytes)
             self._dependencies.note_broken(self._request, placement, interrupted)
 
     def _note_region_full(self, placement: Placement, end: AttemptEnd) -> None:
@@ -255,7 +256,7 @@
         if self._required_version() is not None:
             return
         ids = self._dependencies.chooser.note_region_full(self._request, placement)
-        if not self._progress.began:
+        if not self._progress.answer.has_begun:
             self._progress.excluded.update(ids)
             self.ender.region_full_end = end
 
@@ -296,7 +297,11 @@
     def _has_unknown_version(self) -> bool:
         """Tell whether a stream has begun at a software version that this instance does not know."""
         is_stream = self._request.route.kind is RequestKind.STREAM
-        return is_stream and self._progress.began and self._progress.software_version is None
+        return (
+            is_stream
+            and self._progress.answer.has_begun
+            and self._progress.software_version is None
+        )
 
 
 def may_send_elsewhere(request: RoutedRequest, progress: Progress) -> bool:
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -6,8 +6,8 @@
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
 from sparline.decisions import unserved_retry_after_ms
-from sparline.forwarding._answer_forwarding import forward_complete
 from sparline.forwarding._attempt_types import AttemptEnd, Progress
+from sparline.forwarding._caller_answer import CallerAnswer
 from sparline.forwarding._wire import OwnAnswer
 from sparline.http import CallerConnection, Headers
 from sparline.placement import Placement, Refusal
@@ -49,23 +49,21 @@
     def __init__(
         self,
         request: RoutedRequest,
-        caller: CallerConnection,
         progress: Progress,
         refusal_headers: Callable[[OwnAnswer], Headers],
     ) -> None:
-        """Set the request and its caller; `refusal_headers` are those of responses made here."""
+        """Set the request; `refusal_headers` are those of responses made here."""
         self.placement: Placement | None = None  # last selected server
         self.refusal: Refusal | None = None  # why no server could be selected, if so
         self.ended_server: BackendServerId | None = None  # last server that exited while running it
         self.region_full_end: AttemptEnd | None = None  # last refusal by a region without capacity
         self._request = request
-        self._caller = caller
         self._progress = progress
         self._refusal_headers = refusal_headers
 
     def end_unplaced(self, refusal: Refusal) -> RequestEnd:
         """End a request for which no server could be selected."""
-        if self._progress.failed_answer is not None and not self._progress.began:
+        if self._progress.failed_answer is not None and not self._progress.answer.has_begun:
             return self._forward_server_error()
         if self.region_full_end is not None and refusal.reason is Reason.NO_BACKEND:
             # Servers exist but have no capacity, so the full region's Retry-After applies.
@@ -81,38 +79,38 @@
 
     def end_failed(self, stop: Reason, end: AttemptEnd) -> RequestEnd:
         """End a request whose last attempt failed and is not retried, for the reason `stop`."""
-        if self._progress.failed_answer is not None and not self._progress.began:
+        if self._progress.failed_answer is not None and not self._progress.answer.has_begun:
             return self._forward_server_error()
         return self._end_with_own_answer(stop, end.retry_after_ms or DEFAULT_RETRY_AFTER_MS)
 
     def _forward_server_error(self) -> RequestEnd:
         """Forward the backend server's own error response to the caller."""
         assert self._progress.failed_answer is not None
-        answer, body = self._progress.failed_answer
-        forward_complete(self._caller, answer, body)
-        return self.make_end(answer.status, Reason.BACKEND_FAILED)
+        failed = self._progress.failed_answer
+        self._progress.answer.send_complete(failed.origin, failed.body)
+        return self.make_end(failed.origin.status, Reason.BACKEND_FAILED)
 
     def end_quarantined(self, reason: Reason) -> RequestEnd:
         """Reject a request that is in quarantine, or a part of which is."""
-        if self._progress.began:
+        if self._progress.answer.has_begun:
             return self._abort_answer(reason)
-        reject_quarantined(self._caller, self._refusal_headers, reason)
+        reject_quarantined(self._progress.answer, self._refusal_headers, reason)
         return self.make_end(502, reason)
 
     def end_key_withdrawn(self) -> RequestEnd:
         """End a request whose API key was withdrawn without sending it again."""
-        if self._progress.began:
+        if self._progress.answer.has_begun:
             return self._abort_answer(Reason.KEY_WITHDRAWN)
         if self._progress.may_have_run or self._request.origin is Origin.RELAY:
             return self._end_with_own_answer(Reason.KEY_WITHDRAWN, DEFAULT_RETRY_AFTER_MS)
-        self._caller.answer(
+        self._progress.answer.answer(
             401, [(b"WWW-Authenticate", b"Bearer"), TEXT_CONTENT_TYPE], WITHDRAWN_KEY_BODY
         )
         return self.make_end(401, Reason.KEY_WITHDRAWN, ran=False)
 
     def _end_with_own_answer(self, reason: Reason, retry_after_ms: float) -> RequestEnd:
         """End with a response generated here, reporting "not run" only if that is certain."""
-        if self._progress.began:
+        if self._progress.answer.has_begun:
             return self._abort_answer(reason)
         ran = self._progress.may_have_run
         status = 503
@@ -125,7 +123,7 @@
         elapsed_ms = now_ms() - self._request.arrived_at_ms
         is_route_timeout = elapsed_ms >= self._request.route.timeout_ms - MIN_TIME_LEFT_MS
         reason = Reason.ROUTE_TIMEOUT if is_route_timeout else Reason.DEADLINE_PASSED
-        if self._progress.began or self._caller.started:
+        if self._progress.answer.has_begun:
             return self._abort_answer(reason)
         ran = self._progress.sends > 0
         return self._send_own_answer(504 if ran else 503, reason, ran, DEFAULT_RETRY_AFTER_MS)
@@ -143,12 +141,12 @@
             is_isolated=reason is Reason.ISOLATED,
         )
         headers = self._refusal_headers(own_answer)
-        self._caller.answer(status, headers, b"")
+        self._progress.answer.answer(status, headers, b"")
         return self.make_end(status, reason, ran)
 
     def _abort_answer(self, reason: Reason) -> RequestEnd:
         """Close the connection without the end of the response so that the truncation is visible."""
-        self._caller.closing = True
+        self._progress.answer.abort()
         return self.make_end(0, reason)
 
     def make_end(self, status: int, reason: Reason, ran: bool = True) -> RequestEnd:
@@ -157,7 +155,9 @@
 
 
 def reject_quarantined(
-    caller: CallerConnection, refusal_headers: Callable[[OwnAnswer], Headers], reason: Reason
+    caller: CallerConnection | CallerAnswer,
+    refusal_headers: Callable[[OwnAnswer], Headers],
+    reason: Reason,
 ) -> None:
     """Answer a request that must not be sent, so that its caller doesn't come back with it."""
     is_part = reason is Reason.QUARANTINED_PART
--- a/sparline/forwarding/tests/test_resume_wait.py
+++ b/sparline/forwarding/tests/test_resume_wait.py
@@ -1,15 +1,22 @@
+from unittest.mock import Mock
+
 import pytest
 
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
 from sparline.fleet import ServerLoad
 from sparline.forwarding._attempt_types import Progress
+from sparline.forwarding._caller_answer import AnswerOrigin, CallerAnswer, SentContent
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._resume_wait import caller_patience_ms, should_delay_resume
 from sparline.placement import Doubt, Placement
 from sparline.tests.routed import make_request, make_route, make_server
 
 
+def make_progress(splitter: EventSplitter) -> Progress:
+    return Progress(splitter, CallerAnswer(Mock()))
+
+
 def make_placement(queue_ms: float) -> Placement:
     return Placement(
         server=make_server(BackendServerId("e1")),
@@ -39,12 +46,15 @@
 @pytest.mark.parametrize("row", ROWS, ids=[row[0] for row in ROWS])
 def test_interrupted_stream_waits_for_short_queue(row):
     _, began, ago_ms, queue_ms, waits = row
-    progress = Progress(EventSplitter(None), began=began, last_event_at_ms=now_ms() - ago_ms)
+    progress = make_progress(EventSplitter(None))
+    progress.last_event_at_ms = now_ms() - ago_ms
+    if began:
+        progress.answer.begin(AnswerOrigin("e0", 200, [], False), SentContent.EVENTS)
     assert should_delay_resume(make_request(), progress, make_placement(queue_ms)) is waits
 
 
 def test_stream_resumed_by_caller_waits_from_arrival():
-    progress = Progress(EventSplitter(3))
+    progress = make_progress(EventSplitter(3))
     assert should_delay_resume(make_request(resume_after=3), progress, make_placement(500.0))
     old = make_request(resume_after=3, arrived_at_ms=now_ms() - 1_700.0)
     assert not should_delay_resume(old, progress, make_placement(500.0))
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Tests of admission by level at instances: responses, misses and relayed requests."""
 
 from dataclasses import replace
+from unittest.mock import Mock
 
 import pytest
 
@@ -8,7 +9,7 @@
 from sparline._ids import OrganisationId, RegionName
 from sparline.decisions import KEYS_PER_RANK, OPEN_LEVEL
 from sparline.fleet import AdmissionExchange, FleetState, LevelInForce, Members
-from sparline.forwarding import EventSplitter, Progress, RequestEnd
+from sparline.forwarding import CallerAnswer, EventSplitter, Progress, RequestEnd
 from sparline.gateway._admission import (
     AdmissionGate,
     Admitted,
@@ -183,7 +184,7 @@
 
 
 def make_end(reason: Reason, **progress) -> RequestEnd:
-    state = Progress(EventSplitter(None), **progress)
+    state = Progress(EventSplitter(None), CallerAnswer(Mock()), **progress)
     return RequestEnd(503, reason, False, None, None, state)
 
 
@@ -236,7 +237,7 @@
     place = Placement(
         make_server("n"), None, 100.0, prefill_ms, 400, 400, None, 0.0, None, None, Doubt.NONE
     )
-    progress = Progress(EventSplitter(None), may_have_run=failed_before)
+    progress = Progress(EventSplitter(None), CallerAnswer(Mock()), may_have_run=failed_before)
     progress.first_at_ms = request.arrived_at_ms + first_ms
     harness.gate.note_first(request, place, progress)
     assert harness.counted() == (0, COST if is_missed else 0, COST)
