Never continue an answer with another server's, but for events that it resumes

Cause: `began` told that a head had been sent, not of what. Whether to go on was asked of the route alone (repeatable, sends left), which is right for events behind an id. The same cause stood where a stream that is resumed within its answer gets a 204, 301, 404 or 409, and where a stream without ids was resumed from its start.

Change: CallerAnswer keeps what its caller has been sent (nothing, events, a body) and refuses to write behind it anything but events of the same status; a body is written through what its head yields. Repeats, and moves away from silent servers, ask may_go_on_elsewhere first. What can't go on ends at once without its framed end; new: reason not_resumed, counter cut_answers by content. An answer that is sent on as it arrives has the liveness checks of the others.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -69,6 +69,12 @@
             return self._forward_stream(connection, answer, version)
         return self._forward_buffered(connection, answer)
 
+    def continues_answer(self, answer: HttpAnswer) -> bool:
+        """Tell whether a response may be sent behind what the caller has been sent."""
+        has_events = is_stream_answer(self._request, answer)
+        content = SentContent.EVENTS if has_events else SentContent.BODY
+        return self._progress.answer.may_continue(answer.status, content)
+
     def _forward_buffered(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         """Buffer the complete response so that a truncated one never reaches the caller."""
         body = bytearray()
@@ -80,23 +86,23 @@
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
-            self._progress.failed_answer = FailedAnswer(self._origin(answer), bytes(body))
+            self._progress.failed_answer = FailedAnswer(self._complete_origin(answer), bytes(body))
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(elapsed_ms)
         self._note_first(now_ms())
-        self._progress.answer.send_complete(self._origin(answer), bytes(body))
+        self._progress.answer.send_complete(self._complete_origin(answer), bytes(body))
         return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _forward_unbuffered(
         self, connection: BackendConnection, answer: HttpAnswer, first: bytes
     ) -> AttemptEnd:
         """Forward a large response as it arrives, finishing it only if it is complete."""
-        self._begin_answer(answer, SentContent.BODY)
-        self._progress.answer.send(first)
-        while (piece := connection.read_piece(answer)) is not None:
-            self._progress.answer.send(piece)
+        body = self._progress.answer.begin_body(self._stream_origin(answer))
+        body.send(first)
+        while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
+            body.send(piece)
         is_proven = self._verify_end(connection, answer)
-        self._progress.answer.finish()
+        body.finish()
         return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
     def _note_plain_success(self, elapsed_ms: float) -> None:
@@ -109,20 +115,18 @@
         self._dependencies.health.note_time(self._placement.server.id, elapsed_ms, typical_ms)
         self._dependencies.pace.note_answer(self._request.service, elapsed_ms)
 
-    def _begin_answer(self, answer: HttpAnswer, content: SentContent) -> None:
-        if self._progress.answer.has_begun:
-            return
+    def _stream_origin(self, answer: HttpAnswer) -> AnswerOrigin:
+        """Describe the head of a response that is forwarded as it arrives."""
         headers = self._dependencies.answer_headers(answer, self._progress.software_version)
-        self._progress.answer.begin(self._origin(answer, headers), content)
-
-    def _origin(self, answer: HttpAnswer, headers: Headers | None = None) -> AnswerOrigin:
-        """Describe the head of the response; `headers` replaces those that would be passed on."""
-        return AnswerOrigin(
-            self._placement.server.id,
-            answer.status,
-            end_to_end(answer.headers) if headers is None else headers,
-            answer.ends_with_connection,
-        )
+        return self._origin(answer, headers)
+
+    def _complete_origin(self, answer: HttpAnswer) -> AnswerOrigin:
+        """Describe the head of a response that is forwarded once it is complete."""
+        return self._origin(answer, end_to_end(answer.headers))
+
+    def _origin(self, answer: HttpAnswer, headers: Headers) -> AnswerOrigin:
+        server_id = self._placement.server.id
+        return AnswerOrigin(server_id, answer.status, headers, answer.ends_with_connection)
 
     def _forward_stream(
         self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
@@ -135,12 +139,11 @@
             if complete_events:
                 self._bind_software_version(version)
                 self._note_event()
-                self._begin_answer(answer, SentContent.EVENTS)
-                self._progress.answer.send(complete_events)
+                self._progress.answer.send_events(self._stream_origin(answer), complete_events)
         is_proven = self._verify_end(connection, answer) and self._progress.splitter.events > 0
-        self._begin_answer(answer, SentContent.EVENTS)
-        self._progress.answer.send(self._progress.splitter.rest())
-        self._progress.answer.finish()
+        rest = self._progress.splitter.rest()
+        self._progress.answer.send_events(self._stream_origin(answer), rest)
+        self._progress.answer.finish_events()
         self._dependencies.health.note_success(self._placement.server.id)
         self._watch.note_end()
         return _delivered(is_proven)
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -260,6 +260,8 @@
                 version = self._software_version(meaning)
                 if is_stream_answer(self._request, answer) and not parameters.allows(version):
                     return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.PEER_OTHER_VERSION)
+                if not self._forwarding.continues_answer(answer):
+                    return self._mismatched_end(answer)
                 end = self._forwarding.forward(connection, answer, version)
             else:
                 end = self._handle_refusal(connection, answer, meaning)
@@ -271,6 +273,13 @@
                 # Closing the connection makes the server abort any remaining work.
                 connection.close()
 
+    def _mismatched_end(self, answer: HttpAnswer) -> AttemptEnd:
+        """Return the end of an attempt to resume a stream that got something else than events."""
+        if answer.status >= MIN_SERVER_ERROR_STATUS:
+            self._dependencies.health.note_failure(self._server_id, "failed")
+            return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.BACKEND_FAILED)
+        return AttemptEnd(AttemptResult.MAY_HAVE_RUN, Reason.NOT_RESUMED)
+
     def _software_version(self, meaning: AnswerMeaning) -> SoftwareVersion | None:
         """Return the software version that a response comes from, None if that is unknown."""
         if self._placement.peer is None:
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -6,7 +6,7 @@
 
 from sparline._ids import BackendServerId, RegionName, SoftwareVersion
 from sparline.decisions import Liveness
-from sparline.forwarding._caller_answer import AnswerOrigin, CallerAnswer
+from sparline.forwarding._caller_answer import AnswerOrigin, CallerAnswer, SentContent
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import BackendWire, Wire
 from sparline.http import ConnectionPool, Headers, HttpAnswer
@@ -91,6 +91,16 @@
     failed_answer: FailedAnswer | None = None  # server error response to forward
     excluded: set[str] = field(default_factory=set)  # backend servers that must not be tried again
 
+    def may_go_on_elsewhere(self) -> bool:
+        """Tell whether another server can send what the caller still lacks."""
+        match self.answer.content:
+            case SentContent.NOTHING:
+                return True
+            case SentContent.EVENTS:
+                return self.software_version is not None and self.splitter.knows_last_event
+            case SentContent.BODY:
+                return False
+
     def runs(self) -> int:
         """Return the maximum number of times the request may have run."""
         return self.sends - self.sends_not_run
--- a/sparline/forwarding/_events.py
+++ b/sparline/forwarding/_events.py
@@ -13,6 +13,7 @@
         """Start after the last event that the caller received."""
         self.last_id = resume_after  # id of the last complete event, None before the first
         self.events = 0  # number of complete events
+        self.knows_last_event = True  # whether `last_id` is that of the last complete event
         self._pending = b""
 
     def begin_attempt(self) -> None:
@@ -24,13 +25,17 @@
         self._pending += data
         end = 0
         for match in EVENT_TERMINATOR.finditer(self._pending):
+            self._note_event(self._pending[end : match.end()])
             end = match.end()
-            self.events += 1
         complete, self._pending = self._pending[:end], self._pending[end:]
-        ids = EVENT_ID_LINE.findall(complete)
+        return complete
+
+    def _note_event(self, event: bytes) -> None:
+        self.events += 1
+        ids = EVENT_ID_LINE.findall(event)
+        self.knows_last_event = bool(ids)
         if ids:
             self.last_id = int(ids[-1])
-        return complete
 
     def pending_bytes(self) -> int:
         """Return the number of buffered bytes of the incomplete event."""
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -27,7 +27,6 @@
 from sparline.placement import Chooser, LoadTable, Placement, Refusal
 from sparline.quarantine import FactSource
 from sparline.requests import Origin, Reason, RoutedRequest
-from sparline.routes import RequestKind
 
 # A request is given up after this many attempts that are proven not to have run (count).
 MAX_NOT_RUN_ATTEMPTS = 3
@@ -275,6 +274,8 @@
 
     def _stop_reason(self, placement: Placement, end: AttemptEnd) -> Reason | None:
         """Return the reason to stop retrying, or None to retry."""
+        if not self._progress.may_go_on_elsewhere() or end.reason is Reason.NOT_RESUMED:
+            return end.reason
         reached_a_server = end.reason not in REASONS_WITHOUT_ARRIVAL
         if end.result is AttemptResult.NOT_RUN:
             may_wait = not reached_a_server and is_caller_waiting(self._request, self._progress)
@@ -290,24 +291,14 @@
 
     def may_repeat(self) -> bool:
         """Tell whether the request is repeatable and has attempts left."""
-        if self._has_unknown_version():
-            return False
         return self._request.route.repeatable and self._sends_left > 0
 
-    def _has_unknown_version(self) -> bool:
-        """Tell whether a stream has begun at a software version that this instance does not know."""
-        is_stream = self._request.route.kind is RequestKind.STREAM
-        return (
-            is_stream
-            and self._progress.answer.has_begun
-            and self._progress.software_version is None
-        )
-
 
 def may_send_elsewhere(request: RoutedRequest, progress: Progress) -> bool:
     """Tell whether a request waiting for an unresponsive server may be sent elsewhere."""
     return (
         request.origin is Origin.CALLER
         and request.route.repeatable
+        and progress.may_go_on_elsewhere()
         and progress.sends < request.route.max_backends
     )
--- a/sparline/forwarding/_request_end.py
+++ b/sparline/forwarding/_request_end.py
@@ -42,6 +42,12 @@
     refusal: Refusal | None  # why no server could be selected, if so
     progress: Progress  # state shared by the attempts
 
+    @property
+    def is_cut(self) -> bool:
+        """Tell whether this instance ended the answer before it was whole."""
+        is_aborted = self.status == 0 and self.reason is not Reason.CALLER_GONE
+        return is_aborted and self.progress.answer.has_begun
+
 
 class RequestEnder:
     """End one request with exactly one final response."""
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -40,6 +40,11 @@
         self.interrupted_answers = self._counter(
             "answers_broken", "Answers that broke off.", ("reason",)
         )
+        self.cut_answers = self._counter(
+            "cut_answers",
+            "Answers that ended here before they were whole, by what had been sent.",
+            ("content",),
+        )
         self.unframed_answers = self._counter(
             "unframed_answers", "Answers that only their connection ended.", ("end",)
         )
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -217,6 +217,8 @@
         if end.placement is not None:
             place = "here" if end.placement.peer is None else "away"
             self._metrics.sends.labels(place).inc(end.progress.sends)
+        if end.is_cut:
+            self._metrics.cut_answers.labels(end.progress.answer.content.value).inc()
         first_ms = None
         if end.progress.first_at_ms is not None:
             first_ms = end.progress.first_at_ms - request.arrived_at_ms
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -50,6 +50,7 @@
     BROKEN_IN_ANSWER = "broken_in_answer"
     PEER_LOST = "peer_lost"
     PEER_OTHER_VERSION = "peer_other_version"
+    NOT_RESUMED = "not_resumed"
     CALLER_GONE = "caller_gone"
     BACKEND_FAILED = "backend_failed"
     BACKEND_SILENT = "backend_silent"
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent.event import Event
 from gevent.server import StreamServer
 from gevent.socket import socket as GeventSocket
 
@@ -30,15 +31,24 @@
     break_within_event: int = 0  # cut the stream within this event
     break_after_event: int = 0  # cut the stream after this event
     exit_after_event: int = 0  # end the process after this event of a stream
-    # A cut closes the connection instead of resetting it; chunks then get their end all the same.
+    # A cut closes the connection instead of resetting it; the chunks of a stream then get their end
+    # all the same.
     breaks_cleanly: bool = False
     stop_after_event: int = 0  # fall silent after this event
     surplus_answer: bytes = b""  # bytes sent before the answer
     garbage: bytes = b""  # bytes sent after the whole answer
     unframed: bool = False  # end the body with the connection
+    chunked: bool = False  # send the body of a plain answer in chunks
+    status: int = 0  # answer with this status and a plain body
+    body_bytes: int = 0  # length of a plain answer that repeats the name of the server
+    break_after_bytes: int = 0  # cut a plain answer after so many bytes of its body
+    exit_after_bytes: int = 0  # end the process after so many bytes of a plain answer
+    may_cut: Event | None = None  # waited for before a plain answer is cut, None for at once
+    without_ids: bool = False  # leave the ids of events out
     without_seal: bool = False  # leave the signature out
     early: bool = False  # answer before a long body is in
     remaining: int = -1  # requests that the faults still apply to, -1 for all
+    later: "SealedFaults | None" = None  # faults of the requests after those, None for none
 
 
 @dataclass(slots=True)
@@ -158,7 +168,7 @@
 
     def _take_faults(self) -> SealedFaults:
         if self.faults.remaining == 0:
-            return SealedFaults()
+            return self.faults.later or SealedFaults()
         if self.faults.remaining > 0:
             self.faults.remaining -= 1
         return self.faults
@@ -193,15 +203,41 @@
             return False
         if faults.surplus_answer:
             connection.sendall(faults.surplus_answer)
-        if self.events and not faults.fail:
+        if self.events and not faults.fail and not faults.status:
             return self._stream(connection, request, run, faults)
-        run.finished = True
-        status = 500 if faults.fail else 200
+        return self._plain_answer(connection, request, run, faults)
+
+    def _plain_answer(
+        self, connection: GeventSocket, request: HttpRequest, run: SealedRun, faults: SealedFaults
+    ) -> bool:
+        status = faults.status or (500 if faults.fail else 200)
         body = f"{run.request_id} {run.target} {len(run.body)}".encode()
-        length = None if faults.unframed else len(body)
-        connection.sendall(self._head(status, request, [], length, faults) + body + faults.garbage)
+        if status == 204:
+            body = b""
+        elif faults.body_bytes:
+            line = f"{self.server_id}\n".encode()
+            body = (line * (faults.body_bytes // len(line) + 1))[: faults.body_bytes]
+        length = None if faults.unframed else -1 if faults.chunked else len(body)
+        head = self._head(status, request, [], length, faults)
+        cut_after = faults.break_after_bytes or faults.exit_after_bytes
+        sent = body[:cut_after] if cut_after else body
+        framed = b"%x\r\n%b\r\n" % (len(sent), sent) if faults.chunked else sent
+        if cut_after:
+            connection.sendall(head + framed)
+            return self._cut_plain(connection, faults)
+        run.finished = True
+        end = LAST_CHUNK if faults.chunked else b""
+        connection.sendall(head + framed + end + faults.garbage)
         return not faults.unframed
 
+    def _cut_plain(self, connection: GeventSocket, faults: SealedFaults) -> bool:
+        if faults.may_cut is not None:
+            faults.may_cut.wait()
+        if faults.exit_after_bytes:
+            self.end()
+            return False
+        return self._cut(connection, faults)
+
     def _is_ended_by(self, run: SealedRun) -> bool:
         if self.ends_on and self.ends_on in run.body:
             return True
@@ -236,7 +272,8 @@
         head = self._head(200, request, [("Content-Type", "text/event-stream")], length)
         connection.sendall(head)
         for number in range(run.first_event, self.events + 1):
-            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
+            event_id = "" if faults.without_ids else f"id: {number}\n"
+            event = f"{event_id}data: {run.request_id}-{number}\n\n".encode()
             if number == faults.break_within_event:
                 connection.sendall(_framed(event[:-4], faults))
                 return self._cut(connection, faults)
@@ -263,7 +300,7 @@
         """Let the connection end in the middle of an answer."""
         if not faults.breaks_cleanly:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        elif not faults.unframed:
+        elif not faults.unframed and not faults.break_after_bytes:
             connection.sendall(LAST_CHUNK)
         return False
 
@@ -279,7 +316,8 @@
         lines = [f"HTTP/1.1 {status} Status"]
         request_id = (request.header(b"attempt-id") or b"").decode()
         lines.append(f"Attempt-Id: {request_id}")
-        if not (faults and faults.without_seal) and status in (200, 500):
+        is_own = status in (200, 500) or (faults is not None and status == faults.status)
+        if is_own and not (faults and faults.without_seal):
             lines.append(f"Response-Seal: seal-of-{self.server_id}")
         if self.reports_leaving and status != 421:
             lines.append("Server-Leaving: 1")
