Ask dispatch what was forwarded before it takes "not run" for a reason to go on

Cause: _may_retry asked whether the attempt ran before it asked whether a plain answer had begun. Change: a plain answer that has begun is never sent on from elsewhere, whatever ended the attempt. Evidence: test_retries.py, six rows, one of them (a begun plain answer, then "not run") failed before. Tests of dispatch, entry and at-most-once: 79 passed.

--- a/sparline/dispatch/_dispatcher.py
+++ b/sparline/dispatch/_dispatcher.py
@@ -277,10 +277,10 @@
 def _may_retry(request: Request, progress: _Progress, end: AnswerEnd) -> bool:
     if not request.body.replayable:
         return False
-    if end.outcome is Outcome.not_run:
-        return True
-    resumable = request.kind is TargetKind.ENGINE or not progress.head_forwarded
-    return request.repeatable and resumable
+    if progress.head_forwarded and request.kind is not TargetKind.ENGINE:
+        # Only the server that began a plain answer can continue it.
+        return False
+    return end.outcome is Outcome.not_run or request.repeatable
 
 
 def _final_end(progress: _Progress, end: AnswerEnd, reason: Reason) -> AnswerEnd:
