Log what a leaving instance accepts, by which times, and what its exit cuts

Change: late_request_decided (id, route, expected and left time, whether alone in its region, outcome) for each request that comes to a leaving instance; request_cut_by_exit for what is in flight as the process exits, with its age and what its caller had left; a counter. The requests in flight are kept instead of counted. No decision changes.

Tests of leaving, processes, fleets and requests pass.

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -80,7 +80,7 @@
         self._apps.append(server)
 
     def _render_metrics(self) -> bytes:
-        self.metrics.in_flight.set(self.service.in_flight)
+        self.metrics.in_flight.set(len(self.service.in_flight))
         self.admission.update_metrics()
         self.metrics.quotas_kept.set(len(self.quota_exchange.quota_coordinator))
         self.metrics.quarantined.set(self.crashes.quarantined())
@@ -132,7 +132,8 @@
         plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last_in_region)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
-        log.bind(in_flight=self.service.in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
+        in_flight = len(self.service.in_flight)
+        log.bind(in_flight=in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
         while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
             gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
         for server in self._servers:
@@ -140,7 +141,8 @@
         while self.service.in_flight and now_ms() < plan.exits_at_ms():
             self.service.close_idle()
             gevent.sleep(STOP_POLL_INTERVAL_MS / 1000)
-        log.bind(in_flight=self.service.in_flight).info("instance_stopped")
+        self.request_log.note_cut_by_exit(self.service.in_flight)
+        log.bind(in_flight=len(self.service.in_flight)).info("instance_stopped")
         self._stopped.set()
 
     def _is_last_in_region(self) -> bool:
--- /dev/null
+++ b/sparline/gateway/_in_flight.py
@@ -0,0 +1,33 @@
+"""Requests that this instance is forwarding."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from sparline.requests import RoutedRequest
+
+
+class InFlightRequests:
+    """Hold the requests in flight."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._requests: dict[int, RoutedRequest] = {}
+
+    def __len__(self) -> int:
+        """Return how many there are."""
+        return len(self._requests)
+
+    def __iter__(self) -> Iterator[RoutedRequest]:
+        """Iterate over those in flight now."""
+        return iter(list(self._requests.values()))
+
+    @contextmanager
+    def holding(self, request: RoutedRequest) -> Iterator[None]:
+        """Hold a request while it is forwarded."""
+        # Request ids come from callers and may be used twice at the same time.
+        key = id(request)
+        self._requests[key] = request
+        try:
+            yield
+        finally:
+            del self._requests[key]
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -25,6 +25,16 @@
 FIRST_EVENT_TARGETS = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class LateDecision:
+    """Hold whether a leaving instance accepts a request, and why."""
+
+    is_accepted: bool
+    expected_ms: float  # longest time that the request is expected to take
+    left_ms: float  # time until the process exits
+    is_last_in_region: bool  # whether no other instance of the region is live
+
+
 @dataclass(frozen=True, slots=True)
 class LeavePlan:
     """Hold the times of a planned stop."""
@@ -46,18 +56,18 @@
         """Return when the process exits, even with requests in flight."""
         return self.began_at_ms + self.grace_ms * EXIT_FRACTION
 
-    def accepts(self, route: Route, prompt: Prompt | None, output_token_ms: float) -> bool:
-        """Return whether a request that arrives now can be completed in time.
+    def decide(self, route: Route, prompt: Prompt | None, output_token_ms: float) -> LateDecision:
+        """Decide whether a request that arrives now can be completed in time.
 
         `output_token_ms` is the maximum time of an output token.
         """
         now = now_ms()
-        if now >= self.accepts_until_ms():
-            return False
         expected_ms = _expected_ms(route, prompt, output_token_ms)
         if not route.repeatable:
             expected_ms *= RUN_ONCE_TIME_FACTOR
-        return now + expected_ms < self.exits_at_ms()
+        left_ms = self.exits_at_ms() - now
+        is_accepted = now < self.accepts_until_ms() and expected_ms < left_ms
+        return LateDecision(is_accepted, expected_ms, left_ms, self.is_last_in_region())
 
 
 def _expected_ms(route: Route, prompt: Prompt | None, output_token_ms: float) -> float:
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -45,6 +45,9 @@
             "Answers that ended here before they were whole, by what had been sent.",
             ("content",),
         )
+        self.cut_by_exit = self._counter(
+            "cut_by_exit", "Requests in flight as the process exited.", ()
+        )
         self.unframed_answers = self._counter(
             "unframed_answers", "Answers that only their connection ended.", ("end",)
         )
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -1,10 +1,13 @@
 """Log lines and metrics for decisions about requests."""
 
+from collections.abc import Iterable
+
 from sparline._clock import now_ms
 from sparline._hashing import hash64
-from sparline._ids import BackendServerId
+from sparline._ids import BackendServerId, RequestId
 from sparline._logging import LineLevel, log
 from sparline.forwarding import AttemptEnd, InterruptedAttempt, RequestEnd, UnframedEnd
+from sparline.gateway._leave_plan import LateDecision
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._stream_versions import FoundVersion
@@ -19,6 +22,7 @@
     short_hex,
 )
 from sparline.requests import Prompt, Reason, RoutedRequest
+from sparline.routes import Route
 
 # Log lines per second and instance about answered requests, and about all others. Further lines are
 # left out and counted. A line costs about 60 microseconds.
@@ -194,6 +198,34 @@
                 "refusal_limit_changed"
             )
 
+    def note_late_request(
+        self, request_id: RequestId, route: Route, decision: LateDecision
+    ) -> None:
+        """Record whether this instance, which is leaving, accepts a request."""
+        if self._other.take() and log.is_written(LineLevel.INFO):
+            log.bind(
+                request_id=request_id,
+                route=route.name,
+                is_accepted=decision.is_accepted,
+                expected_ms=round(decision.expected_ms),
+                left_ms=round(decision.left_ms),
+                is_last_in_region=decision.is_last_in_region,
+            ).info("late_request_decided")
+
+    def note_cut_by_exit(self, requests: Iterable[RoutedRequest]) -> None:
+        """Record the requests whose answers the exit of this process cuts."""
+        for request in requests:
+            self._metrics.cut_by_exit.inc()
+            if self._interrupted.take() and log.is_written(LineLevel.WARNING):
+                log.bind(
+                    request_id=request.request_id,
+                    route=request.route.name,
+                    service=request.service,
+                    origin=request.origin.value,
+                    age_ms=round(now_ms() - request.arrived_at_ms),
+                    left_ms=round(request.left_ms()),
+                ).warning("request_cut_by_exit")
+
     def count_rejected(self, reason: Reason) -> None:
         """Count a request that was rejected before routing and is logged elsewhere."""
         self._metrics.refusals.labels(reason.value).inc()
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -16,6 +16,7 @@
 from sparline.fleet import FleetState, StoreCopyTable
 from sparline.forwarding import Forwarder
 from sparline.gateway._admission import AdmissionGate, Admitted, Arrival, NotAdmitted
+from sparline.gateway._in_flight import InFlightRequests
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._own_answers import NO_ROUTE_RETRY_AFTER_MS, OwnAnswers
 from sparline.gateway._quotas import Quotas
@@ -86,7 +87,7 @@
         `store_outage_age_ms` returns the time since the store's last outage ended.
         `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
-        self.in_flight = 0  # requests being forwarded
+        self.in_flight = InFlightRequests()
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._copy = copy
@@ -175,12 +176,9 @@
         if routed is None:
             return
         self._admission.note_start(routed)
-        self.in_flight += 1
-        try:
+        with self.in_flight.holding(routed):
             sends_left = routed.route.max_backends if origin is Origin.CALLER else 1
             end = self._forwarders[origin].forward(routed, caller, sends_left)
-        finally:
-            self.in_flight -= 1
         if origin is Origin.CALLER:
             self._quotas.settle(routed, end.progress.runs())
         self._admission.note_end(routed, end)
@@ -226,7 +224,7 @@
         # A resumed stream goes on at the service that began it.
         began_by = (marks.resumes if route.resumable else None) or request_id
         service = relayed or choose_service(route, began_by)
-        if not self._can_complete(route, service, marks):
+        if not self._can_complete(request_id, route, service, marks):
             self._own_answers.refuse(
                 caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
             )
@@ -279,12 +277,16 @@
             return find_relayed_caller(configuration, route, marks.relay_caller)
         return find_caller(configuration, route, marks.key)
 
-    def _can_complete(self, route: Route, service: ServiceName, marks: RequestHead) -> bool:
+    def _can_complete(
+        self, request_id: RequestId, route: Route, service: ServiceName, marks: RequestHead
+    ) -> bool:
         """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
         token_ms = self._pace.max_output_token_ms(service)
-        return self.leave_plan.accepts(route, marks.prompt, token_ms)
+        decision = self.leave_plan.decide(route, marks.prompt, token_ms)
+        self._log.note_late_request(request_id, route, decision)
+        return decision.is_accepted
 
     def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
         after = http.target.removeprefix(STORE_COPY_TARGET)
--- a/sparline/gateway/tests/test_fleet.py
+++ b/sparline/gateway/tests/test_fleet.py
@@ -279,7 +279,7 @@
     gevent.spawn(g1.leave)
     with gevent.Timeout(20):
         g1.wait()
-    assert g1.service.in_flight == 0
+    assert len(g1.service.in_flight) == 0
 
 
 def test_returned_instance_is_named_again(fleet):
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -45,7 +45,7 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.accepts(route, prompt, token_ms) is taken
+    assert plan.decide(route, prompt, token_ms).is_accepted is taken
 
 
 NEEDED_ROWS = [
@@ -69,4 +69,4 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS, lambda: True)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.accepts(route, prompt, 15.0) is taken
+    assert plan.decide(route, prompt, 15.0).is_accepted is taken
--- a/sparline/gateway/tests/test_requests.py
+++ b/sparline/gateway/tests/test_requests.py
@@ -177,7 +177,7 @@
     caller.close()
     runs = [run for server in fleet.servers.values() for run in server.runs]
     fleet.until(lambda: runs[0].abandoned, "the server sees that nobody waits")
-    assert fleet.gateways["g0"].service.in_flight == 0
+    assert len(fleet.gateways["g0"].service.in_flight) == 0
 
 
 def test_headers_reserved_for_the_gateway_are_not_forwarded(fleet):
