Accept late requests by the time that requests took lately, not by their target latency

Across a hop the caller got 502 after the second instance had left.

Cause: LeavePlan took 1.5 times the target latency for the longest time of a request.

Change: a late request may take 1.25 times the longest that its route and service took in the last minute, whole answers and for streams the time to their first event, requests in flight by their age; with fewer than 30 of these the time is not known. Then, and at most, it may take what its route and caller allow. Safe requests, streams and the second instance of a hop go by the same times. Plain refusal of all that timeout_ms does not fit was weighed: where that is as long as the grace period it refuses the 60 ms requests, too, from the first moment.

--- a/sparline/gateway/_housekeeping.py
+++ b/sparline/gateway/_housekeeping.py
@@ -36,6 +36,7 @@
         components.crashing_parts.forget_old()
         components.stream_versions.exchange.forget_old()
         components.members.forget_old()
+        components.service.run_times.forget_unused()
         components.pool.sweep()
         gevent.sleep(HOUSEKEEPING_INTERVAL_MS / 1000)
 
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -17,12 +17,25 @@
 # is live. In test runs, three overlapping planned stops left a region without a live instance for
 # up to 5 s, and instances of other regions may not run requests bound to their home regions.
 LAST_INSTANCE_ACCEPT_FRACTION = 0.85
-# A request that can be neither repeated nor resumed is accepted only if it would complete in time
+# A request is expected to take at most this many times as long as the longest one lately.
+LONGEST_TIME_FACTOR = 1.25
+# A stream that can be neither repeated nor resumed is accepted only if it would complete in time
 # even if it took this many times as long as expected, because its caller loses an interrupted
 # answer. In test runs, answers expected to take at most 3.1 and 3.7 s were cut after 3.2 and 3.8 s.
 RUN_ONCE_TIME_FACTOR = 1.5
-# Expected time to the first event, as a multiple of the target latency.
-FIRST_EVENT_TARGETS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LateRequest:
+    """Hold what is known of the time that a request takes which comes to a leaving instance."""
+
+    route: Route  # its route
+    prompt: Prompt | None  # its prompt, if it is for a model engine
+    limit_ms: float  # time in which its caller and its route want it answered
+    # Longest time that such requests took lately, to the first event of a stream with a prompt and
+    # to the end of any other answer; None if it is not known.
+    longest_ms: float | None
+    output_token_ms: float  # maximum time of an output token
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,23 +69,22 @@
         """Return when the process exits, even with requests in flight."""
         return self.began_at_ms + self.grace_ms * EXIT_FRACTION
 
-    def decide(self, route: Route, prompt: Prompt | None, output_token_ms: float) -> LateDecision:
-        """Decide whether a request that arrives now can be completed in time.
-
-        `output_token_ms` is the maximum time of an output token.
-        """
+    def decide(self, request: LateRequest) -> LateDecision:
+        """Decide whether a request that arrives now can be completed in time."""
         now = now_ms()
-        expected_ms = _expected_ms(route, prompt, output_token_ms)
-        if not route.repeatable:
-            expected_ms *= RUN_ONCE_TIME_FACTOR
+        expected_ms = _expected_ms(request)
         left_ms = self.exits_at_ms() - now
         is_accepted = now < self.accepts_until_ms() and expected_ms < left_ms
         return LateDecision(is_accepted, expected_ms, left_ms, self.is_last_in_region())
 
 
-def _expected_ms(route: Route, prompt: Prompt | None, output_token_ms: float) -> float:
-    """Return the longest time that a request usually takes."""
-    if route.kind is not RequestKind.STREAM or prompt is None:
-        return route.wanted_latency_ms
-    output_ms = prompt.max_output_tokens * output_token_ms
-    return min(FIRST_EVENT_TARGETS * route.wanted_latency_ms + output_ms, route.timeout_ms)
+def _expected_ms(request: LateRequest) -> float:
+    """Return the longest time that a request may take."""
+    if request.longest_ms is None:
+        return request.limit_ms
+    expected_ms = request.longest_ms * LONGEST_TIME_FACTOR
+    if request.route.kind is RequestKind.STREAM and request.prompt is not None:
+        expected_ms += request.prompt.max_output_tokens * request.output_token_ms
+        if not request.route.repeatable:
+            expected_ms *= RUN_ONCE_TIME_FACTOR
+    return min(expected_ms, request.limit_ms)
--- /dev/null
+++ b/sparline/gateway/_run_times.py
@@ -0,0 +1,99 @@
+"""The longest times that requests took lately, by route and service."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from sparline._clock import now_ms
+from sparline.requests import RoutedRequest
+from sparline.routes import RequestKind, Route, RouteName, ServiceName
+
+# A time counts for at least this long, and at most one interval longer (ms).
+WINDOW_MS = 60_000.0
+INTERVAL_MS = 10_000.0
+# With fewer times than this in the window, the longest one is not known (count): one request in
+# thirty may still take longer.
+MIN_TIMES = 30
+
+
+class RunKey(NamedTuple):
+    """Identify requests that take similar times."""
+
+    route: RouteName  # their route
+    service: ServiceName  # service of the route that handles them
+    # Whether the time is that to the first event of a stream, not that to the end of the answer.
+    is_first_event: bool
+
+
+def run_key(route: Route, service: ServiceName, has_prompt: bool) -> RunKey:
+    """Return the key of a request; the output of a prompt is estimated from its length."""
+    return RunKey(route.name, service, route.kind is RequestKind.STREAM and has_prompt)
+
+
+@dataclass(slots=True)
+class _Interval:
+    """Sum up the times of one interval."""
+
+    began_at_ms: float  # when the first of them was recorded
+    times: int = 0  # how many there are
+    longest_ms: float = 0.0  # longest of them
+
+
+class RunTimeTable:
+    """Keep the longest times of the last minute."""
+
+    def __init__(self, in_flight: Callable[[], Iterable[RoutedRequest]]) -> None:
+        """Create an empty table; `in_flight` returns the requests that are being forwarded."""
+        self._in_flight = in_flight
+        self._intervals: dict[RunKey, deque[_Interval]] = {}
+
+    def note(self, request: RoutedRequest, first_at_ms: float | None) -> None:
+        """Record a request whose answer is complete, with the time of its first event."""
+        key = _key_of(request)
+        until_ms = first_at_ms if key.is_first_event else now_ms()
+        if until_ms is None:
+            return
+        interval = self._current(key)
+        interval.times += 1
+        interval.longest_ms = max(interval.longest_ms, until_ms - request.arrived_at_ms)
+
+    def longest_ms(self, key: RunKey) -> float | None:
+        """Return the longest time in the window, None if there are too few to know it."""
+        self._drop_old(key)
+        intervals = self._intervals.get(key, ())
+        if sum(one.times for one in intervals) < MIN_TIMES:
+            return None
+        longest_ms = max(one.longest_ms for one in intervals)
+        if key.is_first_event:
+            return longest_ms
+        now = now_ms()
+        ages_ms = (now - one.arrived_at_ms for one in self._in_flight() if _key_of(one) == key)
+        return max(longest_ms, *ages_ms, 0.0)
+
+    def forget_unused(self) -> None:
+        """Forget keys without a time in the window."""
+        for key in list(self._intervals):
+            self._drop_old(key)
+
+    def _current(self, key: RunKey) -> _Interval:
+        intervals = self._intervals.setdefault(key, deque())
+        now = now_ms()
+        if not intervals or not 0 <= now - intervals[-1].began_at_ms < INTERVAL_MS:
+            intervals.append(_Interval(now))
+            self._drop_old(key)
+        return self._intervals.setdefault(key, intervals)[-1]
+
+    def _drop_old(self, key: RunKey) -> None:
+        intervals = self._intervals.get(key)
+        if intervals is None:
+            return
+        since_ms = now_ms() - WINDOW_MS - INTERVAL_MS
+        while intervals and intervals[0].began_at_ms < since_ms:
+            intervals.popleft()
+        if not intervals:
+            del self._intervals[key]
+
+
+def _key_of(request: RoutedRequest) -> RunKey:
+    return run_key(request.route, request.service, request.prompt is not None)
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -17,10 +17,11 @@
 from sparline.forwarding import Forwarder
 from sparline.gateway._admission import AdmissionGate, Admitted, Arrival, NotAdmitted
 from sparline.gateway._in_flight import InFlightRequests
-from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._leave_plan import LateRequest, LeavePlan
 from sparline.gateway._own_answers import NO_ROUTE_RETRY_AFTER_MS, OwnAnswers
 from sparline.gateway._quotas import Quotas
 from sparline.gateway._request_log import RequestLog
+from sparline.gateway._run_times import RunTimeTable, run_key
 from sparline.http import (
     BadRequest,
     CallerConnection,
@@ -88,6 +89,7 @@
         `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
         self.in_flight = InFlightRequests()
+        self.run_times = RunTimeTable(lambda: self.in_flight)
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._copy = copy
@@ -179,6 +181,8 @@
         with self.in_flight.holding(routed):
             sends_left = routed.route.max_backends if origin is Origin.CALLER else 1
             end = self._forwarders[origin].forward(routed, caller, sends_left)
+        if end.reason is Reason.NONE:
+            self.run_times.note(routed, end.progress.first_at_ms)
         if origin is Origin.CALLER:
             self._quotas.settle(routed, end.progress.runs())
         self._admission.note_end(routed, end)
@@ -229,9 +233,7 @@
                 caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
             )
             return None
-        limit_ms = route.timeout_ms
-        if marks.deadline_ms is not None:
-            limit_ms = min(limit_ms, marks.deadline_ms)
+        limit_ms = _limit_ms(route, marks)
         resume_after = marks.resume_after if route.resumable else None
         admitted = Admitted()
         if resume_after is None:
@@ -283,8 +285,14 @@
         """Return whether this instance runs long enough to complete a request."""
         if self.leave_plan is None:
             return True
-        token_ms = self._pace.max_output_token_ms(service)
-        decision = self.leave_plan.decide(route, marks.prompt, token_ms)
+        request = LateRequest(
+            route,
+            marks.prompt,
+            limit_ms=_limit_ms(route, marks),
+            longest_ms=self.run_times.longest_ms(run_key(route, service, marks.prompt is not None)),
+            output_token_ms=self._pace.max_output_token_ms(service),
+        )
+        decision = self.leave_plan.decide(request)
         self._log.note_late_request(request_id, route, decision)
         return decision.is_accepted
 
@@ -321,6 +329,13 @@
             caller.close()
 
 
+def _limit_ms(route: Route, marks: RequestHead) -> float:
+    """Return the time in which a request's caller and its route want it answered."""
+    if marks.deadline_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, marks.deadline_ms)
+
+
 def _has_allowed_region(route: Route, organisation: Organisation) -> bool:
     """Return whether any region may run an organisation's requests on a route."""
     return (
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sparline.gateway import _leave_plan
-from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._leave_plan import LONGEST_TIME_FACTOR, LateRequest, LeavePlan
 from sparline.requests import Prompt
 from sparline.routes import RequestKind
 from sparline.tests.routed import make_route
@@ -15,6 +15,14 @@
 )
 PLAIN = make_route(kind=RequestKind.UNSAFE, wanted_latency_ms=400, timeout_ms=1_200)
 
+
+def make_late_request(route, prompt, token_ms=15.0, longest_ms=None):
+    """Return a request whose longest time lately lies as far below its target as is allowed for."""
+    if longest_ms is None:
+        longest_ms = route.wanted_latency_ms / LONGEST_TIME_FACTOR
+    return LateRequest(route, prompt, route.timeout_ms, longest_ms, token_ms)
+
+
 ROWS = [
     ("a long answer at once", STREAM, Prompt(17_000, 120, ()), 0, True),
     ("a long answer while there is time", STREAM, Prompt(17_000, 120, ()), 3_900, True),
@@ -45,7 +53,7 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.decide(route, prompt, token_ms).is_accepted is taken
+    assert plan.decide(make_late_request(route, prompt, token_ms)).is_accepted is taken
 
 
 NEEDED_ROWS = [
@@ -69,4 +77,39 @@
 ):
     plan = LeavePlan(0.0, GRACE_MS, lambda: True)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
-    assert plan.decide(route, prompt, 15.0).is_accepted is taken
+    assert plan.decide(make_late_request(route, prompt)).is_accepted is taken
+
+
+MIXED_WORK = make_route(kind=RequestKind.UNSAFE, wanted_latency_ms=1_000, timeout_ms=8_000)
+ONCE_MIXED = make_route(
+    kind=RequestKind.STREAM, wanted_latency_ms=1_000, timeout_ms=8_000, resumable=False
+)
+LONG_ROWS = [
+    # The process exits 7.6 s into the stop.
+    ("longer than the target", MIXED_WORK, None, 3_000.0, 8_000.0, 4_600, False),
+    ("longer than the target, in time", MIXED_WORK, None, 3_000.0, 8_000.0, 3_800, True),
+    ("not known", MIXED_WORK, None, None, 8_000.0, 0, False),
+    ("not known, but its caller gives up in time", MIXED_WORK, None, None, 2_500.0, 5_000, True),
+    ("not known, and its caller gives up late", MIXED_WORK, None, None, 2_500.0, 5_200, False),
+    ("its caller gives up before the longest ends", MIXED_WORK, None, 3_000.0, 900.0, 6_500, True),
+    ("usual work", MIXED_WORK, None, 200.0, 8_000.0, 6_700, True),
+    ("safe, longer than the target", make_route(kind=RequestKind.SAFE, wanted_latency_ms=1_000, timeout_ms=8_000), None, 3_000.0, 8_000.0, 4_600, False),
+    ("a late first event", STREAM, Prompt(400, 20, ()), 3_000.0, 8_000.0, 4_600, False),
+    ("a late first event of one that runs once", ONCE_MIXED, Prompt(400, 20, ()), 2_000.0, 8_000.0, 4_000, False),
+    ("a first event whose time is not known", STREAM, Prompt(400, 20, ()), None, 8_000.0, 100, False),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("route", "prompt", "longest_ms", "limit_ms", "at_ms", "taken"),
+    [row[1:] for row in LONG_ROWS],
+    ids=[row[0] for row in LONG_ROWS],
+)
+def test_target_latency_is_no_bound_on_the_time_of_a_late_request(
+    monkeypatch, route, prompt, longest_ms, limit_ms, at_ms, taken
+):
+    """Guards against requests that are accepted although they may outlast the process."""
+    plan = LeavePlan(0.0, GRACE_MS, lambda: True)
+    monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
+    request = LateRequest(route, prompt, limit_ms, longest_ms, 15.0)
+    assert plan.decide(request).is_accepted is taken
--- /dev/null
+++ b/sparline/gateway/tests/test_run_times.py
@@ -0,0 +1,77 @@
+"""Tests of the longest times that requests took lately."""
+
+import pytest
+
+from sparline.gateway import _run_times
+from sparline.gateway._run_times import MIN_TIMES, RunTimeTable, run_key
+from sparline.routes import RequestKind
+from sparline.tests.routed import PLAIN, make_request, make_route
+
+ROUTE = make_route(kind=RequestKind.SAFE)
+OTHER = make_route(kind=RequestKind.SAFE, name="other")
+KEY = run_key(ROUTE, PLAIN, False)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    at = [100_000.0]
+    monkeypatch.setattr(_run_times, "now_ms", lambda: at[0])
+    return at
+
+
+def plain_request(at_ms: float, took_ms: float = 0.0, route=ROUTE, service=PLAIN):
+    return make_request(route, service=service, prompt=None, arrived_at_ms=at_ms - took_ms)
+
+
+def note(table, clock, times_ms, **more):
+    for took_ms in times_ms:
+        table.note(plain_request(clock[0], took_ms, **more), None)
+
+
+def test_longest_time_is_known_only_from_enough_requests(clock):
+    table = RunTimeTable(list)
+    note(table, clock, [50.0] * (MIN_TIMES - 2) + [3_000.0])
+    assert table.longest_ms(KEY) is None
+    note(table, clock, [60.0])
+    assert table.longest_ms(KEY) == 3_000.0
+
+
+def test_services_and_routes_are_told_apart(clock):
+    table = RunTimeTable(list)
+    note(table, clock, [50.0] * MIN_TIMES)
+    note(table, clock, [3_000.0] * MIN_TIMES, service="slow")
+    note(table, clock, [2_000.0] * MIN_TIMES, route=OTHER)
+    assert table.longest_ms(KEY) == 50.0
+    assert table.longest_ms(run_key(ROUTE, "slow", False)) == 3_000.0
+    assert table.longest_ms(run_key(OTHER, PLAIN, False)) == 2_000.0
+
+
+def test_old_times_are_forgotten(clock):
+    table = RunTimeTable(list)
+    note(table, clock, [3_000.0] * MIN_TIMES)
+    clock[0] += 40_000.0
+    note(table, clock, [50.0] * MIN_TIMES)
+    assert table.longest_ms(KEY) == 3_000.0
+    clock[0] += 35_000.0
+    assert table.longest_ms(KEY) == 50.0
+    clock[0] += 71_000.0
+    table.forget_unused()
+    assert (table.longest_ms(KEY), table._intervals) == (None, {})
+
+
+def test_request_in_flight_counts_by_its_age(clock):
+    running = []
+    table = RunTimeTable(lambda: running)
+    note(table, clock, [50.0] * MIN_TIMES)
+    running += [plain_request(clock[0], 4_000.0), plain_request(clock[0], 9_000.0, route=OTHER)]
+    assert table.longest_ms(KEY) == 4_000.0
+
+
+def test_stream_counts_until_its_first_event(clock):
+    route = make_route()
+    request = make_request(route, arrived_at_ms=clock[0] - 5_000.0)
+    table = RunTimeTable(list)
+    for _ in range(MIN_TIMES):
+        table.note(request, clock[0] - 4_300.0)
+        table.note(request, None)
+    assert table.longest_ms(run_key(route, request.service, True)) == 700.0
--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -21,6 +21,8 @@
     """Run some gateways in two regions before backend servers."""
 
     places: tuple[str, ...] = ("north-1",)  # availability zone of each gateway
+    # So long that a slow machine changes nothing.
+    grace_s: float = 120.0  # time that gateways have for a planned stop
     store: KeyStore = field(init=False)
     servers: dict[str, SealedServer] = field(default_factory=dict)
     gateways: dict[str, Gateway] = field(default_factory=dict)
@@ -38,9 +40,8 @@
 
     def add_gateway(self, name: str, ip: str, zone: str) -> Gateway:
         """Start a gateway that does not know the others."""
-        # The grace period is so long that a slow machine changes nothing.
         settings = gateway_settings(
-            name, ip, zone, self._listen, ["127.0.1.1"], self.store.address, grace_s=120.0
+            name, ip, zone, self._listen, ["127.0.1.1"], self.store.address, grace_s=self.grace_s
         )
         gateway = Gateway(settings)
         gateway.start()
