Close the ports of a leaving instance once it accepts nothing more

What callers saw: after its last late request a leaving instance still took connections, for up to the rest of its grace period, and reset them unread as its process ended. A caller waited for nothing where a refused connection would have sent it to another address at once.

Cause: stop_accepting leaves the listening socket open, so that the kernel goes on connecting callers. Change: the sockets are closed. Connections that are open are served on as before.

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -137,7 +137,7 @@
         while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
             gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
         for server in self._servers:
-            server.stop_accepting()
+            server.close()
         while self.service.in_flight and now_ms() < plan.exits_at_ms():
             self.service.close_idle()
             gevent.sleep(STOP_POLL_INTERVAL_MS / 1000)
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -1,8 +1,11 @@
 """Tests of requests that come to an instance which is leaving."""
 
+from unittest.mock import patch
+
 import gevent
 import pytest
 
+from sparline.gateway._leave_plan import LeavePlan
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import publish
 
@@ -68,3 +71,20 @@
     got = fleet.ask("/unsafe/x", "late", body=b"abc")
     stop.join()
     assert (got.status, got.whole) == (200, True)
+
+
+def test_leaving_instance_does_not_connect_callers_that_it_will_not_serve(fleet):
+    """Guards against callers that are connected to a port which nobody serves any more."""
+    server = fleet.servers["p1"]
+    server.work_ms = LONG_MS
+    asked = gevent.spawn(fleet.ask, "/unsafe/x", "r1", body=b"abc")
+    fleet.until(lambda: server.runs, "the request runs")
+    first = fleet.gateways["g0"]
+    stop = gevent.spawn(first.leave)
+    with patch.object(LeavePlan, "accepts_until_ms", lambda plan: plan.began_at_ms):
+        fleet.until(lambda: first.service.leave_plan is not None, "the instance leaves")
+        gevent.sleep(0.05)
+    with pytest.raises(ConnectionRefusedError):
+        fleet.caller("g0")
+    assert asked.get().status == 200
+    stop.join()
