Let the last instance of a region to leave take its requests, and the others exit early

What callers saw: while the instances of a region were stopped in turn, most usual requests (60 to 200 ms) were refused for seconds.

Cause: each leaving instance stayed until near its end, although another one was there to take its requests, so that all were away at the same time. Callers that had been led to the last one found its port closed as soon as another was back; a refusal told them to come back in 50 ms, though nobody could serve them by then.

Change: where no instance of a region is live, the one that began to leave last (by 0.75 s) takes the requests; of stops within 0.25 s one, by its address. The others close their ports and exit once theirs are done. The last one goes on for 3 s behind the return of another, for callers that were led to it, and exits early if nothing fits any more and nothing is in flight. Directory and relays leave out those that are relieved. A refusal where nobody else takes requests names the wait of a request that no server can run; the log line instance_closed tells when and why a port was closed.

--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -199,3 +199,39 @@
     members.take(gossip(note("a", counter=11)))
     clock.now += 2_100
     assert ips(members.live()) == {"a"}
+
+
+# When each instance of the region began to leave (ms), and those that still take requests.
+STOPS = [
+    ("in turn", {"own": 0, "a": 1_000}, {"a"}),
+    ("in turn, this one last", {"own": 1_000, "a": 0}, {"own"}),
+    ("three in turn", {"own": 0, "a": 1_000, "b": 2_000}, {"b"}),
+    ("so near that their order is not sure", {"own": 0, "a": 700, "b": 0}, {"own", "a", "b"}),
+    ("at once", {"own": 0, "a": 100, "b": 200}, {max(("own", "a", "b"), key=member_key)}),
+    ("at once, two of them", {"own": 100, "a": 0}, {max(("own", "a"), key=member_key)}),
+    ("one after two at once", {"own": 0, "a": 300, "b": 1_300}, {"b"}),
+]
+
+
+@pytest.mark.parametrize(
+    ("began", "taking"), [row[1:] for row in STOPS], ids=[row[0] for row in STOPS]
+)
+def test_last_of_a_region_to_leave_takes_the_requests(clock, members, began, taking):
+    """Guards against a region whose leaving instances are all away at the same time."""
+    for ip, at_ms in sorted(began.items(), key=lambda item: item[1]):
+        clock.now = 1_000_000.0 + at_ms
+        if ip == "own":
+            members.own = msgspec.structs.replace(members.own, phase=MemberPhase.leaving)
+            members.own_phase_at_ms = clock.now
+        else:
+            members.take(gossip(note(ip, phase=MemberPhase.leaving)))
+    found = ips(members.leaving(RegionName("north"), 10_000.0))
+    if not members.is_relieved():
+        found.add("own")
+    assert found == taking
+
+
+def test_live_instance_is_not_relieved(clock, members):
+    clock.now += 2_000.0
+    members.take(gossip(note("a", phase=MemberPhase.leaving)))
+    assert not members.is_relieved()
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -99,7 +99,8 @@
         found = [one.note.ip for one in self._members.leaving(region, limit_ms)]
         own = self._members.own
         has_recently_begun = now_ms() - self._members.own_phase_at_ms <= limit_ms
-        if own.region == region and own.phase is MemberPhase.leaving and has_recently_begun:
+        is_leaving = own.region == region and own.phase is MemberPhase.leaving
+        if is_leaving and has_recently_begun and not self._members.is_relieved():
             found.append(own.ip)
         return found
 
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -14,7 +14,7 @@
 from sparline.gateway._components import GatewayComponents
 from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
-from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._leave_plan import LeavePlan, StopSources
 from sparline.gateway._operator_app import make_operator_app
 from sparline.gateway._settings import split_address
 from sparline.platform import (
@@ -129,13 +129,24 @@
         """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
-        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, self._is_last_in_region)
+        sources = StopSources(
+            self._is_last_in_region, self.members.is_relieved, self.service.run_times.shortest_ms
+        )
+        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, sources)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
         in_flight = len(self.service.in_flight)
         log.bind(in_flight=in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
         while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
+            if not self.service.in_flight and now_ms() >= plan.last_fit_ms():
+                # The sooner it exits, the sooner it is back.
+                break
             gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
+        log.bind(
+            in_flight=len(self.service.in_flight),
+            accepted_for_ms=round(now_ms() - plan.began_at_ms),
+            is_relieved=self.members.is_relieved(),
+        ).info("instance_closed")
         for server in self._servers:
             server.close()
         while self.service.in_flight and now_ms() < plan.exits_at_ms():
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -17,6 +17,8 @@
 # is live. In test runs, three overlapping planned stops left a region without a live instance for
 # up to 5 s, and instances of other regions may not run requests bound to their home regions.
 LAST_INSTANCE_ACCEPT_FRACTION = 0.85
+# How long callers may use a directory answer that names a leaving instance (ms).
+ANSWER_HELD_MS = 3_000.0
 # A request is expected to take at most this many times as long as the longest one lately.
 LONGEST_TIME_FACTOR = 1.25
 # A stream that can be neither repeated nor resumed is accepted only if it would complete in time
@@ -49,21 +51,56 @@
 
 
 @dataclass(frozen=True, slots=True)
+class StopSources:
+    """Provide what a planned stop depends on beside its own time."""
+
+    is_last_in_region: Callable[[], bool]  # whether no other instance of the region is live
+    # Whether another instance of the region, which is leaving too, takes its work.
+    is_relieved: Callable[[], bool]
+    # Longest time of the requests that take the shortest, None if it is not known.
+    shortest_ms: Callable[[], float | None]
+
+
+@dataclass(slots=True)
 class LeavePlan:
     """Hold the times of a planned stop."""
 
     began_at_ms: float  # start of the stop, by this process's clock
     grace_ms: float  # time until the process is killed
-    # Returns whether no other instance of the region is live.
-    is_last_in_region: Callable[[], bool] = lambda: False
+    sources: StopSources
+    _needed_at_ms: float = 0.0  # when no other instance of the region was live last
 
     def accepts_until_ms(self) -> float:
         """Return when new requests are no longer accepted.
 
         The time moves if other instances of the region start or leave.
         """
-        part = LAST_INSTANCE_ACCEPT_FRACTION if self.is_last_in_region() else ACCEPT_FRACTION
-        return self.began_at_ms + self.grace_ms * part
+        if self.is_needed():
+            self._needed_at_ms = now_ms()
+            return self._last_instance_end_ms()
+        if self.sources.is_last_in_region():
+            # The sooner this instance exits, the sooner it is back and relieves the other one.
+            return self.began_at_ms
+        return min(self._usual_end_ms(), self.last_fit_ms())
+
+    def is_needed(self) -> bool:
+        """Return whether no other instance of the region takes the requests that come here."""
+        return self.sources.is_last_in_region() and not self.sources.is_relieved()
+
+    def _usual_end_ms(self) -> float:
+        """Return until when callers come that were led here before another instance was live."""
+        led_here_until_ms = min(self._needed_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
+        return max(self.began_at_ms + self.grace_ms * ACCEPT_FRACTION, led_here_until_ms)
+
+    def _last_instance_end_ms(self) -> float:
+        return self.began_at_ms + self.grace_ms * LAST_INSTANCE_ACCEPT_FRACTION
+
+    def last_fit_ms(self) -> float:
+        """Return from when on no request would be complete in time."""
+        shortest_ms = self.sources.shortest_ms()
+        if shortest_ms is None:
+            return self.exits_at_ms()
+        return self.exits_at_ms() - shortest_ms * LONGEST_TIME_FACTOR
 
     def exits_at_ms(self) -> float:
         """Return when the process exits, even with requests in flight."""
@@ -75,7 +112,7 @@
         expected_ms = _expected_ms(request)
         left_ms = self.exits_at_ms() - now
         is_accepted = now < self.accepts_until_ms() and expected_ms < left_ms
-        return LateDecision(is_accepted, expected_ms, left_ms, self.is_last_in_region())
+        return LateDecision(is_accepted, expected_ms, left_ms, self.sources.is_last_in_region())
 
 
 def _expected_ms(request: LateRequest) -> float:
--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -71,6 +71,11 @@
         ages_ms = (now - one.arrived_at_ms for one in self._in_flight() if _key_of(one) == key)
         return max(longest_ms, *ages_ms, 0.0)
 
+    def shortest_ms(self) -> float | None:
+        """Return the longest time of the requests that take the shortest, None if not known."""
+        known = (self.longest_ms(one) for one in list(self._intervals))
+        return min((one for one in known if one is not None), default=None)
+
     def forget_unused(self) -> None:
         """Forget keys without a time in the window."""
         for key in list(self._intervals):
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -229,9 +229,8 @@
         began_by = (marks.resumes if route.resumable else None) or request_id
         service = relayed or choose_service(route, began_by)
         if not self._can_complete(request_id, route, service, marks):
-            self._own_answers.refuse(
-                caller, request_id, origin, Reason.LEAVING, LEAVING_RETRY_AFTER_MS
-            )
+            wait_ms = self._leaving_retry_after_ms(route, marks)
+            self._own_answers.refuse(caller, request_id, origin, Reason.LEAVING, wait_ms)
             return None
         limit_ms = _limit_ms(route, marks)
         resume_after = marks.resume_after if route.resumable else None
@@ -296,6 +295,12 @@
         self._log.note_late_request(request_id, route, decision)
         return decision.is_accepted
 
+    def _leaving_retry_after_ms(self, route: Route, marks: RequestHead) -> float:
+        """Return when a request that this instance refuses may be served by another, or again here."""
+        if self.leave_plan is not None and self.leave_plan.is_needed():
+            return unserved_retry_after_ms(_limit_ms(route, marks))
+        return LEAVING_RETRY_AFTER_MS
+
     def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
         after = http.target.removeprefix(STORE_COPY_TARGET)
         if not after.isdigit():
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -3,10 +3,12 @@
 from unittest.mock import patch
 
 import gevent
+import msgspec
 import pytest
 
+from sparline.fleet._members import LATER_STOP_MS
 from sparline.gateway._leave_plan import LeavePlan
-from sparline.tests.routed_fleet import RoutedFleet
+from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
 from standins import publish
 
 GRACE_S = 2.0
@@ -54,9 +56,13 @@
     leaving = list(fleet.gateways.values())[-1]
     stop = gevent.spawn(leave, leaving)
     gevent.sleep(LATE_FRACTION * GRACE_S)
-    got = fleet.ask(f"/{kind}/x", "late", body=b"abc")
+    try:
+        got = fleet.ask(f"/{kind}/x", "late", body=b"abc")
+        assert (got.status, got.whole) == (503, True)
+    except ConnectionRefusedError:
+        # It has nothing left to do, and is gone already.
+        assert stop.ready()
     stop.join()
-    assert (got.status, got.whole) == (503, True)
     assert "late" not in fleet.runs()
 
 
@@ -88,3 +94,47 @@
         fleet.caller("g0")
     assert asked.get().status == 200
     stop.join()
+
+
+def test_instance_that_another_relieves_ends_at_once():
+    """Guards against a region whose two instances, stopped in turn, are away at the same time."""
+    with RoutedFleet(("north-1", "north-1")) as fleet:
+        fleet.add_server("p1")
+        first, second = fleet.ready().gateways.values()
+        stops = [gevent.spawn(leave, first)]
+        fleet.until(lambda: not second.members.live(), "the second knows that the first leaves")
+        gevent.sleep(2 * LATER_STOP_MS / 1000)
+        stops.append(gevent.spawn(leave, second))
+        stops[0].join(PATIENCE_MS / 1000)
+        assert stops[0].ready()
+        with pytest.raises(OSError):
+            fleet.caller("g0")
+        assert fleet.ask("/safe/x", at="g1").status == 200
+        gevent.killall(stops)
+
+
+def test_refusal_of_the_last_instance_names_no_time_before_another_can_be_back():
+    """Guards against callers that come back at once, where nobody can serve them."""
+    with RoutedFleet(grace_s=GRACE_S) as fleet:
+        server = fleet.add_server("p1")
+        server.work_ms = 1.0
+        fleet.ready()
+        stop = gevent.spawn(leave, fleet.gateways["g0"])
+        gevent.sleep(0.1)
+        got = fleet.ask("/unsafe/x", body=b"abc", Deadline_Milliseconds="6000")
+        stop.join()
+        assert (got.status, float(got.headers["retry-after"])) == (503, 2.0)
+
+
+def test_request_in_flight_outlasts_a_reload_and_the_end_of_its_route(fleet):
+    """Guards against planned changes that cut what is in flight."""
+    server = fleet.servers["p1"]
+    server.work_ms = LONG_MS / 2
+    asked = gevent.spawn(fleet.ask, "/unsafe/x", "r1", body=b"abc")
+    fleet.until(lambda: server.runs, "the request runs")
+    for gateway in fleet.gateways.values():
+        gateway.reload(msgspec.structs.replace(gateway.settings, grace_s=GRACE_S / 2))
+    publish(fleet.store, 2, {"/safe/": ROUTES["/safe/"]})
+    fleet.until(fleet.is_ready, "all gateways hold the new configuration")
+    got = asked.get()
+    assert (got.status, got.whole) == (200, True)
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -3,7 +3,12 @@
 import pytest
 
 from sparline.gateway import _leave_plan
-from sparline.gateway._leave_plan import LONGEST_TIME_FACTOR, LateRequest, LeavePlan
+from sparline.gateway._leave_plan import (
+    LONGEST_TIME_FACTOR,
+    LateRequest,
+    LeavePlan,
+    StopSources,
+)
 from sparline.requests import Prompt
 from sparline.routes import RequestKind
 from sparline.tests.routed import make_route
@@ -16,6 +21,12 @@
 PLAIN = make_route(kind=RequestKind.UNSAFE, wanted_latency_ms=400, timeout_ms=1_200)
 
 
+def make_plan(is_last, is_relieved=False, shortest_ms=None):
+    """Return the plan of a stop that began at 0."""
+    sources = StopSources(lambda: is_last, lambda: is_relieved, lambda: shortest_ms)
+    return LeavePlan(0.0, GRACE_MS, sources)
+
+
 def make_late_request(route, prompt, token_ms=15.0, longest_ms=None):
     """Return a request whose longest time lately lies as far below its target as is allowed for."""
     if longest_ms is None:
@@ -51,7 +62,7 @@
 def test_leaving_instance_accepts_requests_that_it_can_complete(
     monkeypatch, route, prompt, at_ms, taken, token_ms
 ):
-    plan = LeavePlan(0.0, GRACE_MS)
+    plan = make_plan(is_last=False)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
     assert plan.decide(make_late_request(route, prompt, token_ms)).is_accepted is taken
 
@@ -75,7 +86,7 @@
 def test_last_instance_of_a_region_accepts_requests_for_longer(
     monkeypatch, route, prompt, at_ms, taken
 ):
-    plan = LeavePlan(0.0, GRACE_MS, lambda: True)
+    plan = make_plan(is_last=True)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
     assert plan.decide(make_late_request(route, prompt)).is_accepted is taken
 
@@ -109,7 +120,43 @@
     monkeypatch, route, prompt, longest_ms, limit_ms, at_ms, taken
 ):
     """Guards against requests that are accepted although they may outlast the process."""
-    plan = LeavePlan(0.0, GRACE_MS, lambda: True)
+    plan = make_plan(is_last=True)
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(at_ms))
     request = LateRequest(route, prompt, limit_ms, longest_ms, 15.0)
     assert plan.decide(request).is_accepted is taken
+
+
+# Whether it is the last of its region, relieved, the shortest work (ms), and until when it accepts.
+END_ROWS = [
+    ("others live", False, False, None, 4_000.0),
+    ("none lives", True, False, None, 6_800.0),
+    ("none lives, another left later", True, True, None, 0.0),
+    ("another left later, but others live", False, True, None, 4_000.0),
+    ("nothing would end in time, but none lives", True, False, 3_000.0, 6_800.0),
+    ("nothing would end in time, and others live", False, False, 3_000.0, 3_850.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("is_last", "is_relieved", "shortest_ms", "until_ms"),
+    [row[1:] for row in END_ROWS],
+    ids=[row[0] for row in END_ROWS],
+)
+def test_instance_that_is_not_needed_stops_early(is_last, is_relieved, shortest_ms, until_ms):
+    """Guards against instances that wait for their end with nothing that they could accept."""
+    assert make_plan(is_last, is_relieved, shortest_ms).accepts_until_ms() == until_ms
+
+
+@pytest.mark.parametrize(
+    ("returned_at_ms", "until_ms"), [(500, 4_000), (3_000, 6_000), (6_000, 6_800)]
+)
+def test_callers_led_to_the_last_instance_are_served_after_another_is_back(
+    monkeypatch, returned_at_ms, until_ms
+):
+    """Guards against callers that find the port closed to which they were sent."""
+    is_last = [True]
+    plan = LeavePlan(0.0, GRACE_MS, StopSources(lambda: is_last[0], lambda: False, lambda: None))
+    monkeypatch.setattr(_leave_plan, "now_ms", lambda: float(returned_at_ms))
+    assert plan.accepts_until_ms() == 6_800.0
+    is_last[0] = False
+    assert plan.accepts_until_ms() == until_ms
