Let no instance leave its work to one that reaches no server

What callers would see: where the last instance of a region to leave is cut off from its servers, the others exit early and nobody serves the region until they are back. Cause: who takes the requests of a region was asked of the times of the stops alone. Change: of the leaving instances only those that reach a server take requests, all if none does. Evidence: a test in test_members.py that fails without it (the instance counts as relieved), found by reading; not shown in a run. Tests of members, directory and peers: 54 passed.

--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -279,9 +279,7 @@
         exit early, so that they are back before the last one has to go. Whether stops in another
         region are simultaneous is not known, because the news of several may come together.
         """
-        began_at_ms = {one.key: one.phase_at_ms for one in self._heard_leaving(region)}
-        if self._is_leaving(region):
-            began_at_ms[self._own_key] = self.own_phase_at_ms
+        began_at_ms = self._stops(region, True) or self._stops(region, False)
         if not began_at_ms:
             return set()
         last_at_ms = max(began_at_ms.values())
@@ -290,6 +288,20 @@
             return {max(began_at_ms)}
         return {key for key, at_ms in began_at_ms.items() if at_ms >= last_at_ms - LATER_STOP_MS}
 
+    def _stops(self, region: RegionName, only_connected: bool) -> dict[int, float]:
+        """Return when the leaving instances of a region began to leave, by key.
+
+        With `only_connected`, leaves out those that reach no backend server of their region.
+        """
+        began_at_ms = {
+            one.key: one.phase_at_ms
+            for one in self._heard_leaving(region)
+            if one.note.servers_reached or not only_connected
+        }
+        if self._is_leaving(region) and (self.own.servers_reached or not only_connected):
+            began_at_ms[self._own_key] = self.own_phase_at_ms
+        return began_at_ms
+
     def _is_leaving(self, region: RegionName) -> bool:
         return self.own.region == region and self.own.phase is MemberPhase.leaving
 
--- a/sparline/fleet/tests/test_members.py
+++ b/sparline/fleet/tests/test_members.py
@@ -231,6 +231,18 @@
     assert found == taking
 
 
+def test_instance_is_not_relieved_by_one_that_reaches_no_server(clock, members):
+    """Guards against a region whose only instance with a way to the servers leaves early."""
+    members.own = msgspec.structs.replace(members.own, phase=MemberPhase.leaving)
+    members.own_phase_at_ms = clock.now
+    clock.now += 2_000.0
+    isolated = msgspec.structs.replace(note("a", phase=MemberPhase.leaving), servers_reached=False)
+    members.take(gossip(isolated))
+    assert not members.is_relieved()
+    members.own = msgspec.structs.replace(members.own, servers_reached=False)
+    assert members.is_relieved()
+
+
 def test_live_instance_is_not_relieved(clock, members):
     clock.now += 2_000.0
     members.take(gossip(note("a", phase=MemberPhase.leaving)))
