--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -20,6 +20,7 @@
 from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
 from sparline.fleet._part_exchange import PartExchange
+from sparline.fleet._planned_stops import PlannedStops
 from sparline.fleet._quota_exchange import QuotaExchange
 from sparline.fleet._software_versions import VERSION_RETENTION_MS, SoftwareVersions
 from sparline.fleet._store_copy import NO_POSITION, StoreChange, StoreCopyTable, StorePosition
@@ -65,6 +66,7 @@
     "LoadSources",
     "Member",
     "Members",
+    "PlannedStops",
     "LoadDatagram",
     "PartExchange",
     "QuotaExchange",
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -26,11 +26,6 @@
 # second over which the limit applies, plus time for all siblings to learn of a change, so that the
 # old and the new owner of a share don't use it in the same second.
 SETTLED_MS = 1_500.0
-# An instance leaves its work to a sibling whose stop began this much later (ms): the news of a stop
-# may take three gossip rounds, and two instances must not each leave the work to the other.
-LATER_STOP_MS = 750.0
-# Stops that all began within this time of each other are taken for simultaneous (ms).
-SIMULTANEOUS_STOPS_MS = 250.0
 # A member that is silent for this long is removed (ms).
 RETENTION_MS = 600_000.0
 # Maximum age of a member's report on the store that is still used (ms): in a region of 71
@@ -254,67 +249,6 @@
     def _cross_region_timeout_ms(self) -> float:
         return max(LIVENESS_TIMEOUT_MS, CROSS_REGION_TIMEOUT_PER_MEMBER_MS * len(self._others))
 
-    def leaving(self, region: RegionName, for_less_than_ms: float) -> list[Member]:
-        """Return the other instances of a region that began to leave less than this time ago.
-
-        Leaves out those whose work another leaving instance takes.
-        """
-        since_ms = now_ms() - for_less_than_ms
-        taking = self._taking_while_leaving(region)
-        return [
-            one
-            for one in self._heard_leaving(region)
-            if one.phase_at_ms >= since_ms and one.key in taking
-        ]
-
-    def is_relieved(self) -> bool:
-        """Tell whether this instance is leaving, and another leaving one takes its work."""
-        region = RegionName(self.own.region)
-        return self._is_leaving(region) and self._own_key not in self._taking_while_leaving(region)
-
-    def _taking_while_leaving(self, region: RegionName) -> set[int]:
-        """Return the keys of the leaving instances that take the work of their region.
-
-        These are the last ones to leave, and one of them if all leave at the same time: the others
-        exit early, so that they are back before the last one has to go. Whether stops in another
-        region are simultaneous is not known, because the news of several may come together.
-        """
-        began_at_ms = self._stops(region, True) or self._stops(region, False)
-        if not began_at_ms:
-            return set()
-        last_at_ms = max(began_at_ms.values())
-        spread_ms = last_at_ms - min(began_at_ms.values())
-        if region == self.own.region and spread_ms <= SIMULTANEOUS_STOPS_MS:
-            return {max(began_at_ms)}
-        return {key for key, at_ms in began_at_ms.items() if at_ms >= last_at_ms - LATER_STOP_MS}
-
-    def _stops(self, region: RegionName, only_connected: bool) -> dict[int, float]:
-        """Return when the leaving instances of a region began to leave, by key.
-
-        With `only_connected`, leaves out those that reach no backend server of their region.
-        """
-        began_at_ms = {
-            one.key: one.phase_at_ms
-            for one in self._heard_leaving(region)
-            if one.note.servers_reached or not only_connected
-        }
-        if self._is_leaving(region) and (self.own.servers_reached or not only_connected):
-            began_at_ms[self._own_key] = self.own_phase_at_ms
-        return began_at_ms
-
-    def _is_leaving(self, region: RegionName) -> bool:
-        return self.own.region == region and self.own.phase is MemberPhase.leaving
-
-    def _heard_leaving(self, region: RegionName) -> list[Member]:
-        since_ms = now_ms() - LIVENESS_TIMEOUT_MS
-        return [
-            one
-            for one in self._others.values()
-            if one.heard_at_ms >= since_ms
-            and one.note.phase is MemberPhase.leaving
-            and one.note.region == region
-        ]
-
     def sharers(self, region: RegionName | None = None) -> list[str]:
         """Return the addresses of all instances, including this one, that divide a shared limit."""
         since = now_ms() - SHARER_TIMEOUT_MS
--- a/sparline/gateway/_directory.py
+++ b/sparline/gateway/_directory.py
@@ -4,7 +4,7 @@
 
 from sparline._clock import now_ms
 from sparline._ids import RegionName, ZoneName
-from sparline.fleet import FleetState, Members
+from sparline.fleet import FleetState, Members, PlannedStops
 from sparline.platform import DirectoryQuery
 from sparline.schema._gossip import MemberPhase
 
@@ -39,6 +39,7 @@
         its region is live.
         """
         self._members = members
+        self._stops = PlannedStops(members)
         self._fleet = fleet
         self._port = callers_port
         max_named_ms = min(last_instance_accept_ms - ANSWER_LIFETIME_MS, MAX_LEAVING_NAMED_MS)
@@ -96,11 +97,11 @@
 
     def _leaving_for_less_than(self, region: RegionName, limit_ms: float) -> list[str]:
         """Return the instances of a region, including this one, that began to leave recently."""
-        found = [one.note.ip for one in self._members.leaving(region, limit_ms)]
+        found = [one.note.ip for one in self._stops.taking(region, limit_ms)]
         own = self._members.own
         has_recently_begun = now_ms() - self._members.own_phase_at_ms <= limit_ms
         is_leaving = own.region == region and own.phase is MemberPhase.leaving
-        if is_leaving and has_recently_begun and not self._members.is_relieved():
+        if is_leaving and has_recently_begun and not self._stops.is_relieved():
             found.append(own.ip)
         return found
 
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from sparline._ids import RegionName
 from sparline._logging import log
 from sparline._wsgi import make_server
+from sparline.fleet import PlannedStops
 from sparline.gateway._components import GatewayComponents
 from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
@@ -129,8 +130,9 @@
         """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
+        stops = PlannedStops(self.members)
         sources = StopSources(
-            self._is_last_in_region, self.members.is_relieved, self.service.run_times.shortest_ms
+            self._is_last_in_region, stops.is_relieved, self.service.run_times.shortest_ms
         )
         plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, sources)
         self.service.leave_plan = plan
@@ -145,7 +147,7 @@
         log.bind(
             in_flight=len(self.service.in_flight),
             accepted_for_ms=round(now_ms() - plan.began_at_ms),
-            is_relieved=self.members.is_relieved(),
+            is_relieved=stops.is_relieved(),
         ).info("instance_closed")
         for server in self._servers:
             server.close()
--- a/sparline/gateway/_peer_table.py
+++ b/sparline/gateway/_peer_table.py
@@ -3,7 +3,7 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline._logging import log
-from sparline.fleet import Member, Members
+from sparline.fleet import Member, Members, PlannedStops
 
 # Round-trip time to another region before the first measurement (ms): the first request has to be
 # placed without one.
@@ -26,6 +26,7 @@
         its region is live.
         """
         self._members = members
+        self._stops = PlannedStops(members)
         self._last_instance_accept_ms = last_instance_accept_ms
         self._skip_until_ms: dict[str, float] = {}
         self._round_trip_ms: dict[RegionName, float] = {}
@@ -37,7 +38,7 @@
         can reach the backend servers there.
         """
         live = self._reachable(self._members.live(region))
-        return live or self._reachable(self._members.leaving(region, self._last_instance_accept_ms))
+        return live or self._reachable(self._stops.taking(region, self._last_instance_accept_ms))
 
     def _reachable(self, members: list[Member]) -> list[Member]:
         now = now_ms()
--- a/sparline/gateway/tests/test_directory.py
+++ b/sparline/gateway/tests/test_directory.py
@@ -98,7 +98,11 @@
     # When planned stops overlapped, a region had no live instance. Its leaving instances still
     # accepted requests, but callers were sent to another region that may not run them.
     at = [1_000.0]
-    for module in ("sparline.gateway._directory", "sparline.fleet._members"):
+    for module in (
+        "sparline.gateway._directory",
+        "sparline.fleet._members",
+        "sparline.fleet._planned_stops",
+    ):
         monkeypatch.setattr(f"{module}.now_ms", lambda: at[0])
     members = Members(MemberNote("own", "own", 1, 1, MemberPhase.live, "west", "west-1"))
     members.take(Gossip(LEAVING, 0, True, [], [], [], [], False))
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from sparline.fleet._members import LATER_STOP_MS
+from sparline.fleet._planned_stops import LATER_STOP_MS
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
 from standins import publish
--- a/sparline/gateway/tests/test_peer_table.py
+++ b/sparline/gateway/tests/test_peer_table.py
@@ -40,7 +40,11 @@
 def test_usable_peers(monkeypatch, row):
     _, heard, missed, ago_ms, usable = row
     at = [1_000.0]
-    for module in ("sparline.gateway._peer_table", "sparline.fleet._members"):
+    for module in (
+        "sparline.gateway._peer_table",
+        "sparline.fleet._members",
+        "sparline.fleet._planned_stops",
+    ):
         monkeypatch.setattr(f"{module}.now_ms", lambda: at[0])
     members = Members(note("n1", MemberPhase.live, NORTH))
     for one in heard:
