Let operators set how much of a plain answer is held until it is whole

What callers see: up to this length a break of a safe request's answer is hidden, beyond it the answer is cut. That was a constant in the code, and a promise on no page. Evidence: a test with 0.5 and 2 MB held and a break after 1 MB: cut, and repeated unseen. The memory is arithmetic: 43 requests at once (384 places over nine instances) may hold 43 MB at the default.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -26,8 +26,6 @@
 from sparline.requests import Reason, RoutedRequest
 from sparline.routes import RequestKind
 
-# Non-streaming responses up to this size are buffered completely before they are sent on (bytes).
-MAX_BUFFERED_BYTES = 1_048_576
 # Maximum size of a server-sent event (bytes). Typical events are a few hundred bytes long.
 MAX_EVENT_BYTES = 1_048_576
 # Lowest status code of a response that is not a success. Only a success holds events.
@@ -80,7 +78,7 @@
         body = bytearray()
         while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
             body += piece
-            if len(body) > MAX_BUFFERED_BYTES:
+            if len(body) > self._dependencies.buffered_answer_bytes:
                 return self._forward_unbuffered(connection, answer, bytes(body))
         is_proven = self._verify_end(connection, answer) and bool(body)
         elapsed_ms = now_ms() - self._progress.sent_at_ms
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -114,6 +114,8 @@
     backend_wire: BackendWire  # protocol used with backend servers
     peer_wire: Wire  # protocol used between instances
     peer_port: int  # port on which instances accept relayed requests
+    # Longest body of a response that is no stream which is buffered until it is complete (bytes).
+    buffered_answer_bytes: int
     health: HealthTable  # server health observed by this instance
     server_limits: ServerLimitTable  # request rate limits set by servers
     refusal_limits: RefusalLimitTable  # limits on refusals set by servers
--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -71,6 +71,7 @@
         backend_wire=ServerWire(),
         peer_wire=InstanceWire(),
         peer_port=components.relay_port,
+        buffered_answer_bytes=components.settings.buffered_answer_bytes,
         health=components.health,
         server_limits=components.server_limits,
         refusal_limits=components.refusal_limits,
--- a/sparline/gateway/tests/test_answers_of_one_server.py
+++ b/sparline/gateway/tests/test_answers_of_one_server.py
@@ -124,3 +124,22 @@
     assert not got.whole
     assert len(servers_in(got.body)) == 1
     assert len(fleet.runs()) == 1
+
+
+BUFFERED = [
+    # length that is held, whether the caller has a part as the answer breaks off, runs
+    (500_000, True, 1),
+    (2_000_000, False, 2),
+]
+
+
+@pytest.mark.parametrize(("buffered_bytes", "is_begun", "runs"), BUFFERED)
+def test_answer_is_held_up_to_the_length_that_operators_set(buffered_bytes, is_begun, runs):
+    with RoutedFleet(buffered_answer_bytes=buffered_bytes) as fleet:
+        for name in ("p1", "p2"):
+            fleet.add_server(name)
+        fleet.ready()
+        set_faults(fleet, body_bytes=1_800_000, break_after_bytes=1_000_000)
+        got = ask_and_cut(fleet, "/safe/x") if is_begun else fleet.ask("/safe/x")
+        assert got.whole is not is_begun
+        assert len(fleet.runs()) == runs
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -131,3 +131,10 @@
             ge=0.0,
         ),
     ] = 0.0
+    buffered_answer_bytes: Annotated[
+        int,
+        Meta(
+            description="Longest body of an answer that is no stream which is held until it is whole, bytes; each request in flight may hold as much.",
+            ge=0,
+        ),
+    ] = 1048576
--- a/sparline/tests/routed_fleet.py
+++ b/sparline/tests/routed_fleet.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import gevent
+import msgspec
 
 from benchmarks._gateway_settings import gateway_settings
 from benchmarks._port_pool import PortPool
@@ -23,6 +24,7 @@
     places: tuple[str, ...] = ("north-1",)  # availability zone of each gateway
     # So long that a slow machine changes nothing.
     grace_s: float = 120.0  # time that gateways have for a planned stop
+    buffered_answer_bytes: int = 1_048_576  # setting of the gateways
     store: KeyStore = field(init=False)
     servers: dict[str, SealedServer] = field(default_factory=dict)
     gateways: dict[str, Gateway] = field(default_factory=dict)
@@ -43,6 +45,9 @@
         settings = gateway_settings(
             name, ip, zone, self._listen, ["127.0.1.1"], self.store.address, grace_s=self.grace_s
         )
+        settings = msgspec.structs.replace(
+            settings, buffered_answer_bytes=self.buffered_answer_bytes
+        )
         gateway = Gateway(settings)
         gateway.start()
         self.gateways[name] = gateway
