--- /dev/null
+++ b/sparline/gateway/_peer_answers.py
@@ -0,0 +1,70 @@
+"""Answers to peers that ask this instance for what it holds, beside the requests that they relay."""
+
+from collections.abc import Callable
+from math import isfinite
+
+import msgspec
+
+from sparline._cbor import pack
+from sparline.fleet import FleetState, StoreCopyTable
+from sparline.gateway._own_answers import OwnAnswers
+from sparline.http import CallerConnection, HttpRequest
+from sparline.requests import Reason
+from sparline.schema._gossip import StoreCopy, StoreItemNote
+
+CBOR_HEADERS = [(b"Content-Type", b"application/cbor")]
+# Request target under which peers fetch store copies, without the revision.
+STORE_COPY_TARGET = b"/sparline/store-copy?after="
+# Request target under which peers fetch the configuration in force.
+CONFIGURATION_TARGET = b"/sparline/configuration"
+
+
+class PeerAnswers:
+    """Answer what peers ask for."""
+
+    def __init__(
+        self,
+        fleet: FleetState,
+        copy: StoreCopyTable,
+        own_answers: OwnAnswers,
+        store_outage_age_ms: Callable[[], float],
+    ) -> None:
+        """Answer for one instance.
+
+        `store_outage_age_ms` returns the time since the store's last outage ended.
+        """
+        self._fleet = fleet
+        self._copy = copy
+        self._own_answers = own_answers
+        self._store_outage_age_ms = store_outage_age_ms
+
+    def answer(self, caller: CallerConnection, http: HttpRequest) -> bool:
+        """Answer a request of a peer; return whether it is one that is answered here."""
+        if http.target.startswith(STORE_COPY_TARGET):
+            self._answer_store_copy(caller, http)
+            return True
+        if http.target == CONFIGURATION_TARGET:
+            self._answer_configuration(caller)
+            return True
+        return False
+
+    def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
+        after = http.target.removeprefix(STORE_COPY_TARGET)
+        if not after.isdigit():
+            text = f"expected a revision, found {after!r}"
+            self._own_answers.reject(caller, "", 400, Reason.BAD_REQUEST, text)
+            return
+        outage_age_ms = self._store_outage_age_ms()
+        copy = msgspec.structs.replace(
+            self._copy.since(int(after)),
+            disturbed_ago_ms=round(outage_age_ms) if isfinite(outage_age_ms) else None,
+        )
+        caller.answer(200, CBOR_HEADERS, pack(copy))
+
+    def _answer_configuration(self, caller: CallerConnection) -> None:
+        """Answer with the configuration in force, which the store may have lost."""
+        change = self._fleet.configuration_change
+        notes = [StoreItemNote(change.key, change.revision, change.value)] if change else []
+        position = self._copy.position
+        copy = StoreCopy(position.revision, False, notes, era=position.era)
+        caller.answer(200, CBOR_HEADERS, pack(copy))
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -2,13 +2,10 @@
 
 import socket
 from collections.abc import Callable
-from math import isfinite
 
-import msgspec
 from gevent.socket import socket as GeventSocket
 from result import Result
 
-from sparline._cbor import pack
 from sparline._clock import now_ms
 from sparline._hashing import hash64
 from sparline._ids import RequestId
@@ -19,6 +16,7 @@
 from sparline.gateway._in_flight import InFlightRequests
 from sparline.gateway._leave_plan import LateRequest, LeavePlan
 from sparline.gateway._own_answers import NO_ROUTE_RETRY_AFTER_MS, OwnAnswers
+from sparline.gateway._peer_answers import PeerAnswers
 from sparline.gateway._quotas import Quotas
 from sparline.gateway._request_log import RequestLog
 from sparline.gateway._run_times import RunTimeTable, run_key
@@ -46,7 +44,6 @@
     find_relayed_caller,
 )
 from sparline.routes import DEFAULT_LIMITS, Configuration, Organisation, Route, ServiceName
-from sparline.schema._gossip import StoreCopy, StoreItemNote
 
 # Deadline assumed for requests without one when they are refused before a route's timeout
 # applies (ms).
@@ -61,11 +58,6 @@
 # How long remaining input is read after an error response (s), so that a connection reset does not
 # discard the response.
 LINGER_S = 0.5
-CBOR_HEADERS = [(b"Content-Type", b"application/cbor")]
-# Request target under which peers fetch store copies, without the revision.
-STORE_COPY_TARGET = b"/sparline/store-copy?after="
-# Request target under which peers fetch the configuration in force.
-CONFIGURATION_TARGET = b"/sparline/configuration"
 
 
 class Service:
@@ -92,11 +84,10 @@
         self.run_times = RunTimeTable(lambda: self.in_flight)
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
-        self._copy = copy
         self._log = request_log
         self._pace = pace
-        self._store_outage_age_ms = store_outage_age_ms
         self._own_answers = OwnAnswers(fleet, request_log, may_be_outdated)
+        self._peer_answers = PeerAnswers(fleet, copy, self._own_answers, store_outage_age_ms)
         self._quotas = quotas
         self._admission = admission
         self._parts = parts
@@ -164,11 +155,7 @@
     def _answer(self, caller: CallerConnection, http: HttpRequest, origin: Origin) -> None:
         if self.leave_plan is not None:
             caller.closing = True
-        if origin is Origin.RELAY and http.target.startswith(STORE_COPY_TARGET):
-            self._answer_store_copy(caller, http)
-            return
-        if origin is Origin.RELAY and http.target == CONFIGURATION_TARGET:
-            self._answer_configuration(caller)
+        if origin is Origin.RELAY and self._peer_answers.answer(caller, http):
             return
         marks = parse_request_head(http)
         if marks.is_err():
@@ -301,27 +288,6 @@
             return unserved_retry_after_ms(_limit_ms(route, marks))
         return LEAVING_RETRY_AFTER_MS
 
-    def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
-        after = http.target.removeprefix(STORE_COPY_TARGET)
-        if not after.isdigit():
-            text = f"expected a revision, found {after!r}"
-            self._own_answers.reject(caller, "", 400, Reason.BAD_REQUEST, text)
-            return
-        outage_age_ms = self._store_outage_age_ms()
-        copy = msgspec.structs.replace(
-            self._copy.since(int(after)),
-            disturbed_ago_ms=round(outage_age_ms) if isfinite(outage_age_ms) else None,
-        )
-        caller.answer(200, CBOR_HEADERS, pack(copy))
-
-    def _answer_configuration(self, caller: CallerConnection) -> None:
-        """Answer with the configuration in force, which the store may have lost."""
-        change = self._fleet.configuration_change
-        notes = [StoreItemNote(change.key, change.revision, change.value)] if change else []
-        position = self._copy.position
-        copy = StoreCopy(position.revision, False, notes, era=position.era)
-        caller.answer(200, CBOR_HEADERS, pack(copy))
-
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
         for caller in list(self._connections):
--- a/sparline/gateway/_store_sync.py
+++ b/sparline/gateway/_store_sync.py
@@ -17,7 +17,7 @@
     StoreReader,
 )
 from sparline.gateway._metrics import GatewayMetrics
-from sparline.gateway._service import CONFIGURATION_TARGET, STORE_COPY_TARGET
+from sparline.gateway._peer_answers import CONFIGURATION_TARGET, STORE_COPY_TARGET
 from sparline.http import BackendConnection, ConnectionBroken
 from sparline.schema._gossip import MemberNote, StoreCopy
 
