Learn at a stop how long requests took at other instances

What callers would see: a leaving instance knows only its own requests of the last minute. A young one, or one of a route with few requests, refuses what it could serve, as the times are not known; one that has not seen a rare long request yet accepts another one that it can't finish. Change: at SIGTERM an instance asks up to twelve others, its region's first, for the number and the longest of their requests by route and service (run_times in the schema, on the relay port). They count like its own. Nothing is sent while nothing leaves; an instance that doesn't answer within a second, or of a version without this, is left out (log line run_times_asked).

--- a/codegen/generate.py
+++ b/codegen/generate.py
@@ -21,6 +21,7 @@
     "Share",
     "MemberNote",
     "MemberBeat",
+    "RunTimeNote",
     "BackendLoadNote",
     "LoadShareNote",
     "LoadReadingNote",
--- a/sparline/fleet/_members.py
+++ b/sparline/fleet/_members.py
@@ -193,6 +193,10 @@
         """Iterate over all other known instances, including silent ones."""
         return iter(self._others.values())
 
+    def is_heard(self, member: Member) -> bool:
+        """Tell whether a member has not timed out."""
+        return now_ms() - member.heard_at_ms <= self._timeout_ms(member.note.region)
+
     def live(self, region: RegionName | None = None) -> tuple[Member, ...]:
         """Return the other instances that accept work, of one region or of all."""
         return self._selected(region, False)
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
 from sparline.gateway._leave_plan import LeavePlan, StopSources
 from sparline.gateway._operator_app import make_operator_app
+from sparline.gateway._run_time_collection import RunTimeCollection
 from sparline.gateway._settings import split_address
 from sparline.platform import (
     make_directory_app,
@@ -137,6 +138,7 @@
         plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, sources)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
+        RunTimeCollection(self.members, self.service.run_times, self.relay_port).start()
         in_flight = len(self.service.in_flight)
         log.bind(in_flight=in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
         while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
--- a/sparline/gateway/_peer_answers.py
+++ b/sparline/gateway/_peer_answers.py
@@ -1,22 +1,25 @@
 """Answers to peers that ask this instance for what it holds, beside the requests that they relay."""
 
+import math
 from collections.abc import Callable
-from math import isfinite
 
 import msgspec
 
 from sparline._cbor import pack
 from sparline.fleet import FleetState, StoreCopyTable
 from sparline.gateway._own_answers import OwnAnswers
+from sparline.gateway._run_times import RunTimeTable
 from sparline.http import CallerConnection, HttpRequest
 from sparline.requests import Reason
-from sparline.schema._gossip import StoreCopy, StoreItemNote
+from sparline.schema._gossip import RunTimeNote, RunTimes, StoreCopy, StoreItemNote
 
 CBOR_HEADERS = [(b"Content-Type", b"application/cbor")]
 # Request target under which peers fetch store copies, without the revision.
 STORE_COPY_TARGET = b"/sparline/store-copy?after="
 # Request target under which peers fetch the configuration in force.
 CONFIGURATION_TARGET = b"/sparline/configuration"
+# Request target under which an instance that leaves fetches how long requests took here.
+RUN_TIMES_TARGET = b"/sparline/run-times"
 
 
 class PeerAnswers:
@@ -27,6 +30,7 @@
         fleet: FleetState,
         copy: StoreCopyTable,
         own_answers: OwnAnswers,
+        run_times: RunTimeTable,
         store_outage_age_ms: Callable[[], float],
     ) -> None:
         """Answer for one instance.
@@ -36,6 +40,7 @@
         self._fleet = fleet
         self._copy = copy
         self._own_answers = own_answers
+        self._run_times = run_times
         self._store_outage_age_ms = store_outage_age_ms
 
     def answer(self, caller: CallerConnection, http: HttpRequest) -> bool:
@@ -46,6 +51,9 @@
         if http.target == CONFIGURATION_TARGET:
             self._answer_configuration(caller)
             return True
+        if http.target == RUN_TIMES_TARGET:
+            self._answer_run_times(caller)
+            return True
         return False
 
     def _answer_store_copy(self, caller: CallerConnection, http: HttpRequest) -> None:
@@ -57,7 +65,7 @@
         outage_age_ms = self._store_outage_age_ms()
         copy = msgspec.structs.replace(
             self._copy.since(int(after)),
-            disturbed_ago_ms=round(outage_age_ms) if isfinite(outage_age_ms) else None,
+            disturbed_ago_ms=round(outage_age_ms) if math.isfinite(outage_age_ms) else None,
         )
         caller.answer(200, CBOR_HEADERS, pack(copy))
 
@@ -68,3 +76,12 @@
         position = self._copy.position
         copy = StoreCopy(position.revision, False, notes, era=position.era)
         caller.answer(200, CBOR_HEADERS, pack(copy))
+
+    def _answer_run_times(self, caller: CallerConnection) -> None:
+        notes = [
+            RunTimeNote(
+                key.route, key.service, key.is_first_event, one.times, math.ceil(one.longest_ms)
+            )
+            for key, one in self._run_times.here().items()
+        ]
+        caller.answer(200, CBOR_HEADERS, pack(RunTimes(notes)))
--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -1,4 +1,4 @@
-"""The longest times that requests took lately, by route and service."""
+"""The longest times that requests took lately, by route and service, here and at other instances."""
 
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -31,6 +31,14 @@
     return RunKey(route.name, service, route.kind is RequestKind.STREAM and has_prompt)
 
 
+@dataclass(frozen=True, slots=True)
+class RunTimes:
+    """Sum up the times of one key in the window."""
+
+    times: int  # how many there are
+    longest_ms: float  # longest of them
+
+
 @dataclass(slots=True)
 class _Interval:
     """Sum up the times of one interval."""
@@ -47,6 +55,7 @@
         """Create an empty table; `in_flight` returns the requests that are being forwarded."""
         self._in_flight = in_flight
         self._intervals: dict[RunKey, deque[_Interval]] = {}
+        self._elsewhere: dict[RunKey, list[RunTimes]] = {}  # as other instances told them
 
     def note(self, request: RoutedRequest, first_at_ms: float | None) -> None:
         """Record a request whose answer is complete, with the time of its first event."""
@@ -60,11 +69,10 @@
 
     def longest_ms(self, key: RunKey) -> float | None:
         """Return the longest time in the window, None if there are too few to know it."""
-        self._drop_old(key)
-        intervals = self._intervals.get(key, ())
-        if sum(one.times for one in intervals) < MIN_TIMES:
+        known = [self._here(key), *self._elsewhere.get(key, ())]
+        if sum(one.times for one in known) < MIN_TIMES:
             return None
-        longest_ms = max(one.longest_ms for one in intervals)
+        longest_ms = max(one.longest_ms for one in known)
         if key.is_first_event:
             return longest_ms
         now = now_ms()
@@ -73,9 +81,24 @@
 
     def shortest_ms(self) -> float | None:
         """Return the longest time of the requests that take the shortest, None if not known."""
-        known = (self.longest_ms(one) for one in list(self._intervals))
+        known = (self.longest_ms(one) for one in {*self._intervals, *self._elsewhere})
         return min((one for one in known if one is not None), default=None)
 
+    def here(self) -> dict[RunKey, RunTimes]:
+        """Return the times of this instance in the window."""
+        found = {key: self._here(key) for key in list(self._intervals)}
+        return {key: one for key, one in found.items() if one.times}
+
+    def note_elsewhere(self, key: RunKey, times: RunTimes) -> None:
+        """Add the times of another instance; they count until this process exits."""
+        self._elsewhere.setdefault(key, []).append(times)
+
+    def _here(self, key: RunKey) -> RunTimes:
+        self._drop_old(key)
+        intervals = self._intervals.get(key, ())
+        longest_ms = max((one.longest_ms for one in intervals), default=0.0)
+        return RunTimes(sum(one.times for one in intervals), longest_ms)
+
     def forget_unused(self) -> None:
         """Forget keys without a time in the window."""
         for key in list(self._intervals):
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -87,7 +87,9 @@
         self._log = request_log
         self._pace = pace
         self._own_answers = OwnAnswers(fleet, request_log, may_be_outdated)
-        self._peer_answers = PeerAnswers(fleet, copy, self._own_answers, store_outage_age_ms)
+        self._peer_answers = PeerAnswers(
+            fleet, copy, self._own_answers, self.run_times, store_outage_age_ms
+        )
         self._quotas = quotas
         self._admission = admission
         self._parts = parts
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -8,8 +8,11 @@
 
 from sparline.fleet._planned_stops import LATER_STOP_MS
 from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._run_time_collection import RunTimeCollection
+from sparline.gateway._run_times import MIN_TIMES, run_key
+from sparline.tests.routed import PLAIN
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
-from standins import publish
+from standins import HOST, publish
 
 GRACE_S = 2.0
 # When the request comes, as a part of the grace period: long after the first instant.
@@ -138,3 +141,39 @@
     fleet.until(fleet.is_ready, "all gateways hold the new configuration")
     got = asked.get()
     assert (got.status, got.whole) == (200, True)
+
+
+def run_some_at(fleet, at: str) -> None:
+    """Let an instance see enough requests, one of them long."""
+    server = fleet.servers["p1"]
+    for number in range(MIN_TIMES):
+        server.work_ms = LONG_MS / 2 if number == 0 else 1.0
+        assert fleet.ask("/unsafe/x", f"{at}-{number}", at=at, body=b"abc").status == 200
+
+
+def test_leaving_instance_learns_the_times_of_the_others():
+    """Guards against a bound from the few requests that one instance has seen."""
+    with RoutedFleet(("north-1", "north-1", "south-1")) as fleet:
+        fleet.add_server("p1")
+        fleet.ready()
+        first = fleet.gateways["g0"]
+        key = run_key(first.fleet.configuration.find(HOST, "/unsafe/x"), PLAIN, False)
+        run_some_at(fleet, "g1")
+        assert first.service.run_times.longest_ms(key) is None
+        stop = gevent.spawn(first.leave)
+        fleet.until(lambda: first.service.run_times.longest_ms(key), "the times are known")
+        assert first.service.run_times.longest_ms(key) >= LONG_MS / 2
+        stop.kill()
+
+
+def test_instance_leaves_beside_one_that_does_not_tell_its_times():
+    """Guards against a stop that fails at instances of an earlier version."""
+    with RoutedFleet(("north-1", "north-1")) as fleet:
+        fleet.add_server("p1")
+        fleet.ready()
+        first, second = fleet.gateways.values()
+        with patch.object(second.service._peer_answers, "answer", lambda *_: False):
+            collection = RunTimeCollection(first.members, first.service.run_times, first.relay_port)
+            assert collection._take(*collection._peers_to_ask()).startswith("bad answer")
+        second.stop()
+        assert collection._take(*collection._peers_to_ask()).startswith("unreachable")
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -513,6 +513,31 @@
     ] = 0
 
 
+class RunTimeNote(WireNode):
+    """
+    Tell how long requests of one route and service took lately.
+    """
+
+    route: str
+    service: str
+    is_first_event: Annotated[
+        bool,
+        Meta(
+            description="Whether the time is that to the first event of a stream, not that to the end of the answer."
+        ),
+    ]
+    times: Annotated[int, Meta(description="How many requests there were.")]
+    longest_ms: Annotated[int, Meta(description="Longest time of them, milliseconds.")]
+
+
+class RunTimes(WireMessage):
+    """
+    Answer an instance that leaves with how long requests took here lately.
+    """
+
+    notes: list[RunTimeNote]
+
+
 class Gossip(WireMessage):
     """
     Tell a peer about the sender, its load and some others.
@@ -586,3 +611,4 @@
     stream_version_query: StreamVersionQuery
     stream_version_reply: StreamVersionReply
     store_copy: StoreCopy
+    run_times: RunTimes
