Free the place of a request that is cancelled while the stand-in engine reads its prompt

Cause, in the stand-in, not the product: a cancellation that comes during the prefill wakes the request, which answers 409 without giving its place back; only the stream did that. Ruled out: a cancellation that is lost (with its timeout at 0.01 ms the engine is free, as writing to the closed connection ends the stream). Change: the place is given back on both ways out.

--- a/sparline/entry/tests/test_callers_interface.py
+++ b/sparline/entry/tests/test_callers_interface.py
@@ -197,6 +197,22 @@
     fleet.until(lambda: fleet.engines["zone-a-engine-0"]._running == 0, "the engine is free")
 
 
+def test_caller_that_goes_away_during_prefill_frees_its_place(fleet: LocalFleet) -> None:
+    """Guards against a stand-in that keeps the place of a request cancelled in its prefill."""
+    instance = fleet.instances["zone-a-0"]
+    engine = fleet.engines["zone-a-engine-0"]
+    shape = engine.shape
+    engine.shape = replace(shape, prefill_tokens_per_s=4.0)
+    try:
+        task = gevent.spawn(fleet.ask, fleet.question("north", prompt="x" * 16))
+        fleet.until(lambda: engine._running == 1, "the engine reads the prompt")
+        task.kill()
+        fleet.until(lambda: instance.in_flight() == 0, "its place is free")
+        fleet.until(lambda: engine._running == 0, "the engine is free", limit_ms=20_000.0)
+    finally:
+        engine.shape = shape
+
+
 def test_no_prompt_and_no_key_in_metrics(fleet: LocalFleet) -> None:
     fleet.http("zone-a-0", "POST", "/v1/completions", KEY, json.dumps(GOOD).encode())
     text = fleet.instances["zone-a-0"].metrics.render().decode()
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -122,6 +122,8 @@
         job = self._enqueue(environ, wanted)
         job.prefilled.wait()
         if job.cancelled:
+            if job.started:
+                self._free(job)
             return answer_json(
                 start_response,
                 {"error": "cancelled"},
@@ -205,10 +207,14 @@
             job.run.finished = True
             yield b"data: [DONE]\n\n"
         finally:
-            self._running -= 1
             self.busy_ms += now_ms() - started_ms
-            self._jobs.pop(job.run.attempt, None)
-            self._wake.set()
+            self._free(job)
+
+    def _free(self, job: _Job) -> None:
+        """Give the place of a request that has started to the next one."""
+        self._running -= 1
+        self._jobs.pop(job.run.attempt, None)
+        self._wake.set()
 
     def _blocks(self, prompt: str) -> list[str]:
         """Return a name for each whole block and all before it, in time linear in the prompt."""
