Hold planned stops in overlapping series against what they may cut

Gateway processes of two zones are stopped in three series that overlap, whole zones mostly, 0 to 3 s between two stops, with SIGHUP and new configurations between; one request in 5 to 40 takes 0.5 to 3 s behind a target of 0.3 s and a timeout of 8 s; half of the callers keep their connections until the process is gone. Allowed: no request that was passed on and cut, none that ran and is called not run.

--- a/benchmarks/bounds/_situations.py
+++ b/benchmarks/bounds/_situations.py
@@ -6,6 +6,7 @@
 import gevent
 
 from benchmarks._gateway_settings import RETRIES
+from benchmarks.bounds._planned_stops import planned_stops
 from benchmarks.bounds._rules import (
     ColdRule,
     Finding,
@@ -199,4 +200,5 @@
     "zone-returns": _zone_returns,
     "return-and-restart": _return_and_restart,
     "cold-restart": _cold_restart,
+    "planned-stops": planned_stops,
 }
--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -37,6 +37,12 @@
     assert_bounds_hold(capsys, "return-and-restart", "--rate", "200")
 
 
+@pytest.mark.parametrize("seed", ["2", "4"])
+def test_planned_stops_cut_requests_that_were_passed_on(capsys, seed):
+    """Guards against late requests that are accepted although the process ends before them."""
+    assert_bounds_hold(capsys, "planned-stops", "--seed", seed, "--gateways", "6", "--rate", "80")
+
+
 @pytest.mark.parametrize("seed", ["2", "10", "115"])
 def test_requests_with_a_part_that_ends_engines_are_sent_on(capsys, seed):
     # Each instance counted ends by whole requests, of which no two are alike.
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -94,6 +94,8 @@
     events: int = 0  # events of a stream, 0 for a plain service
     version: str = "v1"  # of its software
     work_ms: float = 5.0  # time to the answer, and between events
+    slow_ms: float = 0.0  # time to the answer of every `slow_each`-th request
+    slow_each: int = 0  # 0 for none
     faults: SealedFaults = field(default_factory=SealedFaults)
     runs: list[SealedRun] = field(default_factory=list)
     arrivals: list[SealedArrival] = field(default_factory=list)
@@ -192,7 +194,8 @@
             connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
             return not self._fall_if_brittle()
         run = self._start_run(request)
-        gevent.sleep(self.work_ms / 1000)
+        is_slow = self.slow_each and len(self.runs) % self.slow_each == 0
+        gevent.sleep((self.slow_ms if is_slow else self.work_ms) / 1000)
         if self._is_ended_by(run):
             self.end()
             return False
