Break long answers off in the soak, and judge what its callers can't read

Change: plain servers give answers of 2.5 MB for a while and cut most of them at a drawn byte; each must be of one server, and whole if it looks whole. What is no answer in the protocol is judged.

--- a/benchmarks/gateway_soak/_faults.py
+++ b/benchmarks/gateway_soak/_faults.py
@@ -11,7 +11,7 @@
 
 from benchmarks._gateway_fleet import SERVERS, GatewayFleet
 from benchmarks._loopback_proxy import LoopbackProxy
-from benchmarks.gateway_soak._judge import CRASHING, Record
+from benchmarks.gateway_soak._judge import CRASHING, LONG_BYTES, Record
 from sparline._clock import now_ms
 from standins import (
     SealedFaults,
@@ -38,6 +38,8 @@
 MOST_LOST_WRITES = 30
 # Upper bound of the streams that an engine cuts in a row (count).
 MOST_CUT_STREAMS = 6
+# Upper bound of the long answers that a plain server gives in a row (count).
+MOST_LONG_ANSWERS = 20
 # Upper bound of the time in which what was lost is written again (s).
 MOST_REWRITE_S = 1.0
 
@@ -52,6 +54,7 @@
     server_chance: random.Random  # for server states
     store_chance: random.Random  # for restorations
     stream_chance: random.Random  # for streams without length or chunks
+    long_chance: random.Random  # for long answers
     ask: Callable[[Record, str], None]  # sends a request to an instance
     counts: Counter = field(default_factory=Counter)
     version: int = 1
@@ -65,6 +68,7 @@
             gevent.spawn(self._change_server_states, end_ms),
             gevent.spawn(self._restore_store, end_ms, self.fleet.store.revision),
             gevent.spawn(self._cut_unframed_streams, end_ms),
+            gevent.spawn(self._break_long_answers, end_ms),
         ]
 
     def _trouble(self, end_ms: float) -> None:
@@ -173,6 +177,25 @@
             server.faults = SealedFaults()
             server.ends_cleanly = False
 
+    def _break_long_answers(self, end_ms: float) -> None:
+        """Let random plain servers give long answers and break some off in their middle."""
+        plain = [name for name in sorted(SERVERS) if SERVERS[name][1] == "plain"]
+        while now_ms() < end_ms:
+            gevent.sleep(self.long_chance.uniform(0.2, PAUSE_S))
+            self.counts["break_long_answers"] += 1
+            server = self.fleet.servers[self.long_chance.choice(plain)]
+            cut_at = round(self.long_chance.uniform(0.3, 0.95) * LONG_BYTES)
+            server.faults = SealedFaults(
+                body_bytes=LONG_BYTES,
+                chunked=self.long_chance.random() < 0.5,
+                break_after_bytes=self.long_chance.choice((0, cut_at, cut_at)),
+                # A reset would take most of the answer back on its way.
+                breaks_cleanly=True,
+                remaining=self.long_chance.randint(1, MOST_LONG_ANSWERS),
+            )
+            gevent.sleep(self.long_chance.uniform(0.3, HOLD_S))
+            server.faults = SealedFaults()
+
     def _hold(self) -> None:
         gevent.sleep(self.chance.uniform(0.3, HOLD_S))
 
--- a/benchmarks/gateway_soak/_judge.py
+++ b/benchmarks/gateway_soak/_judge.py
@@ -7,7 +7,7 @@
 from benchmarks._gateway_settings import RETRIES
 from benchmarks.bounds import RepeatRule, SeenArrival, SentRequest, worst_repeat_window
 from sparline._clock import now_ms
-from standins import SEAL, Got, SealedServer
+from standins import SEAL, Got, SealedServer, long_body
 
 # A request with this body ends each engine that runs it.
 CRASHING = b"whoever runs this ends"
@@ -16,8 +16,12 @@
 MOST_ENDS = 3
 CONTACT_MS = 5_000.0
 MOST_LATER_SENDS = 3
+# Length of a long answer: it exceeds what instances hold until it is whole.
+LONG_BYTES = 2_500_000
 ONCE = ("/unsafe/x", "/once/x")
 EVENT_END = b"\n\n"
+# Longest body that is shown whole (bytes).
+MOST_SHOWN = 300
 ENGINE_TARGETS = ("/stream/x", "/once/x")
 REPEATS = RepeatRule(RETRIES.ratio, RETRIES.slack, RETRIES.window_s * 1000.0)
 
@@ -30,6 +34,7 @@
     target: str
     body: bytes = b"abc"
     got: Got | None = None  # None where no connection came up or it broke before the head
+    malformed: str = ""  # why what its caller got can't be read, empty if it can
     resumes: str | None = None  # request that began the stream, None if this one does
     resume_after: int = 0  # last event that its caller has
     resumptions: int = 0  # how often its caller has taken the stream up
@@ -92,14 +97,16 @@
         broken.append(f"{record.request_id} {record.target} ran at {ran_at}")
     if record.target == "/home/x" and any(SERVERS[one][0] != "south-1" for one in ran_at):
         broken.append(f"{record.request_id} ran outside its home at {ran_at}")
+    if record.malformed:
+        broken.append(f"{record.request_id} got no answer in the protocol: {record.malformed}")
     if got is None or not got.status:
         return broken
     if got.status in (429, 503) and ran_at:
         broken.append(f"{record.request_id} was called not run and ran at {ran_at}")
     if got.status == 200 and got.whole and not _may_be_whole(record, got):
-        broken.append(f"{record.request_id} got {got.body!r}")
-    if got.status == 200 and not _expected(record).startswith(got.body):
-        broken.append(f"{record.request_id} got a wrong part: {got.body!r}")
+        broken.append(f"{record.request_id} got {_shown(got.body)}")
+    if got.status == 200 and not _expected(record, got).startswith(got.body):
+        broken.append(f"{record.request_id} got a wrong part: {_shown(got.body)}")
     if got.status == 200 and SEAL not in got.headers:
         broken.append(f"{record.request_id} got a success without its signature")
     return broken
@@ -111,14 +118,23 @@
     Nothing shows that a stream without framing was cut between two events, unless its server exits.
     """
     if not got.framed and record.target in ENGINE_TARGETS:
-        return got.body.endswith(EVENT_END) and _expected(record).startswith(got.body)
-    return got.body == _expected(record)
+        return got.body.endswith(EVENT_END) and _expected(record, got).startswith(got.body)
+    return got.body == _expected(record, got)
 
 
-def _expected(record: Record) -> bytes:
+def _shown(body: bytes) -> str:
+    """Return the ends of a body, and its length."""
+    return repr(body) if len(body) <= MOST_SHOWN else f"{body[:40]!r}..{body[-40:]!r} ({len(body)})"
+
+
+def _expected(record: Record, got: Got) -> bytes:
+    """Return the whole answer, that of the server that began it where it is a long one."""
     if record.target in ENGINE_TARGETS:
         events = range(record.resume_after + 1, SERVERS["en1"][2] + 1)
         return b"".join(
             f"id: {number}\ndata: {record.request_id}-{number}\n\n".encode() for number in events
         )
+    began_by = got.body.partition(b"\n")[0].decode()
+    if began_by in SERVERS:
+        return long_body(began_by, LONG_BYTES)
     return f"{record.request_id} {record.target} 3".encode()
--- a/benchmarks/gateway_soak/_run.py
+++ b/benchmarks/gateway_soak/_run.py
@@ -22,6 +22,7 @@
 )
 from benchmarks.gateway_soak._streams import events_wanted, judge_versions, next_try, resume_headers
 from sparline._clock import now_ms
+from sparline.http import MalformedMessage
 from standins import PROMPT
 
 REQUESTS_PER_S = 20.0
@@ -42,6 +43,7 @@
     store_chance: random.Random = field(default_factory=random.Random)
     stream_chance: random.Random = field(default_factory=random.Random)
     resumption_chance: random.Random = field(default_factory=random.Random)
+    long_chance: random.Random = field(default_factory=random.Random)
     records: list[Record] = field(default_factory=list)
     faults: SoakFaults = field(init=False)
     _callers: Pool = field(default_factory=lambda: Pool(200))
@@ -54,6 +56,7 @@
             self.server_chance,
             self.store_chance,
             self.stream_chance,
+            self.long_chance,
             self._ask,
         )
 
@@ -86,6 +89,9 @@
                 headers = more | resume_headers(record)
                 caller.send(record.target, record.request_id, record.body, **headers)
                 record.got = caller.read_events(events_wanted(record, self.resumption_chance))
+        except MalformedMessage as error:
+            record.malformed = str(error)
+            return
         except OSError:
             # The instance is down: nothing was promised.
             return
@@ -154,6 +160,7 @@
         store_chance = random.Random(f"store/{options.seed}")
         stream_chance = random.Random(f"streams/{options.seed}")
         resumption_chance = random.Random(f"resumptions/{options.seed}")
+        long_chance = random.Random(f"long/{options.seed}")
         run = SoakRun(
             fleet,
             random.Random(options.seed),
@@ -161,6 +168,7 @@
             store_chance,
             stream_chance,
             resumption_chance,
+            long_chance,
         )
         for server in fleet.servers.values():
             server.ends_on = CRASHING
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -8,9 +8,15 @@
 from benchmarks.__main__ import main
 from benchmarks._gateway_fleet import GatewayProcess
 from benchmarks.gateway_soak._faults import SoakFaults
-from benchmarks.gateway_soak._judge import REPEATS, Record, _broken, judge_repeats
+from benchmarks.gateway_soak._judge import (
+    LONG_BYTES,
+    REPEATS,
+    Record,
+    _broken,
+    judge_repeats,
+)
 from benchmarks.gateway_soak._streams import judge_versions, next_try
-from standins import Got, SealedArrival, SealedRun, SealedServer
+from standins import Got, SealedArrival, SealedRun, SealedServer, long_body
 
 SEAL = {"response-seal": "s"}
 WHOLE = b"".join(f"id: {number}\ndata: r1-{number}\n\n".encode() for number in range(1, 7))
@@ -37,6 +43,21 @@
     ("/stream/x", Got(200, SEAL, EVENT, True, framed=False), ["en1"], ""),
     ("/stream/x", Got(200, SEAL, EVENT, True), ["en1"], "got"),
     ("/unsafe/x", Got(200, SEAL, PLAIN[:4], True, framed=False), ["pn1"], "got"),
+    ("/safe/x", Got(200, SEAL, long_body("pn1", LONG_BYTES), True), ["pn1"], ""),
+    ("/safe/x", Got(200, SEAL, long_body("pn1", 2_000_000), False), ["pn1"], ""),
+    ("/safe/x", Got(200, SEAL, long_body("pn1", 2_000_000), True), ["pn1"], "got"),
+    (
+        "/safe/x",
+        Got(200, SEAL, long_body("pn1", 2_000_000) + long_body("pn2", LONG_BYTES), True),
+        ["pn1", "pn2"],
+        "got",
+    ),
+    (
+        "/safe/x",
+        Got(200, SEAL, long_body("pn1", 2_000_000) + b"r1 /safe/x 3", False),
+        ["pn1", "pn2"],
+        "wrong part",
+    ),
     ("/home/x", Got(200, SEAL, b"r1 /home/x 3", True), ["ps1"], ""),
     ("/home/x", Got(200, SEAL, b"r1 /home/x 3", True), ["pn1"], "outside its home"),
 ]
@@ -49,6 +70,11 @@
     assert said in " ".join(broken)
 
 
+def test_the_judge_sees_what_cannot_be_read():
+    broken = _broken(Record("r1", "/safe/x", malformed="a head within chunks"), ["pn1"])
+    assert "a head within chunks" in " ".join(broken)
+
+
 @pytest.mark.parametrize(("target", "server"), [("/safe/x", "pn1"), ("/stream/x", "en1")])
 def test_the_judge_sees_too_many_repeats_of_a_service(target, server):
     records = [Record("r1", target, sent_at_ms=0.0)]
@@ -97,7 +123,7 @@
     with patch("benchmarks._gateway_fleet.subprocess.Popen", SlowProcess):
         gateway.start()
         chance = SimpleNamespace(uniform=lambda _least, _most: 0.0)
-        faults = SoakFaults(None, chance, chance, chance, chance, lambda _record, _at: None)
+        faults = SoakFaults(None, chance, chance, chance, chance, chance, lambda _record, _at: None)
         gevent.joinall([gevent.spawn(faults._restart, gateway) for _ in range(3)], timeout=20)
     assert len(starts) == 2
 
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -24,7 +24,13 @@
     prompt_headers,
     resumption,
 )
-from standins._sealed_server import SealedArrival, SealedFaults, SealedRun, SealedServer
+from standins._sealed_server import (
+    SealedArrival,
+    SealedFaults,
+    SealedRun,
+    SealedServer,
+    long_body,
+)
 from standins._wide_area import Forward, Place, WideArea
 
 __all__ = [
@@ -38,6 +44,7 @@
     "is_evacuated",
     "list_server",
     "listed_server",
+    "long_body",
     "prompt_headers",
     "publish",
     "published_version",
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -218,8 +218,7 @@
         if status == 204:
             body = b""
         elif faults.body_bytes:
-            line = f"{self.server_id}\n".encode()
-            body = (line * (faults.body_bytes // len(line) + 1))[: faults.body_bytes]
+            body = long_body(self.server_id, faults.body_bytes)
         length = None if faults.unframed else -1 if faults.chunked else len(body)
         head = self._head(status, request, [], length, faults)
         cut_after = faults.break_after_bytes or faults.exit_after_bytes
@@ -338,6 +337,12 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def long_body(server_id: str, length: int) -> bytes:
+    """Return the body of a plain answer that repeats the name of its server."""
+    line = f"{server_id}\n".encode()
+    return (line * (length // len(line) + 1))[:length]
+
+
 def _framed(data: bytes, faults: SealedFaults) -> bytes:
     """Return a part of a stream as it is sent."""
     return data if faults.unframed else b"%x\r\n%b\r\n" % (len(data), data)
