Don't take callers that gave up for cut ones in the situation of planned stops

The situation counted a caller that had waited for 8 s, its own limit and the route's timeout, as cut. Such ones are listed under status 499.

--- a/benchmarks/bounds/_planned_stops.py
+++ b/benchmarks/bounds/_planned_stops.py
@@ -34,6 +34,8 @@
 # A caller that is not connected tries at most so many instances.
 MAX_CONNECTS = 3
 TARGETS = ("/safe/x", "/unsafe/x")
+# Status under which callers that gave up are listed.
+GIVEN_UP = 499
 # The target lies far below the time of long requests, the timeout above what is left of a stop.
 ROUTES = {
     f"/{kind}/": {
@@ -56,7 +58,9 @@
     fleet: GatewayFleet
     rng: random.Random
     rate_per_s: float
+    # What callers got who did not give up before; one that gave up was not cut.
     answers: dict[str, Got] = field(default_factory=dict)
+    given_up: int = 0  # callers that waited for as long as their route allows
     targets: dict[str, str] = field(default_factory=dict)
     sent: list[SentRequest] = field(default_factory=list)
     _kept: dict[str, list[Caller]] = field(default_factory=dict)
@@ -95,7 +99,7 @@
         if found is None:
             return
         name, caller = found
-        got = Got(0, {}, b"", False)
+        got = None
         try:
             with gevent.Timeout(CALLER_TIMEOUT_S, False):
                 caller.send(target, request_id, b"abc")
@@ -103,6 +107,10 @@
         except OSError:
             # The connection ended before the whole request was written.
             got = Got(0, {}, b"", False)
+        if got is None:
+            self.given_up += 1
+            caller.close()
+            return
         self.answers[request_id] = got
         keeps = got.whole and got.headers.get("connection") != "close"
         if keeps and self.rng.random() < KEEPING_SHARE:
@@ -172,4 +180,5 @@
     findings = stopped.play()
     run.sent += stopped.sent
     run.statuses.update(one.status if one.whole else 0 for one in stopped.answers.values())
+    run.statuses[GIVEN_UP] = stopped.given_up
     return findings
