Describe the head of a stream's answer once, not for each of its events

What callers saw: nothing. Cause: since the head is written by CallerAnswer, what it would be was worked out for each batch of events, some 2 us of processor time each (timed alone, 1.7 us for the headers). Change: worked out at the first event. Evidence: tests of forwarding, joined and unframed answers and stream versions: 152 passed.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -129,6 +129,7 @@
     def _forward_stream(
         self, connection: BackendConnection, answer: HttpAnswer, version: SoftwareVersion | None
     ) -> AttemptEnd:
+        origin: AnswerOrigin | None = None
         while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
             self._dependencies.health.note_event(self._placement.server.id)
             complete_events = self._progress.splitter.feed(piece)
@@ -137,10 +138,11 @@
             if complete_events:
                 self._bind_software_version(version)
                 self._note_event()
-                self._progress.answer.send_events(self._stream_origin(answer), complete_events)
+                origin = origin or self._stream_origin(answer)
+                self._progress.answer.send_events(origin, complete_events)
         is_proven = self._verify_end(connection, answer) and self._progress.splitter.events > 0
         rest = self._progress.splitter.rest()
-        self._progress.answer.send_events(self._stream_origin(answer), rest)
+        self._progress.answer.send_events(origin or self._stream_origin(answer), rest)
         self._progress.answer.finish_events()
         self._dependencies.health.note_success(self._placement.server.id)
         self._watch.note_end()
