--- a/benchmarks/bounds/_planned_stops.py
+++ b/benchmarks/bounds/_planned_stops.py
@@ -12,7 +12,7 @@
 from benchmarks.bounds._rules import Finding, SentRequest
 from benchmarks.bounds._run import CALLER_TIMEOUT_S, NORTH, SOUTH, BoundsRun
 from sparline._clock import now_ms
-from standins import Caller, Got, publish, published_version
+from standins import Caller, Got, plain_routes, publish, published_version
 
 # Time in which instances learn how long requests take (s).
 LEARN_S = 8.0
@@ -37,16 +37,7 @@
 # Status under which callers that gave up are listed.
 GIVEN_UP = 499
 # The target lies far below the time of long requests, the timeout above what is left of a stop.
-ROUTES = {
-    f"/{kind}/": {
-        "kind": kind,
-        "service": "plain",
-        "max_attempts": 2 if kind == "safe" else 1,
-        "timeout_ms": 8_000,
-        "target_latency_ms": 300,
-    }
-    for kind in ("safe", "unsafe")
-}
+ROUTES = plain_routes(300, safe_attempts=2)
 # Share of the series that stop a whole zone.
 WHOLE_ZONE_SHARE = 0.7
 
--- a/sparline/fleet/tests/test_planned_stops.py
+++ b/sparline/fleet/tests/test_planned_stops.py
@@ -45,6 +45,7 @@
     ("three in turn", {"own": 0, "a": 1_000, "b": 2_000}, {"b"}),
     ("so near that their order is not sure", {"own": 0, "a": 700, "b": 0}, {"own", "a", "b"}),
     ("at once", {"own": 0, "a": 100, "b": 200}, {max(("own", "a", "b"), key=member_key)}),
+    ("another one, while this one lives", {"a": 2_000}, {"own", "a"}),
     ("at once, two of them", {"own": 100, "a": 0}, {max(("own", "a"), key=member_key)}),
     ("one after two at once", {"own": 0, "a": 300, "b": 1_300}, {"b"}),
 ]
@@ -76,9 +77,3 @@
     assert not PlannedStops(members).is_relieved()
     members.own = note("own", servers_reached=False)
     assert PlannedStops(members).is_relieved()
-
-
-def test_live_instance_is_not_relieved(clock, members):
-    clock.return_value += 2_000.0
-    hear(members, note("a"))
-    assert not PlannedStops(members).is_relieved()
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -12,23 +12,14 @@
 from sparline.gateway._run_times import MIN_TIMES, run_key
 from sparline.tests.routed import PLAIN
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
-from standins import HOST, publish
+from standins import HOST, plain_routes, publish
 
 GRACE_S = 2.0
 # When the request comes, as a part of the grace period: long after the first instant.
 LATE_FRACTION = 0.6
 # Longer than what is left then, and far shorter than what the route allows.
 LONG_MS = 1_000.0
-ROUTES = {
-    f"/{kind}/": {
-        "kind": kind,
-        "service": "plain",
-        "max_attempts": 1,
-        "timeout_ms": 8_000,
-        "target_latency_ms": 100,
-    }
-    for kind in ("safe", "unsafe")
-}
+ROUTES = plain_routes(100)
 
 
 @pytest.fixture(params=[("north-1",), ("north-1", "south-1")], ids=["directly", "relayed"])
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -15,6 +15,22 @@
 }
 
 
+def plain_routes(target_latency_ms: int, safe_attempts: int = 1) -> dict[str, dict[str, Any]]:
+    """Return a safe and an unsafe route whose target may lie far below their timeout of 8 s.
+
+    A safe request runs on at most `safe_attempts` backend servers.
+    """
+    return {
+        f"/{kind}/": {
+            "kind": kind,
+            "service": "plain",
+            "max_attempts": attempts,
+            "target_latency_ms": target_latency_ms,
+        }
+        for kind, attempts in (("safe", safe_attempts), ("unsafe", 1))
+    }
+
+
 def configuration(
     version: int,
     routes: dict[str, dict[str, Any]] | None = None,
