--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -12,8 +12,7 @@
 # A time counts for at least this long, and at most one interval longer (ms).
 WINDOW_MS = 60_000.0
 INTERVAL_MS = 10_000.0
-# With fewer times than this in the window, the longest one is not known (count): one request in
-# thirty may still take longer.
+# With fewer times than this in the window, the longest one is not known (count).
 MIN_TIMES = 30
 
 
@@ -107,10 +106,9 @@
     def _current(self, key: RunKey) -> _Interval:
         intervals = self._intervals.setdefault(key, deque())
         now = now_ms()
-        if not intervals or not 0 <= now - intervals[-1].began_at_ms < INTERVAL_MS:
+        if not intervals or now - intervals[-1].began_at_ms >= INTERVAL_MS:
             intervals.append(_Interval(now))
-            self._drop_old(key)
-        return self._intervals.setdefault(key, intervals)[-1]
+        return intervals[-1]
 
     def _drop_old(self, key: RunKey) -> None:
         intervals = self._intervals.get(key)
