Don't take the age of a request in flight for the longest that such requests take

An age is the least that a request takes, never the most.

Change: where a request in flight is older than the longest complete one, the time is not known, and what the route and the caller allow is the bound, as with too few times. The same cause on two related paths: streams that wait for their first event (not regarded at all before), and requests in flight at the instances that are asked at a stop (only complete ones were told; they tell the age of the oldest now, 0 from instances of earlier versions).

Evidence, before the change: with 50 ms complete and 4,000 ms in flight the table returned 4,000.0 (None expected); with first events at 300 ms and a stream that waits for 2,000 ms 300.0 (None expected); peers were told of nothing in flight. After: test_run_times.py, test_late_requests.py, test_leave_plan.py and the schema's tests pass.

--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from sparline._ids import SoftwareVersion
 from sparline.forwarding import (
@@ -11,11 +12,12 @@
     Forwarder,
     ForwarderDependencies,
     OwnAnswer,
+    Progress,
     may_send_elsewhere,
 )
 from sparline.gateway._components import GatewayComponents
 from sparline.http import Headers, HttpAnswer
-from sparline.placement import WatchTables
+from sparline.placement import Placement, WatchTables
 from sparline.platform import (
     InstanceWire,
     ServerWire,
@@ -24,7 +26,7 @@
     relayed_answer_headers,
     relayed_refusal_headers,
 )
-from sparline.requests import is_withdrawn
+from sparline.requests import RoutedRequest, is_withdrawn
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,9 +91,19 @@
         note_round_trip=components.peers.note_round_trip,
         ends=components.end_detector,
         has_ended=components.ended_starts.__contains__,
-        note_first=components.admission.note_first,
+        note_first=partial(_note_first, components),
         note_stream_version=components.stream_versions.note_begun,
         answer_headers=headers.stream,
         only_version=components.fleet.software_versions.only,
         note_unframed_end=components.request_log.note_unframed_end,
     )
+
+
+def _note_first(
+    components: GatewayComponents,
+    request: RoutedRequest,
+    placement: Placement,
+    progress: Progress,
+) -> None:
+    components.service.in_flight.note_first(request)
+    components.admission.note_first(request, placement, progress)
--- a/sparline/gateway/_in_flight.py
+++ b/sparline/gateway/_in_flight.py
@@ -12,6 +12,7 @@
     def __init__(self) -> None:
         """Start with none."""
         self._requests: dict[int, RoutedRequest] = {}
+        self._begun: set[int] = set()  # keys of those whose answer has begun
 
     def __len__(self) -> int:
         """Return how many there are."""
@@ -21,6 +22,15 @@
         """Iterate over those in flight now."""
         return iter(list(self._requests.values()))
 
+    def note_first(self, request: RoutedRequest) -> None:
+        """Record that the first event or answer of a request in flight has come."""
+        if id(request) in self._requests:
+            self._begun.add(id(request))
+
+    def has_begun(self, request: RoutedRequest) -> bool:
+        """Tell whether the first event or answer of a request has come."""
+        return id(request) in self._begun
+
     @contextmanager
     def holding(self, request: RoutedRequest) -> Iterator[None]:
         """Hold a request while it is forwarded."""
@@ -31,3 +41,4 @@
             yield
         finally:
             del self._requests[key]
+            self._begun.discard(key)
--- a/sparline/gateway/_peer_answers.py
+++ b/sparline/gateway/_peer_answers.py
@@ -80,7 +80,12 @@
     def _answer_run_times(self, caller: CallerConnection) -> None:
         notes = [
             RunTimeNote(
-                key.route, key.service, key.is_first_event, one.times, math.ceil(one.longest_ms)
+                key.route,
+                key.service,
+                key.is_first_event,
+                one.times,
+                math.ceil(one.longest_ms),
+                math.floor(one.oldest_ms),
             )
             for key, one in self._run_times.own_times().items()
         ]
--- a/sparline/gateway/_run_time_collection.py
+++ b/sparline/gateway/_run_time_collection.py
@@ -85,4 +85,4 @@
 
 def _decode(note: _gossip.RunTimeNote) -> tuple[RunKey, RunTimes]:
     key = RunKey(RouteName(note.route), ServiceName(note.service), note.is_first_event)
-    return key, RunTimes(note.times, float(note.longest_ms))
+    return key, RunTimes(note.times, float(note.longest_ms), float(note.oldest_ms))
--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -1,11 +1,11 @@
 """The longest times that requests took lately, by route and service, here and at other instances."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from sparline._clock import now_ms
+from sparline.gateway._in_flight import InFlightRequests
 from sparline.requests import RoutedRequest
 from sparline.routes import RequestKind, Route, RouteName, ServiceName
 
@@ -36,6 +36,8 @@
 
     times: int  # how many there are
     longest_ms: float  # longest of them
+    # Age of the oldest request in flight whose time is not known yet, 0 if there is none.
+    oldest_ms: float
 
 
 @dataclass(slots=True)
@@ -50,8 +52,8 @@
 class RunTimeTable:
     """Keep the longest times of the last minute."""
 
-    def __init__(self, in_flight: Callable[[], Iterable[RoutedRequest]]) -> None:
-        """Create an empty table; `in_flight` returns the requests that are being forwarded."""
+    def __init__(self, in_flight: InFlightRequests) -> None:
+        """Create an empty table beside the requests that are being forwarded."""
         self._in_flight = in_flight
         self._intervals: dict[RunKey, deque[_Interval]] = {}
         self._peer_times: dict[RunKey, list[RunTimes]] = {}  # as other instances told them
@@ -67,16 +69,18 @@
         interval.longest_ms = max(interval.longest_ms, until_ms - request.arrived_at_ms)
 
     def longest_ms(self, key: RunKey) -> float | None:
-        """Return the longest time in the window, None if there are too few to know it."""
+        """Return the longest time in the window, None if it is not known.
+
+        That is so if there are too few, or if a request in flight is older: it will take longer than
+        its age.
+        """
         known = [self._own_times(key), *self._peer_times.get(key, ())]
         if sum(one.times for one in known) < MIN_TIMES:
             return None
         longest_ms = max(one.longest_ms for one in known)
-        if key.is_first_event:
-            return longest_ms
-        now = now_ms()
-        ages_ms = (now - one.arrived_at_ms for one in self._in_flight() if _key_of(one) == key)
-        return max(longest_ms, *ages_ms, 0.0)
+        if max(one.oldest_ms for one in known) > longest_ms:
+            return None
+        return longest_ms
 
     def shortest_ms(self) -> float | None:
         """Return the longest time of the requests that take the shortest, None if not known."""
@@ -85,8 +89,9 @@
 
     def own_times(self) -> dict[RunKey, RunTimes]:
         """Return the times of this instance in the window."""
-        found = {key: self._own_times(key) for key in list(self._intervals)}
-        return {key: one for key, one in found.items() if one.times}
+        keys = {*self._intervals, *(_key_of(one) for one in self._in_flight)}
+        found = {key: self._own_times(key) for key in keys}
+        return {key: one for key, one in found.items() if one.times or one.oldest_ms}
 
     def note_peer_times(self, key: RunKey, times: RunTimes) -> None:
         """Add the times of another instance; they count until this process exits."""
@@ -96,7 +101,20 @@
         self._drop_old(key)
         intervals = self._intervals.get(key, ())
         longest_ms = max((one.longest_ms for one in intervals), default=0.0)
-        return RunTimes(sum(one.times for one in intervals), longest_ms)
+        return RunTimes(sum(one.times for one in intervals), longest_ms, self._oldest_ms(key))
+
+    def _oldest_ms(self, key: RunKey) -> float:
+        """Return the age of the oldest request of a key whose time is not known yet, or 0."""
+        now = now_ms()
+        return max(
+            (
+                now - one.arrived_at_ms
+                for one in self._in_flight
+                if _key_of(one) == key
+                and not (key.is_first_event and self._in_flight.has_begun(one))
+            ),
+            default=0.0,
+        )
 
     def forget_unused(self) -> None:
         """Forget keys without a time in the window."""
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -81,7 +81,7 @@
         `may_be_outdated` returns whether a newer configuration may be in force elsewhere.
         """
         self.in_flight = InFlightRequests()
-        self.run_times = RunTimeTable(lambda: self.in_flight)
+        self.run_times = RunTimeTable(self.in_flight)
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._log = request_log
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -528,6 +528,12 @@
     ]
     times: Annotated[int, Meta(description="How many requests there were.")]
     longest_ms: Annotated[int, Meta(description="Longest time of them, milliseconds.")]
+    oldest_ms: Annotated[
+        int,
+        Meta(
+            description="Age of the oldest request in flight whose time is not known yet, milliseconds."
+        ),
+    ] = 0
 
 
 class RunTimes(WireMessage):
