Log how many exits of a part count as one with another

Of a part in quarantine, or of one whose exits change, the log told the exits that count alone. Whether a part was released as another one explains its exits depends on those beside them, too, and so does whether a part waits for its quarantine as its exits come in bursts. No decision changes.

--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -154,6 +154,7 @@
                 part=short_hex(change.fact.part),
                 exits=change.exits,
                 exits_before=change.exits_before,
+                overlapping=len(change.fact.overlapping),
                 learnt=change.learnt.value,
                 carriers=round(change.fact.carriers.count()),
                 bystanders=round(change.fact.bystanders.count()),
@@ -165,6 +166,7 @@
         log.bind(
             part=short_hex(part.part),
             exits=[f"{one:08x}" for one in sorted(part.exits)],
+            overlapping=[f"{one:08x}" for one in sorted(part.overlapping)],
             carriers=round(part.carriers),
             bystanders=round(part.bystanders),
             age_ms=round(part.age_ms),
--- a/sparline/quarantine/_part_facts.py
+++ b/sparline/quarantine/_part_facts.py
@@ -36,7 +36,8 @@
     """Describe a part in quarantine."""
 
     part: PartDigest
-    exits: frozenset[int]  # keys of the exits that are not excused
+    exits: frozenset[int]  # keys of the exits that count
+    overlapping: frozenset[int]  # keys of those that count as one with another
     carriers: float  # interrupted requests that have it (count, estimated)
     bystanders: float  # requests that the exits interrupted (count, estimated)
     age_ms: float  # time since the newest exit
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -135,7 +135,10 @@
         record = self._records[part]
         evidence = self._evidence(part, record)
         age_ms = now_ms() - record.exited_at_ms
-        return QuarantinedPart(part, evidence.exits, evidence.carriers, evidence.bystanders, age_ms)
+        overlapping = evidence.attributable - evidence.exits
+        return QuarantinedPart(
+            part, evidence.exits, overlapping, evidence.carriers, evidence.bystanders, age_ms
+        )
 
     def note_exit(
         self,
