Don't release one of two bad parts because others are under the same exits

Change: in the order of likelihood an exit that is explained counts half, so that what is under more exits in all goes first; and of a part that is blamed already the exits that count as one with another speak against it too.

Evidence: both rows of test_part_blame.py red before ({'bad', 'sound'} and {'bad'} where 'bad worse' is asked), green after.

--- a/sparline/decisions/_part_blame.py
+++ b/sparline/decisions/_part_blame.py
@@ -95,13 +95,16 @@
     """Return a sort key that is higher for likelier causes of the exits that are not explained.
 
     `fewest` is the lowest number of carriers for each exit under any candidate. Sound parts of requests
-    that were moved from one exiting server to the next have few carriers too, but fewer exits.
+    that were moved from one exiting server to the next have few carriers too, but fewer exits. An exit
+    that is explained counts half: several sound parts together are under all exits of a bad one, but
+    none of them is under as many.
     """
     is_broad = evidence.carriers_per_exit > BROAD_FACTOR * fewest
+    unexplained = len(evidence.attributable - explained)
     return (
         not evidence.is_common,
         not is_broad,
-        len(evidence.attributable - explained),
+        unexplained + len(evidence.attributable),
         evidence.is_blamed,
         not evidence.was_answered,
         -evidence.carriers,
@@ -109,10 +112,14 @@
 
 
 def _is_explained(evidence: PartEvidence, explained: frozenset[int]) -> bool:
-    """Tell whether exits that have another cause are nearly all that speaks against a part."""
-    unexplained = len(evidence.exits - explained)
+    """Tell whether exits that have another cause are nearly all that speaks against a part.
+
+    Exits that count as one with another speak against a part that is blamed already.
+    """
+    exits = evidence.attributable if evidence.is_blamed else evidence.exits
+    unexplained = len(exits - explained)
     if evidence.is_common:
-        return unexplained < (1 - COMMON_EXPLAINED_SHARE) * len(evidence.exits)
+        return unexplained < (1 - COMMON_EXPLAINED_SHARE) * len(exits)
     return unexplained < MIN_UNEXPLAINED_EXITS
 
 
--- a/sparline/decisions/tests/test_part_blame.py
+++ b/sparline/decisions/tests/test_part_blame.py
@@ -1,5 +1,7 @@
 """Which parts are blamed, by the exits under them and the requests that have them."""
 
+from collections.abc import Iterable
+
 import pytest
 
 from sparline._ids import PartDigest
@@ -7,7 +9,7 @@
 
 
 def evidence(
-    exits: range,
+    exits: Iterable[int],
     carriers: float,
     bystanders: float = 150.0,
     beside: int = 0,
@@ -87,6 +89,23 @@
         },
         "bad",
     ),
+    (
+        "second bad part, and a sound one with as many exits left, under fewer in all",
+        {
+            "bad": evidence(range(6), 8, is_blamed=True, overlapping=frozenset((6, 7, 8))),
+            "worse": evidence(range(4, 11), 7, overlapping=frozenset((11, 12))),
+            "sound": evidence((9, 10, 11, 20), 3, overlapping=frozenset((0, 5))),
+        },
+        "bad worse",
+    ),
+    (
+        "blamed part, and another under most of its exits that count",
+        {
+            "bad": evidence(range(6), 7, overlapping=frozenset((6, 7, 8))),
+            "worse": evidence(range(2, 7), 8, is_blamed=True, overlapping=frozenset((8, 9, 10))),
+        },
+        "bad worse",
+    ),
     ("most requests have it", {"bad": evidence(range(7), 90)}, ""),
     ("most requests have it, many exits", {"bad": evidence(range(8), 90)}, "bad"),
     (
