Tell other instances how many answers came beside a part that crashes servers

One that few callers ask took four exits for too few, the others did not.

Change: a fact on a part carries the most such answers that any instance has seen, up to the eight that matter; older instances tell none. Answers beside exits that are excused here are not taken over.

Evidence: test_instances_that_see_few_answers_leave_a_part_out_of_quarantine, eight instances in two regions, red before (1 of 8 has the part in quarantine 5 s later), green after.

--- a/sparline/decisions/__init__.py
+++ b/sparline/decisions/__init__.py
@@ -44,6 +44,7 @@
 from sparline.decisions._fair_shares import fair_shares
 from sparline.decisions._occupancy import ServerUse, region_occupancy
 from sparline.decisions._part_blame import (
+    MIN_ANSWERS_BESIDE,
     MIN_BLAMED_EXITS,
     MIN_SUSPECTED_EXITS,
     PartEvidence,
@@ -65,6 +66,7 @@
     "FLOOR_POSITIONS",
     "KEYS_PER_RANK",
     "LONG_PREFILL_RATIO",
+    "MIN_ANSWERS_BESIDE",
     "MIN_BLAMED_EXITS",
     "MIN_SUSPECTED_EXITS",
     "OPENING_MS",
--- a/sparline/fleet/tests/test_part_exchange.py
+++ b/sparline/fleet/tests/test_part_exchange.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sparline._ids import BackendServerId, PartDigest, RequestId
+from sparline.decisions import MIN_ANSWERS_BESIDE
 from sparline.quarantine import InterruptedRequest, RequestDigest, ServerKind
 from sparline.tests.fake_fleet import FAR_MS, FakeFleet, gossiping_fleet
 
@@ -98,3 +99,19 @@
     assert all(knowing(fleet))
     assert max(sizes) < 1_400
     assert max(sent.values()) < MAX_CONTROL_BYTES_PER_S * 6.2
+
+
+def test_instances_that_see_few_answers_leave_a_part_out_of_quarantine(monkeypatch):
+    """Guards against instances that judge apart, each by the answers that it has seen itself."""
+    fleet = gossiping_fleet(monkeypatch, 4, 2)
+    parts = fleet.instances["10.1.0.2"].parts
+    for server in "abcd":
+        request = InterruptedRequest(
+            RequestDigest(b""), RequestId(server), (BAD,), KIND, fleet.now_ms
+        )
+        parts.note_exit(request, BackendServerId(server))
+        fleet.pass_ms(2 * FAR_MS)
+        for _ in range(MIN_ANSWERS_BESIDE):
+            parts.note_answered([PartDigest(b"sound")], KIND)
+    fleet.pass_ms(PROPAGATION_LIMIT_MS)
+    assert all(knowing(fleet))
--- a/sparline/quarantine/_notes.py
+++ b/sparline/quarantine/_notes.py
@@ -30,6 +30,7 @@
         sorted(fact.carriers.hashes),
         sorted(fact.bystanders.hashes),
         round(fact.age_ms),
+        fact.answers_beside,
     )
 
 
@@ -43,4 +44,5 @@
         make_sample(note.carriers),
         make_sample(note.bystanders),
         note.age_ms,
+        note.answers_beside,
     )
--- a/sparline/quarantine/_part_facts.py
+++ b/sparline/quarantine/_part_facts.py
@@ -18,6 +18,9 @@
     carriers: RequestSample  # interrupted requests that have the part
     bystanders: RequestSample  # requests that the exits interrupted, with the part or without
     age_ms: float  # time since the newest exit
+    # Complete answers to requests without it since the first exit that is not excused: the most that
+    # one instance has seen, at most `MIN_ANSWERS_BESIDE`.
+    answers_beside: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/quarantine/_part_record.py
+++ b/sparline/quarantine/_part_record.py
@@ -24,6 +24,9 @@
     changed_at_ms: float = 0.0  # time of the last change in this instance
     asked_at_ms: float = 0.0  # when a request with the part was last turned away
     answers_before: int = 0  # complete answers here before the first exit that is not excused
+    peer_answers_beside: int = (
+        0  # as peers told: answers since that exit to requests without the part
+    )
 
     @property
     def counted(self) -> frozenset[int]:
--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -11,6 +11,7 @@
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId, PartDigest
 from sparline.decisions import (
+    MIN_ANSWERS_BESIDE,
     MIN_BLAMED_EXITS,
     MIN_SUSPECTED_EXITS,
     PartEvidence,
@@ -217,6 +218,7 @@
         before = record.counted
         if not before:
             record.answers_before = self._answers
+            record.peer_answers_beside = 0
         if fact.exits - record.exits:
             record.exited_at_ms = max(record.exited_at_ms, now - max(fact.age_ms, 0.0))
         size = record.size
@@ -226,7 +228,8 @@
         record.overlapping |= fact.overlapping & record.exits
         record.trim()
         has_changed = record.size != size
-        if has_changed or has_new_requests:
+        has_more_answers = self._take_answers_beside(record, fact)
+        if has_changed or has_new_requests or has_more_answers:
             self._update_quarantine(fact.part)
         if not has_changed:
             return None
@@ -241,6 +244,21 @@
         self._evict(fact.part)
         return change
 
+    def _take_answers_beside(self, record: PartRecord, fact: PartFact) -> bool:
+        """Take a peer's number of answers beside a part; return whether it is higher."""
+        if fact.answers_beside <= record.peer_answers_beside:
+            return False
+        if fact.exits.isdisjoint(record.attributable):
+            # They came beside exits that are excused here.
+            return False
+        record.peer_answers_beside = fact.answers_beside
+        return True
+
+    def _answers_beside(self, record: PartRecord) -> int:
+        """Return the most answers beside a part that one instance has seen, as far as they matter."""
+        own = self._answers - record.answers_before
+        return min(max(own, record.peer_answers_beside), MIN_ANSWERS_BESIDE)
+
     def _is_usually_answered(self, part: PartDigest) -> bool:
         """Tell whether any kind of server has answered a part lately."""
         since = now_ms() - ANSWERED_TTL_MS
@@ -274,7 +292,7 @@
             attributable=record.attributable,
             carriers=record.carriers.count(),
             bystanders=self._bystanders(record, counted).count(),
-            answers_beside=self._answers - record.answers_before,
+            answers_beside=self._answers_beside(record),
             was_answered=self._is_usually_answered(part),
             is_blamed=part in self._quarantined,
         )
@@ -334,6 +352,7 @@
             record.carriers,
             self._bystanders(record, record.exits),
             now - record.exited_at_ms,
+            self._answers_beside(record) if record.counted else 0,
         )
 
     def forget_old(self) -> None:
--- a/sparline/schema/_gossip.py
+++ b/sparline/schema/_gossip.py
@@ -183,6 +183,12 @@
         ),
     ]
     age_ms: Annotated[int, Meta(description="How long ago the newest of them ended, milliseconds.")]
+    answers_beside: Annotated[
+        int,
+        Meta(
+            description="Complete answers to requests without the part since the first of them, the most that one instance has seen, as far as they matter."
+        ),
+    ] = 0
 
 
 class PartNews(WireMessage):
