--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -8,7 +8,8 @@
 def assert_bounds_hold(capsys, situation: str, *arguments: str) -> None:
     code = main(["bounds", "--situation", situation, *arguments])
     result = json.loads(capsys.readouterr().out.splitlines()[-1])
-    assert all(one["seen"] <= one["allowed"] for one in result["findings"]), result
+    is_within = all(one["seen"] <= one["allowed"] for one in result["findings"])
+    assert is_within, json.dumps(result)
     assert code == 0
 
 
