--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -1,7 +1,7 @@
 """Admits requests by the admission level, and counts how admitted requests end."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
@@ -13,34 +13,31 @@
     LONG_PREFILL_RATIO,
     POSITIONS,
     admission_key,
-    fair_shares,
     is_admitted,
     is_telling,
     level_retry_after_ms,
 )
 from sparline.fleet import (
     AdmissionExchange,
-    AdmissionSources,
     FleetState,
-    LevelChange,
     LevelInForce,
     ServiceRanks,
 )
 from sparline.forwarding import Progress, RequestEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
+from sparline.gateway._rank_table import RankTable
 from sparline.http import HttpRequest
 from sparline.placement import Placement, credit_of
 from sparline.platform import RequestHead
 from sparline.quotas import quota_key
 from sparline.requests import KnownCaller, Origin, Prompt, Reason, RoutedRequest
-from sparline.routes import Configuration, Organisation, Route, ServiceName
+from sparline.routes import Route, ServiceName
 
 # Period after which the same content gets another position (s), so that it is not refused forever.
 POSITION_PERIOD_S = 10.0
-# Log lines per second and instance about refusals, and about changes of levels.
+# Log lines per second and instance about refusals.
 REFUSAL_LINES_PER_S = 20.0
-LEVEL_CHANGE_LINES_PER_S = 10.0
 # How long the regions with servers of a service are cached (ms).
 REGIONS_TTL_MS = 250.0
 # Reasons of unanswered requests that show a lack of capacity.
@@ -87,78 +84,6 @@
     retry_after_ms: float
 
 
-class RankTable:
-    """Finds the services to which levels apply, and their ranks, in the current configuration."""
-
-    def __init__(self, fleet: FleetState, enabled: bool) -> None:
-        """Create a table that follows the configuration of a fleet."""
-        self._fleet = fleet
-        self._enabled = enabled
-        self._configuration: Configuration | None = None
-        self._ranks: dict[ServiceName, ServiceRanks] = {}
-        self._weights: dict[int, float] = {}
-
-    def _refresh(self) -> None:
-        configuration = self._fleet.configuration
-        if configuration is self._configuration or not self._enabled:
-            return
-        self._configuration = configuration
-        self._ranks = _service_ranks(configuration) if configuration else {}
-        self._weights = _organisation_weights(configuration) if configuration else {}
-
-    def ranks_of(self, service: ServiceName) -> ServiceRanks | None:
-        """Return the ranks of a service, None if no level applies to it."""
-        self._refresh()
-        return self._ranks.get(service)
-
-    def rank_of(self, route: Route, organisation: Organisation | None) -> int:
-        """Return the rank of a request, 0 for the most urgent."""
-        assert self._configuration is not None, "a level applies without a configuration"
-        return self._configuration.rank_of(route, organisation)
-
-    def services(self) -> list[ServiceName]:
-        """Return the services to which levels apply."""
-        self._refresh()
-        return list(self._ranks)
-
-    def weights(self) -> Mapping[int, float]:
-        """Return the weight of each organisation by its key."""
-        self._refresh()
-        return self._weights
-
-
-def _service_ranks(configuration: Configuration) -> dict[ServiceName, ServiceRanks]:
-    known = configuration.organisations
-    organisations = known.by_id.values() if known else ()
-    is_shared = any(one.priority is not None or one.quota is not None for one in organisations)
-    own_priorities = {None, *(one.priority for one in organisations)}
-    timeouts_ms: dict[ServiceName, dict[int, float]] = {}
-    for route in configuration.routes:
-        for share in route.shares:
-            service_timeouts_ms = timeouts_ms.setdefault(share.service, {})
-            for rank in {configuration.ranks.of(route.priority, own) for own in own_priorities}:
-                service_timeouts_ms[rank] = max(
-                    service_timeouts_ms.get(rank, 0.0), route.timeout_ms
-                )
-    return {
-        service: ServiceRanks(max(by_rank) + 1, by_rank)
-        for service, by_rank in timeouts_ms.items()
-        if len(by_rank) > 1 or is_shared
-    }
-
-
-def _organisation_weights(configuration: Configuration) -> dict[int, float]:
-    known = configuration.organisations
-    if known is None:
-        return {}
-    quotas = [one.quota for one in known.by_id.values()]
-    all_have_quotas = all(quota is not None for quota in quotas)
-    return {
-        quota_key(one.id): one.quota.per_s if one.quota and all_have_quotas else 1.0
-        for one in known.by_id.values()
-    }
-
-
 class AdmissionGate:
     """Compares requests with levels; counts those asked, admitted, missed and answered."""
 
@@ -336,32 +261,3 @@
 
 def _cost(prompt: Prompt | None) -> int:
     return credit_of(prompt) if prompt else 1
-
-
-def make_admission_sources(
-    fleet: FleetState, ranks: RankTable, occupancy: Callable[[ServiceName], float | None]
-) -> AdmissionSources:
-    """Create the sources of the admission exchange; `occupancy` is that of the own region."""
-    lines = LineBudget(LEVEL_CHANGE_LINES_PER_S)
-
-    def note_change(change: LevelChange) -> None:
-        if lines.take():
-            log.bind(
-                service=change.service,
-                level=change.level,
-                before=change.before,
-                budget_per_s=round(change.budget_per_s),
-                asked_per_s=round(change.asked_per_s),
-                missed_share=round(change.missed_share, 3),
-            ).info("admission_level_changed")
-
-    regions = frozenset(fleet.zones.values())
-    return AdmissionSources(
-        ranks_of=ranks.ranks_of,
-        services=ranks.services,
-        regions=lambda: regions,
-        weights=ranks.weights,
-        fair_shares=fair_shares,
-        occupancy=occupancy,
-        note_change=note_change,
-    )
--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -34,13 +34,15 @@
     RetryRule,
     RetryWindow,
 )
-from sparline.gateway._admission import AdmissionGate, RankTable, make_admission_sources
+from sparline.gateway._admission import AdmissionGate
+from sparline.gateway._admission_sources import make_admission_sources
 from sparline.gateway._directory import Directory
 from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._occupancy import RegionOccupancy
 from sparline.gateway._peer_table import PeerTable
 from sparline.gateway._quotas import QuotaParameterTable, Quotas
+from sparline.gateway._rank_table import RankTable
 from sparline.gateway._region_servers import RegionServers
 from sparline.gateway._request_log import RequestLog
 from sparline.gateway._server_connectivity import ConnectivitySources, ServerConnectivity
--- a/sparline/gateway/tests/test_admission.py
+++ b/sparline/gateway/tests/test_admission.py
@@ -15,10 +15,10 @@
     Admitted,
     Arrival,
     NotAdmitted,
-    RankTable,
-    make_admission_sources,
 )
+from sparline.gateway._admission_sources import make_admission_sources
 from sparline.gateway._metrics import GatewayMetrics
+from sparline.gateway._rank_table import RankTable
 from sparline.http import HttpRequest
 from sparline.placement import Doubt, Placement, credit_of
 from sparline.platform import parse_request_head
