--- a/benchmarks/_cpu_child.py
+++ b/benchmarks/_cpu_child.py
@@ -82,7 +82,7 @@
 
 
 def _end() -> tuple:
-    server = SimpleNamespace(id="server-12@3", cold_until_ms=0.0)
+    server = SimpleNamespace(id="server-12@3", software_version="v1", cold_until_ms=0.0)
     place = SimpleNamespace(
         server=server,
         peer=None,
@@ -99,13 +99,25 @@
         arrived_at_ms=now_ms(),
         route=SimpleNamespace(kind=_named("safe"), name="r0"),
         origin=_named("caller"),
+        is_resumption=False,
         prompt=SimpleNamespace(
             tokens=400, shared_tokens=150, shared_prefixes=(SimpleNamespace(key="/aa/bb"),)
         ),
     )
-    progress = SimpleNamespace(sends=1, first_at_ms=now_ms(), longest_pause_ms=2.0)
+    progress = SimpleNamespace(
+        sends=1,
+        first_at_ms=now_ms(),
+        longest_pause_ms=2.0,
+        caller_answer=SimpleNamespace(begun_by=server.id, sent_bytes=1_200),
+    )
     end = SimpleNamespace(
-        status=200, reason=Reason.NONE, ran=True, progress=progress, placement=place, refusal=None
+        status=200,
+        reason=Reason.NONE,
+        ran=True,
+        progress=progress,
+        placement=place,
+        refusal=None,
+        is_cut=False,
     )
     return request, end, 7
 
