--- a/sparline/quarantine/_part_table.py
+++ b/sparline/quarantine/_part_table.py
@@ -116,6 +116,8 @@
         record = self._records.get(part)
         if record is None or len(record.counted) < MIN_SUSPECTED_EXITS:
             return False
+        if self._is_usually_answered(part):
+            return False
         explained = frozenset(one for one in record.exits if one >> KIND_BITS in self._explained)
         return is_suspected(self._evidence(part, record), explained)
 
