--- a/sparline/quarantine/_part_record.py
+++ b/sparline/quarantine/_part_record.py
@@ -24,9 +24,8 @@
     changed_at_ms: float = 0.0  # time of the last change in this instance
     asked_at_ms: float = 0.0  # when a request with the part was last turned away
     answers_before: int = 0  # complete answers here before the first exit that is not excused
-    peer_answers_beside: int = (
-        0  # as peers told: answers since that exit to requests without the part
-    )
+    # Complete answers to requests without the part since that exit, the most that a peer told of.
+    peer_answers_beside: int = 0
 
     @property
     def counted(self) -> frozenset[int]:
