Log what an answer was taken from, and count answers that were dropped

The log could not tell a true refusal from the copy of an earlier one: neither request_retried nor request_ended said what the connection had carried before, whether the answer had the request's id, or how soon it came. Both lines now hold answer_id, answered_after_ms, connection_requests, is_id_repeated, dropped_answers and dropped_bytes, and sparline_dropped_answers_total counts what is dropped. No decision changes: a connection only remembers the ids of its last 256 requests.

--- a/sparline/forwarding/__init__.py
+++ b/sparline/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Request forwarding: attempts, retries, stream resumption and relaying through peers."""
 
 from sparline.forwarding._attempt_types import (
+    AnswerOrigin,
     AttemptDependencies,
     AttemptEnd,
     AttemptResult,
@@ -22,6 +23,7 @@
     AnswerMeaning,
     AttemptParameters,
     BackendWire,
+    IdMatch,
     OwnAnswer,
     Wire,
 )
@@ -31,6 +33,7 @@
     "MAX_ID_DIGITS",
     "AnswerKind",
     "AnswerMeaning",
+    "AnswerOrigin",
     "AttemptDependencies",
     "AttemptEnd",
     "AttemptParameters",
@@ -42,6 +45,7 @@
     "EventSplitter",
     "Forwarder",
     "ForwarderDependencies",
+    "IdMatch",
     "InterruptedAttempt",
     "OwnAnswer",
     "Progress",
--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -22,6 +22,7 @@
     is_stream_answer,
 )
 from sparline.forwarding._attempt_types import (
+    AnswerOrigin,
     AttemptDependencies,
     AttemptEnd,
     AttemptResult,
@@ -259,8 +260,10 @@
             self._progress.sends += 1
             self._progress.splitter.begin_attempt()
             self._progress.sent_at_ms = now_ms()
-            connection.send(head, self._request.body)
+            self._progress.answer_origin = None
+            connection.send(head, self._request.body, self._request.request_id)
             answer = self._checks.read(lambda: connection.read_head(self._is_answer_to_request))
+            self._progress.answer_origin = self._origin(connection, answer)
             meaning = self._interpret(answer)
             if self._placement.peer is None and _is_from_server(meaning, answer):
                 connection.note_proven()
@@ -308,6 +311,16 @@
     def _is_answer_to_request(self, answer: HttpAnswer) -> bool:
         return self._wire().belongs(self._request.request_id, answer)
 
+    def _origin(self, connection: BackendConnection, answer: HttpAnswer) -> AnswerOrigin:
+        use = connection.use()
+        if use.dropped_answers:
+            self._dependencies.note_dropped_answers(use.dropped_answers)
+        return AnswerOrigin(
+            self._wire().id_match(self._request.request_id, answer),
+            now_ms() - self._progress.sent_at_ms,
+            use,
+        )
+
     def _interpret(self, answer: HttpAnswer) -> AnswerMeaning:
         self._answer_received = True
         self._dependencies.health.note_received(self._server_id)
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -8,8 +8,8 @@
 from sparline.decisions import Liveness
 from sparline.forwarding._caller_answer import CallerAnswer, SentContent, ServerAnswerHead
 from sparline.forwarding._events import EventSplitter
-from sparline.forwarding._wire import BackendWire, Wire
-from sparline.http import ConnectionPool, Headers, HttpAnswer
+from sparline.forwarding._wire import BackendWire, IdMatch, Wire
+from sparline.http import ConnectionPool, ConnectionUse, Headers, HttpAnswer
 from sparline.placement import (
     HealthTable,
     PaceTable,
@@ -46,6 +46,15 @@
     proves_sound: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerOrigin:
+    """Describe what a response was taken from, so that a log shows whether it may be another's."""
+
+    id_match: IdMatch  # the request id that it carries
+    after_ms: float  # time since the request was sent
+    use: ConnectionUse  # what the connection had carried
+
+
 class UnframedEnd(Enum):
     """Classify how a response that only the end of its connection ends has ended."""
 
@@ -87,6 +96,7 @@
     first_at_ms: float | None = None  # when the first event or response arrived
     last_event_at_ms: float | None = None  # when the latest event arrived
     longest_pause_ms: float = 0.0  # longest interval between two events
+    answer_origin: AnswerOrigin | None = None  # of the last attempt's response, None without one
     failed_answer: FailedAnswer | None = None  # server error response to forward
     excluded: set[str] = field(default_factory=set)  # backend servers that must not be tried again
 
@@ -125,6 +135,7 @@
     note_way_failure: Callable[[], None]  # records that a server could not be reached directly
     note_round_trip: Callable[[RegionName, float], None]  # records a connection's opening time
     ends: ServerEndDetector  # detects whether servers have exited
+    note_dropped_answers: Callable[[int], None]  # counts responses to other requests
     has_ended: Callable[[BackendServerId], bool]  # whether that incarnation has exited
     note_first: Callable[
         [RoutedRequest, Placement, Progress], None
--- a/sparline/forwarding/_forwarder.py
+++ b/sparline/forwarding/_forwarder.py
@@ -54,8 +54,8 @@
     retries: RetryWindow  # retry budget
     attempt_dependencies: AttemptDependencies  # dependencies of attempts
     note_retry: Callable[
-        [RoutedRequest, Placement, AttemptEnd, bool], None
-    ]  # logs and counts a retry, with whether the answer has begun
+        [RoutedRequest, Placement, AttemptEnd, Progress], None
+    ]  # logs and counts a retry, with what the attempts have shown so far
     note_retry_refused: Callable[
         [RoutedRequest, RetryUsage], None
     ]  # logs and counts an attempt that the retry budget does not allow
@@ -166,9 +166,7 @@
             stop = self._retries.stop_reason(end)
             if stop is not None:
                 return self.ender.end_failed(stop, end)
-            self._dependencies.note_retry(
-                self._request, selected, end, self._progress.caller_answer.has_begun
-            )
+            self._dependencies.note_retry(self._request, selected, end, self._progress)
             if end.result is AttemptResult.NOT_RUN and self._retries.awaits_capacity():
                 self._sleep_with_jitter(self._retries.refused_delay_ms())
 
--- a/sparline/forwarding/_wire.py
+++ b/sparline/forwarding/_wire.py
@@ -21,6 +21,14 @@
     QUARANTINED = "quarantined"  # rejected by a peer: too many servers exited running it
 
 
+class IdMatch(Enum):
+    """Compare the request id of a response with that of the request that waits for one."""
+
+    SAME = "same"
+    OTHER = "other"
+    ABSENT = "absent"  # the response carries none
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerMeaning:
     """Hold the interpreted head of a response."""
@@ -79,6 +87,10 @@
         """Return the encoded head of a request."""
         ...
 
+    def id_match(self, request_id: RequestId, answer: HttpAnswer) -> IdMatch:
+        """Compare the request id that a response carries with that of a request."""
+        ...
+
     def belongs(self, request_id: RequestId, answer: HttpAnswer) -> bool:
         """Tell whether a response belongs to this request and not to an earlier one."""
         ...
--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -90,6 +90,7 @@
         note_way_failure=components.connectivity.note_failure,
         note_round_trip=components.peers.note_round_trip,
         ends=components.end_detector,
+        note_dropped_answers=components.metrics.dropped_answers.inc,
         has_ended=components.ended_starts.__contains__,
         note_first=partial(_note_first, components),
         note_stream_version=components.stream_versions.note_begun,
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -48,6 +48,9 @@
             "Answers that ended here before they were whole, by what had been sent.",
             ("content",),
         )
+        self.dropped_answers = self._counter(
+            "dropped_answers", "Answers to other requests that came before the awaited one.", ()
+        )
         self.cut_by_exit = self._counter(
             "cut_by_exit", "Requests in flight as the process exited.", ()
         )
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -10,11 +10,13 @@
 from sparline.forwarding import (
     AttemptEnd,
     InterruptedAttempt,
+    Progress,
     RequestEnd,
     RetryUsage,
     UnframedEnd,
 )
 from sparline.gateway._leave_plan import LateDecision
+from sparline.gateway._log_fields import origin_fields
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._stream_versions import FoundVersion
@@ -63,7 +65,7 @@
         self._server_ends = LineBudget(SERVER_END_LINES_PER_S)
 
     def note_retry(
-        self, request: RoutedRequest, placement: Placement, end: AttemptEnd, has_begun: bool
+        self, request: RoutedRequest, placement: Placement, end: AttemptEnd, progress: Progress
     ) -> None:
         """Record that an attempt is followed by another, in the same answer if that has begun."""
         self._metrics.retries.labels(end.reason.value).inc()
@@ -72,7 +74,8 @@
                 request_id=request.request_id,
                 reason=end.reason.value,
                 result=end.result.value,
-                has_begun=has_begun,
+                **origin_fields(progress.answer_origin),
+                has_begun=progress.caller_answer.has_begun,
                 **_placement_fields(placement),
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
@@ -313,6 +316,7 @@
             sends=end.progress.sends,
             ran=end.ran,
             left_ms=round(request.left_ms()),
+            **origin_fields(end.progress.answer_origin),
             origin=request.origin.value,
             route=request.route.name,
             version=version,
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -5,6 +5,7 @@
     BackendConnection,
     BodyTooLong,
     ConnectionBroken,
+    ConnectionUse,
 )
 from sparline.http._caller_connection import (
     BadRequest,
@@ -36,6 +37,7 @@
     "CallerGone",
     "ConnectionBroken",
     "ConnectionPool",
+    "ConnectionUse",
     "FirstValues",
     "Headers",
     "HttpAnswer",
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -5,12 +5,15 @@
 import socket
 import struct
 import termios
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 from gevent.socket import socket as GeventSocket
 
 from sparline._clock import now_ms
+from sparline._ids import RequestId
 from sparline._read_turn import ReadTurn
 from sparline.http._messages import (
     MIN_FINAL_STATUS,
@@ -38,6 +41,8 @@
 # Longest body that is dropped to keep a connection (bytes), and how long that may take (ms).
 MAX_SKIPPED_BYTES = 65_536
 MAX_SKIP_MS = 200.0
+# Ids of requests that a connection remembers (count).
+MAX_CARRIED_IDS = 256
 # Errors of a connection whose way fails; they say nothing of the process at the other end.
 WAY_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
@@ -52,6 +57,16 @@
     """Say that a body is longer than what its reader keeps."""
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """Describe what a connection had carried when a request was answered on it."""
+
+    requests: int  # requests sent on it so far, the answered one included
+    is_id_repeated: bool  # whether one before had the same id
+    dropped_answers: int  # answers to other requests that came before the one that was taken
+    dropped_bytes: int  # bytes of these
+
+
 class BackendConnection:
     """Carry one request after the other; any doubt makes the connection unfit for reuse."""
 
@@ -68,6 +83,9 @@
         self.uses = 0  # requests sent
         self.idle_until_ms = 0.0  # when a kept connection is too old to use
         self._dropped_bytes = 0  # of other requests' answers since the last request
+        self._dropped_answers = 0  # the number of these
+        self._carried_ids: deque[RequestId] = deque(maxlen=MAX_CARRIED_IDS)
+        self._is_id_repeated = False  # whether the last request's id had been sent before
         self._parser = AnswerParser()
         self._turn = ReadTurn()
         self._sender: gevent.Greenlet | None = None
@@ -145,11 +163,21 @@
         else:
             self._lost = True
 
-    def send(self, head: bytes, body: bytes) -> None:
+    def use(self) -> ConnectionUse:
+        """Return what the connection had carried when the last request was answered."""
+        return ConnectionUse(
+            self.uses, self._is_id_repeated, self._dropped_answers, self._dropped_bytes
+        )
+
+    def send(self, head: bytes, body: bytes, request_id: RequestId | None = None) -> None:
         """Send one request; a large body goes on in the background."""
         self.uses += 1
+        self._is_id_repeated = request_id in self._carried_ids
+        if request_id is not None:
+            self._carried_ids.append(request_id)
         self._in_use = True
         self._dropped_bytes = 0
+        self._dropped_answers = 0
         self._sender = None
         try:
             data = head + body
@@ -200,6 +228,7 @@
         return answers[0] if answers and answers[0].head_done else None
 
     def _drop(self, answer: HttpAnswer) -> None:
+        self._dropped_answers += 1
         while not answer.complete:
             if answer.ends_with_connection:
                 raise ConnectionBroken("expected the answer, found another request's")
