Let an entry of the known red tests name all cases of a test

A fault of several ways fails whole tests with all of their cases; an entry a case would fill the list. An entry without parameters names all of them, and its line prints every outcome.

--- a/testrunner/__main__.py
+++ b/testrunner/__main__.py
@@ -41,8 +41,8 @@
         print(f"outputs and temporary files are in {folder}", flush=True)
         raise
     for entry in known:
-        if entry.test not in totals.collected:
-            print(entry.line("not run"))
+        if not any(entry.names(one) for one in totals.collected):
+            print(entry.line({}))
     if totals.succeeded:
         shutil.rmtree(folder, ignore_errors=True)
     else:
--- a/testrunner/_known_red.py
+++ b/testrunner/_known_red.py
@@ -1,10 +1,11 @@
 """The tests that are expected to fail, as `KNOWN-RED.txt` lists them."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
 FILE_NAME = "KNOWN-RED.txt"
-MOST_ENTRIES = 6
+MOST_ENTRIES = 10
 # Starts the text of an entry whose test fails in some runs only.
 INTERMITTENT = "intermittent, "
 
@@ -13,7 +14,7 @@
 class KnownRed:
     """Hold one entry."""
 
-    test: str  # node id in pytest
+    test: str  # node id in pytest; without parameters it names all cases of a test
     cause: str  # rest of the entry
 
     @property
@@ -21,8 +22,14 @@
         """Tell whether a pass of the test is an error."""
         return not self.cause.startswith(INTERMITTENT)
 
-    def line(self, outcome: str) -> str:
-        """Return the line that reports the outcome of the test in a run."""
+    def names(self, node_id: str) -> bool:
+        """Tell whether the entry names a test, or all cases of it."""
+        return node_id == self.test or node_id.startswith(f"{self.test}[")
+
+    def line(self, outcomes: Mapping[str, str]) -> str:
+        """Return the line that reports a run, given the outcomes by node id."""
+        found = {outcome for node_id, outcome in outcomes.items() if self.names(node_id)}
+        outcome = " and ".join(sorted(found)) or "not run"
         return f"known red ({outcome}): {self.test}, {self.cause}"
 
 
--- a/testrunner/_result_plugin.py
+++ b/testrunner/_result_plugin.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from testrunner._known_red import KnownRed
+
 OPTION = "--result-file"
 _COLLECTED = pytest.StashKey[frozenset[str]]()
 
@@ -14,10 +16,9 @@
     return config.getoption(OPTION, None) is not None
 
 
-def was_collected(config: pytest.Config, test: str) -> bool:
-    """Tell whether this process, started by the runner, collected the test with this node id."""
-    collected = config.stash.get(_COLLECTED, frozenset())
-    return test in collected
+def was_collected(config: pytest.Config, entry: KnownRed) -> bool:
+    """Tell whether this process, started by the runner, collected a test that an entry names."""
+    return any(entry.names(one) for one in config.stash.get(_COLLECTED, frozenset()))
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
