Copies of refusals make requests that run once run twice: tests, red

The stand-in server now may send each refusal once more on its connection, at once or with the next request, with or without its id, and answers a request without an id with 400 and no id, as the users' servers do: until now it wrote an empty Attempt-Id, so that no test could see what the answer of a presence check does.

Copies that come with their refusal are dropped already (4 cases pass).

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -23,6 +23,7 @@
     published_version,
     take_back,
 )
+from standins._refusal_copies import CopyTime, RefusalCopies
 from standins._routed_caller import (
     HOST,
     PROMPT,
@@ -43,6 +44,7 @@
 
 __all__ = [
     "Caller",
+    "CopyTime",
     "Got",
     "HOST",
     "PROMPT",
@@ -72,6 +74,7 @@
     "Place",
     "PlainService",
     "Platform",
+    "RefusalCopies",
     "SealedArrival",
     "SealedFaults",
     "SealedRun",
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -13,6 +13,7 @@
 from sparline._clock import now_ms
 from sparline.http import HttpRequest, RequestParser
 from standins._endless import EndlessBytes, endless_answers, endless_streams
+from standins._refusal_copies import RefusalCopies
 
 READ_BYTES = 65_536
 MS_PER_S = 1000.0
@@ -126,6 +127,7 @@
     # answers state it.
     brittle_per_s: int | None = None
     keeps_port: bool = False  # whether something else goes on listening once it has ended
+    copies: RefusalCopies | None = None  # how refusals are sent twice, None for not at all
     ends_cleanly: bool = False  # whether its connections are closed instead of reset as it ends
     on_end: Callable[[], None] = lambda: None  # called once the process has ended
     # Cleared while the process lives, accepts requests and sends no byte.
@@ -202,20 +204,25 @@
     def _answer(self, connection: GeventSocket, request: HttpRequest) -> bool:
         """Answer one request; tell whether the connection goes on."""
         faults = self._take_faults()
+        if self.copies is not None:
+            self.copies.send_owed(connection)
+        if request.header(b"attempt-id") is None:
+            self._refuse(connection, request, 400, [("Not-Executed", "1")])
+            return True
         expected = (request.header(b"expected-instance") or b"").decode()
         if expected != self.server_id:
-            connection.sendall(self._head(421, request, [("Instance-Id", self.server_id)], 0))
+            self._refuse(connection, request, 421, [("Instance-Id", self.server_id)])
             return True
         request_id = (request.header(b"attempt-id") or b"").decode()
         self.arrivals.append(SealedArrival(request_id, now_ms()))
         if faults.refuse or faults.early:
             self.refused_at_ms.append(now_ms())
-            connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
+            self._refuse(connection, request, 503, [("Not-Executed", "1")])
             return True
         running = sum(not one.finished and not one.abandoned for one in self.runs)
         if self.places is not None and running >= self.places:
             self.refused_at_ms.append(now_ms())
-            connection.sendall(self._head(503, request, [("Not-Executed", "1")], 0))
+            self._refuse(connection, request, 503, [("Not-Executed", "1")])
             return not self._fall_if_brittle()
         run = self._start_run(request)
         is_slow = self.slow_each and len(self.runs) % self.slow_each == 0
@@ -238,6 +245,19 @@
             return self._stream(connection, request, run, faults)
         return self._plain_answer(connection, request, run, faults)
 
+    def _refuse(
+        self,
+        connection: GeventSocket,
+        request: HttpRequest,
+        status: int,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        head = self._head(status, request, headers, 0)
+        if self.copies is None:
+            connection.sendall(head)
+        else:
+            self.copies.refuse(connection, head)
+
     def _endless_answer(self, run: SealedRun, place: str) -> EndlessBytes:
         seal = f"Response-Seal: seal-of-{self.server_id}\r\n"
         head, other = (
@@ -356,8 +376,9 @@
     ) -> bytes:
         """Return a head; a length below zero means chunks, None the end of the connection."""
         lines = [f"HTTP/1.1 {status} Status"]
-        request_id = (request.header(b"attempt-id") or b"").decode()
-        lines.append(f"Attempt-Id: {request_id}")
+        request_id = request.header(b"attempt-id")
+        if request_id is not None:
+            lines.append(f"Attempt-Id: {request_id.decode()}")
         is_own = status in (200, 500) or (faults is not None and status == faults.status)
         if is_own and not (faults and faults.without_seal):
             lines.append(f"Response-Seal: seal-of-{self.server_id}")
