A connection to a backend server carries a request id once

What callers saw: a request that runs once was told 503 (not run) though it ran, or ran twice, after a server refused it and was asked again with the same id: by the second instance of a hop, by a caller, or after a restart of the server at its address.

Cause: a server may send the copy of a refusal late, with the id of the refused request. The pool lent the connection that was used last, so that the same id came again where the copy was still to come, and belongs() can't tell the two.

Change: a connection remembers the ids that it has carried (as hashes), and the pool lends it for none of them; the others stay kept. After 256 ids it is closed, so that the memory of ids is complete. A check for unread bytes can't do this: the copy may come between the check and the send. Towards peers no id is remembered: a peer writes one answer a request.

--- a/sparline/forwarding/_attempt.py
+++ b/sparline/forwarding/_attempt.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from sparline._clock import now_ms
-from sparline._ids import BackendServerId, SoftwareVersion
+from sparline._ids import BackendServerId, RequestId, SoftwareVersion
 from sparline.decisions import (
     EndEvidence,
     InterruptionFacts,
@@ -219,7 +219,7 @@
         address = self._placement.server.address
         if peer is not None:
             address = (peer.note.ip, self._dependencies.peer_port)
-        idle_connection = self._dependencies.pool.kept(address)
+        idle_connection = self._dependencies.pool.kept(address, self._connection_id())
         if idle_connection is not None:
             return idle_connection
         limit_ms = BACKEND_CONNECT_TIMEOUT_MS if peer is None else PEER_CONNECT_TIMEOUT_MS
@@ -234,6 +234,14 @@
             self._dependencies.note_round_trip(peer.region, now_ms() - started_at_ms)
         return connection
 
+    def _connection_id(self) -> RequestId | None:
+        """Return the id that a connection carries once only, None towards peers.
+
+        A backend server may answer twice, and the copy may come when its id is awaited again. A peer
+        answers each request once.
+        """
+        return self._request.request_id if self._placement.peer is None else None
+
     def _note_unreachable(self) -> None:
         if self._placement.peer is not None:
             self._dependencies.note_peer(self._placement.peer.note.ip, False)
@@ -261,7 +269,7 @@
             self._progress.splitter.begin_attempt()
             self._progress.sent_at_ms = now_ms()
             self._progress.answer_origin = None
-            connection.send(head, self._request.body, self._request.request_id)
+            connection.send(head, self._request.body, self._connection_id())
             answer = self._checks.read(lambda: connection.read_head(self._is_answer_to_request))
             self._progress.answer_origin = self._origin(connection, answer)
             meaning = self._interpret(answer)
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -5,7 +5,6 @@
 import socket
 import struct
 import termios
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,6 +12,7 @@
 from gevent.socket import socket as GeventSocket
 
 from sparline._clock import now_ms
+from sparline._hashing import hash64
 from sparline._ids import RequestId
 from sparline._read_turn import ReadTurn
 from sparline.http._messages import (
@@ -41,7 +41,7 @@
 # Longest body that is dropped to keep a connection (bytes), and how long that may take (ms).
 MAX_SKIPPED_BYTES = 65_536
 MAX_SKIP_MS = 200.0
-# Ids of requests that a connection remembers (count).
+# Requests with an id after which a connection is not reused, as it remembers the ids of all (count).
 MAX_CARRIED_IDS = 256
 # Errors of a connection whose way fails; they say nothing of the process at the other end.
 WAY_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
@@ -84,7 +84,7 @@
         self.idle_until_ms = 0.0  # when a kept connection is too old to use
         self._dropped_bytes = 0  # of other requests' answers since the last request
         self._dropped_answers = 0  # the number of these
-        self._carried_ids: deque[RequestId] = deque(maxlen=MAX_CARRIED_IDS)
+        self._carried_ids: set[int] = set()  # hashes, as callers choose how long an id is
         self._is_id_repeated = False  # whether the last request's id had been sent before
         self._parser = AnswerParser()
         self._turn = ReadTurn()
@@ -163,6 +163,10 @@
         else:
             self._lost = True
 
+    def has_carried(self, request_id: RequestId | None) -> bool:
+        """Tell whether a request with an id was sent on it, so that a late copy of its answer may come."""
+        return request_id is not None and hash64(request_id) in self._carried_ids
+
     def use(self) -> ConnectionUse:
         """Return what the connection had carried when the last request was answered."""
         return ConnectionUse(
@@ -170,11 +174,14 @@
         )
 
     def send(self, head: bytes, body: bytes, request_id: RequestId | None = None) -> None:
-        """Send one request; a large body goes on in the background."""
+        """Send one request; a large body goes on in the background.
+
+        The id, if any, is that of the request; its server repeats it in each answer.
+        """
         self.uses += 1
-        self._is_id_repeated = request_id in self._carried_ids
+        self._is_id_repeated = self.has_carried(request_id)
         if request_id is not None:
-            self._carried_ids.append(request_id)
+            self._carried_ids.add(hash64(request_id))
         self._in_use = True
         self._dropped_bytes = 0
         self._dropped_answers = 0
@@ -321,7 +328,8 @@
         self._parser.answers.remove(answer)
         unsent = self._sender is not None and not self._sender.ready()
         surplus = bool(self._parser.answers)
-        if unsent or surplus or not answer.keeps_connection:
+        is_used_up = len(self._carried_ids) >= MAX_CARRIED_IDS
+        if unsent or surplus or is_used_up or not answer.keeps_connection:
             self.reusable = False
         # A parser serves one answer, so that nothing of it can shape the next one.
         self._parser = AnswerParser()
--- a/sparline/http/_pool.py
+++ b/sparline/http/_pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from itertools import islice
 
+from sparline._ids import RequestId
 from sparline.http._backend_connection import Address, BackendConnection
 from sparline.quarantine import ProbeResult
 
@@ -21,11 +22,15 @@
         self._kept: dict[Address, list[BackendConnection]] = {}
         self._on_open = on_open
 
-    def kept(self, address: Address) -> BackendConnection | None:
-        """Return a quiet kept connection, the one used last first."""
-        connections = self._kept.get(address)
-        while connections:
-            connection = connections.pop()
+    def kept(
+        self, address: Address, request_id: RequestId | None = None
+    ) -> BackendConnection | None:
+        """Return a quiet kept connection that has not carried a request id, the one used last first."""
+        connections = self._kept.get(address, [])
+        for connection in reversed(list(connections)):
+            if connection.has_carried(request_id):
+                continue
+            connections.remove(connection)
             if connection.is_quiet():
                 return connection
             connection.close()
--- a/sparline/http/tests/test_pool.py
+++ b/sparline/http/tests/test_pool.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from sparline._clock import now_ms
+from sparline._ids import RequestId
 from sparline.http import BackendConnection, ConnectionPool, _backend_connection
 from sparline.quarantine import ProbeResult
 
@@ -116,3 +117,15 @@
         ):
             BackendConnection(address, 1.0)
     assert connection.closed
+
+
+def test_connection_carries_an_id_once(listener):
+    # A copy of the first answer would be taken for the second one.
+    pool = ConnectionPool(lambda _address: None)
+    address = listener.getsockname()
+    connection = pool.open(address, 1.0)
+    connection.rest()
+    connection.send(b"head", b"", RequestId("r1"))
+    pool.give_back(connection)
+    assert pool.kept(address, RequestId("r1")) is None
+    assert pool.kept(address, RequestId("r2")) is connection
