Tell instances the memory and the descriptors of their process

The settings now hold memory_mb and file_descriptors, which the platform's settings file names, with the users' figures as defaults; both are on the metrics address. Nothing decides by them yet: the tests of crowds can so lower the limits in their own settings before the product changes.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -87,6 +87,7 @@
 from sparline.requests import RoutedRequest
 from sparline.schema._gateway import GatewaySettings
 
+BYTES_PER_MB = 1_000_000
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
 # seconds.
 MAX_ENDED_STARTS = 4_096
@@ -102,6 +103,8 @@
         """Create all components without opening any port."""
         self.settings = settings
         self.metrics = GatewayMetrics()
+        self.metrics.memory_limit.set(settings.memory_mb * BYTES_PER_MB)
+        self.metrics.descriptor_limit.set(settings.file_descriptors)
         self.request_log = RequestLog(self.metrics)
         self.pause_watch = PauseWatch(self._on_process_pause)
         region = RegionName(settings.region)
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -85,6 +85,10 @@
         self.store_copies = self._counter("store_copies", "Copies of the store.", ("result",))
         self.connections = self._counter("connections", "Connections to backend servers.", ())
         self.lines_left_out = self._gauge("log_lines_left_out", "Log lines not written.")
+        self.memory_limit = self._gauge("memory_limit_bytes", "Memory that the process may use.")
+        self.descriptor_limit = self._gauge(
+            "file_descriptor_limit", "File descriptors that the process may have open."
+        )
         self.in_flight = self._gauge("in_flight", "Requests in flight here.")
         self.members = self._gauge("members", "Other instances that are live.")
         self.region_sharers = self._gauge(
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -138,3 +138,13 @@
             ge=0,
         ),
     ] = 1048576
+    memory_mb: Annotated[
+        int,
+        Meta(
+            description="Memory that the process may use, millions of bytes; it is ended beyond that.",
+            gt=0,
+        ),
+    ] = 300
+    file_descriptors: Annotated[
+        int, Meta(description="File descriptors that the process may have open.", gt=0)
+    ] = 4100
