--- a/benchmarks/gateway_fleet/_fleet.py
+++ b/benchmarks/gateway_fleet/_fleet.py
@@ -57,6 +57,8 @@
     server_back_s: float = BACK_S  # time after which a backend server that has ended is back
     later_servers: frozenset[str] = frozenset()  # backend servers that start only when told to
     can_be_cut: bool = False  # whether the ways between instances can be cut
+    # Values of the settings of all instances that differ from the usual ones.
+    settings: Mapping[str, object] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -203,6 +205,7 @@
         if cuts_path is not None:
             cuts_path.write_text("{}")
         gateway = GatewayProcess(name, zone, ip, path, proxy, log_path, cuts_path)
+        gateway.change_settings(**self.shape.settings)
         gateway.start()
         self.gateways[name] = gateway
 
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -36,10 +36,11 @@
     routes: dict[str, dict[str, Any]] | None = None,
     more_services: tuple[str, ...] = (),
     plain: dict[str, Any] | None = None,
+    limits: dict[str, int] | None = None,
 ) -> dict[str, Any]:
     """Return a configuration in the users' format; `more_services` are plain ones.
 
-    `plain` changes fields of the plain services.
+    `plain` changes fields of the plain services, `limits` those of what callers may send.
     """
     return {
         "version": version,
@@ -80,6 +81,7 @@
             "max_body_bytes": 100_000,
             "header_timeout_ms": 3_000,
             "idle_timeout_ms": 5_000,
+            **(limits or {}),
         },
     }
 
@@ -90,9 +92,11 @@
     routes: dict[str, dict[str, Any]] | None = None,
     more_services: tuple[str, ...] = (),
     plain: dict[str, Any] | None = None,
+    limits: dict[str, int] | None = None,
 ) -> int:
     """Put a version into force; return the store's revision."""
-    return store.put(CONFIGURATION_KEY, configuration(version, routes, more_services, plain))
+    document = configuration(version, routes, more_services, plain, limits)
+    return store.put(CONFIGURATION_KEY, document)
 
 
 def published_version(store: KeyStore) -> int:
