Split the routing of a request from the serving of connections

No change of behaviour. test_moved_routes patches a constant of the new module, and fails if that is missing.

--- a/sparline/gateway/_resumed_streams.py
+++ b/sparline/gateway/_resumed_streams.py
@@ -11,7 +11,7 @@
 from sparline._ids import SoftwareVersion
 from sparline._logging import log
 from sparline.fleet import FleetState, stream_key
-from sparline.gateway._service import choose_service
+from sparline.gateway._request_routing import choose_service
 from sparline.gateway._stream_versions import StreamVersions
 from sparline.requests import Reason, RoutedRequest
 from sparline.routes import ServiceName
--- a/sparline/gateway/tests/test_late_requests.py
+++ b/sparline/gateway/tests/test_late_requests.py
@@ -8,9 +8,9 @@
 
 from sparline.fleet._planned_stops import LATER_STOP_MS
 from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._request_routing import LEAVING_RETRY_AFTER_MS
 from sparline.gateway._run_time_collection import RunTimeCollection
 from sparline.gateway._run_times import MIN_TIMES, whole_key
-from sparline.gateway._service import LEAVING_RETRY_AFTER_MS
 from sparline.tests.routed import PLAIN
 from sparline.tests.routed_fleet import PATIENCE_MS, RoutedFleet
 from standins import HOST, PROMPT, plain_routes, publish
--- a/sparline/gateway/tests/test_moved_routes.py
+++ b/sparline/gateway/tests/test_moved_routes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sparline.forwarding import RetryWindow
-from sparline.gateway import _service
+from sparline.gateway import _request_routing
 from sparline.gateway._gateway import Gateway
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, Got, SealedFaults, publish, resumption
@@ -155,7 +155,7 @@
 @pytest.mark.parametrize("row", HOPS, ids=lambda row: row[0])
 def test_request_of_an_instance_out_of_step_runs_at_no_service_before(monkeypatch, row):
     _, grace_ms, has_begun, services = row
-    monkeypatch.setattr(_service, "MOVED_ROUTE_GRACE_MS", grace_ms, raising=False)
+    monkeypatch.setattr(_request_routing, "MOVED_ROUTE_GRACE_MS", grace_ms)
     with RoutedFleet(("north-1", "south-1"), has_store_proxies=True) as fleet:
         for service in SERVICES:
             fleet.add_server(f"{service}-0", service, "south-1", events=EVENTS)
