Hold the bodies of all connections in one account

Each body was bounded by max_body_bytes, all together were not.

A quarter of memory_mb may now hold bodies that are longer than 64 KiB or did not come with their head. Room is asked for before a body is read on, as soon as its next bytes can be read; without room the connection is not read, so that the kernel's window stops the sender. A body that brought less than 16 KiB in half a second is given up as another needs its room, the oldest first; one that has waited a second has the newest ones given up for it, so that bodies that each hold a part do not wait for each other; the newest itself is refused. The answer is 503 with Retry-After, to a peer with the outcome not-sent: nothing was sent to a server. Small bodies find a share that longer ones never take, and the only long one may exceed the account. Nothing is held while the rest of a refused body is read and dropped.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -52,7 +52,7 @@
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
 from sparline.gateway._stream_versions import FoundVersion, StreamVersions, StreamVersionSources
-from sparline.http import ConnectionPool
+from sparline.http import ConnectionPool, HeldBytes
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -88,6 +88,9 @@
 from sparline.schema._gateway import GatewaySettings
 
 BYTES_PER_MB = 1_000_000
+# Part of the memory that may hold bodies of requests and answers. The rest is for the instance itself,
+# for copies while a body is passed on, and for what connections hold beside bodies.
+HELD_FRACTION = 1 / 4
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
 # seconds.
 MAX_ENDED_STARTS = 4_096
@@ -219,6 +222,7 @@
             self.quotas,
             self.admission,
             self.crashing_parts,
+            HeldBytes(HELD_FRACTION * settings.memory_mb * BYTES_PER_MB),
         )
         self.part_exchange = PartExchange(self.members, self.crashing_parts)
         gossip_port = split_address(settings.listen.gossip)[1]
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -95,7 +95,10 @@
         self.metrics.region_settled.set(self.members.are_sharers_settled(own_region))
         self.metrics.store_revision.set(self.copy.revision)
         self.metrics.store_era.set(self.copy.position.era)
-        self.metrics.lines_left_out.set(self.request_log.left_out())
+        lines_left_out = self.request_log.left_out() + self.service.memory_log.left_out()
+        self.metrics.lines_left_out.set(lines_left_out)
+        self.metrics.held_bytes.set(self.service.held.total_bytes)
+        self.metrics.unfinished_bodies.set(self.service.held.unfinished_count)
         configuration = self.fleet.configuration
         self.metrics.configuration_version.set(configuration.version if configuration else 0)
         return self.metrics.render()
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -86,6 +86,10 @@
         self.connections = self._counter("connections", "Connections to backend servers.", ())
         self.lines_left_out = self._gauge("log_lines_left_out", "Log lines not written.")
         self.memory_limit = self._gauge("memory_limit_bytes", "Memory that the process may use.")
+        self.held_bytes = self._gauge(
+            "held_bytes", "Bytes of longer or unfinished bodies held for callers and peers."
+        )
+        self.unfinished_bodies = self._gauge("unfinished_bodies", "Bodies that are being read.")
         self.descriptor_limit = self._gauge(
             "file_descriptor_limit", "File descriptors that the process may have open."
         )
--- a/sparline/gateway/_own_answers.py
+++ b/sparline/gateway/_own_answers.py
@@ -76,6 +76,20 @@
         caller.answer(status, headers(OwnAnswer(False, retry_after_ms)), b"")
         self._log.note_rejected(request_id, status, reason, "not run")
 
+    def refuse_body(
+        self,
+        caller: CallerConnection,
+        request_id: str,
+        origin: Origin,
+        reason: Reason,
+        retry_after_ms: float,
+    ) -> None:
+        """Refuse a request whose body is not read to its end; `MemoryLog` logs it."""
+        caller.closing = True
+        headers = _headers_for(origin)
+        caller.answer(503, headers(OwnAnswer(False, retry_after_ms)), b"")
+        self._log.count_rejected(reason)
+
     def reject_quarantined_part(
         self, caller: CallerConnection, request_id: str, origin: Origin, part: PartDigest
     ) -> None:
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -10,6 +10,7 @@
 from sparline.gateway._admission import AdmissionGate
 from sparline.gateway._in_flight import InFlightRequests
 from sparline.gateway._leave_plan import LeavePlan
+from sparline.gateway._memory_log import MemoryLog
 from sparline.gateway._own_answers import OwnAnswers
 from sparline.gateway._peer_answers import PeerAnswers
 from sparline.gateway._quotas import Quotas
@@ -20,8 +21,11 @@
     BadRequest,
     CallerConnection,
     CallerGone,
+    HeldBytes,
     HttpRequest,
+    NoRoom,
     ReadLimits,
+    ShortageReason,
 )
 from sparline.placement import PaceTable
 from sparline.platform import parse_request_head
@@ -37,6 +41,12 @@
 # How long remaining input is read after an error response (s), so that a connection reset does not
 # discard the response.
 LINGER_S = 0.5
+# Retry delay for a request whose body found no room (ms): room comes back as other requests end.
+ROOM_RETRY_AFTER_MS = 1_000.0
+SHORTAGE_REASONS = {
+    ShortageReason.NO_ROOM: Reason.MEMORY_FULL,
+    ShortageReason.STALLED: Reason.BODY_STALLED,
+}
 
 
 class Service:
@@ -53,17 +63,21 @@
         quotas: Quotas,
         admission: AdmissionGate,
         parts: PartTable,
+        held: HeldBytes,
     ) -> None:
         """Create a service that follows the configuration of a fleet.
 
         `store_outage_age_ms` returns the time since the store's last outage ended.
         `is_configuration_current` returns whether its configuration is the newest; it may block.
+        `held` is the account of the bytes that are held for callers and peers.
         """
         self.in_flight = InFlightRequests()
         self.run_times = RunTimeTable(self.in_flight)
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._log = request_log
+        self.held = held
+        self.memory_log = MemoryLog()
         self._own_answers = OwnAnswers(fleet, request_log)
         self._peer_answers = PeerAnswers(
             fleet, copy, self._own_answers, self.run_times, store_outage_age_ms
@@ -97,7 +111,7 @@
 
     def _serve(self, raw: GeventSocket, origin: Origin) -> None:
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        caller = CallerConnection(raw)
+        caller = CallerConnection(raw, self.held)
         self._connections.add(caller)
         try:
             while not caller.closing:
@@ -110,6 +124,10 @@
                     )
                     caller.linger(LINGER_S)
                     return
+                if isinstance(request, NoRoom):
+                    self._refuse_body(caller, request, origin)
+                    caller.linger(LINGER_S)
+                    return
                 self._answer(caller, request, origin)
         except CallerGone:
             # There is nobody to answer, and the forwarder has recorded the end of the request.
@@ -139,6 +157,13 @@
         head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
         return ReadLimits(head_bytes, limits.max_body_bytes, limits.head_timeout_ms, int(idle_ms))
 
+    def _refuse_body(self, caller: CallerConnection, found: NoRoom, origin: Origin) -> None:
+        marks = parse_request_head(found.request)
+        request_id = marks.unwrap().request_id if marks.is_ok() else ""
+        reason = SHORTAGE_REASONS[found.shortage.reason]
+        self._own_answers.refuse_body(caller, request_id, origin, reason, ROOM_RETRY_AFTER_MS)
+        self.memory_log.note_refused(request_id, origin, reason, found.shortage)
+
     def _answer(self, caller: CallerConnection, http: HttpRequest, origin: Origin) -> None:
         if self.leave_plan is not None:
             caller.closing = True
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -15,7 +15,7 @@
 def test_limits_follow_the_configuration_in_force():
     # The limits are cached between requests, and a new configuration must replace them.
     fleet = SimpleNamespace(configuration=None)
-    service = Service(fleet, *[None] * 8)
+    service = Service(fleet, *[None] * 9)
     assert service._limits(Origin.CALLER).max_body_bytes == DEFAULT_LIMITS.max_body_bytes
     for size in (10, 20):
         fleet.configuration = changed(max_body_bytes=size, max_head_bytes=size)
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -7,12 +7,15 @@
     ConnectionBroken,
     ConnectionUse,
 )
+from sparline.http._body_room import RoomShortage, ShortageReason
 from sparline.http._caller_connection import (
     BadRequest,
     CallerConnection,
     CallerGone,
+    NoRoom,
     ReadLimits,
 )
+from sparline.http._held_bytes import HeldBytes, Holding
 from sparline.http._messages import (
     AnswerParser,
     FirstValues,
@@ -40,11 +43,16 @@
     "ConnectionUse",
     "FirstValues",
     "Headers",
+    "HeldBytes",
+    "Holding",
     "HttpAnswer",
     "HttpRequest",
     "MalformedMessage",
+    "NoRoom",
     "ReadLimits",
     "RequestParser",
+    "RoomShortage",
+    "ShortageReason",
     "end_to_end",
     "first_header",
     "first_values",
--- a/sparline/http/_caller_connection.py
+++ b/sparline/http/_caller_connection.py
@@ -4,12 +4,15 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 import gevent
 from gevent.socket import socket as GeventSocket
 
 from sparline._read_turn import ReadTurn
+from sparline.http._body_room import BodyRoom, RoomShortage
+from sparline.http._held_bytes import HeldBytes
 from sparline.http._messages import Headers, HttpRequest, MalformedMessage, RequestParser
 
 READ_BYTES = 65_536
@@ -41,12 +44,28 @@
     text: str  # what was expected and found
 
 
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """Say that there is no room for a request; the connection ends with it."""
+
+    request: HttpRequest  # its head
+    shortage: RoomShortage  # why it is not read on
+
+
+class Ended(Enum):
+    """Say that there is nobody to answer."""
+
+    ENDED = "ended"
+
+
 class CallerConnection:
     """Read requests one after the other and write their answers."""
 
-    def __init__(self, connection: GeventSocket) -> None:
-        """Take over an accepted connection."""
+    def __init__(self, connection: GeventSocket, held: HeldBytes | None = None) -> None:
+        """Take over an accepted connection, whose bodies are held in an account."""
         self._socket = connection
+        self._held = held or HeldBytes()
+        self._room: BodyRoom | None = None  # of the body that is read, or that is being answered
         self._parser = RequestParser()
         self._turn = ReadTurn()
         self._watcher: object | None = None
@@ -56,68 +75,116 @@
         self._unframed = False  # whether only the end of the connection ends the current answer
         self._resting = False
 
-    def next_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | None:
-        """Return the next request, None once the caller has none."""
+    def next_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
+        """Return the next request, None once the caller has none; nothing is held of the one before."""
         self.started = False
+        self._release_room()
         try:
             return self._read_request(limits)
         except MalformedMessage as error:
+            self._drop_unfinished()
             return BadRequest(400, str(error))
         except OSError:
             # Nobody is left to answer.
             return None
 
-    def _read_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | None:
+    def _read_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
         requests = self._parser.requests
-        head_bytes = 0
-        timeout_ms = limits.idle_timeout_ms
-        continued = False
-        is_checked = False
         if requests and requests[0].complete:
             # Requests that came together would be answered without letting anybody else run.
             gevent.sleep(0)
-        while not requests or not requests[0].complete:
-            if requests and requests[0].head_done:
-                timeout_ms = limits.idle_timeout_ms
-            elif requests or head_bytes:
-                timeout_ms = limits.head_timeout_ms
+        found = self._read_head(limits)
+        if found is None:
+            found = self._read_body(requests[0], limits)
+        if found is Ended.ENDED:
+            return None
+        if found is not None:
+            self._drop_unfinished()
+            return found
+        request = requests.pop(0)
+        self.closing = not request.keeps_connection
+        return request
+
+    def _read_head(self, limits: ReadLimits) -> BadRequest | Ended | None:
+        """Read until a head is whole; None if it is."""
+        requests = self._parser.requests
+        head_bytes = 0
+        while not requests or not requests[0].head_done:
+            has_begun = bool(requests or head_bytes)
+            timeout_ms = limits.head_timeout_ms if has_begun else limits.idle_timeout_ms
             data = self._receive(timeout_ms)
-            if data is None:
-                return (
-                    BadRequest(408, f"expected a request within {timeout_ms} ms")
-                    if (requests or head_bytes)
-                    else None
-                )
+            if data is None and has_begun:
+                return _late(timeout_ms)
             if not data:
-                return None
+                return Ended.ENDED
             self._parser.feed(data)
             if not requests or not requests[0].head_done:
                 head_bytes += len(data)
                 if head_bytes > limits.max_head_bytes:
                     return BadRequest(431, f"expected at most {limits.max_head_bytes} header bytes")
-                continue
-            bad = _over_limits(requests[0], limits)
-            if bad:
-                return bad
-            is_checked = True
-            if not continued and not requests[0].complete:
-                continued = True
-                if (requests[0].header(b"expect") or b"").lower() == b"100-continue":
-                    self._socket.sendall(CONTINUE)
-        request = requests.pop(0)
-        self.closing = not request.keeps_connection
-        if is_checked:
-            return request
-        # It came along with an earlier request.
-        return _over_limits(request, limits) or request
+        return _over_limits(requests[0], limits)
 
-    def _receive(self, timeout_ms: float) -> bytes | None:
+    def _read_body(
+        self, request: HttpRequest, limits: ReadLimits
+    ) -> BadRequest | NoRoom | Ended | None:
+        """Read until a body is whole; None if it is."""
+        if request.complete:
+            return None
+        room = self._room = BodyRoom(self._held)
+        room.note_growth(len(request.body))
+        if (request.header(b"expect") or b"").lower() == b"100-continue":
+            # It need not be sent unless there is room for all of it.
+            if not room.wait_for_room(_told_bytes(request) or READ_BYTES):
+                return NoRoom(request, room.shortage())
+            self._socket.sendall(CONTINUE)
+        while not request.complete:
+            if self._socket.closed:
+                return Ended.ENDED
+            is_readable = room.wait_for_bytes(self._socket.fileno(), limits.idle_timeout_ms)
+            if is_readable is False:
+                return _late(limits.idle_timeout_ms)
+            next_bytes = _next_read_bytes(request, room)
+            if is_readable is None or not room.wait_for_room(next_bytes):
+                return NoRoom(request, room.shortage())
+            bad = self._read_body_once(request, limits, next_bytes)
+            if bad is not None:
+                return bad
+        room.keep()
+        return None
+
+    def _read_body_once(
+        self, request: HttpRequest, limits: ReadLimits, max_bytes: int
+    ) -> BadRequest | Ended | None:
+        assert self._room is not None, "an unfinished body has room"
+        before_bytes = len(request.body)
+        data = self._receive(limits.idle_timeout_ms, max_bytes)
+        if data is None:
+            return _late(limits.idle_timeout_ms)
+        if not data:
+            return Ended.ENDED
+        self._parser.feed(data)
+        self._room.note_growth(len(request.body) - before_bytes)
+        return _over_body_limit(request, limits)
+
+    def _drop_unfinished(self) -> None:
+        """Hold nothing more of requests that won't be answered."""
+        for request in self._parser.requests:
+            request.body = bytearray()
+        self._parser.requests.clear()
+        self._release_room()
+
+    def _release_room(self) -> None:
+        room, self._room = self._room, None
+        if room is not None:
+            room.release()
+
+    def _receive(self, timeout_ms: float, max_bytes: int = READ_BYTES) -> bytes | None:
         """Read once; None after the timeout, empty at the end."""
         self._turn.pause_if_due()
         self._socket.settimeout(timeout_ms / 1000)
         self._resting = not self._parser.requests
         try:
-            data = self._socket.recv(READ_BYTES)
+            data = self._socket.recv(max_bytes)
             self._turn.note_read(len(data))
             return data
         except TimeoutError:
@@ -227,6 +294,7 @@
     def close(self) -> None:
         """Close the connection."""
         self.unwatch()
+        self._release_room()
         self._socket.close()
 
     def is_resting(self) -> bool:
@@ -258,13 +326,33 @@
     )
     if head_bytes > limits.max_head_bytes:
         return BadRequest(431, f"expected at most {limits.max_head_bytes} header bytes")
-    told = request.header(b"content-length") or b""
-    told_bytes = int(told) if told.isdigit() else 0
-    if max(told_bytes, len(request.body)) > limits.max_body_bytes:
+    return _over_body_limit(request, limits)
+
+
+def _over_body_limit(request: HttpRequest, limits: ReadLimits) -> BadRequest | None:
+    if max(_told_bytes(request) or 0, len(request.body)) > limits.max_body_bytes:
         return BadRequest(413, f"expected at most {limits.max_body_bytes} body bytes")
     return None
 
 
+def _told_bytes(request: HttpRequest) -> int | None:
+    """Return the length that a request tells, None without one."""
+    told = request.header(b"content-length") or b""
+    return int(told) if told.isdigit() else None
+
+
+def _next_read_bytes(request: HttpRequest, room: BodyRoom) -> int:
+    """Return how many bytes of a body to read next."""
+    told_bytes = _told_bytes(request)
+    if told_bytes is None:
+        return room.next_read_bytes(READ_BYTES)
+    return room.next_read_bytes(min(READ_BYTES, max(told_bytes - len(request.body), 1)))
+
+
+def _late(timeout_ms: float) -> BadRequest:
+    return BadRequest(408, f"expected a request within {timeout_ms} ms")
+
+
 _PHRASES = {one.value: one.phrase.encode() for one in HTTPStatus}
 
 
--- a/sparline/requests/_reasons.py
+++ b/sparline/requests/_reasons.py
@@ -12,6 +12,8 @@
     NO_KEY = "no_key"
     UNKNOWN_KEY = "unknown_key"
     KEY_WITHDRAWN = "key_withdrawn"
+    MEMORY_FULL = "memory_full"
+    BODY_STALLED = "body_stalled"
     CONFIGURATION_BEHIND = "configuration_behind"
     UNKNOWN_TARGET = "unknown_target"
     RESIDENCY = "residency"
