Hold a long body once while it is passed on

A long answer was copied into its chunk and behind its head.

The request's body is now taken from what was read, a server's connection gets head and body one after the other, and parts of answers beyond 16 KiB are written without being copied into their frame.

--- a/sparline/_hashing.py
+++ b/sparline/_hashing.py
@@ -10,7 +10,7 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
-def hash_parts(parts: Iterable[bytes]) -> int:
+def hash_parts(parts: Iterable[bytes | bytearray]) -> int:
     """Return a 64-bit hash of several parts and their lengths; not for secrets."""
     hasher = xxhash.xxh64()
     for part in parts:
--- a/sparline/gateway/_admission.py
+++ b/sparline/gateway/_admission.py
@@ -255,8 +255,8 @@
             self._metrics.admission_level.labels(service).set(level)
 
 
-def _content(http: HttpRequest) -> tuple[bytes, bytes, bytes]:
-    return (http.method, http.target, bytes(http.body))
+def _content(http: HttpRequest) -> tuple[bytes, bytes, bytes | bytearray]:
+    return (http.method, http.target, http.body)
 
 
 def _cost(prompt: Prompt | None) -> int:
--- a/sparline/gateway/_request_routing.py
+++ b/sparline/gateway/_request_routing.py
@@ -170,7 +170,7 @@
             method=http.method,
             target=http.target,
             headers=headers_to_pass(http, keys_required=configuration.organisations is not None),
-            body=bytes(http.body),
+            body=http.take_body(),
             prompt=marks.prompt,
             resume_after=resume_after,
             resumes=marks.resumes if route.resumable else None,
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -187,13 +187,12 @@
         self._dropped_answers = 0
         self._sender = None
         try:
-            data = head + body
-            if len(data) <= FIRST_WRITE_BYTES:
-                taken = self._write_some(data)
-            else:
-                taken = self._write_some(data[:FIRST_WRITE_BYTES])
-            if taken < len(data):
-                self._sender = gevent.spawn(self._send_rest, memoryview(data)[taken:])
+            first_bytes = max(FIRST_WRITE_BYTES - len(head), 0)
+            first = head + body[:first_bytes]
+            taken = self._write_some(first)
+            if taken < len(first) or len(body) > first_bytes:
+                rest = (memoryview(first)[taken:], memoryview(body)[first_bytes:])
+                self._sender = gevent.spawn(self._send_rest, *rest)
         except OSError as error:
             self.reusable = False
             self._note_error(error)
@@ -208,9 +207,10 @@
         finally:
             self._socket.settimeout(None)
 
-    def _send_rest(self, rest: memoryview) -> None:
+    def _send_rest(self, *parts: memoryview) -> None:
         try:
-            self._socket.sendall(rest)
+            for part in parts:
+                self._socket.sendall(part)
         except OSError:
             # The reader meets the same fault and reports it.
             self.reusable = False
--- a/sparline/http/_caller_connection.py
+++ b/sparline/http/_caller_connection.py
@@ -16,6 +16,8 @@
 from sparline.http._messages import Headers, HttpRequest, MalformedMessage, RequestParser
 
 READ_BYTES = 65_536
+# Longest part of a body that is copied to be written in one piece (bytes).
+MAX_COPIED_BYTES = 16_384
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Values of SO_LINGER: closing, or the end of the process, resets the connection, or ends it cleanly.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -245,7 +247,7 @@
             lines.append(b"Connection: close")
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         self.started = True
-        self._write(head + (self._frame(first) if first else b""))
+        self._write_part(first, head)
 
     def _set_linger(self, value: bytes) -> None:
         try:
@@ -253,13 +255,22 @@
         except OSError as error:
             raise CallerGone from error
 
-    def _frame(self, data: bytes) -> bytes:
-        return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
-
     def send(self, data: bytes) -> None:
         """Send a part of the body."""
         if data:
-            self._write(self._frame(data))
+            self._write_part(data)
+
+    def _write_part(self, data: bytes, before: bytes = b"") -> None:
+        """Write bytes and a part of the body; a long part isn't copied."""
+        is_framed = self._chunked and data
+        before = b"%b%x\r\n" % (before, len(data)) if is_framed else before
+        after = b"\r\n" if is_framed else b""
+        if len(data) <= MAX_COPIED_BYTES:
+            self._write(before + data + after)
+            return
+        for part in (before, data, after):
+            if part:
+                self._write(part)
 
     def finish(self) -> None:
         """Send the end of the body."""
--- a/sparline/http/_messages.py
+++ b/sparline/http/_messages.py
@@ -76,6 +76,12 @@
     complete: bool = False  # whether the body is in as well
     keeps_connection: bool = True  # whether the caller may send another one
 
+    def take_body(self) -> bytes:
+        """Return the body, and hold it no longer."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None without one."""
         return first_header(self.headers, name)
