Hold long answers in the account, and release them as they are read

Many clients that read slowly made that a memory's worth.

Answers beyond 64 KiB are now in the account of held bytes. While it is half full they are sent on as they come, as longer ones always were; what is held of one is written part by part and released as it is written. The rest of the account is left to bodies, which can't be passed on before they are whole. A failed answer of a server is still held whole for another try.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -13,9 +13,11 @@
     Progress,
     UnframedEnd,
 )
+from sparline.forwarding._buffered_answer import BufferedAnswer
 from sparline.forwarding._caller_answer import SentContent, ServerAnswerHead
 from sparline.forwarding._liveness_checks import LivenessChecks
 from sparline.http import (
+    SMALL_BYTES,
     BackendConnection,
     ConnectionBroken,
     Headers,
@@ -75,28 +77,46 @@
 
     def _forward_buffered(self, connection: BackendConnection, answer: HttpAnswer) -> AttemptEnd:
         """Buffer the complete response so that a truncated one never reaches the caller."""
-        body = bytearray()
-        while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
-            body += piece
-            if len(body) > self._dependencies.buffered_answer_bytes:
-                return self._forward_unbuffered(connection, answer, bytes(body))
-        is_proven = self._verify_end(connection, answer) and bool(body)
+        max_bytes = self._dependencies.buffered_answer_bytes
+        with BufferedAnswer(self._dependencies.held, max_bytes) as buffered:
+            while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
+                if not buffered.add(piece):
+                    return self._forward_unbuffered(connection, answer, buffered)
+            return self._end_buffered(connection, answer, buffered)
+
+    def _end_buffered(
+        self, connection: BackendConnection, answer: HttpAnswer, buffered: BufferedAnswer
+    ) -> AttemptEnd:
+        """Forward a response that is held until its end."""
+        is_proven = self._verify_end(connection, answer) and buffered.size_bytes > 0
         elapsed_ms = now_ms() - self._progress.sent_at_ms
         if answer.status >= MIN_SERVER_ERROR_STATUS:
             self._dependencies.health.note_failure(self._placement.server.id, "failed")
-            self._progress.failed_answer = FailedAnswer(self._complete_head(answer), bytes(body))
+            self._progress.failed_answer = FailedAnswer(
+                self._complete_head(answer), buffered.whole()
+            )
             return AttemptEnd(AttemptResult.FAILED_ANSWER, Reason.BACKEND_FAILED)
         self._note_plain_success(elapsed_ms)
         self._note_first(now_ms())
-        self._progress.caller_answer.send_complete(self._complete_head(answer), bytes(body))
+        self._send_complete(self._complete_head(answer), buffered)
         return _delivered(is_proven and answer.status < MIN_REDIRECT_STATUS)
 
+    def _send_complete(self, head: ServerAnswerHead, buffered: BufferedAnswer) -> None:
+        if buffered.size_bytes <= SMALL_BYTES:
+            self._progress.caller_answer.send_complete(head, buffered.whole())
+            return
+        body = self._progress.caller_answer.begin_whole_body(head, buffered.size_bytes)
+        for part in buffered.drain():
+            body.send(part)
+        body.finish()
+
     def _forward_unbuffered(
-        self, connection: BackendConnection, answer: HttpAnswer, first: bytes
+        self, connection: BackendConnection, answer: HttpAnswer, first: BufferedAnswer
     ) -> AttemptEnd:
         """Forward a large response as it arrives, finishing it only if it is complete."""
         body = self._progress.caller_answer.begin_body(self._stream_head(answer))
-        body.send(first)
+        for part in first.drain():
+            body.send(part)
         while (piece := self._checks.read(lambda: connection.read_piece(answer))) is not None:
             body.send(piece)
         is_proven = self._verify_end(connection, answer)
--- a/sparline/forwarding/_attempt_types.py
+++ b/sparline/forwarding/_attempt_types.py
@@ -9,7 +9,7 @@
 from sparline.forwarding._caller_answer import CallerAnswer, SentContent, ServerAnswerHead
 from sparline.forwarding._events import EventSplitter
 from sparline.forwarding._wire import BackendWire, IdMatch, Wire
-from sparline.http import ConnectionPool, ConnectionUse, Headers, HttpAnswer
+from sparline.http import ConnectionPool, ConnectionUse, Headers, HeldBytes, HttpAnswer
 from sparline.placement import (
     HealthTable,
     PaceTable,
@@ -125,6 +125,7 @@
     peer_port: int  # port on which instances accept relayed requests
     # Longest body of a response that is no stream which is buffered until it is complete (bytes).
     buffered_answer_bytes: int
+    held: HeldBytes  # account of the bytes held for callers and peers
     health: HealthTable  # server health observed by this instance
     server_limits: ServerLimitTable  # request rate limits set by servers
     refusal_limits: RefusalLimitTable  # limits on refusals set by servers
--- a/sparline/forwarding/_caller_answer.py
+++ b/sparline/forwarding/_caller_answer.py
@@ -72,6 +72,11 @@
         self._begin(head, SentContent.BODY)
         return AnswerBody(self._send, self._caller.finish)
 
+    def begin_whole_body(self, head: ServerAnswerHead, length_bytes: int) -> "AnswerBody":
+        """Send the head of a server's complete answer; its body follows in parts."""
+        self._begin(head, SentContent.BODY, length_bytes)
+        return AnswerBody(self._send, self._caller.finish)
+
     def send_complete(self, head: ServerAnswerHead, body: bytes) -> None:
         """Send a server's complete answer."""
         self._take(head.status, SentContent.BODY, head.server_id)
@@ -92,12 +97,14 @@
         """End the connection without the end of the answer, so that the truncation is visible."""
         self._caller.closing = True
 
-    def _begin(self, head: ServerAnswerHead, content: SentContent) -> None:
+    def _begin(
+        self, head: ServerAnswerHead, content: SentContent, length_bytes: int | None = None
+    ) -> None:
         self._take(head.status, content, head.server_id)
         if head.is_unframed:
             self._caller.begin_unframed(head.status, head.headers)
         else:
-            self._caller.begin(head.status, head.headers, None)
+            self._caller.begin(head.status, head.headers, length_bytes)
 
     def _take(self, status: int, content: SentContent, server_id: BackendServerId | None) -> None:
         """Bind the answer to the one whose head is about to be sent."""
--- a/sparline/gateway/_forwarders.py
+++ b/sparline/gateway/_forwarders.py
@@ -75,6 +75,7 @@
         peer_wire=InstanceWire(),
         peer_port=components.relay_port,
         buffered_answer_bytes=components.settings.buffered_answer_bytes,
+        held=components.service.held,
         health=components.health,
         server_limits=components.server_limits,
         refusal_limits=components.refusal_limits,
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -15,7 +15,7 @@
     NoRoom,
     ReadLimits,
 )
-from sparline.http._held_bytes import HeldBytes, Holding
+from sparline.http._held_bytes import SMALL_BYTES, HeldBytes, Holding
 from sparline.http._messages import (
     AnswerParser,
     FirstValues,
@@ -52,6 +52,7 @@
     "ReadLimits",
     "RequestParser",
     "RoomShortage",
+    "SMALL_BYTES",
     "ShortageReason",
     "end_to_end",
     "first_header",
--- a/sparline/http/_held_bytes.py
+++ b/sparline/http/_held_bytes.py
@@ -12,6 +12,9 @@
 SMALL_BYTES = 65_536
 # Part of the account that large messages may take.
 LARGE_FRACTION = 3 / 4
+# Part of the account up to which answers are held until they are whole: the rest is for bodies, which
+# cannot be passed on before that.
+KEPT_FRACTION = 1 / 2
 # Bytes of an unfinished message that count as progress, so that a byte now and then does not.
 PROGRESS_BYTES = 16_384
 # Time without progress after which an unfinished message is given up if others need its room (ms).
@@ -94,6 +97,10 @@
         """Tell whether a message may grow; the only large one always may."""
         return self._lacks_bytes(holding, more_bytes) <= 0
 
+    def may_keep(self, more_bytes: int) -> bool:
+        """Tell whether a message that need not be held, as an answer, may be held on."""
+        return self.total_bytes + more_bytes <= self.limit_bytes * KEPT_FRACTION
+
     def grow(self, holding: Holding, more_bytes: int, now_ms: float) -> None:
         """Add bytes that have come."""
         self._count(holding, -holding.held_bytes)
@@ -168,6 +175,8 @@
 
     def release_part(self, holding: Holding, fewer_bytes: int) -> None:
         """Release a part of what a message holds."""
+        if fewer_bytes == 0:
+            return
         self._count(holding, -holding.held_bytes)
         holding.held_bytes -= fewer_bytes
         self._count(holding, holding.held_bytes)
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -134,7 +134,7 @@
     buffered_answer_bytes: Annotated[
         int,
         Meta(
-            description="Longest body of an answer that is no stream which is held until it is whole, bytes; each request in flight may hold as much.",
+            description="Longest body of an answer that is no stream which is held until it is whole, bytes.",
             ge=0,
         ),
     ] = 1048576
