Bound the whole time of a request's head and of its body

The time of a head now counts from its first byte, as its limit always said, and that of a body from the end of the head: body_timeout_ms, 60 s unless set, beside the idle time. Both end in 408. Bytes that came while the process was suspended are still read.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -48,7 +48,7 @@
 from sparline.gateway._region_servers import RegionServers
 from sparline.gateway._request_log import RequestLog, StoreContact
 from sparline.gateway._server_connectivity import ConnectivitySources, ServerConnectivity
-from sparline.gateway._service import Service
+from sparline.gateway._service import ConnectionBounds, Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
 from sparline.gateway._stream_versions import FoundVersion, StreamVersions, StreamVersionSources
@@ -222,7 +222,10 @@
             self.quotas,
             self.admission,
             self.crashing_parts,
-            HeldBytes(HELD_FRACTION * settings.memory_mb * BYTES_PER_MB),
+            ConnectionBounds(
+                HeldBytes(HELD_FRACTION * settings.memory_mb * BYTES_PER_MB),
+                settings.body_timeout_ms,
+            ),
         )
         self.part_exchange = PartExchange(self.members, self.crashing_parts)
         gossip_port = split_address(settings.listen.gossip)[1]
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from gevent.socket import socket as GeventSocket
 
@@ -49,6 +50,14 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionBounds:
+    """Bound what all connections of callers and peers may take."""
+
+    held: HeldBytes  # account of the bytes held for them
+    body_timeout_ms: int  # longest time for one body
+
+
 class Service:
     """Serve connections: read requests, and pass those that are admitted to a forwarder."""
 
@@ -63,20 +72,20 @@
         quotas: Quotas,
         admission: AdmissionGate,
         parts: PartTable,
-        held: HeldBytes,
+        bounds: ConnectionBounds,
     ) -> None:
         """Create a service that follows the configuration of a fleet.
 
         `store_outage_age_ms` returns the time since the store's last outage ended.
         `is_configuration_current` returns whether its configuration is the newest; it may block.
-        `held` is the account of the bytes that are held for callers and peers.
         """
         self.in_flight = InFlightRequests()
         self.run_times = RunTimeTable(self.in_flight)
         self.leave_plan: LeavePlan | None = None  # set once this instance leaves
         self._fleet = fleet
         self._log = request_log
-        self.held = held
+        self.held = bounds.held
+        self._bounds = bounds
         self.memory_log = MemoryLog()
         self._own_answers = OwnAnswers(fleet, request_log)
         self._peer_answers = PeerAnswers(
@@ -155,7 +164,13 @@
         )
         # A peer adds its own headers to those allowed for callers.
         head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
-        return ReadLimits(head_bytes, limits.max_body_bytes, limits.head_timeout_ms, int(idle_ms))
+        return ReadLimits(
+            max_head_bytes=head_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            head_timeout_ms=limits.head_timeout_ms,
+            idle_timeout_ms=int(idle_ms),
+            body_timeout_ms=self._bounds.body_timeout_ms,
+        )
 
     def _refuse_body(self, caller: CallerConnection, found: NoRoom, origin: Origin) -> None:
         marks = parse_request_head(found.request)
--- a/sparline/http/_caller_connection.py
+++ b/sparline/http/_caller_connection.py
@@ -10,12 +10,15 @@
 import gevent
 from gevent.socket import socket as GeventSocket
 
+from sparline._clock import now_ms
 from sparline._read_turn import ReadTurn
 from sparline.http._body_room import BodyRoom, RoomShortage
 from sparline.http._held_bytes import HeldBytes
 from sparline.http._messages import Headers, HttpRequest, MalformedMessage, RequestParser
 
 READ_BYTES = 65_536
+# Shortest time for which a read waits (ms): it finds bytes that came while this process was suspended.
+MIN_READ_TIMEOUT_MS = 1.0
 # Longest part of a body that is copied to be written in one piece (bytes).
 MAX_COPIED_BYTES = 16_384
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -36,6 +39,7 @@
     max_body_bytes: int  # bytes of the body
     head_timeout_ms: int  # from the first byte to the end of the headers
     idle_timeout_ms: int  # without a byte, between requests or within a body
+    body_timeout_ms: int  # from the end of the headers to that of the body
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +115,15 @@
         """Read until a head is whole; None if it is."""
         requests = self._parser.requests
         head_bytes = 0
+        late_at_ms = now_ms() + limits.head_timeout_ms if requests else None
         while not requests or not requests[0].head_done:
-            has_begun = bool(requests or head_bytes)
-            timeout_ms = limits.head_timeout_ms if has_begun else limits.idle_timeout_ms
-            data = self._receive(timeout_ms)
-            if data is None and has_begun:
-                return _late(timeout_ms)
+            if late_at_ms is None:
+                data = self._receive(limits.idle_timeout_ms)
+                late_at_ms = now_ms() + limits.head_timeout_ms
+            else:
+                data = self._receive(_left_ms(late_at_ms))
+                if data is None:
+                    return _late(limits.head_timeout_ms)
             if not data:
                 return Ended.ENDED
             self._parser.feed(data)
@@ -132,6 +139,7 @@
         """Read until a body is whole; None if it is."""
         if request.complete:
             return None
+        late_at_ms = now_ms() + limits.body_timeout_ms
         room = self._room = BodyRoom(self._held)
         room.note_growth(len(request.body))
         if (request.header(b"expect") or b"").lower() == b"100-continue":
@@ -142,9 +150,10 @@
         while not request.complete:
             if self._socket.closed:
                 return Ended.ENDED
-            is_readable = room.wait_for_bytes(self._socket.fileno(), limits.idle_timeout_ms)
+            timeout_ms = min(limits.idle_timeout_ms, _left_ms(late_at_ms))
+            is_readable = room.wait_for_bytes(self._socket.fileno(), timeout_ms)
             if is_readable is False:
-                return _late(limits.idle_timeout_ms)
+                return _late(min(limits.idle_timeout_ms, limits.body_timeout_ms))
             next_bytes = _next_read_bytes(request, room)
             if is_readable is None or not room.wait_for_room(next_bytes):
                 return NoRoom(request, room.shortage())
@@ -360,6 +369,11 @@
     return room.next_read_bytes(min(READ_BYTES, max(told_bytes - len(request.body), 1)))
 
 
+def _left_ms(at_ms: float) -> float:
+    """Return the time until then; a moment at least, so that bytes that have come are read."""
+    return max(at_ms - now_ms(), MIN_READ_TIMEOUT_MS)
+
+
 def _late(timeout_ms: float) -> BadRequest:
     return BadRequest(408, f"expected a request within {timeout_ms} ms")
 
--- a/sparline/http/tests/test_body_room.py
+++ b/sparline/http/tests/test_body_room.py
@@ -17,7 +17,7 @@
 
 BODY_BYTES = 400_000
 ACCOUNT_BYTES = 1_600_000
-LIMITS = ReadLimits(2_000, BODY_BYTES, 60_000, 60_000)
+LIMITS = ReadLimits(2_000, BODY_BYTES, 60_000, 60_000, 60_000)
 # Far bound of a wait (s).
 FAR_S = 60.0
 SMALL = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n" + b"s" * 1_000
--- a/sparline/http/tests/test_caller_connection.py
+++ b/sparline/http/tests/test_caller_connection.py
@@ -5,7 +5,7 @@
 
 from sparline.http import BadRequest, CallerConnection, HttpRequest, ReadLimits
 
-LIMITS = ReadLimits(200, 10, 1_000, 1_000)
+LIMITS = ReadLimits(200, 10, 1_000, 1_000, 60_000)
 SMALL = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n0123456789"
 LONG_BODY = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 11\r\n\r\n0123456789a"
 CHUNKED = b"POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nb\r\n0123456789a\r\n0\r\n\r\n"
--- a/sparline/http/tests/test_copies.py
+++ b/sparline/http/tests/test_copies.py
@@ -12,7 +12,7 @@
 BODY_BYTES = 8_000_000
 MAX_MORE_BYTES = 1_000_000
 BODY = bytes(range(256)) * (BODY_BYTES // 256)
-LIMITS = ReadLimits(2_000, BODY_BYTES, 60_000, 60_000)
+LIMITS = ReadLimits(2_000, BODY_BYTES, 60_000, 60_000, 60_000)
 # Far bound of a wait (s).
 FAR_S = 60.0
 
--- a/sparline/http/tests/test_endless_messages.py
+++ b/sparline/http/tests/test_endless_messages.py
@@ -86,7 +86,7 @@
         assert connection.peer.taken_bytes() < MAX_TAKEN_BYTES + BUFFERED_BYTES
 
 
-LIMITS = ReadLimits(4_096, 10_000, 1_000, 1_000)
+LIMITS = ReadLimits(4_096, 10_000, 1_000, 1_000, 60_000)
 POST = b"POST /a HTTP/1.1\r\nhost: x\r\n"
 POST_CHUNKED = POST + b"transfer-encoding: chunked\r\n\r\n"
 REQUESTS = {
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -138,6 +138,13 @@
             ge=0,
         ),
     ] = 1048576
+    body_timeout_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time from the end of a request's headers to that of its body, milliseconds.",
+            gt=0,
+        ),
+    ] = 60000
     memory_mb: Annotated[
         int,
         Meta(
