Bound the connections of callers below the descriptors of the process

Callers may have half of the descriptors, as each request under way needs one more. At the bound those without progress for longest are closed, at rest or with an unfinished head or body; nothing of these was sent on. A new one is closed only if all others have requests under way. Peers' connections are not bounded.

--- a/sparline/gateway/_components.py
+++ b/sparline/gateway/_components.py
@@ -38,6 +38,8 @@
 from sparline.gateway._admission import AdmissionGate
 from sparline.gateway._admission_sources import make_admission_sources
 from sparline.gateway._configuration_check import ConfigurationCheck
+from sparline.gateway._connection_bounds import BYTES_PER_MB, make_connection_bounds
+from sparline.gateway._connection_table import ConnectionEnd
 from sparline.gateway._directory import Directory
 from sparline.gateway._leave_plan import LAST_INSTANCE_ACCEPT_FRACTION
 from sparline.gateway._metrics import GatewayMetrics
@@ -48,11 +50,11 @@
 from sparline.gateway._region_servers import RegionServers
 from sparline.gateway._request_log import RequestLog, StoreContact
 from sparline.gateway._server_connectivity import ConnectivitySources, ServerConnectivity
-from sparline.gateway._service import ConnectionBounds, Service
+from sparline.gateway._service import Service
 from sparline.gateway._settings import split_address
 from sparline.gateway._store_sync import StoreSync
 from sparline.gateway._stream_versions import FoundVersion, StreamVersions, StreamVersionSources
-from sparline.http import ConnectionPool, HeldBytes
+from sparline.http import ConnectionPool
 from sparline.placement import (
     Chooser,
     ColdShares,
@@ -87,10 +89,6 @@
 from sparline.requests import RoutedRequest
 from sparline.schema._gateway import GatewaySettings
 
-BYTES_PER_MB = 1_000_000
-# Part of the memory that may hold bodies of requests and answers. The rest is for the instance itself,
-# for copies while a body is passed on, and for what connections hold beside bodies.
-HELD_FRACTION = 1 / 4
 # Maximum number of remembered server starts that have ended. Requests sent to them end within
 # seconds.
 MAX_ENDED_STARTS = 4_096
@@ -222,10 +220,7 @@
             self.quotas,
             self.admission,
             self.crashing_parts,
-            ConnectionBounds(
-                HeldBytes(HELD_FRACTION * settings.memory_mb * BYTES_PER_MB),
-                settings.body_timeout_ms,
-            ),
+            make_connection_bounds(settings, self._on_connections_closed),
         )
         self.part_exchange = PartExchange(self.members, self.crashing_parts)
         gossip_port = split_address(settings.listen.gossip)[1]
@@ -350,6 +345,10 @@
         if len(self.ended_starts) > MAX_ENDED_STARTS:
             self.ended_starts.popitem(last=False)
 
+    def _on_connections_closed(self, why: ConnectionEnd, count: int) -> None:
+        self.metrics.closed_connections.labels(why.value).inc(count)
+        self.service.memory_log.note_closed(why, count)
+
     def _on_process_pause(self, pause_ms: float) -> None:
         self.metrics.pauses.inc()
         log.bind(pause_ms=round(pause_ms)).warning("process_paused")
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -23,6 +23,7 @@
     make_directory_app,
     make_readiness_app,
 )
+from sparline.requests import Origin
 from sparline.schema._gateway import GatewaySettings
 from sparline.schema._gossip import MemberPhase
 
@@ -98,6 +99,7 @@
         lines_left_out = self.request_log.left_out() + self.service.memory_log.left_out()
         self.metrics.lines_left_out.set(lines_left_out)
         self.metrics.held_bytes.set(self.service.held.total_bytes)
+        self.metrics.callers_connections.set(self.service.connection_count(Origin.CALLER))
         self.metrics.unfinished_bodies.set(self.service.held.unfinished_count)
         configuration = self.fleet.configuration
         self.metrics.configuration_version.set(configuration.version if configuration else 0)
--- a/sparline/gateway/_memory_log.py
+++ b/sparline/gateway/_memory_log.py
@@ -1,16 +1,17 @@
-"""Log lines on requests that are refused for want of memory."""
+"""Log lines on requests and connections that are given up for want of memory or descriptors."""
 
 from sparline._logging import LineLevel, log
+from sparline.gateway._connection_table import ConnectionEnd
 from sparline.gateway._log_output import LineBudget
 from sparline.http import RoomShortage
 from sparline.requests import Origin, Reason
 
-# Maximum rate of these lines (per second); the counter of refusals has them all.
+# Maximum rate of these lines (per second); counters have them all.
 SHORTAGE_LINES_PER_S = 20
 
 
 class MemoryLog:
-    """Write a line for each refusal, as far as the budget of lines goes."""
+    """Write a line for each decision, as far as the budget of lines goes."""
 
     def __init__(self) -> None:
         """Start with a whole budget."""
@@ -37,3 +38,8 @@
             unfinished=shortage.unfinished_count,
             waited_ms=round(shortage.waited_ms),
         ).info("body_given_up")
+
+    def note_closed(self, why: ConnectionEnd, count: int) -> None:
+        """Record connections of callers that were closed to keep descriptors free."""
+        if log.is_written(LineLevel.INFO) and self._lines.take():
+            log.bind(why=why.value, count=count).info("connections_closed")
--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -89,6 +89,12 @@
         self.held_bytes = self._gauge(
             "held_bytes", "Bytes of longer or unfinished bodies held for callers and peers."
         )
+        self.callers_connections = self._gauge(
+            "callers_connections", "Connections of callers that are open."
+        )
+        self.closed_connections = self._counter(
+            "closed_connections", "Callers' connections closed for want of descriptors.", ("why",)
+        )
         self.unfinished_bodies = self._gauge("unfinished_bodies", "Bodies that are being read.")
         self.descriptor_limit = self._gauge(
             "file_descriptor_limit", "File descriptors that the process may have open."
--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -1,14 +1,16 @@
 """Serves connections of callers and of peers that relay requests."""
 
+import math
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from gevent.socket import socket as GeventSocket
 
 from sparline.fleet import FleetState, StoreCopyTable
 from sparline.forwarding import Forwarder
 from sparline.gateway._admission import AdmissionGate
+from sparline.gateway._connection_bounds import ConnectionBounds
+from sparline.gateway._connection_table import ConnectionTable
 from sparline.gateway._in_flight import InFlightRequests
 from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._memory_log import MemoryLog
@@ -22,7 +24,6 @@
     BadRequest,
     CallerConnection,
     CallerGone,
-    HeldBytes,
     HttpRequest,
     NoRoom,
     ReadLimits,
@@ -50,14 +51,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionBounds:
-    """Bound what all connections of callers and peers may take."""
-
-    held: HeldBytes  # account of the bytes held for them
-    body_timeout_ms: int  # longest time for one body
-
-
 class Service:
     """Serve connections: read requests, and pass those that are admitted to a forwarder."""
 
@@ -101,7 +94,10 @@
             self.run_times,
             lambda: self.leave_plan,
         )
-        self._connections: set[CallerConnection] = set()
+        self._tables = {
+            Origin.CALLER: ConnectionTable(bounds.max_connections, bounds.note_closed),
+            Origin.RELAY: ConnectionTable(math.inf, bounds.note_closed),
+        }
         # Configuration of the cached read limits.
         self._limits_configuration: Configuration | None = None
         self._read_limits: dict[Origin, ReadLimits] = {}
@@ -121,7 +117,10 @@
     def _serve(self, raw: GeventSocket, origin: Origin) -> None:
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         caller = CallerConnection(raw, self.held)
-        self._connections.add(caller)
+        table = self._tables[origin]
+        if not table.add(caller):
+            caller.close()
+            return
         try:
             while not caller.closing:
                 request = caller.next_request(self._limits(origin))
@@ -142,7 +141,7 @@
             # There is nobody to answer, and the forwarder has recorded the end of the request.
             return
         finally:
-            self._connections.discard(caller)
+            table.discard(caller)
             caller.close()
 
     def _limits(self, origin: Origin) -> ReadLimits:
@@ -205,11 +204,17 @@
 
     def close_idle(self) -> None:
         """Close the connections without a request in flight."""
-        for caller in list(self._connections):
-            if caller.is_resting():
-                caller.close()
+        for table in self._tables.values():
+            for caller in table:
+                if caller.is_resting():
+                    caller.close()
 
     def close_all(self) -> None:
         """Close all connections, even with requests in flight."""
-        for caller in list(self._connections):
-            caller.close()
+        for table in self._tables.values():
+            for caller in table:
+                caller.close()
+
+    def connection_count(self, origin: Origin) -> int:
+        """Return how many connections of callers or of peers are open."""
+        return len(self._tables[origin])
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -2,7 +2,8 @@
 
 from types import SimpleNamespace
 
-from sparline.gateway._service import ConnectionBounds, Service
+from sparline.gateway._connection_bounds import ConnectionBounds
+from sparline.gateway._service import Service
 from sparline.http import HeldBytes
 from sparline.requests import Origin
 from sparline.routes import DEFAULT_LIMITS
@@ -16,7 +17,7 @@
 def test_limits_follow_the_configuration_in_force():
     # The limits are cached between requests, and a new configuration must replace them.
     fleet = SimpleNamespace(configuration=None)
-    service = Service(fleet, *[None] * 8, ConnectionBounds(HeldBytes(), 60_000))
+    service = Service(fleet, *[None] * 8, ConnectionBounds(HeldBytes(), 60_000, 10, None))
     assert service._limits(Origin.CALLER).max_body_bytes == DEFAULT_LIMITS.max_body_bytes
     for size in (10, 20):
         fleet.configuration = changed(max_body_bytes=size, max_head_bytes=size)
--- a/sparline/http/_body_room.py
+++ b/sparline/http/_body_room.py
@@ -48,9 +48,9 @@
         self._reason = ShortageReason.NO_ROOM
         self._watcher: object | None = None
 
-    def note_growth(self, more_bytes: int) -> None:
-        """Record bytes of the body that have come."""
-        self._held.grow(self._holding, more_bytes, now_ms())
+    def note_growth(self, more_bytes: int) -> bool:
+        """Record bytes of the body that have come; return whether they count as progress."""
+        return self._held.grow(self._holding, more_bytes, now_ms())
 
     def next_read_bytes(self, max_bytes: int) -> int:
         """Return how many bytes to read next; a small body does not become large by asking."""
--- a/sparline/http/_caller_connection.py
+++ b/sparline/http/_caller_connection.py
@@ -80,11 +80,16 @@
         self._chunked = False
         self._unframed = False  # whether only the end of the connection ends the current answer
         self._resting = False
+        self._is_reading = False  # whether a request is awaited or read
+        # When it last began to wait for a request, or a body grew by a part that counts.
+        self.progress_at_ms = now_ms()
 
     def next_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
         """Return the next request, None once the caller has none; nothing is held of the one before."""
         self.started = False
         self._release_room()
+        self.progress_at_ms = now_ms()
+        self._is_reading = True
         try:
             return self._read_request(limits)
         except MalformedMessage as error:
@@ -93,6 +98,8 @@
         except OSError:
             # Nobody is left to answer.
             return None
+        finally:
+            self._is_reading = False
 
     def _read_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
         requests = self._parser.requests
@@ -152,11 +159,13 @@
                 return Ended.ENDED
             timeout_ms = min(limits.idle_timeout_ms, _left_ms(late_at_ms))
             is_readable = room.wait_for_bytes(self._socket.fileno(), timeout_ms)
+            if self._socket.closed:
+                return Ended.ENDED
             if is_readable is False:
                 return _late(min(limits.idle_timeout_ms, limits.body_timeout_ms))
             next_bytes = _next_read_bytes(request, room)
             if is_readable is None or not room.wait_for_room(next_bytes):
-                return NoRoom(request, room.shortage())
+                return Ended.ENDED if self._socket.closed else NoRoom(request, room.shortage())
             bad = self._read_body_once(request, limits, next_bytes)
             if bad is not None:
                 return bad
@@ -174,7 +183,8 @@
         if not data:
             return Ended.ENDED
         self._parser.feed(data)
-        self._room.note_growth(len(request.body) - before_bytes)
+        if self._room.note_growth(len(request.body) - before_bytes):
+            self.progress_at_ms = now_ms()
         return _over_body_limit(request, limits)
 
     def _drop_unfinished(self) -> None:
@@ -327,6 +337,10 @@
             return True
         return False
 
+    def may_be_pushed_out(self) -> bool:
+        """Tell whether it is only waited for: no request is whole, and none begins just now."""
+        return self._is_reading and (not self._resting or self.is_resting())
+
     def linger(self, for_s: float) -> None:
         """Let the caller read the answer before the connection is reset by unread bytes."""
         try:
--- a/sparline/http/_held_bytes.py
+++ b/sparline/http/_held_bytes.py
@@ -101,14 +101,16 @@
         """Tell whether a message that need not be held, as an answer, may be held on."""
         return self.total_bytes + more_bytes <= self.limit_bytes * KEPT_FRACTION
 
-    def grow(self, holding: Holding, more_bytes: int, now_ms: float) -> None:
-        """Add bytes that have come."""
+    def grow(self, holding: Holding, more_bytes: int, now_ms: float) -> bool:
+        """Add bytes that have come; return whether they count as progress."""
         self._count(holding, -holding.held_bytes)
         holding.held_bytes += more_bytes
         self._count(holding, holding.held_bytes)
-        if holding.held_bytes - holding.marked_bytes >= PROGRESS_BYTES:
-            holding.marked_bytes = holding.held_bytes
-            holding.marked_at_ms = now_ms
+        if holding.held_bytes - holding.marked_bytes < PROGRESS_BYTES:
+            return False
+        holding.marked_bytes = holding.held_bytes
+        holding.marked_at_ms = now_ms
+        return True
 
     def ask(self, holding: Holding, more_bytes: int, now_ms: float) -> bool:
         """Tell whether an unfinished message may be read on; make room of stalled ones if not.
