Read requests in a module of their own

_caller_connection.py had grown to 400 lines with two jobs: how requests are read, within limits on size, time and memory, and how answers are written. The first is now _request_reader.py. No change of behaviour.

Tests of sparline/http, connection tables, read limits and buffered answers pass.

--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -8,13 +8,7 @@
     ConnectionUse,
 )
 from sparline.http._body_room import RoomShortage, ShortageReason
-from sparline.http._caller_connection import (
-    BadRequest,
-    CallerConnection,
-    CallerGone,
-    NoRoom,
-    ReadLimits,
-)
+from sparline.http._caller_connection import CallerConnection, CallerGone
 from sparline.http._held_bytes import SMALL_BYTES, HeldBytes, Holding
 from sparline.http._messages import (
     AnswerParser,
@@ -29,6 +23,7 @@
     first_values,
 )
 from sparline.http._pool import ConnectionPool
+from sparline.http._request_reader import BadRequest, NoRoom, ReadLimits
 
 __all__ = [
     "Address",
