--- a/sparline/gateway/_metrics.py
+++ b/sparline/gateway/_metrics.py
@@ -86,6 +86,16 @@
         self.connections = self._counter("connections", "Connections to backend servers.", ())
         self.lines_left_out = self._gauge("log_lines_left_out", "Log lines not written.")
         self.memory_limit = self._gauge("memory_limit_bytes", "Memory that the process may use.")
+        self.held_bytes = self._gauge(
+            "held_bytes", "Bytes of longer or unfinished bodies held for callers and peers."
+        )
+        self.callers_connections = self._gauge(
+            "callers_connections", "Connections of callers that are open."
+        )
+        self.closed_connections = self._counter(
+            "closed_connections", "Callers' connections closed for want of descriptors.", ("why",)
+        )
+        self.unfinished_bodies = self._gauge("unfinished_bodies", "Bodies that are being read.")
         self.descriptor_limit = self._gauge(
             "file_descriptor_limit", "File descriptors that the process may have open."
         )
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -7,12 +7,9 @@
     ConnectionBroken,
     ConnectionUse,
 )
-from sparline.http._caller_connection import (
-    BadRequest,
-    CallerConnection,
-    CallerGone,
-    ReadLimits,
-)
+from sparline.http._body_room import RoomShortage, ShortageReason
+from sparline.http._caller_connection import CallerConnection, CallerGone
+from sparline.http._held_bytes import SMALL_BYTES, HeldBytes, Holding
 from sparline.http._messages import (
     AnswerParser,
     FirstValues,
@@ -26,6 +23,7 @@
     first_values,
 )
 from sparline.http._pool import ConnectionPool
+from sparline.http._request_reader import BadRequest, NoRoom, ReadLimits
 
 __all__ = [
     "Address",
@@ -40,11 +38,17 @@
     "ConnectionUse",
     "FirstValues",
     "Headers",
+    "HeldBytes",
+    "Holding",
     "HttpAnswer",
     "HttpRequest",
     "MalformedMessage",
+    "NoRoom",
     "ReadLimits",
     "RequestParser",
+    "RoomShortage",
+    "SMALL_BYTES",
+    "ShortageReason",
     "end_to_end",
     "first_header",
     "first_values",
--- a/sparline/schema/_gateway.py
+++ b/sparline/schema/_gateway.py
@@ -134,10 +134,17 @@
     buffered_answer_bytes: Annotated[
         int,
         Meta(
-            description="Longest body of an answer that is no stream which is held until it is whole, bytes; each request in flight may hold as much.",
+            description="Longest body of an answer that is no stream which is held until it is whole, bytes.",
             ge=0,
         ),
     ] = 1048576
+    body_timeout_ms: Annotated[
+        int,
+        Meta(
+            description="Longest time from the end of a request's headers to that of its body, milliseconds.",
+            gt=0,
+        ),
+    ] = 60000
     memory_mb: Annotated[
         int,
         Meta(
