What a server says of itself is never taken for another instance's word

What callers saw: over a hop an unsafe request ran twice where a server's answer held the header by which instances tell each other that a request was not run, or 502 in the place of the server's 200; directly the header reached the caller.

The heads of streams were passed on without the headers of instances, those of answers that are held until they are whole kept them, so that a server could write what only a peer may. Found by the review.

Change: both heads are made by the same function, which leaves such headers out.

Evidence: test_outcome_that_a_server_names_is_not_taken_for_that_of_an_instance failed before in all of its 6 cases (2 runs of /unsafe/x for not-run and not-sent) and passes; so do the tests of requests, fleets, unframed answers, stream versions and forwarding.

--- a/sparline/forwarding/_answer_forwarding.py
+++ b/sparline/forwarding/_answer_forwarding.py
@@ -22,7 +22,6 @@
     ConnectionBroken,
     Headers,
     HttpAnswer,
-    end_to_end,
 )
 from sparline.placement import Placement, StreamWatch
 from sparline.requests import Reason, RoutedRequest
@@ -140,7 +139,8 @@
 
     def _complete_head(self, answer: HttpAnswer) -> ServerAnswerHead:
         """Describe the head of a response that is forwarded once it is complete."""
-        return self._head(answer, end_to_end(answer.headers))
+        # Only streams name the software version that they come from.
+        return self._head(answer, self._dependencies.answer_headers(answer, None))
 
     def _head(self, answer: HttpAnswer, headers: Headers) -> ServerAnswerHead:
         server_id = self._placement.server.id
--- a/sparline/gateway/tests/test_copied_refusals.py
+++ b/sparline/gateway/tests/test_copied_refusals.py
@@ -124,3 +124,17 @@
         got = ask_until_run(fleet, "/unsafe/x", request_id)
         assert got.status == 200
         assert_is_true(fleet, request_id, got)
+
+
+@pytest.mark.parametrize("outcome", ["not-run", "not-sent", "quarantined"])
+def test_outcome_that_a_server_names_is_not_taken_for_that_of_an_instance(fleet, outcome):
+    answer = (
+        "HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal-of-it\r\n"
+        f"Sparline-Outcome: {outcome}\r\nContent-Length: 2\r\n\r\nok"
+    )
+    for server in fleet.servers.values():
+        server.faults = SealedFaults(surplus_answer=answer.encode())
+    got = fleet.ask("/unsafe/x", "r1")
+    assert fleet.runs().count("r1") == 1
+    assert (got.status, got.body) == (200, b"ok")
+    assert "sparline-outcome" not in got.headers
