A late copy on a resting connection no longer hides that its server exited

What callers saw: an answer without framing that the exit of its server had cut reached its caller as complete (3 of 6 events), where late copies had come on the server's resting connections.

Cause: those connections are asked whether they have ended; the look found the copy, and never the end behind it, so that the server counted as running.

Change: what a resting connection was sent unasked is read and dropped, at most 16 reads, until its end shows or nothing is left; the connection isn't used any more. One that carries a request is only looked at, as before.

Evidence: test_exit_shows_although_copies_arrived_on_resting_connections[copies] directly and over a hop, and test_end_of_a_resting_connection_shows_behind_what_ is_unread[a copy], failed before and pass; so do the tests of http, unframed answers, crashing requests and reset connections.

--- a/sparline/gateway/tests/test_copied_refusals.py
+++ b/sparline/gateway/tests/test_copied_refusals.py
@@ -138,3 +138,37 @@
     assert fleet.runs().count("r1") == 1
     assert (got.status, got.body) == (200, b"ok")
     assert "sparline-outcome" not in got.headers
+
+
+COPY = b"HTTP/1.1 503 Status\r\nAttempt-Id: before\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class CopiesAtRest(RefusalCopies):
+    """Send copies on the resting connections of a server as a request arrives on another one."""
+
+    server = None
+    are_due = False
+
+    def send_owed(self, connection):
+        if self.are_due:
+            for other in self.server._open - {connection}:
+                other.sendall(COPY)
+
+
+@pytest.mark.parametrize("has_copies", [False, True], ids=["no-copies", "copies"])
+def test_exit_shows_although_copies_arrived_on_resting_connections(fleet, has_copies):
+    """An answer without framing that an exit has cut is not taken for complete."""
+    for server in fleet.servers.values():
+        server.ends_cleanly = server.keeps_port = True
+        server.copies = CopiesAtRest()
+        server.copies.server = server
+    once = ONCE["/once/x"]
+    before = [
+        gevent.spawn(fleet.ask, "/stream/x", f"before-{number}", **once) for number in range(12)
+    ]
+    gevent.joinall(before)
+    shared = SealedFaults(unframed=True, breaks_cleanly=True, exit_after_event=3, remaining=1)
+    for server in fleet.servers.values():
+        server.copies.are_due = has_copies
+        server.faults = shared
+    assert not fleet.ask("/once/x", "r1", **once).whole
--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -36,6 +36,8 @@
 MAX_IDLE_DIGITS = 9
 # Least bytes of an answer: its status line and an empty one.
 MIN_ANSWER_BYTES = 19
+# Reads of what a resting connection has been sent unasked before its end is looked for (count).
+MAX_UNASKED_READS = 16
 # Bytes of other requests' answers that are dropped before the one that is waited for.
 MAX_DROPPED_BYTES = 1_048_576
 # Longest body that is dropped to keep a connection (bytes), and how long that may take (ms).
@@ -99,8 +101,8 @@
         self.idle_until_ms = now_ms() + IDLE_DEFAULT_S * 1000
 
     def is_quiet(self) -> bool:
-        """Tell whether a kept connection is still open and holds no unasked bytes."""
-        return now_ms() < self.idle_until_ms and self._peek() is None
+        """Tell whether a kept connection is still open and has had no unasked bytes."""
+        return self.reusable and now_ms() < self.idle_until_ms and self._peek() is None
 
     def is_lost(self) -> bool:
         """Tell whether the other side has ended the connection; False where this side did.
@@ -110,9 +112,19 @@
         it as a matter of course.
         """
         if not self._lost and not self._socket.closed and not self._has_expired():
-            self._peek()
+            self._look_for_end()
         return self._lost
 
+    def _look_for_end(self) -> None:
+        if self._in_use:
+            self._peek()
+            return
+        # The end of the connection only shows behind what nobody has asked for.
+        for _ in range(MAX_UNASKED_READS):
+            if not self._receive_now(READ_BYTES):
+                return
+            self.reusable = False
+
     def _has_expired(self) -> bool:
         return not self._in_use and now_ms() >= self.idle_until_ms
 
@@ -138,9 +150,13 @@
 
     def _peek(self) -> bytes | None:
         """Return what could be read, empty for the end of the connection and None for nothing yet."""
+        return self._receive_now(1, socket.MSG_PEEK)
+
+    def _receive_now(self, max_bytes: int, flags: int = 0) -> bytes | None:
+        """Receive without waiting, empty for the end of the connection and None for nothing yet."""
         try:
             self._socket.setblocking(False)
-            found = self._socket.recv(1, socket.MSG_PEEK)
+            found = self._socket.recv(max_bytes, flags)
         except BlockingIOError:
             return None
         except OSError as error:
--- a/sparline/http/tests/test_pool.py
+++ b/sparline/http/tests/test_pool.py
@@ -129,3 +129,29 @@
     pool.give_back(connection)
     assert pool.kept(address, RequestId("r1")) is None
     assert pool.kept(address, RequestId("r2")) is connection
+
+
+@pytest.mark.parametrize("unread", [b"", b"HTTP/1.1 503 Status\r\n\r\n"], ids=["nothing", "a copy"])
+def test_end_of_a_resting_connection_shows_behind_what_is_unread(listener, unread):
+    # A late copy of an answer hid that the server had exited.
+    pool = ConnectionPool(lambda _address: None)
+    connection, other = accepted(listener, pool)
+    connection.rest()
+    pool.give_back(connection)
+    (witness,) = pool.resting(connection.address, 1)
+    other.sendall(unread)
+    other.close()
+    gevent.sleep(0.05)
+    assert witness.is_lost()
+
+
+def test_resting_connection_with_a_late_copy_is_not_used(listener):
+    pool = ConnectionPool(lambda _address: None)
+    connection, other = accepted(listener, pool)
+    connection.rest()
+    pool.give_back(connection)
+    other.sendall(b"HTTP/1.1 503 Status\r\n\r\n")
+    gevent.sleep(0.05)
+    assert not connection.is_lost()
+    assert pool.kept(connection.address) is None
+    other.close()
