--- a/sparline/http/_backend_connection.py
+++ b/sparline/http/_backend_connection.py
@@ -251,13 +251,14 @@
         return answers[0] if answers and answers[0].head_done else None
 
     def _drop(self, answer: HttpAnswer) -> None:
-        self._dropped_answers += 1
         while not answer.complete:
             if answer.ends_with_connection:
                 raise ConnectionBroken("expected the answer, found another request's")
             self._note_dropped(len(answer.take()))
             self._read_some()
         self._note_dropped(len(answer.take()) + MIN_ANSWER_BYTES)
+        # A call may be interrupted before this and begin again.
+        self._dropped_answers += 1
         self._parser.answers.remove(answer)
 
     def _note_dropped(self, dropped_bytes: int) -> None:
--- a/sparline/http/tests/test_pool.py
+++ b/sparline/http/tests/test_pool.py
@@ -155,3 +155,21 @@
     assert not connection.is_lost()
     assert pool.kept(connection.address) is None
     other.close()
+
+
+def test_dropped_answer_is_counted_once_however_often_its_read_is_interrupted(listener):
+    connection, other = accepted(listener, ConnectionPool(lambda _address: None))
+    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nContent-Length: 2\r\n\r\n"
+
+    def is_r1(answer):
+        return answer.header(b"attempt-id") == b"r1"
+
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    other.sendall(head % b"before" + b"o")
+    for _ in range(3):
+        with gevent.Timeout(0.05, False):
+            connection.read_head(is_r1)
+    other.sendall(b"k" + head % b"r1" + b"ok")
+    connection.read_head(is_r1)
+    assert connection.use().dropped_answers == 1
+    connection.close()
