A number too large in the store stops no reader and no request

What callers saw: after one configuration with a cold start of 1e308 s the instance no longer followed the store, for good (`_update_server` rounds an infinite time: OverflowError ends the reader's task). A server's own entry with `slots` of 10**400 ended every request that looked at its free slots without an answer, or with 502 over a hop, while the server states Server-Brittle (`RefusalLimits.may_send` divides). A head or idle timeout of 10**400 ended each connection of a caller. A version of 10**400 came into force, and no later one could follow it.

Cause: JSON numbers of any size were taken over, as integers of any length and floats up to 1.8e308.

Change: no number of an item may be larger than 2**63 - 1, which some writers use for "no limit". A larger one makes the item a bad one, as any other unreadable entry: its server isn't used, a configuration before it stays in force, and the next sound entry is taken.

--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -45,11 +45,19 @@
 MAX_PORT = 65_535
 # Maximum length of a software version, which instances tell each other in datagrams.
 MAX_VERSION_CHARS = 128
+# Largest number of an item, which a writer may use for one without a limit. Calculations with a
+# larger one may overflow.
+MAX_NUMBER = 2**63 - 1
+
+Integer = Annotated[int, msgspec.Meta(le=MAX_NUMBER)]
+Number = Annotated[float, msgspec.Meta(le=MAX_NUMBER)]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
 
 
 class _SplitNode(msgspec.Struct):
     service: str
-    weight: float
+    weight: Number
 
 
 class _RouteNode(msgspec.Struct):
@@ -57,48 +65,47 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: Number
     service: str | None = None
     split: list[_SplitNode] | None = None
-    target_latency_ms: float = 1000.0
-    priority: int = 0
-    max_attempts: int = 1  # maximum number of backend servers; retries by the caller do not count
+    target_latency_ms: Number = 1000.0
+    priority: Integer = 0
+    max_attempts: Integer = (
+        1  # maximum number of backend servers; retries by the caller do not count
+    )
     allow_resume: bool = False
-    gap_target_ms: float = 0.0  # target for the longest gap between events of a stream
+    gap_target_ms: Number = 0.0  # target for the longest gap between events of a stream
     home_regions: list[str] | None = None  # none or empty: all regions
     allow_anonymous: bool = False  # whether callers need no key
 
 
 class _EngineNode(msgspec.Struct):
-    slots: int
-    kv_cache_tokens: int
-    kv_token_bytes: int = 0
-    link_mbps: float = 0.0  # megabits per second
+    slots: Integer
+    kv_cache_tokens: Integer
+    kv_token_bytes: Integer = 0
+    link_mbps: Number = 0.0  # megabits per second
     moves: bool = False  # whether engines move cache memory; this system orders no moves
 
 
 class _ServiceNode(msgspec.Struct):
     name: str
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0  # requests per second that a cold server can handle
+    cold_start_s: Number = 0.0
+    cold_per_s: Number = 0.0  # requests per second that a cold server can handle
     engine: _EngineNode | None = None
 
 
 class _LimitsNode(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
-
-
-NonNegative = Annotated[float, msgspec.Meta(ge=0.0)]
+    max_header_bytes: Integer
+    max_body_bytes: Integer
+    header_timeout_ms: Integer
+    idle_timeout_ms: Integer
 
 
 class _TenantNode(msgspec.Struct):
     # Sent as a header value.
     name: Annotated[str, msgspec.Meta(pattern="^[!-~]([ -~]*[!-~])?$")]
     api_keys: list[Annotated[str, msgspec.Meta(min_length=1)]]
-    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    priority: NonNegativeInteger | None = None
     unit: Literal["token_count", ""] = ""  # empty means requests
     uncached_tokens: NonNegative = 0.0  # charged for a request without token counts
     per_s: NonNegative = 0.0  # 0 means no limit
@@ -107,7 +114,7 @@
 
 
 class _ConfigurationNode(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_RouteNode]
     services: list[_ServiceNode]
     limits: _LimitsNode
@@ -120,10 +127,10 @@
     zone: str
     state: Literal["ready", "draining"]
     # Version of its software. Not a fraction: 1.10 and 1.1 would be the same.
-    version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARS)] | int | None = None
-    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # time until it is warm
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0  # start time in Unix ms, 0 if unknown
+    version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARS)] | Integer | None = None
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)] = 1
+    cold_remaining_ms: NonNegative = 0.0  # time until it is warm
+    born: NonNegativeInteger = 0  # start time in Unix ms, 0 if unknown
 
 
 class ItemReader:
