An entry whose key is no id of a server is not served

What callers saw: with an entry under `servers/日本`, requests for which that server was chosen got no answer at all (UnicodeEncodeError as the head is written), or 502 over a hop.

Cause: whatever follows `servers/` in a key counted as an id. It stands in headers (`Expected-Instance`) and in datagrams between instances; "@" separates it from the start time in our own ids. By reading, not by a run: one with a line break would add headers to requests, and one of 70,000 characters doesn't fit into a datagram.

Change: an id has 1 to 128 printable characters of ASCII, without spaces and "@". Any other makes the entry a bad one, which is logged once and not served.

--- a/sparline/gateway/tests/test_odd_entries.py
+++ b/sparline/gateway/tests/test_odd_entries.py
@@ -27,6 +27,17 @@
 NUMBER_FIELDS = ("slots", "born", "version", "cold_remaining_ms")
 
 
+KEYS = {
+    "empty": "",
+    "beyond Latin": "日本",
+    "beyond ASCII": "ä",
+    "of two lines": "a\r\nAttempt-Id: other",
+    "with spaces": " a b ",
+    "with a separator": "a@b",
+    "of 70,000 characters": "k" * 70_000,
+}
+
+
 def entry_of(address, **fields: str) -> bytes:
     """Return the entry of a server; `fields` are written as they are, and may be no JSON."""
     entry = {"service": "plain", "zone": "north-1", "state": "ready", "version": "v1", "slots": 8}
@@ -134,6 +145,15 @@
     assert len(fleet.servers["s1"].runs) == runs + ASKED
 
 
+@pytest.mark.parametrize("key", KEYS.values(), ids=KEYS)
+def test_entry_with_an_odd_key_is_not_served_and_ends_nobody(fleet, key):
+    server = fleet.servers["s1"]
+    fleet.store.put_bytes(f"servers/{key}", entry_of(f"{server.ip}:{server.port}"))
+    expect_served(fleet, "a")
+    assert all(one.fleet.servers.keys() == {"s1", "s2"} for one in fleet.gateways.values())
+    expect_follows(fleet, "b")
+
+
 LARGE_INTEGER = str(10**400)
 LARGE_FLOAT = "1e308"
 CONFIGURATION_FIELDS = {
--- a/sparline/platform/_items.py
+++ b/sparline/platform/_items.py
@@ -1,6 +1,7 @@
 """Decoding of items of the users' store."""
 
 import ipaddress
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -45,6 +46,8 @@
 MAX_PORT = 65_535
 # Maximum length of a software version, which instances tell each other in datagrams.
 MAX_VERSION_CHARS = 128
+# Ids of backend servers, which stand in headers and in datagrams; "@" separates them from a start.
+LISTED_ID = re.compile(r"[!-?A-~]{1,128}")
 # Largest number of an item, which a writer may use for one without a limit. Calculations with a
 # larger one may overflow.
 MAX_NUMBER = 2**63 - 1
@@ -159,6 +162,9 @@
         return UnknownItem()
 
     def _server(self, listed_id: str, node: _ServerNode) -> StoreItem:
+        if not LISTED_ID.fullmatch(listed_id):
+            found = listed_id[:MAX_QUOTED_CHARS]
+            return BadItem(f"key: expected an id that matches {LISTED_ID.pattern}, found {found!r}")
         zone = ZoneName(node.zone)
         region = self._zones.get(zone)
         if region is None:
