A long odd entry no longer keeps instances from copying the store of a peer

What callers saw: nothing at once. An instance without a way to the store no longer followed the list: each copy that it asked a peer for was refused as too long (`unreachable` in `store_copy`, 4,194,304 bytes allowed), as odd entries of up to 2 MB, 5.6 MB in all, were passed on whole.

Cause: any value of any key goes into the copy that instances give each other, also one that no instance can use.

Change: a value of more than 16,384 bytes, other than the configuration's, is dropped where it is read from the store. The item then counts as unreadable (`store_value_invalid` names key and length); an evacuation has no content and holds all the same.

Left: some 250 entries just below that length still fill a copy, and 16 MB of them the list.

--- a/sparline/gateway/tests/test_odd_lists.py
+++ b/sparline/gateway/tests/test_odd_lists.py
@@ -80,6 +80,15 @@
     expect_follows(fleet, "b")
 
 
+def test_odd_entries_come_through_the_copy_of_a_peer(fleet):
+    """Guards against copies for peers that long odd entries make longer than any that is taken."""
+    fleet.until(fleet.is_ready, "all gateways hold the store's state")
+    fleet.cut_from_store("g1")
+    put_all_odd(fleet.store, address_of(fleet))
+    expect_served(fleet, "a", may_refuse=True)
+    expect_follows(fleet, "b")
+
+
 def test_odd_configuration_comes_through_the_copy_of_a_peer(fleet):
     """Guards against a configuration that only a peer shows and that ends its reader."""
     fleet.until(fleet.is_ready, "all gateways hold the store's state")
--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -31,6 +31,9 @@
 MAX_QUOTED_CHARS = 80
 # Longest response: the store's own pages end at about 1 MB, and a watch may hold more.
 MAX_RESPONSE_BYTES = 8_388_608
+# Longest value of an item other than the configuration: an entry has some hundred bytes, and
+# instances pass all values on to each other.
+MAX_VALUE_BYTES = 16_384
 # Longest list of all items, over all of its pages.
 MAX_LIST_BYTES = 16_777_216
 
@@ -199,11 +202,17 @@
 
 
 def _decode_value(item: _ItemNode) -> bytes:
-    """Return the content of an item, empty and thus invalid if it is not base64."""
+    """Return the content of an item, empty and thus invalid if it is not base64 or too long."""
     try:
-        return base64.b64decode(item.value or "")
+        value = base64.b64decode(item.value or "")
     except ValueError as error:
-        log.bind(key=item.private_key, revision=item.revision, text=str(error)).warning(
-            "store_value_invalid"
-        )
+        _log_invalid(item, str(error))
         return b""
+    if len(value) > MAX_VALUE_BYTES and item.private_key != names.CONFIGURATION_KEY:
+        _log_invalid(item, f"expected at most {MAX_VALUE_BYTES} bytes, found {len(value)}")
+        return b""
+    return value
+
+
+def _log_invalid(item: _ItemNode, text: str) -> None:
+    log.bind(key=item.private_key, revision=item.revision, text=text).warning("store_value_invalid")
