Answers that break off in the head, an interim answer or a trailer: tests

A report of other operators: callers got a 200 with an empty or short body, framed as whole, as a server stopped in the middle of its answer's head. A raw server sends given bytes and then closes or resets: 23 places in the head, in and after interim answers and behind an answer to another request, 11 after the head and in trailers; safe, unsafe, resumable and other streams, directly and over a hop. No change of the product.

Not played: a far instance that is killed in the middle of its own head, the store's answers, `kv` calls.

--- /dev/null
+++ b/sparline/gateway/tests/test_broken_heads.py
@@ -0,0 +1,123 @@
+"""Tests of answers that break off in their head, in an interim answer or in a trailer."""
+
+import gevent
+import pytest
+
+from sparline.tests.routed_fleet import RoutedFleet
+from standins import Got, RawEnd, RawServer, list_server, publish
+
+KINDS: dict[str, dict] = {
+    "safe": {"kind": "safe", "max_attempts": 2},
+    "unsafe": {"kind": "unsafe", "max_attempts": 1},
+    "stream": {"kind": "streaming", "allow_resume": True, "max_attempts": 2},
+    "once": {"kind": "streaming", "allow_resume": False, "max_attempts": 1},
+}
+# A service for each kind of request and the gateway that is asked, so that no server has failed before.
+SERVICES = tuple(
+    f"{kind}-{end.value}-{at}" for kind in KINDS for end in RawEnd for at in ("g0", "g1")
+)
+ROUTES = {f"/{one}/": KINDS[one.split("-")[0]] | {"service": one} for one in SERVICES}
+# A stream of one event, so that it is also a plain body.
+BODY = b"id: 1\ndata: r-1\n\n"
+STATUS = b"HTTP/1.1 200 OK\r\n"
+FIELDS = b"Attempt-Id: {id}\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+LENGTH = b"Content-Length: %d\r\n" % len(BODY)
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNK = b"%x\r\n%b\r\n" % (len(BODY), BODY)
+EARLY = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+HEAD = STATUS + FIELDS + LENGTH + b"\r\n"
+
+# What arrives of an answer before its connection ends.
+IN_HEAD = {
+    "no byte": b"",
+    "in the protocol": STATUS[:6],
+    "in the status": STATUS[:11],
+    "after the status": STATUS[:12],
+    "in the reason": STATUS[:14],
+    "after the status line": STATUS,
+    "in a name": STATUS + FIELDS[:5],
+    "after a name": STATUS + FIELDS[:11],
+    "in a value": STATUS + FIELDS[:14],
+    "after the fields": STATUS + FIELDS,
+    "in the length": STATUS + FIELDS + LENGTH[:-3],
+    "after the length": STATUS + FIELDS + LENGTH,
+    "before the last byte": HEAD[:-1],
+    "in the head of chunks": STATUS + FIELDS + CHUNKED,
+    "without framing": STATUS + FIELDS,
+    "in an interim answer": EARLY[:20],
+    "before the end of an interim answer": EARLY[:-1],
+    "after an interim answer": EARLY,
+    "in the head after an interim answer": EARLY + STATUS + FIELDS,
+    "in a second interim answer": EARLY + EARLY[:-2],
+    "after a change of protocol": b"HTTP/1.1 101 Switching\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n",
+    "after a whole answer to another request": b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 0\r\n\r\n",
+    "in the head after an answer to another request": (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: x\r\nContent-Length: 0\r\n\r\n" + STATUS + FIELDS
+    ),
+}
+CHUNKED_HEAD = STATUS + FIELDS + CHUNKED + b"\r\n"
+AFTER_HEAD = {
+    "after the head": HEAD,
+    "in the body": HEAD + BODY[:-3],
+    "after the head of chunks": CHUNKED_HEAD,
+    "in the size of a chunk": CHUNKED_HEAD + CHUNK[:1],
+    "in a chunk": CHUNKED_HEAD + CHUNK[:-5],
+    "after a chunk": CHUNKED_HEAD + CHUNK,
+    "in the last chunk": CHUNKED_HEAD + CHUNK + b"0",
+    "before the trailer": CHUNKED_HEAD + CHUNK + b"0\r\n",
+    "in a trailer": CHUNKED_HEAD + CHUNK + b"0\r\nExpi",
+    "after a trailer": CHUNKED_HEAD + CHUNK + b"0\r\nExpires: 0\r\n",
+    "after an interim answer and a head": EARLY + HEAD,
+}
+ALL_CUTS = IN_HEAD | AFTER_HEAD
+
+
+def expect_no_false_whole(got: Got, cut: str) -> None:
+    """Expect that a caller isn't told that what arrived was a whole answer."""
+    if cut in IN_HEAD:
+        assert got.status in (502, 503, 504) and got.whole, got
+    else:
+        assert not (got.status == 200 and got.whole and got.body != BODY), got
+    assert not (got.status == 200 and not got.framed and got.whole), got
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Yield gateways of two regions; servers are listed in that of the first."""
+    with RoutedFleet(("north-1", "south-1")) as one:
+        publish(one.store, 1, ROUTES, SERVICES)
+        one.until(one.is_ready, "all gateways are live and hold the store's state")
+        yield one
+
+
+def list_raw_servers(fleet, answer: bytes) -> dict[str, RawServer]:
+    """Start a raw server of each service under an id that was never used; the ones before are removed."""
+    for key in [one for one in fleet.store._items if one.startswith("servers/")]:
+        fleet.store.delete(key)
+    servers = {}
+    for service in SERVICES:
+        name = f"{service}-{fleet.store.revision}"
+        end = RawEnd(service.split("-")[1])
+        server = RawServer("127.0.0.1", fleet._ports.take(), answer, end)
+        # Servers go on listening until the fleet ends, as instances ask whether they are present.
+        servers[service] = fleet.servers[name] = server
+        server.start()
+        list_server(fleet.store, name, (server.ip, server.port), service, "north-1")
+    fleet.until(fleet.is_ready, "all gateways hold the store's state")
+    return servers
+
+
+@pytest.mark.parametrize("cut", ALL_CUTS)
+def test_answer_of_a_server_that_breaks_off_is_not_told_as_whole(fleet, cut):
+    """Guards against a 200 whose empty or short body is framed as whole."""
+    servers = list_raw_servers(fleet, ALL_CUTS[cut])
+    # Requests that are alike and end several servers are no longer sent on.
+    ids = {service: f"{service}-{fleet.store.revision}" for service in servers}
+    asked = {
+        service: gevent.spawn(fleet.ask, f"/{service}/{one}", one, service[-2:], body=one.encode())
+        for service, one in ids.items()
+    }
+    for service, answer in asked.items():
+        got = answer.get()
+        assert ids[service] in servers[service].request_ids, got
+        expect_no_false_whole(got, cut)
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -23,6 +23,7 @@
     published_version,
     take_back,
 )
+from standins._raw_server import RawEnd, RawServer
 from standins._refusal_copies import CopyTime, RefusalCopies
 from standins._routed_caller import (
     HOST,
@@ -74,6 +75,8 @@
     "Place",
     "PlainService",
     "Platform",
+    "RawEnd",
+    "RawServer",
     "RefusalCopies",
     "SealedArrival",
     "SealedFaults",
