The store's connection isn't used again with bytes that nobody asked for

What could be seen: a surplus copy of an old list or watch on the connection to the store was read as the answer to the next call, and so was each answer after it, one call late. The instance believed itself up to date at the old position. The position doesn't go back (read in `StoreCopyTable`, no run of this commit).

Cause: the client reused its connection without the check for unread bytes that the pool of connections to servers makes; the store's answers bear nothing that tells which call they answer.

Left: a copy that arrives between the check and the answer.

--- a/sparline/platform/_store_client.py
+++ b/sparline/platform/_store_client.py
@@ -156,7 +156,8 @@
 
     def _exchange(self, target: str) -> Result[_StoreContent, StoreFault]:
         connection = self._connection
-        if connection is None or not connection.reusable:
+        if connection is None or not connection.reusable or not connection.is_quiet():
+            # Bytes that nobody asked for would be read as the answer to this call.
             self._close_connection()
             connection = self._connection = BackendConnection(self._address, CONNECT_TIMEOUT_S)
         host = f"{self._address[0]}:{self._address[1]}"
