A far instance that is killed in the middle of its head: tests

What the rows of broken heads left open: behind a hop, the other instance itself ends after some bytes of its head or body, by a close or a reset, for four kinds of requests. No change of the product.

--- a/sparline/gateway/tests/test_broken_heads.py
+++ b/sparline/gateway/tests/test_broken_heads.py
@@ -121,3 +121,40 @@
         got = answer.get()
         assert ids[service] in servers[service].request_ids, got
         expect_no_false_whole(got, cut)
+
+
+INSTANCE_HEAD = STATUS + b"Attempt-Id: {id}\r\n" + LENGTH + b"\r\n"
+INSTANCE_CUTS = {
+    "no byte": b"",
+    "in the status": STATUS[:11],
+    "after the status line": STATUS,
+    "in the id": STATUS + b"Attempt-Id: {id}",
+    "after the length": INSTANCE_HEAD[:-2],
+    "after the head": INSTANCE_HEAD,
+    "in the body": INSTANCE_HEAD + BODY[:-3],
+}
+
+
+@pytest.mark.parametrize("end", list(RawEnd), ids=lambda one: one.value)
+@pytest.mark.parametrize("cut", INSTANCE_CUTS)
+def test_far_instance_that_is_killed_in_its_head_gives_no_false_whole(cut, end):
+    """Guards against a 200 whose empty or short body is framed as whole, behind a hop."""
+    services = [f"{kind}-{end.value}-g1" for kind in KINDS]
+    with RoutedFleet(("north-1", "south-1")) as fleet:
+        for service in services:
+            fleet.add_server(service, service)
+        publish(fleet.store, 1, ROUTES, SERVICES)
+        fleet.until(fleet.is_ready, "all gateways are live and hold the store's state")
+        far = fleet.gateways["g0"]
+        ip, port = far.settings.listen.relay.split(":")
+        next(one for one in far._servers if one.server_port == int(port)).stop(timeout=0)
+        # The gateway goes on in gossip, so that requests are passed on to what listens here.
+        raw = fleet.servers["raw"] = RawServer(ip, int(port), INSTANCE_CUTS[cut], end)
+        raw.start()
+        asked = [
+            gevent.spawn(fleet.ask, f"/{one}/x", one, "g1", body=one.encode()) for one in services
+        ]
+        for got in [one.get() for one in asked]:
+            assert got.status in (200, 502, 503, 504), got
+            assert not (got.status == 200 and got.whole), got
+        assert raw.request_ids
