Hold copies of refusals against gateway processes: copied-refusals

Change: a situation of scripts/bounds. Requests that run once reach the south directly and, as the north is evacuated, over a hop. Judged: requests that ran twice, and requests told "not run" that ran; none of either is allowed. A line before the result counts refusals, copies and connections to servers, by which the cost of a cure can be told.

--- a/benchmarks/bounds/_run.py
+++ b/benchmarks/bounds/_run.py
@@ -29,6 +29,7 @@
     rng: random.Random
     rate_per_s: float
     zones: tuple[str, ...] = (NORTH, SOUTH)  # where callers are
+    target: str = TARGET  # of all requests
     sent: list[SentRequest] = field(default_factory=list)
     statuses: Counter = field(default_factory=Counter)
     status_of: dict[str, int] = field(default_factory=dict)  # by request, 0 without an answer
@@ -61,7 +62,7 @@
         try:
             with gevent.Timeout(CALLER_TIMEOUT_S, False):
                 caller = self.fleet.caller(at)
-                caller.send(TARGET, request.request_id, b"abc")
+                caller.send(self.target, request.request_id, b"abc")
                 status = caller.read().status
         except OSError:
             # The instance is down: nothing was promised.
@@ -80,6 +81,12 @@
             for one in server.arrivals
         ]
 
+    def runs(self) -> Counter:
+        """Return how often each request ran."""
+        return Counter(
+            one.request_id for server in self.fleet.servers.values() for one in server.runs
+        )
+
     def times_at(self, server: str) -> list[float]:
         """Return when requests reached a server."""
         return [one.at_ms for one in self.fleet.servers[server].arrivals]
--- a/benchmarks/bounds/_situations.py
+++ b/benchmarks/bounds/_situations.py
@@ -6,6 +6,7 @@
 import gevent
 
 from benchmarks.bounds._calm_stops import calm_stop
+from benchmarks.bounds._copied_refusals import copied_refusals
 from benchmarks.bounds._endless_answers import endless_answers_come
 from benchmarks.bounds._endless_requests import endless_requests_come
 from benchmarks.bounds._planned_stops import planned_stops
@@ -208,6 +209,7 @@
     "planned-stops": planned_stops,
     "calm-stop": calm_stop,
     "endless-answers": endless_answers_come,
+    "copied-refusals": copied_refusals,
     "endless-requests": endless_requests_come,
     SILENT_ENGINES: silent_engines,
 }
--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -82,3 +82,9 @@
 def test_streams_are_mixed_as_a_release_is_taken_back(capsys, seed):
     """Guards against the one version left, taken for the only one by an instance that has just started."""
     assert_bounds_hold(capsys, "release-taken-back", "--seed", seed, "--rate", "100")
+
+
+@pytest.mark.parametrize("seed", ["5", "7"])
+def test_copies_of_refusals_are_taken_for_answers_to_other_sends(capsys, seed):
+    """Guards against a refusal that is believed though an earlier request may have caused it."""
+    assert_bounds_hold(capsys, "copied-refusals", "--seed", seed, "--gateways", "4")
