--- a/benchmarks/gateway_soak/_faults.py
+++ b/benchmarks/gateway_soak/_faults.py
@@ -14,6 +14,8 @@
 from benchmarks.loopback import LoopbackProxy
 from sparline._clock import now_ms
 from standins import (
+    CopyTime,
+    RefusalCopies,
     SealedFaults,
     StoreMode,
     evacuate,
@@ -40,6 +42,8 @@
 MOST_CUT_STREAMS = 6
 # Upper bound of the long answers that a plain server gives in a row (count).
 MOST_LONG_ANSWERS = 20
+# Upper bound of the refusals that a server gives in a row and sends twice (count).
+MOST_COPIED_REFUSALS = 6
 # Upper bound of the time in which what was lost is written again (s).
 MOST_REWRITE_S = 1.0
 
@@ -55,6 +59,7 @@
     store_chance: random.Random  # for restorations
     stream_chance: random.Random  # for streams without length or chunks
     long_chance: random.Random  # for long answers
+    copy_chance: random.Random  # for copies of refusals
     ask: Callable[[Record, str], None]  # sends a request to an instance
     counts: Counter = field(default_factory=Counter)
     version: int = 1
@@ -69,6 +74,7 @@
             gevent.spawn(self._restore_store, end_ms, self.fleet.store.revision),
             gevent.spawn(self._cut_unframed_streams, end_ms),
             gevent.spawn(self._break_long_answers, end_ms),
+            gevent.spawn(self._copy_refusals, end_ms),
         ]
 
     def _trouble(self, end_ms: float) -> None:
@@ -196,6 +202,23 @@
             gevent.sleep(self.long_chance.uniform(0.3, HOLD_S))
             server.faults = SealedFaults()
 
+    def _copy_refusals(self, end_ms: float) -> None:
+        """Let random servers refuse some requests, and send each of their refusals twice."""
+        while now_ms() < end_ms:
+            gevent.sleep(self.copy_chance.uniform(0.1, PAUSE_S))
+            self.counts["copy_refusals"] += 1
+            names = sorted(SERVERS)
+            chosen = self.copy_chance.sample(names, self.copy_chance.randint(1, len(names)))
+            servers = [self.fleet.servers[one] for one in chosen]
+            for server in servers:
+                copy_time = self.copy_chance.choice(list(CopyTime))
+                server.copies = RefusalCopies(copy_time, self.copy_chance.random() < 0.5)
+                remaining = self.copy_chance.randint(1, MOST_COPIED_REFUSALS)
+                server.faults = SealedFaults(refuse=True, remaining=remaining)
+            gevent.sleep(self.copy_chance.uniform(0.3, HOLD_S))
+            for server in servers:
+                server.faults, server.copies = SealedFaults(), None
+
     def _hold(self) -> None:
         gevent.sleep(self.chance.uniform(0.3, HOLD_S))
 
--- a/benchmarks/gateway_soak/_run.py
+++ b/benchmarks/gateway_soak/_run.py
@@ -44,6 +44,7 @@
     stream_chance: random.Random = field(default_factory=random.Random)
     resumption_chance: random.Random = field(default_factory=random.Random)
     long_chance: random.Random = field(default_factory=random.Random)
+    copy_chance: random.Random = field(default_factory=random.Random)
     records: list[Record] = field(default_factory=list)
     faults: SoakFaults = field(init=False)
     _callers: Pool = field(default_factory=lambda: Pool(200))
@@ -57,6 +58,7 @@
             self.store_chance,
             self.stream_chance,
             self.long_chance,
+            self.copy_chance,
             self._ask,
         )
 
@@ -161,6 +163,7 @@
         stream_chance = random.Random(f"streams/{options.seed}")
         resumption_chance = random.Random(f"resumptions/{options.seed}")
         long_chance = random.Random(f"long/{options.seed}")
+        copy_chance = random.Random(f"copies/{options.seed}")
         run = SoakRun(
             fleet,
             random.Random(options.seed),
@@ -169,6 +172,7 @@
             stream_chance,
             resumption_chance,
             long_chance,
+            copy_chance,
         )
         for server in fleet.servers.values():
             server.ends_on = CRASHING
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -123,7 +123,7 @@
     with patch("benchmarks.gateway_fleet._fleet.subprocess.Popen", SlowProcess):
         gateway.start()
         chance = SimpleNamespace(uniform=lambda _least, _most: 0.0)
-        faults = SoakFaults(None, chance, chance, chance, chance, chance, lambda _record, _at: None)
+        faults = SoakFaults(None, *[chance] * 6, lambda _record, _at: None)
         gevent.joinall([gevent.spawn(faults._restart, gateway) for _ in range(3)], timeout=20)
     assert len(starts) == 2
 
