Let scripts/bench cpu play the log line of a request's end again

scripts/bench cpu ended with AttributeError: the stand-in for a request's end had no answer_origin, which the log line reads since. Now it has one, as an answer on a used connection gives it. No test plays the experiment. The part that failed, played alone, comes to its end on this commit.

--- a/benchmarks/cost/_processor_time_child.py
+++ b/benchmarks/cost/_processor_time_child.py
@@ -105,8 +105,14 @@
             tokens=400, shared_tokens=150, shared_prefixes=(SimpleNamespace(key="/aa/bb"),)
         ),
     )
+    origin = SimpleNamespace(
+        id_match=_named("same"),
+        after_ms=10.5,
+        use=SimpleNamespace(requests=4, is_id_repeated=False, dropped_answers=0, dropped_bytes=0),
+    )
     progress = SimpleNamespace(
         sends=1,
+        answer_origin=origin,
         first_at_ms=now_ms(),
         longest_pause_ms=2.0,
         caller_answer=SimpleNamespace(begun_by=server.id, sent_bytes=1_200),
