Bound the number of headers of a request

A caller's request may have 256 headers, beyond that it gets 431; one that a peer relays may have twice as many, as the peer adds its own.

Tests of sparline/http, read limits, endless peers and requests pass.

--- a/sparline/gateway/_service.py
+++ b/sparline/gateway/_service.py
@@ -21,6 +21,7 @@
 from sparline.gateway._request_routing import RequestRouting, RoutingSources
 from sparline.gateway._run_times import RunTimeTable
 from sparline.http import (
+    MAX_HEADERS,
     BadRequest,
     CallerConnection,
     CallerGone,
@@ -162,13 +163,14 @@
             else limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR
         )
         # A peer adds its own headers to those allowed for callers.
-        head_bytes = limits.max_head_bytes * (2 if origin is Origin.RELAY else 1)
+        head_factor = 2 if origin is Origin.RELAY else 1
         return ReadLimits(
-            max_head_bytes=head_bytes,
+            max_head_bytes=limits.max_head_bytes * head_factor,
             max_body_bytes=limits.max_body_bytes,
             head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=int(idle_ms),
             body_timeout_ms=self._bounds.body_timeout_ms,
+            max_headers=MAX_HEADERS * head_factor,
         )
 
     def _refuse_body(self, caller: CallerConnection, found: NoRoom, origin: Origin) -> None:
--- a/sparline/gateway/tests/test_read_limits.py
+++ b/sparline/gateway/tests/test_read_limits.py
@@ -4,7 +4,7 @@
 
 from sparline.gateway._connection_bounds import ConnectionBounds
 from sparline.gateway._service import Service
-from sparline.http import HeldBytes
+from sparline.http import MAX_HEADERS, HeldBytes
 from sparline.requests import Origin
 from sparline.routes import DEFAULT_LIMITS
 
@@ -25,3 +25,5 @@
             assert service._limits(Origin.CALLER).max_body_bytes == size
             assert service._limits(Origin.RELAY).max_head_bytes == 2 * size
             assert service._limits(Origin.CALLER).max_head_bytes == size
+            assert service._limits(Origin.RELAY).max_headers == 2 * MAX_HEADERS
+            assert service._limits(Origin.CALLER).max_headers == MAX_HEADERS
--- a/sparline/http/__init__.py
+++ b/sparline/http/__init__.py
@@ -11,6 +11,7 @@
 from sparline.http._caller_connection import CallerConnection, CallerGone
 from sparline.http._held_bytes import SMALL_BYTES, HeldBytes, Holding
 from sparline.http._messages import (
+    MAX_HEADERS,
     AnswerParser,
     FirstValues,
     Headers,
@@ -42,6 +43,7 @@
     "Holding",
     "HttpAnswer",
     "HttpRequest",
+    "MAX_HEADERS",
     "MalformedMessage",
     "NoRoom",
     "ReadLimits",
--- a/sparline/http/_messages.py
+++ b/sparline/http/_messages.py
@@ -32,6 +32,8 @@
 # Bytes of a message that may follow each other without a part of its body: heads, interim answers, sizes
 # and extensions of chunks, trailers.
 MAX_OVERHEAD_BYTES = 65_536
+# Headers of a caller's request (count): short ones take far more memory than bytes.
+MAX_HEADERS = 256
 
 
 class MalformedMessage(Exception):
@@ -42,6 +44,10 @@
     """Say that bytes on a connection go on without adding anything to a message."""
 
 
+class TooManyHeaders(MalformedMessage):
+    """Say that a request has more headers than are kept."""
+
+
 class OverheadCount:
     """Count the bytes since a message last grew by a part that its reader takes."""
 
@@ -139,6 +145,8 @@
         """Start before the first request."""
         self.requests: list[HttpRequest] = []  # oldest first; the last may be incomplete
         self._overhead = OverheadCount()
+        self.max_headers = MAX_HEADERS  # headers that are kept of a request
+        self._has_too_many_headers = False
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -153,6 +161,8 @@
             # Whoever reads the head bounds it, by what callers may send.
             self._overhead.note_growth()
         self._overhead.note_read(len(data))
+        if self._has_too_many_headers:
+            raise TooManyHeaders(f"expected at most {self.max_headers} headers, found more")
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -165,8 +175,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; what a trailer says comes too late to count."""
         request = self.requests[-1]
-        if not request.head_done:
+        if request.head_done:
+            return
+        if len(request.headers) < self.max_headers:
             request.headers.append((name.lower(), value))
+        else:
+            self._has_too_many_headers = True
 
     def on_headers_complete(self) -> None:
         """Note the end of the headers."""
--- a/sparline/http/_request_reader.py
+++ b/sparline/http/_request_reader.py
@@ -11,7 +11,13 @@
 from sparline._read_turn import ReadTurn
 from sparline.http._body_room import BodyRoom, RoomShortage
 from sparline.http._held_bytes import HeldBytes
-from sparline.http._messages import HttpRequest, MalformedMessage, RequestParser
+from sparline.http._messages import (
+    MAX_HEADERS,
+    HttpRequest,
+    MalformedMessage,
+    RequestParser,
+    TooManyHeaders,
+)
 
 READ_BYTES = 65_536
 # Shortest time for which a read waits (ms): it finds bytes that came while this process was suspended.
@@ -28,6 +34,7 @@
     head_timeout_ms: int  # from the first byte to the end of the headers
     idle_timeout_ms: int  # without a byte, between requests or within a body
     body_timeout_ms: int  # from the end of the headers to that of the body
+    max_headers: int = MAX_HEADERS  # headers of a request
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +77,14 @@
     def next_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
         """Return the next request, None once the caller has none; nothing is held of the one before."""
         self.release()
+        self._parser.max_headers = limits.max_headers
         self.progress_at_ms = now_ms()
         self._is_reading = True
         try:
             return self._read_request(limits)
+        except TooManyHeaders as error:
+            self._drop_unfinished()
+            return BadRequest(431, str(error))
         except MalformedMessage as error:
             self._drop_unfinished()
             return BadRequest(400, str(error))
@@ -88,7 +99,7 @@
         if requests and requests[0].complete:
             # Requests that came together would be answered without letting anybody else run.
             gevent.sleep(0)
-        found = self._read_head(limits)
+        found: BadRequest | NoRoom | Ended | None = self._read_head(limits)
         if found is None:
             found = self._read_body(requests[0], limits)
         if found is Ended.ENDED:
