Parse requests that came together as they are asked for

Bytes are now parsed 2 KiB at a time until the first request is whole; what follows stays as it came until the next request is asked for.

--- a/sparline/http/_request_reader.py
+++ b/sparline/http/_request_reader.py
@@ -20,6 +20,9 @@
 )
 
 READ_BYTES = 65_536
+# Bytes that are parsed before it is looked whether a request is whole: what follows it stays unparsed, as
+# parsed requests take far more memory.
+PARSED_BYTES = 2_048
 # Shortest time for which a read waits (ms): it finds bytes that came while this process was suspended.
 MIN_READ_TIMEOUT_MS = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -68,6 +71,7 @@
         self._held = held or HeldBytes()
         self._room: BodyRoom | None = None  # of the body that is read, or that is being answered
         self._parser = RequestParser()
+        self._unparsed = b""  # bytes behind the request that was read
         self._turn = ReadTurn()
         self._resting = False
         self._is_reading = False  # whether a request is awaited or read
@@ -96,9 +100,13 @@
 
     def _read_request(self, limits: ReadLimits) -> HttpRequest | BadRequest | NoRoom | None:
         requests = self._parser.requests
-        if requests and requests[0].complete:
+        is_whole = bool(requests) and requests[0].complete
+        if is_whole or self._unparsed:
             # Requests that came together would be answered without letting anybody else run.
             gevent.sleep(0)
+        if not is_whole:
+            data, self._unparsed = self._unparsed, b""
+            self._parse(data)
         found: BadRequest | NoRoom | Ended | None = self._read_head(limits)
         if found is None:
             found = self._read_body(requests[0], limits)
@@ -124,7 +132,7 @@
                     return _late(limits.head_timeout_ms)
             if not data:
                 return Ended.ENDED
-            self._parser.feed(data)
+            self._parse(data)
             if not requests or not requests[0].head_done:
                 head_bytes += len(data)
                 if head_bytes > limits.max_head_bytes:
@@ -173,16 +181,27 @@
             return _late(limits.idle_timeout_ms)
         if not data:
             return Ended.ENDED
-        self._parser.feed(data)
+        self._parse(data)
         if self._room.note_growth(len(request.body) - before_bytes):
             self.progress_at_ms = now_ms()
         return _over_body_limit(request, limits)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes up to the end of the first request, or little more."""
+        requests = self._parser.requests
+        for begin in range(0, len(data), PARSED_BYTES):
+            end = begin + PARSED_BYTES
+            self._parser.feed(data[begin:end])
+            if requests and requests[0].complete:
+                self._unparsed = data[end:]
+                return
+
     def _drop_unfinished(self) -> None:
         """Hold nothing more of requests that won't be answered."""
         for request in self._parser.requests:
             request.body = bytearray()
         self._parser.requests.clear()
+        self._unparsed = b""
         self.release()
 
     def release(self) -> None:
