Ask for room for the part of a body that comes with its head

Connections that send 64 KiB and stop never were, so that many of them held far more than the account, and nothing was given up for it.

What has come with the head is now settled at once: without room for it, others that have stalled are given up, or else the body itself.

--- a/sparline/http/_body_room.py
+++ b/sparline/http/_body_room.py
@@ -52,11 +52,20 @@
         """Record bytes of the body that have come; return whether they count as progress."""
         return self._held.grow(self._holding, more_bytes, now_ms())
 
+    def settle(self) -> bool:
+        """Make room for what has come; return False if the body is given up."""
+        self._held.settle(self._holding, now_ms())
+        return self._holding.is_unfinished
+
     def next_read_bytes(self, max_bytes: int) -> int:
         """Return how many bytes to read next; a small body does not become large by asking."""
         left_bytes = SMALL_BYTES - self._holding.held_bytes
         return min(left_bytes, max_bytes) if left_bytes > 0 else max_bytes
 
+    def has_room(self, more_bytes: int) -> bool:
+        """Tell whether the body may grow now."""
+        return self._holding.is_unfinished and self._held.has_room(self._holding, more_bytes)
+
     def wait_for_bytes(self, fileno: int, timeout_ms: float) -> bool | None:
         """Wait until bytes can be read; False after the timeout, None if the body is given up."""
         watcher = gevent.get_hub().loop.io(fileno, 1)
--- a/sparline/http/_held_bytes.py
+++ b/sparline/http/_held_bytes.py
@@ -156,6 +156,15 @@
         self._leaving_bytes += holding.held_bytes
         holding.wake()
 
+    def settle(self, holding: Holding, now_ms: float) -> None:
+        """Make room for what a message holds already; without any it is given up itself."""
+        if self.has_room(holding, 0):
+            return
+        self.ask(holding, 0, now_ms)
+        self.press(holding, 0)
+        if holding.state is HoldingState.WAITING:
+            holding.state = HoldingState.READING
+
     def keep(self, holding: Holding) -> None:
         """Record that a message is whole: it is never given up."""
         self._unfinished.pop(holding, None)
--- a/sparline/http/_request_reader.py
+++ b/sparline/http/_request_reader.py
@@ -148,6 +148,8 @@
         late_at_ms = now_ms() + limits.body_timeout_ms
         room = self._room = BodyRoom(self._held)
         room.note_growth(len(request.body))
+        if not room.settle():
+            return NoRoom(request, room.shortage())
         if (request.header(b"expect") or b"").lower() == b"100-continue":
             # It need not be sent unless there is room for all of it.
             if not room.wait_for_room(_told_bytes(request) or READ_BYTES):
--- a/sparline/http/tests/test_body_room.py
+++ b/sparline/http/tests/test_body_room.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 from sparline.http import (
+    SMALL_BYTES,
     CallerConnection,
     HeldBytes,
     HttpRequest,
@@ -117,6 +118,16 @@
         assert isinstance(many.found[-1], HttpRequest)
 
 
+def test_many_bodies_that_stop_at_once_do_not_exceed_the_account():
+    with crowd() as many:
+        for _ in range(60):
+            many.add(with_length(SMALL_BYTES - 1_000))
+        many.until(lambda: many.count(NoRoom) >= 34)
+        assert many.held.total_bytes <= ACCOUNT_BYTES
+        many.add(SMALL)
+        many.until(lambda: many.count(HttpRequest))
+
+
 def test_body_that_finds_room_as_others_end_is_served():
     with crowd() as many:
         for _ in range(3):
--- a/sparline/http/tests/test_held_bytes.py
+++ b/sparline/http/tests/test_held_bytes.py
@@ -196,3 +196,17 @@
     account.release(answer)
     assert account.total_bytes == 0
     assert answer.state is HoldingState.RELEASED
+
+
+@pytest.mark.parametrize(("idle_ms", "given_up"), ((0.0, "d"), (STALL_MS, "e")))
+def test_what_comes_to_a_full_account_is_given_up_at_once(idle_ms, given_up):
+    account = full_of("abc")
+    for name in "efgh":
+        account.open(name, SMALL_BYTES)
+    account.now_ms = idle_ms
+    for name in "abcfgh":
+        account.grow(name, 0 if name in "fgh" else PROGRESS_BYTES)
+        account.messages[name].marked_at_ms = idle_ms
+    account.open("d", SMALL_BYTES)
+    account.held.settle(account.messages["d"], account.now_ms)
+    assert account.given_up() == given_up
