Read long bodies without waiting for bytes that have come

Bytes that have come are now read at once where there is room for them, and those that a length announces are parsed as they came. The time of a head and of a body now also ends where bytes always are at hand.

--- a/sparline/http/_request_reader.py
+++ b/sparline/http/_request_reader.py
@@ -134,6 +134,8 @@
                 return Ended.ENDED
             self._parse(data)
             if not requests or not requests[0].head_done:
+                if now_ms() >= late_at_ms:
+                    return _late(limits.head_timeout_ms)
                 head_bytes += len(data)
                 if head_bytes > limits.max_head_bytes:
                     return BadRequest(431, f"expected at most {limits.max_head_bytes} header bytes")
@@ -156,44 +158,60 @@
                 return NoRoom(request, room.shortage())
             self._socket.sendall(CONTINUE)
         while not request.complete:
-            if self._socket.closed:
-                return Ended.ENDED
-            timeout_ms = min(limits.idle_timeout_ms, _left_ms(late_at_ms))
-            is_readable = room.wait_for_bytes(self._socket.fileno(), timeout_ms)
-            if self._socket.closed:
-                return Ended.ENDED
-            if is_readable is False:
-                return _late(min(limits.idle_timeout_ms, limits.body_timeout_ms))
-            next_bytes = _next_read_bytes(request, room)
-            if is_readable is None or not room.wait_for_room(next_bytes):
-                return Ended.ENDED if self._socket.closed else NoRoom(request, room.shortage())
-            bad = self._read_body_once(request, limits, next_bytes)
+            bad = self._read_part(request, limits, room, late_at_ms)
             if bad is not None:
                 return bad
+            if not request.complete and now_ms() >= late_at_ms:
+                return _late(limits.body_timeout_ms)
         room.keep()
         return None
 
-    def _read_body_once(
-        self, request: HttpRequest, limits: ReadLimits, max_bytes: int
-    ) -> BadRequest | Ended | None:
-        assert self._room is not None, "an unfinished body has room"
-        before_bytes = len(request.body)
-        data = self._receive(limits.idle_timeout_ms, max_bytes)
+    def _read_part(
+        self, request: HttpRequest, limits: ReadLimits, room: BodyRoom, late_at_ms: float
+    ) -> BadRequest | NoRoom | Ended | None:
+        """Read once of a body, as soon as there are bytes and room for them."""
+        # Nobody else may take the room between the question and the read.
+        self._turn.pause_if_due()
+        max_bytes = _next_read_bytes(request, room)
+        data = self._receive_now(max_bytes) if room.has_room(max_bytes) else None
         if data is None:
-            return _late(limits.idle_timeout_ms)
+            timeout_ms = min(limits.idle_timeout_ms, _left_ms(late_at_ms))
+            is_readable = room.wait_for_bytes(self._socket.fileno(), timeout_ms)
+            if is_readable is False:
+                return _late(min(limits.idle_timeout_ms, limits.body_timeout_ms))
+            has_room = is_readable and room.wait_for_room(max_bytes)
+            if self._socket.closed:
+                return Ended.ENDED
+            if not has_room:
+                return NoRoom(request, room.shortage())
+            data = self._receive_now(max_bytes)
         if not data:
-            return Ended.ENDED
+            return None if data is None else Ended.ENDED
+        before_bytes = len(request.body)
         self._parse(data)
-        if self._room.note_growth(len(request.body) - before_bytes):
+        if room.note_growth(len(request.body) - before_bytes):
             self.progress_at_ms = now_ms()
         return _over_body_limit(request, limits)
 
+    def _receive_now(self, max_bytes: int) -> bytes | None:
+        """Read what has come; None for nothing yet, empty at the end."""
+        try:
+            data = self._socket._sock.recv(max_bytes, socket.MSG_DONTWAIT)  # noqa: SLF001
+        except BlockingIOError:
+            return None
+        self._turn.note_read(len(data))
+        return data
+
     def _parse(self, data: bytes) -> None:
         """Parse bytes up to the end of the first request, or little more."""
         requests = self._parser.requests
-        for begin in range(0, len(data), PARSED_BYTES):
-            end = begin + PARSED_BYTES
+        begin = 0
+        while begin < len(data):
+            # No other request can follow within the bytes that a length announces.
+            left_bytes = _left_bytes(requests[0]) if requests else 0
+            end = begin + max(left_bytes, PARSED_BYTES)
             self._parser.feed(data[begin:end])
+            begin = end
             if requests and requests[0].complete:
                 self._unparsed = data[end:]
                 return
@@ -212,13 +230,13 @@
         if room is not None:
             room.release()
 
-    def _receive(self, timeout_ms: float, max_bytes: int = READ_BYTES) -> bytes | None:
+    def _receive(self, timeout_ms: float) -> bytes | None:
         """Read once; None after the timeout, empty at the end."""
         self._turn.pause_if_due()
         self._socket.settimeout(timeout_ms / 1000)
         self._resting = not self._parser.requests
         try:
-            data = self._socket.recv(max_bytes)
+            data = self._socket.recv(READ_BYTES)
             self._turn.note_read(len(data))
             return data
         except TimeoutError:
@@ -275,12 +293,17 @@
     return int(told) if told.isdigit() else None
 
 
+def _left_bytes(request: HttpRequest) -> int:
+    """Return how many bytes of a body are still to come if a length announces it, else 0."""
+    told_bytes = _told_bytes(request) if request.head_done else None
+    return 0 if told_bytes is None else told_bytes - len(request.body)
+
+
 def _next_read_bytes(request: HttpRequest, room: BodyRoom) -> int:
     """Return how many bytes of a body to read next."""
-    told_bytes = _told_bytes(request)
-    if told_bytes is None:
+    if _told_bytes(request) is None:
         return room.next_read_bytes(READ_BYTES)
-    return room.next_read_bytes(min(READ_BYTES, max(told_bytes - len(request.body), 1)))
+    return room.next_read_bytes(min(READ_BYTES, max(_left_bytes(request), 1)))
 
 
 def _left_ms(at_ms: float) -> float:
