Allow as many headers as a head of the allowed length may usually hold

A limit that we add must be met by no client inside the users' limits. Their configuration allows 16,384 bytes of head, which may hold more than the 256 headers that allowed; 1,024 leave 16 bytes to each. Tests of http and read limits pass.

--- a/sparline/http/_messages.py
+++ b/sparline/http/_messages.py
@@ -33,7 +33,7 @@
 # and extensions of chunks, trailers.
 MAX_OVERHEAD_BYTES = 65_536
 # Headers of a caller's request (count): short ones take far more memory than bytes.
-MAX_HEADERS = 256
+MAX_HEADERS = 1_024
 
 
 class MalformedMessage(Exception):
