Move the functions that make fields of log lines to their module

_request_log.py held 391 lines: the class that logs decisions about requests, and functions that turn prompts, refusals and placements into fields. Nothing else changes.

--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
-from sparline._hashing import hash64
 from sparline._ids import BackendServerId, RequestId
 from sparline._logging import LineLevel, log
 from sparline.forwarding import (
@@ -16,11 +15,17 @@
     UnframedEnd,
 )
 from sparline.gateway._leave_plan import LateDecision
-from sparline.gateway._log_fields import origin_fields
+from sparline.gateway._log_fields import (
+    origin_fields,
+    placement_fields,
+    prompt_fields,
+    refusal_fields,
+    resumption_fields,
+)
 from sparline.gateway._log_output import LineBudget
 from sparline.gateway._metrics import GatewayMetrics
 from sparline.gateway._stream_versions import FoundVersion
-from sparline.placement import ColdRequest, Placement, Refusal, RefusalLimit, ServerLimit
+from sparline.placement import ColdRequest, Placement, RefusalLimit, ServerLimit
 from sparline.quarantine import (
     MIN_QUARANTINE_ENDS,
     CrashChange,
@@ -30,7 +35,7 @@
     RequestDigest,
     short_hex,
 )
-from sparline.requests import Prompt, Reason, RoutedRequest
+from sparline.requests import Reason, RoutedRequest
 from sparline.routes import Route
 
 # Log lines per second and instance about answered requests, and about all others. Further lines are
@@ -76,7 +81,7 @@
                 result=end.result.value,
                 **origin_fields(progress.answer_origin),
                 has_begun=progress.caller_answer.has_begun,
-                **_placement_fields(placement),
+                **placement_fields(placement),
                 left_ms=round(request.left_ms()),
             ).info("request_retried")
 
@@ -125,7 +130,7 @@
                 reason=end.end.reason.value,
                 sent_ago_ms=round(end.sent_ago_ms),
                 has_begun=end.begun_by is not None,
-                **_placement_fields(placement),
+                **placement_fields(placement),
                 begun_by=end.begun_by,
                 sent_bytes=end.sent_bytes,
                 left_ms=round(request.left_ms()),
@@ -325,11 +330,11 @@
             pause_ms=round(end.progress.longest_pause_ms),
             begun_by=end.progress.caller_answer.begun_by,
             sent_bytes=end.progress.caller_answer.sent_bytes,
-            **(_resumption_fields(request) if request.is_resumption else {}),
+            **(resumption_fields(request) if request.is_resumption else {}),
             **({"content": short_hex(request.digest())} if _needs_digest(end) else {}),
-            **(_prompt_fields(request.prompt) if request.prompt else {}),
-            **(_placement_fields(end.placement) if end.placement else {}),
-            **(_refusal_fields(end.refusal) if end.refusal else {}),
+            **(prompt_fields(request.prompt) if request.prompt else {}),
+            **(placement_fields(end.placement) if end.placement else {}),
+            **(refusal_fields(end.refusal) if end.refusal else {}),
         )
         if end.is_cut:
             line.warning("request_ended")
@@ -345,47 +350,3 @@
 def _needs_digest(end: RequestEnd) -> bool:
     """Return whether the line needs the digest, which identifies repeats of a request."""
     return end.reason is Reason.QUARANTINED
-
-
-def _prompt_fields(prompt: Prompt) -> dict[str, object]:
-    return {
-        "prompt_tokens": prompt.tokens,
-        "shared_tokens": prompt.shared_tokens,
-        # Equal for prompts with the same longest shared prefix. It is hashed because callers choose
-        # the names of the parts.
-        "start": f"{hash64(prompt.shared_prefixes[-1].key):016x}"
-        if prompt.shared_prefixes
-        else None,
-    }
-
-
-def _resumption_fields(request: RoutedRequest) -> dict[str, object]:
-    return {"resumes": request.resumes, "resume_after": request.resume_after}
-
-
-def _refusal_fields(refusal: Refusal) -> dict[str, object]:
-    fields: dict[str, object] = {
-        "candidates": refusal.candidates,
-        "retry_after_ms": round(refusal.retry_after_ms),
-        "why": refusal.why.value if refusal.why else None,
-    }
-    if refusal.best is not None:
-        best = _placement_fields(refusal.best)
-        fields |= {f"best_{name}": value for name, value in best.items()}
-    return fields
-
-
-def _placement_fields(placement: Placement) -> dict[str, object]:
-    return {
-        "backend_server": placement.server.id,
-        "software_version": placement.server.software_version,
-        "peer": placement.peer.note.name if placement.peer else None,
-        "expected_ms": round(placement.expected_ms),
-        "unread_tokens": placement.unread_tokens,
-        "source": placement.source.id if placement.source else None,
-        "loss": round(placement.loss, 3),
-        "running": placement.load.running,
-        "waiting_tokens": placement.load.unread_tokens,
-        "load_age_ms": None if placement.load_age_ms is None else round(placement.load_age_ms),
-        "doubt": placement.doubt.name,
-    }
