Move what the stand-in for backend servers notes to a module of its own

The types now stand in _sealed_types.py. The names that standins offers stay; a test that read SealedRun from the former module reads it from the package. Nothing else changes.

--- a/sparline/gateway/tests/test_stream_order.py
+++ b/sparline/gateway/tests/test_stream_order.py
@@ -11,9 +11,9 @@
 from sparline.forwarding import RetryWindow
 from sparline.http import HttpRequest
 from sparline.tests.routed_fleet import RoutedFleet
-from standins import PROMPT, Got, SealedFaults, SealedServer, publish, resumption
+from standins import PROMPT, Got, SealedFaults, SealedRun, SealedServer, publish, resumption
 from standins._publisher import ROUTES
-from standins._sealed_server import LAST_CHUNK, SealedRun
+from standins._sealed_server import LAST_CHUNK
 
 EVENTS = 6
 ONE_REGION = ("north-1",)
