Move framing and cuts of the stand-in's answers to a module of their own

The server of standins/_sealed_server.py also wrote chunks in two places and set the reset of a connection in two. _sealed_framing.py now does each once: as_chunk, framed, long_body, reset_when_closed and cut_answer. _cut returned False always, so its callers now say so themselves. A test reads LAST_CHUNK from the new module.

--- a/sparline/gateway/tests/test_stream_order.py
+++ b/sparline/gateway/tests/test_stream_order.py
@@ -13,7 +13,7 @@
 from sparline.tests.routed_fleet import RoutedFleet
 from standins import PROMPT, Got, SealedFaults, SealedRun, SealedServer, publish, resumption
 from standins._publisher import ROUTES
-from standins._sealed_server import LAST_CHUNK
+from standins._sealed_framing import LAST_CHUNK
 
 EVENTS = 6
 ONE_REGION = ("north-1",)
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -33,7 +33,8 @@
     prompt_headers,
     resumption,
 )
-from standins._sealed_server import SealedServer, long_body
+from standins._sealed_framing import long_body
+from standins._sealed_server import SealedServer
 from standins._sealed_types import SealedArrival, SealedFaults, SealedRun
 from standins._wide_area import Forward, Place, WideArea
 
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -1,7 +1,6 @@
 """Stand-in for the users' backend servers: engines with streams, and plain services."""
 
 import contextlib
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -14,13 +13,18 @@
 from sparline.http import HttpRequest, RequestParser
 from standins._endless import EndlessBytes, endless_answers, endless_streams
 from standins._refusal_copies import RefusalCopies
+from standins._sealed_framing import (
+    LAST_CHUNK,
+    as_chunk,
+    cut_answer,
+    framed,
+    long_body,
+    reset_when_closed,
+)
 from standins._sealed_types import SealedArrival, SealedFaults, SealedRun
 
 READ_BYTES = 65_536
 MS_PER_S = 1000.0
-LAST_CHUNK = b"0\r\n\r\n"
-# Closing with this set resets the connection instead of ending it.
-RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
 def _set_event() -> Event:
@@ -102,7 +106,7 @@
         for connection in list(self._open):
             if resets:
                 with contextlib.suppress(OSError):
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    reset_when_closed(connection)
             connection.close()
 
     def _serve(self, connection: GeventSocket, _address: object) -> None:
@@ -212,13 +216,13 @@
         head = self._head(status, request, [], length, faults)
         cut_after = faults.break_after_bytes or faults.exit_after_bytes
         sent = body[:cut_after] if cut_after else body
-        framed = b"%x\r\n%b\r\n" % (len(sent), sent) if faults.chunked else sent
+        written = as_chunk(sent) if faults.chunked else sent
         if cut_after:
-            connection.sendall(head + framed)
+            connection.sendall(head + written)
             return self._cut_plain(connection, faults)
         run.finished = True
         end = LAST_CHUNK if faults.chunked else b""
-        connection.sendall(head + framed + end + faults.garbage)
+        connection.sendall(head + written + end + faults.garbage)
         return not faults.unframed
 
     def _cut_plain(self, connection: GeventSocket, faults: SealedFaults) -> bool:
@@ -227,7 +231,8 @@
         if faults.exit_after_bytes:
             self.end()
             return False
-        return self._cut(connection, faults)
+        cut_answer(connection, faults)
+        return False
 
     def _is_ended_by(self, run: SealedRun) -> bool:
         if self.ends_on and self.ends_on in run.body:
@@ -270,10 +275,11 @@
             event = f"{event_id}data: {run.request_id}-{number}\n\n".encode()
             self.may_send.wait()
             if number == faults.break_within_event:
-                connection.sendall(_framed(event[:-4], faults))
-                return self._cut(connection, faults)
+                connection.sendall(framed(event[:-4], faults))
+                cut_answer(connection, faults)
+                return False
             try:
-                connection.sendall(_framed(event, faults))
+                connection.sendall(framed(event, faults))
             except OSError:
                 run.abandoned = True
                 raise
@@ -281,7 +287,8 @@
                 run.abandoned = connection.recv(1) == b""
                 return False
             if number == faults.break_after_event:
-                return self._cut(connection, faults)
+                cut_answer(connection, faults)
+                return False
             if number == faults.exit_after_event:
                 self.end()
                 return False
@@ -291,14 +298,6 @@
         run.finished = True
         return not faults.unframed
 
-    def _cut(self, connection: GeventSocket, faults: SealedFaults) -> bool:
-        """Let the connection end in the middle of an answer."""
-        if not faults.breaks_cleanly:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        elif not faults.unframed and not faults.break_after_bytes:
-            connection.sendall(LAST_CHUNK)
-        return False
-
     def _head(
         self,
         status: int,
@@ -329,14 +328,3 @@
                 f"Content-Length: {length}" if length >= 0 else "Transfer-Encoding: chunked"
             )
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
-
-
-def long_body(server_id: str, length: int) -> bytes:
-    """Return the body of a plain answer that repeats the name of its server."""
-    line = f"{server_id}\n".encode()
-    return (line * (length // len(line) + 1))[:length]
-
-
-def _framed(data: bytes, faults: SealedFaults) -> bytes:
-    """Return a part of a stream as it is sent."""
-    return data if faults.unframed else b"%x\r\n%b\r\n" % (len(data), data)
