Move the memory of withdrawn API keys out of the fleet's state

sparline/fleet/_fleet_state.py did four jobs: it applies changes of the store's items, holds the servers, holds the configuration, and remembers which version withdrew an API key. The last is now WithdrawnKeys in _withdrawn_keys.py, with its bound. Nothing else changes.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -22,6 +22,7 @@
 from sparline.fleet._software_versions import SoftwareVersions
 from sparline.fleet._store_copy import StoreChange
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
+from sparline.fleet._withdrawn_keys import WithdrawnKeys
 from sparline.routes import Configuration, ConfigurationVersion, KeyDigest, ServiceName
 
 # How long after a store outage an entry that expired in it may still be renewed (ms): servers do so
@@ -40,8 +41,6 @@
 # Maximum number of servers remembered as reporting that they are leaving; the oldest is evicted
 # first. Far more than are replaced in a day.
 MAX_REPORTED_LEAVING = 4_096
-# Maximum number of remembered withdrawn API keys, about 0.1 kB each.
-MAX_WITHDRAWN_KEYS = 4_096
 
 ReadItem = Callable[[StoreChange], StoreItem]
 
@@ -90,7 +89,7 @@
         self._unconfirmed = UnconfirmedChanges()
         self._evacuations = EvacuationTable()
         self._server_keys: dict[str, BackendServerId] = {}
-        self._withdrawn: OrderedDict[KeyDigest, ConfigurationVersion] = OrderedDict()
+        self._withdrawn_keys = WithdrawnKeys()
 
     def take(self, change: StoreChange) -> None:
         """Apply one change of a store item."""
@@ -212,7 +211,7 @@
         if held is not None and held.version >= configuration.version:
             return
         if held is not None:
-            self._record_withdrawn_keys(held, configuration)
+            self._withdrawn_keys.note_replaced(held, configuration)
             self.former_configurations.note_replaced(held)
         self.configuration = configuration
         self.configuration_change = change
@@ -235,20 +234,9 @@
             return
         log.bind(key=change.key, item=type(item).__name__).warning("no_configuration")
 
-    def _record_withdrawn_keys(self, held: Configuration, newer: Configuration) -> None:
-        """Record the version that withdrew each API key, for error messages to callers."""
-        before = held.organisations.by_key if held.organisations else {}
-        after = newer.organisations.by_key if newer.organisations else {}
-        for key in before.keys() - after.keys():
-            self._withdrawn[key] = newer.version
-        for key in after.keys() & self._withdrawn.keys():
-            del self._withdrawn[key]
-        while len(self._withdrawn) > MAX_WITHDRAWN_KEYS:
-            self._withdrawn.popitem(last=False)
-
     def withdrawn_at(self, key: KeyDigest) -> ConfigurationVersion | None:
         """Return the configuration version that withdrew an API key, or None if unknown."""
-        return self._withdrawn.get(key)
+        return self._withdrawn_keys.withdrawn_at(key)
 
     def _update_server(self, server: BackendServer, revision: int) -> None:
         self._lapsed.pop(server.id, None)
