Split the table of backend servers from the fleet's state

sparline/fleet/_fleet_state.py applied the changes of the store's items and also held the servers with what is remembered of those that were removed. ServerTable in _server_table.py now holds these, with their index and bounds, and gets the time as an argument. FleetState decides what a change means: which entry replaces which, what a restored store has to confirm, what lapses, and which servers count as cold. Its public attributes stay; _mark_cold_if_new stands where it was called once. No behaviour changes.

--- a/sparline/fleet/_fleet_state.py
+++ b/sparline/fleet/_fleet_state.py
@@ -1,6 +1,5 @@
 """Current configuration, backend servers and evacuated zones, derived from the store's items."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -18,8 +17,7 @@
 )
 from sparline.fleet._evacuation_table import EvacuationTable
 from sparline.fleet._former_configurations import FormerConfigurations
-from sparline.fleet._server_index import ServerIndex
-from sparline.fleet._software_versions import SoftwareVersions
+from sparline.fleet._server_table import ServerTable
 from sparline.fleet._store_copy import StoreChange
 from sparline.fleet._unconfirmed_changes import UnconfirmedChanges
 from sparline.fleet._withdrawn_keys import WithdrawnKeys
@@ -32,15 +30,8 @@
 # How long an entry that reappears with an older copy of the store is ignored if its server had been
 # removed (ms): the entry of a server that has ended expires again after three heartbeats.
 REAPPEARANCE_GRACE_MS = 6_000.0
-# Maximum number of remembered removed servers; the oldest is evicted first.
-MAX_REMOVED = 4_096
-# How long a removed server is remembered (ms): if its entry reappears by then, it is not cold.
-KNOWN_SERVER_RETENTION_MS = 120_000.0
 # Maximum number of remembered keys of unreadable items; further ones are logged at each change.
 MAX_BAD_KEYS = 1_000
-# Maximum number of servers remembered as reporting that they are leaving; the oldest is evicted
-# first. Far more than are replaced in a day.
-MAX_REPORTED_LEAVING = 4_096
 
 ReadItem = Callable[[StoreChange], StoreItem]
 
@@ -69,12 +60,13 @@
         self.configuration: Configuration | None = None  # newest version, None before the first
         self.configuration_change: StoreChange | None = None  # change that it comes from
         self.former_configurations = FormerConfigurations()  # those that were in force before it
-        self.servers: dict[BackendServerId, BackendServer] = {}  # all current servers
+        self._table = ServerTable()
+        self.servers = self._table.servers  # all current servers
         self.evacuated: set[ZoneName] = set()  # zones whose servers get no requests
         self.zones = zones  # region of each availability zone
         self.started = False  # whether the initial read of the store is complete
-        self.index = ServerIndex(self.servers)  # these servers by service and region
-        self.software_versions = SoftwareVersions(self.index)  # versions of their software
+        self.index = self._table.index  # the current servers by service and region
+        self.software_versions = self._table.software_versions  # versions of their software
         self._read_item = read_item
         self._on_bad_item = on_bad_item
         self._outage_age_ms = outage_age_ms
@@ -83,9 +75,6 @@
         self._peers_showed_ago_ms = peers_showed_ago_ms
         self._bad_keys: set[str] = set()
         self._lapsed: dict[BackendServerId, float] = {}
-        self._known_at_ms: dict[BackendServerId, float] = {}
-        self._reported_leaving: OrderedDict[BackendServerId, None] = OrderedDict()
-        self._removed: OrderedDict[BackendServerId, None] = OrderedDict()
         self._unconfirmed = UnconfirmedChanges()
         self._evacuations = EvacuationTable()
         self._server_keys: dict[str, BackendServerId] = {}
@@ -180,7 +169,7 @@
         if not change.after_restoration:
             self._apply_server_entry(change.key, server, change.revision)
             return
-        if server.id in self._removed:
+        if self._table.was_removed(server.id):
             self._unconfirmed.hold(change, REAPPEARANCE_GRACE_MS, now_ms())
             log.bind(backend_server=server.id, revision=change.revision).info("server_reappears")
             return
@@ -240,14 +229,11 @@
 
     def _update_server(self, server: BackendServer, revision: int) -> None:
         self._lapsed.pop(server.id, None)
-        self._removed.pop(server.id, None)
         held = self.servers.get(server.id)
-        if held is None:
-            server = self._mark_cold_if_new(server)
-        if server.id in self._reported_leaving:
-            server = replace(server, leaving=True)
-        self._known_at_ms[server.id] = now_ms()
-        self._put_server(server)
+        # A server that appears after the initial read has to warm up.
+        if held is None and self.started and not self._table.is_known(server.id):
+            server = self._mark_cold(server)
+        server = self._table.take_entry(server, now_ms())
         if held is None and not self.started:
             # The initial read returns thousands of servers; only their number is logged, when the
             # instance goes live.
@@ -264,35 +250,14 @@
 
     def note_leaving(self, server_id: BackendServerId) -> None:
         """Mark a server as leaving, as its response says; later store entries don't clear it."""
-        if server_id in self._reported_leaving:
+        if self._table.has_reported_leaving(server_id):
             return
-        self._reported_leaving[server_id] = None
-        if len(self._reported_leaving) > MAX_REPORTED_LEAVING:
-            self._reported_leaving.popitem(last=False)
         server = self.servers.get(server_id)
-        if server is not None:
-            self._put_server(replace(server, leaving=True))
+        self._table.note_leaving(server_id, now_ms())
         log.bind(
             backend_server=server_id, leaving_in_store=server is not None and server.leaving
         ).info("server_says_leaving")
 
-    def _put_server(self, server: BackendServer) -> None:
-        held = self.servers.get(server.id)
-        if held is not None and held.software_version != server.software_version:
-            self.software_versions.note_left(held)
-        if server.leaving:
-            since_ms = held.leaving_since_ms if held is not None and held.leaving else now_ms()
-            server = replace(server, leaving_since_ms=since_ms)
-        self.servers[server.id] = server
-        self.index.note_change()
-
-    def _mark_cold_if_new(self, server: BackendServer) -> BackendServer:
-        """Mark a server that appears after the initial read as cold for its warm-up time."""
-        known_at_ms = self._known_at_ms.get(server.id)
-        if not self.started or known_at_ms is not None:
-            return server
-        return self._mark_cold(server)
-
     def _mark_cold(self, server: BackendServer) -> BackendServer:
         """Return a server as cold for its warm-up time from now on, or longer if its entry says so."""
         if self.configuration is None:
@@ -308,7 +273,7 @@
         """
         for server in list(self.servers.values()):
             if server.zone in returned_zones:
-                self._put_server(self._mark_cold(server))
+                self._table.put(self._mark_cold(server), now_ms())
 
     def _update_evacuated(self, revision: int) -> None:
         evacuated = self._evacuations.zones()
@@ -317,17 +282,11 @@
         log.bind(zones=sorted(self.evacuated), revision=revision).info("evacuated_zones")
 
     def _remove(self, server_id: BackendServerId, why: str) -> None:
-        server = self.servers.pop(server_id, None)
+        server = self._table.remove(server_id)
         self._lapsed.pop(server_id, None)
         for key in [key for key, of in self._server_keys.items() if of == server_id]:
             del self._server_keys[key]
-        self.index.note_change()
-        self._removed[server_id] = None
-        if len(self._removed) > MAX_REMOVED:
-            self._removed.popitem(last=False)
         log.bind(backend_server=server_id, why=why).info("server_gone")
-        if server is not None:
-            self.software_versions.note_left(server)
         if server is not None and not server.leaving:
             self._on_gone(server)
 
@@ -366,9 +325,4 @@
 
     def forget_old_ids(self) -> None:
         """Forget the ids of servers that were removed long ago."""
-        now = now_ms()
-        for server_id in self.servers:
-            self._known_at_ms[server_id] = now
-        self._known_at_ms = {
-            one: at for one, at in self._known_at_ms.items() if now - at < KNOWN_SERVER_RETENTION_MS
-        }
+        self._table.forget_old_ids(now_ms())
