Group the constants of the admission level by what they decide

Seventeen constants stood in no order before the first function of _admission_level.py, each below a line or two. They now stand in four groups: what is measured, when the budget falls, how it rises again, when the level opens; each with its unit or what it is a part of. Names and values are the same (compared by evaluating both versions: equal).

--- a/sparline/decisions/_admission_level.py
+++ b/sparline/decisions/_admission_level.py
@@ -27,40 +27,32 @@
 from sparline.decisions._smoothed_rate import SmoothedRate
 from sparline.decisions._unrelated_misses import UnrelatedMisses
 
-# Number of further rounds in which an open level is announced and demand is reported.
-ROUNDS_AFTER_OPENING = 4
-# Part of the admitted cost that may be missed.
-TOLERATED_MISSES = 0.05
-# Misses above this part of what is tolerated restart the rise with its smallest step.
-SLOW_RISE_PART = 0.25
-# Most by which the budget falls in one adjustment (factor).
-MAX_FALL = 0.5
-# Budget after a fall, as part of the capacity: the rest of the capacity drains the queue.
-DRAIN_PART = 0.8
-# Budget once the queue has drained, as part of the capacity.
-STEADY_PART = 0.97
-# The queue grows if less than this part of what was started is answered.
-KEEPS_UP_PART = 0.92
-# Time constants of the demand by bucket, and of all other rates (ms). The latter decide how soon a
-# change is seen.
-DEMAND_SMOOTHING_MS = 1_000.0
-RATE_SMOOTHING_MS = 300.0
-# The capacity is the highest rate answered in so many rounds.
-CAPACITY_ROUNDS = 4
-# Rounds after a fall in which the budget changes no further: its effect is reported that late.
-ROUNDS_AFTER_FALL = 3
+# What is measured
+DEMAND_SMOOTHING_MS = 1_000.0  # time constant of the demand by bucket
+RATE_SMOOTHING_MS = 300.0  # time constant of all other rates: how soon a change is seen
+CAPACITY_ROUNDS = 4  # the capacity is the highest rate answered in the last of these rounds
+
+# When the budget falls, and how far
+TOLERATED_MISSES = 0.05  # part of the admitted cost
+ROOM_OCCUPANCY = 0.8  # mean of the region's servers; below it, misses have other causes than load
+MAX_FALL = 0.5  # lowest factor by which one adjustment lowers the budget
+DRAIN_PART = 0.8  # of the capacity, after a fall; the rest of the capacity drains the queue
+ROUNDS_AFTER_FALL = 3  # without a further change, as reports show the effect that late
+
+# How the budget rises again
+STEADY_PART = 0.97  # of the capacity, once the queue has drained
+MAX_RESTORED_PART = 0.25  # of the demand: largest step back to the steady budget
+KEEPS_UP_PART = 0.92  # of what was started; the queue grows if less than this is answered
+SLOW_RISE_PART = 0.25  # of the tolerated misses; more of them restart the rise with its first step
 # Each round without a miss adds the cube of its number to the rise, up to this number. Seven such
 # steps are the whole demand, which leaves one of the eight rounds of `OPENING_MS` for the report.
 RISE_STEPS = 7
-RISE_UNIT = 1 / sum(number**3 for number in range(1, RISE_STEPS + 1))
-# Below this mean occupancy of the region's servers, misses have other causes than scarce capacity:
-# the budget does not fall, and rises faster the more is free.
-ROOM_OCCUPANCY = 0.8
-# Largest step back to the steady budget, as part of the demand.
-MAX_RESTORED_PART = 0.25
-# The level opens once the budget exceeds the demand by this factor, and the budget stops there.
-OPEN_FACTOR = 1.05
-MAX_BUDGET_FACTOR = 1.06
+RISE_UNIT = 1 / sum(number**3 for number in range(1, RISE_STEPS + 1))  # first step, of the demand
+
+# When the level opens
+OPEN_FACTOR = 1.05  # budget over demand from which the level is open
+MAX_BUDGET_FACTOR = 1.06  # budget over demand at which the budget stops
+ROUNDS_AFTER_OPENING = 4  # in which an open level is still announced and demand is reported
 
 
 @dataclass(frozen=True, slots=True)
