Name the shares of the admission level as shares

Constants of _admission_level.py ended in _PART where those of other modules end in _SHARE, and ROOM_OCCUPANCY did not say on which side of it there is room. Renamed: SLOW_RISE_PART to RISE_RESTART_SHARE, DRAIN_PART to DRAINING_SHARE, STEADY_PART to STEADY_SHARE, KEEPS_UP_PART to KEEPING_UP_SHARE, MAX_RESTORED_PART to MAX_RESTORED_SHARE, ROOM_OCCUPANCY to SCARCE_OCCUPANCY. All of their uses stand in this module; the syntax trees before and after differ in these names only.

--- a/sparline/decisions/_admission_level.py
+++ b/sparline/decisions/_admission_level.py
@@ -34,16 +34,16 @@
 
 # When the budget falls, and how far
 TOLERATED_MISSES = 0.05  # part of the admitted cost
-ROOM_OCCUPANCY = 0.8  # mean of the region's servers; below it, misses have other causes than load
+SCARCE_OCCUPANCY = 0.8  # mean of the region's servers; below it, misses have other causes than load
 MAX_FALL = 0.5  # lowest factor by which one adjustment lowers the budget
-DRAIN_PART = 0.8  # of the capacity, after a fall; the rest of the capacity drains the queue
+DRAINING_SHARE = 0.8  # of the capacity, after a fall; the rest of the capacity drains the queue
 ROUNDS_AFTER_FALL = 3  # without a further change, as reports show the effect that late
 
 # How the budget rises again
-STEADY_PART = 0.97  # of the capacity, once the queue has drained
-MAX_RESTORED_PART = 0.25  # of the demand: largest step back to the steady budget
-KEEPS_UP_PART = 0.92  # of what was started; the queue grows if less than this is answered
-SLOW_RISE_PART = 0.25  # of the tolerated misses; more of them restart the rise with its first step
+STEADY_SHARE = 0.97  # of the capacity, once the queue has drained
+MAX_RESTORED_SHARE = 0.25  # of the demand: largest step back to the steady budget
+KEEPING_UP_SHARE = 0.92  # of what was started; the queue grows if less than this is answered
+RISE_RESTART_SHARE = 0.25  # of the tolerated misses; more restart the rise with its first step
 # Each round without a miss adds the cube of its number to the rise, up to this number. Seven such
 # steps are the whole demand, which leaves one of the eight rounds of `OPENING_MS` for the report.
 RISE_STEPS = 7
@@ -140,7 +140,7 @@
             return self.level
         span_ms = now - began_at_ms
         self._measure(total, span_ms)
-        room = 0.0 if occupancy is None else max(1 - occupancy / ROOM_OCCUPANCY, 0.0)
+        room = 0.0 if occupancy is None else max(1 - occupancy / SCARCE_OCCUPANCY, 0.0)
         self._adjust(now, span_ms, room)
         self._set_level()
         self._set_floor(now)
@@ -179,7 +179,7 @@
             # Servers that refuse are full, whatever load is known of them.
             room = 0.0
         if room > 0 and self.level < OPEN_LEVEL:
-            rise = asked * MAX_RESTORED_PART * room * span_ms / ADJUSTMENT_MS
+            rise = asked * MAX_RESTORED_SHARE * room * span_ms / ADJUSTMENT_MS
             self.budget_per_s = min(self.budget_per_s + rise, asked * MAX_BUDGET_FACTOR)
         elif share > tolerated and not room:
             self._good_rounds = 0
@@ -199,7 +199,7 @@
         if self.budget_per_s <= answered and self._rounds_since_fall <= ROUNDS_AFTER_FALL:
             return
         self._capacity = min(answered, self.budget_per_s)
-        self.budget_per_s = max(self._capacity * DRAIN_PART, self.budget_per_s * MAX_FALL)
+        self.budget_per_s = max(self._capacity * DRAINING_SHARE, self.budget_per_s * MAX_FALL)
         self._rounds_since_fall = 0
 
     def _rise(self, asked: float, part: float, span_ms: float) -> None:
@@ -208,18 +208,18 @@
         `part` is the missed share as part of what is tolerated.
         """
         assert self.budget_per_s is not None
-        if self.budget_per_s < self._capacity * STEADY_PART:
+        if self.budget_per_s < self._capacity * STEADY_SHARE:
             self.budget_per_s = min(
-                self._capacity * STEADY_PART, self.budget_per_s + asked * MAX_RESTORED_PART
+                self._capacity * STEADY_SHARE, self.budget_per_s + asked * MAX_RESTORED_SHARE
             )
             return
-        if part > SLOW_RISE_PART:
+        if part > RISE_RESTART_SHARE:
             self._good_rounds = 0
         started = self._admitted.per_s - self._missed.per_s
-        if self.level < OPEN_LEVEL and self._answered.per_s < KEEPS_UP_PART * started:
+        if self.level < OPEN_LEVEL and self._answered.per_s < KEEPING_UP_SHARE * started:
             self._good_rounds = 0
             self._capacity = max(self._recent)
-            self.budget_per_s = min(self.budget_per_s, self._capacity * STEADY_PART)
+            self.budget_per_s = min(self.budget_per_s, self._capacity * STEADY_SHARE)
             return
         self._good_rounds = min(self._good_rounds + 1, RISE_STEPS)
         rise = asked * RISE_UNIT * self._good_rounds**3 * (1 - part)
