Print the answers to quarantine and explain in one place

'sparline quarantine' and 'sparline explain' each printed an instance's answer with the same twelve lines: as JSON or rendered, or on standard error why it was refused or nobody answered. print_answer in sparline/cli/_printed_answer.py now does this for both. 'sparline status' keeps its own lines, since it does not look at the HTTP status.

--- a/sparline/cli/_quarantine.py
+++ b/sparline/cli/_quarantine.py
@@ -1,17 +1,12 @@
 """`sparline quarantine`: the parts of prompts in quarantine, and the release of one."""
 
 import argparse
-import json
-import sys
 from typing import Any
 from urllib.parse import urlencode
 
-from result import Err, Ok
-
 from sparline.cli._exit_codes import ExitCode
 from sparline.cli._http import get_json, parse_address, post_json
-
-HTTP_OK = 200
+from sparline.cli._printed_answer import print_answer
 
 
 def quarantine(options: argparse.Namespace) -> ExitCode:
@@ -22,17 +17,7 @@
     else:
         path = f"/quarantine/release?{urlencode({'part': options.release})}"
         answer = address.and_then(lambda found: post_json(found, path))
-    match answer:
-        case Err(reason):
-            print(reason, file=sys.stderr)
-            return ExitCode.UNREACHABLE
-        case Ok(found) if found.status != HTTP_OK:
-            print(found.document["error"], file=sys.stderr)
-            return ExitCode.REFUSED
-        case Ok(found):
-            print(json.dumps(found.document) if options.json else _render(found.document))
-            return ExitCode.OK
-    raise AssertionError("a result is either Ok or Err")
+    return print_answer(answer, options.json, _render)
 
 
 def _render(document: dict[str, Any]) -> str:
--- a/sparline/cli/_status.py
+++ b/sparline/cli/_status.py
@@ -10,6 +10,7 @@
 
 from sparline.cli._exit_codes import ExitCode
 from sparline.cli._http import get_json, parse_address
+from sparline.cli._printed_answer import print_answer
 
 
 def status(options: argparse.Namespace) -> ExitCode:
@@ -73,17 +74,7 @@
     answer = parse_address(options.operators).and_then(
         lambda address: get_json(address, f"/explain?{urlencode(asked)}")
     )
-    match answer:
-        case Err(reason):
-            print(reason, file=sys.stderr)
-            return ExitCode.UNREACHABLE
-        case Ok(found) if found.status != 200:
-            print(found.document["error"], file=sys.stderr)
-            return ExitCode.REFUSED
-        case Ok(found):
-            print(json.dumps(found.document) if options.json else _render_route(found.document))
-            return ExitCode.OK
-    raise AssertionError("a result is either Ok or Err")
+    return print_answer(answer, options.json, _render_route)
 
 
 def _render_route(route: dict[str, Any]) -> str:
