--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -4,11 +4,11 @@
 from sparline.placement._cold_shares import ColdRequest, ColdShares
 from sparline.placement._credit import CreditTable, credit_of
 from sparline.placement._demand import DemandTable
+from sparline.placement._gap_table import GapTable
 from sparline.placement._health import HealthTable
 from sparline.placement._limit_shares import ServerLimitShares
 from sparline.placement._loads import LoadTable, Reservation
 from sparline.placement._pace import PaceTable
-from sparline.placement._pauses import GapTable
 from sparline.placement._place_judge import InstanceLocation, PlacementTables
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, prefix_owner
--- a/sparline/placement/_stream_watch.py
+++ b/sparline/placement/_stream_watch.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from sparline._clock import now_ms
+from sparline.placement._gap_table import GapTable
 from sparline.placement._loads import LoadTable, Reservation
 from sparline.placement._pace import PaceTable, PrefillWork
-from sparline.placement._pauses import GapTable
 from sparline.placement._placement import Placement
 from sparline.requests import RoutedRequest
 
