--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -17,10 +17,10 @@
     unserved_retry_after_ms,
 )
 from sparline.fleet import BackendServer
+from sparline.placement._cached_prefix import find_cached_prefix
 from sparline.placement._credit import credit_of
 from sparline.placement._demand import DemandFacts
 from sparline.placement._engine_counts import EngineCounts
-from sparline.placement._kept_prompt import find_cached_prefix
 from sparline.placement._place_judge import (
     CommonFacts,
     InstanceLocation,
