Name the module of the loss estimator after its class

sparline/placement/_place_judge.py holds LossEstimator and what it needs; no class or function there is called a judge.

--- a/sparline/placement/__init__.py
+++ b/sparline/placement/__init__.py
@@ -8,8 +8,8 @@
 from sparline.placement._health import HealthTable
 from sparline.placement._limit_shares import ServerLimitShares
 from sparline.placement._loads import LoadTable, Reservation
+from sparline.placement._loss_estimator import InstanceLocation, PlacementTables
 from sparline.placement._pace import PaceTable
-from sparline.placement._place_judge import InstanceLocation, PlacementTables
 from sparline.placement._placement import Doubt, Placement, Refusal
 from sparline.placement._prompt_cache import PromptCache, prefix_owner
 from sparline.placement._rate_shares import RateShares
--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -21,7 +21,7 @@
 from sparline.placement._credit import credit_of
 from sparline.placement._demand import DemandFacts
 from sparline.placement._engine_counts import EngineCounts
-from sparline.placement._place_judge import (
+from sparline.placement._loss_estimator import (
     CommonFacts,
     InstanceLocation,
     LossEstimator,
--- a/sparline/placement/tests/test_ranks.py
+++ b/sparline/placement/tests/test_ranks.py
@@ -4,7 +4,7 @@
 
 from sparline.fleet import ServerLoad, pending_of
 from sparline.placement import Placement, Refusal
-from sparline.placement._place_judge import Queue, queue_before
+from sparline.placement._loss_estimator import Queue, queue_before
 from sparline.placement.tests.test_choice import N1, N2, World
 from sparline.requests import Prompt
 from sparline.tests.routed import make_request, make_route
