Word the times of a planned stop for someone who joins

_leave_plan.py and _run_times.py spoke of callers that were led here, times that requests took lately and what is of use beside; several comments had to be read three times. They now name the deadline, the route's timeout and the directory answer, and _rank_table.py says to which services levels apply and what an organisation's weight is. Only comments, doc comments and two local names changed: the syntax trees without them are the same.

--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -1,4 +1,4 @@
-"""Decides which requests a leaving instance still accepts, by the time it has left."""
+"""Decides which requests a leaving instance still accepts, by the time until it exits."""
 
 import math
 from collections.abc import Callable
@@ -20,9 +20,9 @@
 LAST_INSTANCE_ACCEPT_FRACTION = 0.85
 # How long callers may use a directory answer that names a leaving instance (ms).
 ANSWER_HELD_MS = 3_000.0
-# A request is expected to take at most this many times as long as the longest one lately.
+# A request is expected to take at most this many times as long as the longest recent one.
 LONGEST_TIME_FACTOR = 1.25
-# The same while another instance of the region is live: what is refused is served there at once.
+# The same while another instance of the region is live, which can serve a refused request at once.
 CAUTIOUS_TIME_FACTOR = 2.5
 # A stream that can be neither repeated nor resumed is accepted only if it would complete in time
 # even if it took this many times as long as expected: it may wait for a place at an engine, and its
@@ -32,15 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LateRequest:
-    """Hold what is known of the time that a request takes which comes to a leaving instance."""
+    """Hold what is known of how long a request to a leaving instance takes."""
 
     route: Route  # its route
     prompt: Prompt | None  # its prompt, if it is for a model engine
-    limit_ms: float  # time in which its caller and its route want it answered
-    # Longest time that such requests took lately, to the first event of a stream with a prompt and
-    # to the end of any other answer; None if it is not known.
+    limit_ms: float  # time until the earlier of its deadline and its route's timeout
+    # Longest time that such requests took recently, to the first event of a stream with a prompt
+    # and to the end of any other answer; None if it is not known.
     longest_ms: float | None
-    # Longest time of whole answers to such requests lately, None if it is not known.
+    # Longest recent time of whole answers to such requests, None if it is not known.
     longest_whole_ms: float | None
     output_token_ms: float  # maximum time of an output token
 
@@ -48,9 +48,9 @@
 class LateBound(Enum):
     """Name what bounds the time that a late request is expected to take."""
 
-    # The time in which its caller and its route want it answered: it can't take longer.
+    # Its deadline and its route's timeout, which it can't exceed.
     OWN_LIMIT = "own limit"
-    # That, or the time that such requests took lately, which it may exceed.
+    # These, or the time that such requests took recently, which it may exceed.
     RECENT_TIMES = "recent times"
 
 
@@ -67,13 +67,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopSources:
-    """Provide what a planned stop depends on beside its own time."""
+    """Provide what a planned stop depends on besides its own times."""
 
     is_last_in_region: Callable[[], bool]  # whether no other instance of the region is live
-    # Whether another instance of the region, which is leaving too, takes its work.
+    # Whether another leaving instance of the region accepts requests in its place.
     is_relieved: Callable[[], bool]
-    are_others_leaving: Callable[[], bool]  # whether other instances of the region leave, too
-    # Longest time of the requests that take the shortest, None if it is not known.
+    are_others_leaving: Callable[[], bool]  # whether other instances of the region are leaving
+    # Longest recent time of the fastest kind of request, None if it is not known.
     shortest_ms: Callable[[], float | None]
 
 
@@ -84,7 +84,7 @@
     began_at_ms: float  # start of the stop, by this process's clock
     grace_ms: float  # time until the process is killed
     sources: StopSources
-    _needed_at_ms: float = -math.inf  # when no other instance of the region was live last
+    _needed_at_ms: float = -math.inf  # when it was last the only one that takes requests here
 
     def accepts_until_ms(self) -> float:
         """Return when new requests are no longer accepted.
@@ -95,24 +95,24 @@
             self._needed_at_ms = now_ms()
             return self._last_instance_end_ms()
         if self.sources.is_last_in_region():
-            # The sooner this instance exits, the sooner it is back and relieves the other one.
+            # The sooner this instance exits, the sooner it restarts and relieves the other one.
             return self.began_at_ms
         return min(self._usual_end_ms(), self.last_fit_ms())
 
     def is_needed(self) -> bool:
-        """Return whether no other instance of the region takes the requests that come here."""
+        """Return whether no other instance of the region accepts requests."""
         return self.sources.is_last_in_region() and not self.sources.is_relieved()
 
     def _usual_end_ms(self) -> float:
-        """Return until when callers come that were led here before another instance was live."""
-        led_here_until_ms = min(self._needed_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
-        return max(self.began_at_ms + self.grace_ms * ACCEPT_FRACTION, led_here_until_ms)
+        """Return until when callers come whose directory answer names no other instance."""
+        named_until_ms = min(self._needed_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
+        return max(self.began_at_ms + self.grace_ms * ACCEPT_FRACTION, named_until_ms)
 
     def _last_instance_end_ms(self) -> float:
         return self.began_at_ms + self.grace_ms * LAST_INSTANCE_ACCEPT_FRACTION
 
     def last_fit_ms(self) -> float:
-        """Return from when on no request would be complete in time."""
+        """Return the time after which no new request would be complete before the exit."""
         shortest_ms = self.sources.shortest_ms()
         if shortest_ms is None:
             return self.exits_at_ms()
@@ -136,14 +136,14 @@
     def _bound(self, route: Route, at_ms: float, is_last_in_region: bool) -> LateBound:
         """Return what bounds the time of a request that arrives at a moment.
 
-        Callers who know of another live instance lose one try by a refusal, and find that instance at
-        once unless others leave, too. By an exit they lose the answer: of a request that runs once for
-        good.
+        A refusal costs callers that know another live instance one try: they use that one next,
+        unless it is leaving too. An exit costs them the answer, and for good if the request runs only
+        once.
         """
         if is_last_in_region or at_ms < self._needed_at_ms + ANSWER_HELD_MS:
             return LateBound.RECENT_TIMES
-        is_led_here = at_ms < self.began_at_ms + ANSWER_HELD_MS
-        if route.repeatable and is_led_here and self.sources.are_others_leaving():
+        may_be_named = at_ms < self.began_at_ms + ANSWER_HELD_MS
+        if route.repeatable and may_be_named and self.sources.are_others_leaving():
             return LateBound.RECENT_TIMES
         return LateBound.OWN_LIMIT
 
@@ -157,7 +157,7 @@
 
 
 def _whole_ms(request: LateRequest, is_last_in_region: bool) -> float:
-    """Return the time by which whole answers to such requests were complete lately."""
+    """Return the time in which whole answers to such requests were complete recently."""
     if request.longest_whole_ms is None:
         return 0.0 if is_last_in_region else request.limit_ms
     factor = LONGEST_TIME_FACTOR if is_last_in_region else CAUTIOUS_TIME_FACTOR
@@ -165,7 +165,7 @@
 
 
 def _estimated_ms(request: LateRequest) -> float:
-    """Return the time that a request may take by its first event and its output."""
+    """Return the time estimated from the request's first event and its output."""
     if request.longest_ms is None:
         return request.limit_ms
     expected_ms = request.longest_ms * LONGEST_TIME_FACTOR
--- a/sparline/gateway/_rank_table.py
+++ b/sparline/gateway/_rank_table.py
@@ -48,6 +48,11 @@
 
 
 def _service_ranks(configuration: Configuration) -> dict[ServiceName, ServiceRanks]:
+    """Return the ranks of each service to which levels apply, with the longest timeout of each.
+
+    Levels apply to a service with several ranks, and to all services if any organisation has a
+    priority or a quota.
+    """
     known = configuration.organisations
     organisations = known.by_id.values() if known else ()
     is_shared = any(one.priority is not None or one.quota is not None for one in organisations)
@@ -68,6 +73,7 @@
 
 
 def _organisation_weights(configuration: Configuration) -> dict[int, float]:
+    """Return the weight of each organisation: its quota if all have one, else the same for all."""
     known = configuration.organisations
     if known is None:
         return {}
--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -1,4 +1,4 @@
-"""The longest times that requests took lately, by route and service, here and at other instances."""
+"""The longest recent times of requests, by route and service, here and at other instances."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -65,7 +65,7 @@
         """Create an empty table beside the requests that are being forwarded."""
         self._in_flight = in_flight
         self._intervals: dict[RunKey, deque[_Interval]] = {}
-        self._peer_times: dict[RunKey, list[RunTimes]] = {}  # as other instances told them
+        self._peer_times: dict[RunKey, list[RunTimes]] = {}  # as other instances reported them
 
     def note(self, request: RoutedRequest, first_at_ms: float | None) -> None:
         """Record a request whose answer is complete, with the time of its first event."""
@@ -82,8 +82,8 @@
     def longest_ms(self, key: RunKey) -> float | None:
         """Return the longest time in the window, None if it is not known.
 
-        That is so if there are too few, or if a request in flight is older: it will take longer than
-        its age.
+        It is not known if there are too few times, or if a request in flight is older than the
+        longest one: it will take longer than its age.
         """
         return self._longest_ms(key, self._ages_ms())
 
@@ -97,7 +97,7 @@
         return longest_ms
 
     def shortest_ms(self) -> float | None:
-        """Return the longest time of the requests that take the shortest, None if not known."""
+        """Return the longest time of the fastest kind of request, None if it is not known."""
         ages_ms = self._ages_ms()
         known = (
             self._longest_ms(one, ages_ms)
