Define effort tokens once, and word comments of the choice of a place

Comments in _refusal_limits.py, _shortlist.py, _choice.py and _loss_estimator.py that said what instances hear of, what stands before a request or what is done for want of healthy servers say it in usual terms. Only comments and doc comments changed: the syntax trees without them are the same.

Evidence: sparline/placement/tests: 313 passed.

--- a/sparline/placement/_choice.py
+++ b/sparline/placement/_choice.py
@@ -160,7 +160,7 @@
     def _demand_per_engine(
         self, request: RoutedRequest, all_servers: list[BackendServer], now: float
     ) -> float:
-        """Return the part of each engine here in the region's demand, in that of this instance."""
+        """Return the demand for one engine of this region, relative to this instance's demand."""
         engines = self._engine_counts.count(request.service, all_servers, now)
         return self._tables.sharing() / engines
 
@@ -235,7 +235,7 @@
     ) -> bool:
         """Tell whether a stream that began at a software version may ever go on at a server.
 
-        A leaving server may get it for a while: at others, of another version, it could not go on.
+        A leaving server may get it for a while, because servers of another version cannot resume it.
         """
         if server.software_version != version:
             return False
--- a/sparline/placement/_loads.py
+++ b/sparline/placement/_loads.py
@@ -21,9 +21,7 @@
 
     running: int = 0  # requests that have not ended
     held_tokens: int = 0  # cache memory that they take
-    # Prefill of requests without a first event, as tokens at the start of a prompt that take as
-    # long.
-    unread_tokens: int = 0
+    unread_tokens: int = 0  # prefill of requests without a first event, in effort tokens
     pending: tuple[int, ...] = ()  # requests without a first event by rank, as in `ServerLoad`
     region: RegionName = RegionName("")  # region of the server
     used_at_ms: float = 0.0  # when a request was last placed
@@ -34,7 +32,7 @@
     """Prefill work of a backend server when this instance last sent it a prompt."""
 
     at_ms: float  # when it was sent
-    tokens: int  # prefill of the prompt, as tokens at the start of a prompt that take as long
+    tokens: int  # prefill of the prompt, in effort tokens
     queued_tokens: int  # tokens that were queued before it
 
 
@@ -129,9 +127,9 @@
 
         One that is relayed to a sibling (`is_relayed`) is counted and reported by that one alone.
 
-        `held_tokens` is the cache memory that it takes, `unread_tokens` its prefill, as tokens at
-        the start of a prompt that take as long. `rank` is its urgency, 0 for the most urgent, None
-        where the server does not admit requests by rank.
+        `held_tokens` is the cache memory that it takes, `unread_tokens` its prefill in effort
+        tokens. `rank` is its urgency, 0 for the most urgent, None where the server does not admit
+        requests by rank.
         """
         if is_relayed and server.region == self._region:
             return Reservation(OwnLoad(), held_tokens, unread_tokens, rank, lambda *_change: None)
--- a/sparline/placement/_loss_estimator.py
+++ b/sparline/placement/_loss_estimator.py
@@ -161,20 +161,20 @@
     """Work of an engine before the first event of a request."""
 
     unread_tokens: int  # tokens that it prefills
-    effort_tokens: int  # prefill, as tokens at the start of a prompt that take as long
+    effort_tokens: int  # the same in effort tokens, which `_pace.py` defines
     fetched_tokens: int  # tokens that another engine transfers to it
     source: BackendServer | None  # that engine
     repeated_tokens: int  # tokens that it prefills although some engine has them cached
 
 
 class Queue(msgspec.Struct, frozen=True):
-    """What stands before a request at an engine."""
+    """What an engine has to do before it begins with a request."""
 
     slots_needed: int  # slots that have to be free before it gets one, 0 if one is free
-    unread_tokens: int  # prefill before its own, as tokens at the start of a prompt
+    unread_tokens: int  # prefill before its own, in effort tokens
     overtaken: int = 0  # waiting requests that are less urgent
     overtaken_held_tokens: int = 0  # cache memory that these do not hold yet, at least
-    last_unread_tokens: int = 0  # prefill before the last of these ends, as tokens likewise
+    last_unread_tokens: int = 0  # prefill until the last of these has ended, in effort tokens
 
 
 NO_WORK = _Work(0, 0, 0, None, 0)
@@ -301,7 +301,7 @@
 
 
 def queue_before(rank: int, load: ServerLoad, slots: int) -> Queue:
-    """Return what an engine with so many slots does before it begins with a request of a rank.
+    """Return what an engine with `slots` slots does before it begins with a request of a rank.
 
     Engines admit requests of lower ranks first. Of the requests without a first event, the least
     urgent are those that wait for a slot; the others have one, and go first whatever their rank.
@@ -331,7 +331,7 @@
     arriving = demand.per_ms3 * common.demand_per_engine
     loss = DISPLACEMENT_WEIGHT * arriving * prefill_ms * queue_ms**2
     if queue.overtaken:
-        # What is late already cannot lose more.
+        # A request that is already late cannot lose more.
         before = min(queue.last_unread_tokens * pace.token_ms / demand.later_target_ms, 1.0)
         after = min(before + prefill_ms / demand.later_target_ms, 1.0)
         loss += queue.overtaken * demand.later_value * (after**2 - before**2)
--- a/sparline/placement/_pace.py
+++ b/sparline/placement/_pace.py
@@ -1,4 +1,8 @@
-"""Learned times of services: prefill, first event and complete plain answers."""
+"""Learned times of services: prefill, first event and complete plain answers.
+
+Prefill is counted in effort tokens: the number of tokens at the start of a prompt whose prefill
+takes as long. A later token counts for more, because it attends to all tokens before it.
+"""
 
 import math
 from dataclasses import dataclass
@@ -68,7 +72,7 @@
 class PrefillWork:
     """Work that an engine does before a request's first event."""
 
-    queued_tokens: int  # queued prefills, in tokens at the start of a prompt
+    queued_tokens: int  # queued prefills, in effort tokens
     unread_tokens: int  # tokens of the request's own prompt to prefill
     cached_tokens: int  # tokens before them that the engine has cached
 
@@ -82,7 +86,7 @@
     """Prefill speed of an engine."""
 
     base_ms: float  # time to the first event apart from prefill
-    token_ms: float  # time to prefill a token at the start of a prompt
+    token_ms: float  # prefill time of an effort token
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +97,7 @@
     doubling_tokens: float  # prefix length that doubles the time of a token
 
     def effort_tokens(self, unread_tokens: int, cached_tokens: int) -> int:
-        """Return the tokens at the start of a prompt whose prefill takes as long."""
+        """Return the effort tokens of a prefill behind a cached prefix."""
         before = cached_tokens + unread_tokens / 2
         return round(unread_tokens * (1 + before / self.doubling_tokens))
 
--- a/sparline/placement/_placement.py
+++ b/sparline/placement/_placement.py
@@ -25,7 +25,7 @@
     expected_ms: float  # estimated time to the first event or answer
     prefill_ms: float  # part of it that the prefill of its own prompt takes
     unread_tokens: int  # prompt tokens that have to be prefilled there
-    effort_tokens: int  # prefill, as tokens at the start of a prompt that take as long
+    effort_tokens: int  # the same in effort tokens, which `_pace.py` defines
     source: BackendServer | None  # engine of its region that transfers its cached prefix
     loss: float  # value that the choice minimised, relative to the credit of the request
     load: ServerLoad  # load of the server at that time
--- a/sparline/placement/_refusal_limits.py
+++ b/sparline/placement/_refusal_limits.py
@@ -11,12 +11,12 @@
 # Time after which a limit that no answer has repeated no longer applies (ms).
 REFUSAL_LIMIT_TTL_MS = 10_000.0
 # Fraction of the limit that all instances use together. The rest absorbs requests that are refused
-# at the same moment, before any instance has heard of it.
+# at the same moment, before any instance knows of it.
 LIMIT_FRACTION = 0.5
 # Lowest limit that is used (refusals per second): a server that names none at all must be tried now
 # and then.
 MIN_LIMIT_PER_S = 0.1
-# Time within which the instances of a region hear of each other's requests (ms).
+# Time until the instances of a region know of each other's requests (ms).
 LOAD_DELAY_MS = 50.0
 MS_PER_S = 1000.0
 
@@ -69,8 +69,8 @@
     def may_send(self, server_id: BackendServerId, free_slots: Callable[[], int]) -> bool:
         """Tell whether this instance may send a server one more request now.
 
-        Of the free slots, which are the same for all instances until they hear of each other's
-        requests, each takes its part; a fraction of one is taken with that probability.
+        Each instance takes its part of the free slots, which look the same to all until they know
+        of each other's requests; a fraction of a slot is taken with that probability.
         """
         if not self.is_limited(server_id):
             return True
@@ -84,7 +84,7 @@
             self._sent_at_ms.setdefault(server_id, deque()).append(now_ms())
 
     def _recent_sends(self, server_id: BackendServerId) -> int:
-        """Return how many requests of this instance the others may not have heard of."""
+        """Return how many requests of this instance the others may not know of yet."""
         sent_at_ms = self._sent_at_ms.get(server_id)
         if sent_at_ms is None:
             return 0
--- a/sparline/placement/_shortlist.py
+++ b/sparline/placement/_shortlist.py
@@ -1,4 +1,4 @@
-"""Few of the backend servers of a service, which are evaluated for one request.
+"""Selection of the few backend servers of a service that are evaluated for one request.
 
 The time of a choice grows with the number of servers evaluated. Those that hold the prompt's prefix,
 its owner and some drawn at random suffice: the best of six random servers is almost as good as the
@@ -60,7 +60,7 @@
 
     servers: list[BackendServer]  # all servers
     near: list[BackendServer]  # of the own region, in an order that drawing changes
-    far: list[BackendServer]  # of other regions, likewise
+    far: list[BackendServer]  # of other regions, in an order that drawing changes
     by_id: dict[BackendServerId, BackendServer]  # all servers by id
     # Servers by prefix, the owner first: of the own region and of all.
     near_owners: OrderedDict[str, list[BackendServer]] = field(default_factory=OrderedDict)
@@ -162,7 +162,7 @@
         taken: set[BackendServerId],
         standing: Judge,
     ) -> list[BackendServer]:
-        """Return up to `count` random servers, of lower standing only for want of healthy ones.
+        """Return up to `count` random servers, of lower standing only if too few are healthy.
 
         All servers are tried if too few are healthy, so that no server is missed that can be used.
         """
@@ -189,8 +189,8 @@
     def _owner(self, pool: _ServicePool, prompt: Prompt, standing: Judge) -> BackendServer | None:
         """Return the engine that is to hold the prompt's prefix.
 
-        This is the first healthy one in an order on which all instances agree; only for want of
-        healthy ones, one that is in doubt. Long prefixes have one owner in the whole fleet.
+        This is the first healthy one in an order on which all instances agree, or if none is
+        healthy, the first that is in doubt. Long prefixes have one owner in the whole fleet.
         """
         if not prompt.shared_prefixes:
             return None
