Word the lookup of stream versions for someone who joins

Comments of _stream_versions.py, _resumed_streams.py, _peer_answers.py, _run_time_collection.py and _request_log.py spoke of instances that were told, of versions that came and went and of news that reaches nobody. They now speak of records, replies and reports. Only comments and doc comments changed: the syntax trees without them are the same as before.

--- a/sparline/gateway/_peer_answers.py
+++ b/sparline/gateway/_peer_answers.py
@@ -1,4 +1,4 @@
-"""Answers to peers that ask this instance for what it holds, beside the requests that they relay."""
+"""Answers to peers that fetch store copies, the configuration or run times from this instance."""
 
 import math
 from collections.abc import Callable
@@ -20,12 +20,12 @@
 MAX_REVISION_DIGITS = 20
 # Request target under which peers fetch the configuration in force.
 CONFIGURATION_TARGET = b"/sparline/configuration"
-# Request target under which an instance that leaves fetches how long requests took here.
+# Request target under which a leaving instance fetches how long requests took here.
 RUN_TIMES_TARGET = b"/sparline/run-times"
 
 
 class PeerAnswers:
-    """Answer what peers ask for."""
+    """Answer peers from the state of this instance."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         self._store_outage_age_ms = store_outage_age_ms
 
     def answer(self, caller: CallerConnection, http: HttpRequest) -> bool:
-        """Answer a request of a peer; return whether it is one that is answered here."""
+        """Answer a request of a peer; return False without an answer if its target is another one."""
         if http.target.startswith(STORE_COPY_TARGET):
             self._answer_store_copy(caller, http)
             return True
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -55,7 +55,7 @@
 
     revision: int  # of the state that this instance holds
     answered_ago_ms: float | None  # since the store's last answer to it, None for never
-    live_members: int  # other instances that it hears
+    live_members: int  # other instances that it receives news from
 
 
 class RequestLog:
@@ -314,7 +314,7 @@
         if not log.is_written(level):
             return
         line = log.bind(
-            # What tells a failure comes first, since excerpts of a log may cut its lines.
+            # Fields that explain a failure come first, because excerpts of a log may cut its lines.
             request_id=request.request_id,
             status=end.status,
             reason=end.reason.value,
--- a/sparline/gateway/_resumed_streams.py
+++ b/sparline/gateway/_resumed_streams.py
@@ -1,7 +1,8 @@
 """The software version of a resumed stream, unless another service may have begun it.
 
 A stream without a record is taken to have begun at the service that its route names now. That may
-be wrong if the route has come to this service lately, or has left it unseen.
+be wrong if the route led to another service until recently, or leads to another one by now without
+this instance knowing it.
 """
 
 from collections.abc import Iterator
@@ -18,7 +19,7 @@
 
 
 class ResumedStreams:
-    """Find the versions at which streams that callers resume can go on."""
+    """Find the versions at which the streams that callers resume can continue."""
 
     def __init__(self, fleet: FleetState, versions: StreamVersions) -> None:
         """Follow the configuration of a fleet."""
--- a/sparline/gateway/_run_time_collection.py
+++ b/sparline/gateway/_run_time_collection.py
@@ -18,8 +18,8 @@
 # Most instances that are asked, those of the own region first (count): each adds its requests of the
 # last minute.
 MAX_ASKED = 12
-# Timeout of an answer (ms): a round trip between regions. What comes later is of no use, as most late
-# requests come in the first seconds of a stop.
+# Timeout of an answer (ms): a round trip between regions. Later answers are of little use, because
+# most late requests arrive in the first seconds of a stop.
 ANSWER_TIMEOUT_MS = 1_000.0
 # Longest answer: some thousand routes. All peers that are asked answer at the same time.
 MAX_ANSWER_BYTES = 262_144
--- a/sparline/gateway/_stream_versions.py
+++ b/sparline/gateway/_stream_versions.py
@@ -1,8 +1,8 @@
-"""The software version at which a stream began, as this instance knows it or others tell it.
+"""Lookup of the software version at which a stream began, here or at other instances.
 
 A version is known by a record of the stream, or because its service has had one version only. The
-second counts only if a read of the store confirms it that began after the caller came: an instance
-that hears of no other version may be one that no news reaches.
+second counts only if a read of the store confirms it that began after the caller's request arrived:
+an instance that knows no other version may be cut off from the news of it.
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -57,7 +57,7 @@
 class VersionSource(Enum):
     """Name how the version of a resumed stream is known."""
 
-    HELD = "held"  # this instance served the stream or was told of it
+    HELD = "held"  # this instance has a record: it served the stream or received one
     TOLD = "told"  # another instance replied
     ONLY = "only"  # the service has had no other version lately, as the store confirms
     UNKNOWN = "unknown"  # none of these
@@ -82,7 +82,7 @@
     # Begins a read of the store; its outcome is whether this instance then holds all of it.
     read_store: Callable[[], AsyncResult]
     may_store_answer: Callable[[], bool]  # whether an answer of the store is likely
-    # When entries of the store may last have come and gone unseen (process clock), 0 for never.
+    # When entries may last have appeared and been deleted unseen (process clock), 0 for never.
     skipped_at_ms: Callable[[], float]
     has_no_route_moved: Callable[[], bool]  # whether routes lead to the same services as lately
     # Logs what was found and its duration (ms).
@@ -110,9 +110,9 @@
         self._members = members
         self._versions = versions
         self._sources = sources
-        # Start of this process, 0 if no version can have come and gone before it.
+        # Start of this process, 0 if no version can have been in use and removed before it.
         self._started_at_ms = 0.0 if is_first_start else now_ms()
-        # When another instance last told all versions that a service has had.
+        # When another instance last reported all versions that a service has had.
         self._caught_up_at_ms: dict[ServiceName, float] = {}
         self._lookups: dict[StreamKey, list[VersionLookup]] = {}
 
@@ -184,7 +184,7 @@
         if held is None:
             return None
         if held.service != service_key(service):
-            # Its route has another service since then, which cannot go on with it.
+            # Its route has another service by now, which cannot resume it.
             return UNKNOWN_VERSION
         return FoundVersion(held.version, source)
 
@@ -205,16 +205,16 @@
         return UNKNOWN_VERSION if is_in_doubt else UNCONFIRMED_VERSION
 
     def _has_history(self, service: ServiceName) -> bool:
-        """Return whether this instance knows all versions that came and went lately."""
+        """Return whether this instance knows all versions that were removed recently."""
         missed_at_ms = max(self._started_at_ms, self._sources.skipped_at_ms())
         if not missed_at_ms or now_ms() - missed_at_ms >= VERSION_RETENTION_MS:
             return True
         return self._caught_up_at_ms.get(service, 0.0) > missed_at_ms
 
     def catch_up(self, services: Callable[[], Iterable[ServiceName]]) -> None:
-        """Ask others which versions came and went before this process, until some have told.
+        """Ask others which versions were removed before this process started, until some reply.
 
-        When all instances are started again in turn, each learns it from one that still knows.
+        When all instances are restarted in turn, each learns it from one that still knows.
         """
         for delay_ms in CATCH_UP_DELAYS_MS:
             gevent.sleep(delay_ms / 1000)
@@ -228,13 +228,13 @@
                     )
 
     def _ask_holders(self, lookup: VersionLookup) -> None:
-        """Ask those that were told of the stream if any was."""
+        """Ask the instances that have a record of the stream if any has one."""
         has_one = self._versions.only(lookup.service) is not None
         self._send_query(lookup, likely_holders(lookup.stream, self._members))
         lookup.wait(lookup.needs_no_reply, HOLDERS_FIRST_MS if has_one else REPLY_TIMEOUT_MS)
 
     def _ask_store(self, lookup: VersionLookup) -> None:
-        """Read the store: it shows whether there is a version that this instance has not heard of.
+        """Read the store, which shows whether there is a version that this instance does not know.
 
         Several known versions need a record; the store has none.
         """
@@ -256,7 +256,7 @@
         self._ask_to_confirm(lookup, confirming)
 
     def _ask_to_confirm(self, lookup: VersionLookup, peers: list[str]) -> None:
-        """Let others read the store, and learn from them what this process has missed."""
+        """Ask others to read the store, and learn from them what this process has missed."""
         self._send_query(lookup, peers, confirm=True)
         lookup.wait(
             lambda: lookup.is_told or lookup.is_complete() or lookup.is_confirmed,
