--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -1,7 +1,6 @@
 """Stand-in for the users' backend servers: engines with streams, and plain services."""
 
 import contextlib
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -14,12 +13,18 @@
 from sparline.http import HttpRequest, RequestParser
 from standins._endless import EndlessBytes, endless_answers, endless_streams
 from standins._refusal_copies import RefusalCopies
+from standins._sealed_framing import (
+    LAST_CHUNK,
+    as_chunk,
+    cut_answer,
+    framed,
+    long_body,
+    reset_when_closed,
+)
+from standins._sealed_types import SealedArrival, SealedFaults, SealedRun
 
 READ_BYTES = 65_536
 MS_PER_S = 1000.0
-LAST_CHUNK = b"0\r\n\r\n"
-# Closing with this set resets the connection instead of ending it.
-RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
 def _set_event() -> Event:
@@ -28,74 +33,6 @@
     return event
 
 
-@dataclass(slots=True)
-class SealedFaults:
-    """Hold the faults that are switched on; zero, empty and False are off."""
-
-    refuse: bool = False  # answer 503 with proof that nothing ran
-    fail: bool = False  # run, then answer 500
-    close_after_run: bool = False  # run, then close without an answer
-    hang: bool = False  # run, and never answer
-    break_within_event: int = 0  # cut the stream within this event
-    break_after_event: int = 0  # cut the stream after this event
-    exit_after_event: int = 0  # end the process after this event of a stream
-    # A cut closes the connection instead of resetting it; the chunks of a stream then get their end
-    # all the same.
-    breaks_cleanly: bool = False
-    stop_after_event: int = 0  # fall silent after this event
-    surplus_answer: bytes = b""  # bytes sent before the answer
-    garbage: bytes = b""  # bytes sent after the whole answer
-    unframed: bool = False  # end the body with the connection
-    chunked: bool = False  # send the body of a plain answer in chunks
-    status: int = 0  # answer with this status and a plain body
-    body_bytes: int = 0  # length of a plain answer that repeats the name of the server
-    break_after_bytes: int = 0  # cut a plain answer after so many bytes of its body
-    exit_after_bytes: int = 0  # end the process after so many bytes of a plain answer
-    may_cut: Event | None = None  # waited for before a plain answer is cut, None for at once
-    without_ids: bool = False  # leave the ids of events out
-    begins_anew: bool = False  # send a stream from its start, whatever `Last-Event-Id` says
-    without_seal: bool = False  # leave the signature out
-    # Answer without an end at this place of `endless_answers` or `endless_streams`; empty for none.
-    endless: str = ""
-    early: bool = False  # answer before a long body is in
-    remaining: int = -1  # requests that the faults still apply to, -1 for all
-    later: "SealedFaults | None" = None  # faults of the requests after those, None for none
-
-
-@dataclass(slots=True)
-class SealedRun:
-    """Hold one run of one request."""
-
-    request_id: str  # as it arrived
-    headers: dict[str, str]  # names in lower case
-    body: bytes  # as it arrived
-    target: str  # path and query as they arrived
-    version: str = ""  # software version of the server that ran it
-    at_ms: float = field(default_factory=now_ms)  # when it began
-    finished: bool = False  # whether the run came to its end
-    abandoned: bool = False  # whether the connection closed before the end
-    was_reset: bool = False  # whether the server reset the connection before the end
-
-    @property
-    def shared_parts(self) -> list[str]:
-        """Return the names of the prompt's parts but the last."""
-        parts = self.headers.get("prompt-prefix", "").split(",")
-        return [one.strip().rpartition(":")[0] for one in parts[:-1]]
-
-    @property
-    def first_event(self) -> int:
-        """Return the id of the first event that it writes."""
-        return int(self.headers.get("last-event-id", "0")) + 1
-
-
-@dataclass(frozen=True, slots=True)
-class SealedArrival:
-    """Hold one request that reached the server and was meant for it, run or refused."""
-
-    request_id: str  # as it arrived
-    at_ms: float  # when its head was read
-
-
 @dataclass(slots=True)
 class SealedServer:
     """Answer requests with a signature and note each run."""
@@ -169,7 +106,7 @@
         for connection in list(self._open):
             if resets:
                 with contextlib.suppress(OSError):
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    reset_when_closed(connection)
             connection.close()
 
     def _serve(self, connection: GeventSocket, _address: object) -> None:
@@ -279,13 +216,13 @@
         head = self._head(status, request, [], length, faults)
         cut_after = faults.break_after_bytes or faults.exit_after_bytes
         sent = body[:cut_after] if cut_after else body
-        framed = b"%x\r\n%b\r\n" % (len(sent), sent) if faults.chunked else sent
+        written = as_chunk(sent) if faults.chunked else sent
         if cut_after:
-            connection.sendall(head + framed)
+            connection.sendall(head + written)
             return self._cut_plain(connection, faults)
         run.finished = True
         end = LAST_CHUNK if faults.chunked else b""
-        connection.sendall(head + framed + end + faults.garbage)
+        connection.sendall(head + written + end + faults.garbage)
         return not faults.unframed
 
     def _cut_plain(self, connection: GeventSocket, faults: SealedFaults) -> bool:
@@ -294,7 +231,8 @@
         if faults.exit_after_bytes:
             self.end()
             return False
-        return self._cut(connection, faults)
+        cut_answer(connection, faults)
+        return False
 
     def _is_ended_by(self, run: SealedRun) -> bool:
         if self.ends_on and self.ends_on in run.body:
@@ -337,10 +275,11 @@
             event = f"{event_id}data: {run.request_id}-{number}\n\n".encode()
             self.may_send.wait()
             if number == faults.break_within_event:
-                connection.sendall(_framed(event[:-4], faults))
-                return self._cut(connection, faults)
+                connection.sendall(framed(event[:-4], faults))
+                cut_answer(connection, faults)
+                return False
             try:
-                connection.sendall(_framed(event, faults))
+                connection.sendall(framed(event, faults))
             except OSError:
                 run.abandoned = True
                 raise
@@ -348,7 +287,8 @@
                 run.abandoned = connection.recv(1) == b""
                 return False
             if number == faults.break_after_event:
-                return self._cut(connection, faults)
+                cut_answer(connection, faults)
+                return False
             if number == faults.exit_after_event:
                 self.end()
                 return False
@@ -358,14 +298,6 @@
         run.finished = True
         return not faults.unframed
 
-    def _cut(self, connection: GeventSocket, faults: SealedFaults) -> bool:
-        """Let the connection end in the middle of an answer."""
-        if not faults.breaks_cleanly:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        elif not faults.unframed and not faults.break_after_bytes:
-            connection.sendall(LAST_CHUNK)
-        return False
-
     def _head(
         self,
         status: int,
@@ -396,14 +328,3 @@
                 f"Content-Length: {length}" if length >= 0 else "Transfer-Encoding: chunked"
             )
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
-
-
-def long_body(server_id: str, length: int) -> bytes:
-    """Return the body of a plain answer that repeats the name of its server."""
-    line = f"{server_id}\n".encode()
-    return (line * (length // len(line) + 1))[:length]
-
-
-def _framed(data: bytes, faults: SealedFaults) -> bytes:
-    """Return a part of a stream as it is sent."""
-    return data if faults.unframed else b"%x\r\n%b\r\n" % (len(data), data)
