Write the users' names of a crowd's requests and routes in the stand-ins only

The crowds held a header and a field of the users' pages, which stay in sparline/platform and the stand-ins.

--- a/benchmarks/crowds/_behaviours.py
+++ b/benchmarks/crowds/_behaviours.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from benchmarks.crowds._site import CROWD_TARGET, LONG_TARGET, MAX_BODY_BYTES
-from standins import HOST
+from standins import request_lines
 
 # Bytes of one write, and of one chunk.
 PIECE_BYTES = 65_536
@@ -41,8 +41,8 @@
             if self.announced_bytes is None
             else f"Content-Length: {self.announced_bytes}"
         )
-        lines = [f"{method} {self.target} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {request_id}"]
-        text = "\r\n".join([*lines, framing]) + "\r\n"
+        lines = [*request_lines(method, self.target, request_id), framing]
+        text = "\r\n".join(lines) + "\r\n"
         return text.encode() + (b"\r\n" if self.ends_head else b"")
 
     def pieces(self) -> Iterator[bytes]:
--- a/benchmarks/crowds/_site.py
+++ b/benchmarks/crowds/_site.py
@@ -9,7 +9,7 @@
 
 from benchmarks.gateway_fleet import FleetShape, GatewayFleet
 from sparline._clock import now_ms
-from standins import SealedFaults, publish
+from standins import SealedFaults, publish, unsafe_route
 
 # Memory and descriptors that the settings allow a process.
 MEMORY_MB = 120
@@ -29,13 +29,7 @@
 # Far longer than a crowd takes to be in place.
 TIMEOUT_MS = 60_000
 ROUTES: dict[str, dict[str, Any]] = {
-    target.removesuffix("x"): {
-        "kind": "unsafe",
-        "service": SERVICES[server],
-        "max_attempts": 1,
-        "timeout_ms": TIMEOUT_MS,
-        "target_latency_ms": TIMEOUT_MS // 2,
-    }
+    target.removesuffix("x"): unsafe_route(SERVICES[server], TIMEOUT_MS)
     for target, server in (
         (CROWD_TARGET, SLOW_SERVER),
         (LONG_TARGET, LONG_SERVER),
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -22,6 +22,7 @@
     publish,
     published_version,
     take_back,
+    unsafe_route,
 )
 from standins._raw_server import RawEnd, RawServer
 from standins._refusal_copies import CopyTime, RefusalCopies
@@ -32,6 +33,7 @@
     Caller,
     Got,
     prompt_headers,
+    request_lines,
     resumption,
 )
 from standins._sealed_framing import long_body
@@ -59,8 +61,10 @@
     "prompt_headers",
     "publish",
     "published_version",
+    "request_lines",
     "resumption",
     "take_back",
+    "unsafe_route",
     "EndlessBytes",
     "EndlessSender",
     "Engine",
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -31,6 +31,17 @@
     }
 
 
+def unsafe_route(service: str, timeout_ms: int) -> dict[str, Any]:
+    """Return a route whose requests run once; half of its timeout is the target latency."""
+    return {
+        "kind": "unsafe",
+        "service": service,
+        "max_attempts": 1,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": timeout_ms // 2,
+    }
+
+
 def configuration(
     version: int,
     routes: dict[str, dict[str, Any]] | None = None,
--- a/standins/_routed_caller.py
+++ b/standins/_routed_caller.py
@@ -24,6 +24,11 @@
     return {"Last-Event-Id": str(last_event), "Resumes": began_by}
 
 
+def request_lines(method: str, target: str, request_id: str) -> list[str]:
+    """Return the request line and the headers that every request has."""
+    return [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {request_id}"]
+
+
 @dataclass(frozen=True, slots=True)
 class Got:
     """Hold what a caller got."""
