Ask again in the test of presence checks where an instance refuses by itself

The trace: the test's process stood still for 2.9 s (process_paused at both instances), so that the first instance took the other one for gone and refused without a send, which is a true promise; the second instance logs no request. The test now asks under the same id until a server runs it, as its neighbours do, and so depends on no speed. It is as strict: with an answer without an id believed again, both of its cases fail, and the four of refusals without an id.

--- a/sparline/gateway/tests/test_copied_refusals.py
+++ b/sparline/gateway/tests/test_copied_refusals.py
@@ -110,7 +110,7 @@
             asking.pool.forget(address)
             assert asking.region_servers.is_present(address, 5_000.0)
         request_id = f"r{number}"
-        got = fleet.ask("/unsafe/x", request_id)
+        got = ask_until_run(fleet, "/unsafe/x", request_id)
         assert got.status == 200
         assert_is_true(fleet, request_id, got)
 
