Word two comments on observed times

They said "measured" for what an instance observes at run time. Only the two comments change; format and lint pass, no tests were run on it.

--- a/sparline/placement/_health.py
+++ b/sparline/placement/_health.py
@@ -42,7 +42,7 @@
     backoff_until_ms: float = 0.0  # end of the wait requested through Retry-After
     misdirected_until_ms: float = 0.0  # until when its address counts as another server's
     skip_ms: float = 0.0  # how long it was skipped the last time
-    time_factor: float = 1.0  # measured time relative to the expected one
+    time_factor: float = 1.0  # observed time relative to the expected one
     time_factor_at_ms: float = 0.0  # when that was last measured
     heard_at_ms: float = 0.0  # when it last sent anything
     waiting: int = 0  # requests that wait for a byte
--- a/sparline/placement/_pace.py
+++ b/sparline/placement/_pace.py
@@ -35,7 +35,7 @@
 # An engine's factor decays with this half-life (ms), because a slow engine that is skipped yields
 # no new measurements.
 ENGINE_HALF_LIFE_MS = 4_000.0
-# Bound of one measured time relative to the expected one: a request that a fault delayed says
+# Bound of one observed time relative to the expected one: a request that a fault delayed says
 # little about the next.
 MAX_FACTOR = 6.0
 MAX_LOG_CHANGE = math.log(MAX_FACTOR)
