--- a/review/lab/__init__.py
+++ b/review/lab/__init__.py
@@ -2,6 +2,7 @@
 
 from review.lab._client import Answer, Client, ClientError
 from review.lab._deployment import Deployment, Gateway, Place
+from review.lab._memory import MemoryLimit
 from review.lab._record import Record
 from review.lab._replica import Arrival, Replica
 from review.lab._store import Store
@@ -13,6 +14,7 @@
     "ClientError",
     "Deployment",
     "Gateway",
+    "MemoryLimit",
     "Place",
     "Record",
     "Replica",
