--- a/review/lab/_replica.py
+++ b/review/lab/_replica.py
@@ -37,6 +37,7 @@
     slots: int = 64
     events: int = 0  # events of a stream, 0 for plain answers
     work_s: float = 0.02  # time to a plain answer, or between two events
+    work_s_by_body: dict[bytes, float] = field(default_factory=dict)  # where it differs
     state: str = "ready"
     version: str = "1"
     cold_s: float = 0.0
@@ -162,7 +163,7 @@
     def _run(self, connection: GeventSocket, request_id: str, request: Message) -> None:
         head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\nResponse-Seal: {self.server_id}\r\n"
         if not self.events:
-            gevent.sleep(self.work_s)
+            gevent.sleep(self.work_s_by_body.get(request.body, self.work_s))
             body = f"{request_id} {len(request.body)}".encode()
             connection.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
             return
