--- a/review/lab/_deployment.py
+++ b/review/lab/_deployment.py
@@ -98,7 +98,7 @@
     def __init__(self, places: list[Place], memory_mb: int = 300) -> None:
         """Take free ports, alike on all gateways."""
         self.folder = Path(tempfile.mkdtemp(prefix="sparline-review-"))
-        self._taken: list[socket.socket] = []
+        self._taken: set[int] = set()
         self.ports = {one: self.free_port() for one in LISTENERS}
         self.store = Store("127.0.0.1", self.free_port())
         zones = {one.zone: one.region for one in places}
@@ -109,10 +109,14 @@
         ]
 
     def free_port(self) -> int:
-        """Return a port that is free on all loopback addresses."""
-        with socket.socket() as one:
-            one.bind(("0.0.0.0", 0))
-            return one.getsockname()[1]
+        """Return a port that is free, another one each time."""
+        while True:
+            with socket.socket() as one:
+                one.bind(("127.0.0.1", 0))
+                port = one.getsockname()[1]
+            if port not in self._taken:
+                self._taken.add(port)
+                return port
 
     def _settings(
         self, place: Place, zones: dict[str, str], seeds: list[str], memory_mb: int
