--- a/review/lab/_client.py
+++ b/review/standins/_client.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.socket import create_connection
 
-from review.lab._wire import Ended, Message, Stream
+from review.standins._wire import Ended, Message, Stream
 
 
 class ClientError(Exception):
--- a/review/lab/_memory.py
+++ b/review/standins/_memory.py
@@ -6,8 +6,8 @@
 
 import gevent
 
-from review.lab._deployment import Deployment, Gateway
-from review.lab._record import Record
+from review.standins._platform import Deployment, Gateway
+from review.standins._record import Record
 
 LOOK_EACH_S = 0.05
 NOTE_EACH_S = 5.0
--- a/review/lab/_deployment.py
+++ b/review/standins/_platform.py
@@ -1,4 +1,4 @@
-"""A small deployment: gateways as processes by the command of the deploy file, with their settings."""
+"""Stand-in of the platform: it starts the processes by the command of the deploy file, with settings."""
 
 import json
 import os
@@ -13,8 +13,8 @@
 
 import gevent
 
-from review.lab._client import Client
-from review.lab._store import Store
+from review.standins._client import Client
+from review.standins._store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
 LISTENERS = ("callers", "readiness", "directory", "gossip", "relay", "metrics")
--- a/review/lab/_replica.py
+++ b/review/standins/_replica.py
@@ -8,8 +8,8 @@
 from gevent.server import StreamServer
 from gevent.socket import socket as GeventSocket
 
-from review.lab._store import Store
-from review.lab._wire import Ended, Message, Stream
+from review.standins._store import Store
+from review.standins._wire import Ended, Message, Stream
 
 HEARTBEAT_S = 1.2
 
--- a/review/lab/_store.py
+++ b/review/standins/_store.py
@@ -10,7 +10,7 @@
 from gevent.server import StreamServer
 from gevent.socket import socket as GeventSocket
 
-from review.lab._wire import Ended, Stream
+from review.standins._wire import Ended, Stream
 
 PAGE_ITEMS = 50
 PATHS = ("/v1/kv-range", "/v1/kv-watch")
