Play stops of all instances of a region, with callers that may be served there only

`region-stops` stops the instances of the north in turn. 16 callers follow the directory (a third of them hold its answer for three times its lifetime, half keep connections), try up to four times 0.1 to 0.3 s apart or when Retry-After says, and ask the directory anew once all they hold has failed. From the first stop on one request in six takes 1.5 to 5 s, the others 60 ms; a body tells the stand-in of a server how long its request takes. It prints what was asked, served at once and in the end, refused and not connected, and the longest time without a usual request served.

--- a/benchmarks/bounds/_situations.py
+++ b/benchmarks/bounds/_situations.py
@@ -10,6 +10,7 @@
 from benchmarks.bounds._endless_answers import endless_answers_come
 from benchmarks.bounds._endless_requests import endless_requests_come
 from benchmarks.bounds._planned_stops import planned_stops
+from benchmarks.bounds._region_stops import region_stops
 from benchmarks.bounds._rules import (
     ColdRule,
     Finding,
@@ -208,6 +209,7 @@
     "cold-restart": _cold_restart,
     "planned-stops": planned_stops,
     "calm-stop": calm_stop,
+    "region-stops": region_stops,
     "endless-answers": endless_answers_come,
     "copied-refusals": copied_refusals,
     "endless-requests": endless_requests_come,
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -37,7 +37,7 @@
     resumption,
 )
 from standins._sealed_framing import long_body
-from standins._sealed_server import SealedServer
+from standins._sealed_server import SealedServer, work_body
 from standins._sealed_types import SealedArrival, SealedFaults, SealedRun
 from standins._wide_area import Forward, Place, WideArea
 
@@ -65,6 +65,7 @@
     "resumption",
     "take_back",
     "unsafe_route",
+    "work_body",
     "EndlessBytes",
     "EndlessSender",
     "Engine",
--- a/standins/_sealed_server.py
+++ b/standins/_sealed_server.py
@@ -25,6 +25,12 @@
 
 READ_BYTES = 65_536
 MS_PER_S = 1000.0
+WORK_PREFIX = b"work-ms "
+
+
+def work_body(work_ms: float) -> bytes:
+    """Return a body that tells a server which reads it how long the request takes (ms)."""
+    return WORK_PREFIX + str(round(work_ms)).encode()
 
 
 def _set_event() -> Event:
@@ -45,6 +51,9 @@
     work_ms: float = 5.0  # time to the answer, and between events
     slow_ms: float = 0.0  # time to the answer of every `slow_each`-th request
     slow_each: int = 0  # 0 for none
+    reads_work: bool = (
+        False  # whether a body says how long its request takes, as `work_body` writes it
+    )
     long_event_ms: float = 0.0  # time between the events of every `long_each`-th stream
     long_each: int = 0  # 0 for none
     faults: SealedFaults = field(default_factory=SealedFaults)
@@ -162,8 +171,7 @@
             self._refuse(connection, request, 503, [("Not-Executed", "1")])
             return not self._fall_if_brittle()
         run = self._start_run(request)
-        is_slow = self.slow_each and len(self.runs) % self.slow_each == 0
-        gevent.sleep((self.slow_ms if is_slow else self.work_ms) / 1000)
+        gevent.sleep(self._work_ms(run) / MS_PER_S)
         self.may_send.wait()
         if self._is_ended_by(run):
             self.end()
@@ -182,6 +190,13 @@
             return self._stream(connection, request, run, faults)
         return self._plain_answer(connection, request, run, faults)
 
+    def _work_ms(self, run: SealedRun) -> float:
+        """Return the time to the answer of the latest run."""
+        if self.reads_work:
+            return float(run.body.removeprefix(WORK_PREFIX))
+        is_slow = self.slow_each and len(self.runs) % self.slow_each == 0
+        return self.slow_ms if is_slow else self.work_ms
+
     def _refuse(
         self,
         connection: GeventSocket,
