Refuse late requests that may outlast the last instance of a region (LOST)

What callers saw: both instances of a region are stopped 1 s apart. 3.1 s after its SIGTERM the second one accepts unsafe requests of 4.6 s, whose kind took 60 ms for a minute, and cuts them as it exits at 7.65 s, 3 s before their time is over, although the first has been live for 2.0 s. In a region of one the same befalls what is sent 3.2 to 4.6 s after the stop.

The log of that instance has for each `late_request_decided` with `bound` recent times, `is_last_in_region` false, 1,132 ms expected and 4,493 to 4,433 ms left, and `request_cut_by_exit` at 4.5 s with 3 s left to the caller; `instance_live` of the first was written 2.0 s earlier.

Cause: an expected time was taken for a bound. What bounds a request is its route's timeout and its caller's deadline.

Change: a stop has four phases (`StopPhase`, now in the log). Replaced by a live sibling, an instance goes by the request's own limit from that moment on; what it refuses is served there at once. Where none is live and one was there in the last 20 s, it substitutes by recent times for 3 s at the most. After that, and at once in a region of one, it finishes: it accepts by own limits only, tells callers for 0.5 s when to come back, and exits once what it held is done. A region of one is dark for a drain and a restart at any moment it is stopped, so that beginning at once costs nothing, and leaves what is in flight the whole grace period. Retry-After is when the next instance is likely to be there.

--- a/benchmarks/tests/test_bounds_run.py
+++ b/benchmarks/tests/test_bounds_run.py
@@ -50,6 +50,12 @@
     assert_bounds_hold(capsys, "calm-stop", "--seed", seed, "--gateways", "6", "--rate", "80")
 
 
+@pytest.mark.parametrize("gateways", ["2", "4"])
+def test_stop_of_a_whole_region_cuts_requests_that_take_longer_than_any_before(capsys, gateways):
+    """Guards against late requests that the last instance of a region accepts by recent times."""
+    assert_bounds_hold(capsys, "region-stops", "--seed", "1", "--gateways", gateways)
+
+
 @pytest.mark.parametrize("seed", ["2", "10", "115"])
 def test_requests_with_a_part_that_ends_engines_are_sent_on(capsys, seed):
     # Each instance counted ends by whole requests, of which no two are alike.
--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -142,9 +142,11 @@
         stops = PlannedStops(self.members)
         sources = StopSources(
             self._is_last_in_region,
+            self._is_return_expected,
             stops.is_relieved,
             stops.are_others_leaving,
             self.service.run_times.shortest_ms,
+            self.service.run_times.remaining_ms,
         )
         plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, sources)
         self.service.leave_plan = plan
@@ -153,14 +155,14 @@
         in_flight = len(self.service.in_flight)
         log.bind(in_flight=in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
         while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
-            if not self.service.in_flight and now_ms() >= plan.last_fit_ms():
+            if plan.is_complete(self.service.in_flight.oldest_arrived_at_ms()):
                 # The sooner it exits, the sooner it is back.
                 break
             gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
         log.bind(
             in_flight=len(self.service.in_flight),
             accepted_for_ms=round(now_ms() - plan.began_at_ms),
-            is_relieved=stops.is_relieved(),
+            phase=plan.phase().value,
         ).info("instance_closed")
         for server in self._servers:
             server.close()
@@ -175,6 +177,10 @@
         """Return whether no other instance of the region is live."""
         return not self.members.live(RegionName(self.settings.region))
 
+    def _is_return_expected(self) -> bool:
+        """Return whether another instance of the region was there until recently."""
+        return len(self.members.sharers(RegionName(self.settings.region))) > 1
+
     def wait(self) -> None:
         """Wait until the instance has stopped."""
         self._stopped.wait()
--- a/sparline/gateway/_in_flight.py
+++ b/sparline/gateway/_in_flight.py
@@ -22,6 +22,10 @@
         """Iterate over those in flight now."""
         return iter(list(self._requests.values()))
 
+    def oldest_arrived_at_ms(self) -> float | None:
+        """Return when the oldest of them arrived, None if there is none."""
+        return min((one.arrived_at_ms for one in self._requests.values()), default=None)
+
     def note_first(self, request: RoutedRequest) -> None:
         """Record that the first event or answer of a request in flight has come."""
         if id(request) in self._requests:
--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -15,9 +15,14 @@
 # Fraction of the grace period after which the process exits. Requests in flight continue until
 # then.
 EXIT_FRACTION = 0.95
-# Fraction of the grace period in which new requests are accepted if no other instance of the region
-# is live: instances of other regions may not run requests bound to their home regions.
+# The same where no other instance of the region is live: instances of other regions may not run
+# requests bound to their home regions.
 LAST_INSTANCE_ACCEPT_FRACTION = 0.85
+# How long it usually takes from a process's exit until the next one accepts requests (ms).
+RESTART_MS = 2_000.0
+# How long callers are at least told when to come back before the process exits and nobody answers
+# them (ms): those who send several requests a second learn it.
+NOTICE_MS = 500.0
 # How long callers may use a directory answer that names a leaving instance (ms).
 ANSWER_HELD_MS = 3_000.0
 # A request is expected to take at most this many times as long as the longest recent one.
@@ -45,6 +50,20 @@
     output_token_ms: float  # maximum time of an output token
 
 
+class StopPhase(Enum):
+    """Name what a leaving instance is there for."""
+
+    # Other instances of the region are live: it serves callers whose directory answer names it.
+    REPLACED = "replaced"
+    # None is live, but one is about to be back: it serves all callers of the region until then.
+    SUBSTITUTING = "substituting"
+    # None is live, and another leaving one serves the callers: the sooner it exits, the sooner it
+    # restarts and replaces that one.
+    RELIEVED = "relieved"
+    # None is live, and this one will be the first to be back: it completes what it has accepted.
+    FINISHING = "finishing"
+
+
 class LateBound(Enum):
     """Name what bounds the time that a late request is expected to take."""
 
@@ -61,7 +80,7 @@
     is_accepted: bool
     expected_ms: float  # longest time that the request is expected to take
     left_ms: float  # time until the process exits
-    is_last_in_region: bool  # whether no other instance of the region is live
+    phase: StopPhase  # what this instance is there for
     bound: LateBound  # what bounds the expected time
 
 
@@ -70,11 +89,15 @@
     """Provide what a planned stop depends on besides its own times."""
 
     is_last_in_region: Callable[[], bool]  # whether no other instance of the region is live
+    # Whether another instance of the region, which is away, is likely to be back soon.
+    is_return_expected: Callable[[], bool]
     # Whether another leaving instance of the region accepts requests in its place.
     is_relieved: Callable[[], bool]
     are_others_leaving: Callable[[], bool]  # whether other instances of the region are leaving
     # Longest recent time of the fastest kind of request, None if it is not known.
     shortest_ms: Callable[[], float | None]
+    # How long the requests in flight are expected to take from now on.
+    remaining_ms: Callable[[], float]
 
 
 @dataclass(slots=True)
@@ -84,28 +107,74 @@
     began_at_ms: float  # start of the stop, by this process's clock
     grace_ms: float  # time until the process is killed
     sources: StopSources
-    _needed_at_ms: float = -math.inf  # when it was last the only one that takes requests here
+    _named_alone_at_ms: float = -math.inf  # when directory answers last named no other instance
+    _finishing_at_ms: float = math.inf  # since when it finishes, infinite if it does not
+
+    def phase(self) -> StopPhase:
+        """Return what this instance is there for; it changes as others start or leave."""
+        phase = self._current_phase()
+        if phase is not StopPhase.FINISHING:
+            self._finishing_at_ms = math.inf
+        elif math.isinf(self._finishing_at_ms):
+            self._finishing_at_ms = now_ms()
+        if phase in (StopPhase.SUBSTITUTING, StopPhase.FINISHING):
+            self._named_alone_at_ms = now_ms()
+        return phase
+
+    def _current_phase(self) -> StopPhase:
+        if not self.sources.is_last_in_region():
+            return StopPhase.REPLACED
+        if self.sources.is_relieved():
+            return StopPhase.RELIEVED
+        if self.sources.is_return_expected() and now_ms() < self.substitutes_until_ms():
+            return StopPhase.SUBSTITUTING
+        return StopPhase.FINISHING
 
     def accepts_until_ms(self) -> float:
         """Return when new requests are no longer accepted.
 
         The time moves if other instances of the region start or leave.
         """
-        if self.is_needed():
-            self._needed_at_ms = now_ms()
-            return self._last_instance_end_ms()
-        if self.sources.is_last_in_region():
-            # The sooner this instance exits, the sooner it restarts and relieves the other one.
-            return self.began_at_ms
-        return min(self._usual_end_ms(), self.last_fit_ms())
-
-    def is_needed(self) -> bool:
-        """Return whether no other instance of the region accepts requests."""
-        return self.sources.is_last_in_region() and not self.sources.is_relieved()
-
-    def _usual_end_ms(self) -> float:
+        match self.phase():
+            case StopPhase.REPLACED:
+                return min(self._replaced_end_ms(), self.last_fit_ms())
+            case StopPhase.RELIEVED:
+                return self.began_at_ms
+        return self._last_instance_end_ms()
+
+    def substitutes_until_ms(self) -> float:
+        """Return until when this instance waits for another one that is about to be back.
+
+        Later, too little time is left to accept requests by the time that others took recently, and
+        the caller of one that is refused can be served sooner by the next process.
+        """
+        return self.began_at_ms + min(ANSWER_HELD_MS, self.grace_ms * ACCEPT_FRACTION)
+
+    def served_again_in_ms(self) -> float:
+        """Return how long it is likely to take until a refused request may be accepted."""
+        match self.phase():
+            case StopPhase.SUBSTITUTING:
+                return self.substitutes_until_ms() - now_ms()
+            case StopPhase.FINISHING:
+                notice_ms = self._finishing_at_ms + NOTICE_MS - now_ms()
+                return max(notice_ms, self.sources.remaining_ms()) + RESTART_MS
+        return 0.0
+
+    def is_complete(self, oldest_arrived_at_ms: float | None) -> bool:
+        """Return whether this instance may close before it stops to accept requests.
+
+        `oldest_arrived_at_ms` is when the oldest request in flight arrived, None if there is none.
+        """
+        if self.phase() is StopPhase.FINISHING:
+            if now_ms() < self._finishing_at_ms + NOTICE_MS:
+                return False
+            # Those that have arrived since are over in time, and some are always in flight.
+            return oldest_arrived_at_ms is None or oldest_arrived_at_ms >= self._finishing_at_ms
+        return oldest_arrived_at_ms is None and now_ms() >= self.last_fit_ms()
+
+    def _replaced_end_ms(self) -> float:
         """Return until when callers come whose directory answer names no other instance."""
-        named_until_ms = min(self._needed_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
+        named_until_ms = min(self._named_alone_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
         return max(self.began_at_ms + self.grace_ms * ACCEPT_FRACTION, named_until_ms)
 
     def _last_instance_end_ms(self) -> float:
@@ -125,25 +194,24 @@
     def decide(self, request: LateRequest) -> LateDecision:
         """Decide whether a request that arrives now can be completed in time."""
         now = now_ms()
-        accepts_until_ms = self.accepts_until_ms()
-        is_last = self.sources.is_last_in_region()
-        bound = self._bound(request.route, now, is_last)
-        expected_ms = _expected_ms(request, bound, is_last)
+        phase = self.phase()
+        bound = self._bound(request.route, now, phase)
+        expected_ms = _expected_ms(request, bound, phase is StopPhase.SUBSTITUTING)
         left_ms = self.exits_at_ms() - now
-        is_accepted = now < accepts_until_ms and expected_ms < left_ms
-        return LateDecision(is_accepted, expected_ms, left_ms, is_last, bound)
+        is_accepted = now < self.accepts_until_ms() and expected_ms < left_ms
+        return LateDecision(is_accepted, expected_ms, left_ms, phase, bound)
 
-    def _bound(self, route: Route, at_ms: float, is_last_in_region: bool) -> LateBound:
+    def _bound(self, route: Route, at_ms: float, phase: StopPhase) -> LateBound:
         """Return what bounds the time of a request that arrives at a moment.
 
-        A refusal costs callers that know another live instance one try: they use that one next,
-        unless it is leaving too. An exit costs them the answer, and for good if the request runs only
-        once.
+        A refusal costs callers one try where another instance is live or this one is soon back. An
+        exit costs them the answer, and for good if the request runs only once.
         """
-        if is_last_in_region or at_ms < self._needed_at_ms + ANSWER_HELD_MS:
+        if phase is StopPhase.SUBSTITUTING:
             return LateBound.RECENT_TIMES
         may_be_named = at_ms < self.began_at_ms + ANSWER_HELD_MS
-        if route.repeatable and may_be_named and self.sources.are_others_leaving():
+        is_replaced = phase is StopPhase.REPLACED
+        if is_replaced and route.repeatable and may_be_named and self.sources.are_others_leaving():
             return LateBound.RECENT_TIMES
         return LateBound.OWN_LIMIT
 
--- a/sparline/gateway/_request_log.py
+++ b/sparline/gateway/_request_log.py
@@ -255,7 +255,7 @@
                 is_accepted=decision.is_accepted,
                 expected_ms=round(decision.expected_ms),
                 left_ms=round(decision.left_ms),
-                is_last_in_region=decision.is_last_in_region,
+                phase=decision.phase.value,
                 bound=decision.bound.value,
             ).info("late_request_decided")
 
--- a/sparline/gateway/_request_routing.py
+++ b/sparline/gateway/_request_routing.py
@@ -258,9 +258,11 @@
 
     def _leaving_retry_after_ms(self, route: Route, marks: RequestHead) -> float:
         """Return when a request that this instance refuses may be served by another, or again here."""
-        if (plan := self._leave_plan()) is not None and plan.is_needed():
-            return unserved_retry_after_ms(_limit_ms(route, marks))
-        return LEAVING_RETRY_AFTER_MS
+        plan = self._leave_plan()
+        served_in_ms = plan.served_again_in_ms() if plan is not None else 0.0
+        if served_in_ms <= LEAVING_RETRY_AFTER_MS:
+            return LEAVING_RETRY_AFTER_MS
+        return min(unserved_retry_after_ms(_limit_ms(route, marks)), served_in_ms)
 
 
 def _limit_ms(route: Route, marks: RequestHead) -> float:
--- a/sparline/gateway/_run_times.py
+++ b/sparline/gateway/_run_times.py
@@ -106,6 +106,15 @@
         )
         return min((one for one in known if one is not None), default=None)
 
+    def remaining_ms(self) -> float:
+        """Return how long the requests in flight take if none takes longer than others recently."""
+        now = now_ms()
+        ends_ms = (
+            one.arrived_at_ms + self._longest_own_ms(whole_key(one.route, one.service))
+            for one in self._in_flight
+        )
+        return max(max(ends_ms, default=now) - now, 0.0)
+
     def own_times(self) -> dict[RunKey, RunTimes]:
         """Return the times of this instance in the window."""
         ages_ms = self._ages_ms()
@@ -117,10 +126,13 @@
         self._peer_times.setdefault(key, []).append(times)
 
     def _own_times(self, key: RunKey, ages_ms: dict[RunKey, float]) -> RunTimes:
+        longest_ms = self._longest_own_ms(key)
+        times = sum(one.times for one in self._intervals.get(key, ()))
+        return RunTimes(times, longest_ms, ages_ms.get(key, 0.0))
+
+    def _longest_own_ms(self, key: RunKey) -> float:
         self._drop_old(key)
-        intervals = self._intervals.get(key, ())
-        longest_ms = max((one.longest_ms for one in intervals), default=0.0)
-        return RunTimes(sum(one.times for one in intervals), longest_ms, ages_ms.get(key, 0.0))
+        return max((one.longest_ms for one in self._intervals.get(key, ())), default=0.0)
 
     def _ages_ms(self) -> dict[RunKey, float]:
         """Return the age of the oldest request in flight whose time is not known yet, by key."""
--- a/sparline/gateway/tests/test_run_times.py
+++ b/sparline/gateway/tests/test_run_times.py
@@ -123,3 +123,18 @@
         table.note(request, clock[0] - 4_300.0)
         table.note(request, None)
     assert table.longest_ms(estimate_key(route, request.service, True)) == 700.0
+
+
+def test_requests_in_flight_take_as_long_as_others_did(clock):
+    """Guards against callers that are told to come back before the process has exited."""
+    in_flight = InFlightRequests()
+    table = RunTimeTable(in_flight)
+    assert table.remaining_ms() == 0.0
+    note(table, clock, [3_000.0])
+    note(table, clock, [50.0], route=OTHER)
+    with in_flight.holding(plain_request(clock[0], 30.0, route=OTHER)):
+        assert table.remaining_ms() == 20.0
+        with in_flight.holding(plain_request(clock[0], 1_000.0)):
+            assert table.remaining_ms() == 2_000.0
+    with in_flight.holding(plain_request(clock[0], 4_000.0)):
+        assert table.remaining_ms() == 0.0
