--- a/sparline/fleet/_planned_stops.py
+++ b/sparline/fleet/_planned_stops.py
@@ -4,6 +4,8 @@
 that they are back before the last one has to go.
 """
 
+from collections.abc import Iterable
+
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline.fleet._members import LIVENESS_TIMEOUT_MS, Member, Members, member_key
@@ -14,6 +16,9 @@
 LATER_STOP_MS = 750.0
 # Stops that all began within this time of each other are taken for simultaneous (ms).
 SIMULTANEOUS_STOPS_MS = 250.0
+# Of stops that all began within this time of each other (ms), all instances know the news
+# `LATER_STOP_MS` after the last one: one of them takes the requests from then on.
+CLOSE_STOPS_MS = 500.0
 
 
 class PlannedStops:
@@ -56,6 +61,9 @@
         spread_ms = last_at_ms - min(began_at_ms.values())
         if region == self._members.own.region and spread_ms <= SIMULTANEOUS_STOPS_MS:
             return {max(began_at_ms)}
+        is_known_to_all = now_ms() - last_at_ms >= LATER_STOP_MS
+        if region == self._members.own.region and spread_ms <= CLOSE_STOPS_MS and is_known_to_all:
+            return {max(self._still_heard(began_at_ms))}
         return {key for key, at_ms in began_at_ms.items() if at_ms >= last_at_ms - LATER_STOP_MS}
 
     def _began_at_ms(self, region: RegionName, only_connected: bool) -> dict[int, float]:
@@ -73,6 +81,12 @@
             began_at_ms[self._own_key] = self._members.own_phase_at_ms
         return began_at_ms
 
+    def _still_heard(self, keys: Iterable[int]) -> list[int]:
+        """Return the keys of this instance and of those that run, or ended a moment ago."""
+        since_ms = now_ms() - LATER_STOP_MS
+        silent = {one.key for one in self._members.others() if one.heard_at_ms < since_ms}
+        return [one for one in keys if one not in silent]
+
     def _is_leaving(self, region: RegionName) -> bool:
         own = self._members.own
         return own.region == region and own.phase is MemberPhase.leaving
--- a/sparline/fleet/tests/test_planned_stops.py
+++ b/sparline/fleet/tests/test_planned_stops.py
@@ -69,6 +69,36 @@
     assert found == taking
 
 
+# An instance that takes the requests where their stops are taken for simultaneous.
+PREFERRED = next(ip for ip in "abcdefgh" if member_key(ip) > member_key("own"))
+# When that one began to leave (ms after this one), how long ago it was last heard, and whether this one
+# is relieved once all know of both stops.
+CLOSE_STOPS = [
+    ("close to each other", 400, 250.0, True),
+    ("so far that others may know their order", 600, 250.0, False),
+    ("close, but the other one is gone", 400, 800.0, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("gap_ms", "silent_ms", "is_relieved"),
+    [row[1:] for row in CLOSE_STOPS],
+    ids=[row[0] for row in CLOSE_STOPS],
+)
+def test_instances_that_leave_at_short_intervals_all_stay(
+    clock, members, gap_ms, silent_ms, is_relieved
+):
+    """Guards against a region whose instances all stay until none can be back in time."""
+    leave(members)
+    clock.return_value += gap_ms
+    hear(members, note(PREFERRED))
+    stops = PlannedStops(members)
+    assert not stops.is_relieved()
+    clock.return_value += _planned_stops.LATER_STOP_MS
+    next(members.others()).heard_at_ms = clock.return_value - silent_ms
+    assert stops.is_relieved() is is_relieved
+
+
 def test_instance_is_not_relieved_by_one_that_reaches_no_server(clock, members):
     """Guards against a region whose only instance with a way to the servers leaves early."""
     leave(members)
