--- a/benchmarks/bounds/_calm_stops.py
+++ b/benchmarks/bounds/_calm_stops.py
@@ -9,11 +9,12 @@
 import gevent
 from gevent.pool import Pool
 
+from benchmarks.bounds._directory_caller import DirectoryCaller, is_refusal, is_success
 from benchmarks.bounds._rules import Finding, SentRequest
 from benchmarks.bounds._run import CALLER_TIMEOUT_S, NORTH, BoundsRun
 from benchmarks.gateway_fleet import GatewayFleet
 from sparline._clock import now_ms
-from standins import HOST, Caller, Got, plain_routes, publish, published_version
+from standins import Got, plain_routes, publish, published_version
 
 # Time in which instances learn how long requests take (s).
 LEARN_S = 8.0
@@ -34,7 +35,6 @@
 # A caller tries once more, elsewhere: after any failure of a safe request, else after a promise that
 # it has not run.
 MAX_TRIES = 2
-KEEPING_SHARE = 0.5
 TARGETS = ("/safe/x", "/unsafe/x")
 # What callers say of the time that they wait, None for as long as the route allows (ms).
 DEADLINES_MS = (None, None, None, 2_500)
@@ -52,16 +52,6 @@
     got: Got | None  # the answer, None if the instance could not be connected to
 
 
-@dataclass(slots=True)
-class Client:
-    """Hold where one caller sends its requests."""
-
-    hold_s: float  # how long an answer of the directory is held
-    addresses: list[str] = field(default_factory=list)  # names of the instances
-    until_ms: float = 0.0  # how long they are held
-    kept: dict[str, list[Caller]] = field(default_factory=dict)  # open connections, by instance
-
-
 @dataclass(slots=True)
 class CalmStops:
     """Send requests while instances of one region are stopped, and hold what callers got."""
@@ -74,7 +64,7 @@
     first_stop_ms: float = math.inf  # when the first instance was stopped
     stopping: set[str] = field(default_factory=set)  # names of instances that have not ended yet
     sent: list[SentRequest] = field(default_factory=list)
-    _clients: list[Client] = field(default_factory=list)
+    _clients: list[DirectoryCaller] = field(default_factory=list)
     _callers: Pool = field(default_factory=lambda: Pool(400))
 
     def play(self) -> list[Finding]:
@@ -83,7 +73,10 @@
             server.work_ms = USUAL_MS
             self.fleet.list_server(name, slots=SLOTS, sequence=2)
         publish(self.fleet.store, published_version(self.fleet.store) + 1, dict(ROUTES))
-        self._clients = [Client(self.rng.choice(HOLD_S)) for _ in range(CLIENTS)]
+        self._clients = [
+            DirectoryCaller(self.fleet, self.rng, self.rng.choice(HOLD_S), self._shuffled_names)
+            for _ in range(CLIENTS)
+        ]
         sender = gevent.spawn(self._send_on)
         gevent.sleep(LEARN_S)
         gevent.spawn_later(self.rng.uniform(*LONG_FROM_S), self._begin_long)
@@ -120,12 +113,12 @@
             client = self.rng.choice(self._clients)
             self._callers.spawn(self._ask, client, self.sent[-1].request_id, self.tries[-1])
 
-    def _ask(self, client: Client, request_id: str, tries: list[Try]) -> None:
+    def _ask(self, client: DirectoryCaller, request_id: str, tries: list[Try]) -> None:
         target, deadline_ms = self.rng.choice(TARGETS), self.rng.choice(DEADLINES_MS)
         headers = {} if deadline_ms is None else {"Deadline_Milliseconds": str(deadline_ms)}
         failed: set[str] = set()
         while len(tries) < MAX_TRIES:
-            name = self._choose(client, failed)
+            name = client.choose(failed)
             got = self._try(client, name, target, f"{request_id}-{len(tries)}", headers, tries)
             if not self._may_repeat(target, tries[-1]):
                 return
@@ -133,26 +126,12 @@
             if got is not None:
                 gevent.sleep(float(got.headers.get("retry-after", 0)))
 
-    def _choose(self, client: Client, failed: set[str]) -> str:
-        if now_ms() >= client.until_ms:
-            client.addresses = self._resolve()
-            client.until_ms = now_ms() + client.hold_s * 1000
-        return self.rng.choice(
-            [one for one in client.addresses if one not in failed] or client.addresses
-        )
-
-    def _resolve(self) -> list[str]:
-        """Ask an instance that runs which ones callers in the north use."""
-        names = {one.ip: one.name for one in self.fleet.gateways.values()}
-        for name in self.rng.sample(sorted(names.values()), len(names)):
-            found = self.fleet.directory_answer(name, HOST, NORTH)
-            if found:
-                return [names[one.partition(":")[0]] for one in found]
-        raise AssertionError("expected an instance that answers for the directory, found none")
+    def _shuffled_names(self) -> list[str]:
+        return self.rng.sample(sorted(self.fleet.gateways), len(self.fleet.gateways))
 
     def _try(
         self,
-        client: Client,
+        client: DirectoryCaller,
         name: str,
         target: str,
         request_id: str,
@@ -160,28 +139,14 @@
         tries: list[Try],
     ) -> Got | None:
         at_ms, was_stopping = now_ms(), name in self.stopping
-        kept = client.kept[name] = [one for one in client.kept.get(name, []) if one.is_open()]
-        got, caller = None, None
-        try:
-            caller = kept.pop() if kept else self.fleet.caller(name)
-            got = Got(0, {}, b"", False)
-            with gevent.Timeout(CALLER_TIMEOUT_S, False):
-                caller.send(target, request_id, b"abc", **headers)
-                got = caller.read()
-        except OSError:
-            pass  # It was not connected, or not all of the request was written.
+        got = client.exchange(name, target, request_id, b"abc", headers)
         tries.append(Try(request_id, at_ms, now_ms() - at_ms, was_stopping, got))
-        keeps = got is not None and got.whole and got.headers.get("connection") != "close"
-        if keeps and self.rng.random() < KEEPING_SHARE:
-            kept.append(caller)
-        elif caller is not None:
-            caller.close()
         return got
 
     def _may_repeat(self, target: str, one: Try) -> bool:
         """Tell whether a caller tries again: a request that may have run only if it is safe."""
         got = one.got
-        if got is None or _is_refusal(got):
+        if got is None or is_refusal(got):
             return True
         if target != "/safe/x":
             return got.status == 0 and one.request_id not in self._ran()
@@ -194,9 +159,9 @@
         ran = self._ran()
         every = [one for tries in self.tries for one in tries]
         cut = [one for one in every if _is_cut(one) and one.request_id in ran]
-        false = [one for one in every if _is_refusal(one.got) and one.request_id in ran]
+        false = [one for one in every if is_refusal(one.got) and one.request_id in ran]
         ends = [tries[-1] for tries in self.tries if tries]
-        unserved = [one for one in ends if _is_refusal(one.got) and one.was_stopping]
+        unserved = [one for one in ends if is_refusal(one.got) and one.was_stopping]
         self._print_counts()
         return [
             Finding("requests that were passed on and cut", len(cut), 0),
@@ -209,24 +174,16 @@
         at_stopping = [tries for tries in late if tries[0].was_stopping]
         print(json.dumps({
             "requests since the first stop": len(late),
-            "served at once": sum(_is_served(tries[0]) for tries in late),
-            "served": sum(_is_served(tries[-1]) for tries in late),
+            "served at once": sum(is_success(tries[0].got) for tries in late),
+            "served": sum(is_success(tries[-1].got) for tries in late),
             "first asked a stopping instance": len(at_stopping),
-            "and refused there": sum(_is_refusal(tries[0].got) for tries in at_stopping),
+            "and refused there": sum(is_refusal(tries[0].got) for tries in at_stopping),
             "and not connected there": sum(tries[0].got is None for tries in at_stopping),
             "and cut there": sum(_is_cut(tries[0]) for tries in at_stopping),
-            "refused": sum(_is_refusal(tries[0].got) for tries in late),
+            "refused": sum(is_refusal(tries[0].got) for tries in late),
         }))  # fmt: skip
 
 
-def _is_refusal(got: Got | None) -> bool:
-    return got is not None and got.status in (408, 421, 429, 503)
-
-
-def _is_served(one: Try) -> bool:
-    return one.got is not None and one.got.whole and one.got.status == 200
-
-
 def _is_cut(one: Try) -> bool:
     """Tell whether an answer ended before its end, and before its caller gave up."""
     is_given_up = one.took_ms >= CALLER_TIMEOUT_S * 1000
--- a/benchmarks/bounds/_region_stops.py
+++ b/benchmarks/bounds/_region_stops.py
@@ -9,11 +9,12 @@
 
 import gevent
 
+from benchmarks.bounds._directory_caller import DirectoryCaller, is_refusal, is_success
 from benchmarks.bounds._rules import Finding, SentRequest
 from benchmarks.bounds._run import CALLER_TIMEOUT_S, NORTH, BoundsRun
 from benchmarks.gateway_fleet import GatewayFleet
 from sparline._clock import now_ms
-from standins import HOST, Caller, Got, plain_routes, publish, published_version, work_body
+from standins import Got, plain_routes, publish, published_version, work_body
 
 # Time in which instances learn how long requests take (s).
 LEARN_S = 8.0
@@ -26,11 +27,9 @@
 CALLERS = 16
 PAUSE_S = (0.1, 0.3)  # between the requests, and the tries, of one caller
 MAX_TRIES = 4
-KEEPING_SHARE = 0.5
 SLOTS = 400
 USUAL_MS = 60.0
 TARGET_LATENCY_MS = 8_000
-REFUSALS = (408, 421, 429, 503)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,12 +87,12 @@
     @property
     def is_served(self) -> bool:
         """Return whether a whole success came."""
-        return self.got is not None and self.got.whole and self.got.status == 200
+        return is_success(self.got)
 
     @property
     def may_be_repeated(self) -> bool:
         """Return whether the caller knows that the request has not run."""
-        return self.got is None or (self.got.whole and self.got.status in REFUSALS)
+        return self.got is None or is_refusal(self.got)
 
 
 @dataclass(slots=True)
@@ -107,16 +106,6 @@
     ended_at_ms: float = math.inf  # when its last try ended
 
 
-@dataclass(slots=True)
-class Held:
-    """Hold where one caller sends its requests."""
-
-    hold_s: float  # how long an answer of the directory is held
-    names: list[str] = field(default_factory=list)  # instances that the last answer named
-    until_ms: float = 0.0  # how long they are held
-    kept: dict[str, Caller] = field(default_factory=dict)  # open connections, by instance
-
-
 @dataclass(slots=True)
 class RegionStops:
     """Send requests while the instances of the north are stopped, and hold what callers got."""
@@ -166,62 +155,35 @@
 
     def _call(self) -> None:
         """Send requests one after the other, as one caller."""
-        held = Held(self.rng.choice(HOLD_S))
+        caller = DirectoryCaller(self.fleet, self.rng, self.rng.choice(HOLD_S), self._near_first)
         while not self._is_over():
             gevent.sleep(self.rng.uniform(*PAUSE_S))
             since_stop_s = (now_ms() - self.first_stop_ms) / 1000
             asked = Asked(len(self.asked), now_ms(), self.form.draw_work(self.rng, since_stop_s))
             self.asked.append(asked)
-            self._ask(held, asked)
+            self._ask(caller, asked)
             asked.ended_at_ms = now_ms()
 
-    def _ask(self, held: Held, asked: Asked) -> None:
+    def _near_first(self) -> list[str]:
+        gateways = self.fleet.gateways.values()
+        return [one.name for one in sorted(gateways, key=lambda one: one.zone != NORTH)]
+
+    def _ask(self, caller: DirectoryCaller, asked: Asked) -> None:
+        target, body = f"/{self.form.kind}/x", work_body(asked.work.took_ms)
         failed: set[str] = set()
         while len(asked.tries) < MAX_TRIES:
-            name = self._choose(held, failed)
+            if not caller.has_alternative(failed):
+                caller.look_up()
+            name = caller.choose(failed)
             request_id = f"r{asked.number}-{len(asked.tries)}"
-            asked.tries.append(Try(request_id, self._exchange(held, name, request_id, asked.work)))
-            one = asked.tries[-1]
-            if not one.may_be_repeated:
+            got = caller.exchange(name, target, request_id, body, {})
+            asked.tries.append(Try(request_id, got))
+            if not asked.tries[-1].may_be_repeated:
                 return
             failed.add(name)
-            wait_s = float(one.got.headers.get("retry-after", 0)) if one.got else 0.0
+            wait_s = float(got.headers.get("retry-after", 0)) if got else 0.0
             gevent.sleep(max(wait_s, self.rng.uniform(*PAUSE_S)))
 
-    def _choose(self, held: Held, failed: set[str]) -> str:
-        """Choose an instance that has not failed; ask the directory once all have, or too late."""
-        if now_ms() >= held.until_ms or not set(held.names) - failed:
-            held.names = self._resolve() or held.names
-            held.until_ms = now_ms() + held.hold_s * 1000
-        return self.rng.choice([one for one in held.names if one not in failed] or held.names)
-
-    def _resolve(self) -> list[str]:
-        """Ask an instance that runs which ones callers in the north use, near ones first."""
-        names = {one.ip: one.name for one in self.fleet.gateways.values()}
-        for gateway in sorted(self.fleet.gateways.values(), key=lambda one: one.zone != NORTH):
-            found = self.fleet.directory_answer(gateway.name, HOST, NORTH)
-            if found:
-                return [names[one.partition(":")[0]] for one in found]
-        return []
-
-    def _exchange(self, held: Held, name: str, request_id: str, work: Work) -> Got | None:
-        kept = held.kept.pop(name, None)
-        caller, got = None, None
-        try:
-            caller = kept if kept is not None and kept.is_open() else self.fleet.caller(name)
-            got = Got(0, {}, b"", False)
-            with gevent.Timeout(CALLER_TIMEOUT_S, False):
-                caller.send(f"/{self.form.kind}/x", request_id, work_body(work.took_ms))
-                got = caller.read()
-        except OSError:
-            pass  # It was not connected, or not all of the request was written.
-        keeps = got is not None and got.whole and got.headers.get("connection") != "close"
-        if keeps and self.rng.random() < KEEPING_SHARE:
-            held.kept[name] = caller
-        elif caller is not None:
-            caller.close()
-        return got
-
     def _findings(self) -> list[Finding]:
         ran = {run.request_id for one in self.fleet.servers.values() for run in one.runs}
         tries = [one for asked in self.asked for one in asked.tries]
