Make the limits of backend servers a package of their own in placement

No behaviour changes. `_refusal_limits`, `_server_limits`, `_limit_shares`, `_cold_shares` and `_rate_shares` are one subject, how often an instance may send to a server, and were five of 21 modules beside the choice of a place. They are `sparline/placement/limits` now, with their tests; `sparline.placement` names the same classes as before. All tests of placement and the quotas' tests that use the fake fleet pass.

--- a/sparline/placement/_loss_estimator.py
+++ b/sparline/placement/_loss_estimator.py
@@ -9,17 +9,15 @@
 from sparline._ids import BackendServerId, RegionName, ZoneName
 from sparline.fleet import BackendServer, FleetState, Member, ServerLoad
 from sparline.placement._cached_prefix import CachedPrefix
-from sparline.placement._cold_shares import ColdShares
 from sparline.placement._credit import CreditTable
 from sparline.placement._demand import DemandFacts, DemandTable
 from sparline.placement._gap_table import GapTable, LateShares
 from sparline.placement._health import HealthTable
-from sparline.placement._limit_shares import ServerLimitShares
 from sparline.placement._loads import LoadTable
 from sparline.placement._pace import EnginePace, PaceTable, ServicePace
 from sparline.placement._placement import Doubt, Placement
 from sparline.placement._prompt_cache import PromptCache
-from sparline.placement._refusal_limits import RefusalLimitTable
+from sparline.placement.limits import ColdShares, RefusalLimitTable, ServerLimitShares
 from sparline.requests import RoutedRequest
 from sparline.routes import EngineSpec, Service
 
--- a/sparline/placement/_cold_shares.py
+++ b/sparline/placement/limits/_cold_shares.py
@@ -6,7 +6,7 @@
 from sparline._clock import now_ms
 from sparline._ids import BackendServerId
 from sparline.fleet import BackendServer
-from sparline.placement._rate_shares import IsSettled, RateShares, Sharers
+from sparline.placement.limits._rate_shares import IsSettled, RateShares, Sharers
 
 
 @dataclass(frozen=True, slots=True)
--- a/sparline/placement/_limit_shares.py
+++ b/sparline/placement/limits/_limit_shares.py
@@ -1,8 +1,8 @@
 """This instance's share of the request rate limits set by backend servers."""
 
 from sparline._ids import BackendServerId
-from sparline.placement._rate_shares import RateShares
-from sparline.placement._server_limits import ServerLimitTable
+from sparline.placement.limits._rate_shares import RateShares
+from sparline.placement.limits._server_limits import ServerLimitTable
 
 # Lowest request rate per server, from all instances together. A limit of zero must not stop all
 # requests, because only an answer can show that the limit was raised.
--- a/sparline/placement/tests/test_refusal_limits.py
+++ b/sparline/placement/limits/tests/test_refusal_limits.py
@@ -1,8 +1,8 @@
 import pytest
 
 from sparline._ids import BackendServerId
-from sparline.placement import RefusalLimitTable
-from sparline.placement import _refusal_limits as module
+from sparline.placement.limits import RefusalLimitTable
+from sparline.placement.limits import _refusal_limits as module
 
 SERVER = BackendServerId("s1")
 SHARERS = 4
--- a/sparline/placement/tests/test_server_limits.py
+++ b/sparline/placement/limits/tests/test_server_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sparline.placement import ServerLimitTable, _server_limits
+from sparline.placement.limits import ServerLimitTable, _server_limits
 from sparline.schema._gossip import ServerLimitNote
 from sparline.tests.fake_fleet import STEP_MS, FakeFleet
 from sparline.tests.routed import make_server
--- a/sparline/placement/tests/test_witnesses.py
+++ b/sparline/placement/tests/test_witnesses.py
@@ -4,14 +4,8 @@
 
 from sparline._ids import BackendServerId, RegionName
 from sparline.fleet import ServerLoad
-from sparline.placement import (
-    ColdShares,
-    HealthTable,
-    LoadTable,
-    _cold_shares,
-    _health,
-    _rate_shares,
-)
+from sparline.placement import ColdShares, HealthTable, LoadTable, _health
+from sparline.placement.limits import _cold_shares, _rate_shares
 from sparline.tests.routed import make_server
 
 S1 = BackendServerId("s1")
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -39,15 +39,8 @@
     sum_loads,
 )
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
-from sparline.placement import (
-    ColdShares,
-    RateShares,
-    ServerLimitShares,
-    ServerLimitTable,
-    _cold_shares,
-    _rate_shares,
-    _server_limits,
-)
+from sparline.placement import ColdShares, RateShares, ServerLimitShares, ServerLimitTable
+from sparline.placement.limits import _cold_shares, _rate_shares, _server_limits
 from sparline.quarantine import CrashTable, PartTable, _crash_table, _part_table
 from sparline.quotas import (
     NO_TOLERANCE,
