Move the course of a planned stop out of the gateway's life cycle

No behaviour changes. `Gateway.leave` built the sources of the plan, waited, logged and closed ports in one method, and `Gateway` held two questions of the plan as methods of its own. `_planned_stop.py` makes the plan and waits; `Gateway.leave` reads as the steps of a stop. test_late_requests.py and test_process.py pass.

--- a/sparline/gateway/_gateway.py
+++ b/sparline/gateway/_gateway.py
@@ -7,16 +7,14 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline._logging import log
 from sparline._wsgi import make_server
-from sparline.fleet import PlannedStops
 from sparline.gateway._components import GatewayComponents
 from sparline.gateway._forwarders import FOR_CALLERS, FOR_PEERS, make_forwarder
 from sparline.gateway._housekeeping import remove_lapsed_servers, run_housekeeping
-from sparline.gateway._leave_plan import LeavePlan, StopSources
 from sparline.gateway._operator_app import make_operator_app
+from sparline.gateway._planned_stop import make_leave_plan, wait_until_closed, wait_until_done
 from sparline.gateway._run_time_collection import RunTimeCollection
 from sparline.gateway._settings import split_address
 from sparline.platform import (
@@ -32,8 +30,6 @@
 # Interval at which a starting instance checks for a configuration (ms). It is short because callers
 # wait meanwhile.
 CONFIGURATION_POLL_INTERVAL_MS = 10.0
-# Interval at which a planned stop checks whether it is complete (ms).
-STOP_POLL_INTERVAL_MS = 50.0
 
 
 class Gateway(GatewayComponents):
@@ -139,48 +135,20 @@
         """Stop as planned: announce it, serve late requests, and complete those in flight."""
         if self.service.leave_plan is not None:
             return
-        stops = PlannedStops(self.members)
-        sources = StopSources(
-            self._is_last_in_region,
-            self._is_return_expected,
-            stops.is_relieved,
-            stops.are_others_leaving,
-            self.service.run_times.shortest_ms,
-            self.service.run_times.remaining_ms,
-        )
-        plan = LeavePlan(now_ms(), self.settings.grace_s * 1000, sources)
+        plan = make_leave_plan(self.members, self.service, self.settings.grace_s * 1000)
         self.service.leave_plan = plan
         self.gossip.announce(MemberPhase.leaving)
         RunTimeCollection(self.members, self.service.run_times, self.relay_port).start()
         in_flight = len(self.service.in_flight)
         log.bind(in_flight=in_flight, grace_ms=plan.grace_ms).info("instance_leaving")
-        while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
-            if plan.is_complete(self.service.in_flight.oldest_arrived_at_ms()):
-                # The sooner it exits, the sooner it is back.
-                break
-            gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
-        log.bind(
-            in_flight=len(self.service.in_flight),
-            accepted_for_ms=round(now_ms() - plan.began_at_ms),
-            phase=plan.phase().value,
-        ).info("instance_closed")
+        wait_until_closed(plan, self.service)
         for server in self._servers:
             server.close()
-        while self.service.in_flight and now_ms() < plan.exits_at_ms():
-            self.service.close_idle()
-            gevent.sleep(STOP_POLL_INTERVAL_MS / 1000)
+        wait_until_done(plan, self.service)
         self.request_log.note_cut_by_exit(self.service.in_flight)
         log.bind(in_flight=len(self.service.in_flight)).info("instance_stopped")
         self._stopped.set()
 
-    def _is_last_in_region(self) -> bool:
-        """Return whether no other instance of the region is live."""
-        return not self.members.live(RegionName(self.settings.region))
-
-    def _is_return_expected(self) -> bool:
-        """Return whether another instance of the region was there until recently."""
-        return len(self.members.sharers(RegionName(self.settings.region))) > 1
-
     def wait(self) -> None:
         """Wait until the instance has stopped."""
         self._stopped.wait()
