Word what a leaving instance does in its own terms

No behaviour changes: `may_close_early` for `is_complete`, which said the contrary of what callers of it asked; the factors depend on substituting, which is what the argument now names; the comment on the last instance's share of the grace period referred to another constant. test_leave_plan.py passes.

--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -15,8 +15,8 @@
 # Fraction of the grace period after which the process exits. Requests in flight continue until
 # then.
 EXIT_FRACTION = 0.95
-# The same where no other instance of the region is live: instances of other regions may not run
-# requests bound to their home regions.
+# Fraction of the grace period in which new requests are accepted at most if no other instance of the
+# region is live: instances of other regions may not run requests bound to their home regions.
 LAST_INSTANCE_ACCEPT_FRACTION = 0.85
 # How long it usually takes from a process's exit until the next one accepts requests (ms).
 RESTART_MS = 2_000.0
@@ -145,8 +145,8 @@
     def substitutes_until_ms(self) -> float:
         """Return until when this instance waits for another one that is about to be back.
 
-        Later, too little time is left to accept requests by the time that others took recently, and
-        the caller of one that is refused can be served sooner by the next process.
+        Callers whose directory answer was given before the stop have come by then, and less and less
+        time is left for requests that take longer than any recent one.
         """
         return self.began_at_ms + min(ANSWER_HELD_MS, self.grace_ms * ACCEPT_FRACTION)
 
@@ -160,15 +160,16 @@
                 return max(notice_ms, self.sources.remaining_ms()) + RESTART_MS
         return 0.0
 
-    def is_complete(self, oldest_arrived_at_ms: float | None) -> bool:
-        """Return whether this instance may close before it stops to accept requests.
+    def may_close_early(self, oldest_arrived_at_ms: float | None) -> bool:
+        """Return whether nothing is gained by accepting requests for as long as the plan allows.
 
         `oldest_arrived_at_ms` is when the oldest request in flight arrived, None if there is none.
         """
         if self.phase() is StopPhase.FINISHING:
             if now_ms() < self._finishing_at_ms + NOTICE_MS:
                 return False
-            # Those that have arrived since are over in time, and some are always in flight.
+            # Requests that have arrived since then surely end in time: there is no need to wait for a
+            # moment without any.
             return oldest_arrived_at_ms is None or oldest_arrived_at_ms >= self._finishing_at_ms
         return oldest_arrived_at_ms is None and now_ms() >= self.last_fit_ms()
 
@@ -216,19 +217,19 @@
         return LateBound.OWN_LIMIT
 
 
-def _expected_ms(request: LateRequest, bound: LateBound, is_last_in_region: bool) -> float:
+def _expected_ms(request: LateRequest, bound: LateBound, is_substituting: bool) -> float:
     """Return the longest time that a request is expected to take."""
     if bound is LateBound.OWN_LIMIT:
         return request.limit_ms
-    whole_ms = _whole_ms(request, is_last_in_region)
+    whole_ms = _whole_ms(request, is_substituting)
     return min(max(_estimated_ms(request), whole_ms), request.limit_ms)
 
 
-def _whole_ms(request: LateRequest, is_last_in_region: bool) -> float:
+def _whole_ms(request: LateRequest, is_substituting: bool) -> float:
     """Return the time in which whole answers to such requests were complete recently."""
     if request.longest_whole_ms is None:
-        return 0.0 if is_last_in_region else request.limit_ms
-    factor = LONGEST_TIME_FACTOR if is_last_in_region else CAUTIOUS_TIME_FACTOR
+        return 0.0 if is_substituting else request.limit_ms
+    factor = LONGEST_TIME_FACTOR if is_substituting else CAUTIOUS_TIME_FACTOR
     return request.longest_whole_ms * factor
 
 
--- a/sparline/gateway/_planned_stop.py
+++ b/sparline/gateway/_planned_stop.py
@@ -32,7 +32,7 @@
 def wait_until_closed(plan: LeavePlan, service: Service) -> None:
     """Serve late requests until the plan accepts no more."""
     while (left_ms := plan.accepts_until_ms() - now_ms()) > 0:
-        if plan.is_complete(service.in_flight.oldest_arrived_at_ms()):
+        if plan.may_close_early(service.in_flight.oldest_arrived_at_ms()):
             # The sooner it exits, the sooner it is back.
             break
         gevent.sleep(min(left_ms, STOP_POLL_INTERVAL_MS) / 1000)
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -277,7 +277,7 @@
 
 
 # When the oldest request in flight arrived, the time, and whether the instance closes then.
-COMPLETE_ROWS = [
+CLOSE_ROWS = [
     ("nothing in flight, but callers are not told yet", None, 400.0, False),
     ("nothing in flight", None, 600.0, True),
     ("one from before the stop", -100.0, 600.0, False),
@@ -286,12 +286,12 @@
 
 
 @pytest.mark.parametrize(
-    ("oldest_ms", "at_ms", "is_complete"),
-    [row[1:] for row in COMPLETE_ROWS],
-    ids=[row[0] for row in COMPLETE_ROWS],
+    ("oldest_ms", "at_ms", "may_close"),
+    [row[1:] for row in CLOSE_ROWS],
+    ids=[row[0] for row in CLOSE_ROWS],
 )
 def test_region_is_without_an_instance_for_longer_than_it_has_to_be(
-    monkeypatch, oldest_ms, at_ms, is_complete
+    monkeypatch, oldest_ms, at_ms, may_close
 ):
     """Guards against an only instance that waits although it could be back."""
     now = [0.0]
@@ -299,7 +299,7 @@
     plan = make_plan(True, is_return_expected=False)
     assert plan.phase() is StopPhase.FINISHING
     now[0] = at_ms
-    assert plan.is_complete(oldest_ms) is is_complete
+    assert plan.may_close_early(oldest_ms) is may_close
 
 
 # What is known of others and of requests in flight, and the wait of a refused caller (ms).
