Keep what bounds a late request apart from the phases of a stop

No behaviour changes. `_leave_plan.py` held the times of a stop and the estimate of a request's time; the estimate, its factors and what it is made from are `_late_requests.py` now. test_leave_plan.py passes.

--- a/sparline/gateway/_request_routing.py
+++ b/sparline/gateway/_request_routing.py
@@ -11,7 +11,8 @@
 from sparline.decisions import unserved_retry_after_ms
 from sparline.fleet import FleetState
 from sparline.gateway._admission import AdmissionGate, Admitted, Arrival, NotAdmitted
-from sparline.gateway._leave_plan import LateRequest, LeavePlan
+from sparline.gateway._late_requests import LateRequest
+from sparline.gateway._leave_plan import LeavePlan
 from sparline.gateway._own_answers import NO_ROUTE_RETRY_AFTER_MS, OwnAnswers
 from sparline.gateway._quotas import Quotas
 from sparline.gateway._request_log import RequestLog
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -5,11 +5,10 @@
 import pytest
 
 from sparline.gateway import _leave_plan
+from sparline.gateway._late_requests import LONGEST_TIME_FACTOR, LateRequest
 from sparline.gateway._leave_plan import (
-    LONGEST_TIME_FACTOR,
     NOTICE_MS,
     RESTART_MS,
-    LateRequest,
     LeavePlan,
     StopPhase,
     StopSources,
