Make the exchanges between instances a package of their own in fleet

No behaviour changes. Six modules, each of which holds what one kind of news says and how it is merged, stood among 33 beside members, store and servers. They are `sparline/fleet/exchanges` now, with their four test files, and have a surface of their own; `sparline.fleet` names the same classes as before. Their tests simulate fleets and stay among the slow folders of the test runner.

--- a/benchmarks/tests/test_replay.py
+++ b/benchmarks/tests/test_replay.py
@@ -11,8 +11,8 @@
     replay_day,
 )
 from sparline.fleet import LoadExchange
-from sparline.fleet._load_exchange import LoadDatagram
 from sparline.fleet._loads import read_load
+from sparline.fleet.exchanges._load_exchange import LoadDatagram
 from sparline.placement import Chooser, Placement
 from sparline.requests import RoutedRequest
 from sparline.schema._gossip import LoadNews, LoadShares
--- a/sparline/fleet/__init__.py
+++ b/sparline/fleet/__init__.py
@@ -1,7 +1,6 @@
 """Fleet state: peer instances learned by gossip; servers and configuration read from the store."""
 
 from sparline.fleet._admission_coordinator import NO_ADMISSION, AdmissionSources, LevelChange
-from sparline.fleet._admission_exchange import AdmissionExchange
 from sparline.fleet._admission_table import LevelInForce, ServiceRanks
 from sparline.fleet._backend_servers import (
     BackendServer,
@@ -12,16 +11,12 @@
     StoreItem,
     UnknownItem,
 )
-from sparline.fleet._crash_exchange import CrashExchange
 from sparline.fleet._fleet_state import FleetState
 from sparline.fleet._gossip import Datagram, GossipPort, GossipSources, make_member_note
 from sparline.fleet._load_board import LoadReading, ServerLoadTable
-from sparline.fleet._load_exchange import LoadDatagram, LoadExchange, LoadSources
 from sparline.fleet._loads import ServerLoad, add_pending, pending_of, sum_loads
 from sparline.fleet._members import Member, Members
-from sparline.fleet._part_exchange import PartExchange
 from sparline.fleet._planned_stops import PlannedStops
-from sparline.fleet._quota_exchange import QuotaExchange
 from sparline.fleet._software_versions import VERSION_RETENTION_MS, SoftwareVersions
 from sparline.fleet._store_confirmation import StoreConfirmation
 from sparline.fleet._store_copy import NO_POSITION, StoreChange, StoreCopyTable, StorePosition
@@ -38,12 +33,19 @@
     likely_holders,
     other_instances,
 )
-from sparline.fleet._stream_version_exchange import (
+from sparline.fleet._stream_versions import StreamKey, service_key, stream_key
+from sparline.fleet.exchanges import (
+    AdmissionExchange,
+    CrashExchange,
+    LoadDatagram,
+    LoadExchange,
+    LoadSources,
+    PartExchange,
+    QuotaExchange,
     StreamVersionCallbacks,
     StreamVersionDatagram,
     StreamVersionExchange,
 )
-from sparline.fleet._stream_versions import StreamKey, service_key, stream_key
 
 __all__ = [
     "NO_ADMISSION",
--- a/sparline/fleet/_gossip.py
+++ b/sparline/fleet/_gossip.py
@@ -13,8 +13,6 @@
 from sparline._clock import now_ms
 from sparline._ids import RegionName
 from sparline._logging import log
-from sparline.fleet._admission_exchange import AdmissionDatagram, AdmissionExchange
-from sparline.fleet._crash_exchange import CrashExchange
 from sparline.fleet._gossip_peers import (
     MAX_DESCRIBED_MEMBERS,
     REPRESENTATIVES_PER_REGION,
@@ -27,12 +25,21 @@
     sample_members,
     siblings_for_round,
 )
-from sparline.fleet._load_exchange import LoadDatagram, LoadExchange
 from sparline.fleet._members import Member, Members
-from sparline.fleet._part_exchange import PartDatagram, PartExchange
-from sparline.fleet._quota_exchange import QuotaDatagram, QuotaExchange
 from sparline.fleet._store_copy import StorePosition
-from sparline.fleet._stream_version_exchange import StreamVersionDatagram, StreamVersionExchange
+from sparline.fleet.exchanges import (
+    AdmissionDatagram,
+    AdmissionExchange,
+    CrashExchange,
+    LoadDatagram,
+    LoadExchange,
+    PartDatagram,
+    PartExchange,
+    QuotaDatagram,
+    QuotaExchange,
+    StreamVersionDatagram,
+    StreamVersionExchange,
+)
 from sparline.quarantine import CrashChange
 from sparline.schema._gossip import (
     AdmissionLevels,
--- a/sparline/fleet/tests/test_crash_exchange.py
+++ b/sparline/fleet/exchanges/tests/test_crash_exchange.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from sparline.fleet import CrashExchange, _crash_exchange, _gossip
+from sparline.fleet import CrashExchange, _gossip
+from sparline.fleet.exchanges import _crash_exchange
 from sparline.quarantine import CrashTable, RequestDigest, Verdict
 from sparline.schema._gossip import CrashNews
 from sparline.tests.fake_fleet import FAR_MS, FakeFleet, gossiping_fleet, region_of
--- a/sparline/fleet/tests/test_load_exchange.py
+++ b/sparline/fleet/exchanges/tests/test_load_exchange.py
@@ -10,7 +10,6 @@
     Members,
     ServerLoad,
     _load_board,
-    _load_exchange,
     _load_shares,
     _members,
     _news_allowance,
@@ -18,6 +17,7 @@
 from sparline.fleet._load_shares import Aggregators
 from sparline.fleet._loads import write_load
 from sparline.fleet._news_allowance import BURST_SIZE
+from sparline.fleet.exchanges import _load_exchange
 from sparline.schema._gossip import (
     Gossip,
     LoadNews,
--- a/sparline/fleet/tests/test_pending_ranks.py
+++ b/sparline/fleet/tests/test_pending_ranks.py
@@ -10,8 +10,12 @@
 from sparline._ids import BackendServerId
 from sparline.fleet import ServerLoad, pending_of, sum_loads
 from sparline.fleet._load_board import LoadReading, ServerLoadTable
-from sparline.fleet._load_exchange import MAX_CROSS_REGION_READINGS, _fitting, _reading_notes
 from sparline.fleet._loads import MAX_RANK, read_load, write_load
+from sparline.fleet.exchanges._load_exchange import (
+    MAX_CROSS_REGION_READINGS,
+    _fitting,
+    _reading_notes,
+)
 from sparline.schema._gossip import BackendLoadNote, LoadNews
 
 SERVER = BackendServerId("engine-of-some-zone-17")
--- a/sparline/tests/fake_fleet.py
+++ b/sparline/tests/fake_fleet.py
@@ -25,19 +25,21 @@
     StorePosition,
     StreamVersionCallbacks,
     StreamVersionExchange,
-    _admission_exchange,
     _gossip,
     _gossip_peers,
     _load_board,
-    _load_exchange,
     _load_shares,
     _members,
     _news_allowance,
-    _quota_exchange,
-    _stream_version_exchange,
     _stream_versions,
     sum_loads,
 )
+from sparline.fleet.exchanges import (
+    _admission_exchange,
+    _load_exchange,
+    _quota_exchange,
+    _stream_version_exchange,
+)
 from sparline.forwarding import RetryRule, RetryWindow, _retry_window
 from sparline.placement import ColdShares, RateShares, ServerLimitShares, ServerLimitTable
 from sparline.placement.limits import _cold_shares, _rate_shares, _server_limits
--- a/testrunner/_groups.py
+++ b/testrunner/_groups.py
@@ -6,6 +6,7 @@
 
 # Folders whose tests start many processes or simulate fleets, the slowest first.
 SLOW_FOLDERS = (
+    "sparline/fleet/exchanges/tests",
     "sparline/fleet/tests",
     "testrunner/tests",
     "benchmarks/tests",
