Choose among leaving instances only where one is still heard

What callers would have seen: a live instance that is alone in its region fails a request, or a directory answer, for up to 3 s after two siblings that left 0.25 to 0.5 s apart have ended: it asks which of them takes requests, and the rule of took the greatest of none (`ValueError`). Where none is heard the rule before applies.

test_live_instance_asks_for_leaving_ones_that_are_gone fails before.

--- a/sparline/fleet/_planned_stops.py
+++ b/sparline/fleet/_planned_stops.py
@@ -59,11 +59,13 @@
             return set()
         last_at_ms = max(began_at_ms.values())
         spread_ms = last_at_ms - min(began_at_ms.values())
-        if region == self._members.own.region and spread_ms <= SIMULTANEOUS_STOPS_MS:
-            return {max(began_at_ms)}
-        is_known_to_all = now_ms() - last_at_ms >= LATER_STOP_MS
-        if region == self._members.own.region and spread_ms <= CLOSE_STOPS_MS and is_known_to_all:
-            return {max(self._still_heard(began_at_ms))}
+        if region == self._members.own.region:
+            if spread_ms <= SIMULTANEOUS_STOPS_MS:
+                return {max(began_at_ms)}
+            is_known_to_all = now_ms() - last_at_ms >= LATER_STOP_MS
+            still_heard = self._still_heard(began_at_ms)
+            if spread_ms <= CLOSE_STOPS_MS and is_known_to_all and still_heard:
+                return {max(still_heard)}
         return {key for key, at_ms in began_at_ms.items() if at_ms >= last_at_ms - LATER_STOP_MS}
 
     def _began_at_ms(self, region: RegionName, only_connected: bool) -> dict[int, float]:
--- a/sparline/fleet/tests/test_planned_stops.py
+++ b/sparline/fleet/tests/test_planned_stops.py
@@ -99,6 +99,16 @@
     assert stops.is_relieved() is is_relieved
 
 
+def test_live_instance_asks_for_leaving_ones_that_are_gone(clock, members):
+    """Guards against a choice among none, as two that left at a short interval end at once."""
+    for ip in ("a", "b"):
+        hear(members, note(ip))
+        clock.return_value += 400.0
+    clock.return_value += 2 * _planned_stops.LATER_STOP_MS
+    accepting = PlannedStops(members).accepting(RegionName("north"), 10_000.0)
+    assert {one.note.ip for one in accepting} == {"a", "b"}
+
+
 def test_instance_is_not_relieved_by_one_that_reaches_no_server(clock, members):
     """Guards against a region whose only instance with a way to the servers leaves early."""
     leave(members)
