Tell callers of the last answers when to come back, too

What callers saw: in a region of one where one request in eight takes 3 s, those whose long request ends last sent the next one 0.1 to 0.3 s later, found the port closed and used up their four tries in the restart.

Cause: the 0.5 s in which a finishing instance says when to come back were counted from when it began to finish, and were over by then.

The row `one from before the stop has just ended` fails before.

--- a/sparline/gateway/_leave_plan.py
+++ b/sparline/gateway/_leave_plan.py
@@ -82,6 +82,7 @@
     sources: StopSources
     _named_alone_at_ms: float = -math.inf  # when directory answers last named no other instance
     _finishing_at_ms: float = math.inf  # since when it finishes, infinite if it does not
+    _held_at_ms: float = -math.inf  # when a request from before that was last in flight
 
     def phase(self) -> StopPhase:
         """Return what this instance is there for; it changes as others start or leave."""
@@ -129,8 +130,9 @@
             case StopPhase.SUBSTITUTING:
                 return self.substitutes_until_ms() - now_ms()
             case StopPhase.FINISHING:
-                notice_ms = self._finishing_at_ms + NOTICE_MS - now_ms()
-                return max(notice_ms, self.sources.remaining_ms()) + RESTART_MS
+                remaining_ms = self.sources.remaining_ms()
+                notice_ms = NOTICE_MS if remaining_ms else self._notice_end_ms() - now_ms()
+                return remaining_ms + max(notice_ms, 0.0) + RESTART_MS
         return 0.0
 
     def may_close_early(self, oldest_arrived_at_ms: float | None) -> bool:
@@ -139,13 +141,20 @@
         `oldest_arrived_at_ms` is when the oldest request in flight arrived, None if there is none.
         """
         if self.phase() is StopPhase.FINISHING:
-            if now_ms() < self._finishing_at_ms + NOTICE_MS:
-                return False
             # Requests that have arrived since then surely end in time: there is no need to wait for a
             # moment without any.
-            return oldest_arrived_at_ms is None or oldest_arrived_at_ms >= self._finishing_at_ms
+            if oldest_arrived_at_ms is not None and oldest_arrived_at_ms < self._finishing_at_ms:
+                self._held_at_ms = now_ms()
+            return now_ms() >= self._notice_end_ms()
         return oldest_arrived_at_ms is None and now_ms() >= self.last_fit_ms()
 
+    def _notice_end_ms(self) -> float:
+        """Return until when callers are told at least when to come back.
+
+        That includes those who wait for the last answer, and then send the next request.
+        """
+        return max(self._finishing_at_ms, self._held_at_ms) + NOTICE_MS
+
     def _replaced_end_ms(self) -> float:
         """Return until when callers come whose directory answer names no other instance."""
         named_until_ms = min(self._named_alone_at_ms + ANSWER_HELD_MS, self._last_instance_end_ms())
--- a/sparline/gateway/tests/test_leave_plan.py
+++ b/sparline/gateway/tests/test_leave_plan.py
@@ -275,12 +275,13 @@
     assert make_plan(False, **changes).phase() is StopPhase.REPLACED
 
 
-# When the oldest request in flight arrived, the time, and whether the instance closes then.
+# When the oldest request in flight at 1,000 ms had arrived, the time, and whether the instance closes then.
 CLOSE_ROWS = [
-    ("nothing in flight, but callers are not told yet", None, 400.0, False),
+    ("callers are not told yet", None, 400.0, False),
     ("nothing in flight", None, 600.0, True),
-    ("one from before the stop", -100.0, 600.0, False),
-    ("only one that will end in time", 100.0, 600.0, True),
+    ("one from before the stop has just ended", -100.0, 1_400.0, False),
+    ("one from before the stop ended a while ago", -100.0, 1_600.0, True),
+    ("only one that will end in time", 100.0, 1_000.0, True),
 ]
 
 
@@ -297,8 +298,11 @@
     monkeypatch.setattr(_leave_plan, "now_ms", lambda: now[0])
     plan = make_plan(True, is_return_expected=False)
     assert plan.phase() is StopPhase.FINISHING
+    if at_ms >= 1_000.0:
+        now[0] = 1_000.0
+        plan.may_close_early(oldest_ms)
     now[0] = at_ms
-    assert plan.may_close_early(oldest_ms) is may_close
+    assert plan.may_close_early(None) is may_close
 
 
 # What is known of others and of requests in flight, and the wait of a refused caller (ms).
@@ -311,7 +315,7 @@
         True,
         {"is_return_expected": False, "remaining_ms": 2_500.0},
         0.0,
-        2_500.0 + RESTART_MS,
+        2_500.0 + NOTICE_MS + RESTART_MS,
     ),
 ]
 
