--- a/benchmarks/bounds/_region_stops.py
+++ b/benchmarks/bounds/_region_stops.py
@@ -13,7 +13,7 @@
 from benchmarks.bounds._directory_caller import DirectoryCaller, is_refusal, is_success
 from benchmarks.bounds._rules import Finding, SentRequest
 from benchmarks.bounds._run import CALLER_TIMEOUT_S, NORTH, BoundsRun
-from benchmarks.gateway_fleet import GatewayFleet
+from benchmarks.gateway_fleet import REGIONS, GatewayFleet
 from sparline._clock import now_ms
 from standins import Got, plain_routes, publish, published_version, work_body
 
@@ -129,7 +129,9 @@
         for name, server in self.fleet.servers.items():
             server.reads_work = True
             self.fleet.list_server(name, slots=SLOTS, sequence=2)
-        publish(self.fleet.store, published_version(self.fleet.store) + 1, self._routes())
+        # Requests may run in this region only.
+        routes = plain_routes(TARGET_LATENCY_MS, home_regions=(REGIONS[NORTH],))
+        publish(self.fleet.store, published_version(self.fleet.store) + 1, routes)
         callers = [gevent.spawn(self._call) for _ in range(CALLERS)]
         gevent.sleep(LEARN_S)
         names = [one.name for one in self.fleet.gateways.values() if one.zone == NORTH]
@@ -139,11 +141,6 @@
         gevent.joinall(callers, timeout=END_S + 2 * MAX_TRIES * CALLER_TIMEOUT_S, raise_error=True)
         return self._findings()
 
-    def _routes(self) -> dict[str, dict]:
-        """Return routes whose requests may run in this region only."""
-        routes = plain_routes(TARGET_LATENCY_MS)
-        return {path: one | {"home_regions": ["north"]} for path, one in routes.items()}
-
     def _stop(self, name: str) -> None:
         gateway = self.fleet.gateways[name]
         self.last_stop_ms = now_ms()
--- a/benchmarks/gateway_fleet/__init__.py
+++ b/benchmarks/gateway_fleet/__init__.py
@@ -7,12 +7,13 @@
     GatewayFleet,
     GatewayProcess,
 )
-from benchmarks.gateway_fleet._settings import PORTS, RETRIES, gateway_settings
+from benchmarks.gateway_fleet._settings import PORTS, REGIONS, RETRIES, gateway_settings
 from benchmarks.gateway_fleet._stream_events import EventWriters, event_ids
 
 __all__ = [
     "GRACE_S",
     "PORTS",
+    "REGIONS",
     "RETRIES",
     "SERVERS",
     "EventWriters",
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -1,5 +1,6 @@
 """What operators and backend servers write to the users' store."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from standins._key_store import KeyStore
@@ -15,17 +16,22 @@
 }
 
 
-def plain_routes(target_latency_ms: int, safe_attempts: int = 1) -> dict[str, dict[str, Any]]:
+def plain_routes(
+    target_latency_ms: int, safe_attempts: int = 1, home_regions: Sequence[str] = ()
+) -> dict[str, dict[str, Any]]:
     """Return a safe and an unsafe route whose target may lie far below their timeout of 8 s.
 
-    A safe request runs on at most `safe_attempts` backend servers.
+    A safe request runs on at most `safe_attempts` backend servers. Without `home_regions`, requests
+    may run in any region.
     """
+    homes = {"home_regions": list(home_regions)} if home_regions else {}
     return {
         f"/{kind}/": {
             "kind": kind,
             "service": "plain",
             "max_attempts": attempts,
             "target_latency_ms": target_latency_ms,
+            **homes,
         }
         for kind, attempts in (("safe", safe_attempts), ("unsafe", 1))
     }
