--- a/benchmarks/bounds/_region_stops.py
+++ b/benchmarks/bounds/_region_stops.py
@@ -137,7 +137,7 @@
             server.reads_work = True
             self.fleet.list_server(name, slots=SLOTS, sequence=2)
         # Requests may run in this region only.
-        routes = plain_routes(TARGET_LATENCY_MS, home_regions=(REGIONS[NORTH],))
+        routes = plain_routes(TARGET_LATENCY_MS, homes=(REGIONS[NORTH],))
         publish(self.fleet.store, published_version(self.fleet.store) + 1, routes)
         callers = [gevent.spawn(self._call) for _ in range(CALLERS)]
         gevent.sleep(LEARN_S)
--- a/standins/_publisher.py
+++ b/standins/_publisher.py
@@ -17,21 +17,21 @@
 
 
 def plain_routes(
-    target_latency_ms: int, safe_attempts: int = 1, home_regions: Sequence[str] = ()
+    target_latency_ms: int, safe_attempts: int = 1, homes: Sequence[str] = ()
 ) -> dict[str, dict[str, Any]]:
     """Return a safe and an unsafe route whose target may lie far below their timeout of 8 s.
 
-    A safe request runs on at most `safe_attempts` backend servers. Without `home_regions`, requests
-    may run in any region.
+    A safe request runs on at most `safe_attempts` backend servers. `homes` are the regions that may
+    run requests; all may if there are none.
     """
-    homes = {"home_regions": list(home_regions)} if home_regions else {}
+    bound = {"home_regions": list(homes)} if homes else {}
     return {
         f"/{kind}/": {
             "kind": kind,
             "service": "plain",
             "max_attempts": attempts,
             "target_latency_ms": target_latency_ms,
-            **homes,
+            **bound,
         }
         for kind, attempts in (("safe", safe_attempts), ("unsafe", 1))
     }
