--- a/benchmarks/bounds/_directory_caller.py
+++ b/benchmarks/bounds/_directory_caller.py
@@ -38,8 +38,8 @@
         return bool(set(self.names) - failed)
 
     def look_up(self) -> None:
-        """Ask for instances; keep those of before if none answers."""
-        self.names = self._found() or self.names
+        """Ask an instance that runs which ones callers in the north use."""
+        self.names = self._found()
         assert self.names, "expected an instance that answers for the directory, found none"
         self.until_ms = now_ms() + self.hold_s * 1000
 
